Lay out the workspace, core types and messages

Cause: every later part needs a place to live and shared types. Conclusion: parts can be built side by side.

--- /dev/null
+++ b/crates/cases/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replays recorded cases against their stated outcomes.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the router fleet.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of the router fleet, as state machines without input or output.
+//!
+//! Each machine takes a typed event and the time, and gives back typed effects. Sockets, threads
+//! and timers stand round them in `pistachiochute-runtime`. Replays, property tests and benches
+//! drive the same code that the daemon runs.
+
+pub mod entity;
+pub mod lists;
+pub mod map;
+pub mod name;
+pub mod outcome;
+pub mod reason;
+pub mod request;
+pub mod revision;
+pub mod time;
+pub mod topology;
+pub mod units;
--- /dev/null
+++ b/crates/core/src/reason.rs
@@ -0,0 +1,206 @@
+//! Closed sets of reasons for refusals and retries, each with a counter in the metrics.
+
+use std::fmt;
+
+macro_rules! reasons {
+    ($(#[$attr:meta])* $name:ident { $($(#[$doc:meta])* $variant:ident => $text:literal,)* }) => {
+        $(#[$attr])*
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize,
+            serde::Deserialize,
+        )]
+        #[serde(rename_all = "snake_case")]
+        pub enum $name {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl $name {
+            /// Every reason, in the order of declaration.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Name of the reason in metrics, logs and error bodies.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)*
+                }
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Why a request was refused or ended without its whole answer.
+    Refusal {
+        /// The request is not well-formed.
+        BadRequest => "bad_request",
+        /// The headers are larger than the bound.
+        HeadersTooLarge => "headers_too_large",
+        /// The body is larger than the bound.
+        BodyTooLarge => "body_too_large",
+        /// The JSON body is nested deeper than the bound.
+        JsonTooDeep => "json_too_deep",
+        /// The body ended before its declared length or stalled.
+        BodyTruncated => "body_truncated",
+        /// No such path.
+        NotFound => "not_found",
+        /// The path does not take this method.
+        MethodNotAllowed => "method_not_allowed",
+        /// The API key is missing or belongs to no account.
+        Unauthorized => "unauthorized",
+        /// The plan does not hold the model or service.
+        NotInPlan => "not_in_plan",
+        /// The plan's requests a minute are used up.
+        RequestLimit => "request_limit",
+        /// The plan's tokens a minute are used up.
+        TokenLimit => "token_limit",
+        /// The plan's requests in flight are used up.
+        InFlightLimit => "in_flight_limit",
+        /// The host serves as many connections as it may.
+        TooManyConnections => "too_many_connections",
+        /// No endpoint that is reachable serves the model or service.
+        NoEndpoint => "no_endpoint",
+        /// The endpoint is at its load bound.
+        AtBound => "at_bound",
+        /// The queue of the endpoint is full.
+        QueueFull => "queue_full",
+        /// The deadline cannot be met.
+        Deadline => "deadline",
+        /// The host is shutting down.
+        Draining => "draining",
+        /// The receiver does not own the endpoint.
+        NotOwner => "not_owner",
+        /// The endpoint is leaving.
+        EndpointLeaving => "endpoint_leaving",
+        /// The host has not yet taken over the lists.
+        NotReady => "not_ready",
+        /// The key-value service cannot be reached for a call that needs a record.
+        StoreUnavailable => "store_unavailable",
+        /// The idempotency key is older than the retention window.
+        KeyExpired => "key_expired",
+        /// The idempotency key is not a UUIDv7.
+        KeyInvalid => "key_invalid",
+        /// The idempotency key was used with another body.
+        KeyReused => "key_reused",
+        /// The action of the idempotency key is in progress.
+        InProgress => "in_progress",
+        /// The action of the idempotency key ended without a recorded outcome.
+        ActionUnknown => "action_unknown",
+        /// The host has spent its retry budget.
+        RetryBudget => "retry_budget",
+        /// The request passed through too many hosts.
+        HopLimit => "hop_limit",
+        /// A connection could not be made.
+        ConnectFailed => "connect_failed",
+        /// The connection was lost before the answer was whole.
+        ConnectionLost => "connection_lost",
+        /// The answer stalled for longer than its deadline.
+        Stalled => "stalled",
+        /// The endpoint refused before running.
+        EndpointRefused => "endpoint_refused",
+        /// The endpoint reported an error.
+        EndpointFailed => "endpoint_failed",
+        /// The answer was cut short or did not match its length.
+        AnswerIncomplete => "answer_incomplete",
+        /// The caller went away.
+        CallerGone => "caller_gone",
+        /// The credential does not allow the operation.
+        Forbidden => "forbidden",
+        /// The edit was based on a revision that is not the latest.
+        EditConflict => "edit_conflict",
+        /// The lists hold findings.
+        InvalidLists => "invalid_lists",
+        /// A fault of the host itself.
+        Internal => "internal",
+    }
+}
+
+impl Refusal {
+    /// HTTP status of the refusal.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::BodyTruncated | Self::JsonTooDeep => 400,
+            Self::KeyInvalid | Self::InvalidLists => 400,
+            Self::Unauthorized => 401,
+            Self::NotInPlan | Self::Forbidden => 403,
+            Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::InProgress | Self::EditConflict => 409,
+            Self::KeyExpired => 410,
+            Self::BodyTooLarge => 413,
+            Self::KeyReused => 422,
+            Self::RequestLimit | Self::TokenLimit | Self::InFlightLimit => 429,
+            Self::HeadersTooLarge => 431,
+            Self::Internal => 500,
+            Self::EndpointFailed | Self::AnswerIncomplete | Self::ConnectionLost => 502,
+            Self::ActionUnknown => 502,
+            Self::Deadline | Self::Stalled => 504,
+            Self::CallerGone => 499,
+            Self::TooManyConnections
+            | Self::NoEndpoint
+            | Self::AtBound
+            | Self::QueueFull
+            | Self::Draining
+            | Self::NotOwner
+            | Self::EndpointLeaving
+            | Self::NotReady
+            | Self::StoreUnavailable
+            | Self::RetryBudget
+            | Self::HopLimit
+            | Self::ConnectFailed
+            | Self::EndpointRefused => 503,
+        }
+    }
+}
+
+reasons! {
+    /// Why a request was sent again.
+    Retry {
+        /// The endpoint was at its load bound; the next candidate is taken.
+        AtBound => "at_bound",
+        /// The endpoint's queue was full.
+        QueueFull => "queue_full",
+        /// The receiver did not own the endpoint.
+        NotOwner => "not_owner",
+        /// The endpoint was leaving.
+        EndpointLeaving => "endpoint_leaving",
+        /// The owner was shutting down.
+        Draining => "draining",
+        /// The owner or endpoint could not be connected.
+        ConnectFailed => "connect_failed",
+        /// The connection was lost and the request is repeatable.
+        ConnectionLost => "connection_lost",
+        /// The answer stalled and the request is repeatable.
+        Stalled => "stalled",
+        /// The endpoint refused before running.
+        EndpointRefused => "endpoint_refused",
+        /// A cut stream is resumed at the engine.
+        Resume => "resume",
+    }
+}
+
+impl Retry {
+    /// The retry reason of a refusal, or `None` if another attempt cannot help.
+    #[must_use]
+    pub const fn of(refusal: Refusal) -> Option<Self> {
+        match refusal {
+            Refusal::AtBound => Some(Self::AtBound),
+            Refusal::QueueFull => Some(Self::QueueFull),
+            Refusal::NotOwner => Some(Self::NotOwner),
+            Refusal::EndpointLeaving => Some(Self::EndpointLeaving),
+            Refusal::Draining => Some(Self::Draining),
+            Refusal::ConnectFailed => Some(Self::ConnectFailed),
+            Refusal::ConnectionLost => Some(Self::ConnectionLost),
+            Refusal::Stalled => Some(Self::Stalled),
+            Refusal::EndpointRefused => Some(Self::EndpointRefused),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon that runs on every entry host.
+
+fn main() {}
--- /dev/null
+++ b/crates/measure/src/figure.rs
@@ -0,0 +1,31 @@
+//! Figures that a measurement gives.
+
+/// A measured value, before it is compared with its bound.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reading {
+    /// Name of the figure, stable from release to release.
+    pub name: &'static str,
+    /// Measured value.
+    pub value: f64,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Value that the baseline gives on the same trace, if one was run.
+    pub baseline: Option<f64>,
+}
+
+/// A measured value with its bound and verdict.
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct Figure {
+    /// Name of the figure.
+    pub name: String,
+    /// Measured value.
+    pub value: f64,
+    /// Unit of the value.
+    pub unit: String,
+    /// Value that the baseline gives on the same trace, if one was run.
+    pub baseline: Option<f64>,
+    /// Bound of the value as text, such as `>= 0.95`, or `None` if the figure is only reported.
+    pub bound: Option<String>,
+    /// Whether the value keeps its bound. True for a figure without a bound.
+    pub ok: bool,
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,7 @@
+//! Counted measurements of the decisions, each compared with its baseline and its bound.
+//!
+//! Every measurement drives the state machines of `pistachiochute-core` with a fixed seed and
+//! counts events, never wall-clock time, so that a run gives the same verdict each time.
+
+pub mod bounds;
+pub mod figure;
--- /dev/null
+++ b/crates/messages/src/codec.rs
@@ -0,0 +1,129 @@
+//! Frames: a little-endian `u32` length followed by a `bincode` value.
+
+use std::fmt;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+
+/// Largest encoded value in a frame, in bytes.
+pub const MAX_FRAME_LEN: usize = 1 << 20;
+
+const LEN_BYTES: usize = 4;
+
+/// Why a frame could not be encoded or decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The value is larger than [`MAX_FRAME_LEN`], in bytes.
+    TooLarge(usize),
+    /// The bytes are not a value of the expected type.
+    Malformed(String),
+    /// Bytes are left over after the value.
+    Trailing(usize),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge(len) => write!(f, "frame of {len} bytes exceeds {MAX_FRAME_LEN}"),
+            Self::Malformed(cause) => write!(f, "frame is malformed: {cause}"),
+            Self::Trailing(len) => write!(f, "frame has {len} bytes after its value"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn config() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<MAX_FRAME_LEN>()
+}
+
+/// Encodes a value as a frame.
+///
+/// # Errors
+///
+/// Returns [`Error::TooLarge`] if the encoded value exceeds [`MAX_FRAME_LEN`].
+pub fn encode<T>(value: &T) -> Result<Bytes, Error>
+where
+    T: serde::Serialize,
+{
+    let encoded = bincode::serde::encode_to_vec(value, config())
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    if encoded.len() > MAX_FRAME_LEN {
+        return Err(Error::TooLarge(encoded.len()));
+    }
+    let mut buf = BytesMut::with_capacity(LEN_BYTES + encoded.len());
+    buf.put_u32_le(encoded.len() as u32);
+    buf.put_slice(&encoded);
+    Ok(buf.freeze())
+}
+
+/// Decodes the value of one frame without its length.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not exactly one value of the type.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let (value, used) = bincode::serde::decode_from_slice(bytes, config())
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    match bytes.len() - used {
+        0 => Ok(value),
+        left => Err(Error::Trailing(left)),
+    }
+}
+
+/// Collects received bytes and splits them into frames.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    /// Bytes received and not yet taken. Invariant: no longer than one frame and one read.
+    buf: BytesMut,
+}
+
+impl Decoder {
+    /// Makes a decoder without bytes.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds received bytes.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole frame, or `None` if more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame is too large or malformed.
+    pub fn take<T>(&mut self) -> Result<Option<T>, Error>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        if self.buf.len() < LEN_BYTES {
+            return Ok(None);
+        }
+        let len = u32::from_le_bytes([self.buf[0], self.buf[1], self.buf[2], self.buf[3]]) as usize;
+        if len > MAX_FRAME_LEN {
+            return Err(Error::TooLarge(len));
+        }
+        if self.buf.len() < LEN_BYTES + len {
+            return Ok(None);
+        }
+        self.buf.advance(LEN_BYTES);
+        let frame = self.buf.split_to(len);
+        decode(&frame).map(Some)
+    }
+
+    /// Takes the bytes that follow the frames taken so far.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.buf.split().freeze()
+    }
+
+    /// Whether no bytes are left.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/messages/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages between the hosts of the fleet, and their codec.
+//!
+//! Hosts speak h2. A forwarded request is one stream: the request body is a [`forward::Forward`]
+//! frame followed by the caller's body, and the response body is a sequence of
+//! [`forward::ReplyFrame`]s. Control messages are one stream each, a frame in each direction.
+
+pub mod codec;
+pub mod forward;
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets, threads and timers round the decisions of pistachiochute-core.
