Read and check the settings of the daemon whole

The daemon needs settings in which a slip cannot pass unseen. A typed reader walks the JSON object and leaves a finding with its JSON path for each unknown field, wrong type, value out of range, repeat and contradiction, and goes on. Fields given twice are refused by the document parser. Scalars are declared once with default and range; a test compares the operators' page with them. Secrets and digests appear in neither Debug output nor findings.

--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -1,4 +1,4 @@
-//! Names that operators give: accounts, plans, models and services.
+//! Names that operators give: accounts, plans, models, services and operators.
 
 use std::fmt;
 use std::str::FromStr;
@@ -112,3 +112,7 @@
     /// Name of a plain service.
     ServiceName
 }
+name! {
+    /// Name of an operator, who edits the lists.
+    OperatorName
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,1 +1,3 @@
 //! Sockets, threads and timers round the decisions of pistachiochute-core.
+
+pub mod settings;
--- /dev/null
+++ b/crates/runtime/src/settings/reader.rs
@@ -0,0 +1,186 @@
+//! Reads typed fields from a JSON object and collects what is wrong with them.
+//!
+//! A reader never stops at the first fault: a field that cannot be read gives `None` and leaves a
+//! [`settings::Finding`], and the caller goes on with the next field.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+use serde_json::{Map, Value};
+
+use crate::settings;
+
+/// Reader of the fields of one JSON object.
+#[derive(Debug)]
+pub(super) struct Reader<'a> {
+    /// JSON path of the object.
+    place: String,
+    fields: &'a Map<String, Value>,
+    /// Names that were asked for. A field with another name is unknown.
+    known: Vec<&'static str>,
+    findings: &'a mut Vec<settings::Finding>,
+}
+
+impl<'a> Reader<'a> {
+    /// Makes a reader of an object at `place`, or leaves a finding if `value` is no object.
+    pub(super) fn new(
+        place: String,
+        value: &'a Value,
+        findings: &'a mut Vec<settings::Finding>,
+    ) -> Option<Self> {
+        let Some(fields) = value.as_object() else {
+            let fault = format!("expected an object, found {}", kind(value));
+            findings.push(settings::Finding { place, fault });
+            return None;
+        };
+        Some(Self {
+            place,
+            fields,
+            known: Vec::new(),
+            findings,
+        })
+    }
+
+    /// Reader of a field that holds an object. A missing field is a finding.
+    pub(super) fn section(&mut self, name: &'static str) -> Option<Reader<'_>> {
+        let value = self.required(name)?;
+        Reader::new(self.place_of(name), value, self.findings)
+    }
+
+    /// Value of a field. A missing field is a finding.
+    pub(super) fn required(&mut self, name: &'static str) -> Option<&'a Value> {
+        let value = self.optional(name);
+        if value.is_none() {
+            self.fault(name, "is missing");
+        }
+        value
+    }
+
+    /// Value of a field that may be missing.
+    pub(super) fn optional(&mut self, name: &'static str) -> Option<&'a Value> {
+        self.known.push(name);
+        self.fields.get(name)
+    }
+
+    /// Typed value of a field. A missing field is a finding.
+    pub(super) fn typed<T>(&mut self, name: &'static str) -> Option<T>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        let value = self.required(name)?;
+        let place = self.place_of(name);
+        self.decode(place, value)
+    }
+
+    /// Typed items of a field that holds an array, each with its own findings. A missing field
+    /// is a finding.
+    pub(super) fn items<T>(&mut self, name: &'static str) -> Option<Vec<T>>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        self.items_with(name, |place, item, findings| decode(place, item, findings))
+    }
+
+    /// Items of a field that holds an array, each read by `read`. A missing field is a finding.
+    pub(super) fn items_with<T, F>(&mut self, name: &'static str, mut read: F) -> Option<Vec<T>>
+    where
+        F: FnMut(String, &Value, &mut Vec<settings::Finding>) -> Option<T>,
+    {
+        let value = self.required(name)?;
+        let place = self.place_of(name);
+        let Some(items) = value.as_array() else {
+            self.fault(
+                name,
+                format_args!("expected an array, found {}", kind(value)),
+            );
+            return None;
+        };
+        let read: Vec<_> = items
+            .iter()
+            .enumerate()
+            .map(|(i, item)| read(format!("{place}[{i}]"), item, self.findings))
+            .collect();
+        read.into_iter().collect()
+    }
+
+    /// Typed value of a field, or its default, that has to lie in a range.
+    pub(super) fn scalar<T>(
+        &mut self,
+        name: &'static str,
+        default: T,
+        range: RangeInclusive<T>,
+    ) -> Option<T>
+    where
+        T: serde::de::DeserializeOwned + PartialOrd + fmt::Display,
+    {
+        let Some(value) = self.optional(name) else {
+            return Some(default);
+        };
+        let place = self.place_of(name);
+        let number: T = self.decode(place, value)?;
+        if range.contains(&number) {
+            return Some(number);
+        }
+        let (low, high) = range.into_inner();
+        self.fault(name, format_args!("{number} is not from {low} to {high}"));
+        None
+    }
+
+    /// Leaves a finding at a field.
+    pub(super) fn fault<D>(&mut self, name: &str, fault: D)
+    where
+        D: fmt::Display,
+    {
+        let place = self.place_of(name);
+        let fault = fault.to_string();
+        self.findings.push(settings::Finding { place, fault });
+    }
+
+    /// Ends the reading of the object: leaves a finding for each field that is unknown.
+    pub(super) fn close(mut self) {
+        let unknown: Vec<_> = self
+            .fields
+            .keys()
+            .filter(|name| !self.known.contains(&name.as_str()))
+            .collect();
+        for name in unknown {
+            self.fault(name, "unknown field");
+        }
+    }
+
+    fn decode<T>(&mut self, place: String, value: &Value) -> Option<T>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        decode(place, value, self.findings)
+    }
+
+    fn place_of(&self, name: &str) -> String {
+        format!("{}.{name}", self.place)
+    }
+}
+
+fn decode<T>(place: String, value: &Value, findings: &mut Vec<settings::Finding>) -> Option<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    match T::deserialize(value) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            let fault = e.to_string();
+            findings.push(settings::Finding { place, fault });
+            None
+        }
+    }
+}
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "an array",
+        Value::Object(_) => "an object",
+    }
+}
--- /dev/null
+++ b/crates/runtime/tests/settings.rs
@@ -0,0 +1,175 @@
+//! Settings are checked whole, and the settings page states the defaults that the code has.
+
+use pistachiochute_core::name;
+use pistachiochute_runtime::settings;
+use serde_json::{Value, json};
+
+const SETTINGS_PAGE: &str = include_str!("../../../docs/operators/settings.md");
+const LINK_SECRET: &str = "a-secret-of-the-links";
+
+fn sound() -> Value {
+    json!({
+        "host": { "id": "host3", "domain": "dom1", "region": "reg0" },
+        "listen": {
+            "callers": "127.0.0.1:8080",
+            "admin": "127.0.0.1:8081",
+            "links": "127.0.0.1:8082",
+        },
+        "platform": { "key_value": ["127.0.0.1:2379"], "host_list": "127.0.0.1:2380" },
+        "credentials": {
+            "link": LINK_SECRET,
+            "operators": [
+                { "name": "ana", "digest": "11".repeat(32), "accounts": ["*"], "plans": ["*"] },
+                { "name": "bo", "digest": "22".repeat(32), "accounts": ["farm"], "plans": [] },
+            ],
+        },
+    })
+}
+
+/// The sound settings with the value at a JSON pointer replaced or added.
+fn with(changes: &[(&str, Value)]) -> String {
+    let mut settings = sound();
+    for (pointer, value) in changes {
+        let (parent, field) = pointer.rsplit_once('/').unwrap();
+        settings.pointer_mut(parent).unwrap()[field] = value.clone();
+    }
+    settings.to_string()
+}
+
+fn places(text: &str) -> Vec<String> {
+    let findings = settings::Settings::parse(text).unwrap_err();
+    findings.into_iter().map(|finding| finding.place).collect()
+}
+
+#[test]
+fn sound_settings_take_the_defaults() {
+    let settings = settings::Settings::parse(&sound().to_string()).unwrap();
+    assert_eq!(settings.host.id.to_string(), "host3");
+    assert_eq!(settings.bounds, settings::Bounds::default());
+    assert_eq!(settings.routing.load_multiple, 1.25);
+    let [ana, bo] = &settings.credentials.operators[..] else {
+        panic!("two operators")
+    };
+    let farm: name::AccountName = "farm".parse().unwrap();
+    let school: name::AccountName = "school".parse().unwrap();
+    assert!(ana.accounts.has(&school));
+    assert!(bo.accounts.has(&farm) && !bo.accounts.has(&school));
+}
+
+#[test]
+fn five_faults_give_five_findings() {
+    let text = with(&[
+        ("/host/id", json!("three")),
+        ("/listen/admin", json!(8081)),
+        ("/credentials/link", json!("short")),
+        ("/bounds", json!({ "body_bytes": "large" })),
+        ("/rooting", json!({})),
+    ]);
+    assert_eq!(
+        places(&text),
+        [
+            "$.host.id",
+            "$.listen.admin",
+            "$.credentials.link",
+            "$.bounds.body_bytes",
+            "$.rooting"
+        ]
+    );
+}
+
+#[test]
+fn contradictory_timeouts_are_findings() {
+    let timeouts = json!({ "stall_ms": 5_000, "request_ms": 4_000, "drain_ms": 3_000 });
+    assert_eq!(
+        places(&with(&[("/timeouts", timeouts)])),
+        ["$.timeouts.stall_ms", "$.timeouts.drain_ms"]
+    );
+}
+
+#[test]
+fn values_out_of_range_are_findings() {
+    let text = with(&[
+        (
+            "/routing",
+            json!({ "load_multiple": 0.5, "reuse_weight": 2 }),
+        ),
+        ("/retry", json!({ "max_hops": 300 })),
+        ("/journal", json!({ "shards": 0 })),
+    ]);
+    assert_eq!(
+        places(&text),
+        [
+            "$.routing.load_multiple",
+            "$.routing.reuse_weight",
+            "$.retry.max_hops",
+            "$.journal.shards"
+        ]
+    );
+}
+
+#[test]
+fn repeats_are_findings() {
+    let operator = sound()["credentials"]["operators"][0].clone();
+    let text = with(&[
+        ("/listen/links", json!("127.0.0.1:8080")),
+        ("/platform/key_value", json!(["127.0.0.1:1", "127.0.0.1:1"])),
+        ("/credentials/operators", json!([operator, operator])),
+    ]);
+    assert_eq!(
+        places(&text),
+        [
+            "$.listen.links",
+            "$.platform.key_value[1]",
+            "$.credentials.operators[1].name",
+            "$.credentials.operators[1].digest"
+        ]
+    );
+}
+
+#[test]
+fn a_field_given_twice_is_a_finding() {
+    let text = sound()
+        .to_string()
+        .replacen('{', r#"{"retry":{},"retry":{},"#, 1);
+    let findings = settings::Settings::parse(&text).unwrap_err();
+    assert_eq!(findings.len(), 1);
+    assert!(findings[0].fault.contains("retry"), "{}", findings[0]);
+}
+
+#[test]
+fn missing_sections_are_findings() {
+    assert_eq!(
+        places("{}"),
+        ["$.host", "$.listen", "$.platform", "$.credentials"]
+    );
+    assert_eq!(places("[]"), ["$"]);
+    assert_eq!(places("{"), ["$"]);
+}
+
+#[test]
+fn secrets_are_not_printed() {
+    let settings = settings::Settings::parse(&sound().to_string()).unwrap();
+    let printed = format!("{settings:?}");
+    assert!(!printed.contains(LINK_SECRET));
+    assert!(!printed.contains("1111"));
+
+    let text = with(&[
+        ("/credentials/link", json!(["hidden-value-in-an-array"])),
+        ("/credentials/operators/0/digest", json!("hidden-digest")),
+    ]);
+    for finding in settings::Settings::parse(&text).unwrap_err() {
+        assert!(!finding.to_string().contains("hidden"), "{finding}");
+    }
+}
+
+#[test]
+fn the_settings_page_states_every_default() {
+    for row in settings::Settings::rows() {
+        let (low, high) = &row.range;
+        let line = format!(
+            "| `{}` | {} | {low} to {high} | {} |",
+            row.place, row.default, row.meaning
+        );
+        assert!(SETTINGS_PAGE.contains(&line), "settings.md lacks: {line}");
+    }
+}
