Decide retries of one request

Cause: a failed attempt needs one place that says whether another may be made.

Change: retry::Request joins the evidence of its attempts and decides within limits of attempts, deadline, hops and a budget that is a counted fraction of the host's requests. A request that is given up is answered at once with a delay for the caller. outcome::Progress says what a lost attempt proves. An incomplete answer of a repeatable request counts as a lost connection.

Conclusion: property tests hold that 'not run' is never false, that an action runs at most once and that the limits bound the attempts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod outcome;
 pub mod reason;
 pub mod request;
+pub mod retry;
 pub mod revision;
 pub mod time;
 pub mod topology;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -57,6 +57,48 @@
     }
 }
 
+/// How far one attempt is known to have got, in the order in which an attempt proceeds.
+///
+/// A hop that loses its connection knows only what it did and saw itself, so the progress is the
+/// furthest step that it took or was told of.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// No byte of the request was handed to a connection.
+    #[default]
+    NotSent,
+    /// Some of the request may have reached the next hop.
+    Sent,
+    /// The next hop reported that it dispatched the request.
+    Dispatched,
+    /// The head of the endpoint's answer arrived.
+    Answering,
+}
+
+impl Progress {
+    /// Evidence that the attempt leaves behind if it is lost here without a further word.
+    #[must_use]
+    pub const fn if_lost(self) -> Outcome {
+        match self {
+            Self::NotSent => Outcome::NotRun,
+            Self::Sent | Self::Dispatched => Outcome::Unknown,
+            Self::Answering => Outcome::Run,
+        }
+    }
+}
+
 /// A text that names no outcome.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ParseOutcomeError(pub String);
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -197,7 +197,7 @@
             Refusal::EndpointLeaving => Some(Self::EndpointLeaving),
             Refusal::Draining => Some(Self::Draining),
             Refusal::ConnectFailed => Some(Self::ConnectFailed),
-            Refusal::ConnectionLost => Some(Self::ConnectionLost),
+            Refusal::ConnectionLost | Refusal::AnswerIncomplete => Some(Self::ConnectionLost),
             Refusal::Stalled => Some(Self::Stalled),
             Refusal::EndpointRefused => Some(Self::EndpointRefused),
             _ => None,
--- /dev/null
+++ b/crates/core/src/retry/budget.rs
@@ -0,0 +1,103 @@
+//! Retry budget of a host.
+
+use crate::reason;
+
+/// Thousandths of a retry in one retry.
+const RETRY_MILLIS: u64 = 1_000;
+
+/// Settings of the retry budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BudgetConfig {
+    /// Retries that each new request adds to the budget, in thousandths.
+    pub per_request_millis: u64,
+    /// Most retries that the budget holds. A new host starts with as many.
+    pub reserve: u64,
+}
+
+impl Default for BudgetConfig {
+    fn default() -> Self {
+        Self {
+            per_request_millis: 80,
+            reserve: 10,
+        }
+    }
+}
+
+/// Whether a retry draws on the budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// The retry is bounded by the limit of attempts alone.
+    Free,
+    /// The retry takes one from the budget.
+    Budget,
+}
+
+impl Charge {
+    /// The charge of a retry for the given reason.
+    #[must_use]
+    pub const fn of(reason: reason::Retry) -> Self {
+        match reason {
+            reason::Retry::AtBound
+            | reason::Retry::QueueFull
+            | reason::Retry::NotOwner
+            | reason::Retry::EndpointLeaving
+            | reason::Retry::Draining
+            | reason::Retry::Resume => Self::Free,
+            reason::Retry::ConnectFailed
+            | reason::Retry::ConnectionLost
+            | reason::Retry::Stalled
+            | reason::Retry::EndpointRefused => Self::Budget,
+        }
+    }
+}
+
+/// Retries that a host may still make, refilled by a fraction of the requests that it starts.
+///
+/// The refill is counted rather than timed, so that the share of retries in the traffic is bounded
+/// whatever the rate of requests is.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    cfg: BudgetConfig,
+    /// Balance in thousandths of a retry. Invariant: at most `cfg.reserve` retries.
+    balance: u64,
+}
+
+impl Budget {
+    /// Makes a full budget.
+    #[must_use]
+    pub const fn new(cfg: BudgetConfig) -> Self {
+        Self {
+            cfg,
+            balance: Self::capacity(cfg),
+        }
+    }
+
+    /// Adds the share of one new request.
+    pub fn deposit(&mut self) {
+        let balance = self.balance.saturating_add(self.cfg.per_request_millis);
+        self.balance = balance.min(Self::capacity(self.cfg));
+    }
+
+    /// Takes one retry, and says whether the budget held one.
+    pub fn withdraw(&mut self, charge: Charge) -> bool {
+        match charge {
+            Charge::Free => true,
+            Charge::Budget if self.balance >= RETRY_MILLIS => {
+                self.balance -= RETRY_MILLIS;
+                true
+            }
+            Charge::Budget => false,
+        }
+    }
+
+    /// Whole retries that the budget holds.
+    #[must_use]
+    pub const fn available(&self) -> u64 {
+        self.balance / RETRY_MILLIS
+    }
+
+    const fn capacity(cfg: BudgetConfig) -> u64 {
+        cfg.reserve.saturating_mul(RETRY_MILLIS)
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,20 @@
+//! Whether a request whose attempt failed is sent again, when, and what its caller is told.
+//!
+//! One [`Request`] joins the evidence of its attempts into one outcome. Another attempt is made
+//! only if running the request again does no harm or no earlier attempt can have run, and only
+//! within four limits: attempts, the deadline, the hops of a forwarded request and the
+//! [`Budget`] of the host. A request that is given up gets its answer at once, with the delay
+//! after which the caller may come back.
+//!
+//! The budget is a fraction of the requests that the host starts. Failures draw on it, so that
+//! the attempts at a total outage stay within the fraction. Refusals that cost the receiver
+//! nothing and tell the sender to look elsewhere, and resumptions of a stream that is already
+//! being answered, do not draw on it: the limit of attempts bounds them.
+
+mod backoff;
+mod budget;
+mod decision;
+
+pub use backoff::{Backoff, whole_seconds};
+pub use budget::{Budget, BudgetConfig, Charge};
+pub use decision::{Config, Decision, Failure, GivenUp, Recovery, Request, next_hop};
