Order the candidates of a chat by weighted rendezvous hashing

Each chat needs endpoints in an order that every host computes alike, without a table of chats, and each endpoint needs one owner in its domain.

The best endpoint of the region decides the home domain, so that a domain's share follows its capacity and a join or leave moves only the chats that the endpoint wins or won. A separate weighted choice of the domain would also move chats between domains whenever a weight changes. Health flags do not move the home domain; a domain without usable hosts drops out.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod request;
 pub mod retry;
 pub mod revision;
+pub mod routing;
 pub mod time;
 pub mod topology;
 pub mod units;
