Add weighted fair queueing across client accounts

Cause: each owner serves the requests of many accounts, and one that surges must not hold up the others. Change: start-time fair queueing with estimated tokens, corrected by the tokens used; entries that would start after their deadline are given back at once by a prediction from the measured drain rate; a full queue drops from the account that has the most queued for its weight.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod map;
 pub mod name;
 pub mod outcome;
+pub mod queue;
 pub mod reason;
 pub mod request;
 pub mod retry;
--- /dev/null
+++ b/crates/core/src/queue/fair.rs
@@ -0,0 +1,333 @@
+//! The queue itself.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use super::entry::{Entry, Popped, Refused};
+use super::flow::Flow;
+use super::rate::DrainRate;
+use super::virtual_time::VirtualTime;
+use crate::{name, reason, time, units};
+
+/// Shortest delay that a refusal states.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Longest delay that a refusal states.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Accounts without entries whose tag is kept. Beyond this the smallest tags are forgotten.
+const MAX_IDLE_ACCOUNTS: usize = 1024;
+
+/// Lengths at which a queue refuses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Entries in the queue.
+    pub entries: usize,
+    /// Entries of one account.
+    pub account_entries: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            entries: 256,
+            account_entries: 64,
+        }
+    }
+}
+
+/// A place in the order of service.
+struct Place {
+    account: name::AccountName,
+    index: usize,
+    deadline: time::Time,
+    cost: units::Tokens,
+}
+
+/// Requests that wait for one endpoint, in weighted fair order across accounts.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    bounds: Bounds,
+    /// Largest tag that was served. Never goes back.
+    virtual_time: VirtualTime,
+    /// Accounts with entries, and accounts without whose tag is ahead of the virtual time.
+    flows: BTreeMap<name::AccountName, Flow<T>>,
+    /// Entries over all accounts. Invariant: at most `bounds.entries`.
+    len: usize,
+    rate: DrainRate,
+}
+
+impl<T> FairQueue<T> {
+    /// Makes an empty queue.
+    #[must_use]
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds,
+            virtual_time: VirtualTime::default(),
+            flows: BTreeMap::new(),
+            len: 0,
+            rate: DrainRate::default(),
+        }
+    }
+
+    /// Number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no entry is queued.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Work queued, by the estimates.
+    #[must_use]
+    pub fn cost(&self) -> units::Tokens {
+        self.flows.values().map(|flow| flow.cost).sum()
+    }
+
+    /// Adds an entry.
+    ///
+    /// When the queue is full, the newest entry of the account that has the most queued for its
+    /// weight is given back in the place of this one.
+    ///
+    /// # Errors
+    ///
+    /// Gives the entry back if it would start after its deadline, if its account is at its bound,
+    /// or if the queue is full and no other account has more queued for its weight.
+    pub fn push(
+        &mut self,
+        now: time::Time,
+        entry: Entry<T>,
+    ) -> Result<Option<Refused<T>>, Refused<T>> {
+        if entry.deadline < now {
+            return Err(self.refuse(now, entry, reason::Refusal::Deadline));
+        }
+        let account = entry.account.clone();
+        if self.account_len(&account) >= self.bounds.account_entries {
+            return Err(self.refuse(now, entry, reason::Refusal::QueueFull));
+        }
+        let place = self.insert(now, entry);
+        if self.start_of(now, &account, place) > self.deadline_of(&account, place) {
+            let entry = self.take(&account, place);
+            return Err(self.refuse(now, entry, reason::Refusal::Deadline));
+        }
+        if self.len <= self.bounds.entries {
+            return Ok(None);
+        }
+        let longest = self.longest_flow(&account);
+        if longest == account {
+            let entry = self.take(&account, place);
+            return Err(self.refuse(now, entry, reason::Refusal::QueueFull));
+        }
+        let last = self.account_len(&longest) - 1;
+        let entry = self.take(&longest, last);
+        Ok(Some(self.refuse(now, entry, reason::Refusal::QueueFull)))
+    }
+
+    /// Takes the entry to serve next, after those that can no longer start in time.
+    pub fn pop(&mut self, now: time::Time) -> Popped<T> {
+        let refused = self.expire(now);
+        let next = self.pop_front(now);
+        Popped { next, refused }
+    }
+
+    /// Takes the entries that would start after their deadline.
+    pub fn expire(&mut self, now: time::Time) -> Vec<Refused<T>> {
+        let mut late = Vec::new();
+        let mut ahead = units::Tokens::ZERO;
+        for place in self.service_order() {
+            if now + self.rate.time_for(now, ahead) > place.deadline {
+                late.push((place.account, place.index));
+            } else {
+                ahead += place.cost;
+            }
+        }
+        // Later places first, so that the earlier ones of an account keep their index.
+        late.sort_by(|a, b| b.cmp(a));
+        let entries: Vec<_> = late
+            .iter()
+            .map(|(account, index)| self.take(account, *index))
+            .collect();
+        entries
+            .into_iter()
+            .map(|entry| self.refuse(now, entry, reason::Refusal::Deadline))
+            .collect()
+    }
+
+    /// Moves an account's place by the difference of the work that was estimated and used.
+    pub fn correct(
+        &mut self,
+        account: &name::AccountName,
+        weight: u32,
+        estimated: units::Tokens,
+        used: units::Tokens,
+    ) {
+        let over = VirtualTime::span(used - estimated, weight);
+        let under = VirtualTime::span(estimated - used, weight);
+        match self.flows.get_mut(account) {
+            Some(flow) => flow.tag = flow.tag.plus(over).minus(under),
+            None if over > VirtualTime::default() => {
+                let flow = Flow::new(self.virtual_time.plus(over), weight);
+                self.flows.insert(account.clone(), flow);
+            }
+            None => {}
+        }
+        self.forget_idle();
+    }
+
+    /// Takes the entries for which `matches` holds, without charging their accounts.
+    pub fn remove<F>(&mut self, mut matches: F) -> Vec<Entry<T>>
+    where
+        F: FnMut(&T) -> bool,
+    {
+        let mut places = Vec::new();
+        for (account, flow) in &self.flows {
+            for (i, entry) in flow.entries.iter().enumerate().rev() {
+                if matches(&entry.item) {
+                    places.push((account.clone(), i));
+                }
+            }
+        }
+        places
+            .iter()
+            .map(|(account, index)| self.take(account, *index))
+            .collect()
+    }
+
+    /// Takes every entry, without charging the accounts.
+    pub fn drain(&mut self) -> Vec<Entry<T>> {
+        self.remove(|_| true)
+    }
+
+    fn pop_front(&mut self, now: time::Time) -> Option<Entry<T>> {
+        let account = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| !flow.is_empty())
+            .min_by_key(|(_, flow)| flow.tag)
+            .map(|(account, _)| account.clone())?;
+        let flow = self.flows.get_mut(&account)?;
+        let entry = flow.remove(0)?;
+        self.virtual_time = self.virtual_time.max(flow.tag);
+        flow.tag = flow.tag.plus(VirtualTime::span(entry.cost, entry.weight));
+        self.len -= 1;
+        self.rate.serve(now, entry.cost, self.len > 0);
+        self.forget_idle();
+        Some(entry)
+    }
+
+    /// Adds an entry and returns its place among those of its account.
+    fn insert(&mut self, now: time::Time, entry: Entry<T>) -> usize {
+        let tag = self.virtual_time;
+        let flow = self
+            .flows
+            .entry(entry.account.clone())
+            .or_insert_with(|| Flow::new(tag, entry.weight));
+        if flow.is_empty() {
+            flow.tag = flow.tag.max(tag);
+        }
+        self.len += 1;
+        self.rate.start(now);
+        flow.insert(entry)
+    }
+
+    /// Removes an entry that is known to be queued, without charging its account.
+    fn take(&mut self, account: &name::AccountName, index: usize) -> Entry<T> {
+        let entry = self
+            .flows
+            .get_mut(account)
+            .and_then(|flow| flow.remove(index))
+            .expect("the entry is queued");
+        self.len -= 1;
+        if self.len == 0 {
+            self.rate.stop();
+        }
+        self.forget_idle();
+        entry
+    }
+
+    fn account_len(&self, account: &name::AccountName) -> usize {
+        self.flows.get(account).map_or(0, |flow| flow.entries.len())
+    }
+
+    /// Account with the most queued for its weight. `account` wins a tie.
+    fn longest_flow(&self, account: &name::AccountName) -> name::AccountName {
+        self.flows
+            .iter()
+            .max_by_key(|(name, flow)| (flow.backlog(), *name == account))
+            .map_or_else(|| account.clone(), |(name, _)| name.clone())
+    }
+
+    fn deadline_of(&self, account: &name::AccountName, index: usize) -> time::Time {
+        self.flows[account].entries[index].deadline
+    }
+
+    /// Time at which the entry at a place is expected to start.
+    fn start_of(&self, now: time::Time, account: &name::AccountName, index: usize) -> time::Time {
+        let ahead = self
+            .service_order()
+            .take_while(|place| place.account != *account || place.index != index)
+            .map(|place| place.cost)
+            .sum();
+        now + self.rate.time_for(now, ahead)
+    }
+
+    /// Places in the order in which they would be served if nothing else arrived.
+    fn service_order(&self) -> impl Iterator<Item = Place> {
+        let mut heads: BinaryHeap<_> = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| !flow.is_empty())
+            .map(|(account, flow)| Reverse((flow.tag, account, 0)))
+            .collect();
+        std::iter::from_fn(move || {
+            let Reverse((tag, account, index)) = heads.pop()?;
+            let entries = &self.flows[account].entries;
+            let entry = &entries[index];
+            if index + 1 < entries.len() {
+                let next = tag.plus(VirtualTime::span(entry.cost, entry.weight));
+                heads.push(Reverse((next, account, index + 1)));
+            }
+            Some(Place {
+                account: account.clone(),
+                index,
+                deadline: entry.deadline,
+                cost: entry.cost,
+            })
+        })
+    }
+
+    /// Forgets accounts without entries whose place no longer differs from a newcomer's.
+    fn forget_idle(&mut self) {
+        let now = self.virtual_time;
+        self.flows
+            .retain(|_, flow| !flow.is_empty() || flow.tag > now);
+        let idle = self.flows.values().filter(|flow| flow.is_empty()).count();
+        if idle <= MAX_IDLE_ACCOUNTS {
+            return;
+        }
+        let smallest = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.is_empty())
+            .min_by_key(|(_, flow)| flow.tag)
+            .map(|(account, _)| account.clone());
+        if let Some(account) = smallest {
+            self.flows.remove(&account);
+        }
+    }
+
+    fn refuse(&self, now: time::Time, entry: Entry<T>, reason: reason::Refusal) -> Refused<T> {
+        let wait = self.rate.time_for(now, self.cost());
+        Refused {
+            entry,
+            reason,
+            retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/queue/flow.rs
@@ -0,0 +1,58 @@
+//! Entries of one account.
+
+use std::collections::VecDeque;
+
+use super::entry::Entry;
+use super::virtual_time::VirtualTime;
+use crate::units;
+
+/// Entries of one account and its place in virtual time.
+#[derive(Debug)]
+pub(super) struct Flow<T> {
+    /// Virtual time at which the next entry starts.
+    pub(super) tag: VirtualTime,
+    /// Weight that the last entry stated.
+    pub(super) weight: u32,
+    /// Entries in their order of service. Invariant: priorities do not increase.
+    pub(super) entries: VecDeque<Entry<T>>,
+    /// Sum of the entries' costs.
+    pub(super) cost: units::Tokens,
+}
+
+impl<T> Flow<T> {
+    pub(super) fn new(tag: VirtualTime, weight: u32) -> Self {
+        Self {
+            tag,
+            weight,
+            entries: VecDeque::new(),
+            cost: units::Tokens::ZERO,
+        }
+    }
+
+    /// Adds an entry behind those of the same priority and returns its place.
+    pub(super) fn insert(&mut self, entry: Entry<T>) -> usize {
+        let place = self
+            .entries
+            .partition_point(|other| other.priority >= entry.priority);
+        self.weight = entry.weight;
+        self.cost += entry.cost;
+        self.entries.insert(place, entry);
+        place
+    }
+
+    /// Removes the entry at a place.
+    pub(super) fn remove(&mut self, place: usize) -> Option<Entry<T>> {
+        let entry = self.entries.remove(place)?;
+        self.cost -= entry.cost;
+        Some(entry)
+    }
+
+    /// Work queued for the account's weight.
+    pub(super) fn backlog(&self) -> VirtualTime {
+        VirtualTime::span(self.cost, self.weight)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
