--- /dev/null
+++ b/crates/runtime/src/metrics/mod.rs
@@ -0,0 +1,259 @@
+//! Metrics of one host, in the text format of Prometheus.
+//!
+//! Every refusal and retry reason has its counter from the start, at zero, so that a rate can be
+//! computed from the first event on. Durations are in seconds.
+
+use std::fmt;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{self, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use pistachiochute_core::{outcome, reason};
+
+/// Name of the meter, which the metrics show as their scope.
+const METER: &str = "pistachiochute";
+
+/// Upper bounds of the buckets of the time to the first token, in seconds.
+const FIRST_TOKEN_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.48, 0.75, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Upper bounds of the buckets of the time between two tokens, in seconds.
+const TOKEN_GAP_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.018, 0.026, 0.04, 0.08, 0.2, 1.0, 5.0];
+
+/// Direction of bytes on the links between hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From this host to another.
+    Sent,
+    /// From another host to this one.
+    Received,
+}
+
+impl Direction {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Received => "received",
+        }
+    }
+}
+
+/// Kind of traffic on the links between hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Traffic {
+    /// Requests of callers and their answers.
+    Forwarded,
+    /// Everything else.
+    Control,
+}
+
+impl Traffic {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Forwarded => "forwarded",
+            Self::Control => "control",
+        }
+    }
+}
+
+/// Instruments of one host. Clones share the instruments and can be used on any thread.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: prometheus::Registry,
+    /// Keeps the instruments connected to the registry.
+    provider: SdkMeterProvider,
+    refusals: metrics::Counter<u64>,
+    retries: metrics::Counter<u64>,
+    requests: metrics::Counter<u64>,
+    in_flight: metrics::UpDownCounter<i64>,
+    queued: metrics::UpDownCounter<i64>,
+    first_token: metrics::Histogram<f64>,
+    token_gap: metrics::Histogram<f64>,
+    link_bytes: metrics::Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the instruments of one host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exporter cannot be set up.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .wrap_err("metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(METER);
+        let made = Self {
+            registry,
+            refusals: counter(&meter, "refusals", "Refused requests by reason"),
+            retries: counter(&meter, "retries", "Repeated attempts by reason"),
+            requests: counter(&meter, "requests", "Finished requests by outcome"),
+            in_flight: level(
+                &meter,
+                "requests_in_flight",
+                "Requests of callers in progress",
+            ),
+            queued: level(
+                &meter,
+                "requests_queued",
+                "Requests in the queues of endpoints",
+            ),
+            first_token: histogram(
+                &meter,
+                "first_token",
+                "Time from the request to the first token",
+                &FIRST_TOKEN_BUCKETS,
+            ),
+            token_gap: histogram(
+                &meter,
+                "token_gap",
+                "Time between two tokens of an answer",
+                &TOKEN_GAP_BUCKETS,
+            ),
+            link_bytes: counter(&meter, "link_bytes", "Bytes on the links between hosts"),
+            provider,
+        };
+        made.start_at_zero();
+        Ok(made)
+    }
+
+    /// Counts a refused request.
+    pub fn refused(&self, reason: reason::Refusal) {
+        self.refusals.add(1, &[label("reason", reason.as_str())]);
+    }
+
+    /// Counts an attempt that follows another.
+    pub fn retried(&self, reason: reason::Retry) {
+        self.retries.add(1, &[label("reason", reason.as_str())]);
+    }
+
+    /// Counts a request that begins.
+    pub fn started(&self) {
+        self.in_flight.add(1, &[]);
+    }
+
+    /// Counts the end of a request that [`Metrics::started`] counted.
+    pub fn finished(&self, outcome: outcome::Outcome) {
+        self.in_flight.add(-1, &[]);
+        self.requests.add(1, &[label("outcome", outcome.as_str())]);
+    }
+
+    /// Counts a request that enters the queue of an endpoint.
+    pub fn enqueued(&self) {
+        self.queued.add(1, &[]);
+    }
+
+    /// Counts a request that leaves the queue of an endpoint.
+    pub fn dequeued(&self) {
+        self.queued.add(-1, &[]);
+    }
+
+    /// Records the time from a request to its first token.
+    pub fn first_token(&self, span: Duration) {
+        self.first_token.record(span.as_secs_f64(), &[]);
+    }
+
+    /// Records the time between two tokens of an answer.
+    pub fn token_gap(&self, span: Duration) {
+        self.token_gap.record(span.as_secs_f64(), &[]);
+    }
+
+    /// Counts bytes on the links between hosts.
+    pub fn link_bytes(&self, direction: Direction, traffic: Traffic, bytes: u64) {
+        let labels = [
+            label("direction", direction.as_str()),
+            label("traffic", traffic.as_str()),
+        ];
+        self.link_bytes.add(bytes, &labels);
+    }
+
+    /// Writes the metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric cannot be written as text.
+    pub fn render(&self) -> eyre::Result<String> {
+        prometheus::TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .wrap_err("metrics")
+    }
+
+    /// Disconnects the instruments from the registry. Clones go on but are no longer shown.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instruments were disconnected before.
+    pub fn close(self) -> eyre::Result<()> {
+        self.provider.shutdown().wrap_err("metrics")
+    }
+
+    fn start_at_zero(&self) {
+        for reason in reason::Refusal::ALL {
+            self.refusals.add(0, &[label("reason", reason.as_str())]);
+        }
+        for reason in reason::Retry::ALL {
+            self.retries.add(0, &[label("reason", reason.as_str())]);
+        }
+        for outcome in [
+            outcome::Outcome::NotRun,
+            outcome::Outcome::Unknown,
+            outcome::Outcome::Run,
+        ] {
+            self.requests.add(0, &[label("outcome", outcome.as_str())]);
+        }
+        self.in_flight.add(0, &[]);
+        self.queued.add(0, &[]);
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+fn label(name: &'static str, value: &'static str) -> KeyValue {
+    KeyValue::new(name, value)
+}
+
+fn counter(
+    meter: &metrics::Meter,
+    name: &'static str,
+    description: &'static str,
+) -> metrics::Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn level(
+    meter: &metrics::Meter,
+    name: &'static str,
+    description: &'static str,
+) -> metrics::UpDownCounter<i64> {
+    meter
+        .i64_up_down_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn histogram(
+    meter: &metrics::Meter,
+    name: &'static str,
+    description: &'static str,
+    buckets: &[f64],
+) -> metrics::Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_unit("s")
+        .with_boundaries(buckets.to_vec())
+        .build()
+}
--- a/crates/runtime/src/settings/mod.rs
+++ b/crates/runtime/src/settings/mod.rs
@@ -82,6 +82,8 @@
     pub retry: Retry,
     /// Journal of the actions that may run at most once.
     pub journal: Journal,
+    /// Least severe level that is logged.
+    pub log_level: slog::Level,
 }
 
 impl Settings {
@@ -130,6 +132,7 @@
     let timeouts = read_scalars(&mut reader, Timeouts::SECTION, Timeouts::read);
     let retry = read_scalars(&mut reader, Retry::SECTION, Retry::read);
     let journal = read_scalars(&mut reader, Journal::SECTION, Journal::read);
+    let log_level = read_log_level(&mut reader);
     if let Some(timeouts) = &timeouts {
         check_timeouts(&mut reader, timeouts);
     }
@@ -144,6 +147,7 @@
         timeouts: timeouts?,
         retry: retry?,
         journal: journal?,
+        log_level: log_level?,
     })
 }
 
@@ -189,6 +193,24 @@
     Some(Some(name))
 }
 
+fn read_log_level(reader: &mut reader::Reader<'_>) -> Option<slog::Level> {
+    const FIELD: &str = "log_level";
+    if reader.optional(FIELD).is_none() {
+        return Some(slog::Level::Info);
+    }
+    let name: String = reader.typed(FIELD)?;
+    match &*name {
+        "error" => Some(slog::Level::Error),
+        "warning" => Some(slog::Level::Warning),
+        "info" => Some(slog::Level::Info),
+        "debug" => Some(slog::Level::Debug),
+        _ => {
+            reader.fault(FIELD, "expected one of error, warning, info, debug");
+            None
+        }
+    }
+}
+
 fn read_listen(mut reader: reader::Reader<'_>) -> Option<Listen> {
     let callers = reader.typed("callers");
     let admin = reader.typed("admin");
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -95,6 +95,7 @@
         ),
         ("/retry", json!({ "max_hops": 300 })),
         ("/journal", json!({ "shards": 0 })),
+        ("/log_level", json!("loud")),
     ]);
     assert_eq!(
         places(&text),
@@ -102,7 +103,8 @@
             "$.routing.load_multiple",
             "$.routing.reuse_weight",
             "$.retry.max_hops",
-            "$.journal.shards"
+            "$.journal.shards",
+            "$.log_level"
         ]
     );
 }
