--- /dev/null
+++ b/crates/standins/src/engine/cache.rs
@@ -0,0 +1,220 @@
+//! Prefix cache with limited memory and its events.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3;
+
+use crate::engine;
+
+/// Bytes of prompt text in one block of the prefix cache.
+pub const BLOCK_BYTES: usize = 64;
+
+/// Events that are kept for readers; older ones are dropped.
+const MAX_EVENTS: usize = 4096;
+
+/// Hashes of the whole blocks of `text`, each over the block and all before it.
+#[must_use]
+pub fn prefix_blocks(text: &[u8]) -> Vec<u64> {
+    let mut parent = 0;
+    let chain = text.chunks_exact(BLOCK_BYTES).map(|block| {
+        parent = xxh3::xxh3_64_with_seed(block, parent);
+        parent
+    });
+    chain.collect()
+}
+
+/// Blocks of a prefix, in the order of the text; in JSON, 16 hexadecimal digits each.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Prefix {
+    blocks: Vec<String>,
+}
+
+impl Prefix {
+    fn new<I>(blocks: I) -> Self
+    where
+        I: IntoIterator<Item = u64>,
+    {
+        Self {
+            blocks: blocks
+                .into_iter()
+                .map(|block| format!("{block:016x}"))
+                .collect(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Stored,
+    Removed,
+}
+
+#[derive(Clone, Debug, serde::Serialize)]
+pub(super) struct Event {
+    seq: u64,
+    kind: Kind,
+    #[serde(flatten)]
+    prefix: Prefix,
+}
+
+#[derive(Debug, serde::Serialize)]
+pub(super) struct Events {
+    /// Number of the oldest event that is still kept.
+    first: u64,
+    events: Vec<Event>,
+}
+
+#[derive(Debug, serde::Serialize)]
+pub(super) struct Snapshot {
+    /// Number of the last event that the snapshot includes.
+    seq: u64,
+    #[serde(flatten)]
+    prefix: Prefix,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    parent: Option<u64>,
+    used: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Cache {
+    blocks: BTreeMap<u64, Block>,
+    /// Invariant: holds exactly the `used` of each block; the smallest is evicted first.
+    by_use: BTreeMap<u64, u64>,
+    clock: u64,
+    max_blocks: usize,
+    events: VecDeque<(Instant, Event)>,
+    seq: u64,
+    lag: Duration,
+    gaps: u64,
+    seed: u64,
+}
+
+impl Cache {
+    pub(super) fn new(cfg: &engine::Settings) -> Self {
+        Self {
+            blocks: BTreeMap::new(),
+            by_use: BTreeMap::new(),
+            clock: 0,
+            max_blocks: cfg.cache_blocks,
+            events: VecDeque::new(),
+            seq: 0,
+            lag: cfg.event_lag,
+            gaps: cfg.event_gaps,
+            seed: cfg.seed,
+        }
+    }
+
+    /// Stores a prefix and returns how many of its first blocks were cached before.
+    pub(super) fn store(&mut self, chain: &[u64]) -> usize {
+        let held = chain
+            .iter()
+            .take_while(|block| self.blocks.contains_key(block))
+            .count();
+        let mut stored = Vec::new();
+        // The first block of a prefix is used last, so that prefixes are evicted from their end.
+        for (i, &block) in chain.iter().enumerate().rev() {
+            let parent = i.checked_sub(1).map(|i| chain[i]);
+            if !self.touch(block, parent) {
+                stored.push(block);
+            }
+        }
+        stored.reverse();
+        self.publish(Kind::Stored, stored);
+        let removed = self.evict();
+        self.publish(Kind::Removed, removed);
+        held
+    }
+
+    fn touch(&mut self, block: u64, parent: Option<u64>) -> bool {
+        self.clock += 1;
+        let before = self.blocks.insert(
+            block,
+            Block {
+                parent,
+                used: self.clock,
+            },
+        );
+        self.by_use.insert(self.clock, block);
+        if let Some(before) = before {
+            self.by_use.remove(&before.used);
+        }
+        before.is_some()
+    }
+
+    fn evict(&mut self) -> Vec<u64> {
+        let mut removed = Vec::new();
+        while self.blocks.len() > self.max_blocks {
+            let Some((_, block)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.blocks.remove(&block);
+            removed.push(block);
+        }
+        removed
+    }
+
+    fn publish(&mut self, kind: Kind, blocks: Vec<u64>) {
+        if blocks.is_empty() {
+            return;
+        }
+        self.seq += 1;
+        if xxh3::xxh3_64_with_seed(&self.seq.to_le_bytes(), self.seed) % 1000 < self.gaps {
+            return;
+        }
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        let event = Event {
+            seq: self.seq,
+            kind,
+            prefix: Prefix::new(blocks),
+        };
+        self.events.push_back((Instant::now() + self.lag, event));
+    }
+
+    /// Published events after number `after`.
+    pub(super) fn events(&self, after: u64) -> Events {
+        let now = Instant::now();
+        let due = self
+            .events
+            .iter()
+            .filter(|(at, event)| *at <= now && event.seq > after);
+        Events {
+            first: self
+                .events
+                .front()
+                .map_or(self.seq + 1, |(_, event)| event.seq),
+            events: due.map(|(_, event)| event.clone()).collect(),
+        }
+    }
+
+    pub(super) fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            seq: self.seq,
+            prefix: Prefix::new(self.blocks.keys().copied()),
+        }
+    }
+
+    /// The prefix that ends with `block`, or `None` if a part of it is not cached.
+    pub(super) fn export(&self, block: u64) -> Option<Prefix> {
+        let mut chain = Vec::new();
+        let mut next = Some(block);
+        while let Some(block) = next {
+            next = self.blocks.get(&block)?.parent;
+            chain.push(block);
+        }
+        Some(Prefix::new(chain.into_iter().rev()))
+    }
+
+    pub(super) fn import(&mut self, prefix: &Prefix) {
+        let parse = |text: &String| u64::from_str_radix(text, 16).ok();
+        let chain: Vec<u64> = prefix.blocks.iter().map_while(parse).collect();
+        self.store(&chain);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/chat.rs
@@ -0,0 +1,417 @@
+//! Chats: admission, reading the prompt, generating tokens, resuming.
+
+use std::io;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::{engine, server, sync};
+
+use super::{cache, run};
+
+/// Bytes of text that one token of a prompt stands for.
+const TOKEN_BYTES: usize = 4;
+
+/// Blocks of the prefix cache in tokens.
+const BLOCK_TOKENS: u64 = (cache::BLOCK_BYTES / TOKEN_BYTES) as u64;
+
+/// Most tokens of an answer.
+const MAX_ANSWER_TOKENS: u32 = 32_768;
+
+/// Priority of a request without `x-priority`.
+const DEFAULT_PRIORITY: u8 = 0;
+
+#[derive(Debug, serde::Deserialize)]
+struct Message {
+    role: String,
+    content: serde_json::Value,
+}
+
+#[derive(Debug, Default, serde::Deserialize)]
+#[serde(default)]
+struct StreamOptions {
+    include_usage: bool,
+}
+
+/// Body of a chat request; other fields of the API are ignored.
+#[derive(Debug, serde::Deserialize)]
+struct Body {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+}
+
+impl Body {
+    /// Text that the prefix cache works on.
+    fn prompt(&self) -> String {
+        let mut text = String::new();
+        for message in &self.messages {
+            let content = message
+                .content
+                .as_str()
+                .map_or_else(|| message.content.to_string(), str::to_owned);
+            text.push_str(&message.role);
+            text.push('\n');
+            text.push_str(&content);
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// A chat that has been admitted or waits for it.
+struct Chat {
+    id: String,
+    model: String,
+    prompt: String,
+    /// Tokens of the answer.
+    total: u32,
+    stream: bool,
+    include_usage: bool,
+    /// Number of the last token that the caller has seen, if it resumes.
+    resume_after: Option<u32>,
+}
+
+impl Chat {
+    fn prompt_tokens(&self) -> u64 {
+        (self.prompt.len().div_ceil(TOKEN_BYTES) as u64).max(1)
+    }
+
+    fn token(&self, run: run::Run, number: u32) -> String {
+        format!(
+            "{}.{}.{number} ",
+            self.id.get(..8).unwrap_or(&self.id),
+            run.number
+        )
+    }
+
+    fn text(&self, run: run::Run) -> String {
+        (1..=self.total)
+            .map(|number| self.token(run, number))
+            .collect()
+    }
+
+    fn usage(&self, cached: u64) -> serde_json::Value {
+        let prompt = self.prompt_tokens();
+        json!({
+            "prompt_tokens": prompt,
+            "completion_tokens": self.total,
+            "total_tokens": prompt + u64::from(self.total),
+            "prompt_tokens_details": { "cached_tokens": cached.min(prompt) },
+        })
+    }
+
+    fn chunk(&self, delta: &serde_json::Value, finish: Option<&str>) -> serde_json::Value {
+        json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "choices": [{ "index": 0, "delta": delta, "finish_reason": finish }],
+        })
+    }
+
+    fn usage_chunk(&self, cached: u64) -> serde_json::Value {
+        json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "choices": [],
+            "usage": self.usage(cached),
+        })
+    }
+
+    fn whole(&self, run: run::Run, cached: u64) -> serde_json::Value {
+        let message = json!({ "role": "assistant", "content": self.text(run) });
+        json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": 0,
+            "model": self.model,
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+            "usage": self.usage(cached),
+        })
+    }
+}
+
+/// How the generation of an answer ended.
+enum End {
+    Whole,
+    /// The connection is to be closed without an end.
+    Cut,
+    /// The connection is to stay open without further tokens.
+    Silent,
+    /// The run was cancelled, resumed elsewhere, or the engine closes.
+    Stopped,
+    /// The caller is gone.
+    CallerGone,
+}
+
+fn event(id: Option<u32>, data: &str) -> Vec<u8> {
+    let id = id.map_or_else(String::new, |id| format!("id: {id}\n"));
+    format!("{id}data: {data}\n\n").into_bytes()
+}
+
+impl engine::Shared {
+    pub(super) fn chat(&self, exchange: server::Exchange) {
+        if let Some(status) = self.faults().status {
+            return self.refuse(exchange, status, "fault", "fault of the stand-in");
+        }
+        let body = match exchange.json::<Body>() {
+            Ok(body) => body,
+            Err(err) => return self.refuse(exchange, 400, "bad_request", &err.to_string()),
+        };
+        let state = self.orders.state();
+        if state.draining {
+            return self.refuse(exchange, 503, "draining", "the engine takes no new chats");
+        }
+        if !state
+            .models
+            .iter()
+            .any(|model| model.as_str() == body.model)
+        {
+            return self.refuse(exchange, 404, "model_not_found", "the model is not loaded");
+        }
+        let chat = self.admit(&exchange, &body);
+        let priority = exchange
+            .header("x-priority")
+            .and_then(|text| text.parse().ok());
+        let work = chat.prompt_tokens() + u64::from(chat.total);
+        self.load.queue(work);
+        if !self
+            .slots
+            .enter(priority.unwrap_or(DEFAULT_PRIORITY), &self.control)
+        {
+            self.load.refuse(work);
+            return self.refuse(
+                exchange,
+                503,
+                "queue_full",
+                "all slots and the queue are taken",
+            );
+        }
+        self.load.start();
+        let left = self.run(exchange, &chat, work);
+        self.load.finish(left);
+        self.slots.leave();
+    }
+
+    fn refuse(&self, exchange: server::Exchange, status: u16, code: &str, message: &str) {
+        self.runs.count(|counters| counters.refused += 1);
+        exchange.refuse(status, code, message);
+    }
+
+    fn admit(&self, exchange: &server::Exchange, body: &Body) -> Chat {
+        let wanted = body.max_completion_tokens.or(body.max_tokens);
+        Chat {
+            id: exchange
+                .header("x-request-id")
+                .unwrap_or("anonymous")
+                .to_owned(),
+            model: body.model.clone(),
+            prompt: body.prompt(),
+            total: wanted
+                .unwrap_or(self.cfg.answer_tokens)
+                .clamp(1, MAX_ANSWER_TOKENS),
+            stream: body.stream,
+            include_usage: body
+                .stream_options
+                .as_ref()
+                .is_some_and(|opts| opts.include_usage),
+            resume_after: exchange
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok()),
+        }
+    }
+
+    /// Runs a chat and returns the tokens of `work` that were not done.
+    fn run(&self, exchange: server::Exchange, chat: &Chat, work: u64) -> u64 {
+        let run = match chat.resume_after {
+            Some(_) => self.runs.resume(&chat.id),
+            None => Some(self.runs.start(&chat.id)),
+        };
+        let Some(run) = run else {
+            self.refuse(
+                exchange,
+                409,
+                "not_resumable",
+                "there is no such run to resume",
+            );
+            return work;
+        };
+        let cached = if chat.resume_after.is_some() {
+            chat.prompt_tokens()
+        } else {
+            self.read_prompt(chat)
+        };
+        self.load.generate(chat.prompt_tokens());
+        let mut left = u64::from(chat.total);
+        if chat.stream {
+            self.stream(exchange, chat, run, cached, &mut left);
+        } else {
+            self.respond(exchange, chat, run, cached, &mut left);
+        }
+        left
+    }
+
+    /// Reads the part of the prompt that is not cached. Returns the tokens that were.
+    fn read_prompt(&self, chat: &Chat) -> u64 {
+        let blocks = cache::prefix_blocks(chat.prompt.as_bytes());
+        let held = sync::lock(&self.cache).store(&blocks) as u64;
+        let cached = held * BLOCK_TOKENS;
+        let read = chat.prompt_tokens().saturating_sub(cached);
+        self.runs.count(|counters| {
+            counters.prompt_tokens += read;
+            counters.cached_tokens += cached;
+        });
+        let read = u32::try_from(read).unwrap_or(u32::MAX);
+        self.control
+            .sleep(self.slowed(self.cfg.prompt_token_time.saturating_mul(read)));
+        cached
+    }
+
+    fn slowed(&self, span: Duration) -> Duration {
+        self.faults()
+            .slow_factor
+            .map_or(span, |factor| span.mul_f64(factor.max(0.0)))
+    }
+
+    fn stream(
+        &self,
+        exchange: server::Exchange,
+        chat: &Chat,
+        run: run::Run,
+        cached: u64,
+        left: &mut u64,
+    ) {
+        let Ok(mut body) = exchange.stream("text/event-stream") else {
+            self.caller_gone(chat, run);
+            return;
+        };
+        let end = self.generate(chat, run, left, |number| {
+            let delta = if number == 1 {
+                json!({ "role": "assistant", "content": chat.token(run, number) })
+            } else {
+                json!({ "content": chat.token(run, number) })
+            };
+            body.send(&event(Some(number), &chat.chunk(&delta, None).to_string()))
+        });
+        match end {
+            End::Whole => {
+                let sent = finish_stream(&mut body, chat, cached);
+                drop(sent);
+                body.finish();
+            }
+            End::Silent => {
+                while self.runs.is_current(&chat.id, run)
+                    && self.faults().stall_after_tokens.is_some()
+                    && self
+                        .control
+                        .sleep(self.cfg.token_time.max(Duration::from_millis(5)))
+                {}
+                body.cut();
+            }
+            End::Cut | End::Stopped => body.cut(),
+            End::CallerGone => {
+                self.caller_gone(chat, run);
+                body.cut();
+            }
+        }
+    }
+
+    fn respond(
+        &self,
+        exchange: server::Exchange,
+        chat: &Chat,
+        run: run::Run,
+        cached: u64,
+        left: &mut u64,
+    ) {
+        let end = self.generate(chat, run, left, |_| Ok(()));
+        match end {
+            End::Whole => exchange.respond(200, &chat.whole(run, cached)),
+            End::Cut => exchange.respond_cut(&chat.whole(run, cached)),
+            End::Silent => exchange.stall(&self.control, || {
+                self.faults().stall_after_tokens.is_some() && self.runs.is_current(&chat.id, run)
+            }),
+            End::Stopped | End::CallerGone => exchange.hang_up(),
+        }
+    }
+
+    /// Generates the tokens that the caller has not seen, and hands the number of each to `send`.
+    fn generate<F>(&self, chat: &Chat, run: run::Run, left: &mut u64, mut send: F) -> End
+    where
+        F: FnMut(u32) -> io::Result<()>,
+    {
+        let seen = chat.resume_after.unwrap_or(0).min(chat.total);
+        for number in seen + 1..=chat.total {
+            if let Some(end) = self.fault_end(number - 1 - seen) {
+                return end;
+            }
+            // Tokens that an earlier connection generated are only sent again.
+            let fresh = number > run.made;
+            if fresh && !self.control.sleep(self.slowed(self.cfg.token_time)) {
+                return End::Stopped;
+            }
+            if !self.runs.is_current(&chat.id, run) {
+                return End::Stopped;
+            }
+            self.runs.generate(&chat.id, number);
+            self.load.generate(1);
+            *left -= 1;
+            if send(number).is_err() {
+                return End::CallerGone;
+            }
+        }
+        self.keep_answer(chat, run);
+        End::Whole
+    }
+
+    /// Ends the answer if a fault is set for it after `sent` tokens.
+    fn fault_end(&self, sent: u32) -> Option<End> {
+        let mut faults = sync::lock(&self.faults);
+        let end = match (faults.cut_after_tokens, faults.stall_after_tokens) {
+            (Some(after), _) if after == sent => End::Cut,
+            (_, Some(after)) if after == sent => End::Silent,
+            _ => return None,
+        };
+        match &mut faults.times {
+            Some(0) => return None,
+            Some(times) => *times -= 1,
+            None => {}
+        }
+        Some(end)
+    }
+
+    /// Caches the prompt together with its answer, for the next turn of the chat.
+    fn keep_answer(&self, chat: &Chat, run: run::Run) {
+        let text = format!("{}assistant\n{}\n", chat.prompt, chat.text(run));
+        let blocks = cache::prefix_blocks(text.as_bytes());
+        sync::lock(&self.cache).store(&blocks);
+    }
+
+    /// Counts a run whose caller closed the connection. It can be resumed.
+    fn caller_gone(&self, chat: &Chat, run: run::Run) {
+        if self.runs.is_current(&chat.id, run) {
+            self.runs.count(|counters| counters.cancels += 1);
+        }
+    }
+}
+
+fn finish_stream(body: &mut server::Body, chat: &Chat, cached: u64) -> io::Result<()> {
+    let last = chat.chunk(&json!({}), Some("stop"));
+    body.send(&event(Some(chat.total + 1), &last.to_string()))?;
+    if chat.include_usage {
+        body.send(&event(
+            Some(chat.total + 2),
+            &chat.usage_chunk(cached).to_string(),
+        ))?;
+    }
+    body.send(&event(None, "[DONE]"))
+}
--- /dev/null
+++ b/crates/standins/src/engine/load.rs
@@ -0,0 +1,100 @@
+//! Load report that lags behind the truth.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::sync;
+
+/// Changes that are kept to report from; older ones are dropped.
+const MAX_HISTORY: usize = 8192;
+
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub(super) struct Work {
+    running: u32,
+    queued: u32,
+    /// Prompt tokens to read and answer tokens to generate of all requests taken.
+    tokens: u64,
+}
+
+#[derive(Debug, serde::Serialize)]
+pub(super) struct Report {
+    #[serde(flatten)]
+    work: Work,
+    slots: u32,
+}
+
+#[derive(Debug)]
+pub(super) struct Load {
+    lag: Duration,
+    /// Invariant: never empty, in the order of time.
+    history: Mutex<VecDeque<(Instant, Work)>>,
+}
+
+impl Load {
+    pub(super) fn new(lag: Duration) -> Self {
+        let start = VecDeque::from([(Instant::now(), Work::default())]);
+        Self {
+            lag,
+            history: Mutex::new(start),
+        }
+    }
+
+    pub(super) fn queue(&self, tokens: u64) {
+        self.change(|work| {
+            work.queued += 1;
+            work.tokens += tokens;
+        });
+    }
+
+    pub(super) fn refuse(&self, tokens: u64) {
+        self.change(|work| {
+            work.queued -= 1;
+            work.tokens -= tokens;
+        });
+    }
+
+    pub(super) fn start(&self) {
+        self.change(|work| {
+            work.queued -= 1;
+            work.running += 1;
+        });
+    }
+
+    pub(super) fn generate(&self, tokens: u64) {
+        self.change(|work| work.tokens -= tokens);
+    }
+
+    pub(super) fn finish(&self, tokens: u64) {
+        self.change(|work| {
+            work.running -= 1;
+            work.tokens -= tokens;
+        });
+    }
+
+    fn change<F>(&self, f: F)
+    where
+        F: FnOnce(&mut Work),
+    {
+        let mut history = sync::lock(&self.history);
+        let (_, mut work) = history.back().copied().expect("the history is never empty");
+        f(&mut work);
+        let now = Instant::now();
+        history.push_back((now, work));
+        while history.len() > MAX_HISTORY || history.get(1).is_some_and(|c| c.0 + self.lag <= now) {
+            history.pop_front();
+        }
+    }
+
+    /// The load as it was one lag ago.
+    pub(super) fn report(&self, slots: u32) -> Report {
+        let history = sync::lock(&self.history);
+        let now = Instant::now();
+        let seen = history.iter().rev().find(|(at, _)| *at + self.lag <= now);
+        let work = seen
+            .or(history.front())
+            .map(|(_, work)| *work)
+            .unwrap_or_default();
+        Report { work, slots }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,317 @@
+//! Model engine with the OpenAI-compatible chat API.
+//!
+//! | path | meaning |
+//! |---|---|
+//! | `POST /v1/chat/completions` | runs a chat, whole or as server-sent events |
+//! | `DELETE /v1/requests/ID` | cancels the run with that `x-request-id` |
+//! | `GET /v1/models` | models that are loaded |
+//! | `GET /load` | load report, older than the truth by a set lag |
+//! | `GET /cache/events?after=SEQ` | cache events, late and with gaps |
+//! | `GET /cache/snapshot` | blocks that the prefix cache holds now |
+//! | `GET /kv/BLOCK`, `PUT /kv/BLOCK` | exports or imports the prefix that ends with a block |
+//! | `POST /orders` | loads and unloads models and adapters, changes the role, drains |
+//! | `GET /state` | what the orders have led to |
+//! | `POST /faults` | replaces the [`Faults`] |
+//!
+//! The text of an answer is made from the request id and the number of its run, so that two runs
+//! of one request give two texts and a splice of them shows.
+
+mod cache;
+mod chat;
+mod load;
+mod orders;
+mod run;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pistachiochute_core::name;
+
+use crate::{server, sync};
+
+pub use cache::{BLOCK_BYTES, prefix_blocks};
+pub use orders::{Fencing, Order, Ordered, State};
+
+/// Settings of an engine.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Models that are loaded at the start.
+    pub models: Vec<name::ModelName>,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Requests that wait for a slot; those beyond are refused before they run.
+    pub queue: usize,
+    /// Time to generate one token.
+    pub token_time: Duration,
+    /// Time to read one token of the prompt that is not cached.
+    pub prompt_token_time: Duration,
+    /// Tokens of an answer whose request states no maximum.
+    pub answer_tokens: u32,
+    /// Blocks that the prefix cache holds.
+    pub cache_blocks: usize,
+    /// Age of load reports.
+    pub load_lag: Duration,
+    /// Time until a cache event can be read.
+    pub event_lag: Duration,
+    /// Cache events that are never published, out of 1000.
+    pub event_gaps: u64,
+    /// Seed of the gaps.
+    pub seed: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: Fencing,
+    /// Time to load a model, besides the time of the weight store.
+    pub load_time: Duration,
+    /// Weight store that models are read from.
+    pub weights: Option<SocketAddr>,
+    /// Faults from the start.
+    pub faults: Faults,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            models: Vec::new(),
+            slots: 4,
+            queue: 16,
+            token_time: Duration::from_millis(1),
+            prompt_token_time: Duration::from_micros(5),
+            answer_tokens: 16,
+            cache_blocks: 4096,
+            load_lag: Duration::ZERO,
+            event_lag: Duration::ZERO,
+            event_gaps: 0,
+            seed: 0,
+            fencing: Fencing::Strict,
+            load_time: Duration::ZERO,
+            weights: None,
+            faults: Faults::default(),
+        }
+    }
+}
+
+/// Faults of an engine; the default is none.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Connections are refused. Only [`Engine::set_faults`] ends this.
+    pub refuse_connections: bool,
+    /// Requests are taken and never answered; their connections close when the fault ends.
+    pub stall: bool,
+    /// An answer goes silent after this many tokens, and its connection stays open.
+    pub stall_after_tokens: Option<u32>,
+    /// An answer is cut after this many tokens: its connection closes without an end.
+    pub cut_after_tokens: Option<u32>,
+    /// Number of answers that are cut or go silent; `None` means each.
+    pub times: Option<u32>,
+    /// Factor on the time to read and generate tokens.
+    pub slow_factor: Option<f64>,
+    /// Chats are answered with this status before they run.
+    pub status: Option<u16>,
+}
+
+/// What an engine has counted since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Number of runs by `x-request-id`. Runs beyond [`run::MAX_COUNTED`] ids are not listed.
+    pub runs: BTreeMap<String, u32>,
+    /// Runs that were continued on another connection.
+    pub resumes: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Prompt tokens read, without those that were cached.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were cached.
+    pub cached_tokens: u64,
+    /// Runs that were cancelled or whose caller went away.
+    pub cancels: u64,
+    /// Chats refused before they ran.
+    pub refused: u64,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    shared: Arc<Shared>,
+    server: server::Server,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound or a thread cannot be started.
+    pub fn start(cfg: Settings) -> eyre::Result<Self> {
+        let refuse = cfg.faults.refuse_connections;
+        let mut made = None;
+        let server = server::Server::start(cfg.listen, |control| {
+            let shared = Arc::new(Shared::new(cfg, control));
+            made = Some(Arc::clone(&shared));
+            move |exchange| shared.handle(exchange)
+        })?;
+        let shared = made.ok_or_else(|| eyre::eyre!("the server made no handler"))?;
+        server.control().set_refusing(refuse);
+        Ok(Self { shared, server })
+    }
+
+    /// Address of the engine.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        let refuse = faults.refuse_connections;
+        *sync::lock(&self.shared.faults) = faults;
+        self.server.control().set_refusing(refuse);
+    }
+
+    /// What the engine has counted.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        self.shared.runs.counters()
+    }
+
+    /// What the orders have led to.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.shared.orders.state()
+    }
+
+    /// Ends the runs and the threads.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+/// State of an engine that its requests share.
+#[derive(Debug)]
+struct Shared {
+    cfg: Settings,
+    control: Arc<server::Control>,
+    faults: Mutex<Faults>,
+    runs: run::Runs,
+    slots: run::Slots,
+    load: load::Load,
+    cache: Mutex<cache::Cache>,
+    orders: orders::Orders,
+}
+
+impl Shared {
+    fn new(cfg: Settings, control: Arc<server::Control>) -> Self {
+        Self {
+            control,
+            faults: Mutex::new(cfg.faults.clone()),
+            runs: run::Runs::default(),
+            slots: run::Slots::new(cfg.slots, cfg.queue),
+            load: load::Load::new(cfg.load_lag),
+            cache: Mutex::new(cache::Cache::new(&cfg)),
+            orders: orders::Orders::new(&cfg),
+            cfg,
+        }
+    }
+
+    fn faults(&self) -> Faults {
+        sync::lock(&self.faults).clone()
+    }
+
+    fn handle(&self, exchange: server::Exchange) {
+        let path = exchange.path().to_owned();
+        if path == "/faults" {
+            return self.post_faults(exchange);
+        }
+        if self.faults().stall {
+            return exchange.stall(&self.control, || self.faults().stall);
+        }
+        match (exchange.method(), path.as_str()) {
+            ("POST", "/v1/chat/completions") => self.chat(exchange),
+            ("GET", "/v1/models" | "/models") => self.list_models(exchange),
+            ("GET", "/load") => exchange.respond(200, &self.load.report(self.cfg.slots)),
+            ("GET", "/cache/events") => self.cache_events(exchange),
+            ("GET", "/cache/snapshot") => {
+                let snapshot = sync::lock(&self.cache).snapshot();
+                exchange.respond(200, &snapshot);
+            }
+            ("POST", "/orders") => self.order(exchange),
+            ("GET", "/state") => exchange.respond(200, &self.orders.state()),
+            (method, path) => {
+                let method = method.to_owned();
+                if let Some(id) = path.strip_prefix("/v1/requests/") {
+                    self.cancel(exchange, &method, id);
+                } else if let Some(block) = path.strip_prefix("/kv/") {
+                    self.transfer(exchange, &method, block);
+                } else {
+                    exchange.refuse(404, "not_found", "no such path");
+                }
+            }
+        }
+    }
+
+    fn post_faults(&self, exchange: server::Exchange) {
+        match exchange.json::<Faults>() {
+            Ok(faults) => {
+                let refuse = faults.refuse_connections;
+                *sync::lock(&self.faults) = faults;
+                exchange.respond(200, &serde_json::json!({}));
+                self.control.set_refusing(refuse);
+            }
+            Err(err) => exchange.refuse(400, "bad_request", &err.to_string()),
+        }
+    }
+
+    fn list_models(&self, exchange: server::Exchange) {
+        let model = |name: &name::ModelName| serde_json::json!({ "id": name, "object": "model", "created": 0, "owned_by": "engine" });
+        let data: Vec<_> = self.orders.state().models.iter().map(model).collect();
+        exchange.respond(200, &serde_json::json!({ "object": "list", "data": data }));
+    }
+
+    fn cache_events(&self, exchange: server::Exchange) {
+        let after = exchange.query("after").unwrap_or("0").parse::<u64>();
+        match after {
+            Ok(after) => {
+                let events = sync::lock(&self.cache).events(after);
+                exchange.respond(200, &events);
+            }
+            Err(err) => exchange.refuse(400, "bad_request", &err.to_string()),
+        }
+    }
+
+    fn cancel(&self, exchange: server::Exchange, method: &str, id: &str) {
+        if method != "DELETE" {
+            exchange.refuse(405, "method_not_allowed", "only DELETE");
+        } else if self.runs.cancel(id) {
+            exchange.respond(200, &serde_json::json!({ "id": id, "cancelled": true }));
+        } else {
+            exchange.refuse(404, "not_found", "no such run");
+        }
+    }
+
+    fn transfer(&self, exchange: server::Exchange, method: &str, block: &str) {
+        let Ok(block) = u64::from_str_radix(block, 16) else {
+            return exchange.refuse(400, "bad_request", "a block is 16 hexadecimal digits");
+        };
+        match method {
+            "GET" => {
+                let prefix = sync::lock(&self.cache).export(block);
+                match prefix {
+                    Some(prefix) => exchange.respond(200, &prefix),
+                    None => exchange.refuse(404, "not_found", "the block is not cached"),
+                }
+            }
+            "PUT" => match exchange.json::<cache::Prefix>() {
+                Ok(prefix) => {
+                    sync::lock(&self.cache).import(&prefix);
+                    exchange.respond(200, &serde_json::json!({}));
+                }
+                Err(err) => exchange.refuse(400, "bad_request", &err.to_string()),
+            },
+            _ => exchange.refuse(405, "method_not_allowed", "only GET and PUT"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,180 @@
+//! Slots, queue and registry of runs.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::{engine, server, sync};
+
+/// Request ids whose runs are counted.
+pub(super) const MAX_COUNTED: usize = 200_000;
+
+/// Runs that can be resumed; the oldest is forgotten first.
+const MAX_RUNS: usize = 4096;
+
+/// Pause between two looks at whether a waiting request should give up.
+const QUEUE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A run of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    /// Number of the run among all of the engine; its text is made from it.
+    pub(super) number: u64,
+    /// Tokens that have been generated.
+    pub(super) made: u32,
+    /// Number of the connection that carries the run; larger after each resume.
+    pub(super) connection: u32,
+    cancelled: bool,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    runs: BTreeMap<String, Run>,
+    order: VecDeque<String>,
+    next: u64,
+    counters: engine::Counters,
+}
+
+/// Registry of runs by request id, with the counters of the engine.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    inner: Mutex<Inner>,
+}
+
+impl Runs {
+    /// Starts a new run of request `id`.
+    pub(super) fn start(&self, id: &str) -> Run {
+        let mut inner = sync::lock(&self.inner);
+        inner.next += 1;
+        let run = Run {
+            number: inner.next,
+            made: 0,
+            connection: 0,
+            cancelled: false,
+        };
+        if inner.runs.insert(id.to_owned(), run).is_none() {
+            inner.order.push_back(id.to_owned());
+        }
+        if inner.order.len() > MAX_RUNS {
+            let oldest = inner.order.pop_front();
+            oldest.and_then(|id| inner.runs.remove(&id));
+        }
+        let counted = &mut inner.counters.runs;
+        if counted.len() < MAX_COUNTED || counted.contains_key(id) {
+            *counted.entry(id.to_owned()).or_default() += 1;
+        }
+        run
+    }
+
+    /// Moves the run of `id` to a new connection; `None` if there is nothing to resume.
+    pub(super) fn resume(&self, id: &str) -> Option<Run> {
+        let mut inner = sync::lock(&self.inner);
+        let run = inner.runs.get_mut(id).filter(|run| !run.cancelled)?;
+        run.connection += 1;
+        let run = *run;
+        inner.counters.resumes += 1;
+        Some(run)
+    }
+
+    /// Whether the run still belongs to the connection that `run` was given for.
+    pub(super) fn is_current(&self, id: &str, run: Run) -> bool {
+        let inner = sync::lock(&self.inner);
+        let now = inner.runs.get(id);
+        now.is_some_and(|now| {
+            !now.cancelled && now.number == run.number && now.connection == run.connection
+        })
+    }
+
+    /// Notes that token number `made` of a run has been generated.
+    pub(super) fn generate(&self, id: &str, made: u32) {
+        let mut inner = sync::lock(&self.inner);
+        let Some(run) = inner.runs.get_mut(id) else {
+            return;
+        };
+        if made > run.made {
+            run.made = made;
+            inner.counters.tokens += 1;
+        }
+    }
+
+    /// Cancels the run of `id`, so that it cannot be resumed. False if there is none.
+    pub(super) fn cancel(&self, id: &str) -> bool {
+        let mut inner = sync::lock(&self.inner);
+        let Some(run) = inner.runs.get_mut(id).filter(|run| !run.cancelled) else {
+            return false;
+        };
+        run.cancelled = true;
+        inner.counters.cancels += 1;
+        true
+    }
+
+    /// Changes the counters.
+    pub(super) fn count<F>(&self, f: F)
+    where
+        F: FnOnce(&mut engine::Counters),
+    {
+        f(&mut sync::lock(&self.inner).counters);
+    }
+
+    pub(super) fn counters(&self) -> engine::Counters {
+        sync::lock(&self.inner).counters.clone()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    running: u32,
+    next: u64,
+    /// Requests that wait: the most urgent first, then the earliest.
+    waiting: BTreeSet<(Reverse<u8>, u64)>,
+}
+
+/// Bounded concurrency with a bounded queue by priority.
+#[derive(Debug)]
+pub(super) struct Slots {
+    slots: u32,
+    queue: usize,
+    line: Mutex<Line>,
+    changed: Condvar,
+}
+
+impl Slots {
+    pub(super) fn new(slots: u32, queue: usize) -> Self {
+        Self {
+            slots,
+            queue,
+            line: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Waits for a slot. Returns false if the queue is full or the engine closes.
+    pub(super) fn enter(&self, priority: u8, control: &server::Control) -> bool {
+        let mut line = sync::lock(&self.line);
+        if line.running >= self.slots && line.waiting.len() >= self.queue {
+            return false;
+        }
+        line.next += 1;
+        let place = (Reverse(priority), line.next);
+        line.waiting.insert(place);
+        while line.running >= self.slots || line.waiting.first() != Some(&place) {
+            if control.is_closing() {
+                line.waiting.remove(&place);
+                return false;
+            }
+            let waited = self.changed.wait_timeout(line, QUEUE_PAUSE);
+            line = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        line.waiting.remove(&place);
+        line.running += 1;
+        self.changed.notify_all();
+        true
+    }
+
+    /// Gives a slot back.
+    pub(super) fn leave(&self) {
+        sync::lock(&self.line).running -= 1;
+        self.changed.notify_all();
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,9 @@
 //! Small stand-ins for the platform, the engines and the services, for tests and the demo.
+//!
+//! Each stand-in is an HTTP server on a loopback address with its own threads, so that many run in
+//! one process. Its faults are switched on through its settings, through its struct, or through
+//! `POST /faults`. `close` ends its threads.
+
+pub mod engine;
+mod server;
+mod sync;
