Assemble answers by request, attempt and piece; find silent links

Cause: a late, duplicated or cut answer must never reach a caller as a whole one.

Change: answer::Assembly takes the frames of the attempts of one request, discards those of other requests and attempts, checks pieces and the end marker, and says whether another attempt can repeat or resume the answer. liveness::Link asks for pings on silent links in use and gives them up at a deadline; liveness::Stall bounds the gaps of an answer.

Conclusion: the property test over cuts, losses, duplicates, swaps and late frames holds; it fails when the check of the attempt or of the end marker is taken out (both tried).

--- /dev/null
+++ b/crates/core/src/answer/assembly.rs
@@ -0,0 +1,295 @@
+//! The machine that assembles an answer.
+
+use bytes::Bytes;
+use smallvec::SmallVec;
+
+use crate::answer::held;
+use crate::{answer, outcome, reason, request, retry, units};
+
+/// Bytes for the caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delivery {
+    /// Head of the answer, with the first delivery.
+    pub head: Option<answer::Head>,
+    /// Bytes of the body, in order.
+    pub data: SmallVec<[Bytes; 4]>,
+    /// Whether the answer is whole with these bytes.
+    pub end: bool,
+    /// Tokens that the endpoint reports to have used, with the end.
+    pub used: Option<units::Tokens>,
+}
+
+/// Why a frame was discarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discard {
+    /// It answers another request.
+    OtherRequest,
+    /// It answers an attempt that is not under way.
+    OtherAttempt,
+    /// It was received before.
+    Duplicate,
+}
+
+/// What to do after a frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Wait for the next frame.
+    Wait,
+    /// Give these bytes to the caller.
+    Deliver(Delivery),
+    /// Count the frame as discarded.
+    Discarded(Discard),
+    /// The attempt failed.
+    Failed(retry::Failure),
+}
+
+/// One attempt that is under way.
+#[derive(Clone, Debug)]
+struct Attempt {
+    number: u8,
+    progress: outcome::Progress,
+    /// Whether the attempt goes on with the answer of an earlier one.
+    resumes: bool,
+    /// Number of the next piece.
+    next_seq: u32,
+    /// Bytes received.
+    bytes: u64,
+}
+
+/// Assembles the answer of one request.
+#[derive(Clone, Debug)]
+pub struct Assembly {
+    request: request::RequestId,
+    /// Whether the caller asked for a stream of events.
+    stream: bool,
+    /// Attempt under way. Invariant: frames of any other attempt change nothing.
+    attempt: Option<Attempt>,
+    /// Head that the current attempt gave, or that was delivered.
+    head: Option<answer::Head>,
+    held: held::Held,
+    /// Whether any part of the answer was delivered.
+    delivered: bool,
+    /// Last event that was delivered whole.
+    event: Option<u32>,
+    /// Whether the delivered bytes end where no resumption can go on.
+    inside_event: bool,
+    /// Whether the whole answer was delivered.
+    ended: bool,
+}
+
+impl Assembly {
+    /// Makes the assembly of a request without attempts.
+    #[must_use]
+    pub fn new(request: request::RequestId, stream: bool) -> Self {
+        Self {
+            request,
+            stream,
+            attempt: None,
+            head: None,
+            held: held::Held::default(),
+            delivered: false,
+            event: None,
+            inside_event: false,
+            ended: false,
+        }
+    }
+
+    /// Begins an attempt and returns the event after which the engine is to resume the answer, or
+    /// `None` if the request runs from its start.
+    pub fn begin(&mut self, number: u8) -> Option<u32> {
+        self.held.take();
+        if !self.delivered {
+            self.head = None;
+        }
+        self.attempt = Some(Attempt {
+            number,
+            progress: outcome::Progress::NotSent,
+            resumes: self.delivered,
+            next_seq: 0,
+            bytes: 0,
+        });
+        self.event.filter(|_| self.delivered)
+    }
+
+    /// Records that bytes of the attempt under way were handed to a connection.
+    pub fn sent(&mut self) {
+        self.advance(outcome::Progress::Sent);
+    }
+
+    /// Takes a frame.
+    pub fn frame(&mut self, frame: answer::Frame) -> Step {
+        if frame.request != self.request {
+            return Step::Discarded(Discard::OtherRequest);
+        }
+        let current = self.attempt.as_ref().map(|attempt| attempt.number);
+        if current != Some(frame.attempt) {
+            return Step::Discarded(Discard::OtherAttempt);
+        }
+        self.part(frame.part)
+    }
+
+    /// Ends the attempt under way because its connection was lost, stalled or was never made.
+    pub fn lost(&mut self, reason: reason::Refusal) -> retry::Failure {
+        self.fail(reason, None, None)
+    }
+
+    /// Whether the whole answer was delivered.
+    #[must_use]
+    pub const fn is_whole(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether any part of the answer was delivered, so that an error can no longer be sent as a
+    /// status.
+    #[must_use]
+    pub const fn is_delivered(&self) -> bool {
+        self.delivered
+    }
+
+    fn part(&mut self, part: answer::Part) -> Step {
+        match part {
+            answer::Part::Queued => self.advance(outcome::Progress::Sent),
+            answer::Part::Dispatched => self.advance(outcome::Progress::Dispatched),
+            answer::Part::Head(head) => self.take_head(head),
+            answer::Part::Chunk { seq, event, data } => self.chunk(seq, event, data),
+            answer::Part::End {
+                chunks,
+                bytes,
+                used,
+            } => self.end(chunks, bytes, used),
+            answer::Part::Failed {
+                reason,
+                outcome,
+                retry_after,
+            } => Step::Failed(self.fail(reason, Some(outcome), retry_after)),
+        }
+    }
+
+    fn advance(&mut self, progress: outcome::Progress) -> Step {
+        if let Some(attempt) = &mut self.attempt {
+            attempt.progress = attempt.progress.max(progress);
+        }
+        Step::Wait
+    }
+
+    /// Takes the head. A resumption has to give the head that was delivered.
+    fn take_head(&mut self, head: answer::Head) -> Step {
+        self.advance(outcome::Progress::Answering);
+        match &self.head {
+            Some(delivered) if *delivered != head => self.incomplete(),
+            _ => {
+                self.head = Some(head);
+                Step::Wait
+            }
+        }
+    }
+
+    fn chunk(&mut self, seq: u32, event: Option<u32>, data: Bytes) -> Step {
+        let Some(attempt) = &mut self.attempt else {
+            return Step::Discarded(Discard::OtherAttempt);
+        };
+        if seq < attempt.next_seq {
+            return Step::Discarded(Discard::Duplicate);
+        }
+        let first_event_is_new = event.is_none() || event > self.event;
+        if seq > attempt.next_seq || self.head.is_none() || !first_event_is_new {
+            return self.incomplete();
+        }
+        attempt.next_seq += 1;
+        attempt.bytes += data.len() as u64;
+        self.held.push(data);
+        self.release(event)
+    }
+
+    /// Delivers the pieces of a stream as they come, and those of any other answer at its end or
+    /// when no more can be held.
+    fn release(&mut self, event: Option<u32>) -> Step {
+        if !self.stream {
+            return if self.held.is_full() {
+                self.deliver(true)
+            } else {
+                Step::Wait
+            };
+        }
+        self.event = event.or(self.event);
+        self.deliver(event.is_none())
+    }
+
+    fn deliver(&mut self, inside_event: bool) -> Step {
+        self.inside_event = inside_event;
+        Step::Deliver(self.delivery(false, None))
+    }
+
+    fn delivery(&mut self, end: bool, used: Option<units::Tokens>) -> Delivery {
+        let first = !self.delivered;
+        self.delivered = true;
+        Delivery {
+            head: self.head.clone().filter(|_| first),
+            data: self.held.take(),
+            end,
+            used,
+        }
+    }
+
+    /// Takes the end marker, which has to match what was received.
+    fn end(&mut self, chunks: u32, bytes: u64, used: Option<units::Tokens>) -> Step {
+        let whole = self.attempt.as_ref().is_some_and(|attempt| {
+            attempt.next_seq == chunks && attempt.bytes == bytes && self.head.is_some()
+        });
+        if !whole {
+            return self.incomplete();
+        }
+        self.attempt = None;
+        self.ended = true;
+        Step::Deliver(self.delivery(true, used))
+    }
+
+    fn incomplete(&mut self) -> Step {
+        Step::Failed(self.fail(reason::Refusal::AnswerIncomplete, None, None))
+    }
+
+    /// Closes the attempt under way; its later frames are discarded.
+    fn fail(
+        &mut self,
+        reason: reason::Refusal,
+        told: Option<outcome::Outcome>,
+        retry_after: Option<std::time::Duration>,
+    ) -> retry::Failure {
+        self.held.take();
+        let attempt = self.attempt.take();
+        let progress = attempt.as_ref().map(|attempt| attempt.progress);
+        let seen = progress.unwrap_or_default().if_lost();
+        let resumes = attempt.is_some_and(|attempt| attempt.resumes);
+        retry::Failure {
+            reason,
+            outcome: evidence(seen, told, resumes),
+            recovery: self.recovery(reason),
+            retry_after,
+        }
+    }
+
+    fn recovery(&self, reason: reason::Refusal) -> retry::Recovery {
+        if !self.delivered {
+            return retry::Recovery::Repeat;
+        }
+        let resumable = self.stream && self.event.is_some() && !self.inside_event;
+        if resumable && reason::Retry::of(reason).is_some() {
+            return retry::Recovery::Resume;
+        }
+        retry::Recovery::Impossible
+    }
+}
+
+/// Evidence of an attempt from what was seen of it and what the sender told.
+///
+/// The sender knows more than this hop, except that an answer whose head was seen did run.
+fn evidence(
+    seen: outcome::Outcome,
+    told: Option<outcome::Outcome>,
+    resumes: bool,
+) -> outcome::Outcome {
+    if resumes || seen == outcome::Outcome::Run {
+        return outcome::Outcome::Run;
+    }
+    told.unwrap_or(seen)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,10 @@
 //! and timers stand round them in `pistachiochute-runtime`. Replays, property tests and benches
 //! drive the same code that the daemon runs.
 
+pub mod answer;
 pub mod entity;
 pub mod lists;
+pub mod liveness;
 pub mod map;
 pub mod name;
 pub mod outcome;
--- /dev/null
+++ b/crates/core/src/liveness/link.rs
@@ -0,0 +1,117 @@
+//! Liveness of one link between two hosts.
+
+use std::time::Duration;
+
+use crate::time;
+
+/// Deadlines of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkConfig {
+    /// Silence on a link in use after which a ping is sent, in milliseconds.
+    pub ping_after_ms: u64,
+    /// Silence after a ping after which the link is given up, in milliseconds.
+    pub ping_deadline_ms: u64,
+    /// Silence after which a link has to answer a ping before it carries a request that runs at
+    /// most once, in milliseconds.
+    pub trusted_ms: u64,
+}
+
+impl Default for LinkConfig {
+    fn default() -> Self {
+        Self {
+            ping_after_ms: 1_000,
+            ping_deadline_ms: 1_000,
+            trusted_ms: 2_000,
+        }
+    }
+}
+
+/// What a link needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// Nothing before the given time, or nothing at all while the link is idle.
+    Wait(Option<time::Time>),
+    /// Send a ping now, and check again at the given time.
+    Ping(time::Time),
+    /// The link is silent: close it and end its streams as lost.
+    Silent,
+}
+
+/// Liveness of one link.
+#[derive(Clone, Debug)]
+pub struct Link {
+    cfg: LinkConfig,
+    /// Last time at which anything arrived.
+    heard: time::Time,
+    /// Start of the present use: when the first open stream was opened.
+    in_use_since: Option<time::Time>,
+    /// When the unanswered ping was sent. Invariant: nothing arrived since.
+    pinged: Option<time::Time>,
+    /// Open streams.
+    streams: u32,
+}
+
+impl Link {
+    /// Makes a link that was connected at the given time.
+    #[must_use]
+    pub const fn new(cfg: LinkConfig, now: time::Time) -> Self {
+        Self {
+            cfg,
+            heard: now,
+            in_use_since: None,
+            pinged: None,
+            streams: 0,
+        }
+    }
+
+    /// Records that something arrived.
+    pub fn heard(&mut self, now: time::Time) {
+        self.heard = self.heard.max(now);
+        self.pinged = None;
+    }
+
+    /// Records that a stream was opened.
+    pub fn opened(&mut self, now: time::Time) {
+        self.streams += 1;
+        self.in_use_since.get_or_insert(now);
+    }
+
+    /// Records that a stream was closed.
+    pub fn closed(&mut self) {
+        self.streams = self.streams.saturating_sub(1);
+        if self.streams == 0 {
+            self.in_use_since = None;
+            self.pinged = None;
+        }
+    }
+
+    /// Whether the link was heard lately enough to carry a request that runs at most once.
+    #[must_use]
+    pub fn is_trusted(&self, now: time::Time) -> bool {
+        now.since(self.heard) <= Duration::from_millis(self.cfg.trusted_ms)
+    }
+
+    /// Says what the link needs now.
+    pub fn check(&mut self, now: time::Time) -> Check {
+        let Some(in_use_since) = self.in_use_since else {
+            return Check::Wait(None);
+        };
+        let deadline = Duration::from_millis(self.cfg.ping_deadline_ms);
+        if let Some(pinged) = self.pinged {
+            let due = pinged + deadline;
+            return if now >= due {
+                Check::Silent
+            } else {
+                Check::Wait(Some(due))
+            };
+        }
+        let silent_since = self.heard.max(in_use_since);
+        let due = silent_since + Duration::from_millis(self.cfg.ping_after_ms);
+        if now < due {
+            return Check::Wait(Some(due));
+        }
+        self.pinged = Some(now);
+        Check::Ping(now + deadline)
+    }
+}
--- /dev/null
+++ b/crates/core/src/liveness/stall.rs
@@ -0,0 +1,57 @@
+//! Deadlines of an answer that is under way.
+
+use std::time::Duration;
+
+use crate::time;
+
+/// Deadlines of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StallConfig {
+    /// Longest time from the dispatch to the first piece, in milliseconds.
+    pub first_ms: u64,
+    /// Longest time between two pieces, in milliseconds.
+    pub between_ms: u64,
+}
+
+impl Default for StallConfig {
+    fn default() -> Self {
+        Self {
+            first_ms: 30_000,
+            between_ms: 10_000,
+        }
+    }
+}
+
+/// Stall deadline of one answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    cfg: StallConfig,
+    due: time::Time,
+}
+
+impl Stall {
+    /// Starts the deadline at the dispatch.
+    #[must_use]
+    pub fn new(cfg: StallConfig, now: time::Time) -> Self {
+        let due = now + Duration::from_millis(cfg.first_ms);
+        Self { cfg, due }
+    }
+
+    /// Records that a piece arrived.
+    pub fn heard(&mut self, now: time::Time) {
+        self.due = now + Duration::from_millis(self.cfg.between_ms);
+    }
+
+    /// Time at which the answer counts as stalled.
+    #[must_use]
+    pub const fn due(&self) -> time::Time {
+        self.due
+    }
+
+    /// Whether the answer has stalled.
+    #[must_use]
+    pub fn is_stalled(&self, now: time::Time) -> bool {
+        now >= self.due
+    }
+}
--- /dev/null
+++ b/crates/core/tests/answer.rs
@@ -0,0 +1,307 @@
+//! Answers are whole, from one run, and bound to their request, whatever arrives in what order.
+
+use bytes::Bytes;
+use pistachiochute_core::{answer, outcome, reason, request, retry};
+use proptest::prelude::{Just, Strategy, any, prop_oneof, proptest};
+use proptest::test_runner::{Config, RngSeed};
+use proptest::{collection, prop_assert, prop_assert_eq};
+
+const EVENTS: u32 = 6;
+
+fn config() -> Config {
+    Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0xa115),
+        cases: 4_000,
+        ..Config::default()
+    }
+}
+
+fn request(n: u128) -> request::RequestId {
+    request::RequestId(uuid::Uuid::from_u128(n))
+}
+
+fn head() -> answer::Head {
+    answer::Head {
+        status: 200,
+        content_type: Bytes::from_static(b"text/event-stream"),
+    }
+}
+
+/// Text of event `event` in run `run` of request `n`: no two are equal.
+fn text(n: u128, run: u8, event: u32) -> Bytes {
+    Bytes::from(format!("[{n}.{run}.{event}]"))
+}
+
+/// All frames of one attempt that sends the events after `after` of run `run`.
+fn attempt_frames(n: u128, attempt: u8, run: u8, after: u32, stream: bool) -> Vec<answer::Frame> {
+    let mut parts = vec![answer::Part::Dispatched, answer::Part::Head(head())];
+    let mut bytes = 0;
+    for (seq, event) in (after + 1..=EVENTS).enumerate() {
+        let data = text(n, run, event);
+        bytes += data.len() as u64;
+        parts.push(answer::Part::Chunk {
+            seq: seq as u32,
+            event: stream.then_some(event),
+            data,
+        });
+    }
+    parts.push(answer::Part::End {
+        chunks: EVENTS - after,
+        bytes,
+        used: None,
+    });
+    let bind = |part| answer::Frame {
+        request: request(n),
+        attempt,
+        part,
+    };
+    parts.into_iter().map(bind).collect()
+}
+
+/// What the network does next.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    Lose,
+    Duplicate,
+    SwapWithNext,
+    StaleFrame(usize),
+    OtherRequest(usize),
+    Cut,
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        20 => Just(Fault::None),
+        1 => Just(Fault::Lose),
+        2 => Just(Fault::Duplicate),
+        1 => Just(Fault::SwapWithNext),
+        3 => any::<usize>().prop_map(Fault::StaleFrame),
+        3 => any::<usize>().prop_map(Fault::OtherRequest),
+        2 => Just(Fault::Cut),
+    ]
+}
+
+/// A caller that collects what it is given, and the network before it.
+struct Trial {
+    assembly: answer::Assembly,
+    stream: bool,
+    body: Vec<u8>,
+    whole: bool,
+    /// Frames of earlier attempts, which can arrive late.
+    stale: Vec<answer::Frame>,
+    others: Vec<answer::Frame>,
+    /// Run at the engine whose answer is under way.
+    run: u8,
+}
+
+impl Trial {
+    fn new(stream: bool) -> Self {
+        Self {
+            assembly: answer::Assembly::new(request(1), stream),
+            stream,
+            body: Vec::new(),
+            whole: false,
+            stale: Vec::new(),
+            others: attempt_frames(2, 0, 9, 0, stream),
+            run: 0,
+        }
+    }
+
+    fn give(&mut self, frame: answer::Frame) -> Option<retry::Failure> {
+        match self.assembly.frame(frame) {
+            answer::Step::Deliver(delivery) => {
+                assert!(!self.whole, "delivery after the end");
+                self.body.extend(delivery.data.concat());
+                self.whole = delivery.end;
+                None
+            }
+            answer::Step::Failed(failure) => Some(failure),
+            answer::Step::Wait | answer::Step::Discarded(_) => None,
+        }
+    }
+
+    /// Runs one attempt under the faults.
+    fn attempt(
+        &mut self,
+        number: u8,
+        faults: &mut dyn Iterator<Item = Fault>,
+    ) -> Option<retry::Failure> {
+        let after = self.assembly.begin(number);
+        if after.is_none() {
+            self.run = number;
+        }
+        self.assembly.sent();
+        let mut frames = attempt_frames(1, number, self.run, after.unwrap_or(0), self.stream);
+        let all = frames.clone();
+        let mut failure = None;
+        let mut i = 0;
+        while i < frames.len() && failure.is_none() {
+            match faults.next().unwrap_or(Fault::None) {
+                Fault::None => failure = self.give(frames[i].clone()),
+                Fault::Lose => {}
+                Fault::Duplicate => {
+                    failure = self.give(frames[i].clone());
+                    failure = failure.or_else(|| self.give(frames[i].clone()));
+                }
+                Fault::SwapWithNext if i + 1 < frames.len() => {
+                    frames.swap(i, i + 1);
+                    failure = self.give(frames[i].clone());
+                }
+                Fault::SwapWithNext => failure = self.give(frames[i].clone()),
+                Fault::StaleFrame(at) => {
+                    failure = self.give_late(at).or_else(|| self.give(frames[i].clone()))
+                }
+                Fault::OtherRequest(at) => {
+                    let other = self.others[at % self.others.len()].clone();
+                    failure = self.give(other).or_else(|| self.give(frames[i].clone()));
+                }
+                Fault::Cut => failure = Some(self.assembly.lost(reason::Refusal::ConnectionLost)),
+            }
+            i += 1;
+        }
+        self.stale.extend(all);
+        if failure.is_none() && !self.whole {
+            failure = Some(self.assembly.lost(reason::Refusal::ConnectionLost));
+        }
+        failure
+    }
+
+    fn give_late(&mut self, at: usize) -> Option<retry::Failure> {
+        if self.stale.is_empty() {
+            return None;
+        }
+        let late = self.stale[at % self.stale.len()].clone();
+        self.give(late)
+    }
+
+    fn answer_of_run(&self) -> Vec<u8> {
+        (1..=EVENTS)
+            .flat_map(|event| text(1, self.run, event))
+            .collect()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn answers_are_whole_and_of_one_run(
+        stream in any::<bool>(),
+        faults in collection::vec(any_fault(), 0..60),
+    ) {
+        let mut trial = Trial::new(stream);
+        let mut faults = faults.into_iter();
+        for number in 0..6 {
+            let Some(failure) = trial.attempt(number, &mut faults) else { break };
+            match failure.recovery {
+                retry::Recovery::Repeat => prop_assert!(trial.body.is_empty()),
+                retry::Recovery::Resume => prop_assert!(stream),
+                retry::Recovery::Impossible => break,
+            }
+        }
+        let answer = trial.answer_of_run();
+        prop_assert!(answer.starts_with(&trial.body));
+        prop_assert_eq!(trial.whole, trial.assembly.is_whole());
+        if trial.whole {
+            prop_assert_eq!(trial.body, answer);
+        }
+    }
+}
+
+fn begun(stream: bool) -> answer::Assembly {
+    let mut assembly = answer::Assembly::new(request(1), stream);
+    assert_eq!(assembly.begin(0), None);
+    assembly
+}
+
+fn frame(part: answer::Part) -> answer::Frame {
+    answer::Frame {
+        request: request(1),
+        attempt: 0,
+        part,
+    }
+}
+
+#[test]
+fn a_short_answer_fails_at_its_end_marker() {
+    let mut assembly = begun(false);
+    assembly.frame(frame(answer::Part::Head(head())));
+    let end = answer::Part::End {
+        chunks: 1,
+        bytes: 5,
+        used: None,
+    };
+    let answer::Step::Failed(failure) = assembly.frame(frame(end)) else {
+        panic!("accepted");
+    };
+    assert_eq!(failure.reason, reason::Refusal::AnswerIncomplete);
+    assert_eq!(failure.outcome, outcome::Outcome::Run);
+    assert_eq!(failure.recovery, retry::Recovery::Repeat);
+}
+
+#[test]
+fn evidence_of_a_lost_attempt_is_as_strong_as_what_was_seen() {
+    let mut assembly = begun(false);
+    let unsent = assembly.lost(reason::Refusal::ConnectFailed);
+    assert_eq!(unsent.outcome, outcome::Outcome::NotRun);
+    assembly.begin(0);
+    assembly.sent();
+    let sent = assembly.lost(reason::Refusal::ConnectionLost);
+    assert_eq!(sent.outcome, outcome::Outcome::Unknown);
+    assembly.begin(0);
+    assembly.frame(frame(answer::Part::Head(head())));
+    let answered = assembly.lost(reason::Refusal::ConnectionLost);
+    assert_eq!(answered.outcome, outcome::Outcome::Run);
+}
+
+#[test]
+fn a_refusal_after_the_head_does_not_count_as_not_run() {
+    let mut assembly = begun(false);
+    assembly.frame(frame(answer::Part::Head(head())));
+    let refused = answer::Part::Failed {
+        reason: reason::Refusal::Draining,
+        outcome: outcome::Outcome::NotRun,
+        retry_after: None,
+    };
+    let answer::Step::Failed(failure) = assembly.frame(frame(refused)) else {
+        panic!("accepted");
+    };
+    assert_eq!(failure.outcome, outcome::Outcome::Run);
+}
+
+#[test]
+fn a_long_answer_is_delivered_and_then_cannot_be_repeated() {
+    let mut assembly = begun(false);
+    assembly.frame(frame(answer::Part::Head(head())));
+    let piece = answer::Part::Chunk {
+        seq: 0,
+        event: None,
+        data: Bytes::from(vec![b'x'; answer::MAX_HELD + 1]),
+    };
+    let step = assembly.frame(frame(piece));
+    assert!(matches!(step, answer::Step::Deliver(_)));
+    let failure = assembly.lost(reason::Refusal::ConnectionLost);
+    assert_eq!(failure.recovery, retry::Recovery::Impossible);
+}
+
+#[test]
+fn a_resumed_stream_with_another_head_fails() {
+    let mut assembly = begun(true);
+    assembly.frame(frame(answer::Part::Head(head())));
+    let piece = answer::Part::Chunk {
+        seq: 0,
+        event: Some(4),
+        data: Bytes::from_static(b"data: a\n\n"),
+    };
+    assembly.frame(frame(piece));
+    assembly.lost(reason::Refusal::ConnectionLost);
+    assert_eq!(assembly.begin(0), Some(4));
+    let other = answer::Head {
+        status: 404,
+        ..head()
+    };
+    let step = assembly.frame(frame(answer::Part::Head(other)));
+    assert!(matches!(step, answer::Step::Failed(_)));
+}
