Add the check and completions subcommands

Operators want to check settings before a restart, without a host. check prints the findings of all files as a table or as JSON and exits with status 2 if there is one.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,53 @@
 //! Command line of the router fleet.
+//!
+//! Each subcommand is a module that gives its `command()` and its `run()`. The exit status is 0
+//! when all is well, 1 when a check or a bound failed, and 2 when the input is faulty.
 
-fn main() {}
+mod check;
+mod completions;
+mod table;
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("pistachiochute: {e:#}");
+            process::ExitCode::from(exit::FAULTY)
+        }
+    }
+}
+
+/// Exit statuses.
+mod exit {
+    /// The input is faulty or could not be read.
+    pub(crate) const FAULTY: u8 = 2;
+}
+
+fn command() -> clap::Command {
+    clap::Command::new("pistachiochute")
+        .version(clap::crate_version!())
+        .about("Router fleet for very many returning chats")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check::command())
+        .subcommand(completions::command())
+}
+
+fn run(matches: &clap::ArgMatches) -> eyre::Result<process::ExitCode> {
+    match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("completions", matches)) => completions::run(matches, command()),
+        _ => unreachable!("clap requires one of the subcommands"),
+    }
+}
+
+/// Switch that prints JSON instead of a table.
+fn json_arg() -> clap::Arg {
+    clap::Arg::new("json")
+        .long("json")
+        .action(clap::ArgAction::SetTrue)
+        .help("Print JSON instead of a table")
+}
--- a/crates/runtime/src/settings/mod.rs
+++ b/crates/runtime/src/settings/mod.rs
@@ -13,7 +13,7 @@
 mod scalar;
 mod secret;
 
-use std::net;
+use std::{fmt, fs, net, path};
 
 use pistachiochute_core::entity;
 
@@ -87,13 +87,25 @@
 }
 
 impl Settings {
+    /// Reads settings from a JSON file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding if there is at least one. A file that cannot be read is a finding.
+    pub fn load(file: &path::Path) -> Result<Self, Vec<Finding>> {
+        match fs::read_to_string(file) {
+            Ok(text) => Self::parse(&text),
+            Err(e) => Err(vec![whole(&e)]),
+        }
+    }
+
     /// Reads settings from JSON text.
     ///
     /// # Errors
     ///
     /// Returns every finding if there is at least one.
     pub fn parse(text: &str) -> Result<Self, Vec<Finding>> {
-        let document = document::parse(text).map_err(|e| vec![not_json(&e)])?;
+        let document = document::parse(text).map_err(|e| vec![whole(&e)])?;
         let mut findings = Vec::new();
         let settings = reader::Reader::new("$".to_owned(), &document, &mut findings).and_then(read);
         match settings {
@@ -115,7 +127,11 @@
     }
 }
 
-fn not_json(e: &serde_json::Error) -> Finding {
+/// Finding about the document as a whole.
+fn whole<E>(e: &E) -> Finding
+where
+    E: fmt::Display,
+{
     Finding {
         place: "$".to_owned(),
         fault: e.to_string(),
