Add the stand-ins of the service, the key-value service, host list and weights

Cause: tests must provoke outages, lost answers, late writes, lag and rate limits of the platform. Change: one switch for the faults of all stand-ins; the plain service counts its runs by key and by request; the key-value service speaks the JSON form of the etcd v3 API with leases, watches, lost and late writes and restores; the host list lags; the weight store shares its rate.

--- /dev/null
+++ b/crates/standins/src/keyvalue/api.rs
@@ -0,0 +1,214 @@
+//! Messages of the JSON form of the etcd v3 API, as far as the stand-in implements it.
+//!
+//! Bytes are base64 and 64-bit numbers are strings. Requests may use either spelling of field
+//! names that the published mapping allows, and numbers as well as strings.
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use serde::de::Error as _;
+
+/// Bytes that JSON carries as base64.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Base64(pub(super) Bytes);
+
+impl serde::Serialize for Base64 {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        serializer.serialize_str(&BASE64_STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Base64 {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let text = String::deserialize(deserializer)?;
+        BASE64_STANDARD
+            .decode(text)
+            .map(|raw| Self(raw.into()))
+            .map_err(D::Error::custom)
+    }
+}
+
+/// A 64-bit number that JSON carries as a string.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Int(pub(super) i64);
+
+impl serde::Serialize for Int {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Int {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        #[derive(serde::Deserialize)]
+        #[serde(untagged)]
+        enum Form {
+            Number(i64),
+            Text(String),
+        }
+        match Form::deserialize(deserializer)? {
+            Form::Number(number) => Ok(Self(number)),
+            Form::Text(text) => text.parse().map(Self).map_err(D::Error::custom),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub(super) struct Header {
+    pub(super) cluster_id: Int,
+    pub(super) member_id: Int,
+    pub(super) revision: Int,
+    pub(super) raft_term: Int,
+}
+
+#[derive(Clone, Debug, serde::Serialize)]
+pub(super) struct Entry {
+    pub(super) key: Base64,
+    pub(super) create_revision: Int,
+    pub(super) mod_revision: Int,
+    pub(super) version: Int,
+    pub(super) value: Base64,
+    pub(super) lease: Int,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Range {
+    #[serde(default)]
+    pub(super) key: Base64,
+    #[serde(default, alias = "rangeEnd")]
+    pub(super) range_end: Base64,
+    #[serde(default)]
+    pub(super) limit: Int,
+    #[serde(default, alias = "keysOnly")]
+    pub(super) keys_only: bool,
+}
+
+impl Range {
+    /// Whether the range holds `key`. A range end of one zero byte means all keys from the start.
+    pub(super) fn holds(&self, key: &Bytes) -> bool {
+        let (from, end) = (&self.key.0, &self.range_end.0);
+        if end.is_empty() {
+            return key == from;
+        }
+        key >= from && (end.as_ref() == [0] || key < end)
+    }
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Put {
+    pub(super) key: Base64,
+    #[serde(default)]
+    pub(super) value: Base64,
+    #[serde(default)]
+    pub(super) lease: Int,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(super) enum Relation {
+    #[default]
+    Equal,
+    Greater,
+    Less,
+    NotEqual,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(super) enum Field {
+    #[default]
+    Version,
+    Create,
+    Mod,
+    Value,
+    Lease,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Compare {
+    #[serde(default)]
+    pub(super) result: Relation,
+    #[serde(default)]
+    pub(super) target: Field,
+    pub(super) key: Base64,
+    #[serde(default)]
+    pub(super) version: Int,
+    #[serde(default, alias = "createRevision")]
+    pub(super) create_revision: Int,
+    #[serde(default, alias = "modRevision")]
+    pub(super) mod_revision: Int,
+    #[serde(default)]
+    pub(super) value: Base64,
+    #[serde(default)]
+    pub(super) lease: Int,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) enum Op {
+    #[serde(rename = "request_range", alias = "requestRange")]
+    Range(Range),
+    #[serde(rename = "request_put", alias = "requestPut")]
+    Put(Put),
+    #[serde(rename = "request_delete_range", alias = "requestDeleteRange")]
+    DeleteRange(Range),
+}
+
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[serde(default)]
+pub(super) struct Txn {
+    pub(super) compare: Vec<Compare>,
+    pub(super) success: Vec<Op>,
+    pub(super) failure: Vec<Op>,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Lease {
+    #[serde(default, rename = "ID", alias = "id")]
+    pub(super) id: Int,
+    #[serde(default, rename = "TTL", alias = "ttl")]
+    pub(super) ttl: Int,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Watch {
+    #[serde(alias = "createRequest")]
+    pub(super) create_request: WatchCreate,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct WatchCreate {
+    #[serde(flatten)]
+    pub(super) range: Range,
+    #[serde(default, alias = "startRevision")]
+    pub(super) start_revision: Int,
+    /// Whether messages without events tell how far the watch has come.
+    #[serde(default, alias = "progressNotify")]
+    pub(super) progress_notify: bool,
+}
+
+/// A change that a watch delivers.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(super) struct Event {
+    #[serde(rename = "type")]
+    pub(super) kind: EventKind,
+    pub(super) kv: Entry,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(super) enum EventKind {
+    Put,
+    Delete,
+}
--- /dev/null
+++ b/crates/standins/src/keyvalue/mod.rs
@@ -0,0 +1,424 @@
+//! Key-value service with a subset of the JSON form of the etcd v3 API.
+//!
+//! It implements `/v3/kv/range`, `/v3/kv/put`, `/v3/kv/deleterange`, `/v3/kv/txn`,
+//! `/v3/kv/compaction`, `/v3/lease/grant`, `/v3/lease/keepalive`, `/v3/lease/revoke` and
+//! `/v3/watch`, which answers with a stream of JSON objects. Values hold up to [`MAX_VALUE`] bytes.
+//! Each call is counted by its kind; a watch counts as one call however long it waits.
+
+mod api;
+mod store;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::{server, sync};
+
+pub use store::MAX_VALUE;
+
+/// Longest sleep of a watch between two looks at leases, faults and the end of the service.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time without events after which a watch that asked for it is told how far it has come.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Code of gRPC for a service that cannot be reached.
+const UNAVAILABLE: u32 = 14;
+
+/// Code of gRPC for a malformed request.
+const INVALID_ARGUMENT: u32 = 3;
+
+/// Faults of the key-value service; the default is none.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Connections are refused and watches end. Only [`KeyValue::set_faults`] ends this.
+    pub refuse_connections: bool,
+    /// Calls are answered 503 and have no effect; watches end.
+    pub down: bool,
+    /// Calls are taken and never answered, and have no effect; watches go silent.
+    pub stall: bool,
+    /// Delay before each call takes effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Number of writes that take effect and whose answer is lost.
+    pub lost_answers: u32,
+    /// Number of writes that have no effect and whose connection closes.
+    pub lost_writes: u32,
+    /// Number of writes whose connection closes at once and that take effect later.
+    pub late_writes: u32,
+    /// Time until a late write takes effect, in milliseconds.
+    pub late_by_ms: u64,
+}
+
+/// Calls that were counted since the start, by kind. Calls refused by a fault are counted too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Reads of a range.
+    pub ranges: u64,
+    /// Single writes.
+    pub puts: u64,
+    /// Deletions.
+    pub delete_ranges: u64,
+    /// Transactions.
+    pub txns: u64,
+    /// Grants, renewals and revocations of leases.
+    pub leases: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Compactions.
+    pub compactions: u64,
+}
+
+/// Contents at one revision, to restore later.
+#[derive(Clone, Debug)]
+pub struct Snapshot(store::Store);
+
+/// A running key-value service.
+#[derive(Debug)]
+pub struct KeyValue {
+    shared: Arc<Shared>,
+    server: server::Server,
+}
+
+impl KeyValue {
+    /// Starts an empty key-value service on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// No address can be bound or a thread cannot be started.
+    pub fn start() -> eyre::Result<Self> {
+        Self::start_on(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    }
+
+    /// Starts an empty key-value service on an address.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound or a thread cannot be started.
+    pub fn start_on(addr: SocketAddr) -> eyre::Result<Self> {
+        let make = |control| Shared {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            faults: server::Switch::new(Faults::default(), |faults| faults.refuse_connections),
+            control,
+        };
+        let (shared, server) = server::Server::start(addr, make, Shared::handle)?;
+        Ok(Self { shared, server })
+    }
+
+    /// Address of the service.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.shared.faults.set(self.server.control(), faults);
+    }
+
+    /// Calls that were counted.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        sync::lock(&self.shared.state).counters
+    }
+
+    /// Revision of the contents.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        sync::lock(&self.shared.state)
+            .store
+            .revision()
+            .unsigned_abs()
+    }
+
+    /// Copies the contents.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(sync::lock(&self.shared.state).store.clone())
+    }
+
+    /// Goes back to earlier contents with their revision, and ends all watches.
+    pub fn restore(&self, snapshot: Snapshot) {
+        let mut state = sync::lock(&self.shared.state);
+        state.store = snapshot.0;
+        state.restores += 1;
+        self.shared.changed.notify_all();
+    }
+
+    /// Drops the history up to and with `revision`, so that watches cannot start there.
+    pub fn compact(&self, revision: u64) {
+        let revision = i64::try_from(revision).unwrap_or(i64::MAX);
+        sync::lock(&self.shared.state).store.compact(revision);
+    }
+
+    /// Ends the calls and the threads.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    store: store::Store,
+    counters: Counters,
+    /// Number of times that the contents were restored.
+    restores: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    faults: server::Switch<Faults>,
+    control: Arc<server::Control>,
+}
+
+/// What becomes of a write.
+enum Fate {
+    Answered,
+    AnswerLost,
+    Lost,
+    Late(Duration),
+}
+
+fn refuse(exchange: server::Exchange, refusal: &store::Refusal) {
+    let body = json!({
+        "error": refusal.message,
+        "message": refusal.message,
+        "code": refusal.code,
+        "details": [],
+    });
+    exchange.respond(refusal.status, &body);
+}
+
+fn invalid(exchange: server::Exchange, err: &serde_json::Error) {
+    let message = err.to_string();
+    let body = json!({ "error": message, "message": message, "code": INVALID_ARGUMENT });
+    exchange.respond(400, &body);
+}
+
+impl Shared {
+    fn handle(&self, exchange: server::Exchange) {
+        let path = exchange.path().to_owned();
+        if path == "/faults" {
+            return self.faults.post(exchange, &self.control);
+        }
+        self.count(&path);
+        let faults = self.faults.get();
+        if faults.stall {
+            return exchange.stall(&self.control, || self.faults.get().stall);
+        }
+        if faults.down {
+            let message = "etcdserver: no leader";
+            return refuse(
+                exchange,
+                &store::Refusal {
+                    status: 503,
+                    code: UNAVAILABLE,
+                    message,
+                },
+            );
+        }
+        if !self.control.sleep(Duration::from_millis(faults.delay_ms)) {
+            return exchange.hang_up();
+        }
+        match path.as_str() {
+            "/v3/kv/range" => self.read(exchange, |store, range| Ok(store.range(range))),
+            "/v3/kv/put" => self.write(exchange, store::Store::put),
+            "/v3/kv/deleterange" => {
+                self.write(exchange, |store, range| Ok(store.delete_range(range)))
+            }
+            "/v3/kv/txn" => self.txn(exchange),
+            "/v3/kv/compaction" => self.read(exchange, |store, compaction: &Compaction| {
+                store.compact(compaction.revision.0);
+                Ok(json!({ "header": store.header() }))
+            }),
+            "/v3/lease/grant" => self.write(exchange, store::Store::grant),
+            "/v3/lease/revoke" | "/v3/kv/lease/revoke" => {
+                self.write(exchange, store::Store::revoke)
+            }
+            "/v3/lease/keepalive" => {
+                self.write(exchange, |store, lease| Ok(store.keep_alive(lease)))
+            }
+            "/v3/watch" => self.watch(exchange),
+            _ => exchange.refuse(404, "not_found", "no such path"),
+        }
+    }
+
+    fn count(&self, path: &str) {
+        let counters = &mut sync::lock(&self.state).counters;
+        let counter = match path {
+            "/v3/kv/range" => &mut counters.ranges,
+            "/v3/kv/put" => &mut counters.puts,
+            "/v3/kv/deleterange" => &mut counters.delete_ranges,
+            "/v3/kv/txn" => &mut counters.txns,
+            "/v3/kv/compaction" => &mut counters.compactions,
+            "/v3/watch" => &mut counters.watches,
+            path if path.contains("/lease/") => &mut counters.leases,
+            _ => return,
+        };
+        *counter += 1;
+    }
+
+    /// Applies a call and returns its answer.
+    fn apply<T, F>(&self, call: &T, f: F) -> Result<Value, store::Refusal>
+    where
+        F: FnOnce(&mut store::Store, &T) -> Result<Value, store::Refusal>,
+    {
+        let mut state = sync::lock(&self.state);
+        state.store.expire();
+        let answer = f(&mut state.store, call);
+        self.changed.notify_all();
+        answer
+    }
+
+    fn read<T, F>(&self, exchange: server::Exchange, f: F)
+    where
+        T: serde::de::DeserializeOwned,
+        F: FnOnce(&mut store::Store, &T) -> Result<Value, store::Refusal>,
+    {
+        match exchange.json::<T>() {
+            Ok(call) => answer(exchange, self.apply(&call, f)),
+            Err(err) => invalid(exchange, &err),
+        }
+    }
+
+    fn write<T, F>(&self, exchange: server::Exchange, f: F)
+    where
+        T: serde::de::DeserializeOwned,
+        F: FnOnce(&mut store::Store, &T) -> Result<Value, store::Refusal>,
+    {
+        let call = match exchange.json::<T>() {
+            Ok(call) => call,
+            Err(err) => return invalid(exchange, &err),
+        };
+        match self.fate() {
+            Fate::Answered => answer(exchange, self.apply(&call, f)),
+            Fate::AnswerLost => {
+                // The caller sees a lost answer whatever the answer was.
+                drop(self.apply(&call, f));
+                exchange.hang_up();
+            }
+            Fate::Lost => exchange.hang_up(),
+            Fate::Late(span) => {
+                exchange.hang_up();
+                if self.control.sleep(span) {
+                    drop(self.apply(&call, f));
+                }
+            }
+        }
+    }
+
+    /// Runs a transaction. One that can only read is not a write that a fault may lose.
+    fn txn(&self, exchange: server::Exchange) {
+        let reads = |op: &api::Op| matches!(op, api::Op::Range(_));
+        let only_reads = exchange
+            .json::<api::Txn>()
+            .is_ok_and(|txn| txn.success.iter().chain(&txn.failure).all(reads));
+        if only_reads {
+            self.read(exchange, store::Store::txn);
+        } else {
+            self.write(exchange, store::Store::txn);
+        }
+    }
+
+    fn fate(&self) -> Fate {
+        let mut faults = self.faults.lock();
+        if faults.lost_answers > 0 {
+            faults.lost_answers -= 1;
+            Fate::AnswerLost
+        } else if faults.lost_writes > 0 {
+            faults.lost_writes -= 1;
+            Fate::Lost
+        } else if faults.late_writes > 0 {
+            faults.late_writes -= 1;
+            Fate::Late(Duration::from_millis(faults.late_by_ms))
+        } else {
+            Fate::Answered
+        }
+    }
+
+    fn watch(&self, exchange: server::Exchange) {
+        let watch = match exchange.json::<api::Watch>() {
+            Ok(watch) => watch.create_request,
+            Err(err) => return invalid(exchange, &err),
+        };
+        let (mut next, restores, header) = {
+            let state = sync::lock(&self.state);
+            let start = match watch.start_revision.0 {
+                0 => state.store.revision() + 1,
+                start => start,
+            };
+            (start, state.restores, state.store.header())
+        };
+        let Ok(mut body) = exchange.stream("application/json") else {
+            return;
+        };
+        let mut message = json!({ "result": { "header": header, "created": true } });
+        while send(&mut body, &message).is_ok() {
+            match self.next_changes(&watch, &mut next, restores) {
+                Some(changes) => message = changes,
+                None => break,
+            }
+        }
+        body.cut();
+    }
+
+    /// Waits for the next message of a watch; `None` when the watch ends.
+    fn next_changes(
+        &self,
+        watch: &api::WatchCreate,
+        next: &mut i64,
+        restores: u64,
+    ) -> Option<Value> {
+        let due = Instant::now() + PROGRESS_INTERVAL;
+        let mut state = sync::lock(&self.state);
+        loop {
+            let faults = self.faults.get();
+            let broken = faults.down || faults.refuse_connections;
+            if broken || self.control.is_closing() || state.restores != restores {
+                return None;
+            }
+            state.store.expire();
+            let header = state.store.header();
+            if *next <= state.store.compacted() {
+                let compacted = state.store.compacted();
+                *next = i64::MAX;
+                return Some(json!({ "result": {
+                    "header": header,
+                    "canceled": true,
+                    "compact_revision": compacted.to_string(),
+                } }));
+            }
+            let changes = state.store.changes(&watch.range, *next);
+            if !changes.is_empty() && !faults.stall {
+                *next = state.store.revision() + 1;
+                return Some(json!({ "result": { "header": header, "events": changes } }));
+            }
+            if watch.progress_notify && !faults.stall && Instant::now() >= due {
+                return Some(json!({ "result": { "header": header } }));
+            }
+            let waited = self.changed.wait_timeout(state, WATCH_PAUSE);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct Compaction {
+    revision: api::Int,
+}
+
+fn answer(exchange: server::Exchange, answer: Result<Value, store::Refusal>) {
+    match answer {
+        Ok(value) => exchange.respond(200, &value),
+        Err(refusal) => refuse(exchange, &refusal),
+    }
+}
+
+fn send(body: &mut server::Body, message: &Value) -> std::io::Result<()> {
+    body.send(format!("{message}\n").as_bytes())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,5 +5,9 @@
 //! `POST /faults`. `close` ends its threads.
 
 pub mod engine;
+pub mod hosts;
+pub mod keyvalue;
 mod server;
+pub mod service;
 mod sync;
+pub mod weights;
--- /dev/null
+++ b/crates/standins/src/server/exchange.rs
@@ -0,0 +1,213 @@
+//! A request at a stand-in and the ways to answer it, whole or broken.
+
+use std::io::{Read as _, Write};
+use std::time::Duration;
+
+use crate::server;
+
+/// Largest body of a request, in bytes.
+const MAX_BODY: u64 = 16 << 20;
+
+/// Header that says whether a refused request ran.
+const OUTCOME_HEADER: &str = "x-outcome";
+
+/// Value of [`OUTCOME_HEADER`] for a request that was refused before it ran.
+const NOT_RUN: &str = "not_run";
+
+/// Pause between two looks at whether a stall goes on.
+const STALL_PAUSE: Duration = Duration::from_millis(5);
+
+fn header(name: &str, value: &str) -> tiny_http::Header {
+    tiny_http::Header::from_bytes(name, value).expect("header of a stand-in is ASCII")
+}
+
+/// Refuses a request whose body is not read.
+pub(super) fn refuse_unread(req: tiny_http::Request) {
+    let refusal = tiny_http::Response::empty(503).with_header(header(OUTCOME_HEADER, NOT_RUN));
+    let sent = req.respond(refusal);
+    drop(sent);
+}
+
+/// A request whose body has been read and that has not been answered yet.
+pub(crate) struct Exchange {
+    req: tiny_http::Request,
+    body: Vec<u8>,
+}
+
+impl Exchange {
+    /// Reads the body. Returns `None` if it is too large or was cut short.
+    pub(super) fn read(mut req: tiny_http::Request) -> Option<Self> {
+        let expected = req.body_length();
+        let mut body = Vec::new();
+        let read = req.as_reader().take(MAX_BODY + 1).read_to_end(&mut body);
+        let whole = read.is_ok() && expected.is_none_or(|len| len == body.len());
+        (whole && body.len() as u64 <= MAX_BODY).then_some(Self { req, body })
+    }
+
+    /// Method of the request.
+    pub(crate) fn method(&self) -> &str {
+        self.req.method().as_str()
+    }
+
+    /// Path without the query.
+    pub(crate) fn path(&self) -> &str {
+        let url = self.req.url();
+        url.split_once('?').map_or(url, |(path, _)| path)
+    }
+
+    /// Parameter `name` of the query.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.req.url().split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Header `name`.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.req.headers().iter();
+        headers
+            .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name))
+            .map(|h| h.value.as_str())
+    }
+
+    /// Parses the body as JSON.
+    pub(crate) fn json<T>(&self) -> Result<T, serde_json::Error>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        serde_json::from_slice(&self.body)
+    }
+
+    /// Answers with a JSON body.
+    pub(crate) fn respond<T>(self, status: u16, value: &T)
+    where
+        T: serde::Serialize,
+    {
+        self.respond_with(status, &[], value);
+    }
+
+    /// Answers with a JSON body and further headers.
+    pub(crate) fn respond_with<T>(self, status: u16, headers: &[(&str, &str)], value: &T)
+    where
+        T: serde::Serialize,
+    {
+        let mut response = tiny_http::Response::from_data(encode(value))
+            .with_status_code(status)
+            .with_header(header("content-type", "application/json"));
+        for (name, value) in headers {
+            response.add_header(header(name, value));
+        }
+        // The caller may be gone, which is no fault of the stand-in.
+        let sent = self.req.respond(response);
+        drop(sent);
+    }
+
+    /// Answers with an error body in the form of the OpenAI API.
+    pub(crate) fn refuse(self, status: u16, code: &str, message: &str) {
+        let value = serde_json::json!({
+            "error": { "message": message, "type": "standin_error", "code": code },
+        });
+        self.respond_with(status, &[(OUTCOME_HEADER, NOT_RUN)], &value);
+    }
+
+    /// Sends the head and the first half of a JSON answer, then closes the connection.
+    pub(crate) fn respond_cut<T>(self, value: &T)
+    where
+        T: serde::Serialize,
+    {
+        let body = encode(value);
+        let half = &body[..body.len() / 2];
+        let len = body.len();
+        let mut w = self.req.into_writer();
+        let sent = write!(
+            w,
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {len}\r\n\r\n"
+        )
+        .and_then(|()| w.write_all(half))
+        .and_then(|()| w.flush());
+        drop(sent);
+    }
+
+    /// Closes the connection without an answer.
+    pub(crate) fn hang_up(self) {
+        drop(self.req.into_writer());
+    }
+
+    /// Says nothing while `holds` returns true, then closes the connection.
+    pub(crate) fn stall<F>(self, control: &server::Control, holds: F)
+    where
+        F: Fn() -> bool,
+    {
+        while holds() && control.sleep(STALL_PAUSE) {}
+        self.hang_up();
+    }
+
+    /// Sends the head of a chunked answer and returns the writer of its body.
+    pub(crate) fn stream(self, content_type: &str) -> std::io::Result<Body> {
+        let mut w = self.req.into_writer();
+        write!(
+            w,
+            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\ncache-control: no-store\r\n\
+             transfer-encoding: chunked\r\n\r\n"
+        )?;
+        w.flush()?;
+        let sink = Sink {
+            inner: w,
+            cut: false,
+        };
+        Ok(Body {
+            encoder: chunked_transfer::Encoder::with_flush_after_write(sink),
+        })
+    }
+}
+
+fn encode<T>(value: &T) -> Vec<u8>
+where
+    T: serde::Serialize,
+{
+    serde_json::to_vec(value).expect("answer of a stand-in serializes")
+}
+
+/// Writer that discards everything once `cut` is set, so that no last chunk is sent.
+struct Sink {
+    inner: Box<dyn Write + Send>,
+    cut: bool,
+}
+
+impl Write for Sink {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        if self.cut {
+            return Ok(buf.len());
+        }
+        self.inner.write(buf)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.inner.flush()
+    }
+}
+
+/// Body of a chunked answer. Each write is one chunk that is sent at once.
+pub(crate) struct Body {
+    encoder: chunked_transfer::Encoder<Sink>,
+}
+
+impl Body {
+    /// Sends one chunk. An error means that the caller is gone.
+    pub(crate) fn send(&mut self, chunk: &[u8]) -> std::io::Result<()> {
+        self.encoder.write_all(chunk)?;
+        // The encoder hands each chunk on, but does not flush the buffered writer below it.
+        self.encoder.get_mut().flush()
+    }
+
+    /// Ends the body with its last chunk.
+    pub(crate) fn finish(self) {
+        drop(self.encoder);
+    }
+
+    /// Closes the connection without the last chunk.
+    pub(crate) fn cut(mut self) {
+        self.encoder.get_mut().cut = true;
+        drop(self.encoder);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/weights.rs
@@ -0,0 +1,158 @@
+//! Weight store with a limited rate.
+//!
+//! `GET /weights/MODEL` answers after the time that the model takes at the rate, which all callers
+//! share. A read that would have to wait too long for earlier ones is answered 429. The answer
+//! states the size and carries no weights.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use pistachiochute_core::{name, units};
+use serde_json::json;
+
+use crate::{server, sync};
+
+/// Settings of a weight store.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address to bind; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Sizes of the models that it holds.
+    pub models: BTreeMap<name::ModelName, units::ByteSize>,
+    /// Bytes a second over all callers.
+    pub rate: units::ByteSize,
+    /// Longest wait for earlier reads.
+    pub max_wait: Duration,
+    /// Whether connections are refused from the start.
+    pub refuse_connections: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            models: BTreeMap::new(),
+            rate: units::ByteSize(1 << 30),
+            max_wait: Duration::ZERO,
+            refuse_connections: false,
+        }
+    }
+}
+
+/// What a weight store has counted since it started.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Whole reads by model.
+    pub reads: BTreeMap<name::ModelName, u64>,
+    /// Reads answered 429.
+    pub refused: u64,
+}
+
+/// A running weight store.
+#[derive(Debug)]
+pub struct Weights {
+    shared: Arc<Shared>,
+    server: server::Server,
+}
+
+impl Weights {
+    /// Starts a weight store.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound or a thread cannot be started.
+    pub fn start(cfg: Settings) -> eyre::Result<Self> {
+        let make = |control| Shared {
+            state: Mutex::new(State {
+                free_at: Instant::now(),
+                counters: Counters::default(),
+            }),
+            cfg: cfg.clone(),
+            control,
+        };
+        let (shared, server) = server::Server::start(cfg.listen, make, Shared::handle)?;
+        server.control().set_refusing(cfg.refuse_connections);
+        Ok(Self { shared, server })
+    }
+
+    /// Address of the weight store.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Refuses connections, or accepts them again.
+    pub fn set_refusing(&self, refusing: bool) {
+        self.server.control().set_refusing(refusing);
+    }
+
+    /// What the weight store has counted.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        sync::lock(&self.shared.state).counters.clone()
+    }
+
+    /// Ends the reads and the threads.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    /// Time at which all reads that were accepted are done.
+    free_at: Instant,
+    counters: Counters,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: Settings,
+    state: Mutex<State>,
+    control: Arc<server::Control>,
+}
+
+impl Shared {
+    fn handle(&self, exchange: server::Exchange) {
+        let model = exchange
+            .path()
+            .strip_prefix("/weights/")
+            .and_then(|text| text.parse().ok());
+        let size = model
+            .as_ref()
+            .and_then(|model| self.cfg.models.get(model))
+            .copied();
+        let (Some(model), Some(size)) = (model, size) else {
+            return exchange.refuse(404, "not_found", "no such model");
+        };
+        let Ok(span) = self.reserve(size) else {
+            return exchange.refuse(429, "rate_limited", "the rate is used up");
+        };
+        if !self.control.sleep(span) {
+            return exchange.hang_up();
+        }
+        let answer = json!({ "model": model, "bytes": size });
+        *sync::lock(&self.state)
+            .counters
+            .reads
+            .entry(model)
+            .or_default() += 1;
+        exchange.respond(200, &answer);
+    }
+
+    /// Takes a place after the reads that were accepted. Returns the time until it is done.
+    fn reserve(&self, size: units::ByteSize) -> Result<Duration, ()> {
+        let mut state = sync::lock(&self.state);
+        let now = Instant::now();
+        let begin = state.free_at.max(now);
+        if begin - now > self.cfg.max_wait {
+            state.counters.refused += 1;
+            return Err(());
+        }
+        let rate = self.cfg.rate.0.max(1) as f64;
+        state.free_at = begin + Duration::from_secs_f64(size.0 as f64 / rate);
+        Ok(state.free_at - now)
+    }
+}
