Replay recorded cases against their stated outcomes

A reader should be able to check a promise without reading the tests. A case file names a state machine of the core, its settings, and a trace of events with the exact outcome of each, as JSON lines; pistachiochute case replays them and names file and line of an outcome that differs.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 //! Each subcommand is a module that gives its `command()` and its `run()`. The exit status is 0
 //! when all is well, 1 when a check or a bound failed, and 2 when the input is faulty.
 
+mod case;
 mod check;
 mod completions;
 mod table;
@@ -22,6 +23,8 @@
 
 /// Exit statuses.
 mod exit {
+    /// A check or a bound failed.
+    pub(crate) const FAILED: u8 = 1;
     /// The input is faulty or could not be read.
     pub(crate) const FAULTY: u8 = 2;
 }
@@ -33,12 +36,14 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(check::command())
+        .subcommand(case::command())
         .subcommand(completions::command())
 }
 
 fn run(matches: &clap::ArgMatches) -> eyre::Result<process::ExitCode> {
     match matches.subcommand() {
         Some(("check", matches)) => check::run(matches),
+        Some(("case", matches)) => case::run(matches),
         Some(("completions", matches)) => completions::run(matches, command()),
         _ => unreachable!("clap requires one of the subcommands"),
     }
