--- a/crates/core/src/answer/frame.rs
+++ b/crates/core/src/answer/frame.rs
@@ -7,7 +7,7 @@
 use crate::{outcome, reason, request, units};
 
 /// Part of an answer, bound to its request and attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Frame {
     /// Id of the request that the frame answers.
     pub request: request::RequestId,
@@ -18,7 +18,7 @@
 }
 
 /// Status and content type of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Head {
     /// HTTP status of the endpoint.
     pub status: u16,
@@ -27,7 +27,7 @@
 }
 
 /// Part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Part {
     /// The owner took the request into the endpoint's queue.
     Queued,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod map;
 pub mod name;
 pub mod outcome;
+pub mod owner;
 pub mod queue;
 pub mod reason;
 pub mod request;
--- a/crates/messages/src/forward.rs
+++ b/crates/messages/src/forward.rs
@@ -1,9 +1,10 @@
-//! Messages of a forwarded request and its answer.
+//! Message of a forwarded request. Its answer is a sequence of
+//! [`answer::Frame`](pistachiochute_core::answer::Frame)s.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use pistachiochute_core::{entity, name, outcome, reason, request, revision, units};
+use pistachiochute_core::{entity, name, request, revision, units};
 
 /// Head of a request that an entry host forwards to the owner of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -44,6 +45,8 @@
     pub resume_after: Option<u32>,
     /// Whether the caller asked for a stream of events.
     pub stream: bool,
+    /// Method at the endpoint.
+    pub method: Method,
     /// Path and query at the endpoint.
     pub path: Bytes,
     /// Content type of the body.
@@ -56,6 +59,15 @@
     pub loads: smallvec::SmallVec<[LoadView; 4]>,
 }
 
+/// HTTP methods that are forwarded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Method {
+    /// A read, which has no body.
+    Get,
+    /// Any other call.
+    Post,
+}
+
 /// Load of the endpoints of one pool that one host owns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadView {
@@ -66,60 +78,3 @@
     /// Age of the reading at the sender, in milliseconds.
     pub age_ms: u32,
 }
-
-/// Part of an answer, bound to its request and attempt.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ReplyFrame {
-    /// Id of the request that the frame answers.
-    pub request: request::RequestId,
-    /// Number of the attempt that the frame answers.
-    pub attempt: u8,
-    /// The part of the answer.
-    pub reply: Reply,
-}
-
-/// Part of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Reply {
-    /// The owner took the request into the endpoint's queue.
-    Queued {
-        /// Requests ahead of it.
-        ahead: u32,
-    },
-    /// The owner is about to send the request to the endpoint.
-    Dispatched,
-    /// Status and content type of the endpoint's answer.
-    Head {
-        /// HTTP status of the endpoint.
-        status: u16,
-        /// Content type of the answer.
-        content_type: Bytes,
-    },
-    /// Piece of the answer's body.
-    Chunk {
-        /// Number of the piece, from 0.
-        seq: u32,
-        /// Event id of the last whole event in the piece, for resumption.
-        event: Option<u32>,
-        /// Bytes of the piece.
-        data: Bytes,
-    },
-    /// The answer is whole.
-    End {
-        /// Number of pieces sent.
-        chunks: u32,
-        /// Bytes sent.
-        bytes: u64,
-        /// Tokens that the endpoint reports to have used.
-        used: Option<units::Tokens>,
-    },
-    /// The answer ends without being whole.
-    Failed {
-        /// Why.
-        reason: reason::Refusal,
-        /// Whether the request ran, as far as the owner knows.
-        outcome: outcome::Outcome,
-        /// Delay after which the caller may try again.
-        retry_after: Option<Duration>,
-    },
-}
--- /dev/null
+++ b/crates/runtime/src/control/arrive.rs
@@ -0,0 +1,160 @@
+//! Admission of callers' requests: account, plan and candidates.
+
+use pistachiochute_core::{entity, lists, name, reason, request, routing, time, units};
+use pistachiochute_messages::forward;
+use smallvec::SmallVec;
+
+use crate::control::state::State;
+use crate::control::{Admitted, COME_BACK, Candidate, Refused};
+use crate::entry::call;
+
+/// Answer that is expected of a caller that states no longest answer, in tokens.
+const USUAL_ANSWER: units::Tokens = units::Tokens(512);
+
+/// Work that one call of a service counts as.
+const SERVICE_CALL: units::Tokens = units::Tokens(1);
+
+/// Loads that one forwarded request carries.
+const MAX_LOADS: usize = 4;
+
+impl Refused {
+    pub(super) fn new<M>(reason: reason::Refusal, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        Self {
+            reason,
+            retry_after: None,
+            message: message.into(),
+        }
+    }
+
+    pub(super) fn later<M>(reason: reason::Refusal, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        Self {
+            retry_after: Some(COME_BACK),
+            ..Self::new(reason, message)
+        }
+    }
+
+    pub(crate) fn stopped() -> Self {
+        Self::later(reason::Refusal::Draining, "the host is shutting down")
+    }
+}
+
+impl State {
+    pub(super) fn arrive(
+        &mut self,
+        _now: time::Time,
+        request: request::RequestId,
+        call: &call::Call,
+    ) -> Result<Admitted, Refused> {
+        if self.draining {
+            return Err(Refused::stopped());
+        }
+        let (account, plan) = self.plan_of(call)?;
+        let chat = call
+            .chat
+            .as_ref()
+            .map(|chat| request::ChatKey::new(&account, chat));
+        let admitted = Admitted {
+            weight: plan.weight,
+            priority: plan.priority,
+            chat,
+            cost: cost(call, &plan),
+            revision: self.revision,
+            candidates: self.candidates(request, chat, &call.target),
+            loads: self.loads(&call.target),
+            account,
+        };
+        if admitted.candidates.is_empty() {
+            let message = format!("no endpoint that can be reached serves {}", call.target);
+            return Err(Refused::later(reason::Refusal::NoEndpoint, message));
+        }
+        self.arrived.insert(request, admitted.account.clone());
+        Ok(admitted)
+    }
+
+    fn plan_of(&self, call: &call::Call) -> Result<(name::AccountName, lists::Plan), Refused> {
+        let Some(lists) = &self.lists else {
+            let message = "the host has not yet taken over the lists";
+            return Err(Refused::later(reason::Refusal::NotReady, message));
+        };
+        let account = self.accounts.get(&call.key_digest);
+        let entry = account.and_then(|name| Some((name, lists.accounts.get(name)?)));
+        let Some((name, account)) = entry else {
+            let message = "the API key belongs to no account";
+            return Err(Refused::new(reason::Refusal::Unauthorized, message));
+        };
+        match lists.plans.get(&account.plan) {
+            Some(plan) if plan.has(&call.target) => Ok((name.clone(), plan.clone())),
+            _ => {
+                let message = format!("plan {} does not hold {}", account.plan, call.target);
+                Err(Refused::new(reason::Refusal::NotInPlan, message))
+            }
+        }
+    }
+
+    fn candidates(
+        &self,
+        request: request::RequestId,
+        chat: Option<request::ChatKey>,
+        target: &request::Target,
+    ) -> SmallVec<[Candidate; 8]> {
+        let key = chat.map_or(request.0.as_u64_pair().1, |chat| chat.0);
+        let mut order = routing::candidates::Candidates::new();
+        self.directory
+            .candidates(key, target, self.settings.host.domain, &mut order);
+        order
+            .iter()
+            .filter_map(|&endpoint| self.candidate(endpoint))
+            .collect()
+    }
+
+    pub(super) fn candidate(&self, endpoint: entity::EndpointId) -> Option<Candidate> {
+        let owner = self.directory.owner(endpoint)?;
+        let is_self = owner == self.settings.host.id;
+        let addr = if is_self {
+            None
+        } else {
+            Some(self.directory.host(owner)?.addr)
+        };
+        Some(Candidate {
+            endpoint,
+            owner,
+            addr,
+        })
+    }
+
+    fn loads(&self, target: &request::Target) -> SmallVec<[forward::LoadView; 4]> {
+        let serves = |endpoint: &entity::EndpointId| {
+            self.directory
+                .endpoint(*endpoint)
+                .is_some_and(|e| e.serves.has(target))
+        };
+        let view = |(endpoint, load): (entity::EndpointId, units::Tokens)| forward::LoadView {
+            endpoint,
+            load: load.0,
+            age_ms: 0,
+        };
+        self.owner
+            .loads()
+            .filter(|(endpoint, _)| serves(endpoint))
+            .take(MAX_LOADS)
+            .map(view)
+            .collect()
+    }
+}
+
+/// Estimated work of a call, prompt and answer.
+fn cost(call: &call::Call, plan: &lists::Plan) -> units::Tokens {
+    match call.target {
+        request::Target::Model(_) => {
+            let answer = call.longest_answer.unwrap_or(USUAL_ANSWER);
+            call.prompt + answer.min(plan.longest_answer)
+        }
+        request::Target::Service(_) => SERVICE_CALL,
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/control/offer.rs
@@ -0,0 +1,141 @@
+//! Work offered for the endpoints that this host owns.
+
+use std::time::Duration;
+
+use crossbeam::channel;
+use pistachiochute_core::{owner, reason, time, units};
+use pistachiochute_messages::forward;
+
+use crate::control::Verdict;
+use crate::control::state::{Offered, State};
+
+impl State {
+    pub(super) fn offer(
+        &mut self,
+        now: time::Time,
+        head: &forward::Forward,
+        tx: channel::Sender<Verdict>,
+    ) {
+        self.observe(now, head);
+        if let Some(reason) = self.refusal_of(head) {
+            let _ = tx.send(Verdict::Refuse {
+                reason,
+                retry_after: None,
+            });
+            return;
+        }
+        let work = owner::Work {
+            id: owner::AttemptId {
+                request: head.request,
+                attempt: head.attempt,
+            },
+            account: head.account.clone(),
+            weight: head.weight,
+            priority: head.priority,
+            cost: head.cost,
+            deadline: now + head.remaining,
+            may_queue: head.may_queue,
+        };
+        self.offers.insert(
+            work.id,
+            Offered {
+                endpoint: head.endpoint,
+                queued: false,
+                tx,
+            },
+        );
+        let domain = self.settings.host.domain;
+        let pool: Vec<_> = self.directory.pool(&head.target, domain).collect();
+        let effects = self.owner.offer(now, head.endpoint, &pool, work);
+        self.deliver(effects);
+    }
+
+    fn observe(&mut self, now: time::Time, head: &forward::Forward) {
+        for view in &head.loads {
+            let at = now - Duration::from_millis(view.age_ms.into());
+            let reading = owner::Reading {
+                load: units::Tokens(view.load),
+                at,
+            };
+            self.owner.observe(view.endpoint, reading);
+        }
+    }
+
+    /// Why this host cannot take the work at all.
+    fn refusal_of(&self, head: &forward::Forward) -> Option<reason::Refusal> {
+        if self.draining {
+            return Some(reason::Refusal::Draining);
+        }
+        if head.hops > self.settings.retry.max_hops {
+            return Some(reason::Refusal::HopLimit);
+        }
+        if self.owner.is_open(head.endpoint) {
+            return None;
+        }
+        let is_owner = self.directory.owner(head.endpoint) == Some(self.settings.host.id);
+        match is_owner {
+            true => Some(reason::Refusal::EndpointLeaving),
+            false => Some(reason::Refusal::NotOwner),
+        }
+    }
+
+    /// Tells the waiting threads what to do.
+    pub(super) fn deliver(&mut self, effects: owner::Effects) {
+        for effect in effects {
+            match effect {
+                owner::Effect::Dispatch(id) => self.dispatch(id),
+                owner::Effect::Queued { id, ahead } => self.queued(id, ahead),
+                owner::Effect::Refuse {
+                    id,
+                    reason,
+                    retry_after,
+                } => {
+                    if let Some(offered) = self.forget(id) {
+                        let _ = offered.tx.send(Verdict::Refuse {
+                            reason,
+                            retry_after,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn queued(&mut self, id: owner::AttemptId, ahead: u32) {
+        let Some(offered) = self.offers.get_mut(&id) else {
+            return;
+        };
+        offered.queued = true;
+        self.metrics.enqueued();
+        let _ = offered.tx.send(Verdict::Queued { ahead });
+    }
+
+    fn dispatch(&mut self, id: owner::AttemptId) {
+        let Some(offered) = self.offers.get_mut(&id) else {
+            return;
+        };
+        if std::mem::take(&mut offered.queued) {
+            self.metrics.dequeued();
+        }
+        let endpoint = self.directory.endpoint(offered.endpoint);
+        let verdict = match endpoint {
+            Some(endpoint) => Verdict::Dispatch {
+                addr: endpoint.addr,
+            },
+            None => Verdict::Refuse {
+                reason: reason::Refusal::NoEndpoint,
+                retry_after: None,
+            },
+        };
+        let _ = offered.tx.send(verdict);
+    }
+
+    /// Forgets work that was refused, taken back or finished.
+    pub(super) fn forget(&mut self, id: owner::AttemptId) -> Option<Offered> {
+        let offered = self.offers.remove(&id)?;
+        if offered.queued {
+            self.metrics.dequeued();
+        }
+        Some(offered)
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/control/state.rs
@@ -0,0 +1,232 @@
+//! Control state of the host.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crossbeam::channel;
+use pistachiochute_core::{
+    entity, lists, map, name, owner, queue, reason, request, retry, revision, routing, time,
+    topology,
+};
+
+use crate::control::{Command, Status, Verdict};
+use crate::{metrics, settings};
+
+/// Control state of the host.
+pub struct State {
+    pub(super) settings: Arc<settings::Settings>,
+    pub(super) metrics: metrics::Metrics,
+    pub(super) log: slog::Logger,
+    pub(super) directory: routing::candidates::Directory,
+    pub(super) owner: owner::Owner,
+    /// Threads that wait for a verdict on the work they offered.
+    pub(super) offers: HashMap<owner::AttemptId, Offered>,
+    pub(super) revision: revision::Revision,
+    pub(super) lists: Option<Arc<lists::Lists>>,
+    /// Accounts by the digests of their API keys. Rebuilt with the lists.
+    pub(super) accounts: HashMap<lists::KeyDigest, name::AccountName>,
+    /// Requests of callers in progress.
+    pub(super) arrived: HashMap<request::RequestId, name::AccountName>,
+    pub(super) draining: bool,
+    budget: retry::Budget,
+}
+
+/// Work that was offered and has not been refused.
+pub(super) struct Offered {
+    pub endpoint: entity::EndpointId,
+    /// Whether the work waits in the endpoint's queue.
+    pub queued: bool,
+    pub tx: channel::Sender<Verdict>,
+}
+
+impl State {
+    pub fn new(
+        settings: Arc<settings::Settings>,
+        metrics: metrics::Metrics,
+        log: slog::Logger,
+    ) -> Self {
+        let queue = queue::Bounds {
+            entries: settings.routing.max_queue as usize,
+            ..queue::Bounds::default()
+        };
+        let cfg = owner::Config {
+            load_multiple: settings.routing.load_multiple,
+            queue,
+        };
+        let spread = match settings.routing.always_local {
+            true => routing::candidates::Spread::Local,
+            false => routing::candidates::Spread::Region,
+        };
+        let directory = routing::candidates::Directory::new(&topology::HostList::default(), spread);
+        let budget = retry::Budget::new(retry::BudgetConfig {
+            per_request_millis: (settings.retry.budget_ratio * 1000.0) as u64,
+            ..retry::BudgetConfig::default()
+        });
+        Self {
+            settings,
+            metrics,
+            log,
+            directory,
+            owner: owner::Owner::new(cfg),
+            offers: HashMap::new(),
+            revision: revision::Revision::NONE,
+            lists: None,
+            accounts: HashMap::new(),
+            arrived: HashMap::new(),
+            draining: false,
+            budget,
+        }
+    }
+
+    pub fn apply(&mut self, now: time::Time, command: Command) {
+        match command {
+            Command::Arrive { request, call, tx } => {
+                let admitted = self.arrive(now, request, &call);
+                let _ = tx.send(admitted);
+            }
+            Command::Depart(request) => {
+                self.arrived.remove(&request);
+            }
+            Command::Retries {
+                request,
+                repeat,
+                deadline,
+                tx,
+            } => {
+                let _ = tx.send(self.retries(request, repeat, deadline));
+            }
+            Command::Failed {
+                mut retries,
+                failure,
+                tx,
+            } => {
+                let decision = retries.failed(now, failure, &mut self.budget);
+                let _ = tx.send((*retries, decision));
+            }
+            Command::Locate { endpoint, tx } => {
+                let _ = tx.send(self.candidate(endpoint));
+            }
+            Command::Offer { head, tx } => self.offer(now, &head, tx),
+            Command::Finish { endpoint, id, used } => {
+                self.forget(id);
+                let effects = self.owner.finish(now, endpoint, id, used);
+                self.deliver(effects);
+            }
+            Command::Abandon { endpoint, id } => {
+                self.forget(id);
+                if !self.owner.abandon(endpoint, id) {
+                    // It was dispatched at the same moment, and nobody will run it.
+                    let effects = self.owner.finish(now, endpoint, id, None);
+                    self.deliver(effects);
+                }
+            }
+            Command::HostList(list) => self.host_list(&list),
+            Command::Lists(revision, lists) => self.take_lists(revision, lists),
+            Command::Status(tx) => {
+                let _ = tx.send(self.status());
+            }
+            Command::Drain => self.drain(),
+            Command::Close => {}
+        }
+    }
+
+    /// Does the timed work.
+    pub fn tick(&mut self, now: time::Time) {
+        let effects = self.owner.expire(now);
+        self.deliver(effects);
+    }
+
+    fn retries(
+        &mut self,
+        request: request::RequestId,
+        repeat: request::Repeat,
+        deadline: time::Time,
+    ) -> retry::Request {
+        let cfg = retry::Config {
+            max_attempts: self.settings.retry.max_attempts,
+            max_hops: self.settings.retry.max_hops,
+            ..retry::Config::default()
+        };
+        let seed = request.0.as_u64_pair().1;
+        retry::Request::new(cfg, repeat, deadline, seed, &mut self.budget)
+    }
+
+    fn host_list(&mut self, list: &topology::HostList) {
+        if !self.directory.update(list) {
+            return;
+        }
+        slog::info!(self.log, "host list"; "version" => list.version,
+            "hosts" => list.hosts.len(), "endpoints" => list.endpoints.len());
+        self.assign();
+    }
+
+    /// Opens the endpoints that this host owns and shuts the others.
+    pub(super) fn assign(&mut self) {
+        let host = self.settings.host.id;
+        let owned: map::EntityMap<entity::EndpointId, u32> = self
+            .directory
+            .endpoints()
+            .filter(|endpoint| endpoint.presence == topology::Presence::Live)
+            .filter(|endpoint| self.directory.owner(endpoint.id) == Some(host))
+            .map(|endpoint| (endpoint.id, endpoint.slots))
+            .collect();
+        for (endpoint, &slots) in owned.iter() {
+            self.owner.open(endpoint, slots);
+        }
+        let open: BTreeSet<_> = self.owner.loads().map(|(endpoint, _)| endpoint).collect();
+        for endpoint in open
+            .into_iter()
+            .filter(|&endpoint| !owned.contains(endpoint))
+        {
+            let reason = match self.directory.owner(endpoint) == Some(host) {
+                true => reason::Refusal::EndpointLeaving,
+                false => reason::Refusal::NotOwner,
+            };
+            let effects = self.owner.shut(endpoint, reason);
+            self.deliver(effects);
+        }
+    }
+
+    fn take_lists(&mut self, revision: revision::Revision, lists: Arc<lists::Lists>) {
+        if self.lists.is_some() && revision <= self.revision {
+            return;
+        }
+        let digests = |(name, account): (&name::AccountName, &lists::Account)| {
+            let name = name.clone();
+            let pairs: Vec<_> = account
+                .key_digests
+                .iter()
+                .map(|digest| (*digest, name.clone()))
+                .collect();
+            pairs
+        };
+        self.accounts = lists.accounts.iter().flat_map(digests).collect();
+        self.revision = revision;
+        slog::info!(self.log, "lists in force"; "revision" => %revision,
+            "accounts" => lists.accounts.len(), "plans" => lists.plans.len());
+        self.lists = Some(lists);
+    }
+
+    fn drain(&mut self) {
+        self.draining = true;
+        let open: Vec<_> = self.owner.loads().map(|(endpoint, _)| endpoint).collect();
+        for endpoint in open {
+            let effects = self.owner.shut(endpoint, reason::Refusal::Draining);
+            self.deliver(effects);
+        }
+    }
+
+    fn status(&self) -> Status {
+        let host = self.settings.host.id;
+        let known = self.directory.host(host).is_some();
+        Status {
+            host,
+            ready: known && self.lists.is_some() && !self.draining,
+            draining: self.draining,
+            revision: self.revision,
+            arrived: self.arrived.len(),
+            owned: self.owner.len(),
+            host_list: self.directory.version(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/endpoint/call.rs
@@ -0,0 +1,246 @@
+//! One call to an endpoint, with resumption of a cut stream.
+
+use std::io;
+use std::net;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pistachiochute_core::{outcome, reason, units};
+use pistachiochute_messages::forward;
+
+use crate::endpoint;
+use crate::endpoint::{events, pieces};
+
+/// Times that a cut stream is resumed before the call fails.
+const MAX_RESUMES: u32 = 3;
+
+/// Largest piece of an answer that is not a stream of events, in bytes.
+const PIECE_LEN: usize = 64 * 1024;
+
+/// A call to one endpoint.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// Address of the endpoint.
+    pub addr: net::SocketAddr,
+    /// Request to send.
+    pub head: &'a forward::Forward,
+    /// Body of the request.
+    pub body: &'a Bytes,
+    /// Times after which the call is given up.
+    pub timeouts: endpoint::Timeouts,
+}
+
+/// Why a part of a call stopped.
+enum Stop {
+    Gone,
+    Failed(endpoint::Failure),
+    /// The stream was cut after the event with this id, if any.
+    Cut(reason::Refusal),
+}
+
+impl From<pieces::Gone> for Stop {
+    fn from(_: pieces::Gone) -> Self {
+        Self::Gone
+    }
+}
+
+impl From<endpoint::Failure> for Stop {
+    fn from(failure: endpoint::Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
+
+impl Call<'_> {
+    /// Sends the request and passes the answer on. The end marker is left to the caller.
+    pub fn run(&self, pieces: &mut pieces::Pieces) -> endpoint::Ended {
+        let mut after = self.head.resume_after;
+        let mut resumes = 0;
+        loop {
+            let mut progress = Progress { after, used: None };
+            match self.attempt(pieces, &mut progress) {
+                Ok(()) => {
+                    return endpoint::Ended::Whole {
+                        used: progress.used,
+                    };
+                }
+                Err(Stop::Gone) => return self.gone(),
+                Err(Stop::Failed(failure)) => return endpoint::Ended::Failed(failure),
+                Err(Stop::Cut(reason)) => {
+                    resumes += 1;
+                    if progress.after.is_none() || resumes > MAX_RESUMES {
+                        let failure = endpoint::Failure::new(reason, outcome::Outcome::Run);
+                        return endpoint::Ended::Failed(failure);
+                    }
+                    after = progress.after;
+                }
+            }
+        }
+    }
+
+    fn gone(&self) -> endpoint::Ended {
+        endpoint::cancel(self.addr, self.head.request, self.timeouts);
+        let reason = reason::Refusal::CallerGone;
+        endpoint::Ended::Failed(endpoint::Failure::new(reason, outcome::Outcome::Run))
+    }
+
+    fn attempt(&self, pieces: &mut pieces::Pieces, progress: &mut Progress) -> Result<(), Stop> {
+        let response = self.send(progress.after)?;
+        let status = response.status().as_u16();
+        refusal_of(&response).map_or(Ok(()), Err)?;
+        if progress.after.is_some() && status != http::StatusCode::OK {
+            return Err(Stop::Cut(reason::Refusal::ConnectionLost));
+        }
+        let content_type = header(&response, http::header::CONTENT_TYPE.as_str());
+        pieces.head(status, content_type.clone())?;
+        if content_type.starts_with(b"text/event-stream") {
+            return read_events(response, pieces, progress);
+        }
+        read_whole(response, pieces)
+    }
+
+    fn send(&self, after: Option<u32>) -> Result<attohttpc::Response, Stop> {
+        let path = std::str::from_utf8(&self.head.path).unwrap_or("/");
+        let url = format!("http://{}{path}", self.addr);
+        let mut builder = match self.head.method {
+            forward::Method::Get => attohttpc::get(url),
+            forward::Method::Post => attohttpc::post(url),
+        };
+        builder = builder
+            .connect_timeout(self.timeouts.connect)
+            .read_timeout(self.timeouts.stall)
+            .timeout(self.head.remaining)
+            .follow_redirects(false)
+            .header(endpoint::REQUEST_HEADER, self.head.request.to_string())
+            .header(endpoint::PRIORITY_HEADER, self.head.priority.to_string());
+        if let Ok(content_type) = http::HeaderValue::from_bytes(&self.head.content_type)
+            && !content_type.is_empty()
+        {
+            builder = builder.header(http::header::CONTENT_TYPE.as_str(), content_type);
+        }
+        if let Some(key) = self.head.key {
+            builder = builder.header(endpoint::KEY_HEADER, key.to_string());
+        }
+        if let Some(after) = after {
+            builder = builder.header("last-event-id", after.to_string());
+        }
+        builder
+            .bytes(&self.body[..])
+            .send()
+            .map_err(|e| send_failure(&e).into())
+    }
+}
+
+/// How far the answer has come.
+struct Progress {
+    /// Id of the last whole event.
+    after: Option<u32>,
+    /// Tokens that the endpoint reports to have used.
+    used: Option<units::Tokens>,
+}
+
+/// A request that could not be connected did not run; any later failure may have come after.
+fn send_failure(e: &attohttpc::Error) -> endpoint::Failure {
+    let (reason, outcome) = match e.kind() {
+        attohttpc::ErrorKind::ConnectError { .. } => {
+            (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun)
+        }
+        attohttpc::ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun)
+        }
+        attohttpc::ErrorKind::Io(e) if is_timeout(e) => {
+            (reason::Refusal::Stalled, outcome::Outcome::Unknown)
+        }
+        _ => (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown),
+    };
+    endpoint::Failure::new(reason, outcome)
+}
+
+fn is_timeout(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+    )
+}
+
+/// Failure that an endpoint's own refusal before running stands for.
+fn refusal_of(response: &attohttpc::Response) -> Option<Stop> {
+    let outcome = header(response, endpoint::OUTCOME_HEADER);
+    if outcome != outcome::Outcome::NotRun.as_str() {
+        return None;
+    }
+    let retry_after = header(response, http::header::RETRY_AFTER.as_str());
+    let seconds = std::str::from_utf8(&retry_after)
+        .ok()
+        .and_then(|text| text.parse().ok());
+    Some(Stop::Failed(endpoint::Failure {
+        reason: reason::Refusal::EndpointRefused,
+        outcome: outcome::Outcome::NotRun,
+        retry_after: seconds.map(Duration::from_secs),
+    }))
+}
+
+fn header(response: &attohttpc::Response, name: &str) -> Bytes {
+    let value = response.headers().get(name);
+    value
+        .map(|value| Bytes::copy_from_slice(value.as_bytes()))
+        .unwrap_or_default()
+}
+
+fn read_events(
+    response: attohttpc::Response,
+    pieces: &mut pieces::Pieces,
+    progress: &mut Progress,
+) -> Result<(), Stop> {
+    let (_, _, reader) = response.split();
+    let mut events = events::Events::new(reader);
+    loop {
+        let event = match events.next_event() {
+            Ok(Some(event)) => event,
+            Ok(None) => return Err(Stop::Cut(reason::Refusal::ConnectionLost)),
+            Err(e) if is_timeout(&e) => return Err(Stop::Cut(reason::Refusal::Stalled)),
+            Err(_) => return Err(Stop::Cut(reason::Refusal::ConnectionLost)),
+        };
+        progress.used = progress.used.max(event.data().and_then(used_tokens));
+        progress.after = event.id.or(progress.after);
+        pieces.chunk(event.bytes.clone(), event.id)?;
+        if event.done {
+            return Ok(());
+        }
+    }
+}
+
+/// Reads a whole body, whose length is checked before any of it is passed on.
+fn read_whole(response: attohttpc::Response, pieces: &mut pieces::Pieces) -> Result<(), Stop> {
+    let declared = header(&response, http::header::CONTENT_LENGTH.as_str());
+    let declared: Option<usize> = std::str::from_utf8(&declared)
+        .ok()
+        .and_then(|n| n.parse().ok());
+    let cut = |reason| endpoint::Failure::new(reason, outcome::Outcome::Run);
+    let body = response.bytes().map_err(|e| match e.kind() {
+        attohttpc::ErrorKind::Io(e) if is_timeout(e) => cut(reason::Refusal::Stalled),
+        _ => cut(reason::Refusal::AnswerIncomplete),
+    })?;
+    if declared.is_some_and(|declared| declared != body.len()) {
+        return Err(cut(reason::Refusal::AnswerIncomplete).into());
+    }
+    let mut body = Bytes::from(body);
+    while !body.is_empty() {
+        let piece = body.split_to(body.len().min(PIECE_LEN));
+        pieces.chunk(piece, None)?;
+    }
+    Ok(())
+}
+
+/// Tokens that an OpenAI-compatible event or answer reports to have used.
+fn used_tokens(data: &[u8]) -> Option<units::Tokens> {
+    #[derive(serde::Deserialize)]
+    struct Usage {
+        total_tokens: u64,
+    }
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        usage: Option<Usage>,
+    }
+    let answer: Answer = serde_json::from_slice(data).ok()?;
+    answer.usage.map(|usage| units::Tokens(usage.total_tokens))
+}
--- /dev/null
+++ b/crates/runtime/src/entry/mod.rs
@@ -0,0 +1,63 @@
+//! The side of the host that callers speak to.
+//!
+//! [`listener`] takes connections and bounds what a caller may send, [`parse`] turns an HTTP
+//! request into a [`call::Call`], [`serve`] sends it to owners until one answers, and [`respond`]
+//! writes the answer or the refusal.
+
+pub mod call;
+mod hops;
+mod listener;
+mod parse;
+mod respond;
+mod serve;
+
+use std::sync::Arc;
+
+use crate::{clock, control, link, metrics, owner, pool, settings};
+
+pub use listener::Listener;
+
+/// What the entry threads share.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings of the host.
+    pub settings: Arc<settings::Settings>,
+    /// Requests to the control thread.
+    pub control: control::Handle,
+    /// Calls to other hosts.
+    pub links: link::Sender,
+    /// The owner side of this host, for endpoints that it owns itself.
+    pub owner: Arc<owner::Server>,
+    /// Threads that serve callers.
+    pub pool: pool::Pool,
+    /// Counters of the host.
+    pub metrics: metrics::Metrics,
+    /// Log of the host.
+    pub log: slog::Logger,
+}
+
+impl Context {
+    /// Serves one HTTP request to its end.
+    fn handle(&self, mut req: tiny_http::Request) {
+        let request = new_request_id();
+        match (req.method(), parse::path(&req)) {
+            (tiny_http::Method::Get, "/healthz") => respond::text(req, 200, "ok\n"),
+            (tiny_http::Method::Get, "/readyz") => self.ready(req),
+            _ => match parse::call(&mut req, &self.settings.bounds, clock::now()) {
+                Ok(call) => serve::Exchange::new(self, request, call).run(req),
+                Err(fault) => respond::refuse(self, req, &respond::Refused::parse(request, fault)),
+            },
+        }
+    }
+
+    fn ready(&self, req: tiny_http::Request) {
+        match self.control.status().is_some_and(|status| status.ready) {
+            true => respond::text(req, 200, "ready\n"),
+            false => respond::text(req, 503, "not ready\n"),
+        }
+    }
+}
+
+fn new_request_id() -> pistachiochute_core::request::RequestId {
+    pistachiochute_core::request::RequestId(uuid::Uuid::now_v7())
+}
--- /dev/null
+++ b/crates/runtime/src/entry/parse.rs
@@ -0,0 +1,309 @@
+//! Reads and checks callers' requests.
+
+use bytes::Bytes;
+use pistachiochute_core::{lists, name, reason, request, time, units};
+use pistachiochute_messages::forward;
+
+use crate::entry::call;
+use crate::{clock, settings};
+
+/// Path of chat completions.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Path under which services are called.
+const SERVICES_PATH: &str = "/v1/services/";
+
+/// Header with the caller's name of a chat.
+const CHAT_HEADER: &str = "x-chat-id";
+
+/// Header with the caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Bytes of JSON text that count as one token in the estimate of a prompt.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Bytes read from a body at once.
+const READ_LEN: usize = 16 * 1024;
+
+/// Why a request was refused before it was routed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Reason code.
+    pub reason: reason::Refusal,
+    /// What is wrong, for the caller.
+    pub message: String,
+}
+
+impl Fault {
+    fn new<M>(reason: reason::Refusal, message: M) -> Self
+    where
+        M: Into<String>,
+    {
+        Self {
+            reason,
+            message: message.into(),
+        }
+    }
+}
+
+/// Path of a request without its query.
+pub fn path(req: &tiny_http::Request) -> &str {
+    req.url().split('?').next().unwrap_or_default()
+}
+
+/// Reads the whole request and checks it.
+pub fn call(
+    req: &mut tiny_http::Request,
+    bounds: &settings::Bounds,
+    arrived: time::Time,
+) -> Result<call::Call, Fault> {
+    check_headers(req, bounds)?;
+    let key_digest = key_digest(req)?;
+    let route = route(req)?;
+    let body = read_body(req, bounds)?;
+    match route {
+        Route::Chat => chat_call(req, key_digest, body, bounds, arrived),
+        Route::Service { name, method, path } => {
+            let key = idempotency_key(req)?;
+            let prompt = units::Tokens::ZERO;
+            Ok(call::Call {
+                key_digest,
+                target: request::Target::Service(name),
+                method,
+                path,
+                content_type: header(req, "content-type"),
+                body,
+                chat: Some(header(req, CHAT_HEADER)).filter(|chat| !chat.is_empty()),
+                stream: false,
+                repeat: repeat_of(method),
+                key,
+                prompt,
+                longest_answer: Some(units::Tokens::ZERO),
+                arrived,
+            })
+        }
+    }
+}
+
+enum Route {
+    Chat,
+    Service {
+        name: name::ServiceName,
+        method: forward::Method,
+        path: Bytes,
+    },
+}
+
+const fn repeat_of(method: forward::Method) -> request::Repeat {
+    match method {
+        forward::Method::Get => request::Repeat::Idempotent,
+        forward::Method::Post => request::Repeat::AtMostOnce,
+    }
+}
+
+fn route(req: &tiny_http::Request) -> Result<Route, Fault> {
+    let method = match req.method() {
+        tiny_http::Method::Get => Some(forward::Method::Get),
+        tiny_http::Method::Post => Some(forward::Method::Post),
+        _ => None,
+    };
+    let wrong_method = || {
+        let message = format!("{} does not take {}", path(req), req.method());
+        Fault::new(reason::Refusal::MethodNotAllowed, message)
+    };
+    if path(req) == CHAT_PATH {
+        return match method {
+            Some(forward::Method::Post) => Ok(Route::Chat),
+            _ => Err(wrong_method()),
+        };
+    }
+    let Some(rest) = req.url().strip_prefix(SERVICES_PATH) else {
+        let message = format!("no such path: {}", path(req));
+        return Err(Fault::new(reason::Refusal::NotFound, message));
+    };
+    let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let name = service
+        .parse()
+        .map_err(|e: name::ParseNameError| Fault::new(reason::Refusal::NotFound, e.to_string()))?;
+    let path = Bytes::from(format!("/{rest}"));
+    Ok(Route::Service {
+        name,
+        method: method.ok_or_else(wrong_method)?,
+        path,
+    })
+}
+
+fn check_headers(req: &tiny_http::Request, bounds: &settings::Bounds) -> Result<(), Fault> {
+    let fields = req.headers().iter();
+    let len: usize = fields
+        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
+        .sum();
+    let len = (len + req.url().len()) as u64;
+    if len > bounds.header.0 {
+        let message = format!("headers of {len} bytes exceed {} bytes", bounds.header);
+        return Err(Fault::new(reason::Refusal::HeadersTooLarge, message));
+    }
+    Ok(())
+}
+
+fn header(req: &tiny_http::Request, name: &str) -> Bytes {
+    let found = req
+        .headers()
+        .iter()
+        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    found
+        .map(|h| Bytes::copy_from_slice(h.value.as_str().as_bytes()))
+        .unwrap_or_default()
+}
+
+fn key_digest(req: &tiny_http::Request) -> Result<lists::KeyDigest, Fault> {
+    let value = header(req, "authorization");
+    let key = value.strip_prefix(b"Bearer ").map(<[u8]>::trim_ascii);
+    match key {
+        Some(key) if !key.is_empty() => Ok(lists::KeyDigest::of(key)),
+        _ => {
+            let message = "the request needs a header `Authorization: Bearer KEY`";
+            Err(Fault::new(reason::Refusal::Unauthorized, message))
+        }
+    }
+}
+
+fn idempotency_key(req: &tiny_http::Request) -> Result<Option<uuid::Uuid>, Fault> {
+    let value = header(req, KEY_HEADER);
+    if value.is_empty() {
+        return Ok(None);
+    }
+    let key = uuid::Uuid::try_parse_ascii(&value).ok();
+    let key = key.filter(|key| key.get_version() == Some(uuid::Version::SortRand));
+    let invalid = || {
+        Fault::new(
+            reason::Refusal::KeyInvalid,
+            "the idempotency key is not a UUIDv7",
+        )
+    };
+    key.ok_or_else(invalid).map(Some)
+}
+
+/// Reads the body within its bound and its deadline.
+fn read_body(req: &mut tiny_http::Request, bounds: &settings::Bounds) -> Result<Bytes, Fault> {
+    let too_large = || {
+        let message = format!("the body exceeds {} bytes", bounds.body);
+        Fault::new(reason::Refusal::BodyTooLarge, message)
+    };
+    let truncated = |message: &str| Fault::new(reason::Refusal::BodyTruncated, message);
+    let declared = req.body_length();
+    if declared.is_some_and(|len| len as u64 > bounds.body.0) {
+        return Err(too_large());
+    }
+    let deadline = clock::now() + bounds.body_read;
+    let reader = req.as_reader();
+    let mut body = Vec::new();
+    let mut buf = [0; READ_LEN];
+    loop {
+        let len = reader
+            .read(&mut buf)
+            .map_err(|e| truncated(&e.to_string()))?;
+        if len == 0 {
+            break;
+        }
+        body.extend_from_slice(&buf[..len]);
+        if body.len() as u64 > bounds.body.0 {
+            return Err(too_large());
+        }
+        if clock::now() > deadline {
+            return Err(truncated("the body did not arrive in time"));
+        }
+    }
+    if declared.is_some_and(|len| len != body.len()) {
+        return Err(truncated("the body ended before its declared length"));
+    }
+    Ok(body.into())
+}
+
+/// Fields of a chat completion that routing needs. The body itself is passed on unchanged.
+#[derive(serde::Deserialize)]
+struct ChatBody {
+    model: name::ModelName,
+    messages: Vec<serde_json::Value>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    max_completion_tokens: Option<u64>,
+}
+
+fn chat_call(
+    req: &tiny_http::Request,
+    key_digest: lists::KeyDigest,
+    body: Bytes,
+    bounds: &settings::Bounds,
+    arrived: time::Time,
+) -> Result<call::Call, Fault> {
+    check_depth(&body, bounds.json_depth)?;
+    let chat: ChatBody = serde_json::from_slice(&body)
+        .map_err(|e| Fault::new(reason::Refusal::BadRequest, format!("the body: {e}")))?;
+    let named = header(req, CHAT_HEADER);
+    let name = if named.is_empty() {
+        start_of_chat(&chat.messages)
+    } else {
+        named
+    };
+    Ok(call::Call {
+        key_digest,
+        target: request::Target::Model(chat.model),
+        method: forward::Method::Post,
+        path: Bytes::from_static(CHAT_PATH.as_bytes()),
+        content_type: Bytes::from_static(b"application/json"),
+        chat: Some(name),
+        stream: chat.stream,
+        repeat: request::Repeat::Idempotent,
+        key: None,
+        prompt: units::Tokens(body.len() as u64 / BYTES_PER_TOKEN),
+        longest_answer: chat
+            .max_completion_tokens
+            .or(chat.max_tokens)
+            .map(units::Tokens),
+        body,
+        arrived,
+    })
+}
+
+/// A chat without a name is told by its messages up to the first of the user, which are the same
+/// each time it returns.
+fn start_of_chat(messages: &[serde_json::Value]) -> Bytes {
+    let is_user = |message: &serde_json::Value| message["role"] == "user";
+    let end = messages
+        .iter()
+        .position(is_user)
+        .map_or(messages.len(), |i| i + 1);
+    let start = serde_json::Value::from(&messages[..end]);
+    Bytes::from(start.to_string())
+}
+
+/// Refuses a body that is nested deeper than the bound, before it is parsed.
+fn check_depth(body: &[u8], limit: u32) -> Result<(), Fault> {
+    let mut depth = 0_u32;
+    let mut in_string = false;
+    let mut escaped = false;
+    for &byte in body {
+        if in_string {
+            match byte {
+                _ if escaped => escaped = false,
+                b'\\' => escaped = true,
+                b'"' => in_string = false,
+                _ => {}
+            }
+            continue;
+        }
+        match byte {
+            b'"' => in_string = true,
+            b'{' | b'[' => depth += 1,
+            b'}' | b']' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > limit {
+            let message = format!("the body is nested deeper than {limit} levels");
+            return Err(Fault::new(reason::Refusal::JsonTooDeep, message));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/runtime/src/entry/serve.rs
@@ -0,0 +1,321 @@
+//! Sends a caller's request to owners until one of them answers.
+
+use std::io;
+use std::thread;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use pistachiochute_core::{answer, outcome, reason, request, retry, time};
+use pistachiochute_messages::{codec, forward};
+use tokio::sync::mpsc;
+
+use crate::entry::{call, hops, respond};
+use crate::{clock, control, entry, link};
+
+/// One request of a caller.
+pub struct Exchange<'a> {
+    cx: &'a entry::Context,
+    request: request::RequestId,
+    call: call::Call,
+}
+
+impl<'a> Exchange<'a> {
+    pub fn new(cx: &'a entry::Context, request: request::RequestId, call: call::Call) -> Self {
+        Self { cx, request, call }
+    }
+
+    /// Serves the request to its end.
+    pub fn run(self, req: tiny_http::Request) {
+        self.cx.metrics.started();
+        let caller = Caller::new(self.cx, self.request, req, self.call.arrived);
+        let outcome = match self.cx.control.arrive(self.request, &self.call) {
+            Ok(admitted) => {
+                let outcome = self.attempts(caller, &admitted);
+                self.cx.control.depart(self.request);
+                outcome
+            }
+            Err(refused) => caller.refuse(&self.refused(refused)),
+        };
+        self.cx.metrics.finished(outcome);
+    }
+
+    fn refused(&self, refused: control::Refused) -> respond::Refused {
+        respond::Refused {
+            request: self.request,
+            reason: refused.reason,
+            outcome: outcome::Outcome::NotRun,
+            retry_after: refused.retry_after,
+            message: refused.message,
+        }
+    }
+
+    /// Makes attempts until the caller has an answer or a refusal, and returns the outcome.
+    fn attempts(&self, mut caller: Caller<'_>, admitted: &control::Admitted) -> outcome::Outcome {
+        let deadline = self.call.arrived + self.cx.settings.timeouts.request;
+        let retries = self
+            .cx
+            .control
+            .retries(self.request, self.call.repeat, deadline);
+        let Some(mut retries) = retries else {
+            return caller.refuse(&self.refused(control::Refused::stopped()));
+        };
+        let mut assembly = answer::Assembly::new(self.request, self.call.stream);
+        let mut hops = hops::Hops::new(&admitted.candidates);
+        let mut hop = hops.next();
+        loop {
+            let attempt = match retries.start(clock::now()) {
+                Ok(attempt) => attempt,
+                Err(given_up) => return self.give_up(caller, given_up),
+            };
+            let Some(current) = hop else {
+                return self.give_up(caller, no_endpoint(&retries));
+            };
+            let mut head = self.head(admitted, current, attempt);
+            head.remaining = retries.remaining(clock::now());
+            head.resume_after = assembly.begin(attempt);
+            let failure = match self.attempt(&mut caller, &mut assembly, current, head) {
+                Ok(()) => return outcome::Outcome::Run,
+                Err(failure) => failure,
+            };
+            let Some((next, decision)) = self.cx.control.failed(retries, failure) else {
+                return caller.refuse(&self.refused(control::Refused::stopped()));
+            };
+            retries = next;
+            match decision {
+                retry::Decision::GiveUp(given_up) => return self.give_up(caller, given_up),
+                retry::Decision::Retry { reason, at } => {
+                    self.cx.metrics.retried(reason);
+                    sleep_until(at);
+                    hop = match reason {
+                        reason::Retry::Resume => self.locate(current),
+                        _ => hops.next(),
+                    };
+                }
+            }
+        }
+    }
+
+    /// Finds the owner that an endpoint has now, to resume an answer there.
+    fn locate(&self, hop: hops::Hop) -> Option<hops::Hop> {
+        let candidate = self.cx.control.locate(hop.candidate.endpoint)?;
+        Some(hops::Hop {
+            candidate,
+            may_queue: true,
+        })
+    }
+
+    fn give_up(&self, caller: Caller<'_>, given_up: retry::GivenUp) -> outcome::Outcome {
+        caller.refuse(&respond::Refused::given_up(self.request, given_up))
+    }
+
+    fn head(&self, admitted: &control::Admitted, hop: hops::Hop, attempt: u8) -> forward::Forward {
+        forward::Forward {
+            request: self.request,
+            attempt,
+            hops: 1,
+            from: self.cx.settings.host.id,
+            endpoint: hop.candidate.endpoint,
+            account: admitted.account.clone(),
+            weight: admitted.weight,
+            priority: admitted.priority,
+            target: self.call.target.clone(),
+            chat: admitted.chat,
+            repeat: self.call.repeat,
+            key: self.call.key,
+            cost: admitted.cost,
+            prompt: self.call.prompt,
+            remaining: Duration::ZERO,
+            may_queue: hop.may_queue,
+            resume_after: None,
+            stream: self.call.stream,
+            method: self.call.method,
+            path: self.call.path.clone(),
+            content_type: self.call.content_type.clone(),
+            body_len: self.call.body.len() as u64,
+            revision: admitted.revision,
+            loads: admitted.loads.clone(),
+        }
+    }
+
+    /// Sends the request once and passes the answer on as it comes.
+    fn attempt(
+        &self,
+        caller: &mut Caller<'_>,
+        assembly: &mut answer::Assembly,
+        hop: hops::Hop,
+        head: forward::Forward,
+    ) -> Result<(), retry::Failure> {
+        let Some(mut replies) = self.send(hop, head) else {
+            return Err(assembly.lost(reason::Refusal::Internal));
+        };
+        loop {
+            let frame = match replies.recv() {
+                Some(Ok(frame)) => frame,
+                Some(Err(e)) => {
+                    if e.outcome() != outcome::Outcome::NotRun {
+                        assembly.sent();
+                    }
+                    return Err(assembly.lost(e.reason()));
+                }
+                None => {
+                    assembly.sent();
+                    return Err(assembly.lost(reason::Refusal::ConnectionLost));
+                }
+            };
+            match assembly.frame(frame) {
+                answer::Step::Wait => {}
+                answer::Step::Deliver(delivery) => {
+                    let end = delivery.end;
+                    if caller.deliver(delivery).is_err() {
+                        return Err(assembly.lost(reason::Refusal::CallerGone));
+                    }
+                    if end {
+                        return Ok(());
+                    }
+                }
+                answer::Step::Discarded(discard) => {
+                    slog::warn!(self.cx.log, "frame discarded";
+                        "request" => %self.request, "why" => ?discard);
+                }
+                answer::Step::Failed(failure) => return Err(failure),
+            }
+        }
+    }
+
+    /// Sends the request to the owner, which may be this host itself. `None` if it is too large.
+    fn send(&self, hop: hops::Hop, head: forward::Forward) -> Option<Replies> {
+        let body = self.call.body.clone();
+        let Some(addr) = hop.candidate.addr else {
+            return Some(Replies::Local(self.cx.owner.serve_local(head, body)));
+        };
+        let head = codec::encode(&head).ok()?;
+        Some(Replies::Remote(self.cx.links.forward(addr, head, body)))
+    }
+}
+
+fn no_endpoint(retries: &retry::Request) -> retry::GivenUp {
+    retry::GivenUp {
+        reason: reason::Refusal::NoEndpoint,
+        cause: reason::Refusal::NoEndpoint,
+        outcome: retries.outcome(),
+        retry_after: Some(control::COME_BACK),
+    }
+}
+
+fn sleep_until(at: time::Time) {
+    let left = at.since(clock::now());
+    if !left.is_zero() {
+        thread::sleep(left);
+    }
+}
+
+/// Replies of the owner, which may be this host itself.
+enum Replies {
+    Local(mpsc::Receiver<answer::Frame>),
+    Remote(mpsc::Receiver<link::Received>),
+}
+
+impl Replies {
+    fn recv(&mut self) -> Option<link::Received> {
+        match self {
+            Self::Local(rx) => rx.blocking_recv().map(Ok),
+            Self::Remote(rx) => rx.blocking_recv(),
+        }
+    }
+}
+
+/// What the caller has of its answer.
+enum State {
+    /// Nothing yet.
+    Waiting(tiny_http::Request),
+    /// The first pieces of a stream.
+    Streaming(respond::Streaming),
+    /// All that it will get.
+    Done,
+}
+
+/// The caller of a request.
+struct Caller<'a> {
+    cx: &'a entry::Context,
+    request: request::RequestId,
+    state: State,
+    /// When the last piece was written, or the request arrived.
+    last: time::Time,
+}
+
+impl<'a> Caller<'a> {
+    fn new(
+        cx: &'a entry::Context,
+        request: request::RequestId,
+        req: tiny_http::Request,
+        arrived: time::Time,
+    ) -> Self {
+        Self {
+            cx,
+            request,
+            state: State::Waiting(req),
+            last: arrived,
+        }
+    }
+
+    /// Writes a part of the answer.
+    fn deliver(&mut self, delivery: answer::Delivery) -> io::Result<()> {
+        let now = clock::now();
+        let span = now.since(self.last);
+        self.last = now;
+        self.state = match std::mem::replace(&mut self.state, State::Done) {
+            State::Waiting(req) => {
+                self.cx.metrics.first_token(span);
+                self.first(req, &delivery)?
+            }
+            State::Streaming(mut streaming) => {
+                self.cx.metrics.token_gap(span);
+                write_all(&mut streaming, &delivery.data)?;
+                State::Streaming(streaming)
+            }
+            State::Done => State::Done,
+        };
+        if delivery.end
+            && let State::Streaming(streaming) = std::mem::replace(&mut self.state, State::Done)
+        {
+            return streaming.close();
+        }
+        Ok(())
+    }
+
+    fn first(&self, req: tiny_http::Request, delivery: &answer::Delivery) -> io::Result<State> {
+        let head = delivery.head.as_ref().ok_or(io::ErrorKind::InvalidData)?;
+        if delivery.end {
+            let body = join(&delivery.data);
+            respond::whole(req, self.request, head, body)?;
+            return Ok(State::Done);
+        }
+        let mut streaming = respond::Streaming::start(req, self.request, head)?;
+        write_all(&mut streaming, &delivery.data)?;
+        Ok(State::Streaming(streaming))
+    }
+
+    /// Ends the request without a whole answer, and returns the outcome that the caller is told.
+    fn refuse(self, refused: &respond::Refused) -> outcome::Outcome {
+        match self.state {
+            State::Waiting(req) => respond::refuse(self.cx, req, refused),
+            State::Streaming(streaming) => {
+                respond::count(self.cx, refused);
+                // The caller may be gone, which nobody needs to know.
+                let _ = streaming.abort(refused);
+            }
+            State::Done => respond::count(self.cx, refused),
+        }
+        refused.outcome
+    }
+}
+
+fn write_all(streaming: &mut respond::Streaming, data: &[Bytes]) -> io::Result<()> {
+    data.iter().try_for_each(|piece| streaming.piece(piece))
+}
+
+fn join(data: &[Bytes]) -> Bytes {
+    let mut body = BytesMut::with_capacity(data.iter().map(Bytes::len).sum());
+    data.iter().for_each(|piece| body.extend_from_slice(piece));
+    body.freeze()
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,5 +1,13 @@
 //! Sockets, threads and timers round the decisions of pistachiochute-core.
 
+pub mod clock;
+pub mod control;
+pub mod endpoint;
+pub mod entry;
+pub mod host;
+pub mod link;
 pub mod log;
 pub mod metrics;
+pub mod owner;
+pub mod pool;
 pub mod settings;
--- /dev/null
+++ b/crates/runtime/src/link/client.rs
@@ -0,0 +1,304 @@
+//! Calls to other hosts.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h2::client;
+use pistachiochute_core::{answer, outcome, reason};
+use pistachiochute_messages::codec;
+use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::time;
+
+use crate::link;
+use crate::link::ping;
+
+/// Why a call to another host brought no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection could be made, so the call did not leave this host.
+    Connect,
+    /// The receiver refused the call before reading it.
+    Refused,
+    /// The connection was lost after the call may have been received.
+    Lost,
+    /// No reply came for the stall deadline.
+    Stalled,
+    /// The receiver sent bytes that are not replies.
+    Malformed,
+}
+
+impl CallError {
+    /// Reason that the caller is told.
+    #[must_use]
+    pub const fn reason(self) -> reason::Refusal {
+        match self {
+            Self::Connect => reason::Refusal::ConnectFailed,
+            Self::Refused => reason::Refusal::NotReady,
+            Self::Lost => reason::Refusal::ConnectionLost,
+            Self::Stalled => reason::Refusal::Stalled,
+            Self::Malformed => reason::Refusal::AnswerIncomplete,
+        }
+    }
+
+    /// What is known of whether the request ran.
+    #[must_use]
+    pub const fn outcome(self) -> outcome::Outcome {
+        match self {
+            Self::Connect | Self::Refused => outcome::Outcome::NotRun,
+            Self::Lost | Self::Stalled | Self::Malformed => outcome::Outcome::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.reason().as_str())
+    }
+}
+
+impl std::error::Error for CallError {}
+
+type Requester = client::SendRequest<Bytes>;
+
+/// Connection to one host, or none yet. The lock makes concurrent calls share one attempt.
+type Slot = Arc<Mutex<Option<Requester>>>;
+
+/// Connections to other hosts, one for each address.
+pub struct Clients {
+    cfg: Arc<link::Config>,
+    slots: HashMap<net::SocketAddr, Slot>,
+}
+
+/// Addresses kept before those without a connection are forgotten.
+const MAX_SLOTS: usize = 1024;
+
+impl Clients {
+    pub fn new(cfg: Arc<link::Config>) -> Self {
+        Self {
+            cfg,
+            slots: HashMap::new(),
+        }
+    }
+
+    pub fn forward(
+        &mut self,
+        addr: net::SocketAddr,
+        head: Bytes,
+        body: Bytes,
+        tx: mpsc::Sender<link::Received>,
+    ) {
+        let call = Call {
+            cfg: Arc::clone(&self.cfg),
+            slot: self.slot(addr),
+            addr,
+        };
+        tokio::spawn(async move {
+            let ended = tokio::select! {
+                ended = call.forward(head, body, &tx) => ended,
+                // The receiver of the replies is gone: dropping the stream resets it.
+                () = tx.closed() => return,
+            };
+            if let Err(e) = ended {
+                let _ = tx.send(Err(e)).await;
+            }
+        });
+    }
+
+    pub fn control(
+        &mut self,
+        addr: net::SocketAddr,
+        message: Bytes,
+        tx: oneshot::Sender<Result<Bytes, CallError>>,
+    ) {
+        let call = Call {
+            cfg: Arc::clone(&self.cfg),
+            slot: self.slot(addr),
+            addr,
+        };
+        tokio::spawn(async move {
+            let _ = tx.send(call.control(message).await);
+        });
+    }
+
+    fn slot(&mut self, addr: net::SocketAddr) -> Slot {
+        if self.slots.len() >= MAX_SLOTS {
+            self.slots
+                .retain(|_, slot| slot.try_lock().map_or(true, |slot| slot.is_some()));
+        }
+        Arc::clone(self.slots.entry(addr).or_default())
+    }
+}
+
+struct Call {
+    cfg: Arc<link::Config>,
+    slot: Slot,
+    addr: net::SocketAddr,
+}
+
+impl Call {
+    async fn forward(
+        &self,
+        head: Bytes,
+        body: Bytes,
+        tx: &mpsc::Sender<link::Received>,
+    ) -> Result<(), CallError> {
+        let (response, mut stream) = self.open(link::FORWARD_PATH).await?;
+        stream.send_data(head, false).map_err(|_| CallError::Lost)?;
+        send_body(&mut stream, body).await?;
+        let response = self.wait(response).await??;
+        if !response.status().is_success() {
+            return Err(CallError::Refused);
+        }
+        self.receive(response.into_body(), tx).await
+    }
+
+    async fn control(&self, message: Bytes) -> Result<Bytes, CallError> {
+        let (response, mut stream) = self.open(link::CONTROL_PATH).await?;
+        send_body(&mut stream, message).await?;
+        let response = self.wait(response).await??;
+        if !response.status().is_success() {
+            return Err(CallError::Refused);
+        }
+        let mut body = response.into_body();
+        let mut answer = Vec::new();
+        while let Some(data) = self.wait_data(&mut body).await? {
+            if answer.len() + data.len() > codec::MAX_FRAME_LEN {
+                return Err(CallError::Malformed);
+            }
+            answer.extend_from_slice(&data);
+        }
+        Ok(answer.into())
+    }
+
+    /// Passes the replies on, until the last.
+    async fn receive(
+        &self,
+        mut body: h2::RecvStream,
+        tx: &mpsc::Sender<link::Received>,
+    ) -> Result<(), CallError> {
+        let mut decoder = codec::Decoder::new();
+        while let Some(data) = self.wait_data(&mut body).await? {
+            decoder.extend(&data);
+            while let Some(frame) = decoder.take().map_err(|_| CallError::Malformed)? {
+                let last = is_last(&frame);
+                if tx.send(Ok(frame)).await.is_err() || last {
+                    return Ok(());
+                }
+            }
+        }
+        // The stream ended without its last reply.
+        Err(CallError::Lost)
+    }
+
+    /// Waits for the next bytes; `None` is the end of the stream.
+    async fn wait_data(&self, body: &mut h2::RecvStream) -> Result<Option<Bytes>, CallError> {
+        let Some(data) = self.wait(body.data()).await? else {
+            return Ok(None);
+        };
+        let data = data.map_err(|_| CallError::Lost)?;
+        let _ = body.flow_control().release_capacity(data.len());
+        Ok(Some(data))
+    }
+
+    async fn wait<F>(&self, future: F) -> Result<F::Output, CallError>
+    where
+        F: Future,
+    {
+        time::timeout(self.cfg.stall, future)
+            .await
+            .map_err(|_| CallError::Stalled)
+    }
+
+    /// Opens a stream on the connection to the host, which is made if there is none.
+    async fn open(
+        &self,
+        path: &str,
+    ) -> Result<
+        (
+            impl Future<Output = Result<http::Response<h2::RecvStream>, CallError>> + use<>,
+            h2::SendStream<Bytes>,
+        ),
+        CallError,
+    > {
+        let requester = self.requester().await?;
+        let mut requester = requester.ready().await.map_err(|_| CallError::Connect)?;
+        let request = http::Request::builder()
+            .method(http::Method::POST)
+            .uri(format!("http://{}{path}", self.addr))
+            .header(link::SECRET_HEADER, &self.cfg.secret[..])
+            .body(())
+            .map_err(|_| CallError::Connect)?;
+        let (response, stream) = requester
+            .send_request(request, false)
+            .map_err(|_| CallError::Connect)?;
+        let response = async move { response.await.map_err(lost_or_refused) };
+        Ok((response, stream))
+    }
+
+    async fn requester(&self) -> Result<Requester, CallError> {
+        let mut slot = self.slot.lock().await;
+        if let Some(requester) = slot.take()
+            && let Ok(requester) = requester.ready().await
+        {
+            *slot = Some(requester.clone());
+            return Ok(requester);
+        }
+        let requester = self.connect().await?;
+        *slot = Some(requester.clone());
+        Ok(requester)
+    }
+
+    async fn connect(&self) -> Result<Requester, CallError> {
+        let connecting = async {
+            let socket = tokio::net::TcpStream::connect(self.addr).await.ok()?;
+            socket.set_nodelay(true).ok()?;
+            client::Builder::new()
+                .initial_window_size(link::STREAM_WINDOW)
+                .initial_connection_window_size(link::CONNECTION_WINDOW)
+                .handshake(socket)
+                .await
+                .ok()
+        };
+        let connected = time::timeout(self.cfg.connect, connecting).await;
+        let (requester, mut connection) = connected.ok().flatten().ok_or(CallError::Connect)?;
+        let pings = connection.ping_pong();
+        let span = self.cfg.ping;
+        tokio::spawn(async move {
+            let Some(pings) = pings else { return };
+            // Dropping the connection ends every stream on it.
+            tokio::select! {
+                _ = connection => {}
+                () = ping::watch(pings, span) => {}
+            }
+        });
+        Ok(requester)
+    }
+}
+
+/// A stream that the receiver refused by its code was not processed there.
+fn lost_or_refused(e: h2::Error) -> CallError {
+    match e.reason() {
+        Some(h2::Reason::REFUSED_STREAM) if e.is_remote() => CallError::Refused,
+        _ => CallError::Lost,
+    }
+}
+
+fn is_last(frame: &answer::Frame) -> bool {
+    matches!(
+        frame.part,
+        answer::Part::End { .. } | answer::Part::Failed { .. }
+    )
+}
+
+/// Sends bytes as the window allows, and ends the stream.
+async fn send_body(stream: &mut h2::SendStream<Bytes>, body: Bytes) -> Result<(), CallError> {
+    link::server::send(stream, body)
+        .await
+        .map_err(|_| CallError::Lost)?;
+    stream
+        .send_data(Bytes::new(), true)
+        .map_err(|_| CallError::Lost)
+}
--- /dev/null
+++ b/crates/runtime/src/owner/mod.rs
@@ -0,0 +1,161 @@
+//! The side of the host that calls the endpoints it owns.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel;
+use pistachiochute_core::{answer, outcome, owner, reason};
+use pistachiochute_messages::forward;
+use tokio::sync::mpsc;
+
+use crate::{control, endpoint, link, pool};
+
+/// Time between two looks at whether the caller of queued work is still there.
+const CALLER_CHECK: Duration = Duration::from_millis(100);
+
+/// Serves forwarded requests for the endpoints that this host owns.
+#[derive(Debug)]
+pub struct Server {
+    control: control::Handle,
+    pool: pool::Pool,
+    timeouts: endpoint::Timeouts,
+}
+
+impl Server {
+    /// Makes a server that calls endpoints on the threads of `pool`.
+    #[must_use]
+    pub fn new(
+        control: control::Handle,
+        pool: pool::Pool,
+        timeouts: endpoint::Timeouts,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            control,
+            pool,
+            timeouts,
+        })
+    }
+
+    /// Serves a request; replies go to `tx`.
+    pub fn serve(&self, head: forward::Forward, body: Bytes, tx: mpsc::Sender<answer::Frame>) {
+        let refused = answer::Frame {
+            request: head.request,
+            attempt: head.attempt,
+            part: answer::Part::Failed {
+                reason: reason::Refusal::TooManyConnections,
+                outcome: outcome::Outcome::NotRun,
+                retry_after: None,
+            },
+        };
+        let work = Work {
+            control: self.control.clone(),
+            timeouts: self.timeouts,
+            head,
+            body,
+            tx: tx.clone(),
+        };
+        if self.pool.run(move || work.run()).is_err() {
+            // The channel of a new request has room.
+            let _ = tx.try_send(refused);
+        }
+    }
+
+    /// Serves a request of this host's own callers.
+    #[must_use]
+    pub fn serve_local(
+        &self,
+        head: forward::Forward,
+        body: Bytes,
+    ) -> mpsc::Receiver<answer::Frame> {
+        let (tx, rx) = mpsc::channel(link::REPLY_BUFFER);
+        self.serve(head, body, tx);
+        rx
+    }
+}
+
+struct Work {
+    control: control::Handle,
+    timeouts: endpoint::Timeouts,
+    head: forward::Forward,
+    body: Bytes,
+    tx: mpsc::Sender<answer::Frame>,
+}
+
+impl Work {
+    fn id(&self) -> owner::AttemptId {
+        owner::AttemptId {
+            request: self.head.request,
+            attempt: self.head.attempt,
+        }
+    }
+
+    fn run(self) {
+        let verdicts = self.control.offer(&self.head);
+        let pieces = endpoint::Pieces::new(self.head.request, self.head.attempt, self.tx.clone());
+        match self.wait(&verdicts, &pieces) {
+            control::Verdict::Dispatch { addr } => self.call(addr, pieces),
+            control::Verdict::Refuse {
+                reason,
+                retry_after,
+            } => {
+                let outcome = outcome::Outcome::NotRun;
+                let _ = pieces.reply(answer::Part::Failed {
+                    reason,
+                    outcome,
+                    retry_after,
+                });
+            }
+            control::Verdict::Queued { .. } => {}
+        }
+    }
+
+    /// Waits for the verdict that ends the wait. Work whose caller went away is taken back.
+    fn wait(
+        &self,
+        verdicts: &channel::Receiver<control::Verdict>,
+        pieces: &endpoint::Pieces,
+    ) -> control::Verdict {
+        loop {
+            match verdicts.recv_timeout(CALLER_CHECK) {
+                Ok(control::Verdict::Queued { .. }) => {
+                    let _ = pieces.reply(answer::Part::Queued);
+                }
+                Ok(verdict) => return verdict,
+                Err(channel::RecvTimeoutError::Timeout) if !self.tx.is_closed() => {}
+                Err(_) => {
+                    self.control.abandon(self.head.endpoint, self.id());
+                    let reason = reason::Refusal::CallerGone;
+                    return control::Verdict::Refuse {
+                        reason,
+                        retry_after: None,
+                    };
+                }
+            }
+        }
+    }
+
+    fn call(&self, addr: std::net::SocketAddr, mut pieces: endpoint::Pieces) {
+        let _ = pieces.reply(answer::Part::Dispatched);
+        let call = endpoint::Call {
+            addr,
+            head: &self.head,
+            body: &self.body,
+            timeouts: self.timeouts,
+        };
+        let ended = call.run(&mut pieces);
+        let used = match ended {
+            endpoint::Ended::Whole { used } => used,
+            endpoint::Ended::Failed(_) => None,
+        };
+        self.control.finish(self.head.endpoint, self.id(), used);
+        let _ = match ended {
+            endpoint::Ended::Whole { used } => pieces.end(used),
+            endpoint::Ended::Failed(failure) => pieces.reply(answer::Part::Failed {
+                reason: failure.reason,
+                outcome: failure.outcome,
+                retry_after: failure.retry_after,
+            }),
+        };
+    }
+}
--- /dev/null
+++ b/crates/runtime/tests/support/mod.rs
@@ -0,0 +1,279 @@
+//! A small fleet on loopback: hosts with links between them, and engines.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{BufRead as _, BufReader};
+use std::net;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pistachiochute_core::{entity, lists, revision, topology};
+use pistachiochute_runtime::{host, metrics, settings};
+use pistachiochute_standins::engine;
+use serde_json::{Value, json};
+
+/// API key of the account `farm`.
+pub const KEY: &str = "farm-key";
+
+/// Model that every engine serves.
+pub const MODEL: &str = "m1";
+
+/// A host and where its callers reach it.
+pub struct Member {
+    pub id: entity::HostId,
+    pub host: host::Host,
+    pub callers: net::SocketAddr,
+}
+
+/// Hosts and engines, with one region.
+pub struct Fleet {
+    pub members: Vec<Member>,
+    pub engines: Vec<(entity::EndpointId, engine::Engine)>,
+    pub list: topology::HostList,
+}
+
+/// Shape of a fleet.
+pub struct Shape {
+    pub domains: u32,
+    pub hosts: u32,
+    pub engines: u32,
+    /// Settings of each engine.
+    pub engine: engine::Settings,
+    /// Sections of the settings of each host beside those that the fleet fills.
+    pub settings: Value,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            domains: 1,
+            hosts: 2,
+            engines: 1,
+            engine: engine_settings(),
+            settings: json!({}),
+        }
+    }
+}
+
+pub fn engine_settings() -> engine::Settings {
+    engine::Settings {
+        models: vec![MODEL.parse().expect("a name")],
+        answer_tokens: 5,
+        ..engine::Settings::default()
+    }
+}
+
+fn listener() -> net::TcpListener {
+    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).expect("a free port")
+}
+
+fn addr(listener: &net::TcpListener) -> net::SocketAddr {
+    listener.local_addr().expect("a bound address")
+}
+
+fn host_settings(
+    id: u32,
+    domain: u32,
+    sockets: &host::Sockets,
+    extra: &Value,
+) -> settings::Settings {
+    let mut document = json!({
+        "host": { "id": format!("host{id}"), "domain": format!("dom{domain}"), "region": "reg0" },
+        "listen": {
+            "callers": addr(&sockets.callers),
+            "admin": "127.0.0.1:1",
+            "links": addr(&sockets.links),
+        },
+        "platform": { "key_value": ["127.0.0.1:2"], "host_list": "127.0.0.1:3" },
+        "credentials": { "link": "a secret of the links", "operators": [] },
+    });
+    for (section, value) in extra.as_object().expect("an object of sections") {
+        document[section] = value.clone();
+    }
+    settings::Settings::parse(&document.to_string()).expect("sound settings")
+}
+
+/// Lists with one account that may use [`MODEL`] and the service `bookings`.
+pub fn lists() -> lists::Lists {
+    serde_json::from_value(json!({
+        "accounts": {
+            "farm": {
+                "plan": "basic",
+                "key_digests": [lists::KeyDigest::of(KEY.as_bytes()).to_string()],
+            },
+        },
+        "plans": {
+            "basic": {
+                "models": [MODEL],
+                "services": ["bookings"],
+                "requests_per_minute": 60_000,
+                "tokens_per_minute": 60_000_000,
+                "in_flight": 1_000,
+                "longest_answer": 4_096,
+            },
+        },
+    }))
+    .expect("sound lists")
+}
+
+impl Fleet {
+    pub fn start(shape: &Shape) -> Self {
+        let mut list = topology::HostList {
+            version: 1,
+            ..topology::HostList::default()
+        };
+        let mut engines = Vec::new();
+        let mut bound = Vec::new();
+        for d in 0..shape.domains {
+            let domain = format!("dom{d}").parse().expect("a domain");
+            let region = "reg0".parse().expect("a region");
+            list.domains.push(topology::Domain { id: domain, region });
+            for i in 0..shape.hosts {
+                let sockets = host::Sockets {
+                    callers: listener(),
+                    links: listener(),
+                };
+                let number = d * shape.hosts + i;
+                let id = format!("host{number}").parse().expect("a host");
+                let addr = addr(&sockets.links);
+                let presence = topology::Presence::Live;
+                list.hosts.push(topology::Host {
+                    id,
+                    domain,
+                    addr,
+                    presence,
+                });
+                bound.push((number, d, id, sockets));
+            }
+            for i in 0..shape.engines {
+                let engine = engine::Engine::start(shape.engine.clone()).expect("an engine");
+                let id = format!("ep{}", d * shape.engines + i)
+                    .parse()
+                    .expect("an endpoint");
+                list.endpoints.push(topology::Endpoint {
+                    id,
+                    domain,
+                    addr: engine.addr(),
+                    serves: topology::Serves::Engine {
+                        models: shape.engine.models.clone(),
+                    },
+                    slots: shape.engine.slots,
+                    presence: topology::Presence::Live,
+                });
+                engines.push((id, engine));
+            }
+        }
+        let start = |(number, d, id, sockets): (u32, u32, entity::HostId, host::Sockets)| {
+            let settings = host_settings(number, d, &sockets, &shape.settings);
+            let callers = addr(&sockets.callers);
+            let metrics = metrics::Metrics::new().expect("metrics");
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let host = host::Host::start(settings, sockets, metrics, log).expect("a host");
+            Member { id, host, callers }
+        };
+        let members = bound.into_iter().map(start).collect();
+        let fleet = Self {
+            members,
+            engines,
+            list,
+        };
+        fleet.announce();
+        fleet.set_lists(1, lists());
+        fleet
+    }
+
+    /// Gives every host the host list as it is now.
+    pub fn announce(&self) {
+        for member in &self.members {
+            member.host.control().host_list(self.list.clone());
+        }
+    }
+
+    /// Changes the host list and gives it to every host.
+    pub fn change<F>(&mut self, change: F)
+    where
+        F: FnOnce(&mut topology::HostList),
+    {
+        change(&mut self.list);
+        self.list.version += 1;
+        self.announce();
+    }
+
+    pub fn set_lists(&self, revision: u64, lists: lists::Lists) {
+        let lists = Arc::new(lists);
+        for member in &self.members {
+            member
+                .host
+                .control()
+                .lists(revision::Revision(revision), Arc::clone(&lists));
+        }
+    }
+
+    pub fn close(self) {
+        for member in self.members {
+            member.host.close();
+        }
+        for (_, engine) in self.engines {
+            engine.close();
+        }
+    }
+}
+
+/// Body of a chat.
+pub fn prompt(text: &str, stream: bool, tokens: u32) -> Value {
+    json!({
+        "model": MODEL,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": text }],
+    })
+}
+
+/// Sends a chat as the account `farm`.
+pub fn chat(callers: net::SocketAddr, body: &Value) -> attohttpc::Result<attohttpc::Response> {
+    attohttpc::post(format!("http://{callers}/v1/chat/completions"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .timeout(Duration::from_secs(20))
+        .json(body)?
+        .send()
+}
+
+/// Data of the events of a stream with the time of each, and how the stream ended.
+pub fn events(resp: attohttpc::Response) -> (Vec<(String, Instant)>, Result<(), std::io::Error>) {
+    let mut events = Vec::new();
+    for line in BufReader::new(resp).lines() {
+        match line {
+            Ok(line) => {
+                if let Some(data) = line.strip_prefix("data: ") {
+                    events.push((data.to_owned(), Instant::now()));
+                }
+            }
+            Err(e) => return (events, Err(e)),
+        }
+    }
+    (events, Ok(()))
+}
+
+/// Text of the header, or an empty text.
+pub fn header(resp: &attohttpc::Response, name: &str) -> String {
+    let value = resp
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+/// Waits until `holds` or ten seconds have passed, and returns whether it held.
+pub fn eventually<F>(mut holds: F) -> bool
+where
+    F: FnMut() -> bool,
+{
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
