Distribute the lists to every host by deltas on versions that only grow

Cause: whole lists at the design size would exceed the control budget, and a late message or a store restored from an older copy must not bring back what an operator had replaced. Change: a replica with two watchers a domain, deltas pushed to peers at doubling distances, anti-entropy once a second, start from store and peers, confirmations by domain, and writing back to a store that is behind. Versions are ordered by revision and then by a digest over the history.

--- a/crates/core/src/lists/model.rs
+++ b/crates/core/src/lists/model.rs
@@ -66,3 +66,72 @@
     #[serde(default)]
     pub plans: BTreeMap<name::PlanName, Plan>,
 }
+
+/// A change of one entry.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Adds or replaces an account.
+    PutAccount(name::AccountName, Account),
+    /// Removes an account.
+    RemoveAccount(name::AccountName),
+    /// Adds or replaces a plan.
+    PutPlan(name::PlanName, Plan),
+    /// Removes a plan.
+    RemovePlan(name::PlanName),
+}
+
+impl Lists {
+    /// Makes a change.
+    pub fn apply(&mut self, change: &Change) {
+        match change {
+            Change::PutAccount(name, account) => {
+                self.accounts.insert(name.clone(), account.clone());
+            }
+            Change::RemoveAccount(name) => {
+                self.accounts.remove(name);
+            }
+            Change::PutPlan(name, plan) => {
+                self.plans.insert(name.clone(), plan.clone());
+            }
+            Change::RemovePlan(name) => {
+                self.plans.remove(name);
+            }
+        }
+    }
+
+    /// Whether the change would leave the lists as they are.
+    #[must_use]
+    pub fn has(&self, change: &Change) -> bool {
+        match change {
+            Change::PutAccount(name, account) => self.accounts.get(name) == Some(account),
+            Change::RemoveAccount(name) => !self.accounts.contains_key(name),
+            Change::PutPlan(name, plan) => self.plans.get(name) == Some(plan),
+            Change::RemovePlan(name) => !self.plans.contains_key(name),
+        }
+    }
+
+    /// The changes that lead from these lists to others.
+    #[must_use]
+    pub fn changes_to(&self, to: &Self) -> Vec<Change> {
+        let put_plans = to
+            .plans
+            .iter()
+            .map(|(k, v)| Change::PutPlan(k.clone(), v.clone()));
+        let put_accounts = to
+            .accounts
+            .iter()
+            .map(|(k, v)| Change::PutAccount(k.clone(), v.clone()));
+        let gone_accounts = self
+            .accounts
+            .keys()
+            .filter(|k| !to.accounts.contains_key(*k));
+        let gone_plans = self.plans.keys().filter(|k| !to.plans.contains_key(*k));
+        put_plans
+            .chain(put_accounts)
+            .filter(|change| !self.has(change))
+            .chain(gone_accounts.cloned().map(Change::RemoveAccount))
+            .chain(gone_plans.cloned().map(Change::RemovePlan))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lists/replica/exchange.rs
@@ -0,0 +1,135 @@
+//! How replicas tell each other their versions and send what the other lacks.
+
+use std::time::Duration;
+
+use super::state::{ANSWER_TIMEOUT, Effect, Effects, Replica};
+use crate::lists::message::Message;
+use crate::lists::{Lists, Snapshot, Version};
+use crate::{entity, time};
+
+/// Period of the confirmations to the watchers of the domain.
+const CONFIRM: Duration = Duration::from_secs(10);
+
+/// Shortest time between two whole copies that a host sends.
+const SNAPSHOT_SPACING: Duration = Duration::from_millis(50);
+
+impl Replica {
+    pub(super) fn announce(&mut self, effects: &mut Effects) {
+        self.turn = self.turn.wrapping_add(1);
+        let mut send = |hosts: &[entity::HostId]| {
+            if !hosts.is_empty() {
+                let to = hosts[self.turn % hosts.len()];
+                effects.push(Effect::Send(to, Message::Announce(self.version)));
+            }
+        };
+        send(&self.view.peers());
+        if self.view.is_watcher() {
+            send(&self.view.remote_watchers());
+        }
+    }
+
+    /// Tells the watchers of the domain what is in force here.
+    pub(super) fn confirm(&mut self, now: time::Time, effects: &mut Effects) {
+        self.next_confirm = now + CONFIRM;
+        let own = self.view.host();
+        self.confirmations
+            .confirm(now, &self.view, own, self.version.revision);
+        let watchers = self.view.watchers(self.view.domain()).iter();
+        let others = watchers.filter(|host| **host != own);
+        effects.extend(others.map(|host| Effect::Send(*host, Message::Announce(self.version))));
+    }
+
+    /// Sends the domain reports to watchers of other domains, at doubling distances.
+    pub(super) fn report(&mut self, now: time::Time, effects: &mut Effects) {
+        let own = self.view.host();
+        self.confirmations
+            .confirm(now, &self.view, own, self.version.revision);
+        let reports = self.confirmations.reports(now, &self.view);
+        let remote = self.view.remote_watchers();
+        if remote.is_empty() {
+            return;
+        }
+        let to = remote[self.turn.wrapping_mul(3) % remote.len()];
+        effects.push(Effect::Send(to, Message::Domains(reports.clone())));
+        let local = self.view.watchers(self.view.domain()).iter();
+        let others = local.filter(|host| **host != own);
+        effects.extend(others.map(|host| Effect::Send(*host, Message::Domains(reports.clone()))));
+    }
+
+    pub(super) fn announced(
+        &mut self,
+        now: time::Time,
+        from: entity::HostId,
+        version: Version,
+        effects: &mut Effects,
+    ) {
+        self.confirmations
+            .confirm(now, &self.view, from, version.revision);
+        self.heard(now, version);
+        if version < self.version {
+            self.update(now, from, version, effects);
+        }
+        if version > self.version {
+            self.ask(now, from, effects);
+        } else {
+            self.peer_answered(now, from, effects);
+        }
+    }
+
+    pub(super) fn fetched(
+        &mut self,
+        now: time::Time,
+        from: entity::HostId,
+        version: Version,
+        effects: &mut Effects,
+    ) {
+        if version < self.version {
+            self.update(now, from, version, effects);
+        } else {
+            effects.push(Effect::Send(from, Message::Announce(self.version)));
+        }
+    }
+
+    /// Sends what a peer lacks.
+    pub(super) fn update(
+        &mut self,
+        now: time::Time,
+        to: entity::HostId,
+        version: Version,
+        effects: &mut Effects,
+    ) {
+        if let Some(deltas) = self.log.after(version) {
+            effects.push(Effect::Send(to, Message::Deltas(deltas)));
+        } else if self.next_snapshot <= now {
+            self.next_snapshot = now + SNAPSHOT_SPACING;
+            let snapshot = Snapshot {
+                version: self.version,
+                lists: Lists::clone(&self.lists),
+            };
+            effects.push(Effect::Send(to, Message::Snapshot(snapshot)));
+        }
+    }
+
+    /// Asks a peer for what this host lacks, one peer at a time.
+    pub(super) fn ask(&mut self, now: time::Time, peer: entity::HostId, effects: &mut Effects) {
+        let waiting = self
+            .fetch
+            .is_some_and(|(_, sent)| now.since(sent) < ANSWER_TIMEOUT);
+        if !waiting {
+            self.fetch = Some((peer, now));
+            effects.push(Effect::Send(peer, Message::Fetch(self.version)));
+        }
+    }
+
+    /// Passes a message on to the peers, but not back.
+    pub(super) fn push(
+        &self,
+        from: Option<entity::HostId>,
+        message: &Message,
+        effects: &mut Effects,
+    ) {
+        let peers = self.view.peers();
+        let others = peers.iter().filter(|peer| Some(**peer) != from);
+        effects.extend(others.map(|peer| Effect::Send(*peer, message.clone())));
+    }
+}
--- /dev/null
+++ b/crates/core/src/lists/replica/log.rs
@@ -0,0 +1,44 @@
+//! Recent deltas, kept to bring peers up to date.
+
+use std::collections::VecDeque;
+
+use crate::lists::{Delta, Version};
+
+/// Most deltas that are kept.
+const MAX_DELTAS: usize = 64;
+
+/// Most changes in the deltas that are kept.
+const MAX_CHANGES: usize = 1_024;
+
+/// Consecutive deltas that end at the version in force.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Log {
+    /// Invariant: each delta starts where the one before it ends.
+    deltas: VecDeque<Delta>,
+    /// Changes in all deltas.
+    changes: usize,
+}
+
+impl Log {
+    pub(super) fn push(&mut self, delta: Delta) {
+        self.changes += delta.changes.len();
+        self.deltas.push_back(delta);
+        while self.deltas.len() > MAX_DELTAS || self.changes > MAX_CHANGES {
+            let Some(oldest) = self.deltas.pop_front() else {
+                break;
+            };
+            self.changes -= oldest.changes.len();
+        }
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.deltas.clear();
+        self.changes = 0;
+    }
+
+    /// The deltas that follow a version, or `None` if they are not all kept.
+    pub(super) fn after(&self, version: Version) -> Option<Vec<Delta>> {
+        let first = self.deltas.iter().position(|delta| delta.from == version)?;
+        Some(self.deltas.iter().skip(first).cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/core/tests/lists_replica.rs
@@ -0,0 +1,369 @@
+//! A replica's version never goes down, and all replicas agree once faults end.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::lists::replica::{self, Effect, StoreAnswer};
+use pistachiochute_core::lists::{self, Delta, Snapshot, Version, message};
+use pistachiochute_core::{entity, revision, time, units};
+use proptest::prelude::*;
+
+const HOSTS: u32 = 9;
+const DOMAINS: u32 = 3;
+const STEP: Duration = Duration::from_millis(250);
+
+fn host(i: u32) -> entity::HostId {
+    entity::HostId::new(i).unwrap()
+}
+
+fn domain_of(host: entity::HostId) -> entity::DomainId {
+    entity::DomainId::new(host.as_u32() % DOMAINS).unwrap()
+}
+
+fn view(of: entity::HostId) -> replica::View {
+    let hosts = (0..HOSTS).map(|i| (host(i), domain_of(host(i))));
+    replica::View::new(of, domain_of(of), hosts)
+}
+
+fn plan(weight: u32) -> lists::Plan {
+    lists::Plan {
+        models: vec!["m".parse().unwrap()],
+        services: Vec::new(),
+        requests_per_minute: units::PerMinute(60),
+        tokens_per_minute: units::PerMinute(6_000),
+        in_flight: units::Requests(4),
+        priority: 0,
+        weight,
+        longest_answer: units::Tokens(100),
+    }
+}
+
+/// A message on its way.
+#[derive(Clone)]
+struct Flight {
+    from: entity::HostId,
+    to: entity::HostId,
+    message: message::Message,
+}
+
+/// Hosts, messages on their way and a store.
+struct Fleet {
+    now: time::Time,
+    replicas: BTreeMap<entity::HostId, replica::Replica>,
+    flights: Vec<Flight>,
+    /// Answers and watch events of the store on their way.
+    reads: Vec<(entity::HostId, StoreAnswer)>,
+    events: Vec<(entity::HostId, Delta)>,
+    watchers: Vec<entity::HostId>,
+    store: Snapshot,
+    backups: Vec<Snapshot>,
+    store_up: bool,
+    /// Domain that is cut off from the store and the other domains.
+    cut: Option<entity::DomainId>,
+    /// Lists of each version that ever existed.
+    contents: BTreeMap<Version, lists::Lists>,
+    /// Largest version in force by host, over the life of its process.
+    in_force: BTreeMap<entity::HostId, Version>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Self {
+            now: time::Time::ZERO,
+            replicas: BTreeMap::new(),
+            flights: Vec::new(),
+            reads: Vec::new(),
+            events: Vec::new(),
+            watchers: Vec::new(),
+            store: Snapshot::default(),
+            backups: Vec::new(),
+            store_up: true,
+            cut: None,
+            contents: [(Version::NONE, lists::Lists::default())].into(),
+            in_force: BTreeMap::new(),
+        };
+        (0..HOSTS).for_each(|i| fleet.restart(host(i)));
+        fleet
+    }
+
+    fn restart(&mut self, host: entity::HostId) {
+        self.in_force.remove(&host);
+        self.watchers.retain(|other| *other != host);
+        self.reads.retain(|(other, _)| *other != host);
+        self.events.retain(|(other, _)| *other != host);
+        let (replica, effects) = replica::Replica::start(self.now, view(host));
+        self.replicas.insert(host, replica);
+        self.run(host, effects);
+    }
+
+    fn run(&mut self, host: entity::HostId, effects: impl IntoIterator<Item = Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => {
+                    let from = host;
+                    self.flights.push(Flight { from, to, message });
+                }
+                Effect::ReadStore if !self.reaches_store(host) => {
+                    self.reads.push((host, StoreAnswer::Unavailable));
+                }
+                Effect::ReadStore => {
+                    let same = self.store.version == self.replicas[&host].version();
+                    let answer = match same {
+                        true => StoreAnswer::Same,
+                        false => StoreAnswer::Lists(self.store.clone()),
+                    };
+                    self.reads.push((host, answer));
+                }
+                Effect::Watch => self.watchers.push(host),
+                Effect::Unwatch => self.watchers.retain(|other| *other != host),
+                Effect::InForce(version, lists) => self.check_in_force(host, version, &lists),
+                Effect::Repair {
+                    expected,
+                    delta,
+                    lists,
+                } => {
+                    if self.reaches_store(host) && self.store.version == expected {
+                        self.record(delta, lists::Lists::clone(&lists));
+                    }
+                }
+            }
+        }
+    }
+
+    fn check_in_force(
+        &mut self,
+        host: entity::HostId,
+        version: Version,
+        lists: &Arc<lists::Lists>,
+    ) {
+        let former = self.in_force.insert(host, version).unwrap_or_default();
+        assert!(version >= former, "{host} went from {former} to {version}");
+        assert_eq!(**lists, self.contents[&version], "{host} at {version}");
+    }
+
+    fn reaches_store(&self, host: entity::HostId) -> bool {
+        self.store_up && self.cut != Some(domain_of(host))
+    }
+
+    fn connected(&self, a: entity::HostId, b: entity::HostId) -> bool {
+        domain_of(a) == domain_of(b)
+            || (self.cut != Some(domain_of(a)) && self.cut != Some(domain_of(b)))
+    }
+
+    fn record(&mut self, delta: Delta, lists: lists::Lists) {
+        self.backups.push(self.store.clone());
+        self.contents.insert(delta.to, lists.clone());
+        let version = delta.to;
+        self.store = Snapshot { version, lists };
+        let watchers = self.watchers.iter();
+        self.events
+            .extend(watchers.map(|host| (*host, delta.clone())));
+    }
+
+    /// An edit through a host, which refuses while the store is behind what it knows of.
+    fn edit(&mut self, host: entity::HostId, weight: u32) {
+        let replica = &self.replicas[&host];
+        let current = replica.is_ready() && self.store.version >= replica.highest();
+        if !self.reaches_store(host) || !current {
+            return;
+        }
+        let name = format!("plan-{}", weight % 4).parse().unwrap();
+        let change = lists::Change::PutPlan(name, plan(weight));
+        let mut lists = self.store.lists.clone();
+        lists.apply(&change);
+        let delta = Delta::after(self.store.version, vec![change]);
+        self.record(delta.clone(), lists);
+        let now = self.now;
+        let effects = self.replicas.get_mut(&host).unwrap().recorded(now, delta);
+        self.run(host, effects);
+    }
+
+    fn restore_store(&mut self, age: usize) {
+        let kept = self.backups.len().saturating_sub(age + 1);
+        if let Some(backup) = self.backups.get(kept).cloned() {
+            self.backups.truncate(kept);
+            self.store = backup;
+            self.events.clear();
+        }
+    }
+
+    fn deliver(&mut self, index: usize, again: bool) {
+        let count = self.flights.len();
+        if count == 0 {
+            return;
+        }
+        let i = index % count;
+        let flight = match again {
+            true => self.flights[i].clone(),
+            false => self.flights.swap_remove(i),
+        };
+        if self.connected(flight.from, flight.to) {
+            let now = self.now;
+            let replica = self.replicas.get_mut(&flight.to).unwrap();
+            let effects = replica.receive(now, flight.from, flight.message);
+            self.run(flight.to, effects);
+        }
+    }
+
+    fn deliver_store(&mut self, index: usize) {
+        let now = self.now;
+        if !self.reads.is_empty() {
+            let (host, answer) = self.reads.swap_remove(index % self.reads.len());
+            let effects = self.replicas.get_mut(&host).unwrap().store(now, answer);
+            self.run(host, effects);
+        }
+        if !self.events.is_empty() {
+            let (host, delta) = self.events.swap_remove(index % self.events.len());
+            let effects = self.replicas.get_mut(&host).unwrap().recorded(now, delta);
+            self.run(host, effects);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        for i in 0..HOSTS {
+            let effects = self.replicas.get_mut(&host(i)).unwrap().tick(now);
+            self.run(host(i), effects);
+        }
+    }
+
+    /// Delivers everything in order for a while, without faults.
+    fn heal(&mut self, span: Duration) {
+        self.store_up = true;
+        self.cut = None;
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            while !self.flights.is_empty() {
+                self.deliver(0, false);
+            }
+            while !self.reads.is_empty() || !self.events.is_empty() {
+                self.deliver_store(0);
+            }
+        }
+    }
+
+    fn assert_agreed(&self) {
+        let version = self.store.version;
+        for (host, replica) in &self.replicas {
+            assert!(replica.is_ready(), "{host} is not ready");
+            assert_eq!(replica.version(), version, "{host}");
+            assert_eq!(**replica.lists(), self.contents[&version], "{host}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6c69_7374),
+        ..ProptestConfig::default()
+    })]
+
+    /// Messages are reordered, repeated, lost and stale; hosts restart; the store goes down and
+    /// is restored from older copies; a domain is cut off. No version in force ever goes down
+    /// (checked by the fleet at each effect), and in the end every host has the largest one.
+    #[test]
+    fn version_never_goes_down(ops in proptest::collection::vec((0_u8..100, any::<u16>()), 1..500)) {
+        let mut fleet = Fleet::new();
+        fleet.heal(Duration::from_secs(3));
+        let mut largest = Version::NONE;
+        for (op, arg) in ops {
+            let arg = usize::from(arg);
+            match op {
+                0..=49 => fleet.deliver(arg, false),
+                50..=54 => fleet.deliver(arg, true),
+                55..=59 if !fleet.flights.is_empty() => {
+                    fleet.flights.swap_remove(arg % fleet.flights.len());
+                }
+                55..=69 => fleet.deliver_store(arg),
+                70..=79 => fleet.step(),
+                80..=91 => fleet.edit(host(arg as u32 % HOSTS), arg as u32),
+                92..=93 => fleet.restart(host(arg as u32 % HOSTS)),
+                94..=95 => fleet.store_up = !fleet.store_up,
+                96 => fleet.restore_store(arg % 5),
+                97 => fleet.events.clear(),
+                _ => fleet.cut = match arg as u32 % (DOMAINS + 1) {
+                    DOMAINS => None,
+                    domain => entity::DomainId::new(domain),
+                },
+            }
+            // A restart of the only host that has a version may lose it; the others keep theirs.
+            let ready = fleet.replicas.values().filter(|replica| replica.is_ready());
+            largest = ready.map(replica::Replica::version).max().unwrap_or_default();
+        }
+        fleet.heal(Duration::from_secs(90));
+        fleet.assert_agreed();
+        prop_assert!(fleet.store.version >= largest);
+    }
+}
+
+#[test]
+fn host_starts_from_peers_while_the_store_is_down() {
+    let mut fleet = Fleet::new();
+    fleet.heal(Duration::from_secs(3));
+    fleet.edit(host(0), 7);
+    fleet.heal(Duration::from_secs(3));
+    let version = fleet.store.version;
+    fleet.store_up = false;
+    fleet.restart(host(4));
+    assert!(!fleet.replicas[&host(4)].is_ready());
+    for _ in 0..12 {
+        fleet.step();
+        while !fleet.flights.is_empty() {
+            fleet.deliver(0, false);
+        }
+    }
+    assert!(fleet.replicas[&host(4)].is_ready());
+    assert_eq!(fleet.replicas[&host(4)].version(), version);
+}
+
+#[test]
+fn host_without_store_and_peers_is_not_ready() {
+    let only = host(0);
+    let (mut replica, _) = replica::Replica::start(
+        time::Time::ZERO,
+        replica::View::new(only, domain_of(only), []),
+    );
+    for s in 0..30 {
+        replica.store(time::Time::from_secs(s), StoreAnswer::Unavailable);
+        replica.tick(time::Time::from_secs(s));
+        assert!(!replica.is_ready());
+    }
+    replica.store(
+        time::Time::from_secs(31),
+        StoreAnswer::Lists(Snapshot::default()),
+    );
+    assert!(replica.is_ready());
+}
+
+#[test]
+fn operator_sees_hosts_confirmed_and_domains_unreachable() {
+    let mut fleet = Fleet::new();
+    fleet.heal(Duration::from_secs(3));
+    fleet.cut = entity::DomainId::new(2);
+    fleet.edit(host(0), 7);
+    let revision = fleet.store.version.revision;
+    assert_eq!(revision, revision::Revision(1));
+    for _ in 0..160 {
+        fleet.step();
+        while !fleet.flights.is_empty() {
+            fleet.deliver(0, false);
+        }
+        fleet.deliver_store(0);
+    }
+    let status = fleet.replicas[&host(0)].status(fleet.now, revision);
+    let seen: Vec<_> = status
+        .iter()
+        .map(|s| (s.reach, s.hosts, s.confirmed))
+        .collect();
+    let reporting = (replica::Reach::Reporting, 3, 3);
+    assert_eq!(seen[..2], [reporting, reporting]);
+    assert_eq!(seen[2].0, replica::Reach::Unreachable);
+    fleet.heal(Duration::from_secs(30));
+    let status = fleet.replicas[&host(0)].status(fleet.now, revision);
+    assert!(status.iter().all(|s| s.confirmed == 3), "{status:?}");
+}
