Add the daemon and the check of lists

pistachiochuted runs one host: it checks its settings whole (status 2 with every finding), begins a planned stop at SIGTERM or SIGINT and stops at once at a second signal.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,7 +1,8 @@
-//! Checks settings files without starting a host.
+//! Checks files of settings and lists without starting a host.
 
-use std::{path, process};
+use std::{fmt, fs, path, process};
 
+use pistachiochute_core::lists;
 use pistachiochute_runtime::settings;
 
 use crate::{exit, table};
@@ -17,10 +18,11 @@
 /// The `check` subcommand.
 pub(crate) fn command() -> clap::Command {
     clap::Command::new("check")
-        .about("Check settings files of the daemon")
+        .about("Check files of settings or lists")
         .after_help(
             "Exit status 2 if there is a finding.\n\n\
-             Example:\n  pistachiochute check host3.json host4.json",
+             Examples:\n  pistachiochute check host3.json host4.json\n  \
+             pistachiochute check --lists lists.json",
         )
         .arg(
             clap::Arg::new("files")
@@ -29,11 +31,22 @@
                 .required(true)
                 .value_parser(clap::value_parser!(path::PathBuf)),
         )
+        .arg(
+            clap::Arg::new("lists")
+                .long("lists")
+                .action(clap::ArgAction::SetTrue)
+                .help("The files hold lists, with the members `accounts` and `plans`"),
+        )
         .arg(crate::json_arg())
 }
 
 /// Checks the files and prints every finding.
 pub(crate) fn run(matches: &clap::ArgMatches) -> eyre::Result<process::ExitCode> {
+    let check = if matches.get_flag("lists") {
+        check_lists
+    } else {
+        check_settings
+    };
     let files = matches.get_many("files").into_iter().flatten();
     let rows: Vec<Row> = files.flat_map(|file: &path::PathBuf| check(file)).collect();
     if matches.get_flag("json") {
@@ -48,19 +61,40 @@
     }
 }
 
-fn check(file: &path::Path) -> Vec<Row> {
-    settings::Settings::load(file)
+fn check_settings(file: &path::Path) -> Vec<Row> {
+    let findings = settings::Settings::load(file).err().unwrap_or_default();
+    findings
+        .iter()
+        .map(|finding| row(file, &finding.place, &finding.fault))
+        .collect()
+}
+
+fn check_lists(file: &path::Path) -> Vec<Row> {
+    let text = match fs::read(file) {
+        Ok(text) => text,
+        Err(e) => return vec![row(file, &lists::Place::root(), &e)],
+    };
+    let findings = lists::verify::document(&text, None)
         .err()
-        .unwrap_or_default()
-        .into_iter()
-        .map(|finding| Row {
-            file: file.display().to_string(),
-            place: finding.place,
-            fault: finding.fault,
-        })
+        .unwrap_or_default();
+    findings
+        .iter()
+        .map(|finding| row(file, &finding.place, &finding.fault))
         .collect()
 }
 
+fn row<P, F>(file: &path::Path, place: &P, fault: &F) -> Row
+where
+    P: fmt::Display,
+    F: fmt::Display,
+{
+    Row {
+        file: file.display().to_string(),
+        place: place.to_string(),
+        fault: fault.to_string(),
+    }
+}
+
 fn print_table(rows: &[Row]) {
     let mut table = table::Table::new(&["FILE", "PLACE", "FAULT"]);
     for row in rows {
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -59,6 +59,23 @@
     assert!(output.stdout.is_empty());
 }
 
+#[test]
+fn lists_are_checked_whole() {
+    let faulty = file("lists.json", r#"{"accounts":{"Farm":{}},"plans":[]}"#);
+    let output = run(&["check", "--lists", "--json", &faulty]);
+    assert_eq!(output.status.code(), Some(2));
+    let rows: Vec<Value> = serde_json::from_slice(&output.stdout).unwrap();
+    let has = |place: &str| rows.iter().any(|row| row["place"] == place);
+    assert!(has("/accounts/Farm") && has("/plans"), "{rows:?}");
+
+    let empty = file("empty-lists.json", r#"{"accounts":{},"plans":{}}"#);
+    assert_eq!(run(&["check", "--lists", &empty]).status.code(), Some(0));
+    assert_eq!(
+        run(&["check", "--lists", "/missing"]).status.code(),
+        Some(2)
+    );
+}
+
 #[test]
 fn completions_name_the_subcommands() {
     let output = run(&["completions", "bash"]);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,104 @@
 //! Daemon that runs on every entry host.
+//!
+//! SIGTERM and SIGINT begin a planned stop: the host takes no more requests, finishes those in
+//! progress within the bound of the settings, and exits. A second signal stops it at once.
 
-fn main() {}
+use std::{path, process, thread};
+
+use eyre::WrapErr as _;
+use pistachiochute_runtime::{host, log, metrics, settings};
+use signal_hook::iterator::Signals;
+
+/// Exit status of a host that could not start, or that cut requests off when it stopped.
+const FAILED: u8 = 1;
+
+/// Exit status for settings with findings.
+const FAULTY_SETTINGS: u8 = 2;
+
+fn main() -> process::ExitCode {
+    let matches = command().get_matches();
+    let file: &path::PathBuf = matches.get_one("settings").expect("required argument");
+    match settings::Settings::load(file) {
+        Ok(_) if matches.get_flag("check") => process::ExitCode::SUCCESS,
+        Ok(settings) => run(settings).unwrap_or_else(|e| {
+            eprintln!("pistachiochuted: {e:#}");
+            process::ExitCode::from(FAILED)
+        }),
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{}: {finding}", file.display());
+            }
+            process::ExitCode::from(FAULTY_SETTINGS)
+        }
+    }
+}
+
+fn command() -> clap::Command {
+    clap::Command::new("pistachiochuted")
+        .version(clap::crate_version!())
+        .about("Daemon of the router fleet, run on every entry host")
+        .after_help(
+            "SIGTERM and SIGINT begin a planned stop, which finishes the requests in progress; a \
+             second one stops at once.\n\n\
+             Exit status 1 if the host cannot start or cut requests off when it stopped, 2 if the \
+             settings are faulty.\n\n\
+             Examples:\n  pistachiochuted --settings host3.json\n  \
+             pistachiochuted --settings host3.json --check",
+        )
+        .arg(
+            clap::Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(clap::value_parser!(path::PathBuf))
+                .help("Settings of the host, in JSON"),
+        )
+        .arg(
+            clap::Arg::new("check")
+                .long("check")
+                .action(clap::ArgAction::SetTrue)
+                .help("Only check the settings"),
+        )
+}
+
+fn run(settings: settings::Settings) -> eyre::Result<process::ExitCode> {
+    // Registered first, so that a signal during the start is not lost.
+    let signals = [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT];
+    let mut signals = Signals::new(signals).wrap_err("signals")?;
+    let log = log::Log::to_stderr(&settings.host, settings.log_level);
+    let metrics = metrics::Metrics::new()?;
+    let sockets = host::Sockets::bind(&settings.listen)?;
+    let logger = log.logger().clone();
+    let host = host::Host::start(settings, sockets, metrics, logger.clone())?;
+    slog::info!(logger, "started"; "callers" => %host.callers(), "links" => %host.links());
+
+    signals.forever().next();
+    slog::info!(logger, "planned stop begins");
+    stop_at_once_on_next(signals).wrap_err("signal thread")?;
+    let drained = host.drain();
+    host.close();
+    let code = match drained {
+        host::Drained::Whole => {
+            slog::info!(logger, "stopped");
+            process::ExitCode::SUCCESS
+        }
+        host::Drained::TimedOut(left) => {
+            slog::error!(logger, "requests cut off"; "requests" => left);
+            process::ExitCode::from(FAILED)
+        }
+    };
+    drop(logger);
+    log.close();
+    Ok(code)
+}
+
+fn stop_at_once_on_next(mut signals: Signals) -> std::io::Result<()> {
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            if signals.forever().next().is_some() {
+                process::exit(i32::from(FAILED));
+            }
+        })?;
+    Ok(())
+}
