Add the client edge towards the platform

Change: a KeyValue trait with an implementation over the JSON form of the etcd v3 API, watches that connect again from the last change and report a missing history or a store that went back, and a reader of the host list. The HTTP client takes a body that ends before its declared length as whole, and removes the header that tells a chunked body from one that ends with its connection; the length is checked here and JSON shows the rest. Conclusion: 18 tests over sockets against the stand-ins, each fault of theirs among them, and against raw answers cut at every byte.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod log;
 pub mod metrics;
 pub mod owner;
+pub mod platform;
 pub mod pool;
 pub mod settings;
--- /dev/null
+++ b/crates/runtime/src/platform/etcd/mod.rs
@@ -0,0 +1,121 @@
+//! Key-value service over the JSON form of the etcd v3 API.
+
+mod watch;
+mod wire;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use pistachiochute_core::revision::Revision;
+
+use crate::platform::{http, key_value};
+
+/// Longest answer, in bytes: base64 of a few dozen values of a megabyte.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// Settings of the client.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Addresses of the service. The next one is taken when a connection cannot be made.
+    pub addrs: Vec<SocketAddr>,
+    /// Longest time of a call until its answer is whole.
+    pub call_timeout: Duration,
+    /// Longest silence of a watch before it connects again.
+    pub watch_idle: Duration,
+    /// Pause before a watch connects again.
+    pub watch_retry: Duration,
+}
+
+/// Client of the key-value service.
+#[derive(Clone, Debug)]
+pub struct Etcd {
+    cfg: Arc<Settings>,
+    /// Index of the address that was connected last.
+    current: Arc<AtomicUsize>,
+}
+
+impl Etcd {
+    /// Makes a client. Nothing is connected before the first call.
+    #[must_use]
+    pub fn new(cfg: Settings) -> Self {
+        Self {
+            cfg: Arc::new(cfg),
+            current: Arc::default(),
+        }
+    }
+
+    /// Sends a call to the address that was connected last, or to the next that can be.
+    fn send<T, F>(&self, mut f: F) -> Result<T, key_value::Error>
+    where
+        F: FnMut(SocketAddr) -> Result<T, http::Failure>,
+    {
+        let addrs = &self.cfg.addrs;
+        let mut last = "no address is set".to_owned();
+        for _ in addrs {
+            let current = self.current.load(Ordering::Relaxed) % addrs.len();
+            match f(addrs[current]) {
+                Ok(answer) => return Ok(answer),
+                Err(http::Failure::Sent(reason)) => {
+                    return Err(key_value::Error::Unknown { reason });
+                }
+                Err(http::Failure::NotSent(err)) => {
+                    last = format!("{}: {err}", addrs[current]);
+                    self.current.store(current + 1, Ordering::Relaxed);
+                }
+            }
+        }
+        Err(key_value::Error::NotSent { reason: last })
+    }
+
+    fn call<T>(&self, path: &str, body: &serde_json::Value) -> Result<T, key_value::Error>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        let body = body.to_string();
+        let bounds = http::Bounds {
+            total: self.cfg.call_timeout,
+            answer: MAX_ANSWER_BYTES,
+        };
+        let answer = self.send(|addr| http::post(addr, path, body.as_bytes(), bounds))?;
+        if answer.status == 200 {
+            return wire::parse(&answer.body);
+        }
+        Err(wire::refusal(answer.status, &answer.body))
+    }
+}
+
+impl key_value::KeyValue for Etcd {
+    fn range(&self, keys: &key_value::Keys) -> Result<key_value::Found, key_value::Error> {
+        let answer: wire::RangeAnswer = self.call("/v3/kv/range", &wire::keys(keys))?;
+        answer.try_into()
+    }
+
+    fn txn(&self, txn: &key_value::Txn) -> Result<key_value::Committed, key_value::Error> {
+        let answer: wire::TxnAnswer = self.call("/v3/kv/txn", &wire::txn(txn))?;
+        answer.try_into()
+    }
+
+    fn grant(&self, ttl: Duration) -> Result<key_value::LeaseId, key_value::Error> {
+        let body = serde_json::json!({ "TTL": ttl.as_secs().max(1).to_string() });
+        let answer: wire::LeaseAnswer = self.call("/v3/lease/grant", &body)?;
+        Ok(answer.id())
+    }
+
+    fn keep_alive(&self, lease: key_value::LeaseId) -> Result<Option<Duration>, key_value::Error> {
+        let answer: wire::KeepAliveAnswer =
+            self.call("/v3/lease/keepalive", &wire::lease(lease))?;
+        Ok(answer.result.remaining())
+    }
+
+    fn revoke(&self, lease: key_value::LeaseId) -> Result<(), key_value::Error> {
+        let answer: Result<serde_json::Value, _> =
+            self.call("/v3/lease/revoke", &wire::lease(lease));
+        answer.map(drop)
+    }
+
+    fn watch(&self, keys: key_value::Keys, from: Revision) -> eyre::Result<key_value::Watch> {
+        watch::start(self.clone(), keys, from)
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/platform/etcd/wire.rs
@@ -0,0 +1,336 @@
+//! Requests and answers of the etcd v3 API as JSON.
+//!
+//! Bytes are base64, 64-bit numbers are strings, and fields that are zero may be missing.
+
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use pistachiochute_core::revision::Revision;
+use serde_json::{Value, json};
+
+use crate::platform::key_value::{self, Error};
+
+fn encode(raw: &Bytes) -> String {
+    BASE64_STANDARD.encode(raw)
+}
+
+fn decode(text: &str) -> Result<Bytes, Error> {
+    BASE64_STANDARD
+        .decode(text)
+        .map(Bytes::from)
+        .map_err(|err| malformed(&err))
+}
+
+fn number(text: &str) -> Result<u64, Error> {
+    if text.is_empty() {
+        Ok(0)
+    } else {
+        text.parse().map_err(|err| malformed(&err))
+    }
+}
+
+fn revision(text: &str) -> Result<Revision, Error> {
+    number(text).map(Revision)
+}
+
+/// An answer that cannot be read proves nothing about the effect of its call.
+fn malformed<E>(err: &E) -> Error
+where
+    E: std::fmt::Display,
+{
+    Error::Unknown {
+        reason: format!("the answer is malformed: {err}"),
+    }
+}
+
+/// Parses the body of a successful answer.
+pub(super) fn parse<T>(body: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_json::from_slice(body).map_err(|err| malformed(&err))
+}
+
+#[derive(Debug, Default, serde::Deserialize)]
+#[serde(default)]
+struct Refusal {
+    message: String,
+}
+
+/// Error of an answer with another status than 200.
+///
+/// A status of 400 to 499 says that the call was not carried out. A server error may follow a
+/// proposal that still takes effect, for instance when the leader changes.
+pub(super) fn refusal(status: u16, body: &[u8]) -> Error {
+    let refusal: Refusal = serde_json::from_slice(body).unwrap_or_default();
+    if (400..500).contains(&status) {
+        return Error::Refused {
+            status,
+            message: refusal.message,
+        };
+    }
+    Error::Unknown {
+        reason: format!("status {status}: {}", refusal.message),
+    }
+}
+
+/// First key after all that start with `prefix`, as the API states the end of a range.
+fn prefix_end(prefix: &Bytes) -> Bytes {
+    let mut end = prefix.to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end.into();
+        }
+    }
+    // One zero byte stands for the end of the key space.
+    Bytes::from_static(&[0])
+}
+
+pub(super) fn keys(keys: &key_value::Keys) -> Value {
+    match keys {
+        key_value::Keys::One(key) => json!({ "key": encode(key) }),
+        key_value::Keys::Prefix(prefix) if prefix.is_empty() => {
+            json!({ "key": encode(&Bytes::from_static(&[0])), "range_end": encode(&prefix_end(prefix)) })
+        }
+        key_value::Keys::Prefix(prefix) => {
+            json!({ "key": encode(prefix), "range_end": encode(&prefix_end(prefix)) })
+        }
+    }
+}
+
+pub(super) fn lease(lease: key_value::LeaseId) -> Value {
+    json!({ "ID": lease.0.to_string() })
+}
+
+pub(super) fn watch(range: &key_value::Keys, from: Revision) -> Value {
+    let mut create = keys(range);
+    create["start_revision"] = json!(from.0.to_string());
+    create["progress_notify"] = json!(true);
+    json!({ "create_request": create })
+}
+
+fn compare(compare: &key_value::Compare) -> Value {
+    let (target, field, key, at) = match compare {
+        key_value::Compare::Created(key, at) => ("CREATE", "create_revision", key, at),
+        key_value::Compare::Modified(key, at) => ("MOD", "mod_revision", key, at),
+    };
+    json!({ "result": "EQUAL", "target": target, "key": encode(key), field: at.0.to_string() })
+}
+
+fn op(op: &key_value::Op) -> Value {
+    match op {
+        key_value::Op::Range(range) => json!({ "request_range": keys(range) }),
+        key_value::Op::Delete(range) => json!({ "request_delete_range": keys(range) }),
+        key_value::Op::Put { key, value, lease } => {
+            let lease = lease.map_or(0, |lease| lease.0).to_string();
+            json!({ "request_put": { "key": encode(key), "value": encode(value), "lease": lease } })
+        }
+    }
+}
+
+pub(super) fn txn(txn: &key_value::Txn) -> Value {
+    let ops = |ops: &[key_value::Op]| ops.iter().map(op).collect::<Vec<_>>();
+    json!({
+        "compare": txn.compares.iter().map(compare).collect::<Vec<_>>(),
+        "success": ops(&txn.success),
+        "failure": ops(&txn.failure),
+    })
+}
+
+#[derive(Debug, Default, serde::Deserialize)]
+#[serde(default)]
+pub(super) struct Header {
+    revision: String,
+}
+
+impl Header {
+    pub(super) fn revision(&self) -> Result<Revision, Error> {
+        revision(&self.revision)
+    }
+}
+
+#[derive(Debug, Default, serde::Deserialize)]
+#[serde(default)]
+struct Entry {
+    key: String,
+    value: String,
+    create_revision: String,
+    mod_revision: String,
+    version: String,
+    lease: String,
+}
+
+impl TryFrom<Entry> for key_value::Entry {
+    type Error = Error;
+
+    fn try_from(entry: Entry) -> Result<Self, Error> {
+        let lease = match entry.lease.as_str() {
+            "" | "0" => None,
+            text => Some(text.parse().map_err(|err| malformed(&err))?),
+        };
+        Ok(Self {
+            key: decode(&entry.key)?,
+            value: decode(&entry.value)?,
+            created: revision(&entry.create_revision)?,
+            modified: revision(&entry.mod_revision)?,
+            version: number(&entry.version)?,
+            lease,
+        })
+    }
+}
+
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct RangeAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<Entry>,
+}
+
+impl TryFrom<RangeAnswer> for key_value::Found {
+    type Error = Error;
+
+    fn try_from(answer: RangeAnswer) -> Result<Self, Error> {
+        let entries: Result<_, _> = answer
+            .kvs
+            .into_iter()
+            .map(key_value::Entry::try_from)
+            .collect();
+        Ok(Self {
+            revision: answer.header.revision()?,
+            entries: entries?,
+        })
+    }
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct OpAnswer {
+    response_range: Option<RangeAnswer>,
+}
+
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct TxnAnswer {
+    header: Header,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<OpAnswer>,
+}
+
+impl TryFrom<TxnAnswer> for key_value::Committed {
+    type Error = Error;
+
+    fn try_from(answer: TxnAnswer) -> Result<Self, Error> {
+        let revision = answer.header.revision()?;
+        let ranges = answer
+            .responses
+            .into_iter()
+            .filter_map(|op| op.response_range);
+        let found: Result<Vec<key_value::Found>, _> = ranges.map(TryInto::try_into).collect();
+        // Answers inside a transaction need not repeat its header.
+        let mut found = found?;
+        found.iter_mut().for_each(|found| found.revision = revision);
+        Ok(Self {
+            revision,
+            succeeded: answer.succeeded,
+            found,
+        })
+    }
+}
+
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct LeaseAnswer {
+    #[serde(rename = "ID", with = "text_number")]
+    id: i64,
+    #[serde(rename = "TTL", with = "text_number", default)]
+    ttl: i64,
+}
+
+impl LeaseAnswer {
+    pub(super) fn id(&self) -> key_value::LeaseId {
+        key_value::LeaseId(self.id)
+    }
+
+    /// Time until the lease lapses; `None` if it has.
+    pub(super) fn remaining(&self) -> Option<Duration> {
+        let secs = u64::try_from(self.ttl).ok().filter(|secs| *secs > 0);
+        secs.map(Duration::from_secs)
+    }
+}
+
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct KeepAliveAnswer {
+    pub(super) result: LeaseAnswer,
+}
+
+/// Number that JSON carries as a string.
+mod text_number {
+    use serde::de::Error as _;
+
+    pub(super) fn deserialize<'de, D>(deserializer: D) -> Result<i64, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let text: String = serde::Deserialize::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct Event {
+    #[serde(rename = "type", default)]
+    kind: EventKind,
+    kv: Entry,
+}
+
+impl TryFrom<Event> for key_value::Change {
+    type Error = Error;
+
+    fn try_from(event: Event) -> Result<Self, Error> {
+        let entry = key_value::Entry::try_from(event.kv)?;
+        Ok(match event.kind {
+            EventKind::Put => Self::Put(entry),
+            EventKind::Delete => Self::Deleted {
+                key: entry.key,
+                revision: entry.modified,
+            },
+        })
+    }
+}
+
+/// One message of a watch.
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct WatchMessage {
+    pub(super) result: WatchResult,
+}
+
+#[derive(Debug, serde::Deserialize)]
+pub(super) struct WatchResult {
+    pub(super) header: Header,
+    #[serde(default)]
+    pub(super) created: bool,
+    #[serde(default)]
+    pub(super) canceled: bool,
+    #[serde(default)]
+    events: Vec<Event>,
+}
+
+impl WatchResult {
+    pub(super) fn changes(self) -> Result<Vec<key_value::Change>, Error> {
+        self.events
+            .into_iter()
+            .map(key_value::Change::try_from)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/platform/host_list.rs
@@ -0,0 +1,80 @@
+//! Reads of the platform's host list.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pistachiochute_core::topology;
+
+use crate::platform::http;
+
+/// Longest host list, in bytes.
+const MAX_LIST_BYTES: u64 = 4 << 20;
+
+/// Why the host list could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The platform cannot be reached, or its answer is not whole.
+    Unreachable {
+        /// What went wrong.
+        reason: String,
+    },
+    /// The platform answered with another status than 200.
+    Status(u16),
+    /// The answer is not a host list.
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable { reason } => write!(f, "host list cannot be read: {reason}"),
+            Self::Status(status) => write!(f, "host list answered with status {status}"),
+            Self::Malformed { reason } => write!(f, "host list is malformed: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reader of the host list.
+#[derive(Clone, Copy, Debug)]
+pub struct HostListSource {
+    addr: SocketAddr,
+    timeout: Duration,
+}
+
+impl HostListSource {
+    /// Makes a reader of the host list at `addr` whose reads take `timeout` at most.
+    #[must_use]
+    pub const fn new(addr: SocketAddr, timeout: Duration) -> Self {
+        Self { addr, timeout }
+    }
+
+    /// Reads the host list.
+    ///
+    /// # Errors
+    ///
+    /// The platform cannot be reached, or its answer is cut, larger than 4 MiB or malformed.
+    pub fn read(&self) -> Result<topology::HostList, Error> {
+        let bounds = http::Bounds {
+            total: self.timeout,
+            answer: MAX_LIST_BYTES,
+        };
+        let answer = http::get(self.addr, "/hosts", bounds).map_err(|failure| match failure {
+            http::Failure::NotSent(err) => Error::Unreachable {
+                reason: err.to_string(),
+            },
+            http::Failure::Sent(reason) => Error::Unreachable { reason },
+        })?;
+        if answer.status != 200 {
+            return Err(Error::Status(answer.status));
+        }
+        serde_json::from_slice(&answer.body).map_err(|err| Error::Malformed {
+            reason: err.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/runtime/tests/platform_answers.rs
@@ -0,0 +1,184 @@
+//! Answers of the platform that are cut, endless, oversized or silent are never taken as whole.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use pistachiochute_core::topology;
+use pistachiochute_runtime::platform::host_list;
+use pistachiochute_standins::hosts;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+fn read_head(socket: &mut TcpStream) {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && socket.read(&mut byte).is_ok_and(|read| read == 1) {
+        head.push(byte[0]);
+    }
+}
+
+/// Serves one connection with `raw` and closes it.
+fn serve(raw: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut socket, _) = listener.accept().unwrap();
+        read_head(&mut socket);
+        // The client may give up before the whole answer is written.
+        let written = socket.write_all(&raw);
+        drop(written);
+    });
+    addr
+}
+
+fn read(raw: Vec<u8>) -> Result<topology::HostList, host_list::Error> {
+    host_list::HostListSource::new(serve(raw), TIMEOUT).read()
+}
+
+fn body() -> Vec<u8> {
+    serde_json::to_vec(&topology::HostList {
+        version: 7,
+        ..Default::default()
+    })
+    .unwrap()
+}
+
+fn with_length(len: usize, body: &[u8]) -> Vec<u8> {
+    let mut raw = format!("HTTP/1.1 200 OK\r\ncontent-length: {len}\r\n\r\n").into_bytes();
+    raw.extend_from_slice(body);
+    raw
+}
+
+fn chunked(body: &[u8], end: &[u8]) -> Vec<u8> {
+    let mut raw = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    raw.extend_from_slice(format!("{:x}\r\n", body.len()).as_bytes());
+    raw.extend_from_slice(body);
+    raw.extend_from_slice(end);
+    raw
+}
+
+#[test]
+fn whole_answers_are_read() {
+    let body = body();
+    assert_eq!(read(with_length(body.len(), &body)).unwrap().version, 7);
+    assert_eq!(read(chunked(&body, b"\r\n0\r\n\r\n")).unwrap().version, 7);
+}
+
+/// The body itself is valid JSON, so that only the declared length or the missing last chunk shows
+/// that the answer was cut.
+#[test]
+fn cut_answers_are_refused() {
+    let body = body();
+    let cut = [
+        with_length(body.len() + 1, &body),
+        with_length(body.len(), &body[..body.len() / 2]),
+        chunked(&body, b""),
+        chunked(&body, b"\r\n"),
+        chunked(&body, b"\r\n0\r\n"),
+        b"HTTP/1.1 200 OK\r\ncontent-le".to_vec(),
+        Vec::new(),
+    ];
+    for (i, raw) in cut.into_iter().enumerate() {
+        let err = read(raw).expect_err(&format!("answer {i} was cut"));
+        assert!(
+            matches!(err, host_list::Error::Unreachable { .. }),
+            "answer {i}: {err}"
+        );
+    }
+}
+
+/// A body without a length that ends with its connection is cut at every place.
+#[test]
+fn cut_answers_without_a_length_do_not_parse() {
+    let body = body();
+    let raw = |len: usize| [b"HTTP/1.1 200 OK\r\n\r\n".as_slice(), &body[..len]].concat();
+    for len in 0..body.len() {
+        let err = read(raw(len)).expect_err(&format!("cut after {len} bytes"));
+        assert!(
+            matches!(err, host_list::Error::Malformed { .. }),
+            "{len}: {err}"
+        );
+    }
+    assert_eq!(read(raw(body.len())).unwrap().version, 7);
+}
+
+#[test]
+fn oversized_and_malformed_answers_are_refused() {
+    let large = vec![b' '; 5 << 20];
+    assert!(matches!(
+        read(with_length(large.len(), &large)),
+        Err(host_list::Error::Unreachable { .. })
+    ));
+    assert!(matches!(
+        read(with_length(2, b"{}")),
+        Err(host_list::Error::Malformed { .. })
+    ));
+    let redirect = b"HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n";
+    assert_eq!(read(redirect.to_vec()), Err(host_list::Error::Status(302)));
+}
+
+/// What the HTTP client does by itself with a body that is cut before its declared length. If this
+/// test fails, the client checks the length and the check in the runtime can go.
+#[test]
+fn http_client_takes_a_short_body_as_whole() {
+    let body = body();
+    let addr = serve(with_length(body.len() + 1, &body));
+    let taken = attohttpc::get(format!("http://{addr}/"))
+        .send()
+        .unwrap()
+        .bytes();
+    assert_eq!(taken.unwrap(), body);
+    let addr = serve(chunked(&body, b"\r\n"));
+    assert!(
+        attohttpc::get(format!("http://{addr}/"))
+            .send()
+            .unwrap()
+            .bytes()
+            .is_err()
+    );
+}
+
+#[test]
+fn faults_of_the_host_list() {
+    let list = topology::HostList {
+        version: 3,
+        ..Default::default()
+    };
+    let service = hosts::Hosts::start(Duration::ZERO, list).unwrap();
+    let source = host_list::HostListSource::new(service.addr(), Duration::from_millis(500));
+    assert_eq!(source.read().unwrap().version, 3);
+    service.set_faults(hosts::Faults {
+        cut: true,
+        ..Default::default()
+    });
+    assert!(matches!(
+        source.read(),
+        Err(host_list::Error::Unreachable { .. })
+    ));
+    service.set_faults(hosts::Faults {
+        down: true,
+        ..Default::default()
+    });
+    assert_eq!(source.read(), Err(host_list::Error::Status(503)));
+    service.set_faults(hosts::Faults {
+        stall: true,
+        ..Default::default()
+    });
+    assert!(matches!(
+        source.read(),
+        Err(host_list::Error::Unreachable { .. })
+    ));
+    service.set_faults(hosts::Faults {
+        refuse_connections: true,
+        ..Default::default()
+    });
+    assert!(matches!(
+        source.read(),
+        Err(host_list::Error::Unreachable { .. })
+    ));
+    service.set_faults(hosts::Faults::default());
+    assert_eq!(source.read().unwrap().version, 3);
+    service.close();
+}
