Share the controls of the stand-ins

Cause: address, faults and close stood in five stand-ins. Change: one macro gives them to each; an answer of the engine that is being made is one value.

--- a/crates/standins/src/engine/chat.rs
+++ b/crates/standins/src/engine/chat.rs
@@ -12,6 +12,16 @@
 /// Priority of a request without `x-priority`.
 const DEFAULT_PRIORITY: u8 = 0;
 
+/// An answer that is being made.
+struct Answer<'a> {
+    chat: &'a api::Chat,
+    run: run::Run,
+    /// Prompt tokens that were cached.
+    cached: u64,
+    /// Tokens that have not been sent.
+    left: u64,
+}
+
 /// How the generation of an answer ended.
 enum End {
     Whole,
@@ -112,13 +122,18 @@
             self.read_prompt(chat)
         };
         self.load.generate(chat.prompt_tokens());
-        let mut left = u64::from(chat.total);
+        let mut answer = Answer {
+            chat,
+            run,
+            cached,
+            left: u64::from(chat.total),
+        };
         if chat.stream {
-            self.stream(exchange, chat, run, cached, &mut left);
+            self.stream(exchange, &mut answer);
         } else {
-            self.respond(exchange, chat, run, cached, &mut left);
+            self.respond(exchange, &mut answer);
         }
-        left
+        answer.left
     }
 
     /// Reads the part of the prompt that is not cached. Returns the tokens that were.
@@ -144,19 +159,15 @@
             .map_or(span, |factor| span.mul_f64(factor.max(0.0)))
     }
 
-    fn stream(
-        &self,
-        exchange: server::Exchange,
-        chat: &api::Chat,
-        run: run::Run,
-        cached: u64,
-        left: &mut u64,
-    ) {
+    fn stream(&self, exchange: server::Exchange, answer: &mut Answer<'_>) {
+        let Answer {
+            chat, run, cached, ..
+        } = *answer;
         let Ok(mut body) = exchange.stream("text/event-stream") else {
             self.caller_gone(chat, run);
             return;
         };
-        let end = self.generate(chat, run, left, |number| {
+        let end = self.generate(answer, |number| {
             let delta = if number == 1 {
                 json!({ "role": "assistant", "content": chat.token(run, number) })
             } else {
@@ -190,15 +201,11 @@
         }
     }
 
-    fn respond(
-        &self,
-        exchange: server::Exchange,
-        chat: &api::Chat,
-        run: run::Run,
-        cached: u64,
-        left: &mut u64,
-    ) {
-        let end = self.generate(chat, run, left, |_| Ok(()));
+    fn respond(&self, exchange: server::Exchange, answer: &mut Answer<'_>) {
+        let Answer {
+            chat, run, cached, ..
+        } = *answer;
+        let end = self.generate(answer, |_| Ok(()));
         match end {
             End::Whole => exchange.respond(200, &chat.whole(run, cached)),
             End::Cut => exchange.respond_cut(&chat.whole(run, cached)),
@@ -211,10 +218,11 @@
     }
 
     /// Generates the tokens that the caller has not seen, and hands the number of each to `send`.
-    fn generate<F>(&self, chat: &api::Chat, run: run::Run, left: &mut u64, mut send: F) -> End
+    fn generate<F>(&self, answer: &mut Answer<'_>, mut send: F) -> End
     where
         F: FnMut(u32) -> io::Result<()>,
     {
+        let Answer { chat, run, .. } = *answer;
         let seen = chat.resume_after.unwrap_or(0).min(chat.total);
         for number in seen + 1..=chat.total {
             if let Some(end) = self.fault_end(number - 1 - seen) {
@@ -230,7 +238,7 @@
             }
             self.runs.generate(&chat.id, number);
             self.load.generate(1);
-            *left -= 1;
+            answer.left -= 1;
             if send(number).is_err() {
                 return End::CallerGone;
             }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -141,6 +141,8 @@
     server: server::Server,
 }
 
+server::controls!(Engine, Faults);
+
 impl Engine {
     /// Starts an engine.
     ///
@@ -154,17 +156,6 @@
         Ok(Self { shared, server })
     }
 
-    /// Address of the engine.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
-    }
-
-    /// Replaces the faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.shared.faults.set(self.server.control(), faults);
-    }
-
     /// What the engine has counted.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -176,11 +167,6 @@
     pub fn state(&self) -> State {
         self.shared.orders.state()
     }
-
-    /// Ends the runs and the threads.
-    pub fn close(self) {
-        self.server.close();
-    }
 }
 
 /// State of an engine that its requests share.
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -36,6 +36,8 @@
     server: server::Server,
 }
 
+server::controls!(Hosts, Faults);
+
 impl Hosts {
     /// Starts a host list on a free loopback port.
     ///
@@ -70,12 +72,6 @@
         Ok(Self { shared, server })
     }
 
-    /// Address of the host list.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
-    }
-
     /// Replaces the list; the change becomes visible after the lag.
     pub fn set(&self, list: topology::HostList) {
         sync::lock(&self.shared.lists).set(list);
@@ -97,16 +93,6 @@
     pub fn reads(&self) -> u64 {
         sync::lock(&self.shared.lists).reads
     }
-
-    /// Replaces the faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.shared.faults.set(self.server.control(), faults);
-    }
-
-    /// Ends the threads.
-    pub fn close(self) {
-        self.server.close();
-    }
 }
 
 #[derive(Debug)]
--- a/crates/standins/src/keyvalue/mod.rs
+++ b/crates/standins/src/keyvalue/mod.rs
@@ -82,6 +82,8 @@
     server: server::Server,
 }
 
+server::controls!(KeyValue, Faults);
+
 impl KeyValue {
     /// Starts an empty key-value service on a free loopback port.
     ///
@@ -108,17 +110,6 @@
         Ok(Self { shared, server })
     }
 
-    /// Address of the service.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
-    }
-
-    /// Replaces the faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.shared.faults.set(self.server.control(), faults);
-    }
-
     /// Calls that were counted.
     #[must_use]
     pub fn counters(&self) -> Counters {
@@ -153,11 +144,6 @@
         let revision = i64::try_from(revision).unwrap_or(i64::MAX);
         sync::lock(&self.shared.state).store.compact(revision);
     }
-
-    /// Ends the calls and the threads.
-    pub fn close(self) {
-        self.server.close();
-    }
 }
 
 #[derive(Debug, Default)]
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -20,6 +20,32 @@
 pub(crate) use exchange::{Body, Exchange};
 pub(crate) use switch::{Switch, strike};
 
+/// Gives a stand-in with the fields `server` and `shared` the functions that all have.
+macro_rules! controls {
+    ($name:ident, $faults:ty) => {
+        impl $name {
+            /// Address that the stand-in is bound to.
+            #[must_use]
+            pub fn addr(&self) -> std::net::SocketAddr {
+                self.server.addr()
+            }
+
+            /// Replaces the faults, and waits until connections are refused or accepted as they
+            /// say.
+            pub fn set_faults(&self, faults: $faults) {
+                self.shared.faults.set(self.server.control(), faults);
+            }
+
+            /// Ends the requests under way and the threads.
+            pub fn close(self) {
+                self.server.close();
+            }
+        }
+    };
+}
+
+pub(crate) use controls;
+
 /// Requests that one server handles at once; those beyond are answered 503 before they run.
 const MAX_ACTIVE: usize = 512;
 
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -87,6 +87,8 @@
     server: server::Server,
 }
 
+server::controls!(Service, Faults);
+
 impl Service {
     /// Starts a service.
     ///
@@ -108,27 +110,11 @@
         Ok(Self { shared, server })
     }
 
-    /// Address of the service.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
-    }
-
-    /// Replaces the faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.shared.faults.set(self.server.control(), faults);
-    }
-
     /// What the service has counted.
     #[must_use]
     pub fn counters(&self) -> Counters {
         sync::lock(&self.shared.counters).clone()
     }
-
-    /// Ends the calls and the threads.
-    pub fn close(self) {
-        self.server.close();
-    }
 }
 
 #[derive(Debug)]
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -25,8 +25,8 @@
     pub rate: units::ByteSize,
     /// Longest wait for earlier reads.
     pub max_wait: Duration,
-    /// Whether connections are refused from the start.
-    pub refuse_connections: bool,
+    /// Faults from the start.
+    pub faults: Faults,
 }
 
 impl Default for Settings {
@@ -36,11 +36,19 @@
             models: BTreeMap::new(),
             rate: units::ByteSize(1 << 30),
             max_wait: Duration::ZERO,
-            refuse_connections: false,
+            faults: Faults::default(),
         }
     }
 }
 
+/// Faults of a weight store; the default is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Connections are refused.
+    pub refuse_connections: bool,
+}
+
 /// What a weight store has counted since it started.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -57,6 +65,8 @@
     server: server::Server,
 }
 
+server::controls!(Weights, Faults);
+
 impl Weights {
     /// Starts a weight store.
     ///
@@ -69,35 +79,20 @@
                 free_at: Instant::now(),
                 counters: Counters::default(),
             }),
+            faults: server::Switch::new(cfg.faults, |faults| faults.refuse_connections),
             cfg: cfg.clone(),
             control,
         };
         let (shared, server) = server::Server::start(cfg.listen, make, Shared::handle)?;
-        server.control().set_refusing(cfg.refuse_connections);
+        shared.faults.set(server.control(), cfg.faults);
         Ok(Self { shared, server })
     }
 
-    /// Address of the weight store.
-    #[must_use]
-    pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
-    }
-
-    /// Refuses connections, or accepts them again.
-    pub fn set_refusing(&self, refusing: bool) {
-        self.server.control().set_refusing(refusing);
-    }
-
     /// What the weight store has counted.
     #[must_use]
     pub fn counters(&self) -> Counters {
         sync::lock(&self.shared.state).counters.clone()
     }
-
-    /// Ends the reads and the threads.
-    pub fn close(self) {
-        self.server.close();
-    }
 }
 
 #[derive(Debug)]
@@ -110,6 +105,7 @@
 #[derive(Debug)]
 struct Shared {
     cfg: Settings,
+    faults: server::Switch<Faults>,
     state: Mutex<State>,
     control: Arc<server::Control>,
 }
