Edit the lists by one transaction that resolves lost answers

Cause: two operators may race, and the answer to a write may be lost while the write takes effect later. Change: the layout of the lists in the key-value service, an edit that compares the revisions its author saw and the head, reads back after a lost answer and sends the same transaction again while the head is unchanged, and a resolution that moves the head so that a write still on its way can no longer take effect. The property test delays, loses and races commits and checks that what an edit reports stays true.

--- a/crates/core/src/lists/mod.rs
+++ b/crates/core/src/lists/mod.rs
@@ -1,14 +1,17 @@
 //! The two lists that operators edit: plans and client accounts.
 //!
-//! [`verify`] reads and checks them, and [`replica`] distributes them to every host.
+//! [`verify`] reads and checks them, [`edit`] changes them in the key-value service in the layout
+//! of [`storage`], and [`replica`] distributes them to every host.
 
 mod digest;
+pub mod edit;
 mod finding;
 mod json;
 pub mod message;
 mod model;
 mod read;
 pub mod replica;
+pub mod storage;
 pub mod verify;
 mod version;
 
--- /dev/null
+++ b/crates/core/src/lists/storage.rs
@@ -0,0 +1,316 @@
+//! Keys and values of the lists in the key-value service.
+//!
+//! Each entry is a key, with the revision at which it was last changed. The head holds the
+//! version of the lists, and every edit is one transaction that compares the head, so that the
+//! lists in the store are always whole. The history holds one key for each of the last edits.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use bytes::Bytes;
+use serde::de;
+
+use crate::lists::{self, Account, Change, Delta, Lists, Plan, Snapshot, Version};
+use crate::{name, revision};
+
+/// Prefix of the head and of every entry.
+pub const PREFIX: &str = "/pistachiochute/lists/";
+
+/// Key of the head.
+pub const HEAD: &str = "/pistachiochute/lists/head";
+
+/// Prefix of the history.
+pub const HISTORY: &str = "/pistachiochute/history/";
+
+const ACCOUNTS: &str = "/pistachiochute/lists/accounts/";
+
+const PLANS: &str = "/pistachiochute/lists/plans/";
+
+/// Edits that the history keeps.
+pub const HISTORY_LEN: u64 = 1_024;
+
+/// Id of an edit, a UUIDv7 made by the host that carries it out.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct EditId(pub uuid::Uuid);
+
+impl fmt::Display for EditId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl std::str::FromStr for EditId {
+    type Err = uuid::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// The value of the head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Head {
+    /// Version of the lists.
+    pub version: Version,
+    /// The edit that led to it.
+    pub edit: EditId,
+}
+
+/// An entry and the revision at which it was last changed.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Dated<E> {
+    /// Revision of the last change.
+    pub revision: revision::Revision,
+    /// The entry.
+    pub entry: E,
+}
+
+/// Who made an edit.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Author {
+    /// An operator.
+    Operator(name::OperatorName),
+    /// The fleet itself, when it brings the store up to date or settles an edit.
+    Fleet,
+}
+
+/// An edit in the history.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Id of the edit.
+    pub edit: EditId,
+    /// Who made it.
+    pub author: Author,
+    /// When, in milliseconds of Unix time on the clock of the host that carried it out.
+    pub at_ms: u64,
+    /// What it changed.
+    pub delta: Delta,
+}
+
+/// The lists as the store holds them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// The head, or `None` before the first edit.
+    pub head: Option<Head>,
+    /// Accounts.
+    pub accounts: BTreeMap<name::AccountName, Dated<Account>>,
+    /// Plans.
+    pub plans: BTreeMap<name::PlanName, Dated<Plan>>,
+}
+
+/// A value in the store that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Corrupt {
+    /// Key of the value.
+    pub key: String,
+    /// What is wrong with it.
+    pub cause: String,
+}
+
+impl fmt::Display for Corrupt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "key {} cannot be read: {}", self.key, self.cause)
+    }
+}
+
+impl std::error::Error for Corrupt {}
+
+impl Stored {
+    /// Reads the keys under [`PREFIX`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the first value that cannot be read.
+    pub fn read<'a, I>(entries: I) -> Result<Self, Corrupt>
+    where
+        I: IntoIterator<Item = (&'a [u8], &'a [u8])>,
+    {
+        let mut stored = Self::default();
+        for (key, value) in entries {
+            let key = String::from_utf8_lossy(key);
+            if key == HEAD {
+                stored.head = Some(parse(&key, value)?);
+            } else if let Some(name) = key.strip_prefix(ACCOUNTS) {
+                let name = parse_name(&key, name)?;
+                stored.accounts.insert(name, parse(&key, value)?);
+            } else if let Some(name) = key.strip_prefix(PLANS) {
+                let name = parse_name(&key, name)?;
+                stored.plans.insert(name, parse(&key, value)?);
+            }
+        }
+        Ok(stored)
+    }
+
+    /// Version of the lists.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.head.map_or(Version::NONE, |head| head.version)
+    }
+
+    /// The lists without their revisions.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let accounts = self.accounts.iter();
+        let plans = self.plans.iter();
+        Snapshot {
+            version: self.version(),
+            lists: Lists {
+                accounts: accounts
+                    .map(|(k, v)| (k.clone(), v.entry.clone()))
+                    .collect(),
+                plans: plans.map(|(k, v)| (k.clone(), v.entry.clone())).collect(),
+            },
+        }
+    }
+
+    /// Revision at which the entry of a change was last changed, or `None` if it does not exist.
+    #[must_use]
+    pub fn entry_revision(&self, change: &Change) -> Option<revision::Revision> {
+        match change {
+            Change::PutAccount(name, _) | Change::RemoveAccount(name) => {
+                self.accounts.get(name).map(|dated| dated.revision)
+            }
+            Change::PutPlan(name, _) | Change::RemovePlan(name) => {
+                self.plans.get(name).map(|dated| dated.revision)
+            }
+        }
+    }
+
+    /// The change that would write the entry of another change as it is now.
+    #[must_use]
+    pub fn entry_as_change(&self, change: &Change) -> Change {
+        match change {
+            Change::PutAccount(name, _) | Change::RemoveAccount(name) => {
+                let entry = self.accounts.get(name).map(|dated| dated.entry.clone());
+                entry.map_or_else(
+                    || Change::RemoveAccount(name.clone()),
+                    |entry| Change::PutAccount(name.clone(), entry),
+                )
+            }
+            Change::PutPlan(name, _) | Change::RemovePlan(name) => {
+                let entry = self.plans.get(name).map(|dated| dated.entry.clone());
+                entry.map_or_else(
+                    || Change::RemovePlan(name.clone()),
+                    |entry| Change::PutPlan(name.clone(), entry),
+                )
+            }
+        }
+    }
+}
+
+/// Reads a record of the history.
+///
+/// # Errors
+///
+/// Returns an error if the value is not a record.
+pub fn read_record(key: &[u8], value: &[u8]) -> Result<Record, Corrupt> {
+    parse(&String::from_utf8_lossy(key), value)
+}
+
+/// A write of one key, or its removal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Writes a value.
+    Put(String, Bytes),
+    /// Removes a key.
+    Delete(String),
+}
+
+/// The writes of an edit, which are one transaction that compares the head.
+#[must_use]
+pub fn writes(record: &Record) -> Vec<Write> {
+    let to = record.delta.to;
+    let head = Head {
+        version: to,
+        edit: record.edit,
+    };
+    let changes = record.delta.changes.iter();
+    let mut writes: Vec<_> = changes.map(|change| write(to.revision, change)).collect();
+    writes.push(put(HEAD.to_owned(), &head));
+    writes.push(put(history_key(to.revision), record));
+    if let Some(old) = to.revision.0.checked_sub(HISTORY_LEN) {
+        writes.push(Write::Delete(history_key(revision::Revision(old))));
+    }
+    writes
+}
+
+/// The writes that bring a store up to date that holds other entries.
+#[must_use]
+pub fn repair_writes(stored: &Stored, lists: &Lists, record: &Record) -> Vec<Write> {
+    let revision = record.delta.to.revision;
+    let changes = stored.snapshot().lists.changes_to(lists);
+    let changes = changes.iter().map(|change| write(revision, change));
+    changes.chain(writes(record)).collect()
+}
+
+fn write(revision: revision::Revision, change: &Change) -> Write {
+    match change {
+        Change::PutAccount(name, entry) => put_entry(ACCOUNTS, name.as_str(), revision, entry),
+        Change::PutPlan(name, entry) => put_entry(PLANS, name.as_str(), revision, entry),
+        Change::RemoveAccount(name) => Write::Delete(format!("{ACCOUNTS}{name}")),
+        Change::RemovePlan(name) => Write::Delete(format!("{PLANS}{name}")),
+    }
+}
+
+fn put_entry<E>(prefix: &str, name: &str, revision: revision::Revision, entry: &E) -> Write
+where
+    E: serde::Serialize,
+{
+    put(format!("{prefix}{name}"), &Dated { revision, entry })
+}
+
+fn put<V>(key: String, value: &V) -> Write
+where
+    V: serde::Serialize,
+{
+    // Every value is a struct of names, numbers and texts, which JSON can always hold.
+    Write::Put(key, serde_json::to_vec(value).unwrap_or_default().into())
+}
+
+fn history_key(revision: revision::Revision) -> String {
+    format!("{HISTORY}{:020}", revision.0)
+}
+
+fn parse<V>(key: &str, value: &[u8]) -> Result<V, Corrupt>
+where
+    V: de::DeserializeOwned,
+{
+    serde_json::from_slice(value).map_err(|e| corrupt(key, &e))
+}
+
+fn parse_name<N>(key: &str, name: &str) -> Result<N, Corrupt>
+where
+    N: std::str::FromStr<Err = name::ParseNameError>,
+{
+    name.parse().map_err(|e| corrupt(key, &e))
+}
+
+fn corrupt<E>(key: &str, cause: &E) -> Corrupt
+where
+    E: fmt::Display,
+{
+    Corrupt {
+        key: key.to_owned(),
+        cause: cause.to_string(),
+    }
+}
+
+/// Findings that an edit brings in, beside those that the lists had before.
+#[must_use]
+pub fn new_findings(
+    before: &Lists,
+    after: &Lists,
+    catalog: Option<&lists::verify::Catalog>,
+) -> Vec<lists::Finding> {
+    let known = lists::verify::lists(before, catalog);
+    let mut findings = lists::verify::lists(after, catalog);
+    findings.retain(|finding| !known.contains(finding));
+    findings
+}
--- /dev/null
+++ b/crates/core/tests/lists_edit.rs
@@ -0,0 +1,350 @@
+//! Edits against a store that loses answers, delays writes and moves under them.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use pistachiochute_core::lists::edit::{
+    self, Answer, Base, Cause, Edit, Guard, Outcome, Proposal, Proposals, Resolve, ResolveStep,
+    Resolved, Step,
+};
+use pistachiochute_core::lists::storage::{self, Author, EditId, Record, Stored, Write};
+use pistachiochute_core::lists::{self, Change, Version};
+use pistachiochute_core::revision::Revision;
+use pistachiochute_core::units;
+use proptest::prelude::*;
+
+/// A store with one head whose transactions may be held back.
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (u64, Bytes)>,
+    revision: u64,
+    /// Transactions that are still on their way.
+    delayed: Vec<(Guard, Record)>,
+}
+
+impl Store {
+    fn guard(&self) -> Guard {
+        Guard(
+            self.keys
+                .get(storage::HEAD)
+                .map_or(0, |(modified, _)| *modified),
+        )
+    }
+
+    fn read(&self) -> Stored {
+        let entries = self.keys.iter();
+        Stored::read(entries.map(|(key, (_, value))| (key.as_bytes(), &value[..]))).unwrap()
+    }
+
+    fn history(&self) -> Vec<Record> {
+        let history = self
+            .keys
+            .iter()
+            .filter(|(key, _)| key.starts_with(storage::HISTORY));
+        history
+            .map(|(key, (_, value))| storage::read_record(key.as_bytes(), value).unwrap())
+            .collect()
+    }
+
+    fn commit(&mut self, guard: Guard, record: &Record) -> Answer {
+        if guard != self.guard() {
+            return Answer::Moved;
+        }
+        self.revision += 1;
+        for write in storage::writes(record) {
+            match write {
+                Write::Put(key, value) => self.keys.insert(key, (self.revision, value)),
+                Write::Delete(key) => self.keys.remove(&key),
+            };
+        }
+        Answer::Taken
+    }
+
+    fn deliver_delayed(&mut self) {
+        for (guard, record) in std::mem::take(&mut self.delayed) {
+            self.commit(guard, &record);
+        }
+    }
+
+    fn count(&self, edit: EditId) -> usize {
+        self.history()
+            .iter()
+            .filter(|record| record.edit == edit)
+            .count()
+    }
+}
+
+/// What happens to a call to the store.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    NotSent,
+    /// Takes effect; the answer is lost.
+    AnswerLost,
+    /// Takes effect later, if at all; the answer is lost.
+    Delayed,
+    /// Another operator's edit comes first.
+    Raced,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::NotSent),
+        2 => Just(Fate::AnswerLost),
+        2 => Just(Fate::Delayed),
+        2 => Just(Fate::Raced),
+    ]
+}
+
+type Allowed = fn(&Change) -> bool;
+
+fn every(_: &Change) -> bool {
+    true
+}
+
+fn none(_: &Change) -> bool {
+    false
+}
+
+fn id(n: u128) -> EditId {
+    EditId(uuid::Uuid::from_u128(n))
+}
+
+fn author(name: &str) -> Author {
+    Author::Operator(name.parse().unwrap())
+}
+
+fn plan(weight: u32) -> lists::Plan {
+    lists::Plan {
+        models: vec!["m".parse().unwrap()],
+        services: Vec::new(),
+        requests_per_minute: units::PerMinute(60),
+        tokens_per_minute: units::PerMinute(6_000),
+        in_flight: units::Requests(4),
+        priority: 0,
+        weight,
+        longest_answer: units::Tokens(100),
+    }
+}
+
+fn put(name: &str, weight: u32, base: Base) -> Proposals {
+    let change = Change::PutPlan(name.parse().unwrap(), plan(weight));
+    Proposals::Entries(vec![Proposal { change, base }])
+}
+
+fn run(
+    store: &mut Store,
+    edit: &mut Edit<Allowed>,
+    fates: &mut dyn Iterator<Item = Fate>,
+) -> Outcome {
+    let mut step = Step::Read;
+    let mut raced = 0;
+    loop {
+        let fate = fates.next().unwrap_or(Fate::Answered);
+        let reached = !matches!(fate, Fate::NotSent);
+        step = match step {
+            Step::Done(outcome) => return outcome,
+            Step::Read => {
+                let stored = store.read();
+                edit.read(reached.then_some((store.guard(), &stored)))
+            }
+            Step::ReadBack => {
+                let (stored, history) = (store.read(), store.history());
+                edit.read_back(reached.then_some((store.guard(), &stored, &history[..])))
+            }
+            Step::Commit(guard, record) => match fate {
+                Fate::Answered => edit.committed(store.commit(guard, &record)),
+                Fate::NotSent => edit.committed(Answer::NotSent),
+                Fate::AnswerLost => {
+                    store.commit(guard, &record);
+                    edit.committed(Answer::Unknown)
+                }
+                Fate::Delayed => {
+                    store.delayed.push((guard, record));
+                    edit.committed(Answer::Unknown)
+                }
+                Fate::Raced => {
+                    raced += 1;
+                    let mut other = Edit::new(
+                        id(1_000 + raced),
+                        author("other"),
+                        0,
+                        put("other", raced as u32 + 100, Base::Lists(Revision(u64::MAX))),
+                        every as Allowed,
+                    );
+                    run(store, &mut other, &mut std::iter::empty());
+                    edit.committed(store.commit(guard, &record))
+                }
+            },
+        };
+    }
+}
+
+fn resolve(store: &mut Store, edit: EditId, fence: EditId) -> Resolved {
+    let resolve = Resolve::new(edit, fence, 0);
+    let mut step = ResolveStep::Read;
+    loop {
+        step = match step {
+            ResolveStep::Done(resolved) => return resolved,
+            ResolveStep::Read => {
+                let history = store.history();
+                resolve.read(Some((store.guard(), store.read().version(), &history)))
+            }
+            ResolveStep::Commit(guard, record) => resolve.committed(store.commit(guard, &record)),
+        };
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6564_6974),
+        ..ProptestConfig::default()
+    })]
+
+    /// What an edit reports is true, and stays true when delayed writes arrive afterwards.
+    #[test]
+    fn reports_are_true(fates in proptest::collection::vec(fate(), 0..24)) {
+        let mut store = Store::default();
+        let mut edit =
+            Edit::new(id(7), author("ada"), 0, put("p", 3, Base::Absent), every as Allowed);
+        let outcome = run(&mut store, &mut edit, &mut fates.into_iter());
+        let resolved = match &outcome {
+            Outcome::Unresolved(edit) => Some(resolve(&mut store, *edit, id(8))),
+            _ => None,
+        };
+        store.deliver_delayed();
+        let recorded = match (&outcome, &resolved) {
+            (Outcome::Recorded(_), _) | (_, Some(Resolved::Recorded(_))) => 1,
+            (Outcome::NotRecorded(_), _) | (_, Some(Resolved::NotRecorded)) => 0,
+            other => return Err(TestCaseError::fail(format!("{other:?}"))),
+        };
+        prop_assert_eq!(store.count(id(7)), recorded, "{:?} {:?}", outcome, resolved);
+        let stored = store.read();
+        prop_assert_eq!(stored.plans.contains_key(&"p".parse().unwrap()), recorded == 1);
+    }
+}
+
+fn edit_once(store: &mut Store, n: u128, name: &str, proposals: Proposals) -> Outcome {
+    let mut edit = Edit::new(id(n), author(name), 5, proposals, every as Allowed);
+    run(store, &mut edit, &mut std::iter::empty())
+}
+
+#[test]
+fn racing_operators_get_both_versions_and_lose_nothing() {
+    let mut store = Store::default();
+    let first = edit_once(&mut store, 1, "ada", put("p", 1, Base::Absent));
+    assert!(matches!(first, Outcome::Recorded(_)), "{first:?}");
+    let base = Base::Entry(Revision(1));
+    let ada = edit_once(&mut store, 2, "ada", put("p", 2, base));
+    assert!(matches!(ada, Outcome::Recorded(_)), "{ada:?}");
+    let bob = edit_once(&mut store, 3, "bob", put("p", 3, base));
+    let expected = edit::Conflict {
+        yours: Change::PutPlan("p".parse().unwrap(), plan(3)),
+        theirs: Change::PutPlan("p".parse().unwrap(), plan(2)),
+        revision: Some(Revision(2)),
+    };
+    assert_eq!(bob, Outcome::Conflict(vec![expected]));
+    let other = edit_once(&mut store, 4, "bob", put("q", 3, Base::Absent));
+    assert!(
+        matches!(other, Outcome::Recorded(_)),
+        "an unrelated entry does not conflict"
+    );
+    let authors: Vec<_> = store
+        .history()
+        .into_iter()
+        .map(|record| record.author)
+        .collect();
+    assert_eq!(authors, [author("ada"), author("ada"), author("bob")]);
+}
+
+#[test]
+fn whole_lists_do_not_bring_back_what_was_removed_since() {
+    let mut store = Store::default();
+    edit_once(&mut store, 1, "ada", put("p", 1, Base::Absent));
+    let mine = store.read().snapshot().lists;
+    let remove = Proposal {
+        change: Change::RemovePlan("p".parse().unwrap()),
+        base: Base::Entry(Revision(1)),
+    };
+    edit_once(&mut store, 2, "bob", Proposals::Entries(vec![remove]));
+    let outcome = edit_once(
+        &mut store,
+        3,
+        "ada",
+        Proposals::Whole(mine.clone(), Revision(1)),
+    );
+    assert!(
+        matches!(&outcome, Outcome::Conflict(c) if c.len() == 1),
+        "{outcome:?}"
+    );
+    let outcome = edit_once(&mut store, 4, "ada", Proposals::Whole(mine, Revision(2)));
+    assert!(matches!(outcome, Outcome::Recorded(_)), "{outcome:?}");
+}
+
+#[test]
+fn refuses_what_is_forbidden_invalid_or_behind() {
+    let mut store = Store::default();
+    edit_once(&mut store, 1, "ada", put("p", 1, Base::Absent));
+    let mut edit = Edit::new(
+        id(2),
+        author("bob"),
+        0,
+        put("q", 1, Base::Absent),
+        none as Allowed,
+    );
+    let outcome = run(&mut store, &mut edit, &mut std::iter::empty());
+    assert!(matches!(outcome, Outcome::Forbidden(_)), "{outcome:?}");
+    let account = lists::Account {
+        plan: "none".parse().unwrap(),
+        key_digests: Vec::new(),
+    };
+    let change = Change::PutAccount("a".parse().unwrap(), account);
+    let proposal = Proposal {
+        change,
+        base: Base::Absent,
+    };
+    let outcome = edit_once(&mut store, 3, "ada", Proposals::Entries(vec![proposal]));
+    assert!(
+        matches!(&outcome, Outcome::Invalid(f) if f.len() == 1),
+        "{outcome:?}"
+    );
+    let ahead = Version::NONE.next(Revision(9), &[]);
+    let mut edit = Edit::new(
+        id(4),
+        author("ada"),
+        0,
+        put("q", 1, Base::Absent),
+        every as Allowed,
+    )
+    .with_highest(ahead);
+    let outcome = run(&mut store, &mut edit, &mut std::iter::empty());
+    assert_eq!(outcome, Outcome::NotRecorded(Cause::StoreBehind));
+    assert_eq!(store.history().len(), 1);
+}
+
+#[test]
+fn repair_writes_lead_from_any_store_to_the_lists() {
+    let mut store = Store::default();
+    edit_once(&mut store, 1, "ada", put("p", 1, Base::Absent));
+    let lists = store.read().snapshot().lists;
+    let mut restored = Store::default();
+    edit_once(&mut restored, 2, "bob", put("q", 1, Base::Absent));
+    let record = Record {
+        edit: id(3),
+        author: Author::Fleet,
+        at_ms: 0,
+        delta: lists::Delta::after(store.read().version(), Vec::new()),
+    };
+    let writes = storage::repair_writes(&restored.read(), &lists, &record);
+    for write in writes {
+        match write {
+            Write::Put(key, value) => restored.keys.insert(key, (9, value)),
+            Write::Delete(key) => restored.keys.remove(&key),
+        };
+    }
+    assert_eq!(restored.read().snapshot().lists, lists);
+    assert_eq!(restored.read().version(), record.delta.to);
+}
