--- /dev/null
+++ b/crates/core/src/journal/key.rs
@@ -0,0 +1,149 @@
+//! Idempotency keys, body fingerprints and attempt ids.
+
+use std::fmt;
+
+use sha2::Digest as _;
+
+use crate::name;
+
+const HASH_LEN: usize = 16;
+
+/// Wall-clock time in milliseconds since the Unix epoch.
+///
+/// Used only for the age of keys, which come from callers; hosts agree on it up to the skew that
+/// [`super::Window`] allows for.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// The time that lies `ms` milliseconds later.
+    #[must_use]
+    pub const fn plus(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+}
+
+impl fmt::Display for UnixMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+macro_rules! hash {
+    ($(#[$attr:meta])* $name:ident) => {
+        $(#[$attr])*
+        #[derive(
+            Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize,
+            serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub [u8; HASH_LEN]);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&hex::encode(self.0))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+    };
+}
+
+hash! {
+    /// Hash of the account and its idempotency key. Two accounts never share a record.
+    KeyHash
+}
+hash! {
+    /// Hash of what the action asks for: path and body.
+    Fingerprint
+}
+hash! {
+    /// Id of one attempt to run an action, never used again.
+    AttemptId
+}
+
+/// Hashes parts so that moving a byte from one part to the next changes the hash.
+fn hash_parts(parts: [&[u8]; 2]) -> [u8; HASH_LEN] {
+    let mut hasher = sha2::Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let mut hash = [0; HASH_LEN];
+    hash.copy_from_slice(&digest[..HASH_LEN]);
+    hash
+}
+
+impl Fingerprint {
+    /// Hashes the path and query at the endpoint and the body.
+    #[must_use]
+    pub fn of(path: &[u8], body: &[u8]) -> Self {
+        Self(hash_parts([path, body]))
+    }
+}
+
+impl AttemptId {
+    /// Makes the id from a random UUID.
+    #[must_use]
+    pub const fn new(uuid: uuid::Uuid) -> Self {
+        Self(uuid.into_bytes())
+    }
+}
+
+/// A key that is not a UUIDv7.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ParseKeyError;
+
+impl fmt::Display for ParseKeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an idempotency key is a UUID of version 7")
+    }
+}
+
+impl std::error::Error for ParseKeyError {}
+
+/// Idempotency key of an action as the journal uses it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ActionKey {
+    /// Hash that finds the record.
+    pub hash: KeyHash,
+    /// Time in the key, by the clock of the caller.
+    pub at: UnixMillis,
+}
+
+impl ActionKey {
+    /// Takes the key of a caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the key is not a UUIDv7.
+    pub fn new(account: &name::AccountName, key: uuid::Uuid) -> Result<Self, ParseKeyError> {
+        if key.get_version() != Some(uuid::Version::SortRand) {
+            return Err(ParseKeyError);
+        }
+        let (secs, nanos) = key.get_timestamp().ok_or(ParseKeyError)?.to_unix();
+        let at = secs.saturating_mul(1_000) + u64::from(nanos) / 1_000_000;
+        Ok(Self {
+            hash: KeyHash(hash_parts([account.as_str().as_bytes(), key.as_bytes()])),
+            at: UnixMillis(at),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/journal/outbox.rs
@@ -0,0 +1,68 @@
+//! Outcomes that wait to be recorded in their shard.
+
+use crate::journal::{AttemptId, KeyHash, Shard, State};
+use crate::time;
+
+/// Outcome of an attempt that is not in its record yet.
+#[derive(Clone, Debug, Hash)]
+struct Outcome {
+    key: KeyHash,
+    attempt: AttemptId,
+    state: State,
+}
+
+/// Outcomes that wait to be recorded.
+#[derive(Clone, Debug, Default, Hash)]
+pub(super) struct Outbox {
+    outcomes: Vec<Outcome>,
+    /// When the oldest outcome is written even if no reservation shares its swap.
+    due: time::Time,
+}
+
+impl Outbox {
+    pub(super) fn push(&mut self, key: KeyHash, attempt: AttemptId, state: State, due: time::Time) {
+        if self.outcomes.is_empty() {
+            self.due = due;
+        }
+        self.outcomes.push(Outcome {
+            key,
+            attempt,
+            state,
+        });
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.outcomes.len()
+    }
+
+    /// When the outcomes are written at the latest, if there are any.
+    pub(super) fn due(&self) -> Option<time::Time> {
+        (!self.outcomes.is_empty()).then_some(self.due)
+    }
+
+    pub(super) fn postpone(&mut self, due: time::Time) {
+        self.due = due;
+    }
+
+    /// Drops the outcomes whose reservation is not in the shard: it never took effect, or the
+    /// outcome is in the record already.
+    pub(super) fn keep_open(&mut self, shard: &Shard) {
+        self.outcomes
+            .retain(|outcome| is_reserved_by(shard, &outcome.key, outcome.attempt));
+    }
+
+    /// Writes the outcomes into the shard.
+    pub(super) fn apply(&self, shard: &mut Shard) {
+        for outcome in &self.outcomes {
+            if is_reserved_by(shard, &outcome.key, outcome.attempt) {
+                shard.end(&outcome.key, outcome.state.clone());
+            }
+        }
+    }
+}
+
+fn is_reserved_by(shard: &Shard, key: &KeyHash, attempt: AttemptId) -> bool {
+    shard.get(key).is_some_and(|record| {
+        record.attempt == attempt && matches!(record.state, State::Reserved { .. })
+    })
+}
--- /dev/null
+++ b/crates/core/src/journal/shard.rs
@@ -0,0 +1,194 @@
+//! Content of one shard and its encoding as a value of the key-value service.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+
+use bytes::Bytes;
+
+use crate::journal::{KeyHash, Record, State};
+
+/// Bytes that a record takes up at most, its kept body aside.
+pub const RECORD_COST: usize = 128;
+
+/// Most bytes that the records of a shard take up. A quarter of the value size that the
+/// key-value service takes.
+pub const MAX_SHARD_COST: usize = 256 * 1024;
+
+/// Id of a shard: the segment of key times and the slot of key hashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ShardId {
+    /// Number of the segment of key times.
+    pub segment: u64,
+    /// Number of the slot of key hashes.
+    pub slot: u16,
+}
+
+impl fmt::Display for ShardId {
+    /// Writes the segment in fixed width, so that the order of the texts is that of the ids.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}-{:04x}", self.segment, self.slot)
+    }
+}
+
+/// A text that is not the id of a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParseShardIdError(pub String);
+
+impl fmt::Display for ParseShardIdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:?} is not a shard: segment-slot in hexadecimal",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for ParseShardIdError {}
+
+impl FromStr for ShardId {
+    type Err = ParseShardIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parse = || {
+            let (segment, slot) = text.split_once('-')?;
+            Some(Self {
+                segment: u64::from_str_radix(segment, 16).ok()?,
+                slot: u16::from_str_radix(slot, 16).ok()?,
+            })
+        };
+        parse().ok_or_else(|| ParseShardIdError(text.to_owned()))
+    }
+}
+
+/// Revision of a shard's last change in the key-value service; 0 while the shard does not exist.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ModRevision(pub u64);
+
+impl ModRevision {
+    /// Revision of a shard that does not exist.
+    pub const ABSENT: Self = Self(0);
+}
+
+impl fmt::Display for ModRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// Content of a shard as the key-value service holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Stored {
+    /// Revision of the last change.
+    pub revision: ModRevision,
+    /// The records. Empty if the shard does not exist.
+    pub shard: Shard,
+}
+
+/// A value of the key-value service that is not a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DecodeShardError(pub String);
+
+impl fmt::Display for DecodeShardError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the value is not a shard of the journal: {}", self.0)
+    }
+}
+
+impl std::error::Error for DecodeShardError {}
+
+/// Records of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Shard {
+    records: BTreeMap<KeyHash, Record>,
+}
+
+fn encoding() -> impl bincode::config::Config {
+    bincode::config::standard().with_limit::<MAX_SHARD_COST>()
+}
+
+impl Shard {
+    /// Record of an action.
+    #[must_use]
+    pub fn get(&self, key: &KeyHash) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// Number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Bytes that the records take up at most.
+    #[must_use]
+    pub fn cost(&self) -> usize {
+        self.records.values().map(record_cost).sum()
+    }
+
+    /// Whether a reservation with the given key fits.
+    #[must_use]
+    pub fn has_room(&self, key: &KeyHash) -> bool {
+        self.records.contains_key(key) || self.cost() + RECORD_COST <= MAX_SHARD_COST
+    }
+
+    /// Sets a record.
+    pub(super) fn insert(&mut self, key: KeyHash, record: Record) {
+        self.records.insert(key, record);
+    }
+
+    /// Ends a reservation. Leaves out the answer's body if it does not fit.
+    pub(super) fn end(&mut self, key: &KeyHash, mut state: State) {
+        if let State::Run(recorded) = &mut state
+            && self.cost() + recorded.body_cost() > MAX_SHARD_COST
+        {
+            recorded.without_body();
+        }
+        if let Some(record) = self.records.get_mut(key) {
+            record.state = state;
+        }
+    }
+
+    /// Encodes the records as a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the records are larger than [`MAX_SHARD_COST`].
+    pub fn encode(&self) -> Result<Bytes, DecodeShardError> {
+        bincode::serde::encode_to_vec(self, encoding())
+            .map(Bytes::from)
+            .map_err(|e| DecodeShardError(e.to_string()))
+    }
+
+    /// Decodes the records of a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not exactly the records of one shard.
+    pub fn decode(value: &[u8]) -> Result<Self, DecodeShardError> {
+        let (shard, used) = bincode::serde::decode_from_slice(value, encoding())
+            .map_err(|e| DecodeShardError(e.to_string()))?;
+        if used != value.len() {
+            return Err(DecodeShardError(format!(
+                "{} bytes follow",
+                value.len() - used
+            )));
+        }
+        Ok(shard)
+    }
+}
+
+fn record_cost(record: &Record) -> usize {
+    match &record.state {
+        State::Run(recorded) => RECORD_COST + recorded.body_cost(),
+        State::Reserved { .. } | State::NotRun | State::Unknown => RECORD_COST,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod entity;
+pub mod journal;
 pub mod limits;
 pub mod lists;
 pub mod liveness;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -84,6 +84,8 @@
         StoreUnavailable => "store_unavailable",
         /// The idempotency key is older than the retention window.
         KeyExpired => "key_expired",
+        /// The time in the idempotency key lies too far ahead of the host's clock.
+        KeyAhead => "key_ahead",
         /// The idempotency key is not a UUIDv7.
         KeyInvalid => "key_invalid",
         /// The idempotency key was used with another body.
@@ -92,6 +94,10 @@
         InProgress => "in_progress",
         /// The action of the idempotency key ended without a recorded outcome.
         ActionUnknown => "action_unknown",
+        /// The action of the idempotency key ran, and its answer was too long to be kept.
+        AnswerNotKept => "answer_not_kept",
+        /// The journal of actions holds no more records for the time being.
+        JournalFull => "journal_full",
         /// The host has spent its retry budget.
         RetryBudget => "retry_budget",
         /// The request passed through too many hosts.
@@ -127,12 +133,12 @@
     pub const fn status(self) -> u16 {
         match self {
             Self::BadRequest | Self::BodyTruncated | Self::JsonTooDeep => 400,
-            Self::KeyInvalid | Self::InvalidLists => 400,
+            Self::KeyAhead | Self::KeyInvalid | Self::InvalidLists => 400,
             Self::Unauthorized => 401,
             Self::NotInPlan | Self::Forbidden => 403,
             Self::NotFound => 404,
             Self::MethodNotAllowed => 405,
-            Self::InProgress | Self::EditConflict => 409,
+            Self::InProgress | Self::EditConflict | Self::AnswerNotKept => 409,
             Self::KeyExpired => 410,
             Self::BodyTooLarge => 413,
             Self::KeyReused => 422,
@@ -152,6 +158,7 @@
             | Self::EndpointLeaving
             | Self::NotReady
             | Self::StoreUnavailable
+            | Self::JournalFull
             | Self::RetryBudget
             | Self::HopLimit
             | Self::ConnectFailed
--- /dev/null
+++ b/crates/measure/src/actions/scopes.rs
@@ -0,0 +1,135 @@
+//! Scopes of the bounded exhaustive searches, each round one kind of fault.
+
+use crate::actions::world::Scope;
+
+/// Two hosts and two requests with one key, without faults, while the key is fresh.
+const TWO_OWNERS: Scope = Scope {
+    hosts: 2,
+    keys: 1,
+    begins: 2,
+    reuses: 0,
+    store_faults: 0,
+    endpoint_faults: 0,
+    kills: 0,
+    cancels: 0,
+    phases: &[0],
+};
+
+/// Phases from a fresh key to the deletion of its shard.
+const TO_DELETION: &[usize] = &[0, 2, 3];
+
+/// Phases from a fresh key to the deadline of its attempts.
+const TO_DEADLINE: &[usize] = &[0, 1];
+
+/// Scopes that a debug build searches in seconds.
+pub const SMALL: &[(&str, Scope)] = &[
+    (
+        "lost answers and late writes",
+        Scope {
+            store_faults: 2,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "owner killed",
+        Scope {
+            store_faults: 1,
+            kills: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "repeats and endpoint faults",
+        Scope {
+            begins: 3,
+            endpoint_faults: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "another body",
+        Scope {
+            store_faults: 1,
+            reuses: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "callers that go away",
+        Scope {
+            store_faults: 1,
+            cancels: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "group commit",
+        Scope {
+            keys: 2,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "paused past the deadline",
+        Scope {
+            store_faults: 1,
+            phases: TO_DEADLINE,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "paused past the deletion, clocks skewed",
+        Scope {
+            phases: TO_DELETION,
+            ..TWO_OWNERS
+        },
+    ),
+];
+
+/// Scopes that a release build searches in tens of seconds.
+pub const LARGE: &[(&str, Scope)] = &[
+    (
+        "three lost answers or late writes",
+        Scope {
+            store_faults: 3,
+            endpoint_faults: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "owners killed, repeats",
+        Scope {
+            begins: 3,
+            store_faults: 1,
+            kills: 1,
+            endpoint_faults: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "three owners",
+        Scope {
+            hosts: 3,
+            begins: 3,
+            store_faults: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "group commit with lost answers",
+        Scope {
+            keys: 2,
+            begins: 3,
+            store_faults: 1,
+            ..TWO_OWNERS
+        },
+    ),
+    (
+        "late writes past the deletion, clocks skewed",
+        Scope {
+            store_faults: 1,
+            phases: TO_DELETION,
+            ..TWO_OWNERS
+        },
+    ),
+];
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,5 +3,6 @@
 //! Every measurement drives the state machines of `pistachiochute-core` with a fixed seed and
 //! counts events, never wall-clock time, so that a run gives the same verdict each time.
 
+pub mod actions;
 pub mod bounds;
 pub mod figure;
