Add a relay that cuts and forgets connections

Cause: tests need a network between two ends that can be cut, and one that forgets connections. Change: a TCP relay with cut, heal and forget, which counts the bytes that pass.

--- /dev/null
+++ b/crates/standins/src/relay.rs
@@ -0,0 +1,223 @@
+//! TCP relay that stands for the network between two ends.
+//!
+//! It can cut the ends off from each other, and it can forget the connections that are
+//! established: their bytes vanish, neither end is told, and new connections work.
+
+use std::io::{Read as _, Write as _};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+
+use crate::sync;
+
+/// Pause between two looks at the listening socket.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
+
+/// Bytes that are read at once.
+const BUFFER_LEN: usize = 16 * 1024;
+
+/// A running relay.
+#[derive(Debug)]
+pub struct Relay {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    thread: thread::JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: SocketAddr,
+    closing: AtomicBool,
+    /// Whether connections are refused.
+    cut: AtomicBool,
+    /// Bytes passed on, in both directions.
+    bytes: AtomicU64,
+    connections: Mutex<Vec<Connection>>,
+}
+
+/// The two sockets of one connection.
+#[derive(Debug)]
+struct Connection {
+    sockets: [TcpStream; 2],
+    forgotten: Arc<AtomicBool>,
+    /// Whether one direction has ended.
+    ended: Arc<AtomicBool>,
+}
+
+impl Connection {
+    fn close(&self) {
+        for socket in &self.sockets {
+            // The other end may have closed it.
+            let closed = socket.shutdown(Shutdown::Both);
+            drop(closed);
+        }
+    }
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// No address can be bound or a thread cannot be started.
+    pub fn start(target: SocketAddr) -> eyre::Result<Self> {
+        let listener =
+            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).wrap_err("cannot bind a relay")?;
+        let addr = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let shared = Arc::new(Shared {
+            target,
+            closing: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
+            bytes: AtomicU64::new(0),
+            connections: Mutex::default(),
+        });
+        let thread = {
+            let shared = Arc::clone(&shared);
+            thread::Builder::new()
+                .name("relay".to_owned())
+                .spawn(move || shared.accept(addr, listener))?
+        };
+        Ok(Self {
+            addr,
+            shared,
+            thread,
+        })
+    }
+
+    /// Address that stands for the target.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Bytes passed on in both directions since the start.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub fn cut(&self) {
+        self.shared.cut.store(true, Ordering::Release);
+        self.wait_for(false);
+        self.shared.close_connections();
+    }
+
+    /// Takes connections again.
+    pub fn heal(&self) {
+        self.shared.cut.store(false, Ordering::Release);
+        self.wait_for(true);
+    }
+
+    /// Discards all further bytes of the connections that are established, and keeps them open.
+    pub fn forget(&self) {
+        for connection in sync::lock(&self.shared.connections).iter() {
+            connection.forgotten.store(true, Ordering::Release);
+        }
+    }
+
+    fn wait_for(&self, open: bool) {
+        while TcpStream::connect(self.addr).is_ok() != open {
+            thread::sleep(ACCEPT_PAUSE);
+        }
+    }
+
+    /// Closes all connections and ends the threads.
+    pub fn close(self) {
+        self.shared.closing.store(true, Ordering::Release);
+        let joined = self.thread.join();
+        drop(joined);
+        self.shared.close_connections();
+    }
+}
+
+impl Shared {
+    fn accept(self: Arc<Self>, addr: SocketAddr, first: TcpListener) {
+        let mut listener = Some(first);
+        while !self.closing.load(Ordering::Acquire) {
+            if self.cut.load(Ordering::Acquire) {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(addr).ok();
+                listener
+                    .iter()
+                    .for_each(|listener| drop(listener.set_nonblocking(true)));
+            }
+            match listener.as_ref().map(TcpListener::accept) {
+                Some(Ok((socket, _))) => self.connect(socket),
+                _ => thread::sleep(ACCEPT_PAUSE),
+            }
+        }
+    }
+
+    /// Connects a socket to the target. It is closed if the target refuses.
+    fn connect(self: &Arc<Self>, near: TcpStream) {
+        let Ok(connection) = self.pair(near) else {
+            return;
+        };
+        let mut connections = sync::lock(&self.connections);
+        connections.retain(|connection| !connection.ended.load(Ordering::Relaxed));
+        connections.push(connection);
+    }
+
+    fn pair(self: &Arc<Self>, near: TcpStream) -> std::io::Result<Connection> {
+        let far = TcpStream::connect(self.target)?;
+        for socket in [&near, &far] {
+            socket.set_nonblocking(false)?;
+            socket.set_nodelay(true)?;
+        }
+        let connection = Connection {
+            sockets: [near.try_clone()?, far.try_clone()?],
+            forgotten: Arc::default(),
+            ended: Arc::default(),
+        };
+        self.copy(near.try_clone()?, far.try_clone()?, &connection)?;
+        self.copy(far, near, &connection)?;
+        Ok(connection)
+    }
+
+    /// Copies one direction on a thread of its own.
+    fn copy(
+        self: &Arc<Self>,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        connection: &Connection,
+    ) -> std::io::Result<()> {
+        let shared = Arc::clone(self);
+        let forgotten = Arc::clone(&connection.forgotten);
+        let ended = Arc::clone(&connection.ended);
+        let copying = move || {
+            let mut buf = vec![0; BUFFER_LEN];
+            while let Ok(len @ 1..) = from.read(&mut buf) {
+                if forgotten.load(Ordering::Acquire) {
+                    continue;
+                }
+                if to.write_all(&buf[..len]).is_err() {
+                    break;
+                }
+                shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
+            }
+            if !forgotten.load(Ordering::Acquire) {
+                // The end of one direction is passed on, unless the relay has forgotten it.
+                let shut = to.shutdown(Shutdown::Write);
+                drop(shut);
+                ended.store(true, Ordering::Relaxed);
+            }
+        };
+        thread::Builder::new()
+            .name("relay-copy".to_owned())
+            .spawn(copying)?;
+        Ok(())
+    }
+
+    fn close_connections(&self) {
+        for connection in sync::lock(&self.connections).drain(..) {
+            connection.close();
+        }
+    }
+}
