Resume a silent engine without competing attempts

Cause: an engine that went silent mid-stream was resumed by its owner and, at the same moment, by the entry host, whose deadline for the link was the same. Change: the deadline of a link is longer than that of an endpoint by the time to resume there, and a receiver that goes away ends the call by closing its connection, which stops the engine, instead of a cancel by request id. Ruled out: the engine itself, whose own test takes a silent stream over as one run.

--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -63,7 +63,7 @@
                         used: progress.used,
                     };
                 }
-                Err(Stop::Gone) => return self.gone(),
+                Err(Stop::Gone) => return gone(),
                 Err(Stop::Failed(failure)) => return endpoint::Ended::Failed(failure),
                 Err(Stop::Cut(reason)) => {
                     resumes += 1;
@@ -77,12 +77,6 @@
         }
     }
 
-    fn gone(&self) -> endpoint::Ended {
-        endpoint::cancel(self.addr, self.head.request, self.timeouts);
-        let reason = reason::Refusal::CallerGone;
-        endpoint::Ended::Failed(endpoint::Failure::new(reason, outcome::Outcome::Run))
-    }
-
     fn attempt(&self, pieces: &mut pieces::Pieces, progress: &mut Progress) -> Result<(), Stop> {
         let response = self.send(progress.after)?;
         let status = response.status().as_u16();
@@ -130,6 +124,15 @@
     }
 }
 
+/// Ends the call of a receiver that went away.
+///
+/// Closing the connection stops the engine. A cancel by the id of the request could reach it after
+/// a newer attempt has taken the same run over, and would end that one.
+const fn gone() -> endpoint::Ended {
+    let reason = reason::Refusal::CallerGone;
+    endpoint::Ended::Failed(endpoint::Failure::new(reason, outcome::Outcome::Run))
+}
+
 /// How far the answer has come.
 struct Progress {
     /// Id of the last whole event.
--- a/crates/runtime/src/endpoint/mod.rs
+++ b/crates/runtime/src/endpoint/mod.rs
@@ -8,10 +8,9 @@
 mod events;
 mod pieces;
 
-use std::net;
 use std::time::Duration;
 
-use pistachiochute_core::{outcome, reason, request, units};
+use pistachiochute_core::{outcome, reason, units};
 
 pub use call::Call;
 pub use pieces::{Gone, Pieces};
@@ -69,13 +68,3 @@
         }
     }
 }
-
-/// Asks an endpoint to stop working on a request whose caller went away.
-///
-/// The result is not used: an endpoint that cannot be reached finishes the request by itself.
-pub fn cancel(addr: net::SocketAddr, request: request::RequestId, timeouts: Timeouts) {
-    let _ = attohttpc::delete(format!("http://{addr}/v1/requests/{request}"))
-        .connect_timeout(timeouts.connect)
-        .read_timeout(timeouts.connect)
-        .send();
-}
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -171,12 +171,20 @@
     }
 }
 
+/// Silence after which a forwarded request has stalled.
+///
+/// It is longer than that of an endpoint by the time in which the owner resumes there, so that the
+/// sender does not start an attempt that competes with the owner's for the same answer.
+fn link_stall(timeouts: &settings::Timeouts) -> Duration {
+    2 * timeouts.stall + timeouts.connect
+}
+
 fn link_config(settings: &settings::Settings) -> link::Config {
     link::Config {
         secret: Bytes::copy_from_slice(settings.credentials.link.as_bytes()),
         connect: settings.timeouts.connect,
         ping: settings.timeouts.ping,
-        stall: settings.timeouts.stall,
+        stall: link_stall(&settings.timeouts),
         body_max: settings.bounds.body.0 as usize,
     }
 }
