Add the demo and the load tool

A newcomer should see the main job done with one command. demo starts stand-ins and six hosts in three failure domains as threads of one process and plays scenes whose outcomes it states: returning chats find their prefix, tokens stream, a plan's bounds hold, an engine that leaves gets no new work after 3 s and its chats back later, and a planned stop cuts nothing off. load sends open-loop arrivals with returning chats and a surge, and counts every outcome; latencies count from the planned arrival.

--- /dev/null
+++ b/crates/cli/src/demo/fleet.rs
@@ -0,0 +1,298 @@
+//! The fleet of the demo.
+
+use std::net;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::entity::Entity as _;
+use pistachiochute_core::{entity, lists, revision, topology};
+use pistachiochute_runtime::{host, metrics, settings};
+use pistachiochute_standins::{engine, hosts, keyvalue};
+use serde_json::{Value, json};
+
+/// API key of the demo's account.
+pub(super) const KEY: &str = "demo-key-of-the-farm";
+
+/// Model that every engine serves.
+pub(super) const MODEL: &str = "reader";
+
+/// Failure domains.
+const DOMAINS: usize = 3;
+
+/// Entry hosts of each failure domain.
+const HOSTS: usize = 2;
+
+/// Engines of each failure domain.
+const ENGINES: usize = 2;
+
+/// Time to generate one token.
+pub(super) const TOKEN_TIME: Duration = Duration::from_millis(10);
+
+/// Time until a change of the host list can be read.
+const HOST_LIST_LAG: Duration = Duration::from_millis(300);
+
+/// Revision of the lists of the demo.
+const LISTS_REVISION: revision::Revision = revision::Revision(1);
+
+/// Offset of the ports for operators from those for callers.
+const ADMIN_PORTS: u16 = 10;
+
+/// Offset of the ports for links from those for callers.
+const LINK_PORTS: u16 = 20;
+
+/// Offset of the ports of the platform from those for callers.
+const PLATFORM_PORTS: u16 = 30;
+
+/// A host of the fleet.
+#[derive(Debug)]
+struct Member {
+    /// Settings with the addresses that were bound, so that the host can start again on them.
+    settings: settings::Settings,
+    /// The host, unless it was stopped.
+    host: Option<host::Host>,
+}
+
+/// Hosts with the stand-ins that they use.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    members: Vec<Member>,
+    engines: Vec<engine::Engine>,
+    key_value: keyvalue::KeyValue,
+    host_list: hosts::Hosts,
+    list: topology::HostList,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and the hosts. With port 0 every address is a free one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the part that cannot start.
+    pub(super) fn start(port: u16) -> eyre::Result<Self> {
+        let key_value = keyvalue::KeyValue::start_on(local(port, PLATFORM_PORTS))?;
+        let engines: eyre::Result<Vec<_>> =
+            (0..DOMAINS * ENGINES).map(|_| start_engine()).collect();
+        let engines = engines?;
+        let mut list = host_list(&engines)?;
+        let host_list = hosts::Hosts::start_on(
+            local(port, PLATFORM_PORTS + 1),
+            HOST_LIST_LAG,
+            topology::HostList::default(),
+        )?;
+        let mut members = Vec::new();
+        for number in 0..DOMAINS * HOSTS {
+            let settings = host_settings(port, number, key_value.addr(), host_list.addr())?;
+            let member = Member::start(settings)?;
+            list.hosts.push(entry(number, member.settings.listen.links));
+            members.push(member);
+        }
+        let fleet = Self {
+            members,
+            engines,
+            key_value,
+            host_list,
+            list,
+        };
+        fleet.announce();
+        fleet.set_lists()?;
+        Ok(fleet)
+    }
+
+    /// Address for callers of a host.
+    pub(super) fn callers(&self, number: usize) -> net::SocketAddr {
+        self.members[number % self.members.len()]
+            .settings
+            .listen
+            .callers
+    }
+
+    /// Number of hosts.
+    pub(super) fn hosts(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Runs of each engine so far.
+    pub(super) fn runs(&self) -> Vec<usize> {
+        let runs = |engine: &engine::Engine| engine.counters().runs.len();
+        self.engines.iter().map(runs).collect()
+    }
+
+    /// Shows an engine as live or leaving in the host list.
+    pub(super) fn set_presence(&mut self, engine: usize, presence: topology::Presence) {
+        self.list.endpoints[engine].presence = presence;
+        self.list.version += 1;
+        self.announce();
+    }
+
+    /// Stops a host as planned and returns how its drain ended, or `None` if it was stopped.
+    pub(super) fn stop(&mut self, number: usize) -> Option<host::Drained> {
+        let host = self.members[number].host.take()?;
+        let drained = host.drain();
+        host.close();
+        Some(drained)
+    }
+
+    /// Starts a host again that was stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host cannot start.
+    pub(super) fn restart(&mut self, number: usize) -> eyre::Result<()> {
+        self.members[number] = Member::start(self.members[number].settings.clone())?;
+        self.announce();
+        self.set_lists()
+    }
+
+    /// Gives the host list to the stand-in and to every host.
+    fn announce(&self) {
+        self.host_list.set(self.list.clone());
+        for host in self
+            .members
+            .iter()
+            .filter_map(|member| member.host.as_ref())
+        {
+            host.control().host_list(self.list.clone());
+        }
+    }
+
+    /// Puts the lists in force on every host.
+    fn set_lists(&self) -> eyre::Result<()> {
+        let lists = Arc::new(lists()?);
+        for host in self
+            .members
+            .iter()
+            .filter_map(|member| member.host.as_ref())
+        {
+            host.control().lists(LISTS_REVISION, Arc::clone(&lists));
+        }
+        Ok(())
+    }
+
+    /// Ends the hosts and the stand-ins.
+    pub(super) fn close(self) {
+        for member in self.members {
+            if let Some(host) = member.host {
+                host.close();
+            }
+        }
+        for engine in self.engines {
+            engine.close();
+        }
+        self.host_list.close();
+        self.key_value.close();
+    }
+}
+
+impl Member {
+    fn start(mut settings: settings::Settings) -> eyre::Result<Self> {
+        let sockets = host::Sockets::bind(&settings.listen)?;
+        settings.listen.callers = sockets.callers.local_addr()?;
+        settings.listen.links = sockets.links.local_addr()?;
+        let metrics = metrics::Metrics::new()?;
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let host = host::Host::start(settings.clone(), sockets, metrics, log)?;
+        Ok(Self {
+            settings,
+            host: Some(host),
+        })
+    }
+}
+
+/// Loopback address at an offset from the first port, or at a free port.
+fn local(port: u16, offset: u16) -> net::SocketAddr {
+    let port = if port == 0 {
+        0
+    } else {
+        port.saturating_add(offset)
+    };
+    net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port))
+}
+
+fn host_settings(
+    port: u16,
+    number: usize,
+    key_value: net::SocketAddr,
+    host_list: net::SocketAddr,
+) -> eyre::Result<settings::Settings> {
+    let offset = number as u16;
+    let document = json!({
+        "host": {
+            "id": entity::HostId::from_index(number),
+            "domain": entity::DomainId::from_index(number / HOSTS),
+            "region": entity::RegionId::from_index(0),
+        },
+        "listen": {
+            "callers": local(port, offset),
+            "admin": local(port, ADMIN_PORTS + offset),
+            "links": local(port, LINK_PORTS + offset),
+        },
+        "platform": { "key_value": [key_value], "host_list": host_list },
+        "credentials": { "link": "a secret that only the demo uses", "operators": [] },
+    });
+    settings::Settings::parse(&document.to_string()).map_err(|findings| {
+        let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
+        eyre::eyre!("settings of the demo: {}", findings.join("; "))
+    })
+}
+
+fn start_engine() -> eyre::Result<engine::Engine> {
+    engine::Engine::start(engine::Settings {
+        models: vec![MODEL.parse()?],
+        token_time: TOKEN_TIME,
+        ..engine::Settings::default()
+    })
+}
+
+fn host_list(engines: &[engine::Engine]) -> eyre::Result<topology::HostList> {
+    let region = entity::RegionId::from_index(0);
+    let domain = |d| topology::Domain {
+        id: entity::DomainId::from_index(d),
+        region,
+    };
+    let endpoint = |(number, engine): (usize, &engine::Engine)| -> eyre::Result<_> {
+        Ok(topology::Endpoint {
+            id: entity::EndpointId::from_index(number),
+            domain: entity::DomainId::from_index(number / ENGINES),
+            addr: engine.addr(),
+            serves: topology::Serves::Engine {
+                models: vec![MODEL.parse()?],
+            },
+            slots: engine::Settings::default().slots,
+            presence: topology::Presence::Live,
+        })
+    };
+    let endpoints: eyre::Result<_> = engines.iter().enumerate().map(endpoint).collect();
+    Ok(topology::HostList {
+        version: 1,
+        domains: (0..DOMAINS).map(domain).collect(),
+        hosts: Vec::new(),
+        endpoints: endpoints?,
+    })
+}
+
+fn entry(number: usize, links: net::SocketAddr) -> topology::Host {
+    topology::Host {
+        id: entity::HostId::from_index(number),
+        domain: entity::DomainId::from_index(number / HOSTS),
+        addr: links,
+        presence: topology::Presence::Live,
+    }
+}
+
+/// The two lists: one account with a plan that allows [`MODEL`].
+fn lists() -> eyre::Result<lists::Lists> {
+    let digest = lists::KeyDigest::of(KEY.as_bytes());
+    let document: Value = json!({
+        "accounts": { "farm": { "plan": "basic", "key_digests": [digest] } },
+        "plans": {
+            "basic": {
+                "models": [MODEL],
+                "requests_per_minute": 60_000,
+                "tokens_per_minute": 60_000_000,
+                "in_flight": 64,
+                "longest_answer": 4_096,
+            },
+        },
+    });
+    Ok(serde_json::from_value(document)?)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,7 +5,10 @@
 
 mod case;
 mod check;
+mod client;
 mod completions;
+mod demo;
+mod load;
 mod table;
 
 use std::process;
@@ -35,15 +38,19 @@
         .about("Router fleet for very many returning chats")
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(demo::command())
         .subcommand(check::command())
         .subcommand(case::command())
+        .subcommand(load::command())
         .subcommand(completions::command())
 }
 
 fn run(matches: &clap::ArgMatches) -> eyre::Result<process::ExitCode> {
     match matches.subcommand() {
+        Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
         Some(("case", matches)) => case::run(matches),
+        Some(("load", matches)) => load::run(matches),
         Some(("completions", matches)) => completions::run(matches, command()),
         _ => unreachable!("clap requires one of the subcommands"),
     }
--- /dev/null
+++ b/crates/cli/tests/demo.rs
@@ -0,0 +1,115 @@
+//! The demo comes out as stated, and the load tool sends its load to a demo that stays up.
+
+use std::io::{BufRead as _, BufReader};
+use std::process;
+
+use serde_json::Value;
+
+fn program() -> process::Command {
+    process::Command::new(env!("CARGO_BIN_EXE_pistachiochute"))
+}
+
+#[test]
+fn every_scene_comes_out_as_stated() {
+    let output = program().args(["demo", "--json"]).output().unwrap();
+    let scenes: Vec<Value> = serde_json::from_slice(&output.stdout).unwrap();
+    for scene in &scenes {
+        assert_eq!(scene["ok"], true, "{scene}");
+    }
+    assert!(scenes.len() >= 6);
+    assert_eq!(output.status.code(), Some(0));
+}
+
+/// A demo that stays up.
+struct Stay {
+    child: process::Child,
+    addr: String,
+    key: String,
+}
+
+impl Stay {
+    fn start() -> Self {
+        let mut child = program()
+            .args(["demo", "--stay", "--port", "0"])
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let mut lines = lines.map(Result::unwrap);
+        let curl = lines
+            .find(|line| line.starts_with("curl"))
+            .expect("a request to try");
+        let between = |from: &str, to: &str| {
+            let rest = curl.split_once(from).unwrap().1;
+            rest.split_once(to).unwrap().0.to_owned()
+        };
+        Self {
+            child,
+            addr: between("http://", "/"),
+            key: between("Bearer ", "'"),
+        }
+    }
+
+    fn load(&self, args: &[&str]) -> Value {
+        let output = program()
+            .args([
+                "load", "--json", "--model", "reader", "--target", &self.addr,
+            ])
+            .args(["--key", &self.key])
+            .args(args)
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(0));
+        serde_json::from_slice(&output.stdout).unwrap()
+    }
+
+    fn close(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+}
+
+#[test]
+fn load_counts_every_request() {
+    let stay = Stay::start();
+    let report = stay.load(&["--rate", "20", "--duration", "2", "--answer-tokens", "4"]);
+    let sent = report["sent"].as_u64().unwrap();
+    assert!(sent > 10, "{report}");
+    assert_eq!(report["whole"], sent, "{report}");
+    assert_eq!(report["first_token_ms"]["count"], sent);
+    assert_eq!(report["token_gap_ms"]["count"], 3 * sent);
+    assert!(report["cached_share"].as_f64().unwrap() > 0.0, "{report}");
+
+    // The same seed sends the same number of requests.
+    let again = stay.load(&["--rate", "20", "--duration", "2", "--answer-tokens", "4"]);
+    assert_eq!(again["sent"], sent);
+
+    let report = stay.load(&["--rate", "20", "--duration", "1", "--key", "no-such-key"]);
+    let refused = &report["refused"][0];
+    assert_eq!(refused["reason"], "unauthorized", "{report}");
+    assert_eq!(refused["outcome"], "not_run", "{report}");
+    let counted = report["whole"].as_u64().unwrap() + refused["count"].as_u64().unwrap();
+    assert_eq!(report["sent"], counted, "{report}");
+    stay.close();
+}
+
+#[test]
+fn load_without_a_fleet_counts_unreachable() {
+    let output = program()
+        .args([
+            "load",
+            "--json",
+            "--model",
+            "m",
+            "--target",
+            "127.0.0.1:1",
+            "--key",
+            "k",
+        ])
+        .args(["--rate", "50", "--duration", "0.5"])
+        .output()
+        .unwrap();
+    let report: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(report["unreachable"], report["sent"]);
+    assert!(report["sent"].as_u64().unwrap() > 0);
+}
