Membership of hosts and endpoints over the links

Cause: the host list lags, so a dead or leaving host or endpoint kept getting work until the list showed it. Change: core::membership (ring probes, suspicion, incarnations, leaving, flap damping, reach of other domains), control messages between hosts, the poll of the host list, and hand-over of endpoints on a drain or a loss. Ruled out: suspecting hosts of other domains, which a cut link would turn into hundreds of false suspicions; each domain judges its own hosts.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lists;
 pub mod liveness;
 pub mod map;
+pub mod membership;
 pub mod name;
 pub mod outcome;
 pub mod owner;
--- /dev/null
+++ b/crates/core/src/membership/ring.rs
@@ -0,0 +1,61 @@
+//! Neighbours on the ring of the hosts of a failure domain.
+
+use smallvec::SmallVec;
+
+use crate::{entity, routing::rendezvous};
+
+/// Keeps the order of the ring apart from the order of owners and chats.
+const RING_KEY: u64 = 0x7269_6e67;
+
+/// Hosts at chosen distances on a ring.
+pub type Neighbours = SmallVec<[entity::HostId; 8]>;
+
+/// Hosts of a failure domain in an order that every host computes alike.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    /// Invariant: without repeats, in the order of their hash.
+    order: Vec<entity::HostId>,
+}
+
+impl Ring {
+    /// Makes the ring of the given hosts.
+    pub fn new<I>(hosts: I) -> Self
+    where
+        I: IntoIterator<Item = entity::HostId>,
+    {
+        let mut order: Vec<_> = hosts.into_iter().collect();
+        order.sort_unstable_by_key(|host| (rendezvous::score(RING_KEY, host.as_u32()), *host));
+        order.dedup();
+        Self { order }
+    }
+
+    /// Number of hosts.
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// The `count` hosts that follow `host`, without itself.
+    pub fn successors(&self, host: entity::HostId, count: usize) -> Neighbours {
+        let count = count.min(self.order.len().saturating_sub(1));
+        self.at(host, 1..=count)
+    }
+
+    /// Hosts at the distances 1, 2, 4 and so on after `host`.
+    pub fn fingers(&self, host: entity::HostId) -> Neighbours {
+        let len = self.order.len();
+        let distances = (0..usize::BITS).map(|bit| 1_usize << bit);
+        self.at(host, distances.take_while(|&distance| distance < len))
+    }
+
+    fn at<I>(&self, host: entity::HostId, distances: I) -> Neighbours
+    where
+        I: Iterator<Item = usize>,
+    {
+        let Some(place) = self.order.iter().position(|&other| other == host) else {
+            return Neighbours::new();
+        };
+        distances
+            .map(|distance| self.order[(place + distance) % self.order.len()])
+            .collect()
+    }
+}
--- a/crates/core/src/owner/mod.rs
+++ b/crates/core/src/owner/mod.rs
@@ -188,6 +188,15 @@
             .collect()
     }
 
+    /// Number of endpoints that the host takes new work for.
+    #[must_use]
+    pub fn open_endpoints(&self) -> usize {
+        self.stations
+            .values()
+            .filter(|station| station.is_open())
+            .count()
+    }
+
     /// Loads of the owned endpoints.
     pub fn loads(&self) -> impl Iterator<Item = (entity::EndpointId, units::Tokens)> {
         self.stations
--- a/crates/messages/src/codec.rs
+++ b/crates/messages/src/codec.rs
@@ -73,6 +73,25 @@
     }
 }
 
+/// Decodes bytes that are exactly one frame.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not one whole frame of the type.
+pub fn decode_frame<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let mut decoder = Decoder::new();
+    decoder.extend(bytes);
+    let cut = || Error::Malformed("frame is cut".to_owned());
+    let value = decoder.take()?.ok_or_else(cut)?;
+    match decoder.is_empty() {
+        true => Ok(value),
+        false => Err(Error::Trailing(decoder.take_rest().len())),
+    }
+}
+
 /// Collects received bytes and splits them into frames.
 #[derive(Debug, Default)]
 pub struct Decoder {
--- /dev/null
+++ b/crates/messages/src/control.rs
@@ -0,0 +1,10 @@
+//! Control messages between hosts. Each is answered by one message of the same kind.
+
+use pistachiochute_core::membership;
+
+/// A control message, or the answer to one.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Message {
+    /// A probe of the membership.
+    Probe(membership::Probe),
+}
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Hosts speak h2. A forwarded request is one stream: the request body is a [`forward::Forward`]
 //! frame followed by the caller's body, and the response body is a sequence of
-//! [`answer::Frame`](pistachiochute_core::answer::Frame)s. Control messages are one stream each, a frame in each direction.
+//! [`answer::Frame`](pistachiochute_core::answer::Frame)s. A [`control::Message`] is one stream, a frame in each direction.
 
 pub mod codec;
+pub mod control;
 pub mod forward;
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 mod arrive;
 mod offer;
+mod peers;
 mod state;
 
 use std::net;
@@ -12,14 +13,16 @@
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use crossbeam::channel;
 use pistachiochute_core::{
     entity, lists, name, owner, reason, request, retry, revision, time, topology, units,
 };
-use pistachiochute_messages::forward;
+use pistachiochute_messages::{control, forward};
 use smallvec::SmallVec;
+use tokio::sync::oneshot;
 
-use crate::{clock, entry::call, metrics, settings};
+use crate::{clock, entry::call, link, metrics, settings};
 
 /// Commands that may wait for the control thread.
 const COMMAND_BUFFER: usize = 4096;
@@ -110,6 +113,8 @@
     pub arrived: usize,
     /// Work that runs and waits at the endpoints that the host owns.
     pub owned: usize,
+    /// Endpoints that the host takes new work for.
+    pub open_endpoints: usize,
     /// Version of the host list in use.
     pub host_list: u64,
 }
@@ -149,6 +154,16 @@
         endpoint: entity::EndpointId,
         id: owner::AttemptId,
     },
+    /// Gives the control thread its links, which need the control thread to be made.
+    Connect(link::Sender),
+    Message {
+        message: control::Message,
+        done: oneshot::Sender<Bytes>,
+    },
+    Answer {
+        from: entity::HostId,
+        answer: Result<control::Message, link::CallError>,
+    },
     HostList(topology::HostList),
     Lists(revision::Revision, Arc<lists::Lists>),
     Status(channel::Sender<Status>),
@@ -255,6 +270,25 @@
         self.tell(Command::Abandon { endpoint, id });
     }
 
+    /// Gives the control thread the links on which it sends messages.
+    pub fn connect(&self, links: link::Sender) {
+        self.tell(Command::Connect(links));
+    }
+
+    /// Takes a message of another host. The answer goes to `done`.
+    pub fn message(&self, message: control::Message, done: oneshot::Sender<Bytes>) {
+        self.tell(Command::Message { message, done });
+    }
+
+    /// Takes the answer of another host to a message, or the reason why there is none.
+    pub(crate) fn answer(
+        &self,
+        from: entity::HostId,
+        answer: Result<control::Message, link::CallError>,
+    ) {
+        self.tell(Command::Answer { from, answer });
+    }
+
     /// Takes in the host list of the platform.
     pub fn host_list(&self, list: topology::HostList) {
         self.tell(Command::HostList(list));
@@ -310,14 +344,12 @@
         log: slog::Logger,
     ) -> eyre::Result<Self> {
         let (tx, rx) = channel::bounded(COMMAND_BUFFER);
-        let state = state::State::new(settings, metrics, log);
+        let handle = Handle { tx };
+        let state = state::State::new(handle.clone(), settings, metrics, log);
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || run(state, &rx))?;
-        Ok(Self {
-            handle: Handle { tx },
-            thread,
-        })
+        Ok(Self { handle, thread })
     }
 
     /// Handle with which other threads use the control thread.
--- /dev/null
+++ b/crates/runtime/src/control/peers.rs
@@ -0,0 +1,116 @@
+//! Messages between this control thread and those of other hosts.
+
+use bytes::Bytes;
+use pistachiochute_core::{entity, membership, time};
+use pistachiochute_messages::{codec, control};
+use tokio::sync::oneshot;
+
+use crate::control::state::State;
+use crate::link;
+
+impl State {
+    /// Takes a message of another host and answers it.
+    pub(super) fn message(
+        &mut self,
+        now: time::Time,
+        message: control::Message,
+        done: oneshot::Sender<Bytes>,
+    ) {
+        let answer = match message {
+            control::Message::Probe(probe) => {
+                let (answer, effects) = self.membership.probed(now, &probe);
+                self.follow(effects);
+                control::Message::Probe(answer)
+            }
+        };
+        if let Ok(answer) = codec::encode(&answer) {
+            // The asking host may have gone meanwhile.
+            let _ = done.send(answer);
+        }
+    }
+
+    /// Takes the answer of another host to a message.
+    pub(super) fn answer(
+        &mut self,
+        now: time::Time,
+        from: entity::HostId,
+        answer: Result<control::Message, link::CallError>,
+    ) {
+        let effects = match answer {
+            // An answer in the name of another host comes from a reused address.
+            Ok(control::Message::Probe(probe)) if probe.from != from => {
+                self.membership.failed(now, from, false)
+            }
+            Ok(control::Message::Probe(probe)) => self.membership.answered(now, &probe),
+            Err(e) => {
+                let refused = e == link::CallError::Connect;
+                self.membership.failed(now, from, refused)
+            }
+        };
+        self.follow(effects);
+    }
+
+    fn send(&self, to: entity::HostId, message: &control::Message) {
+        let addr = self.directory.host(to).map(|host| host.addr);
+        let (Some(links), Some(addr)) = (&self.links, addr) else {
+            return;
+        };
+        let Ok(message) = codec::encode(message) else {
+            return;
+        };
+        let handle = self.handle.clone();
+        links.control(addr, message, move |answer| {
+            let answer = answer.and_then(|bytes| {
+                codec::decode_frame(&bytes).map_err(|_| link::CallError::Malformed)
+            });
+            handle.answer(to, answer);
+        });
+    }
+
+    /// Does what the membership asks for.
+    pub(super) fn follow(&mut self, effects: membership::Effects) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                membership::Effect::Send { to, probe } => {
+                    self.send(to, &control::Message::Probe(probe));
+                }
+                membership::Effect::Host { host, usable } => {
+                    slog::info!(self.log, "host"; "peer" => %host, "usable" => usable);
+                    self.refresh_host(host);
+                    changed = true;
+                }
+                membership::Effect::Endpoint { endpoint, leaving } => {
+                    slog::info!(self.log, "endpoint";
+                        "endpoint" => %endpoint, "leaving" => leaving);
+                    self.directory.set_endpoint_leaving(endpoint, leaving);
+                    changed = true;
+                }
+                membership::Effect::Domain { domain, reachable } => {
+                    slog::warn!(self.log, "failure domain";
+                        "domain" => %domain, "reachable" => reachable);
+                    self.refresh_domain(domain);
+                    changed = true;
+                }
+            }
+        }
+        if changed {
+            self.assign();
+        }
+    }
+
+    fn refresh_domain(&mut self, domain: entity::DomainId) {
+        let in_domain = self.directory.hosts().filter(|host| host.domain == domain);
+        let hosts: Vec<_> = in_domain.map(|host| host.id).collect();
+        for host in hosts {
+            self.refresh_host(host);
+        }
+    }
+
+    fn refresh_host(&mut self, host: entity::HostId) {
+        let domain = self.directory.host(host).map(|host| host.domain);
+        let reachable = domain.is_some_and(|domain| self.membership.is_reachable(domain));
+        self.directory
+            .set_host_usable(host, reachable && self.membership.is_usable(host));
+    }
+}
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -5,12 +5,12 @@
 
 use crossbeam::channel;
 use pistachiochute_core::{
-    entity, lists, map, name, owner, queue, reason, request, retry, revision, routing, time,
-    topology,
+    entity, lists, map, membership, name, owner, queue, reason, request, retry, revision, routing,
+    time, topology,
 };
 
 use crate::control::{Command, Status, Verdict};
-use crate::{metrics, settings};
+use crate::{control, link, metrics, settings};
 
 /// Control state of the host.
 pub struct State {
@@ -29,6 +29,11 @@
     pub(super) arrived: HashMap<request::RequestId, name::AccountName>,
     pub(super) draining: bool,
     budget: retry::Budget,
+    pub(super) membership: membership::Membership,
+    /// Handle of this thread, for the answers that other hosts send.
+    pub(super) handle: control::Handle,
+    /// Links, once they are made.
+    pub(super) links: Option<link::Sender>,
 }
 
 /// Work that was offered and has not been refused.
@@ -41,6 +46,7 @@
 
 impl State {
     pub fn new(
+        handle: control::Handle,
         settings: Arc<settings::Settings>,
         metrics: metrics::Metrics,
         log: slog::Logger,
@@ -62,7 +68,15 @@
             per_request_millis: (settings.retry.budget_ratio * 1000.0) as u64,
             ..retry::BudgetConfig::default()
         });
+        let membership = membership::Membership::new(
+            membership::Config::default(),
+            settings.host.id,
+            settings.host.domain,
+        );
         Self {
+            membership,
+            handle,
+            links: None,
             settings,
             metrics,
             log,
@@ -120,7 +134,10 @@
                     self.deliver(effects);
                 }
             }
-            Command::HostList(list) => self.host_list(&list),
+            Command::Connect(links) => self.links = Some(links),
+            Command::Message { message, done } => self.message(now, message, done),
+            Command::Answer { from, answer } => self.answer(now, from, answer),
+            Command::HostList(list) => self.host_list(now, &list),
             Command::Lists(revision, lists) => self.take_lists(revision, lists),
             Command::Status(tx) => {
                 let _ = tx.send(self.status());
@@ -134,6 +151,8 @@
     pub fn tick(&mut self, now: time::Time) {
         let effects = self.owner.expire(now);
         self.deliver(effects);
+        let effects = self.membership.tick(now);
+        self.follow(effects);
     }
 
     fn retries(
@@ -151,12 +170,14 @@
         retry::Request::new(cfg, repeat, deadline, seed, &mut self.budget)
     }
 
-    fn host_list(&mut self, list: &topology::HostList) {
+    fn host_list(&mut self, now: time::Time, list: &topology::HostList) {
         if !self.directory.update(list) {
             return;
         }
         slog::info!(self.log, "host list"; "version" => list.version,
             "hosts" => list.hosts.len(), "endpoints" => list.endpoints.len());
+        let effects = self.membership.host_list(now, list);
+        self.follow(effects);
         self.assign();
     }
 
@@ -209,6 +230,8 @@
 
     fn drain(&mut self) {
         self.draining = true;
+        let effects = self.membership.leave();
+        self.follow(effects);
         let open: Vec<_> = self.owner.loads().map(|(endpoint, _)| endpoint).collect();
         for endpoint in open {
             let effects = self.owner.shut(endpoint, reason::Refusal::Draining);
@@ -226,6 +249,7 @@
             revision: self.revision,
             arrived: self.arrived.len(),
             owned: self.owner.len(),
+            open_endpoints: self.owner.open_endpoints(),
             host_list: self.directory.version(),
         }
     }
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -1,5 +1,7 @@
 //! One entry host: all of its threads, put together.
 
+mod poll;
+
 use std::net;
 use std::sync::Arc;
 use std::thread;
@@ -8,8 +10,8 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use pistachiochute_core::answer;
-use pistachiochute_messages::forward;
-use tokio::sync::mpsc;
+use pistachiochute_messages::{codec, forward};
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{clock, control, endpoint, entry, link, metrics, owner, pool, settings};
 
@@ -31,6 +33,7 @@
     listener: entry::Listener,
     entry_pool: pool::Pool,
     owner_pool: pool::Pool,
+    host_list: poll::HostListPoll,
 }
 
 /// Sockets that a host serves.
@@ -69,6 +72,7 @@
 }
 
 struct Messages {
+    control: control::Handle,
     owner: Arc<owner::Server>,
 }
 
@@ -77,8 +81,10 @@
         self.owner.serve(head, body, tx);
     }
 
-    fn control(&self, _message: Bytes) -> Option<Bytes> {
-        None
+    fn control(&self, message: Bytes, done: oneshot::Sender<Bytes>) {
+        if let Ok(message) = codec::decode_frame(&message) {
+            self.control.message(message, done);
+        }
     }
 }
 
@@ -103,9 +109,13 @@
         let owner_pool = pool::Pool::new("owner", OWNER_THREADS);
         let owner = owner::Server::new(control.handle(), owner_pool.clone(), timeouts);
         let messages = Arc::new(Messages {
+            control: control.handle(),
             owner: Arc::clone(&owner),
         });
         let links = link::Links::start(link_config(&settings), sockets.links, messages)?;
+        control.handle().connect(links.sender());
+        let host_list =
+            poll::HostListPoll::start(&settings.platform, control.handle(), log.clone())?;
         let entry_pool = pool::Pool::new("entry", ENTRY_THREADS);
         let cx = entry::Context {
             settings: Arc::clone(&settings),
@@ -124,6 +134,7 @@
             listener,
             entry_pool,
             owner_pool,
+            host_list,
         })
     }
 
@@ -166,6 +177,7 @@
     /// Ends the host at once. Requests in progress are cut off; call [`Host::drain`] before.
     pub fn close(self) {
         self.listener.close();
+        self.host_list.close();
         self.links.close();
         self.control.close();
     }
@@ -185,6 +197,8 @@
         connect: settings.timeouts.connect,
         ping: settings.timeouts.ping,
         stall: link_stall(&settings.timeouts),
+        control: settings.timeouts.connect,
+        stall: settings.timeouts.stall,
         body_max: settings.bounds.body.0 as usize,
     }
 }
--- /dev/null
+++ b/crates/runtime/src/host/poll.rs
@@ -0,0 +1,72 @@
+//! Polls the platform's host list.
+
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+
+use crate::platform::host_list;
+use crate::{control, settings};
+
+/// A thread that reads the host list and gives it to the control thread.
+#[derive(Debug)]
+pub struct HostListPoll {
+    stop: channel::Sender<()>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl HostListPoll {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be made.
+    pub fn start(
+        cfg: &settings::Platform,
+        control: control::Handle,
+        log: slog::Logger,
+    ) -> eyre::Result<Self> {
+        let source = host_list::HostListSource::new(cfg.host_list, cfg.polls.key_value_call);
+        let period = cfg.polls.host_list;
+        let (stop, stopped) = channel::bounded(0);
+        let thread = thread::Builder::new()
+            .name("host-list".to_owned())
+            .spawn(move || run(&source, period, &control, &log, &stopped))?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Ends the thread.
+    pub fn close(self) {
+        drop(self.stop);
+        let _ = self.thread.join();
+    }
+}
+
+fn run(
+    source: &host_list::HostListSource,
+    period: Duration,
+    control: &control::Handle,
+    log: &slog::Logger,
+    stopped: &channel::Receiver<()>,
+) {
+    let mut failing = false;
+    loop {
+        match source.read() {
+            Ok(list) => {
+                failing = false;
+                control.host_list(list);
+            }
+            Err(e) => {
+                // The last list stays in use; an outage is logged once.
+                if !failing {
+                    slog::warn!(log, "host list cannot be read"; "error" => %e);
+                }
+                failing = true;
+            }
+        }
+        match stopped.recv_timeout(period) {
+            Err(channel::RecvTimeoutError::Timeout) => {}
+            Ok(()) | Err(channel::RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -9,7 +9,7 @@
 use h2::client;
 use pistachiochute_core::{answer, outcome, reason};
 use pistachiochute_messages::codec;
-use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::sync::{Mutex, mpsc};
 use tokio::time;
 
 use crate::link;
@@ -107,19 +107,16 @@
         });
     }
 
-    pub fn control(
-        &mut self,
-        addr: net::SocketAddr,
-        message: Bytes,
-        tx: oneshot::Sender<Result<Bytes, CallError>>,
-    ) {
+    pub fn control(&mut self, addr: net::SocketAddr, message: Bytes, done: link::Done) {
         let call = Call {
             cfg: Arc::clone(&self.cfg),
             slot: self.slot(addr),
             addr,
         };
         tokio::spawn(async move {
-            let _ = tx.send(call.control(message).await);
+            let span = call.cfg.control;
+            let answer = time::timeout(span, call.control(message)).await;
+            done(answer.unwrap_or(Err(CallError::Stalled)));
         });
     }
 
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -48,6 +48,8 @@
     pub connect: Duration,
     /// Time in which a ping must be answered, and between pings.
     pub ping: Duration,
+    /// Time in which a control message must be answered.
+    pub control: Duration,
     /// Time without a reply after which a forwarded request has stalled.
     pub stall: Duration,
     /// Largest body of a forwarded request, in bytes.
@@ -69,13 +71,17 @@
     /// Serves a forwarded request; replies go to `tx`, which closes when the sender goes away.
     fn forward(&self, head: forward::Forward, body: Bytes, tx: mpsc::Sender<answer::Frame>);
 
-    /// Answers a control message, or `None` if it is malformed.
-    fn control(&self, message: Bytes) -> Option<Bytes>;
+    /// Answers a control message through `done`, which is dropped if the message is malformed.
+    fn control(&self, message: Bytes, done: oneshot::Sender<Bytes>);
 }
 
 /// One received item of a call: a reply, or the reason why no more will come.
 pub type Received = Result<answer::Frame, CallError>;
 
+/// What is done with the answer to a control message. Runs on the link thread, so it only hands
+/// the answer on.
+pub type Done = Box<dyn FnOnce(Result<Bytes, CallError>) + Send>;
+
 enum Command {
     Forward {
         addr: net::SocketAddr,
@@ -86,7 +92,7 @@
     Control {
         addr: net::SocketAddr,
         message: Bytes,
-        tx: oneshot::Sender<Result<Bytes, CallError>>,
+        done: Done,
     },
     Close,
 }
@@ -125,16 +131,17 @@
         rx
     }
 
-    /// Sends a control message to a host. The answer comes on the returned channel.
-    #[must_use]
-    pub fn control(
-        &self,
-        addr: net::SocketAddr,
-        message: Bytes,
-    ) -> oneshot::Receiver<Result<Bytes, CallError>> {
-        let (tx, rx) = oneshot::channel();
-        let _ = self.tx.send(Command::Control { addr, message, tx });
-        rx
+    /// Sends a control message to a host and gives the answer to `done`.
+    pub fn control<F>(&self, addr: net::SocketAddr, message: Bytes, done: F)
+    where
+        F: FnOnce(Result<Bytes, CallError>) + Send + 'static,
+    {
+        let done = Box::new(done);
+        let _ = self.tx.send(Command::Control {
+            addr,
+            message,
+            done,
+        });
     }
 }
 
@@ -207,7 +214,11 @@
                 body,
                 tx,
             } => clients.forward(addr, head, body, tx),
-            Command::Control { addr, message, tx } => clients.control(addr, message, tx),
+            Command::Control {
+                addr,
+                message,
+                done,
+            } => clients.control(addr, message, done),
             Command::Close => return,
         }
     }
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -9,7 +9,7 @@
 use pistachiochute_messages::{codec, forward};
 use subtle::ConstantTimeEq as _;
 use tokio::net;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time;
 
 use crate::link;
@@ -125,7 +125,9 @@
         let Some(message) = self.read(codec::MAX_FRAME_LEN).await else {
             return self.refuse(http::StatusCode::BAD_REQUEST);
         };
-        let Some(answer) = handler.control(message) else {
+        let (done, answer) = oneshot::channel();
+        handler.control(message, done);
+        let Ok(answer) = answer.await else {
             return self.refuse(http::StatusCode::BAD_REQUEST);
         };
         let Ok(mut stream) = self.respond.send_response(http::Response::new(()), false) else {
