Measure control traffic and the spread of a leaving endpoint

Cause: the budget of 9 KB/s a host and the 3 s of a leaving endpoint had no run behind them. Change: measure::membership drives the views of whole fleets with messages of 50 ms, and counts encoded bytes with h2 and TCP/IP framing.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod actions;
 pub mod bounds;
 pub mod figure;
+pub mod membership;
--- /dev/null
+++ b/crates/measure/src/membership/mesh.rs
@@ -0,0 +1,215 @@
+//! Views of the hosts of a fleet, with messages between them that take one step.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pistachiochute_core::entity::Entity as _;
+use pistachiochute_core::{entity, membership, time, topology};
+use pistachiochute_messages::{codec, control};
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::membership::Fleet;
+
+/// Time of one step, which a message takes in one direction.
+pub const STEP: Duration = Duration::from_millis(50);
+
+/// Time after which a message without an answer has failed.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Headers of one TCP/IPv4 packet with timestamps, in bytes.
+const PACKET_BYTES: u64 = 52;
+
+/// Packets that one end sends for one exchange: its data, an acknowledgement and a window update.
+const PACKETS: u64 = 3;
+
+/// Header of an h2 frame, in bytes.
+const FRAME_BYTES: u64 = 9;
+
+/// h2 frames that one end sends for one exchange beside its data: headers, the end of the stream
+/// and a window update with its payload of 4 bytes.
+const OTHER_FRAMES_BYTES: u64 = 3 * FRAME_BYTES + 4;
+
+/// Header block of a request or response whose fields are in the dynamic table, in bytes.
+const HEADER_BLOCK_BYTES: u64 = 8;
+
+/// Bytes that one end of an exchange sends for a message.
+fn sent_bytes(message: &control::Message) -> eyre::Result<u64> {
+    let body = codec::encode(message)?.len() as u64;
+    let frames = FRAME_BYTES + body + OTHER_FRAMES_BYTES + HEADER_BLOCK_BYTES;
+    Ok(frames + PACKETS * PACKET_BYTES)
+}
+
+/// Bytes that each end sends for a probe that tells nothing.
+pub fn empty_exchange_bytes() -> eyre::Result<u64> {
+    let from = entity::HostId::from_index(0);
+    let updates = smallvec::SmallVec::new();
+    sent_bytes(&control::Message::Probe(membership::Probe { from, receiver: None, updates }))
+}
+
+struct Flight {
+    from: usize,
+    to: usize,
+    probe: membership::Probe,
+    is_answer: bool,
+}
+
+/// Views of the hosts of a fleet.
+pub struct Mesh {
+    now: time::Time,
+    views: Vec<membership::Membership>,
+    rng: rand_chacha::ChaCha8Rng,
+    loss: f64,
+    /// Messages by the time of their arrival.
+    flights: BTreeMap<time::Time, Vec<Flight>>,
+    /// Exchanges that will fail, by time: the sender and the host it probed.
+    failures: BTreeMap<time::Time, Vec<(usize, usize)>>,
+    sent: Vec<u64>,
+    received: Vec<u64>,
+}
+
+impl Mesh {
+    pub fn new(fleet: Fleet, cfg: membership::Config, seed: u64, loss: f64) -> Self {
+        let now = time::Time::from_secs(1);
+        let list = host_list(fleet);
+        let view = |host: &topology::Host| {
+            let mut view = membership::Membership::new(cfg, host.id, host.domain);
+            view.host_list(now, &list);
+            view
+        };
+        let views: Vec<_> = list.hosts.iter().map(view).collect();
+        Self {
+            now,
+            sent: vec![0; views.len()],
+            received: vec![0; views.len()],
+            views,
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            loss,
+            flights: BTreeMap::new(),
+            failures: BTreeMap::new(),
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) -> eyre::Result<()> {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            self.arrive()?;
+            self.fail()?;
+            for i in 0..self.views.len() {
+                let effects = self.views[i].tick(self.now);
+                self.follow(i, effects)?;
+            }
+        }
+        Ok(())
+    }
+
+    pub fn leave(&mut self, host: usize) {
+        self.views[host].leave();
+    }
+
+    pub fn endpoint_leaves(&mut self, host: usize, endpoint: entity::EndpointId) {
+        self.views[host].endpoint(self.now, endpoint, true);
+    }
+
+    pub fn all_know_leaving(&self, endpoint: entity::EndpointId) -> bool {
+        self.views.iter().all(|view| view.is_leaving(endpoint))
+    }
+
+    pub fn reset_traffic(&mut self) {
+        self.sent.fill(0);
+        self.received.fill(0);
+    }
+
+    /// Bytes of the busiest host in its busier direction.
+    pub fn busiest_bytes(&self) -> u64 {
+        self.sent.iter().chain(&self.received).copied().max().unwrap_or_default()
+    }
+
+    fn arrive(&mut self) -> eyre::Result<()> {
+        let later = self.flights.split_off(&(self.now + Duration::from_micros(1)));
+        let due = std::mem::replace(&mut self.flights, later);
+        for flight in due.into_values().flatten() {
+            let (i, probe) = (flight.to, flight.probe);
+            if flight.is_answer {
+                let effects = self.views[i].answered(self.now, &probe);
+                self.follow(i, effects)?;
+                continue;
+            }
+            let (answer, effects) = self.views[i].probed(self.now, &probe);
+            self.follow(i, effects)?;
+            self.send(i, flight.from, answer, true)?;
+        }
+        Ok(())
+    }
+
+    fn fail(&mut self) -> eyre::Result<()> {
+        let later = self.failures.split_off(&(self.now + Duration::from_micros(1)));
+        let due = std::mem::replace(&mut self.failures, later);
+        for (from, to) in due.into_values().flatten() {
+            let to = entity::HostId::from_index(to);
+            let effects = self.views[from].failed(self.now, to, false);
+            self.follow(from, effects)?;
+        }
+        Ok(())
+    }
+
+    fn follow(&mut self, at: usize, effects: membership::Effects) -> eyre::Result<()> {
+        for effect in effects {
+            if let membership::Effect::Send { to, probe } = effect {
+                self.send(at, to.index(), probe, false)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn send(
+        &mut self,
+        from: usize,
+        to: usize,
+        probe: membership::Probe,
+        is_answer: bool,
+    ) -> eyre::Result<()> {
+        let bytes = sent_bytes(&control::Message::Probe(probe.clone()))?;
+        self.sent[from] += bytes;
+        self.received[to] += bytes;
+        if self.rng.random_bool(self.loss) {
+            let prober = if is_answer { (to, from) } else { (from, to) };
+            self.failures.entry(self.now + TIMEOUT).or_default().push(prober);
+            return Ok(());
+        }
+        let flight = Flight { from, to, probe, is_answer };
+        self.flights.entry(self.now + STEP).or_default().push(flight);
+        Ok(())
+    }
+}
+
+fn host_list(fleet: Fleet) -> topology::HostList {
+    let addr = std::net::SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 1));
+    let presence = topology::Presence::Live;
+    let domain = |i: usize| entity::DomainId::from_index(i / fleet.hosts);
+    topology::HostList {
+        version: 1,
+        domains: (0..fleet.regions * fleet.domains)
+            .map(|i| topology::Domain {
+                id: entity::DomainId::from_index(i),
+                region: entity::RegionId::from_index(i / fleet.domains),
+            })
+            .collect(),
+        hosts: (0..fleet.len())
+            .map(|i| topology::Host {
+                id: entity::HostId::from_index(i),
+                domain: domain(i),
+                addr,
+                presence,
+            })
+            .collect(),
+        endpoints: vec![topology::Endpoint {
+            id: entity::EndpointId::from_index(0),
+            domain: domain(0),
+            addr,
+            serves: topology::Serves::Engine { models: Vec::new() },
+            slots: 1,
+            presence,
+        }],
+    }
+}
