--- a/crates/measure/src/membership/mesh.rs
+++ b/crates/measure/src/membership/mesh.rs
@@ -43,7 +43,11 @@
 pub fn empty_exchange_bytes() -> eyre::Result<u64> {
     let from = entity::HostId::from_index(0);
     let updates = smallvec::SmallVec::new();
-    sent_bytes(&control::Message::Probe(membership::Probe { from, receiver: None, updates }))
+    sent_bytes(&control::Message::Probe(membership::Probe {
+        from,
+        receiver: None,
+        updates,
+    }))
 }
 
 struct Flight {
@@ -122,11 +126,18 @@
 
     /// Bytes of the busiest host in its busier direction.
     pub fn busiest_bytes(&self) -> u64 {
-        self.sent.iter().chain(&self.received).copied().max().unwrap_or_default()
+        self.sent
+            .iter()
+            .chain(&self.received)
+            .copied()
+            .max()
+            .unwrap_or_default()
     }
 
     fn arrive(&mut self) -> eyre::Result<()> {
-        let later = self.flights.split_off(&(self.now + Duration::from_micros(1)));
+        let later = self
+            .flights
+            .split_off(&(self.now + Duration::from_micros(1)));
         let due = std::mem::replace(&mut self.flights, later);
         for flight in due.into_values().flatten() {
             let (i, probe) = (flight.to, flight.probe);
@@ -143,7 +154,9 @@
     }
 
     fn fail(&mut self) -> eyre::Result<()> {
-        let later = self.failures.split_off(&(self.now + Duration::from_micros(1)));
+        let later = self
+            .failures
+            .split_off(&(self.now + Duration::from_micros(1)));
         let due = std::mem::replace(&mut self.failures, later);
         for (from, to) in due.into_values().flatten() {
             let to = entity::HostId::from_index(to);
@@ -174,11 +187,22 @@
         self.received[to] += bytes;
         if self.rng.random_bool(self.loss) {
             let prober = if is_answer { (to, from) } else { (from, to) };
-            self.failures.entry(self.now + TIMEOUT).or_default().push(prober);
+            self.failures
+                .entry(self.now + TIMEOUT)
+                .or_default()
+                .push(prober);
             return Ok(());
         }
-        let flight = Flight { from, to, probe, is_answer };
-        self.flights.entry(self.now + STEP).or_default().push(flight);
+        let flight = Flight {
+            from,
+            to,
+            probe,
+            is_answer,
+        };
+        self.flights
+            .entry(self.now + STEP)
+            .or_default()
+            .push(flight);
         Ok(())
     }
 }
--- a/crates/measure/src/membership/mod.rs
+++ b/crates/measure/src/membership/mod.rs
@@ -53,13 +53,25 @@
 }
 
 /// Today's deployments: eight hosts over three domains, rounded up.
-const TODAY: Fleet = Fleet { regions: 1, domains: 3, hosts: 3 };
+const TODAY: Fleet = Fleet {
+    regions: 1,
+    domains: 3,
+    hosts: 3,
+};
 
 /// One domain of the size to design for.
-const DOMAIN: Fleet = Fleet { regions: 1, domains: 1, hosts: 52 };
+const DOMAIN: Fleet = Fleet {
+    regions: 1,
+    domains: 1,
+    hosts: 52,
+};
 
 /// The size to design for: 424 hosts in two regions of four domains.
-const DESIGN: Fleet = Fleet { regions: 2, domains: 4, hosts: 53 };
+const DESIGN: Fleet = Fleet {
+    regions: 2,
+    domains: 4,
+    hosts: 53,
+};
 
 /// Counts the control traffic and times the spread of a leaving endpoint.
 ///
@@ -109,7 +121,10 @@
 /// The baseline is the spread by the periodic probes alone.
 fn leaving() -> eyre::Result<figure::Reading> {
     let pushed = membership::Config::default();
-    let periodic = membership::Config { push_gap: FOLLOWED, ..pushed };
+    let periodic = membership::Config {
+        push_gap: FOLLOWED,
+        ..pushed
+    };
     Ok(figure::Reading {
         name: "leaving_new_work_s_max",
         value: slowest_spread(pushed)?,
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -198,7 +198,6 @@
         ping: settings.timeouts.ping,
         stall: link_stall(&settings.timeouts),
         control: settings.timeouts.connect,
-        stall: settings.timeouts.stall,
         body_max: settings.bounds.body.0 as usize,
     }
 }
