Bound the load at each admission and weigh waits, imports and spills

Consistent hashing alone keeps chats at their caches but loads endpoints up to 1.9 times the mean over 10 s; two random choices even the load and lose the caches. An owner now admits up to a multiple of the mean that it lowers by the work that may have ended unseen, and the owner of a chat's first candidate chooses by cost between the holder, a wait, an import and reading again.

Tried and dropped: a floor for every endpoint at or below an unlowered mean broke the true bound when a completion was on its way; counting prompts at the full weight of generated tokens left the load of four requests too uneven.

--- /dev/null
+++ b/crates/core/src/routing/bound/mod.rs
@@ -0,0 +1,165 @@
+//! Bounded load: an owner admits work while no endpoint carries more than a multiple of the mean.
+//!
+//! # Rule
+//!
+//! A request of cost `q` is admitted to an endpoint with load `l` if
+//!
+//! - `l + q <= c * m`, where `m` is the mean load of the pool after the admission, or
+//! - `l` is at or below the mean before the admission. This is the floor of one request: a
+//!   request cannot be divided, and the least loaded endpoint may always take one, so that a pool
+//!   with little work never refuses everywhere.
+//!
+//! # Age of the mean
+//!
+//! The owner knows the load of its own endpoints exactly. The others are [views](pool::Pool::view)
+//! that travel on forwarded requests, probes and load reports. A view counts until it is
+//! [`Settings::view_horizon`] old; after that its endpoint leaves the mean until a newer view
+//! comes. Work elsewhere may have ended since a view was taken, so the mean is lowered by a
+//! [margin](drain::Drain::margin) that covers the completions of that time.
+//!
+//! # Two owners
+//!
+//! A host that takes an endpoint over admits nothing to it until the former owner hands it over,
+//! or until nothing was heard of the former owner for [`Settings::grace`]. What the endpoint
+//! itself reports beyond the owner's own work counts as load, so two owners that cannot hear each
+//! other still see each other's work one report later. While that lasts the endpoint is contested:
+//! each admits only up to the mean, not to the multiple.
+
+pub mod drain;
+pub mod pool;
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::de::Error as _;
+
+/// Smallest multiple, in hundredths.
+const MIN_MULTIPLE: u32 = 101;
+
+/// Largest multiple, in hundredths.
+const MAX_MULTIPLE: u32 = 1_000;
+
+/// Multiple of the mean load that an endpoint may carry, in hundredths from 1.01 to 10.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Multiple(
+    /// Invariant: from [`MIN_MULTIPLE`] to [`MAX_MULTIPLE`].
+    u32,
+);
+
+impl Multiple {
+    /// Makes a multiple from hundredths, or `None` if it is out of range.
+    #[must_use]
+    pub const fn from_hundredths(hundredths: u32) -> Option<Self> {
+        if MIN_MULTIPLE <= hundredths && hundredths <= MAX_MULTIPLE {
+            Some(Self(hundredths))
+        } else {
+            None
+        }
+    }
+
+    /// The multiple in hundredths.
+    #[must_use]
+    pub const fn as_hundredths(self) -> u32 {
+        self.0
+    }
+
+    /// The multiple as a ratio.
+    #[must_use]
+    pub fn as_ratio(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl Default for Multiple {
+    /// The multiple 1.25.
+    fn default() -> Self {
+        Self(125)
+    }
+}
+
+impl fmt::Display for Multiple {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:02}", self.0 / 100, self.0 % 100)
+    }
+}
+
+/// A text or number that is not a multiple.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ParseMultipleError;
+
+impl fmt::Display for ParseMultipleError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a multiple of the mean load is a number from 1.01 to 10")
+    }
+}
+
+impl std::error::Error for ParseMultipleError {}
+
+impl FromStr for Multiple {
+    type Err = ParseMultipleError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let ratio: f64 = text.parse().map_err(|_| ParseMultipleError)?;
+        Self::from_ratio(ratio)
+    }
+}
+
+impl Multiple {
+    /// Makes a multiple from a ratio, rounded to hundredths.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the ratio is not a number from 1.01 to 10.
+    pub fn from_ratio(ratio: f64) -> Result<Self, ParseMultipleError> {
+        let hundredths = (ratio * 100.0).round();
+        if !(f64::from(MIN_MULTIPLE)..=f64::from(MAX_MULTIPLE)).contains(&hundredths) {
+            return Err(ParseMultipleError);
+        }
+        Ok(Self(hundredths as u32))
+    }
+}
+
+impl serde::Serialize for Multiple {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        serializer.serialize_f64(self.as_ratio())
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for Multiple {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: serde::Deserializer<'de>,
+    {
+        let ratio = f64::deserialize(deserializer)?;
+        Self::from_ratio(ratio).map_err(D::Error::custom)
+    }
+}
+
+/// Settings of the load bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Multiple of the mean load that an endpoint may carry.
+    pub multiple: Multiple,
+    /// Age at which the view of another owner's endpoint stops counting.
+    pub view_horizon: Duration,
+    /// Time without word of the former owner after which a new owner admits.
+    pub grace: Duration,
+    /// Time for which an endpoint counts as contested after its report shows another's work.
+    pub contested: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            multiple: Multiple::default(),
+            view_horizon: Duration::from_secs(10),
+            grace: Duration::from_secs(3),
+            contested: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/bound/pool.rs
@@ -0,0 +1,460 @@
+//! Endpoints of one pool with their loads, and admission to those that the host owns.
+
+use std::time::Duration;
+
+use crate::routing::bound::{self, drain};
+use crate::{entity, map, time};
+
+/// Scale of [`bound::Multiple::as_hundredths`].
+const HUNDREDTHS: u128 = 100;
+
+/// Largest load of an endpoint that is believed. Sums over a pool cannot overflow.
+const MAX_LOAD: u64 = 1 << 40;
+
+/// Why a pool refused a request. Nothing was sent to the endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// The host does not own the endpoint.
+    NotOwned,
+    /// The host took the endpoint over and does not yet know what the former owner admitted.
+    TakingOver,
+    /// The endpoint is at its bound.
+    AtBound,
+}
+
+/// Mean load of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mean {
+    /// Load of the endpoints that are known.
+    pub sum: u64,
+    /// What is left of `sum` after the margin for completions not yet seen.
+    pub lowered_sum: u64,
+    /// Smallest load of the endpoints that are known, or zero if a view is older than
+    /// [`FLOOR_HORIZON`].
+    pub least: u64,
+    /// Endpoints whose load is known.
+    pub members: u64,
+    /// Age of the oldest view in the sum.
+    pub oldest: Duration,
+}
+
+impl Mean {
+    /// The mean as a ratio, or zero without members.
+    #[must_use]
+    pub fn as_ratio(&self) -> f64 {
+        self.sum as f64 / self.members.max(1) as f64
+    }
+}
+
+/// Load of an endpoint of this host.
+#[derive(Clone, Copy, Debug, Default)]
+struct Owned {
+    /// Work that this host admitted and that has not ended.
+    own: u64,
+    /// Work of other owners, as the endpoint reported it; an upper bound while contested.
+    foreign: u64,
+    /// Lower bound of the work of other owners, which counts in the mean.
+    surely_foreign: u64,
+    /// Largest `own` since the last report and between the two before it. A report is at most
+    /// one interval late, so it shows no more of this host's work than these.
+    peaks: [u64; 2],
+    /// Smallest `own` over the same time, which bounds the work of others from above.
+    troughs: [u64; 2],
+    /// When `foreign` was last set, at the earliest.
+    foreign_at: time::Time,
+    /// Until when the work of others is bounded from above, because another host may still admit.
+    contested_until: time::Time,
+    /// When the former owner counts as gone, while it has not handed over.
+    former_until: Option<time::Time>,
+}
+
+impl Owned {
+    fn load(&self) -> u64 {
+        self.own.saturating_add(self.foreign)
+    }
+
+    /// Load that the endpoint has at least.
+    fn least_load(&self) -> u64 {
+        self.own.saturating_add(self.surely_foreign)
+    }
+
+    /// Time for which the end of work of others may not be known.
+    fn foreign_age(&self, now: time::Time) -> Duration {
+        if self.surely_foreign == 0 {
+            Duration::ZERO
+        } else {
+            now.since(self.foreign_at) + REPORT_LAG
+        }
+    }
+
+    /// Notes a change of `own`.
+    fn track(&mut self) {
+        self.peaks[0] = self.peaks[0].max(self.own);
+        self.troughs[0] = self.troughs[0].min(self.own);
+    }
+
+    /// Takes in the endpoint's own report.
+    ///
+    /// What it shows beyond the largest `own` is surely the work of others. Once there is such
+    /// work, all that it shows beyond the smallest `own` is taken for theirs.
+    fn report(&mut self, load: u64, contested: Duration, now: time::Time) {
+        let peak = self.peaks[0].max(self.peaks[1]);
+        let trough = self.troughs[0].min(self.troughs[1]);
+        if load > peak {
+            self.contested_until = self.contested_until.max(now + contested);
+        }
+        let own = if now < self.contested_until {
+            trough
+        } else {
+            peak
+        };
+        self.foreign = load.saturating_sub(own);
+        self.surely_foreign = load.saturating_sub(peak);
+        self.foreign_at = now;
+        self.peaks = [self.own, self.peaks[0]];
+        self.troughs = [self.own, self.troughs[0]];
+    }
+}
+
+/// Age of a view up to which an endpoint counts as the least loaded by it.
+const FLOOR_HORIZON: Duration = Duration::from_secs(1);
+
+/// Age of an endpoint's own load report when it arrives, at most.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// What another host says of the load of an endpoint that it owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Load of the endpoint.
+    pub load: u64,
+    /// Age of the reading.
+    pub age: Duration,
+    /// Whether the other host reports every change at once from now on, or `None` if the message
+    /// does not say so.
+    pub prompt: Option<bool>,
+}
+
+/// Load of an endpoint of another host.
+#[derive(Clone, Copy, Debug)]
+struct View {
+    load: u64,
+    taken: time::Time,
+    /// Whether the other host reports every change at once, so that silence means no change.
+    prompt: bool,
+}
+
+impl View {
+    /// Time for which changes may not be known.
+    fn blind_time(&self, age: Duration) -> Duration {
+        if self.prompt && age <= PROMPT_HORIZON {
+            age.min(PROMPT_DELAY)
+        } else {
+            age
+        }
+    }
+}
+
+/// Longest time on the way of a report that is sent at once inside a domain.
+const PROMPT_DELAY: Duration = Duration::from_millis(5);
+
+/// Age up to which silence of a prompt host means that nothing changed. Twice the interval at
+/// which such a host reports loads that did not change.
+const PROMPT_HORIZON: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug)]
+enum Member {
+    Owned(Owned),
+    Other(View),
+}
+
+/// Endpoints of one target in one failure domain, with the load of each.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    settings: bound::Settings,
+    members: map::EntityMap<entity::EndpointId, Member>,
+    drain: drain::Drain,
+}
+
+impl Pool {
+    /// Makes a pool without endpoints.
+    #[must_use]
+    pub fn new(settings: bound::Settings) -> Self {
+        Self {
+            settings,
+            members: map::EntityMap::new(),
+            drain: drain::Drain::default(),
+        }
+    }
+
+    /// Adds an endpoint of another host, which counts as idle until its first view. An endpoint
+    /// that the pool holds stays as it is.
+    pub fn join(&mut self, endpoint: entity::EndpointId, now: time::Time) {
+        let idle = View {
+            load: 0,
+            taken: now,
+            prompt: false,
+        };
+        self.members
+            .get_or_insert_with(endpoint, || Member::Other(idle));
+    }
+
+    /// Removes an endpoint.
+    pub fn leave(&mut self, endpoint: entity::EndpointId) {
+        self.members.remove(endpoint);
+    }
+
+    /// Takes an endpoint over. `report` is the load that the endpoint itself reported last.
+    ///
+    /// Nothing is admitted until [`Pool::handed_over`], or until the grace period has passed
+    /// without a view from the former owner.
+    pub fn take_over(&mut self, endpoint: entity::EndpointId, report: u64, now: time::Time) {
+        if let Some(Member::Owned(_)) = self.members.get(endpoint) {
+            return;
+        }
+        let owned = Owned {
+            foreign: report.min(MAX_LOAD),
+            surely_foreign: report.min(MAX_LOAD),
+            foreign_at: now,
+            former_until: Some(now + self.settings.grace),
+            contested_until: now + self.settings.grace + self.settings.contested,
+            ..Owned::default()
+        };
+        self.members.insert(endpoint, Member::Owned(owned));
+    }
+
+    /// Notes that the former owner admits no more and left `load` in flight.
+    pub fn handed_over(&mut self, endpoint: entity::EndpointId, load: u64) {
+        if let Some(Member::Owned(owned)) = self.members.get_mut(endpoint) {
+            owned.former_until = None;
+            owned.contested_until = time::Time::ZERO;
+            owned.foreign = load.min(MAX_LOAD);
+            owned.surely_foreign = owned.foreign;
+        }
+    }
+
+    /// Gives an endpoint up and returns the load that this host leaves in flight.
+    pub fn give_up(&mut self, endpoint: entity::EndpointId, now: time::Time) -> u64 {
+        let Some(Member::Owned(owned)) = self.members.get(endpoint).copied() else {
+            return 0;
+        };
+        let view = View {
+            load: owned.load(),
+            taken: now,
+            prompt: false,
+        };
+        self.members.insert(endpoint, Member::Other(view));
+        owned.load()
+    }
+
+    /// Takes in what another host says of the load of an endpoint that it owns.
+    ///
+    /// If this host is taking the endpoint over, that shows that the former owner still admits,
+    /// and starts the grace period again.
+    pub fn view(&mut self, endpoint: entity::EndpointId, reading: Reading, now: time::Time) {
+        let taken = now - reading.age;
+        let load = reading.load.min(MAX_LOAD);
+        match self.members.get_mut(endpoint) {
+            Some(Member::Owned(owned)) => {
+                if let Some(until) = &mut owned.former_until {
+                    *until = (*until).max(taken + self.settings.grace);
+                    owned.foreign = load;
+                    owned.surely_foreign = load;
+                }
+            }
+            Some(Member::Other(view)) if view.taken < taken => {
+                let prompt = reading.prompt.unwrap_or(view.prompt);
+                *view = View {
+                    load,
+                    taken,
+                    prompt,
+                };
+            }
+            Some(Member::Other(_)) | None => {}
+        }
+    }
+
+    /// Takes in the load that an owned endpoint reports of itself, at most one report interval
+    /// late.
+    pub fn report(&mut self, endpoint: entity::EndpointId, load: u64, now: time::Time) {
+        if let Some(Member::Owned(owned)) = self.members.get_mut(endpoint) {
+            owned.report(load.min(MAX_LOAD), self.settings.contested, now);
+        }
+    }
+
+    /// Mean load of the pool.
+    #[must_use]
+    pub fn mean(&self, now: time::Time) -> Mean {
+        let mut mean = Mean {
+            least: MAX_LOAD,
+            ..Mean::default()
+        };
+        let mut viewed = 0;
+        let mut ages_s = 0.0;
+        for member in self.members.values() {
+            match member {
+                Member::Owned(owned) => {
+                    mean.sum += owned.own;
+                    mean.least = mean.least.min(owned.own);
+                    viewed += owned.surely_foreign;
+                    ages_s += owned.foreign_age(now).as_secs_f64();
+                    mean.members += 1;
+                }
+                Member::Other(view) => {
+                    let age = now.since(view.taken);
+                    if age > self.settings.view_horizon {
+                        continue;
+                    }
+                    viewed += view.load;
+                    mean.least = mean.least.min(view.load);
+                    ages_s += view.blind_time(age).as_secs_f64();
+                    mean.members += 1;
+                    mean.oldest = mean.oldest.max(age);
+                }
+            }
+        }
+        if mean.oldest > FLOOR_HORIZON {
+            mean.least = 0;
+        }
+        let margin = self.drain.margin(ages_s, self.owned(), now).ceil() as u64;
+        mean.lowered_sum = mean.sum + viewed.saturating_sub(margin);
+        mean.sum += viewed;
+        mean
+    }
+
+    /// Whether a request of this cost may be sent to the endpoint now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not.
+    pub fn check(
+        &self,
+        endpoint: entity::EndpointId,
+        cost: u64,
+        now: time::Time,
+    ) -> Result<(), Refused> {
+        let Some(Member::Owned(owned)) = self.members.get(endpoint) else {
+            return Err(Refused::NotOwned);
+        };
+        if owned.former_until.is_some_and(|until| now < until) {
+            return Err(Refused::TakingOver);
+        }
+        let mean = self.mean(now);
+        let fits = if now < owned.contested_until {
+            let reserve = self.drain.large_cost() as u64;
+            fits_in_mean(owned.load(), cost.saturating_add(reserve), &mean)
+        } else {
+            self.fits(owned.load(), cost, &mean)
+        };
+        if fits { Ok(()) } else { Err(Refused::AtBound) }
+    }
+
+    /// Whether a load may grow by `cost` under the bound that a mean gives.
+    #[must_use]
+    pub fn fits(&self, load: u64, cost: u64, mean: &Mean) -> bool {
+        let members = u128::from(mean.members.max(1));
+        if load <= mean.least || u128::from(load) * members <= u128::from(mean.lowered_sum) {
+            return true;
+        }
+        let after = u128::from(load) + u128::from(cost);
+        let sum = u128::from(mean.lowered_sum) + u128::from(cost);
+        let limit = sum * u128::from(self.settings.multiple.as_hundredths());
+        after * members * HUNDREDTHS <= limit
+    }
+
+    /// Admits a request to an endpoint and counts its cost until [`Pool::complete`].
+    ///
+    /// # Errors
+    ///
+    /// Returns why the endpoint gets no more work; the pool is unchanged.
+    pub fn admit(
+        &mut self,
+        endpoint: entity::EndpointId,
+        cost: u64,
+        now: time::Time,
+    ) -> Result<(), Refused> {
+        self.check(endpoint, cost, now)?;
+        if let Some(Member::Owned(owned)) = self.members.get_mut(endpoint) {
+            owned.former_until = None;
+            owned.own = owned.own.saturating_add(cost).min(MAX_LOAD);
+            owned.track();
+            self.drain.admit(cost);
+        }
+        Ok(())
+    }
+
+    /// Notes that an admitted request of this cost has ended. A request of an endpoint that was
+    /// given up is no longer counted here.
+    pub fn complete(&mut self, endpoint: entity::EndpointId, cost: u64, now: time::Time) {
+        if let Some(Member::Owned(owned)) = self.members.get_mut(endpoint) {
+            owned.own = owned.own.saturating_sub(cost);
+            owned.track();
+            self.drain.complete(now);
+        }
+    }
+
+    /// Load of an endpoint as far as it is known.
+    #[must_use]
+    pub fn load(&self, endpoint: entity::EndpointId, now: time::Time) -> Option<u64> {
+        match self.members.get(endpoint)? {
+            Member::Owned(owned) => Some(owned.load()),
+            Member::Other(view) => {
+                let fresh = now.since(view.taken) <= self.settings.view_horizon;
+                fresh.then_some(view.load)
+            }
+        }
+    }
+
+    /// Whether the endpoint is in the pool.
+    #[must_use]
+    pub fn contains(&self, endpoint: entity::EndpointId) -> bool {
+        self.members.contains(endpoint)
+    }
+
+    /// Whether this host owns the endpoint.
+    #[must_use]
+    pub fn owns(&self, endpoint: entity::EndpointId) -> bool {
+        matches!(self.members.get(endpoint), Some(Member::Owned(_)))
+    }
+
+    /// Loads of the owned endpoints that others may use as views.
+    pub fn owned_loads(&self) -> impl Iterator<Item = (entity::EndpointId, u64)> {
+        self.members.iter().filter_map(|(id, member)| match member {
+            Member::Owned(owned) if owned.former_until.is_none() => Some((id, owned.least_load())),
+            _ => None,
+        })
+    }
+
+    /// Expected time until an endpoint has room for a request of this cost, or `None` if the
+    /// pool cannot tell.
+    #[must_use]
+    pub fn expected_wait(
+        &self,
+        endpoint: entity::EndpointId,
+        cost: u64,
+        mean: &Mean,
+        now: time::Time,
+    ) -> Option<Duration> {
+        let load = self.load(endpoint, now)?;
+        if self.fits(load, cost, mean) {
+            return Some(Duration::ZERO);
+        }
+        let members = mean.members.max(1) as f64;
+        let limit =
+            (mean.lowered_sum as f64 + cost as f64) / members * self.settings.multiple.as_ratio();
+        let excess = (load as f64 + cost as f64 - limit).min(load as f64 - mean.as_ratio());
+        self.drain.time_to_complete(excess, self.owned(), now)
+    }
+
+    fn owned(&self) -> usize {
+        let owned = |member: &&Member| matches!(member, Member::Owned(_));
+        self.members.values().filter(owned).count()
+    }
+}
+
+/// Whether a load may grow by `cost` at an endpoint to which another host may admit as well: only
+/// up to the mean. The cost includes a large request that the other may admit unseen.
+fn fits_in_mean(load: u64, cost: u64, mean: &Mean) -> bool {
+    let after = u128::from(load) + u128::from(cost);
+    let idle = load == 0 && mean.sum == 0;
+    idle || after * u128::from(mean.members.max(1)) <= u128::from(mean.lowered_sum)
+}
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -246,13 +246,15 @@
             return;
         };
         let usable = |(_, id): &Scored| self.takes_new_work(*id);
-        let mut order: SmallVec<[Scored; 32]> = scored.iter().copied().filter(usable).collect();
-        order.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let in_home = |id: entity::EndpointId| self.domain_of(id) == Some(home);
-        let ids = || order.iter().map(|(_, id)| *id);
-        out.extend(ids().filter(|id| in_home(*id)).take(MAX_HOME_CANDIDATES));
-        let left = MAX_CANDIDATES - out.len();
-        out.extend(ids().filter(|id| !in_home(*id)).take(left));
+        let (mut near, mut far): (SmallVec<[Scored; 32]>, SmallVec<[Scored; 32]>) = scored
+            .iter()
+            .copied()
+            .filter(usable)
+            .partition(|(_, id)| in_home(*id));
+        keep_best(&mut near, MAX_HOME_CANDIDATES);
+        keep_best(&mut far, MAX_CANDIDATES - near.len());
+        out.extend(near.iter().chain(&far).map(|(_, id)| *id));
     }
 
     /// Scores of the live endpoints of the region that serve the target and can be reached.
@@ -320,6 +322,16 @@
     }
 }
 
+/// Keeps the `count` best of a list, best first.
+fn keep_best(scored: &mut SmallVec<[Scored; 32]>, count: usize) {
+    let best_first = |a: &Scored, b: &Scored| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1));
+    if scored.len() > count {
+        scored.select_nth_unstable_by(count, best_first);
+        scored.truncate(count);
+    }
+    scored.sort_unstable_by(best_first);
+}
+
 /// Keeps the keys of endpoints apart from those of chats.
 const OWNER_KEY: u64 = 0x6f77_6e65_7200_0000;
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,7 +1,18 @@
 //! Choice of an endpoint for each request.
 //!
 //! [`candidates`] gives the endpoints of a chat in order of preference. [`rendezvous`] is the
-//! hash behind that order and behind the ownership of endpoints.
+//! hash behind that order and behind the ownership of endpoints. [`bound`] keeps the load of each
+//! endpoint within a multiple of the mean. [`cache`] knows which prefixes an endpoint probably
+//! holds, and [`spill`] weighs waiting for the holder against spilling with or without an import.
+//! [`work`] estimates what a request costs, and [`owner`] puts these together for one host.
 
+pub mod bound;
+pub mod cache;
 pub mod candidates;
+pub mod holders;
+pub mod owner;
+pub mod pace;
+pub mod recent;
 pub mod rendezvous;
+pub mod spill;
+pub mod work;
--- /dev/null
+++ b/crates/core/src/routing/owner.rs
@@ -0,0 +1,285 @@
+//! State of one host for the endpoints of one target in its failure domain.
+//!
+//! A request first reaches the owner of the chat's first candidate. That owner knows where the
+//! chat's prefix is, so it [decides](Owner::decide) the way of the request. The owner of the
+//! endpoint on that way [admits](Owner::admit) the request or refuses it before anything is sent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::routing::{bound, cache, candidates, holders, spill};
+use crate::{entity, map, request, time, units};
+
+/// Settings of routing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Bound of the load.
+    pub bound: bound::Settings,
+    /// Views of the prefix caches.
+    pub cache: cache::Settings,
+    /// Choice between the holder of a prefix and the others.
+    pub spill: spill::Settings,
+}
+
+/// What the choice needs to know of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask<'a> {
+    /// Chat of the request, if it has one.
+    pub chat: Option<request::ChatKey>,
+    /// Tokens of the prompt.
+    pub prompt: units::Tokens,
+    /// Estimated work, in the unit of the pool's loads.
+    pub cost: u64,
+    /// Candidates, best first.
+    pub candidates: &'a [entity::EndpointId],
+    /// Endpoints that have refused the request.
+    pub refused: &'a [entity::EndpointId],
+    /// Whether the request may wait for the holder of its prefix.
+    pub may_wait: bool,
+}
+
+/// State of one host for the endpoints of one target in its domain.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    settings: Settings,
+    pool: bound::pool::Pool,
+    /// Views of the caches of the owned endpoints.
+    caches: map::EntityMap<entity::EndpointId, cache::View>,
+    holders: holders::Holders,
+    chooser: spill::Chooser,
+}
+
+impl Owner {
+    /// Makes the state of a host that owns nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, now: time::Time) -> Self {
+        Self {
+            settings,
+            pool: bound::pool::Pool::new(settings.bound),
+            caches: map::EntityMap::new(),
+            holders: holders::Holders::default(),
+            chooser: spill::Chooser::new(settings.spill, now),
+        }
+    }
+
+    /// Loads of the pool.
+    #[must_use]
+    pub fn pool(&self) -> &bound::pool::Pool {
+        &self.pool
+    }
+
+    /// Loads of the pool, to take in views and reports.
+    pub fn pool_mut(&mut self) -> &mut bound::pool::Pool {
+        &mut self.pool
+    }
+
+    /// Takes an endpoint over whose last own load report is `report`. The caller asks the
+    /// endpoint for a listing of its cache.
+    pub fn take_over(&mut self, endpoint: entity::EndpointId, report: u64, now: time::Time) {
+        self.pool.take_over(endpoint, report, now);
+        let settings = self.settings.cache;
+        self.caches
+            .get_or_insert_with(endpoint, || cache::View::new(settings));
+    }
+
+    /// Gives an endpoint up and returns the load that this host leaves in flight.
+    pub fn give_up(&mut self, endpoint: entity::EndpointId, now: time::Time) -> u64 {
+        self.caches.remove(endpoint);
+        self.pool.give_up(endpoint, now)
+    }
+
+    /// Removes an endpoint that left the host list or is leaving.
+    pub fn leave(&mut self, endpoint: entity::EndpointId) {
+        self.caches.remove(endpoint);
+        self.pool.leave(endpoint);
+    }
+
+    /// View of an owned endpoint's cache.
+    #[must_use]
+    pub fn cache(&self, endpoint: entity::EndpointId) -> Option<&cache::View> {
+        self.caches.get(endpoint)
+    }
+
+    /// Folds a cache event of an owned endpoint in.
+    pub fn cache_event(
+        &mut self,
+        endpoint: entity::EndpointId,
+        event: cache::Event,
+    ) -> cache::Need {
+        match self.caches.get_mut(endpoint) {
+            Some(view) => view.fold(event),
+            None => cache::Need::Nothing,
+        }
+    }
+
+    /// Takes in a listing of an owned endpoint's cache that shows every event before `next`.
+    pub fn cache_listing<I>(&mut self, endpoint: entity::EndpointId, next: u64, entries: I)
+    where
+        I: IntoIterator<Item = (request::ChatKey, units::Tokens)>,
+    {
+        if let Some(view) = self.caches.get_mut(endpoint) {
+            view.load(next, entries);
+        }
+    }
+
+    /// Takes in where a chat went whose first candidate this host owns.
+    pub fn note(&mut self, notice: holders::Notice) {
+        self.holders.note(notice);
+    }
+
+    /// Forgets that a chat is elsewhere than at its first candidate.
+    pub fn forget(&mut self, chat: request::ChatKey) {
+        self.holders.forget(chat);
+    }
+
+    /// Chooses the way of a request, or `None` if every candidate is at its bound and no wait is
+    /// worth it.
+    pub fn decide(&mut self, ask: &Ask<'_>, now: time::Time) -> Option<spill::Way> {
+        let mean = self.pool.mean(now);
+        let notice = ask.chat.and_then(|chat| self.holders.get(chat)).copied();
+        let mut ids: SmallVec<[entity::EndpointId; spill::MAX_OPTIONS]> = ask
+            .candidates
+            .iter()
+            .copied()
+            .take(candidates::MAX_CANDIDATES)
+            .collect();
+        if let Some(notice) = notice
+            && !ids.contains(&notice.endpoint)
+        {
+            ids.truncate(spill::MAX_OPTIONS - 1);
+            ids.push(notice.endpoint);
+        }
+        let options: SmallVec<[spill::Choice; spill::MAX_OPTIONS]> = ids
+            .iter()
+            .map(|id| self.option(*id, ask, notice.as_ref(), &mean, now))
+            .collect();
+        self.chooser.choose(ask.prompt, ask.cost, &options, now)
+    }
+
+    fn option(
+        &self,
+        endpoint: entity::EndpointId,
+        ask: &Ask<'_>,
+        notice: Option<&holders::Notice>,
+        mean: &bound::pool::Mean,
+        now: time::Time,
+    ) -> spill::Choice {
+        let load = self.pool.load(endpoint, now);
+        let listed = ask.candidates.contains(&endpoint);
+        let open = listed && !ask.refused.contains(&endpoint);
+        let wait = if open {
+            self.wait(endpoint, ask, load, mean, now)
+        } else {
+            None
+        };
+        spill::Choice {
+            endpoint,
+            held: self.held(endpoint, ask.chat, notice).min(ask.prompt),
+            load,
+            mean: mean.as_ratio(),
+            remote: !self.pool.contains(endpoint),
+            wait,
+        }
+    }
+
+    fn wait(
+        &self,
+        endpoint: entity::EndpointId,
+        ask: &Ask<'_>,
+        load: Option<u64>,
+        mean: &bound::pool::Mean,
+        now: time::Time,
+    ) -> Option<Duration> {
+        match self.pool.check(endpoint, ask.cost, now) {
+            Ok(()) => return Some(Duration::ZERO),
+            Err(bound::pool::Refused::TakingOver) => return None,
+            Err(bound::pool::Refused::NotOwned | bound::pool::Refused::AtBound) => {}
+        }
+        let owned = self.pool.owns(endpoint);
+        if !owned && load.is_none_or(|load| self.pool.fits(load, ask.cost, mean)) {
+            return Some(Duration::ZERO);
+        }
+        if !ask.may_wait {
+            return None;
+        }
+        self.pool.expected_wait(endpoint, ask.cost, mean, now)
+    }
+
+    fn held(
+        &self,
+        endpoint: entity::EndpointId,
+        chat: Option<request::ChatKey>,
+        notice: Option<&holders::Notice>,
+    ) -> units::Tokens {
+        let Some(chat) = chat else {
+            return units::Tokens::ZERO;
+        };
+        let noticed = notice.filter(|notice| notice.endpoint == endpoint);
+        let noticed = noticed.map_or(units::Tokens::ZERO, |notice| notice.tokens);
+        let viewed = self.caches.get(endpoint).map(|view| view.tokens(chat));
+        viewed.unwrap_or(noticed)
+    }
+
+    /// Admits a request to an owned endpoint and counts its cost until [`Owner::complete`].
+    /// `tokens` is the length of the chat after the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the endpoint gets no more work; nothing was changed.
+    pub fn admit(
+        &mut self,
+        endpoint: entity::EndpointId,
+        chat: Option<request::ChatKey>,
+        tokens: units::Tokens,
+        cost: u64,
+        now: time::Time,
+    ) -> Result<(), bound::pool::Refused> {
+        self.pool.admit(endpoint, cost, now)?;
+        if let (Some(chat), Some(view)) = (chat, self.caches.get_mut(endpoint)) {
+            view.sent(chat, tokens);
+        }
+        Ok(())
+    }
+
+    /// Notes that an admitted request of this cost has ended.
+    pub fn complete(&mut self, endpoint: entity::EndpointId, cost: u64, now: time::Time) {
+        self.pool.complete(endpoint, cost, now);
+    }
+
+    /// Notices for chats that an owned endpoint holds and whose first candidate is now another
+    /// endpoint, by the owner that has to know.
+    ///
+    /// Called after the candidates changed: an endpoint joined, left or is leaving. At most
+    /// `bound` notices, those of the lowest chat keys.
+    #[must_use]
+    pub fn moved_chats<F>(
+        &self,
+        endpoint: entity::EndpointId,
+        bound: usize,
+        first_owner: F,
+    ) -> BTreeMap<entity::HostId, Vec<holders::Notice>>
+    where
+        F: Fn(request::ChatKey) -> Option<(entity::EndpointId, entity::HostId)>,
+    {
+        let mut notices: BTreeMap<entity::HostId, Vec<holders::Notice>> = BTreeMap::new();
+        let Some(view) = self.caches.get(endpoint) else {
+            return notices;
+        };
+        let moved = view.iter().filter_map(|(chat, tokens)| {
+            let (first, owner) = first_owner(chat)?;
+            let notice = holders::Notice {
+                chat,
+                endpoint,
+                tokens,
+            };
+            (first != endpoint).then_some((owner, notice))
+        });
+        for (owner, notice) in moved.take(bound) {
+            notices.entry(owner).or_default().push(notice);
+        }
+        notices
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/recent.rs
@@ -0,0 +1,86 @@
+//! Map with a bound that forgets the entries used longest ago.
+
+use std::collections::BTreeMap;
+
+/// Map that holds at most a set number of entries.
+#[derive(Clone, Debug)]
+pub struct Recent<K, V> {
+    bound: usize,
+    /// Value and turn of the last use. Invariant: at most `bound` entries.
+    entries: BTreeMap<K, (V, u64)>,
+    /// Keys in the order of their last use. Invariant: one entry for each of `entries`.
+    by_turn: BTreeMap<u64, K>,
+    turn: u64,
+}
+
+impl<K, V> Recent<K, V>
+where
+    K: Copy + Ord,
+{
+    /// Makes an empty map that holds at most `bound` entries.
+    #[must_use]
+    pub fn new(bound: usize) -> Self {
+        Self {
+            bound,
+            entries: BTreeMap::new(),
+            by_turn: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Sets an entry, as the one used last. Returns the entry that was forgotten for it.
+    pub fn insert(&mut self, key: K, value: V) -> Option<(K, V)> {
+        self.remove(&key);
+        self.turn += 1;
+        self.entries.insert(key, (value, self.turn));
+        self.by_turn.insert(self.turn, key);
+        if self.entries.len() > self.bound {
+            self.pop_oldest()
+        } else {
+            None
+        }
+    }
+
+    /// Value of an entry. Does not count as a use.
+    #[must_use]
+    pub fn get(&self, key: &K) -> Option<&V> {
+        self.entries.get(key).map(|(value, _)| value)
+    }
+
+    /// Removes an entry.
+    pub fn remove(&mut self, key: &K) -> Option<V> {
+        let (value, turn) = self.entries.remove(key)?;
+        self.by_turn.remove(&turn);
+        Some(value)
+    }
+
+    /// Removes the entry used longest ago.
+    pub fn pop_oldest(&mut self) -> Option<(K, V)> {
+        let (_, key) = self.by_turn.pop_first()?;
+        let (value, _) = self.entries.remove(&key)?;
+        Some((key, value))
+    }
+
+    /// Removes every entry.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+        self.by_turn.clear();
+    }
+
+    /// Keys in order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.entries.iter().map(|(key, (value, _))| (key, value))
+    }
+
+    /// Number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the map is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod bounds;
 pub mod figure;
 pub mod membership;
+pub mod routing;
+pub mod traces;
