Share the limits of plans out in slices that never sum above the plan

Cause: every entry host sees a sliver of an account's traffic, hosts pause and lose each other and the store, and yet no window may hold more than the plan's rate and one burst. Level and outstanding credit of a slice together never exceed its burst.

--- /dev/null
+++ b/crates/core/src/limits/authority.rs
@@ -0,0 +1,73 @@
+//! When a host may use the parts of a slice.
+
+use std::time::Duration;
+
+use crate::limits::terms;
+use crate::time;
+
+/// Span during which a host may use a part of a slice, on its own clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Span {
+    /// Start.
+    pub from: time::Time,
+    /// End. Not part of the span.
+    pub until: time::Time,
+}
+
+impl Span {
+    /// Whether the span holds a point in time.
+    #[must_use]
+    pub fn has(&self, now: time::Time) -> bool {
+        self.from <= now && now < self.until
+    }
+
+    /// Length of the part of the span that lies between two points.
+    #[must_use]
+    pub fn overlap(&self, from: time::Time, to: time::Time) -> Duration {
+        self.until.min(to).since(self.from.max(from))
+    }
+}
+
+/// Spans during which a host may use the two parts of a slice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Authority {
+    /// Span of the elastic part.
+    pub elastic: Span,
+    /// Span of the floor.
+    pub floor: Span,
+}
+
+impl Authority {
+    /// Quarters of the slice's rates that may be used.
+    #[must_use]
+    pub fn quarters(&self, now: time::Time) -> u64 {
+        let floor = u64::from(self.floor.has(now)) * terms::FLOOR_QUARTERS;
+        let rest = terms::QUARTERS - terms::FLOOR_QUARTERS;
+        floor + u64::from(self.elastic.has(now)) * rest
+    }
+
+    /// Quarters of the slice's rate times time between two points.
+    #[must_use]
+    pub(super) fn quarter_time(&self, from: time::Time, to: time::Time) -> Duration {
+        let floor = self.floor.overlap(from, to) * terms::FLOOR_QUARTERS as u32;
+        let rest = (terms::QUARTERS - terms::FLOOR_QUARTERS) as u32;
+        floor + self.elastic.overlap(from, to) * rest
+    }
+
+    /// The authority over requests in flight: those that a former holder granted may still run
+    /// for the longest time of a request. A span from the start of time has no former holder.
+    #[must_use]
+    pub fn of_slots(&self) -> Self {
+        let later = |span: Span| match span.from {
+            time::Time::ZERO => span,
+            from => Span {
+                from: from + terms::surely(terms::MAX_REQUEST + terms::CREDIT_TTL),
+                ..span
+            },
+        };
+        Self {
+            elastic: later(self.elastic),
+            floor: later(self.floor),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/limits/bucket.rs
@@ -0,0 +1,116 @@
+//! Credit that one slice of an account's limits has left.
+
+use std::time::Duration;
+
+use crate::limits::{Amount, Authority, terms};
+use crate::{lists, time};
+
+/// Billionths in a unit.
+const BILLION: i128 = terms::BILLION as i128;
+
+/// One slice of the limits of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Slice {
+    /// Requests a minute, in `slices` parts.
+    pub(super) requests_per_minute: u64,
+    /// Tokens a minute, in `slices` parts.
+    pub(super) tokens_per_minute: u64,
+    /// Requests at once, in `slices` parts.
+    pub(super) request_burst: u64,
+    /// Tokens at once, in `slices` parts.
+    pub(super) token_burst: u64,
+    /// Requests in flight of this slice.
+    pub(super) slots: u64,
+    /// Number of slices.
+    pub(super) slices: u64,
+}
+
+impl Slice {
+    /// The slice with an index below `slices`. The slices sum up to the plan.
+    pub(super) fn of(plan: &lists::Plan, slices: u8, index: u8) -> Self {
+        let (slices, index) = (u64::from(slices), u64::from(index));
+        let extra = u64::from(index < plan.in_flight.0 % slices);
+        Self {
+            requests_per_minute: plan.requests_per_minute.0,
+            tokens_per_minute: plan.tokens_per_minute.0,
+            request_burst: terms::request_burst(plan.requests_per_minute).0,
+            token_burst: terms::token_burst(plan.tokens_per_minute, plan.longest_answer).0,
+            slots: plan.in_flight.0 / slices + extra,
+            slices,
+        }
+    }
+
+    /// Whether the slice is too small for an amount even when it is full.
+    pub(super) fn never_covers(&self, amount: Amount, quarters: u64) -> bool {
+        let parts = self.slices * terms::QUARTERS;
+        amount.tokens.0 * parts > self.token_burst * quarters
+    }
+
+    /// Requests in flight that may be granted.
+    pub(super) fn slots(&self, now: time::Time, authority: &Authority) -> u64 {
+        let authority = authority.of_slots();
+        let floor = match self.slots {
+            0 | 1 => 0,
+            slots => (slots * terms::FLOOR_QUARTERS / terms::QUARTERS).max(1),
+        };
+        let mut granted = 0;
+        if authority.floor.has(now) {
+            granted += floor;
+        }
+        if authority.elastic.has(now) {
+            granted += self.slots - floor;
+        }
+        granted
+    }
+}
+
+/// Level of one rate, in billionths of a unit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Level {
+    /// Credit that may be granted. Negative after use beyond an estimate.
+    billionths: i128,
+}
+
+impl Level {
+    /// Adds what a rate gave, up to a bound that the outstanding credit counts against.
+    pub(super) fn refill(&mut self, rate: u64, span: Duration, slices: u64) {
+        let accrued = terms::accrued(rate, span) / u128::from(slices * terms::QUARTERS);
+        self.billionths += accrued as i128;
+    }
+
+    /// Cuts the level down to a bound in whole units, less what is outstanding.
+    pub(super) fn clip(&mut self, burst: u64, quarters: u64, slices: u64, outstanding: u64) {
+        let bound = u128::from(burst) * u128::from(quarters) * terms::BILLION;
+        let bound = (bound / u128::from(slices * terms::QUARTERS)) as i128;
+        let outstanding = i128::from(outstanding) * BILLION;
+        self.billionths = self.billionths.min(bound - outstanding);
+    }
+
+    /// Whole units that may be granted.
+    pub(super) fn units(&self) -> u64 {
+        u64::try_from(self.billionths / BILLION).unwrap_or(0)
+    }
+
+    /// Gives up what is left.
+    pub(super) fn forfeit(&mut self) {
+        self.billionths = self.billionths.min(0);
+    }
+
+    pub(super) fn add(&mut self, units: u64) {
+        self.billionths += i128::from(units) * BILLION;
+    }
+
+    pub(super) fn take(&mut self, units: u64) {
+        self.billionths -= i128::from(units) * BILLION;
+    }
+
+    /// Time until the level holds so many units, at a rate in units a minute.
+    pub(super) fn time_until(&self, units: u64, rate: u64, slices: u64, quarters: u64) -> Duration {
+        let missing = i128::from(units) * BILLION - self.billionths;
+        let missing = u128::try_from(missing).unwrap_or(0);
+        let per_minute = u128::from(rate.max(1)) * u128::from(quarters.max(1));
+        let parts = u128::from(slices * terms::QUARTERS);
+        let micros = missing * 60 * parts / (per_minute * 1_000);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/core/src/limits/claims.rs
@@ -0,0 +1,309 @@
+//! Who holds the slices: the table in the key-value service and a host's claims on it.
+//!
+//! The table has one value for each shard. A host that should hold a slice, by its view of the
+//! live hosts, takes it over from a host that is not live, or from one that has given it up. All
+//! that exclusion rests on is the compare-and-swap of the value, the leases that each holder
+//! counts on its own clock, and the wait of the next holder; a wrong view costs use, never safety.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::limits::{Authority, SHARDS, SLICES, SliceId, Span, terms};
+use crate::{entity, time};
+
+/// Prefix of the keys of the table.
+pub const PREFIX: &str = "/pistachiochute/limits/";
+
+/// Period at which a holder reads the values of its shards.
+const RENEW: Duration = Duration::from_secs(15);
+
+/// Time for which a holder must be missing from the view before its slices are taken over.
+const MISSING: Duration = Duration::from_secs(10);
+
+/// A process of a host that holds a part of a slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holder {
+    /// The host.
+    pub host: entity::HostId,
+    /// Number of the process, larger for a later one of the host.
+    pub boot: u64,
+}
+
+/// One part of a slice in the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The holder, or `None` if it was given up or never held.
+    pub holder: Option<Holder>,
+    /// What the holder must wait for.
+    pub after: After,
+}
+
+/// What the holder of a part follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum After {
+    /// Nobody.
+    #[default]
+    Nobody,
+    /// A holder that gave the part up and granted nothing since.
+    Surrender,
+    /// A holder that may still use the part until its lease lapses.
+    Lease,
+}
+
+/// A slice in the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    /// The part with the short lease.
+    pub elastic: Part,
+    /// The part with the long lease.
+    pub floor: Part,
+}
+
+/// Value of one shard in the table.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Shard {
+    /// Slices of the shard.
+    pub rows: [Row; SLICES as usize],
+}
+
+/// Key of a shard's value.
+#[must_use]
+pub fn key(shard: u8) -> String {
+    format!("{PREFIX}{shard:02}")
+}
+
+/// What a host claims.
+#[derive(Clone, Copy, Debug, Default)]
+struct Claim {
+    elastic: Option<Span>,
+    floor: Option<Span>,
+}
+
+/// Number by which the store tells writes of a shard's value apart; zero if there is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Guard(pub u64);
+
+/// What the claims ask their surroundings to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Read the value of a shard, and pass it to [`Claims::read`] with the time of sending.
+    Read(u8),
+    /// Write the value of a shard if it still has the guard, and read it again, whatever the
+    /// answer is.
+    Write(u8, Guard, Box<Shard>),
+}
+
+/// The slices that one host holds.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    own: Holder,
+    /// Live hosts with their domains, in the order of ids.
+    hosts: Vec<(entity::HostId, entity::DomainId)>,
+    domains: Vec<entity::DomainId>,
+    /// Since when a host that holds a slice is missing from the view. Bounded by the table.
+    missing: BTreeMap<entity::HostId, time::Time>,
+    /// Slices that this host should hold, by its view.
+    wanted: Vec<SliceId>,
+    claims: BTreeMap<SliceId, Claim>,
+    /// Slices that a write gives up which may still take effect, with the guard of the write.
+    /// They are not used before the guard has moved.
+    surrendering: BTreeMap<SliceId, Guard>,
+    next_read: [time::Time; SHARDS as usize],
+    draining: bool,
+}
+
+impl Claims {
+    /// Makes the claims of a process of a host. `domains` are all failure domains, live or not.
+    #[must_use]
+    pub fn new(host: entity::HostId, boot: u64, domains: Vec<entity::DomainId>) -> Self {
+        Self {
+            own: Holder { host, boot },
+            hosts: Vec::new(),
+            domains,
+            missing: BTreeMap::new(),
+            wanted: Vec::new(),
+            claims: BTreeMap::new(),
+            surrendering: BTreeMap::new(),
+            next_read: [time::Time::ZERO; SHARDS as usize],
+            draining: false,
+        }
+    }
+
+    /// Takes over a new view of the live hosts.
+    pub fn set_hosts(&mut self, hosts: Vec<(entity::HostId, entity::DomainId)>) {
+        self.hosts = hosts;
+        let is_own = |id: &SliceId| id.candidate(&self.hosts, &self.domains) == Some(self.own.host);
+        let wanted: Vec<_> = SliceId::all().filter(is_own).collect();
+        for id in &wanted {
+            if !self.wanted.contains(id) {
+                self.next_read[usize::from(id.shard)] = time::Time::ZERO;
+            }
+        }
+        self.wanted = wanted;
+        let live = |host: &entity::HostId| self.hosts.iter().any(|(other, _)| other == host);
+        self.missing.retain(|host, _| !live(host));
+    }
+
+    /// Host that should hold a slice, by the view. A host that lacks credit asks it first.
+    #[must_use]
+    pub fn candidate(&self, id: SliceId) -> Option<entity::HostId> {
+        id.candidate(&self.hosts, &self.domains)
+    }
+
+    /// Spans during which this host may use a slice.
+    #[must_use]
+    pub fn authority(&self, id: SliceId) -> Authority {
+        let claim = self.claims.get(&id).copied().unwrap_or_default();
+        Authority {
+            elastic: claim.elastic.unwrap_or_default(),
+            floor: claim.floor.unwrap_or_default(),
+        }
+    }
+
+    /// Slices of which this host holds a part.
+    pub fn held(&self) -> impl Iterator<Item = SliceId> {
+        self.claims.keys().copied()
+    }
+
+    /// Reads the shards that are due.
+    pub fn tick(&mut self, now: time::Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for shard in 0..SHARDS {
+            let wanted = self.wanted.iter().any(|id| id.shard == shard) && !self.draining;
+            let held = self.claims.keys().any(|id| id.shard == shard);
+            let next = &mut self.next_read[usize::from(shard)];
+            if (wanted || held) && *next <= now {
+                *next = now + RENEW;
+                effects.push(Effect::Read(shard));
+            }
+        }
+        effects
+    }
+
+    /// Takes the value of a shard that was read. `sent` is the time at which the read was sent;
+    /// `now` is not before the answer came.
+    pub fn read(
+        &mut self,
+        sent: time::Time,
+        now: time::Time,
+        shard: u8,
+        guard: Guard,
+        value: &Shard,
+    ) -> Vec<Effect> {
+        self.surrendering
+            .retain(|id, sent| id.shard != shard || *sent == guard);
+        let mut next = *value;
+        for (slice, row) in (0..SLICES).zip(&mut next.rows) {
+            let id = SliceId { shard, slice };
+            let claim = self.claims.entry(id).or_default();
+            renew(
+                &mut claim.elastic,
+                self.own,
+                sent,
+                now,
+                &row.elastic,
+                terms::ELASTIC_LEASE,
+            );
+            renew(
+                &mut claim.floor,
+                self.own,
+                sent,
+                now,
+                &row.floor,
+                terms::FLOOR_LEASE,
+            );
+            // A holder that gives a part up while it still waits passes its own wait on.
+            let active = |span: Option<Span>| span.is_some_and(|span| span.from <= now);
+            let active = [claim.elastic, claim.floor].map(active);
+            if claim.elastic.is_none() && claim.floor.is_none() {
+                self.claims.remove(&id);
+            }
+            let surrendering = self.surrendering.contains_key(&id);
+            let wanted = self.wanted.contains(&id) && !self.draining && !surrendering;
+            let holds = [row.elastic, row.floor].map(|part| part.holder == Some(self.own));
+            if !wanted && holds != [false, false] {
+                self.claims.remove(&id);
+                self.surrendering.insert(id, guard);
+            }
+            self.move_part(now, wanted, active[0], &mut row.elastic);
+            self.move_part(now, wanted, active[1], &mut row.floor);
+        }
+        if next == *value {
+            return Vec::new();
+        }
+        vec![Effect::Write(shard, guard, Box::new(next))]
+    }
+
+    /// Gives up every slice before the process ends. The host grants nothing from now on.
+    pub fn drain(&mut self) -> Vec<Effect> {
+        self.draining = true;
+        let mut shards: Vec<_> = self.claims.keys().map(|id| id.shard).collect();
+        shards.dedup();
+        shards.into_iter().map(Effect::Read).collect()
+    }
+
+    /// Takes a part over, or gives it up to the host that should hold it.
+    fn move_part(&mut self, now: time::Time, wanted: bool, active: bool, part: &mut Part) {
+        match part.holder {
+            Some(holder) if holder == self.own && !wanted => {
+                part.holder = None;
+                if active {
+                    part.after = After::Surrender;
+                }
+            }
+            Some(holder) if holder != self.own && wanted && self.is_gone(now, holder) => {
+                part.holder = Some(self.own);
+                part.after = After::Lease;
+            }
+            None if wanted => part.holder = Some(self.own),
+            _ => {}
+        }
+    }
+
+    /// Whether a holder has been missing from the view for long, or is a former process of this
+    /// host.
+    fn is_gone(&mut self, now: time::Time, holder: Holder) -> bool {
+        if holder.host == self.own.host {
+            return holder.boot < self.own.boot;
+        }
+        if self.hosts.iter().any(|(host, _)| *host == holder.host) {
+            return false;
+        }
+        let since = *self.missing.entry(holder.host).or_insert(now);
+        now.since(since) >= MISSING
+    }
+}
+
+/// Extends the span of a part that the host holds, or ends it.
+fn renew(
+    span: &mut Option<Span>,
+    own: Holder,
+    sent: time::Time,
+    now: time::Time,
+    part: &Part,
+    lease: Duration,
+) {
+    if part.holder != Some(own) {
+        *span = None;
+        return;
+    }
+    let wait = match part.after {
+        After::Nobody => Duration::ZERO,
+        After::Surrender => terms::surely(terms::CREDIT_TTL),
+        After::Lease => terms::surely(lease + terms::CREDIT_TTL),
+    };
+    let from = match part.after {
+        After::Nobody => time::Time::ZERO,
+        _ => now + wait,
+    };
+    let former = span.unwrap_or(Span { from, until: sent });
+    *span = Some(Span {
+        from: former.from,
+        until: former.until.max(sent + lease),
+    });
+}
--- /dev/null
+++ b/crates/core/src/limits/keeper.rs
@@ -0,0 +1,334 @@
+//! The holder of slices: grants short-lived credit to entry hosts.
+//!
+//! For each account the credit that is left and the credit that is outstanding together never
+//! exceed the slice's burst, and only the rate of the slice adds to them. So over any window the
+//! entry hosts start at most what the rate gives and one burst, whatever messages are lost,
+//! repeated or late.
+
+use std::collections::BTreeMap;
+
+use smallvec::SmallVec;
+
+use super::bucket::{Level, Slice};
+use crate::limits::message::{Ask, Grant, Short};
+use crate::limits::{Amount, Authority, Layout, terms};
+use crate::{entity, lists, name, time, units};
+
+/// Grants to one entry host that it has not reported as seen. More are refused.
+const MAX_UNSEEN: usize = 4;
+
+/// Accounts with state in one keeper. More are refused until others are forgotten.
+const MAX_ACCOUNTS: usize = 8_192;
+
+/// A slice of one account.
+type Key = (name::AccountName, u8);
+
+/// A grant that the entry host has not reported as seen.
+#[derive(Clone, Copy, Debug)]
+struct Unseen {
+    number: u64,
+    amount: Amount,
+    granted: time::Time,
+}
+
+/// Credit of one entry host.
+#[derive(Clone, Debug, Default)]
+struct Outstanding {
+    boot: u64,
+    /// Number of the last ask.
+    ask: u64,
+    /// Number of the last grant.
+    grant: u64,
+    /// Credit that the entry host reported to hold.
+    held: Amount,
+    /// When it reported this.
+    reported: time::Time,
+    unseen: SmallVec<[Unseen; MAX_UNSEEN]>,
+}
+
+impl Outstanding {
+    /// Forgets credit that can no longer be spent.
+    fn expire(&mut self, now: time::Time) {
+        let credit = terms::surely(terms::CREDIT_TTL);
+        let slots = terms::surely(terms::CREDIT_TTL + terms::MAX_REQUEST);
+        let live = |amount: Amount, since: time::Time| {
+            let age = now.since(since);
+            let spendable = if age < credit { amount } else { Amount::ZERO };
+            let running = if age < slots {
+                amount.slots
+            } else {
+                units::Requests::ZERO
+            };
+            Amount {
+                slots: running,
+                ..spendable
+            }
+        };
+        self.held = live(self.held, self.reported);
+        for unseen in &mut self.unseen {
+            unseen.amount = live(unseen.amount, unseen.granted);
+        }
+        self.unseen.retain(|unseen| unseen.amount != Amount::ZERO);
+    }
+
+    fn sum(&self) -> Amount {
+        self.unseen
+            .iter()
+            .fold(self.held, |sum, unseen| sum.plus(unseen.amount))
+    }
+
+    /// Takes over what an ask reports. Returns the credit that was given back.
+    fn report(&mut self, now: time::Time, ask: &Ask) -> Amount {
+        let mut seen = self.held;
+        self.unseen.retain(|unseen| {
+            let is_seen = unseen.number <= ask.seen;
+            if is_seen {
+                seen = seen.plus(unseen.amount);
+            }
+            !is_seen
+        });
+        self.held = ask.held.min(seen);
+        self.reported = now;
+        ask.released.min(seen.minus(self.held))
+    }
+}
+
+/// Credit of one slice of an account.
+#[derive(Clone, Debug)]
+struct Account {
+    requests: Level,
+    tokens: Level,
+    /// Time up to which the levels have been refilled.
+    refilled: time::Time,
+    /// Starts of the spans of authority that the levels were earned in.
+    starts: [time::Time; 2],
+    /// Credit by entry host. Bounded by the hosts of the fleet.
+    outstanding: BTreeMap<entity::HostId, Outstanding>,
+}
+
+impl Account {
+    fn new() -> Self {
+        Self {
+            requests: Level::default(),
+            tokens: Level::default(),
+            refilled: time::Time::ZERO,
+            starts: [time::Time::ZERO; 2],
+            outstanding: BTreeMap::new(),
+        }
+    }
+
+    fn expire(&mut self, now: time::Time) {
+        for outstanding in self.outstanding.values_mut() {
+            outstanding.expire(now);
+        }
+    }
+
+    fn sum(&self) -> Amount {
+        let all = self.outstanding.values();
+        all.fold(Amount::ZERO, |sum, outstanding| sum.plus(outstanding.sum()))
+    }
+
+    fn refill(&mut self, now: time::Time, slice: &Slice, authority: &Authority) {
+        let starts = [authority.elastic.from, authority.floor.from];
+        if starts != self.starts {
+            // Another host may have used the slice in between.
+            self.starts = starts;
+            self.requests.forfeit();
+            self.tokens.forfeit();
+        }
+        let span = authority.quarter_time(self.refilled, now);
+        self.refilled = now;
+        self.requests
+            .refill(slice.requests_per_minute, span, slice.slices);
+        self.tokens
+            .refill(slice.tokens_per_minute, span, slice.slices);
+        self.clip(now, slice, authority);
+    }
+
+    fn clip(&mut self, now: time::Time, slice: &Slice, authority: &Authority) {
+        let quarters = authority.quarters(now);
+        let out = self.sum();
+        self.requests
+            .clip(slice.request_burst, quarters, slice.slices, out.requests.0);
+        self.tokens
+            .clip(slice.token_burst, quarters, slice.slices, out.tokens.0);
+    }
+
+    fn available(&self, now: time::Time, slice: &Slice, authority: &Authority) -> Amount {
+        let slots = slice.slots(now, authority);
+        Amount {
+            requests: units::Requests(self.requests.units()),
+            tokens: units::Tokens(self.tokens.units()),
+            slots: units::Requests(slots) - self.sum().slots,
+        }
+    }
+
+    /// Why less than was wanted is available.
+    fn short(&self, now: time::Time, slice: &Slice, authority: &Authority, want: Amount) -> Short {
+        let quarters = authority.quarters(now);
+        let available = self.available(now, slice, authority);
+        if available.tokens < want.tokens {
+            let rate = slice.tokens_per_minute;
+            let wait = self
+                .tokens
+                .time_until(want.tokens.0, rate, slice.slices, quarters);
+            return Short::Tokens(wait);
+        }
+        if available.requests < want.requests {
+            let rate = slice.requests_per_minute;
+            return Short::Requests(self.requests.time_until(1, rate, slice.slices, quarters));
+        }
+        Short::Slots
+    }
+}
+
+/// Grants credit out of the slices that a host holds.
+#[derive(Clone, Debug, Default)]
+pub struct Keeper {
+    accounts: BTreeMap<Key, Account>,
+}
+
+impl Keeper {
+    /// Makes a keeper without state.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Accounts that have state.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.accounts.len()
+    }
+
+    /// Whether no account has state.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Answers an ask for a slice, under the authority that the host has over it now.
+    ///
+    /// Returns `None` for an ask that is repeated or out of order.
+    pub fn ask(
+        &mut self,
+        now: time::Time,
+        from: entity::HostId,
+        ask: &Ask,
+        plan: &lists::Plan,
+        authority: &Authority,
+    ) -> Option<Grant> {
+        let layout = Layout::of(&ask.account, plan);
+        let quarters = authority.quarters(now);
+        let index = layout.index(ask.slice).filter(|_| quarters > 0);
+        let Some(index) = index else {
+            return Some(grant(ask, 0, Amount::ZERO, Some(Short::NotHolder)));
+        };
+        let key = (ask.account.clone(), ask.slice);
+        if self.accounts.len() >= MAX_ACCOUNTS && !self.accounts.contains_key(&key) {
+            return Some(grant(ask, 0, Amount::ZERO, Some(Short::NotHolder)));
+        }
+        let slice = Slice::of(plan, layout.slices, index);
+        let account = self.accounts.entry(key).or_insert_with(Account::new);
+        account.expire(now);
+        account.refill(now, &slice, authority);
+        let outstanding = account.outstanding.entry(from).or_default();
+        if outstanding.boot != ask.boot {
+            restart(outstanding, ask.boot)?;
+        }
+        if ask.number <= outstanding.ask {
+            return None;
+        }
+        outstanding.ask = ask.number;
+        let released = outstanding.report(now, ask);
+        account.requests.add(released.requests.0);
+        account.tokens.add(released.tokens.0 + ask.refund.0);
+        account.tokens.take(ask.overused.0);
+        account.clip(now, &slice, authority);
+        let available = account.available(now, &slice, authority);
+        let useful = available.covers(ask.least) || slice.never_covers(ask.least, quarters);
+        let amount = if useful {
+            available.min(ask.want)
+        } else {
+            Amount::ZERO
+        };
+        let short =
+            (!amount.covers(ask.want)).then(|| account.short(now, &slice, authority, ask.least));
+        account.requests.take(amount.requests.0);
+        account.tokens.take(amount.tokens.0);
+        let outstanding = account.outstanding.entry(from).or_default();
+        if amount == Amount::ZERO {
+            return Some(grant(ask, outstanding.grant, amount, short));
+        }
+        if outstanding.unseen.len() >= MAX_UNSEEN {
+            account.requests.add(amount.requests.0);
+            account.tokens.add(amount.tokens.0);
+            return Some(grant(ask, 0, Amount::ZERO, Some(Short::Slots)));
+        }
+        outstanding.grant += 1;
+        outstanding.unseen.push(Unseen {
+            number: outstanding.grant,
+            amount,
+            granted: now,
+        });
+        Some(grant(ask, outstanding.grant, amount, short))
+    }
+
+    /// Forgets accounts whose state equals that of an account never met.
+    pub fn tick(&mut self, now: time::Time) {
+        let full = terms::surely(terms::BURST) * 2;
+        for account in self.accounts.values_mut() {
+            account.expire(now);
+            account.outstanding.retain(|_, outstanding| {
+                outstanding.sum() != Amount::ZERO || now.since(outstanding.reported) < full
+            });
+        }
+        self.accounts.retain(|_, account| {
+            !account.outstanding.is_empty() || now.since(account.refilled) < full
+        });
+    }
+
+    /// Requests, tokens and slots outstanding of a slice.
+    #[must_use]
+    pub fn outstanding(&self, account: &name::AccountName, slice: u8) -> Amount {
+        let account = self.accounts.get(&(account.clone(), slice));
+        account.map_or(Amount::ZERO, Account::sum)
+    }
+}
+
+/// Takes over a later process of an entry host. What the former one held stays outstanding until
+/// it expires. Returns `None` for an ask of an earlier process.
+fn restart(outstanding: &mut Outstanding, boot: u64) -> Option<()> {
+    if boot < outstanding.boot {
+        return None;
+    }
+    let amount = outstanding.sum();
+    let granted = outstanding.unseen.iter().map(|unseen| unseen.granted).max();
+    let granted = granted
+        .unwrap_or(outstanding.reported)
+        .max(outstanding.reported);
+    *outstanding = Outstanding {
+        boot,
+        ..Outstanding::default()
+    };
+    if amount != Amount::ZERO {
+        let number = u64::MAX;
+        outstanding.unseen.push(Unseen {
+            number,
+            amount,
+            granted,
+        });
+    }
+    Some(())
+}
+
+fn grant(ask: &Ask, number: u64, amount: Amount, short: Option<Short>) -> Grant {
+    Grant {
+        account: ask.account.clone(),
+        slice: ask.slice,
+        ask: ask.number,
+        number,
+        amount,
+        short,
+    }
+}
--- a/crates/core/src/lists/finding.rs
+++ b/crates/core/src/lists/finding.rs
@@ -123,12 +123,12 @@
     },
     /// The plan holds no model and no service.
     NothingToUse,
-    /// The longest answer exceeds what the plan may use at once.
-    AnswerExceedsBurst {
+    /// The longest answer exceeds the tokens a minute.
+    AnswerExceedsRate {
         /// Longest answer of the plan.
         longest: units::Tokens,
-        /// Tokens that the plan may use at once.
-        burst: units::Tokens,
+        /// Tokens a minute of the plan.
+        rate: units::PerMinute,
     },
 }
 
@@ -164,10 +164,9 @@
                 write!(f, "no endpoint serves service {service}")
             }
             Self::NothingToUse => f.write_str("the plan holds no model and no service"),
-            Self::AnswerExceedsBurst { longest, burst } => write!(
+            Self::AnswerExceedsRate { longest, rate } => write!(
                 f,
-                "the longest answer of {longest} tokens exceeds the {burst} tokens that \
-                 tokens_per_minute allows at once"
+                "the longest answer of {longest} tokens exceeds the {rate} tokens a minute"
             ),
         }
     }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -62,6 +62,8 @@
         TokenLimit => "token_limit",
         /// The plan's requests in flight are used up.
         InFlightLimit => "in_flight_limit",
+        /// No host that holds a part of the plan's limits could be asked in time.
+        LimitUnconfirmed => "limit_unconfirmed",
         /// The host serves as many connections as it may.
         TooManyConnections => "too_many_connections",
         /// No endpoint that is reachable serves the model or service.
@@ -149,7 +151,8 @@
             Self::ActionUnknown => 502,
             Self::Deadline | Self::Stalled => 504,
             Self::CallerGone => 499,
-            Self::TooManyConnections
+            Self::LimitUnconfirmed
+            | Self::TooManyConnections
             | Self::NoEndpoint
             | Self::AtBound
             | Self::QueueFull
--- /dev/null
+++ b/crates/core/tests/limits_credit.rs
@@ -0,0 +1,411 @@
+//! Over any window an account is charged at most its rate and one burst, whatever is lost.
+
+use std::collections::BTreeMap;
+
+use pistachiochute_core::limits::borrower::{self, Borrower, Ticket};
+use pistachiochute_core::limits::keeper::Keeper;
+use pistachiochute_core::limits::message::{Ask, Grant};
+use pistachiochute_core::limits::{
+    self, Amount, Authority, Layout, SKEW_PPM, SLICES, SliceId, Span,
+};
+use pistachiochute_core::{entity, lists, name, request, time, units};
+use proptest::prelude::*;
+
+const ENTRIES: u32 = 4;
+
+fn plan() -> lists::Plan {
+    lists::Plan {
+        models: vec!["m".parse().unwrap()],
+        services: Vec::new(),
+        requests_per_minute: units::PerMinute(600),
+        tokens_per_minute: units::PerMinute(60_000),
+        in_flight: units::Requests(16),
+        priority: 0,
+        weight: 1,
+        longest_answer: units::Tokens(200),
+    }
+}
+
+fn account() -> name::AccountName {
+    "farm".parse().unwrap()
+}
+
+/// Time on a clock that is off by some parts per million.
+fn at(truth: u64, skew_ppm: i64) -> time::Time {
+    time::Time::from_micros(truth.saturating_add_signed(truth as i64 * skew_ppm / 1_000_000))
+}
+
+enum Flight {
+    Ask(usize, SliceId, Ask),
+    Grant(usize, Grant),
+}
+
+struct World {
+    truth: u64,
+    /// Each slice has a keeper of its own. The last span of authority of each, in true time.
+    keepers: BTreeMap<u8, (Keeper, Authority, i64)>,
+    entries: Vec<(Borrower, i64)>,
+    flights: Vec<Flight>,
+    running: Vec<(usize, Ticket)>,
+    /// Charges of requests and tokens by true time; refunds are negative.
+    charges: Vec<(u64, i64, i64)>,
+    requests: u128,
+}
+
+impl World {
+    fn new(skews: &[i64]) -> Self {
+        let whole = Span {
+            from: time::Time::ZERO,
+            until: time::Time::from_secs(1 << 40),
+        };
+        let authority = Authority {
+            elastic: whole,
+            floor: whole,
+        };
+        let keepers = Layout::of(&account(), &plan()).ids();
+        let skew = |i: usize| skews[i % skews.len()];
+        Self {
+            truth: 1_000_000_000,
+            keepers: keepers
+                .map(|id| (id.slice, (Keeper::new(), authority, skew(id.slice.into()))))
+                .collect(),
+            entries: (0..ENTRIES as usize)
+                .map(|i| (Borrower::new(1, [false; SLICES as usize]), skew(i + 3)))
+                .collect(),
+            flights: Vec::new(),
+            running: Vec::new(),
+            charges: Vec::new(),
+            requests: 0,
+        }
+    }
+
+    fn admit(&mut self, entry: usize, cost: u64) {
+        self.requests += 1;
+        let id = request::RequestId(uuid::Uuid::from_u128(self.requests));
+        let now = at(self.truth, self.entries[entry].1);
+        let cost = units::Tokens(cost);
+        let effects = self.entries[entry]
+            .0
+            .admit(now, id, &account(), &plan(), cost);
+        self.run(entry, effects);
+    }
+
+    fn run(&mut self, entry: usize, effects: borrower::Effects) {
+        for effect in effects {
+            match effect {
+                borrower::Effect::Ask(id, ask) => self.flights.push(Flight::Ask(entry, id, ask)),
+                borrower::Effect::Admitted(_, ticket) => {
+                    self.charges.push((self.truth, 1, ticket.cost.0 as i64));
+                    self.running.push((entry, ticket));
+                }
+                borrower::Effect::Refused { .. } => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self, index: usize, again: bool) {
+        if self.flights.is_empty() {
+            return;
+        }
+        let index = index % self.flights.len();
+        let flight = self.flights.remove(index);
+        match &flight {
+            Flight::Ask(entry, id, ask) => {
+                let (keeper, authority, skew) = self.keepers.get_mut(&id.slice).unwrap();
+                let now = at(self.truth, *skew);
+                let host = entity::HostId::new(*entry as u32).unwrap();
+                if let Some(grant) = keeper.ask(now, host, ask, &plan(), authority) {
+                    self.flights.push(Flight::Grant(*entry, grant));
+                }
+            }
+            Flight::Grant(entry, grant) => {
+                let (borrower, skew) = &mut self.entries[*entry];
+                let effects = borrower.granted(at(self.truth, *skew), grant);
+                self.run(*entry, effects);
+            }
+        }
+        if again {
+            self.flights.push(flight);
+        }
+    }
+
+    fn tick(&mut self, entry: usize) {
+        let now = at(self.truth, self.entries[entry].1);
+        let effects = self.entries[entry].0.tick(now);
+        self.run(entry, effects);
+        for (keeper, _, skew) in self.keepers.values_mut() {
+            keeper.tick(at(self.truth, *skew));
+        }
+    }
+
+    fn end(&mut self, index: usize, used: u64) {
+        if self.running.is_empty() {
+            return;
+        }
+        let (entry, ticket) = self.running.remove(index % self.running.len());
+        let used = units::Tokens(used).min(ticket.cost);
+        let now = at(self.truth, self.entries[entry].1);
+        self.entries[entry].0.done(now, &ticket, Some(used));
+        self.charges
+            .push((self.truth, 0, used.0 as i64 - ticket.cost.0 as i64));
+    }
+
+    /// Replaces the holder of a slice by a new one, after the wait that claims keep.
+    fn move_slice(&mut self, slice: u8) {
+        if let Some((keeper, authority, skew)) = self.keepers.get_mut(&slice) {
+            *keeper = Keeper::new();
+            let from = at(self.truth, *skew) + limits::surely(limits::CREDIT_TTL);
+            let until = time::Time::from_secs(1 << 40);
+            let span = Span { from, until };
+            *authority = Authority {
+                elastic: span,
+                floor: span,
+            };
+        }
+    }
+}
+
+/// Largest charge over any window beyond the rate and one burst, both divided by `parts`, as
+/// requests and tokens, of charges by true time in microseconds.
+fn over_admission(charges: &[(u64, i64, i64)], parts: i128) -> [i64; 2] {
+    let plan = plan();
+    let bursts = [
+        limits::request_burst(plan.requests_per_minute).0,
+        limits::token_burst(plan.tokens_per_minute, plan.longest_answer).0,
+    ];
+    let rates = [plan.requests_per_minute.0, plan.tokens_per_minute.0];
+    [0, 1].map(|kind| {
+        // Level of a bucket that holds one burst, in units a minute times microseconds.
+        let full = i128::from(bursts[kind]) * 60_000_000 / parts;
+        let (mut level, mut last, mut worst) = (full, 0, 0_i128);
+        for (truth, requests, tokens) in charges {
+            let charge = if kind == 0 { *requests } else { *tokens };
+            let refill = i128::from(*truth - last) * i128::from(rates[kind]) / parts;
+            level = (level + refill).min(full) - i128::from(charge) * 60_000_000;
+            last = *truth;
+            worst = worst.min(level);
+        }
+        // Rounded up, so that any excess counts.
+        ((-worst + 59_999_999) / 60_000_000) as i64
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6372_6564),
+        ..ProptestConfig::default()
+    })]
+
+    /// Asks and grants are lost, repeated and reordered, entry hosts and keepers pause, slices
+    /// change hands, and clocks differ within the stated bound.
+    #[test]
+    fn charges_stay_within_rate_and_burst(
+        skews in proptest::collection::vec(-(SKEW_PPM as i64)..=SKEW_PPM as i64, 8),
+        ops in proptest::collection::vec((0_u8..100, any::<u16>()), 1..1_500),
+    ) {
+        let mut world = World::new(&skews);
+        for (op, arg) in ops {
+            let index = usize::from(arg);
+            let entry = index % ENTRIES as usize;
+            match op {
+                0..=34 => (0..4).for_each(|_| world.admit(entry, 20 + u64::from(arg) % 400)),
+                35..=69 => world.deliver(index, false),
+                70..=71 => world.deliver(index, true),
+                72 if !world.flights.is_empty() => {
+                    world.flights.remove(index % world.flights.len());
+                }
+                73..=79 => world.truth += u64::from(arg),
+                80..=82 => world.truth += u64::from(arg) * 5,
+                83 => world.truth += u64::from(arg) * 60,
+                84..=87 => world.tick(entry),
+                88..=97 => (0..6).for_each(|_| world.end(index, u64::from(arg) % 300)),
+                98 => world.move_slice(arg as u8 % SLICES),
+                _ => {
+                    // The process starts again; requests in flight run on.
+                    let boot = 2 + world.requests as u64;
+                    world.entries[entry].0 = Borrower::new(boot, [false; SLICES as usize]);
+                }
+            }
+            prop_assert!(world.running.len() <= 16, "{} in flight", world.running.len());
+        }
+        prop_assert_eq!(over_admission(&world.charges, 1), [0, 0]);
+    }
+}
+
+#[test]
+fn whole_limit_is_usable_from_one_entry_host() {
+    let mut world = World::new(&[0]);
+    let mut admitted = 0;
+    for step in 0..6_000_u64 {
+        world.truth += 20_000;
+        world.admit(0, 100);
+        while !world.flights.is_empty() {
+            world.deliver(0, false);
+        }
+        while !world.running.is_empty() {
+            world.end(0, 100);
+        }
+        if step % 5 == 0 {
+            world.tick(0);
+        }
+        admitted = world
+            .charges
+            .iter()
+            .filter(|(_, requests, _)| *requests > 0)
+            .count();
+    }
+    // Two minutes at 600 requests a minute, and a burst of 200.
+    assert!(admitted >= 1_330, "{admitted}");
+    assert_eq!(over_admission(&world.charges, 1), [0, 0]);
+}
+
+#[test]
+fn ask_that_is_repeated_or_late_changes_nothing() {
+    let plan = plan();
+    let whole = Span {
+        from: time::Time::ZERO,
+        until: time::Time::from_secs(1 << 40),
+    };
+    let authority = Authority {
+        elastic: whole,
+        floor: whole,
+    };
+    let id = Layout::of(&account(), &plan).ids().next().unwrap();
+    let want = Amount::of_request(units::Tokens(100));
+    let ask = |number: u64| Ask {
+        account: account(),
+        slice: id.slice,
+        boot: 1,
+        number,
+        seen: 0,
+        held: Amount::ZERO,
+        released: Amount::ZERO,
+        refund: units::Tokens(1_000),
+        overused: units::Tokens::ZERO,
+        want,
+        least: want,
+    };
+    let host = entity::HostId::new(1).unwrap();
+    let now = time::Time::from_secs(100);
+    let mut keeper = Keeper::new();
+    assert!(keeper.ask(now, host, &ask(2), &plan, &authority).is_some());
+    assert_eq!(keeper.ask(now, host, &ask(2), &plan, &authority), None);
+    assert_eq!(keeper.ask(now, host, &ask(1), &plan, &authority), None);
+    assert_eq!(keeper.outstanding(&account(), id.slice), want);
+}
+
+/// An entry host that keeps credit for as long as it may, gives back and spends at will.
+#[derive(Default)]
+struct Hoarder {
+    number: u64,
+    seen: u64,
+    credits: Vec<(Amount, time::Time)>,
+    asked: Option<(u64, time::Time)>,
+}
+
+impl Hoarder {
+    fn ask(&mut self, now: time::Time, slice: u8, want: u64, give_back: bool) -> Ask {
+        self.credits.retain(|(_, until)| now < *until);
+        let last = if give_back { self.credits.pop() } else { None };
+        let credits = self.credits.iter();
+        self.number += 1;
+        self.asked = Some((self.number, now));
+        Ask {
+            account: account(),
+            slice,
+            boot: 1,
+            number: self.number,
+            seen: self.seen,
+            held: credits.fold(Amount::ZERO, |sum, (amount, _)| sum.plus(*amount)),
+            released: last.map_or(Amount::ZERO, |(amount, _)| amount),
+            refund: units::Tokens::ZERO,
+            overused: units::Tokens::ZERO,
+            want: Amount {
+                requests: units::Requests(want),
+                tokens: units::Tokens(want * 100),
+                slots: units::Requests::ZERO,
+            },
+            least: Amount::ZERO,
+        }
+    }
+
+    fn granted(&mut self, grant: &Grant) {
+        if let Some((number, sent)) = self.asked.filter(|(number, _)| *number == grant.ask) {
+            debug_assert!(number <= self.number);
+            self.asked = None;
+            self.seen = self.seen.max(grant.number);
+            self.credits.push((grant.amount, sent + limits::CREDIT_TTL));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x686f_6172),
+        ..ProptestConfig::default()
+    })]
+
+    /// The same with entry hosts that hoard credit and spend it at the last moment.
+    #[test]
+    fn hoarded_credit_stays_within_rate_and_burst(
+        skews in proptest::collection::vec(-(SKEW_PPM as i64)..=SKEW_PPM as i64, 4),
+        ops in proptest::collection::vec((0_u8..100, any::<u16>()), 1..400),
+    ) {
+        let slices: Vec<_> = Layout::of(&account(), &plan()).ids().map(|id| id.slice).collect();
+        let whole = Span { from: time::Time::ZERO, until: time::Time::from_secs(1 << 40) };
+        let authority = Authority { elastic: whole, floor: whole };
+        // One keeper holds every slice, and each hoarder asks for one of them.
+        let mut keeper = Keeper::new();
+        let mut hoarders: Vec<_> = (0..slices.len()).map(|_| Hoarder::default()).collect();
+        let mut asks = Vec::new();
+        let mut grants = Vec::new();
+        let mut charges = vec![Vec::new(); slices.len()];
+        let mut truth = 1_000_000_000;
+        for (op, arg) in ops {
+            let index = usize::from(arg);
+            let who = index % hoarders.len();
+            let now = at(truth, skews[who % 3]);
+            match op {
+                0..=29 => {
+                    let want = u64::from(arg) % 40;
+                    let slice = slices[who % slices.len()];
+                    asks.push((who, hoarders[who].ask(now, slice, want, arg >> 8 & 3 == 0)));
+                }
+                30..=54 if !asks.is_empty() => {
+                    let i = index % asks.len();
+                    let (who, ask) = if op == 30 { asks[i].clone() } else { asks.remove(i) };
+                    let host = entity::HostId::new(who as u32).unwrap();
+                    let now = at(truth, skews[3]);
+                    let grant = keeper.ask(now, host, &ask, &plan(), &authority);
+                    grants.extend(grant.map(|grant| (who, grant)));
+                }
+                55..=74 if !grants.is_empty() => {
+                    let (who, grant) = grants.remove(index % grants.len());
+                    hoarders[who].granted(&grant);
+                }
+                75..=89 => {
+                    let (hoarder, all) = (&mut hoarders[who], index);
+                    let spent = if hoarder.credits.is_empty() {
+                        None
+                    } else {
+                        Some(hoarder.credits.remove(all % hoarder.credits.len()))
+                    };
+                    if let Some((amount, _)) = spent.filter(|(_, until)| now < *until) {
+                        let charge = (truth, amount.requests.0 as i64, amount.tokens.0 as i64);
+                        charges[who % slices.len()].push(charge);
+                    }
+                }
+                90..=95 => truth += u64::from(arg) * 20,
+                96 => truth += u64::from(arg) * 500,
+                _ => truth += u64::from(arg) * 2,
+            }
+        }
+        for charges in charges {
+            prop_assert_eq!(over_admission(&charges, slices.len() as i128), [0, 0]);
+        }
+    }
+}
