--- a/crates/cases/src/machine/mod.rs
+++ b/crates/cases/src/machine/mod.rs
@@ -5,8 +5,10 @@
 
 pub mod answer;
 pub mod candidates;
+pub mod journal;
 pub mod link;
 pub mod queue;
+pub mod replica;
 pub mod retry;
 
 use pistachiochute_core::time;
@@ -20,10 +22,14 @@
     Answer(answer::Config),
     /// Candidates of chats and owners of endpoints.
     Candidates(candidates::Config),
+    /// Journals of several hosts.
+    Journal(journal::Config),
     /// Liveness of a link between hosts.
     Link(link::Config),
     /// Fair queue of one endpoint.
     Queue(queue::Config),
+    /// Copy of the lists on one host.
+    Replica(replica::Config),
     /// Attempts of requests on one host.
     Retry(retry::Config),
 }
@@ -35,10 +41,14 @@
     Answer(answer::Machine),
     /// Candidates of chats and owners of endpoints.
     Candidates(Box<candidates::Machine>),
+    /// Journals of several hosts.
+    Journal(journal::Machine),
     /// Liveness of a link between hosts.
     Link(link::Machine),
     /// Fair queue of one endpoint.
     Queue(queue::Machine),
+    /// Copy of the lists on one host.
+    Replica(Box<replica::Machine>),
     /// Attempts of requests on one host.
     Retry(retry::Machine),
 }
@@ -50,8 +60,10 @@
         match cfg {
             Config::Answer(cfg) => Self::Answer(answer::Machine::new(&cfg)),
             Config::Candidates(cfg) => Self::Candidates(Box::new(candidates::Machine::new(&cfg))),
+            Config::Journal(cfg) => Self::Journal(journal::Machine::new(&cfg)),
             Config::Link(cfg) => Self::Link(link::Machine::new(&cfg)),
             Config::Queue(cfg) => Self::Queue(queue::Machine::new(&cfg)),
+            Config::Replica(cfg) => Self::Replica(Box::new(replica::Machine::new(&cfg))),
             Config::Retry(cfg) => Self::Retry(retry::Machine::new(&cfg)),
         }
     }
@@ -65,8 +77,10 @@
         match self {
             Self::Answer(machine) => drive(event, |event| machine.apply(event)),
             Self::Candidates(machine) => drive(event, |event| machine.apply(event)),
+            Self::Journal(machine) => drive(event, |event| machine.apply(now, event)),
             Self::Link(machine) => drive(event, |event| machine.apply(now, event)),
             Self::Queue(machine) => drive(event, |event| machine.apply(now, event)),
+            Self::Replica(machine) => drive(event, |event| machine.apply(now, event)),
             Self::Retry(machine) => drive(event, |event| machine.apply(now, event)),
         }
     }
