--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,9 @@
 mod client;
 mod completions;
 mod demo;
+mod known_red;
 mod load;
+mod measure;
 mod table;
 
 use std::process;
@@ -42,6 +44,7 @@
         .subcommand(check::command())
         .subcommand(case::command())
         .subcommand(load::command())
+        .subcommand(measure::command())
         .subcommand(completions::command())
 }
 
@@ -51,6 +54,7 @@
         Some(("check", matches)) => check::run(matches),
         Some(("case", matches)) => case::run(matches),
         Some(("load", matches)) => load::run(matches),
+        Some(("measure", matches)) => measure::run(matches),
         Some(("completions", matches)) => completions::run(matches, command()),
         _ => unreachable!("clap requires one of the subcommands"),
     }
--- a/crates/measure/src/bounds.rs
+++ b/crates/measure/src/bounds.rs
@@ -83,4 +83,20 @@
             ok: bound.is_none_or(|bound| bound.limit.admits(reading.value)),
         }
     }
+
+    /// Figures that have a bound and are not among those measured. Their value is not a number,
+    /// which keeps no bound.
+    #[must_use]
+    pub fn unmeasured(&self, measured: &[figure::Figure]) -> Vec<figure::Figure> {
+        let missing = |name: &&String| measured.iter().all(|figure| figure.name != **name);
+        let figure = |name: &String| figure::Figure {
+            name: name.clone(),
+            value: f64::NAN,
+            unit: String::new(),
+            baseline: None,
+            bound: Some(self.0[name].limit.to_string()),
+            ok: false,
+        };
+        self.0.keys().filter(missing).map(figure).collect()
+    }
 }
