--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod figure;
 pub mod membership;
 pub mod routing;
+pub mod slopes;
 pub mod traces;
