--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod state;
 
+use std::convert::Infallible;
 use std::net;
 use std::sync::Arc;
 use std::thread;
@@ -175,6 +176,9 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     tx: channel::Sender<Command>,
+    /// Disconnected once the control thread has ended. Commands that it has not taken stay in the
+    /// channel, so their answers would be waited for without an end.
+    ended: channel::Receiver<Infallible>,
 }
 
 impl Handle {
@@ -321,7 +325,16 @@
     {
         let (tx, rx) = channel::bounded(1);
         self.tx.send(make(tx)).ok()?;
-        rx.recv().ok()
+        channel::select! {
+            recv(rx) -> answer => answer.ok(),
+            recv(self.ended) -> _ => rx.try_recv().ok(),
+        }
+    }
+
+    /// Whether the control thread has ended, so that nothing will be decided any more.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.ended.try_recv() == Err(channel::TryRecvError::Disconnected)
     }
 }
 
@@ -344,11 +357,15 @@
         log: slog::Logger,
     ) -> eyre::Result<Self> {
         let (tx, rx) = channel::bounded(COMMAND_BUFFER);
-        let handle = Handle { tx };
+        let (alive, ended) = channel::bounded(0);
+        let handle = Handle { tx, ended };
         let state = state::State::new(handle.clone(), settings, metrics, log);
         let thread = thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || run(state, &rx))?;
+            .spawn(move || {
+                let _alive = alive;
+                run(state, &rx);
+            })?;
         Ok(Self { handle, thread })
     }
 
--- a/crates/runtime/src/owner/mod.rs
+++ b/crates/runtime/src/owner/mod.rs
@@ -122,14 +122,11 @@
                     let _ = pieces.reply(answer::Part::Queued);
                 }
                 Ok(verdict) => return verdict,
+                Err(_) if self.control.has_ended() => return refusal(reason::Refusal::Draining),
                 Err(channel::RecvTimeoutError::Timeout) if !self.tx.is_closed() => {}
                 Err(_) => {
                     self.control.abandon(self.head.endpoint, self.id());
-                    let reason = reason::Refusal::CallerGone;
-                    return control::Verdict::Refuse {
-                        reason,
-                        retry_after: None,
-                    };
+                    return refusal(reason::Refusal::CallerGone);
                 }
             }
         }
@@ -159,3 +156,10 @@
         };
     }
 }
+
+const fn refusal(reason: reason::Refusal) -> control::Verdict {
+    control::Verdict::Refuse {
+        reason,
+        retry_after: None,
+    }
+}
