Send a request again to the owner that its endpoint has by now

Cause: the owners of the candidates were found once, when the request arrived. Change: each retry finds the present owner, and after the last candidate the endpoint that failed is asked again if its owner may have changed. Ruled out: the retry budget, which was not the reason that callers got.

--- a/crates/runtime/src/entry/hops.rs
+++ b/crates/runtime/src/entry/hops.rs
@@ -1,5 +1,7 @@
 //! The order in which a request is sent to its candidates.
 
+use pistachiochute_core::reason;
+
 use crate::control;
 
 /// Candidates that are asked before the request waits at the first.
@@ -14,6 +16,23 @@
     pub may_queue: bool,
 }
 
+/// Whether the reason tells of the owner rather than of its endpoint, which another host may own
+/// soon.
+pub const fn may_move(reason: reason::Retry) -> bool {
+    match reason {
+        reason::Retry::NotOwner
+        | reason::Retry::Draining
+        | reason::Retry::ConnectFailed
+        | reason::Retry::ConnectionLost
+        | reason::Retry::Stalled => true,
+        reason::Retry::AtBound
+        | reason::Retry::QueueFull
+        | reason::Retry::EndpointLeaving
+        | reason::Retry::EndpointRefused
+        | reason::Retry::Resume => false,
+    }
+}
+
 /// Candidates in their order: each once without waiting, then again with waiting allowed.
 #[derive(Debug)]
 pub struct Hops<'a> {
--- a/crates/runtime/src/entry/serve.rs
+++ b/crates/runtime/src/entry/serve.rs
@@ -86,22 +86,39 @@
                 retry::Decision::Retry { reason, at } => {
                     self.cx.metrics.retried(reason);
                     sleep_until(at);
-                    hop = match reason {
-                        reason::Retry::Resume => self.locate(current),
-                        _ => hops.next(),
-                    };
+                    hop = self.next_hop(&mut hops, current, reason);
                 }
             }
         }
     }
 
-    /// Finds the owner that an endpoint has now, to resume an answer there.
+    /// Where the request is sent next, at the owner that the endpoint has by now.
+    ///
+    /// After the last candidate, the endpoint that failed is asked again if it may have another
+    /// owner since.
+    fn next_hop(
+        &self,
+        hops: &mut hops::Hops<'_>,
+        current: hops::Hop,
+        reason: reason::Retry,
+    ) -> Option<hops::Hop> {
+        let again = || {
+            self.locate(hops::Hop {
+                may_queue: true,
+                ..current
+            })
+        };
+        match reason {
+            reason::Retry::Resume => again(),
+            _ => hops
+                .find_map(|hop| self.locate(hop))
+                .or_else(|| hops::may_move(reason).then(again).flatten()),
+        }
+    }
+
     fn locate(&self, hop: hops::Hop) -> Option<hops::Hop> {
         let candidate = self.cx.control.locate(hop.candidate.endpoint)?;
-        Some(hops::Hop {
-            candidate,
-            may_queue: true,
-        })
+        Some(hops::Hop { candidate, ..hop })
     }
 
     fn give_up(&self, caller: Caller<'_>, given_up: retry::GivenUp) -> outcome::Outcome {
