--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -1,8 +1,8 @@
 //! The fleet of the demo.
 
-use std::net;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use std::{net, thread};
 
 use pistachiochute_core::entity::Entity as _;
 use pistachiochute_core::{entity, lists, revision, topology};
@@ -31,6 +31,12 @@
 /// Time until a change of the host list can be read.
 const HOST_LIST_LAG: Duration = Duration::from_millis(300);
 
+/// Longest time until a host that was started is ready.
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time between two looks at whether the hosts are ready.
+const READY_POLL: Duration = Duration::from_millis(20);
+
 /// Revision of the lists of the demo.
 const LISTS_REVISION: revision::Revision = revision::Revision(1);
 
@@ -93,8 +99,9 @@
             host_list,
             list,
         };
-        fleet.announce();
+        fleet.host_list.set(fleet.list.clone());
         fleet.set_lists()?;
+        fleet.wait_until_ready()?;
         Ok(fleet)
     }
 
@@ -121,7 +128,7 @@
     pub(super) fn set_presence(&mut self, engine: usize, presence: topology::Presence) {
         self.list.endpoints[engine].presence = presence;
         self.list.version += 1;
-        self.announce();
+        self.host_list.set(self.list.clone());
     }
 
     /// Stops a host as planned and returns how its drain ended, or `None` if it was stopped.
@@ -139,30 +146,34 @@
     /// Returns an error if the host cannot start.
     pub(super) fn restart(&mut self, number: usize) -> eyre::Result<()> {
         self.members[number] = Member::start(self.members[number].settings.clone())?;
-        self.announce();
-        self.set_lists()
+        self.set_lists()?;
+        self.wait_until_ready()
     }
 
-    /// Gives the host list to the stand-in and to every host.
-    fn announce(&self) {
-        self.host_list.set(self.list.clone());
-        for host in self
-            .members
+    /// Waits until every host that runs may get requests.
+    fn wait_until_ready(&self) -> eyre::Result<()> {
+        let until = Instant::now() + START_TIMEOUT;
+        let ready = |host: &host::Host| host.control().status().is_some_and(|status| status.ready);
+        while !self.running().all(ready) {
+            eyre::ensure!(
+                Instant::now() < until,
+                "a host is not ready after {START_TIMEOUT:?}"
+            );
+            thread::sleep(READY_POLL);
+        }
+        Ok(())
+    }
+
+    fn running(&self) -> impl Iterator<Item = &host::Host> {
+        self.members
             .iter()
             .filter_map(|member| member.host.as_ref())
-        {
-            host.control().host_list(self.list.clone());
-        }
     }
 
     /// Puts the lists in force on every host.
     fn set_lists(&self) -> eyre::Result<()> {
         let lists = Arc::new(lists()?);
-        for host in self
-            .members
-            .iter()
-            .filter_map(|member| member.host.as_ref())
-        {
+        for host in self.running() {
             host.control().lists(LISTS_REVISION, Arc::clone(&lists));
         }
         Ok(())
