--- a/crates/measure/src/slopes/roles.rs
+++ b/crates/measure/src/slopes/roles.rs
@@ -147,7 +147,7 @@
     })
 }
 
-fn work(i: u32, cost: u64) -> owner::Work {
+fn work(i: u32, cost: u64, pool: &[entity::EndpointId]) -> owner::Work {
     owner::Work {
         id: owner::AttemptId {
             request: request::RequestId(uuid::Uuid::from_u128(u128::from(i))),
@@ -157,6 +157,8 @@
         weight: 1,
         priority: 0,
         cost: units::Tokens(cost),
+        load: cost,
+        pool: pool.into(),
         deadline: time::Time::from_secs(1_000),
         may_queue: false,
     }
@@ -166,18 +168,21 @@
 pub fn owner_time() -> Slope {
     let cost = |endpoints: usize| {
         let cfg = owner::Config {
-            load_multiple: 1.25,
+            bound: routing::bound::Settings::default(),
             queue: queue::Bounds::default(),
         };
         let mut owner = owner::Owner::new(cfg);
         let pool: Vec<_> = (0..endpoints).map(entity::EndpointId::from_index).collect();
-        pool.iter().for_each(|&endpoint| owner.open(endpoint, 36));
         let now = time::Time::from_secs(1);
+        for &endpoint in &pool {
+            owner.open(now, endpoint, owner::Class::Engine, 36);
+            owner.handed_over(now, endpoint, 0);
+        }
         sample::nanos(CALLS, |i| {
             let endpoint = pool[i as usize % pool.len()];
-            let work = work(i, 100);
+            let work = work(i, 100, &pool);
             let id = work.id;
-            black_box(owner.offer(now, endpoint, &pool, work));
+            black_box(owner.offer(now, endpoint, work));
             black_box(owner.finish(now, endpoint, id, Some(units::Tokens(90))));
         })
     };
