--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -2,27 +2,30 @@
 
 use std::{path, process};
 
-use pistachiochute_measure::{bounds, figure, membership};
+use pistachiochute_measure::{actions, bounds, figure, membership};
 
 use crate::{exit, known_red, table};
 
 /// A group of measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Group {
+    Actions,
     Membership,
 }
 
 impl Group {
-    const ALL: &'static [Self] = &[Self::Membership];
+    const ALL: &'static [Self] = &[Self::Actions, Self::Membership];
 
     const fn as_str(self) -> &'static str {
         match self {
+            Self::Actions => "actions",
             Self::Membership => "membership",
         }
     }
 
     fn run(self) -> eyre::Result<Vec<figure::Reading>> {
         match self {
+            Self::Actions => actions::run(),
             Self::Membership => membership::run(),
         }
     }
--- /dev/null
+++ b/crates/measure/src/actions/outage.rs
@@ -0,0 +1,72 @@
+//! Attempts at a total outage, and the time until a silent link is found.
+
+use std::time::Duration;
+
+use pistachiochute_core::{liveness, outcome, reason, request, retry, time};
+
+/// Requests that one of 420 hosts gets a second, of 4,200 in all.
+const REQUESTS_PER_S: u64 = 10;
+
+/// Length of the outage, in seconds.
+const OUTAGE_S: u64 = 60;
+
+/// Time that a caller gives its request.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Time between two tokens of a stream.
+const TOKEN_GAP: Duration = Duration::from_millis(26);
+
+/// Attempts per request at one host while no endpoint can be connected, for the given budget.
+#[must_use]
+pub fn attempts_per_request(budget: retry::BudgetConfig) -> f64 {
+    let mut budget = retry::Budget::new(budget);
+    let requests = REQUESTS_PER_S * OUTAGE_S;
+    let attempts: u64 = (0..requests).map(|n| attempts_of(n, &mut budget)).sum();
+    attempts as f64 / requests as f64
+}
+
+fn attempts_of(n: u64, budget: &mut retry::Budget) -> u64 {
+    let mut now = time::Time::from_millis(n * 1_000 / REQUESTS_PER_S);
+    let cfg = retry::Config::default();
+    let repeat = request::Repeat::Idempotent;
+    let mut req = retry::Request::new(cfg, repeat, now + PATIENCE, n, budget);
+    while req.start(now).is_ok() {
+        let failure = retry::Failure {
+            reason: reason::Refusal::ConnectFailed,
+            outcome: outcome::Outcome::NotRun,
+            recovery: retry::Recovery::Repeat,
+            retry_after: None,
+        };
+        match req.failed(now, failure, budget) {
+            retry::Decision::Retry { at, .. } => now = at,
+            retry::Decision::GiveUp(_) => break,
+        }
+    }
+    u64::from(req.attempts())
+}
+
+/// Longest time from the last byte that arrived on a link until it is found silent, over the
+/// points of a second at which it can fall silent.
+#[must_use]
+pub fn silent_detection() -> Duration {
+    let starts = (0..1_000).map(time::Time::from_millis);
+    starts.map(detection).max().unwrap_or_default()
+}
+
+fn detection(silent_from: time::Time) -> Duration {
+    let mut link = liveness::Link::new(liveness::LinkConfig::default(), time::Time::ZERO);
+    link.opened(time::Time::ZERO);
+    let mut heard = time::Time::ZERO;
+    let mut now = time::Time::ZERO;
+    loop {
+        match link.check(now) {
+            liveness::Check::Silent => return now.since(heard),
+            liveness::Check::Ping(_) => {}
+            liveness::Check::Wait(due) => now = due.unwrap_or(now).min(now + TOKEN_GAP),
+        }
+        if now <= silent_from {
+            link.heard(now);
+            heard = now;
+        }
+    }
+}
--- a/crates/measure/src/actions/world.rs
+++ b/crates/measure/src/actions/world.rs
@@ -195,6 +195,12 @@
         }
     }
 
+    /// Runs of all keys.
+    #[must_use]
+    pub fn runs(&self) -> usize {
+        self.requests.iter().filter(|req| req.ran).count()
+    }
+
     /// Most runs of one key.
     #[must_use]
     pub fn runs_per_key_max(&self) -> usize {
--- a/crates/measure/tests/journal_search.rs
+++ b/crates/measure/tests/journal_search.rs
@@ -1,7 +1,7 @@
 //! The journal of actions holds its promises in every order of steps, and the search finds the
 //! shortcuts that break them.
 
-use pistachiochute_measure::actions::{scopes, search, world};
+use pistachiochute_measure::actions::{answers, schedules, scopes, search, world};
 
 /// More states than any of these searches reaches.
 const MAX_STATES: u64 = 1_000_000;
@@ -62,3 +62,22 @@
     let broken = broken_by(world::Variant::LostDispatchIsNotRun);
     assert!(broken.contains(&world::Violation::FalseNotRun));
 }
+
+#[test]
+fn random_schedules_keep_the_promises() {
+    let tally = schedules::run(0..2_000, world::Variant::Sound);
+    assert_eq!(tally.runs_per_key_max, 1);
+    assert_eq!(tally.false_not_run, 0);
+    assert_eq!(tally.wrong_answers, 0);
+    assert!(tally.runs > 1_000, "{} runs", tally.runs);
+}
+
+#[test]
+fn answers_over_a_faulty_network_are_whole_or_fail() {
+    let tally = answers::run(5_000, 1);
+    assert_eq!(tally.wrong, 0);
+    assert!(
+        tally.whole > 1_000 && tally.failed > 100 && tally.resumed > 100,
+        "{tally:?}"
+    );
+}
