--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::{path, process};
 
-use pistachiochute_measure::{actions, bounds, figure, membership};
+use pistachiochute_measure::{actions, bounds, figure, membership, slopes};
 
 use crate::{exit, known_red, table};
 
@@ -11,15 +11,17 @@
 enum Group {
     Actions,
     Membership,
+    Slopes,
 }
 
 impl Group {
-    const ALL: &'static [Self] = &[Self::Actions, Self::Membership];
+    const ALL: &'static [Self] = &[Self::Actions, Self::Membership, Self::Slopes];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Actions => "actions",
             Self::Membership => "membership",
+            Self::Slopes => "slopes",
         }
     }
 
@@ -27,6 +29,7 @@
         match self {
             Self::Actions => actions::run(),
             Self::Membership => membership::run(),
+            Self::Slopes => slopes::run(),
         }
     }
 }
@@ -40,7 +43,7 @@
             "Without a group all are run, and a bound whose figure was not measured counts as \
              broken. Exit status 1 if a bound is broken.\n\n\
              Examples:\n  pistachiochute measure membership --json\n  \
-             pistachiochute measure --known-red KNOWN-RED.txt",
+             pistachiochute measure slopes\n  pistachiochute measure --known-red KNOWN-RED.txt",
         )
         .arg(
             clap::Arg::new("group")
@@ -64,8 +67,15 @@
         Some(file) => known_red::KnownRed::load(file)?,
         None => known_red::KnownRed::default(),
     };
-    let figures = figures(matches.get_one::<String>("group").map(String::as_str))?;
-    if matches.get_flag("json") {
+    let group = matches.get_one::<String>("group").map(String::as_str);
+    let json = matches.get_flag("json");
+    if group == Some(Group::Slopes.as_str()) && !json {
+        // The capacity page quotes this table.
+        print!("{}", slopes::table(&slopes::measure()?));
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    let figures = figures(group)?;
+    if json {
         println!("{}", serde_json::to_string_pretty(&figures)?);
     } else {
         print_table(&figures, &known);
--- a/crates/runtime/src/settings/scalar.rs
+++ b/crates/runtime/src/settings/scalar.rs
@@ -130,11 +130,11 @@
     /// Bounds on sending a request again.
     Retry in "retry" {
         /// Retries as a fraction of the requests of the host.
-        "budget_ratio" budget_ratio: f64 = identity, 0.1, 0.0..=1.0;
+        "budget_ratio" budget_ratio: f64 = identity, 0.08, 0.0..=1.0;
         /// Attempts of one request, the first included.
-        "max_attempts" max_attempts: u8 = identity, 4, 1..=16;
+        "max_attempts" max_attempts: u8 = identity, 6, 1..=16;
         /// Hosts that one request may pass through.
-        "max_hops" max_hops: u8 = identity, 3, 2..=8;
+        "max_hops" max_hops: u8 = identity, 4, 2..=8;
     }
 }
 
@@ -144,6 +144,6 @@
         /// Shards of the journal. All hosts of the fleet need the same number.
         "shards" shards: u16 = identity, 16, 1..=256;
         /// Time for which the record of an action is kept, in seconds.
-        "retention_s" retention: Duration = Duration::from_secs, 86_400, 60..=604_800;
+        "retention_s" retention: Duration = Duration::from_secs, 600, 60..=86_400;
     }
 }
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings are checked whole, and the settings page states the defaults that the code has.
 
-use pistachiochute_core::name;
+use pistachiochute_core::{journal, name, retry};
 use pistachiochute_runtime::settings;
 use serde_json::{Value, json};
 
@@ -56,6 +56,24 @@
     assert!(bo.accounts.has(&farm) && !bo.accounts.has(&school));
 }
 
+#[test]
+fn defaults_agree_with_those_of_the_core() {
+    let retry = settings::Retry::default();
+    let core = retry::Config::default();
+    assert_eq!(retry.max_attempts, core.max_attempts);
+    assert_eq!(retry.max_hops, core.max_hops);
+    let per_request = retry::BudgetConfig::default().per_request_millis;
+    assert_eq!((retry.budget_ratio * 1_000.0) as u64, per_request);
+
+    let journal = settings::Journal::default();
+    let core = journal::Config::default();
+    assert_eq!(journal.shards, core.slots);
+    assert_eq!(
+        journal.retention.as_millis() as u64,
+        core.window.retention_ms
+    );
+}
+
 #[test]
 fn five_faults_give_five_findings() {
     let text = with(&[
