--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -95,10 +95,10 @@
         self.addr
     }
 
-    /// Bytes passed on in both directions since the start.
+    /// Bytes taken to be passed on, in both directions, since the start.
     #[must_use]
     pub fn bytes(&self) -> u64 {
-        self.shared.bytes.load(Ordering::Relaxed)
+        self.shared.bytes.load(Ordering::Acquire)
     }
 
     /// Closes all connections and refuses new ones.
@@ -197,10 +197,11 @@
                 if forgotten.load(Ordering::Acquire) {
                     continue;
                 }
+                // Counted first, so that whoever has received bytes finds them counted.
+                shared.bytes.fetch_add(len as u64, Ordering::Release);
                 if to.write_all(&buf[..len]).is_err() {
                     break;
                 }
-                shared.bytes.fetch_add(len as u64, Ordering::Relaxed);
             }
             if !forgotten.load(Ordering::Acquire) {
                 // The end of one direction is passed on, unless the relay has forgotten it.
