Wire the lists: store watch, distribution, administration API

Cause: lists could only be put in force by a call inside the process. Change: the replica of the control thread reads and watches the store through a thread of its own and exchanges deltas on the links; editor and administration API over HTTP with scoped credentials, conflicts, lost answers, outages; health, readiness and metrics for operators; one listener serves callers and operators. Found: tiny_http's count of connections is not implemented and panics, so the setting bounds connections with a request in progress; the history and the lists are read back in one transaction, since an edit between two reads was missed. Conclusion: the test fleet and the demo now record their lists in the store.

--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -1,6 +1,5 @@
 //! The fleet of the demo.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use std::{net, thread};
 
@@ -37,8 +36,11 @@
 /// Time between two looks at whether the hosts are ready.
 const READY_POLL: Duration = Duration::from_millis(20);
 
-/// Revision of the lists of the demo.
-const LISTS_REVISION: revision::Revision = revision::Revision(1);
+/// Credential of the demo's operator.
+pub(super) const OPERATOR: &str = "demo-credential-of-ana";
+
+/// Revision of the lists in an empty store.
+const NO_LISTS: revision::Revision = revision::Revision::NONE;
 
 /// Offset of the ports for operators from those for callers.
 const ADMIN_PORTS: u16 = 10;
@@ -100,7 +102,7 @@
             list,
         };
         fleet.host_list.set(fleet.list.clone());
-        fleet.set_lists()?;
+        fleet.put_lists()?;
         fleet.wait_until_ready()?;
         Ok(fleet)
     }
@@ -146,7 +148,6 @@
     /// Returns an error if the host cannot start.
     pub(super) fn restart(&mut self, number: usize) -> eyre::Result<()> {
         self.members[number] = Member::start(self.members[number].settings.clone())?;
-        self.set_lists()?;
         self.wait_until_ready()
     }
 
@@ -170,15 +171,31 @@
             .filter_map(|member| member.host.as_ref())
     }
 
-    /// Puts the lists in force on every host.
-    fn set_lists(&self) -> eyre::Result<()> {
-        let lists = Arc::new(lists()?);
-        for host in self.running() {
-            host.control().lists(LISTS_REVISION, Arc::clone(&lists));
-        }
+    /// Records the lists through the administration API, as an operator does.
+    fn put_lists(&self) -> eyre::Result<()> {
+        let url = format!("http://{}/v1/lists", self.members[0].settings.listen.admin);
+        let resp = attohttpc::put(url)
+            .header("authorization", format!("Bearer {OPERATOR}"))
+            .header("if-match", NO_LISTS.to_string())
+            .json(&lists()?)?
+            .send()?;
+        let status = resp.status();
+        eyre::ensure!(
+            status.is_success(),
+            "the lists were answered {status}: {}",
+            resp.text()?
+        );
         Ok(())
     }
 
+    /// Address for operators of a host.
+    pub(super) fn admin(&self, number: usize) -> net::SocketAddr {
+        self.members[number % self.members.len()]
+            .settings
+            .listen
+            .admin
+    }
+
     /// Ends the hosts and the stand-ins.
     pub(super) fn close(self) {
         for member in self.members {
@@ -199,6 +216,7 @@
         let sockets = host::Sockets::bind(&settings.listen)?;
         settings.listen.callers = sockets.callers.local_addr()?;
         settings.listen.links = sockets.links.local_addr()?;
+        settings.listen.admin = sockets.admin.local_addr()?;
         let metrics = metrics::Metrics::new()?;
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let host = host::Host::start(settings.clone(), sockets, metrics, log)?;
@@ -238,7 +256,15 @@
             "links": local(port, LINK_PORTS + offset),
         },
         "platform": { "key_value": [key_value], "host_list": host_list },
-        "credentials": { "link": "a secret that only the demo uses", "operators": [] },
+        "credentials": {
+            "link": "a secret that only the demo uses",
+            "operators": [{
+                "name": "ana",
+                "digest": lists::KeyDigest::of(OPERATOR.as_bytes()).to_string(),
+                "accounts": ["*"],
+                "plans": ["*"],
+            }],
+        },
     });
     settings::Settings::parse(&document.to_string()).map_err(|findings| {
         let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -92,5 +92,12 @@
         fleet::KEY,
         fleet::MODEL,
     );
-    println!("curl http://{host}/readyz");
+    println!("curl http://{host}/readyz\n");
+    let admin = fleet.admin(0);
+    println!(
+        "curl http://{admin}/v1/status -H 'Authorization: Bearer {0}'\n\n\
+         curl http://{admin}/v1/lists -H 'Authorization: Bearer {0}'\n\n\
+         curl http://{admin}/metrics",
+        fleet::OPERATOR,
+    );
 }
--- a/crates/core/src/lists/replica/mod.rs
+++ b/crates/core/src/lists/replica/mod.rs
@@ -21,5 +21,5 @@
 mod view;
 
 pub use confirm::{DomainStatus, Reach};
-pub use state::{Effect, Replica, StoreAnswer};
+pub use state::{Effect, Effects, Replica, StoreAnswer};
 pub use view::View;
--- a/crates/runtime/src/control/mod.rs
+++ b/crates/runtime/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod loads;
 mod offer;
 mod peers;
+mod replica;
 mod state;
 
 use std::convert::Infallible;
@@ -24,6 +25,7 @@
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
+use crate::lists::sync;
 use crate::{clock, entry::call, link, metrics, settings};
 
 /// Commands that may wait for the control thread.
@@ -78,6 +80,17 @@
     pub message: String,
 }
 
+/// How far a revision of the lists has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListsStatus {
+    /// The revision.
+    pub revision: revision::Revision,
+    /// Version in force on the host.
+    pub version: lists::Version,
+    /// What is known of each failure domain.
+    pub domains: Vec<lists::replica::DomainStatus>,
+}
+
 /// What the owner side does with offered work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -168,7 +181,16 @@
         answer: Result<control::Message, link::CallError>,
     },
     HostList(topology::HostList),
-    Lists(revision::Revision, Arc<lists::Lists>),
+    /// Gives the control thread the thread that calls the store.
+    ConnectStore(sync::Orders),
+    StoreAnswer(lists::replica::StoreAnswer),
+    Recorded(lists::Delta),
+    HighestVersion(channel::Sender<lists::Version>),
+    Catalog(channel::Sender<Option<lists::verify::Catalog>>),
+    ListsStatus {
+        revision: Option<revision::Revision>,
+        tx: channel::Sender<ListsStatus>,
+    },
     Status(channel::Sender<Status>),
     Drain,
     Close,
@@ -305,9 +327,38 @@
         self.tell(Command::HostList(list));
     }
 
-    /// Takes in the two lists. An older revision than the one in force is ignored.
-    pub fn lists(&self, revision: revision::Revision, lists: Arc<lists::Lists>) {
-        self.tell(Command::Lists(revision, lists));
+    /// Gives the control thread the thread that calls the store.
+    pub fn connect_store(&self, orders: sync::Orders) {
+        self.tell(Command::ConnectStore(orders));
+    }
+
+    /// Takes the answer to an order to read the store.
+    pub fn store_answer(&self, answer: lists::replica::StoreAnswer) {
+        self.tell(Command::StoreAnswer(answer));
+    }
+
+    /// Takes an edit of the lists that the store has recorded.
+    pub fn recorded(&self, delta: lists::Delta) {
+        self.tell(Command::Recorded(delta));
+    }
+
+    /// Largest version of the lists that is known to exist.
+    #[must_use]
+    pub fn highest_version(&self) -> lists::Version {
+        self.ask(Command::HighestVersion)
+            .unwrap_or(lists::Version::NONE)
+    }
+
+    /// Models and services that endpoints serve, or `None` while the host list is not known.
+    #[must_use]
+    pub fn catalog(&self) -> Option<lists::verify::Catalog> {
+        self.ask(Command::Catalog).flatten()
+    }
+
+    /// What the domains have in force of a revision, or of the host's own if it is `None`.
+    #[must_use]
+    pub fn lists_status(&self, revision: Option<revision::Revision>) -> Option<ListsStatus> {
+        self.ask(|tx| Command::ListsStatus { revision, tx })
     }
 
     /// State of the host, or `None` once the control thread has ended.
--- a/crates/runtime/src/control/peers.rs
+++ b/crates/runtime/src/control/peers.rs
@@ -22,6 +22,11 @@
                 self.follow(now, effects);
                 control::Message::Probe(answer)
             }
+            control::Message::Lists { from, message } => {
+                self.lists_message(now, from, message);
+                control::Message::Received
+            }
+            control::Message::Received => control::Message::Received,
             control::Message::Loads(report) => control::Message::Loads(self.reported(now, &report)),
         };
         if let Ok(answer) = codec::encode(&answer) {
@@ -47,7 +52,11 @@
                 self.take_report(now, &report);
                 return;
             }
-            Ok(control::Message::Loads(_)) => return,
+            Ok(
+                control::Message::Loads(_)
+                | control::Message::Lists { .. }
+                | control::Message::Received,
+            ) => return,
             Err(e) => {
                 let refused = e == link::CallError::Connect;
                 self.membership.failed(now, from, refused)
@@ -108,6 +117,7 @@
             }
         }
         if changed {
+            self.refresh_replica(now);
             self.assign(now);
         }
     }
--- /dev/null
+++ b/crates/runtime/src/control/replica.rs
@@ -0,0 +1,129 @@
+//! The host's copy of the two lists.
+
+use std::sync::Arc;
+
+use crossbeam::channel;
+use pistachiochute_core::lists::replica::{Effect, Effects, Replica, View};
+use pistachiochute_core::{entity, lists, name, revision, time};
+use pistachiochute_messages::control;
+
+use crate::control::ListsStatus;
+use crate::control::state::State;
+use crate::lists::sync;
+
+impl State {
+    /// Starts the replica once the hosts are known, and tells it of every change of them.
+    pub(super) fn refresh_replica(&mut self, now: time::Time) {
+        let me = self.settings.host.id;
+        let usable = self
+            .directory
+            .hosts()
+            .filter(|host| self.membership.is_usable(host.id));
+        let view = View::new(
+            me,
+            self.settings.host.domain,
+            usable.map(|host| (host.id, host.domain)),
+        );
+        let effects = match &mut self.replica {
+            Some(replica) => replica.set_view(now, view),
+            None => {
+                let (replica, effects) = Replica::start(now, view);
+                self.replica = Some(replica);
+                effects
+            }
+        };
+        self.follow_replica(effects);
+    }
+
+    /// Gives an event to the replica and does what it asks for.
+    pub(super) fn with_replica<F>(&mut self, event: F)
+    where
+        F: FnOnce(&mut Replica) -> Effects,
+    {
+        let Some(replica) = &mut self.replica else {
+            return;
+        };
+        let effects = event(replica);
+        self.follow_replica(effects);
+    }
+
+    fn follow_replica(&mut self, effects: Effects) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => {
+                    let from = self.settings.host.id;
+                    self.send(to, &control::Message::Lists { from, message });
+                }
+                Effect::ReadStore => {
+                    let version = self.replica.as_ref().map(Replica::version);
+                    self.order(sync::Order::Read(version.unwrap_or(lists::Version::NONE)));
+                }
+                Effect::Watch => self.order(sync::Order::Watch),
+                Effect::Unwatch => self.order(sync::Order::Unwatch),
+                Effect::InForce(version, lists) => self.put_in_force(version, lists),
+                Effect::Repair {
+                    expected,
+                    delta,
+                    lists,
+                } => {
+                    self.order(sync::Order::Repair {
+                        expected,
+                        delta,
+                        lists,
+                    });
+                }
+            }
+        }
+    }
+
+    fn order(&self, order: sync::Order) {
+        if let Some(orders) = &self.store {
+            orders.give(order);
+        }
+    }
+
+    /// Takes the thread that calls the store.
+    pub(super) fn connect_store(&mut self, orders: sync::Orders) {
+        self.store = Some(orders);
+    }
+
+    fn put_in_force(&mut self, version: lists::Version, lists: Arc<lists::Lists>) {
+        let keys = |(name, account): (&name::AccountName, &lists::Account)| {
+            let pair = |digest: &lists::KeyDigest| (*digest, name.clone());
+            account.key_digests.iter().map(pair).collect::<Vec<_>>()
+        };
+        self.accounts = lists.accounts.iter().flat_map(keys).collect();
+        self.revision = version.revision;
+        slog::info!(self.log, "lists in force"; "revision" => %version.revision,
+            "accounts" => lists.accounts.len(), "plans" => lists.plans.len());
+        self.lists = Some(lists);
+    }
+
+    /// Takes a message on the lists from another host.
+    pub(super) fn lists_message(
+        &mut self,
+        now: time::Time,
+        from: entity::HostId,
+        message: lists::message::Message,
+    ) {
+        self.with_replica(|replica| replica.receive(now, from, message));
+    }
+
+    /// What the domains have in force of a revision.
+    pub(super) fn lists_status(
+        &self,
+        now: time::Time,
+        revision: Option<revision::Revision>,
+        tx: &channel::Sender<ListsStatus>,
+    ) {
+        let Some(replica) = &self.replica else { return };
+        let version = replica.version();
+        let revision = revision.unwrap_or(version.revision);
+        let domains = replica.status(now, revision);
+        let _ = tx.send(ListsStatus {
+            revision,
+            version,
+            domains,
+        });
+    }
+}
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::control::{Command, Status, Verdict};
+use crate::lists::sync;
 use crate::{clock, control, link, metrics, settings};
 
 /// Control state of the host.
@@ -42,6 +43,12 @@
     pub(super) handle: control::Handle,
     /// Links, once they are made.
     pub(super) links: Option<link::Sender>,
+    /// The host's copy of the lists, once the hosts are known.
+    pub(super) replica: Option<lists::replica::Replica>,
+    /// Thread that calls the store, once it is made.
+    pub(super) store: Option<sync::Orders>,
+    /// Models and services that endpoints serve, once the host list is known.
+    pub(super) catalog: Option<lists::verify::Catalog>,
 }
 
 /// Work that was offered and has not been refused.
@@ -89,6 +96,9 @@
             membership,
             handle,
             links: None,
+            replica: None,
+            store: None,
+            catalog: None,
             settings,
             metrics,
             log,
@@ -160,7 +170,17 @@
             Command::Message { message, done } => self.message(now, message, done),
             Command::Answer { from, answer } => self.answer(now, from, answer),
             Command::HostList(list) => self.host_list(now, &list),
-            Command::Lists(revision, lists) => self.take_lists(revision, lists),
+            Command::ConnectStore(orders) => self.connect_store(orders),
+            Command::StoreAnswer(answer) => self.with_replica(|replica| replica.store(now, answer)),
+            Command::Recorded(delta) => self.with_replica(|replica| replica.recorded(now, delta)),
+            Command::HighestVersion(tx) => {
+                let highest = self.replica.as_ref().map(lists::replica::Replica::highest);
+                let _ = tx.send(highest.unwrap_or(lists::Version::NONE));
+            }
+            Command::Catalog(tx) => {
+                let _ = tx.send(self.catalog.clone());
+            }
+            Command::ListsStatus { revision, tx } => self.lists_status(now, revision, &tx),
             Command::Status(tx) => {
                 let _ = tx.send(self.status());
             }
@@ -175,6 +195,7 @@
         self.deliver(effects);
         let effects = self.membership.tick(now);
         self.follow(now, effects);
+        self.with_replica(|replica| replica.tick(now));
         self.tick_loads(now);
         let changes = self.health.tick(now);
         self.log_health(&changes);
@@ -208,31 +229,13 @@
         }
         slog::info!(self.log, "host list"; "version" => list.version,
             "hosts" => list.hosts.len(), "endpoints" => list.endpoints.len());
+        self.catalog = Some(lists::verify::Catalog::of(list));
         let effects = self.membership.host_list(now, list);
         self.follow(now, effects);
+        self.refresh_replica(now);
         self.assign(now);
     }
 
-    fn take_lists(&mut self, revision: revision::Revision, lists: Arc<lists::Lists>) {
-        if self.lists.is_some() && revision <= self.revision {
-            return;
-        }
-        let digests = |(name, account): (&name::AccountName, &lists::Account)| {
-            let name = name.clone();
-            let pairs: Vec<_> = account
-                .key_digests
-                .iter()
-                .map(|digest| (*digest, name.clone()))
-                .collect();
-            pairs
-        };
-        self.accounts = lists.accounts.iter().flat_map(digests).collect();
-        self.revision = revision;
-        slog::info!(self.log, "lists in force"; "revision" => %revision,
-            "accounts" => lists.accounts.len(), "plans" => lists.plans.len());
-        self.lists = Some(lists);
-    }
-
     fn drain(&mut self, now: time::Time) {
         self.draining = true;
         let effects = self.membership.leave();
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -1,21 +1,18 @@
 //! The side of the host that callers speak to.
 //!
-//! [`listener`] takes connections and bounds what a caller may send, [`parse`] turns an HTTP
+//! [`crate::listener`] takes connections, [`parse`] bounds what a caller may send and turns an HTTP
 //! request into a [`call::Call`], [`serve`] sends it to owners until one answers, and [`respond`]
 //! writes the answer or the refusal.
 
 pub mod call;
 mod hops;
-mod listener;
 mod parse;
 mod respond;
 mod serve;
 
 use std::sync::Arc;
 
-use crate::{clock, control, link, metrics, owner, pool, settings};
-
-pub use listener::Listener;
+use crate::{clock, control, link, listener, metrics, owner, settings};
 
 /// What the entry threads share.
 #[derive(Debug)]
@@ -28,17 +25,14 @@
     pub links: link::Sender,
     /// The owner side of this host, for endpoints that it owns itself.
     pub owner: Arc<owner::Server>,
-    /// Threads that serve callers.
-    pub pool: pool::Pool,
     /// Counters of the host.
     pub metrics: metrics::Metrics,
     /// Log of the host.
     pub log: slog::Logger,
 }
 
-impl Context {
-    /// Serves one HTTP request to its end.
-    fn handle(&self, mut req: tiny_http::Request) {
+impl listener::Service for Context {
+    fn serve(&self, mut req: tiny_http::Request) {
         let request = new_request_id();
         match (req.method(), parse::path(&req)) {
             (tiny_http::Method::Get, "/healthz") => respond::text(req, 200, "ok\n"),
@@ -50,6 +44,12 @@
         }
     }
 
+    fn refuse_busy(&self, req: tiny_http::Request) {
+        respond::refuse(self, req, &respond::Refused::busy(new_request_id()));
+    }
+}
+
+impl Context {
     fn ready(&self, req: tiny_http::Request) {
         match self.control.status().is_some_and(|status| status.ready) {
             true => respond::text(req, 200, "ready\n"),
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -13,14 +13,21 @@
 use pistachiochute_messages::{codec, forward};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{clock, control, endpoint, entry, link, metrics, owner, pool, settings};
-
-/// Callers' requests served at once.
-const ENTRY_THREADS: usize = 512;
+use crate::lists::{editor, store, sync};
+use crate::platform::etcd;
+use crate::{
+    admin, clock, control, endpoint, entry, link, listener, metrics, owner, pool, settings,
+};
 
 /// Calls to endpoints at once.
 const OWNER_THREADS: usize = 512;
 
+/// Operators' requests served at once.
+const ADMIN_THREADS: usize = 16;
+
+/// Silence after which a watch of the key-value service connects again.
+const WATCH_IDLE: Duration = Duration::from_secs(30);
+
 /// Time between two looks at whether a drain is complete.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -30,10 +37,12 @@
     settings: Arc<settings::Settings>,
     control: control::Control,
     links: link::Links,
-    listener: entry::Listener,
+    listener: listener::Listener,
     entry_pool: pool::Pool,
     owner_pool: pool::Pool,
     host_list: poll::HostListPoll,
+    lists: sync::Sync,
+    admin: listener::Listener,
 }
 
 /// Sockets that a host serves.
@@ -43,6 +52,8 @@
     pub callers: net::TcpListener,
     /// Socket for the links from other hosts.
     pub links: net::TcpListener,
+    /// Socket for operators and the collector of metrics.
+    pub admin: net::TcpListener,
 }
 
 impl Sockets {
@@ -58,6 +69,7 @@
         Ok(Self {
             callers: bind(listen.callers)?,
             links: bind(listen.links)?,
+            admin: bind(listen.admin)?,
         })
     }
 }
@@ -114,19 +126,34 @@
         });
         let links = link::Links::start(link_config(&settings), sockets.links, messages)?;
         control.handle().connect(links.sender());
+        let store = store::Store::new(Arc::new(etcd::Etcd::new(etcd_settings(&settings))));
+        let (lists, orders) = sync::Sync::start(store.clone(), control.handle(), log.clone())?;
+        control.handle().connect_store(orders);
+        // The replica starts with the first host list, and needs the store by then.
         let host_list =
             poll::HostListPoll::start(&settings.platform, control.handle(), log.clone())?;
-        let entry_pool = pool::Pool::new("entry", ENTRY_THREADS);
+        let cx = admin::Context {
+            settings: Arc::clone(&settings),
+            control: control.handle(),
+            editor: editor::Editor::new(store, control.handle()),
+            metrics: metrics.clone(),
+            log: log.clone(),
+        };
+        let admin_pool = pool::Pool::new("admin", ADMIN_THREADS);
+        let cfg = listener_config(&settings);
+        let admin = listener::Listener::start(sockets.admin, cfg, admin_pool, Arc::new(cx))?;
+        let entry_pool = pool::Pool::new("entry", settings.bounds.connections as usize);
         let cx = entry::Context {
             settings: Arc::clone(&settings),
             control: control.handle(),
             links: links.sender(),
             owner,
-            pool: entry_pool.clone(),
             metrics,
             log,
         };
-        let listener = entry::Listener::start(sockets.callers, Arc::new(cx))?;
+        let cfg = listener_config(&settings);
+        let listener =
+            listener::Listener::start(sockets.callers, cfg, entry_pool.clone(), Arc::new(cx))?;
         Ok(Self {
             settings,
             control,
@@ -135,6 +162,8 @@
             entry_pool,
             owner_pool,
             host_list,
+            lists,
+            admin,
         })
     }
 
@@ -150,6 +179,12 @@
         self.links.addr()
     }
 
+    /// Address on which operators are served.
+    #[must_use]
+    pub fn admin(&self) -> net::SocketAddr {
+        self.admin.addr()
+    }
+
     /// Handle of the control thread.
     #[must_use]
     pub fn control(&self) -> control::Handle {
@@ -177,12 +212,31 @@
     /// Ends the host at once. Requests in progress are cut off; call [`Host::drain`] before.
     pub fn close(self) {
         self.listener.close();
+        self.admin.close();
         self.host_list.close();
+        self.lists.close();
         self.links.close();
         self.control.close();
     }
 }
 
+fn etcd_settings(settings: &settings::Settings) -> etcd::Settings {
+    etcd::Settings {
+        addrs: settings.platform.key_value.clone(),
+        call_timeout: settings.platform.polls.key_value_call,
+        watch_idle: WATCH_IDLE,
+        watch_retry: settings.platform.polls.key_value_retry,
+    }
+}
+
+fn listener_config(settings: &settings::Settings) -> listener::Config {
+    listener::Config {
+        read: settings.bounds.header_read,
+        write: settings.timeouts.stall,
+        request: settings.timeouts.request,
+    }
+}
+
 /// Silence after which a forwarded request has stalled.
 ///
 /// It is longer than that of an endpoint by the time in which the owner resumes there, so that the
--- a/crates/runtime/src/entry/listener.rs
+++ b/crates/runtime/src/listener.rs
@@ -1,4 +1,4 @@
-//! Takes callers' connections.
+//! Takes HTTP connections.
 //!
 //! `tiny_http` sets no timeouts, so they are set on the listening socket, from which Linux hands
 //! them down to each connection. The same timeout ends `tiny_http`'s accept loop when no
@@ -15,8 +15,7 @@
 use eyre::WrapErr as _;
 use rustix::net::sockopt;
 
-use crate::entry;
-use crate::entry::respond;
+use crate::pool;
 
 /// Time between two looks at whether the listener is closed.
 const POLL: Duration = Duration::from_millis(50);
@@ -24,7 +23,27 @@
 /// Pause before a failed server is replaced.
 const RESTART_PAUSE: Duration = Duration::from_millis(10);
 
-/// The listener for callers.
+/// What is done with the requests of a listener.
+pub trait Service: Send + Sync + 'static {
+    /// Serves one request to its end, on a thread of the pool.
+    fn serve(&self, req: tiny_http::Request);
+
+    /// Refuses one request because the host serves as many as it may.
+    fn refuse_busy(&self, req: tiny_http::Request);
+}
+
+/// Settings of a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Longest silence of a connection while a request is read.
+    pub read: Duration,
+    /// Longest time that a connection takes no bytes of an answer.
+    pub write: Duration,
+    /// Longest time that a request takes, after which its connection may bring another.
+    pub request: Duration,
+}
+
+/// A listener.
 #[derive(Debug)]
 pub struct Listener {
     addr: net::SocketAddr,
@@ -33,24 +52,34 @@
 }
 
 impl Listener {
-    /// Starts to take connections on `socket`.
+    /// Starts to take connections on `socket` and serves their requests on the threads of `pool`.
     ///
     /// # Errors
     ///
     /// Returns an error if the socket cannot be set up.
-    pub fn start(socket: net::TcpListener, cx: Arc<entry::Context>) -> eyre::Result<Self> {
+    pub fn start<S>(
+        socket: net::TcpListener,
+        cfg: Config,
+        pool: pool::Pool,
+        service: Arc<S>,
+    ) -> eyre::Result<Self>
+    where
+        S: Service,
+    {
         let addr = socket.local_addr()?;
-        let bounds = &cx.settings.bounds;
-        let stall = cx.settings.timeouts.stall;
-        sockopt::set_socket_timeout(&socket, sockopt::Timeout::Recv, Some(bounds.header_read))?;
-        sockopt::set_socket_timeout(&socket, sockopt::Timeout::Send, Some(stall))?;
+        sockopt::set_socket_timeout(&socket, sockopt::Timeout::Recv, Some(cfg.read))?;
+        sockopt::set_socket_timeout(&socket, sockopt::Timeout::Send, Some(cfg.write))?;
         let closed = Arc::new(AtomicBool::new(false));
         let accepting = Accepting {
             socket,
-            cx,
+            cfg,
+            pool,
+            service,
             closed: Arc::clone(&closed),
         };
-        let first = accepting.serve_on().wrap_err("callers' listener")?;
+        let first = accepting
+            .serve_on()
+            .wrap_err_with(|| format!("cannot serve {addr}"))?;
         let thread = thread::Builder::new()
             .name("listener".to_owned())
             .spawn(move || accepting.run(first))?;
@@ -61,7 +90,7 @@
         })
     }
 
-    /// Address on which callers are served.
+    /// Address that is served.
     #[must_use]
     pub fn addr(&self) -> net::SocketAddr {
         self.addr
@@ -74,9 +103,11 @@
     }
 }
 
-struct Accepting {
+struct Accepting<S> {
     socket: net::TcpListener,
-    cx: Arc<entry::Context>,
+    cfg: Config,
+    pool: pool::Pool,
+    service: Arc<S>,
     closed: Arc<AtomicBool>,
 }
 
@@ -86,7 +117,10 @@
     until: Instant,
 }
 
-impl Accepting {
+impl<S> Accepting<S>
+where
+    S: Service,
+{
     fn serve_on(&self) -> eyre::Result<tiny_http::Server> {
         let socket = self.socket.try_clone()?;
         tiny_http::Server::from_listener(socket, None).map_err(|e| eyre::eyre!("{e}"))
@@ -119,35 +153,31 @@
 
     /// Time by which a connection without requests has timed out.
     fn last_use(&self) -> Instant {
-        Instant::now() + 2 * self.cx.settings.bounds.header_read
+        Instant::now() + 2 * self.cfg.read
     }
 
     fn take_waiting(&self, old: &mut Former) {
         while let Ok(Some(req)) = old.server.try_recv() {
             // The connection may bring further requests.
-            old.until = self.last_use() + self.cx.settings.timeouts.request;
+            old.until = self.last_use() + self.cfg.request;
             self.dispatch(req);
         }
     }
 
     fn dispatch(&self, req: tiny_http::Request) {
-        let cx = Arc::clone(&self.cx);
+        let service = Arc::clone(&self.service);
         // The request is taken back out if no thread is free.
         let slot = Arc::new(std::sync::Mutex::new(Some(req)));
         let taken = Arc::clone(&slot);
         let job = move || {
             if let Some(req) = take(&taken) {
-                cx.handle(req);
+                service.serve(req);
             }
         };
-        if self.cx.pool.run(job).is_err()
+        if self.pool.run(job).is_err()
             && let Some(req) = take(&slot)
         {
-            respond::refuse(
-                &self.cx,
-                req,
-                &respond::Refused::busy(entry::new_request_id()),
-            );
+            self.service.refuse_busy(req);
         }
     }
 }
--- /dev/null
+++ b/crates/runtime/src/lists/editor.rs
@@ -0,0 +1,117 @@
+//! Carries out the edits of operators.
+
+use pistachiochute_core::lists::edit::{Edit, Outcome, Proposals, Resolve, ResolveStep, Resolved};
+use pistachiochute_core::lists::{self, edit, storage, verify};
+use pistachiochute_core::name;
+
+use crate::lists::store;
+use crate::{control, unix};
+
+/// Times that a lost edit is looked up and settled.
+const MAX_RESOLVE_ROUNDS: u32 = 4;
+
+/// Carries out edits against the store.
+#[derive(Clone, Debug)]
+pub struct Editor {
+    store: store::Store,
+    control: control::Handle,
+}
+
+impl Editor {
+    /// Makes an editor that tells the control thread what it has recorded.
+    #[must_use]
+    pub fn new(store: store::Store, control: control::Handle) -> Self {
+        Self { store, control }
+    }
+
+    /// The store of the lists.
+    #[must_use]
+    pub fn store(&self) -> &store::Store {
+        &self.store
+    }
+
+    /// Carries out an edit to its end.
+    pub fn edit<F>(
+        &self,
+        id: storage::EditId,
+        operator: name::OperatorName,
+        proposals: Proposals,
+        allowed: F,
+    ) -> Outcome
+    where
+        F: Fn(&lists::Change) -> bool,
+    {
+        let author = storage::Author::Operator(operator);
+        let mut edit = Edit::new(id, author, unix::now_ms(), proposals, allowed)
+            .with_highest(self.control.highest_version());
+        if let Some(catalog) = self.control.catalog() {
+            edit = edit.with_catalog(catalog);
+        }
+        let outcome = self.steps(&mut edit);
+        if let Outcome::Recorded(delta) = &outcome {
+            self.control.recorded(delta.clone());
+        }
+        outcome
+    }
+
+    fn steps<F>(&self, edit: &mut Edit<F>) -> Outcome
+    where
+        F: Fn(&lists::Change) -> bool,
+    {
+        let mut step = edit::Step::Read;
+        loop {
+            step = match step {
+                edit::Step::Read => match self.store.read() {
+                    Ok(read) => edit.read(Some((read.guard, &read.stored))),
+                    Err(store::Error::Unavailable(_)) => edit.read(None),
+                    Err(store::Error::Corrupt(_)) => return corrupt(),
+                },
+                edit::Step::ReadBack => match self.store.read_with_history() {
+                    Ok((read, history)) => {
+                        edit.read_back(Some((read.guard, &read.stored, &history)))
+                    }
+                    Err(store::Error::Unavailable(_)) => edit.read_back(None),
+                    Err(store::Error::Corrupt(_)) => return corrupt(),
+                },
+                edit::Step::Commit(guard, record) => {
+                    edit.committed(self.store.commit(guard, &record))
+                }
+                edit::Step::Done(outcome) => return outcome,
+            };
+        }
+    }
+
+    /// Finds out whether an edit was recorded whose answer was lost.
+    #[must_use]
+    pub fn resolve(&self, id: storage::EditId) -> Resolved {
+        let fence = storage::EditId(uuid::Uuid::now_v7());
+        let resolve = Resolve::new(id, fence, unix::now_ms());
+        for _ in 0..MAX_RESOLVE_ROUNDS {
+            let read = self.store.read_with_history().ok();
+            let read = read
+                .as_ref()
+                .map(|(read, history)| (read.guard, read.stored.version(), &history[..]));
+            match resolve.read(read) {
+                ResolveStep::Done(resolved) => return resolved,
+                ResolveStep::Read => {}
+                ResolveStep::Commit(guard, record) => {
+                    let answer = self.store.commit(guard, &record);
+                    if let ResolveStep::Done(resolved) = resolve.committed(answer) {
+                        return resolved;
+                    }
+                }
+            }
+        }
+        Resolved::Unavailable
+    }
+
+    /// Checks lists against what endpoints serve now.
+    #[must_use]
+    pub fn verify(&self, lists: &lists::Lists) -> Vec<lists::Finding> {
+        verify::lists(lists, self.control.catalog().as_ref())
+    }
+}
+
+fn corrupt() -> Outcome {
+    Outcome::NotRecorded(edit::Cause::StoreCorrupt)
+}
--- /dev/null
+++ b/crates/runtime/src/lists/store.rs
@@ -0,0 +1,207 @@
+//! Reads and writes of the lists.
+
+use std::fmt;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pistachiochute_core::lists::{self, edit, storage};
+
+use crate::platform::key_value;
+
+/// The key-value service, shared between threads.
+pub type KeyValue = Arc<dyn key_value::KeyValue>;
+
+/// Why the lists could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The service did not answer.
+    Unavailable(key_value::Error),
+    /// A value cannot be read.
+    Corrupt(storage::Corrupt),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unavailable(e) => e.fmt(f),
+            Self::Corrupt(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<key_value::Error> for Error {
+    fn from(e: key_value::Error) -> Self {
+        Self::Unavailable(e)
+    }
+}
+
+impl From<storage::Corrupt> for Error {
+    fn from(e: storage::Corrupt) -> Self {
+        Self::Corrupt(e)
+    }
+}
+
+/// The lists and the guard of their head, at one revision of the store.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// Guard of the head.
+    pub guard: edit::Guard,
+    /// The lists.
+    pub stored: storage::Stored,
+    /// Revision of the store.
+    pub revision: pistachiochute_core::revision::Revision,
+}
+
+/// The lists in the key-value service.
+#[derive(Clone)]
+pub struct Store {
+    kv: KeyValue,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Uses a key-value service.
+    #[must_use]
+    pub fn new(kv: KeyValue) -> Self {
+        Self { kv }
+    }
+
+    /// Reads the lists.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer or a value cannot be read.
+    pub fn read(&self) -> Result<Read, Error> {
+        read_lists(&self.kv.range(&prefix(storage::PREFIX))?)
+    }
+
+    /// Reads the lists and the last edits, oldest first, as they stand at one revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer or a value cannot be read.
+    pub fn read_with_history(&self) -> Result<(Read, Vec<storage::Record>), Error> {
+        let keys = [storage::PREFIX, storage::HISTORY];
+        let txn = key_value::Txn {
+            success: keys
+                .into_iter()
+                .map(|key| key_value::Op::Range(prefix(key)))
+                .collect(),
+            ..key_value::Txn::default()
+        };
+        let committed = self.kv.txn(&txn)?;
+        let [lists, history] = &committed.found[..] else {
+            return Err(key_value::Error::unknown("the answer holds no two reads").into());
+        };
+        Ok((read_lists(lists)?, read_history(history)?))
+    }
+
+    /// Reads the last edits, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer or a value cannot be read.
+    pub fn history(&self) -> Result<Vec<storage::Record>, Error> {
+        let found = self.kv.range(&prefix(storage::HISTORY))?;
+        read_history(&found)
+    }
+
+    /// Commits an edit if the head still has the guard.
+    #[must_use]
+    pub fn commit(&self, guard: edit::Guard, record: &storage::Record) -> edit::Answer {
+        self.write(guard, storage::writes(record))
+    }
+
+    /// Writes lists back to a store that has fallen behind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service does not answer or a value cannot be read.
+    pub fn repair(
+        &self,
+        expected: lists::Version,
+        lists: &lists::Lists,
+        record: &storage::Record,
+    ) -> Result<edit::Answer, Error> {
+        let read = self.read()?;
+        if read.stored.version() != expected {
+            return Ok(edit::Answer::Moved);
+        }
+        let writes = storage::repair_writes(&read.stored, lists, record);
+        Ok(self.write(read.guard, writes))
+    }
+
+    /// Watches the history after a revision of the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread of the watch cannot be started.
+    pub fn watch(
+        &self,
+        after: pistachiochute_core::revision::Revision,
+    ) -> eyre::Result<key_value::Watch> {
+        let from = pistachiochute_core::revision::Revision(after.0 + 1);
+        self.kv.watch(prefix(storage::HISTORY), from)
+    }
+
+    fn write(&self, guard: edit::Guard, writes: Vec<storage::Write>) -> edit::Answer {
+        let head = Bytes::from_static(storage::HEAD.as_bytes());
+        let guard = pistachiochute_core::revision::Revision(guard.0);
+        let txn = key_value::Txn {
+            compares: vec![key_value::Compare::Modified(head, guard)],
+            success: writes.into_iter().map(op).collect(),
+            failure: Vec::new(),
+        };
+        match self.kv.txn(&txn) {
+            Ok(committed) if committed.succeeded => edit::Answer::Taken,
+            Ok(_) => edit::Answer::Moved,
+            Err(e) if e.had_no_effect() => edit::Answer::NotSent,
+            Err(_) => edit::Answer::Unknown,
+        }
+    }
+}
+
+fn read_lists(found: &key_value::Found) -> Result<Read, Error> {
+    let head = found
+        .entries
+        .iter()
+        .find(|entry| entry.key == storage::HEAD);
+    let guard = edit::Guard(head.map_or(0, |entry| entry.modified.0));
+    let pairs = found
+        .entries
+        .iter()
+        .map(|entry| (&entry.key[..], &entry.value[..]));
+    let stored = storage::Stored::read(pairs)?;
+    Ok(Read {
+        guard,
+        stored,
+        revision: found.revision,
+    })
+}
+
+fn read_history(found: &key_value::Found) -> Result<Vec<storage::Record>, Error> {
+    let read = |entry: &key_value::Entry| storage::read_record(&entry.key, &entry.value);
+    Ok(found.entries.iter().map(read).collect::<Result<_, _>>()?)
+}
+
+fn prefix(text: &'static str) -> key_value::Keys {
+    key_value::Keys::Prefix(Bytes::from_static(text.as_bytes()))
+}
+
+fn op(write: storage::Write) -> key_value::Op {
+    match write {
+        storage::Write::Put(key, value) => key_value::Op::Put {
+            key: key.into(),
+            value,
+            lease: None,
+        },
+        storage::Write::Delete(key) => key_value::Op::Delete(key_value::Keys::One(key.into())),
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/lists/sync.rs
@@ -0,0 +1,235 @@
+//! Calls to the store for the replica of the control thread.
+//!
+//! The calls block, so they run on a thread of their own, which tells the control thread what
+//! came of them. While the host is a watcher, the same thread waits on the watch.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use pistachiochute_core::lists::replica::StoreAnswer;
+use pistachiochute_core::lists::{self, edit, storage};
+use pistachiochute_core::revision;
+
+use crate::lists::store;
+use crate::platform::key_value;
+use crate::{control, unix};
+
+/// Orders that may wait for the thread.
+const ORDER_BUFFER: usize = 64;
+
+/// Pause before a watch that could not be started is tried again.
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the control thread wants of the store.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Read the lists. The host has this version.
+    Read(lists::Version),
+    /// Deliver each later edit.
+    Watch,
+    /// End the watch.
+    Unwatch,
+    /// Write lists back to a store that has fallen behind.
+    Repair {
+        /// Version that the store must still have.
+        expected: lists::Version,
+        /// Delta to the version to write.
+        delta: lists::Delta,
+        /// The lists to write.
+        lists: Arc<lists::Lists>,
+    },
+}
+
+/// Handle with which the control thread gives orders. Never blocks.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    tx: channel::Sender<Order>,
+}
+
+impl Orders {
+    /// Gives an order. The replica repeats what is not answered, so a full channel loses nothing.
+    pub fn give(&self, order: Order) {
+        let _ = self.tx.try_send(order);
+    }
+}
+
+/// The thread that calls the store.
+#[derive(Debug)]
+pub struct Sync {
+    stop: channel::Sender<()>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Sync {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be made.
+    pub fn start(
+        store: store::Store,
+        control: control::Handle,
+        log: slog::Logger,
+    ) -> eyre::Result<(Self, Orders)> {
+        let (tx, rx) = channel::bounded(ORDER_BUFFER);
+        let (stop, stopped) = channel::bounded(0);
+        let caller = Caller {
+            store,
+            control,
+            log,
+            watch: None,
+            failing: false,
+        };
+        let thread = thread::Builder::new()
+            .name("lists".to_owned())
+            .spawn(move || caller.run(&rx, &stopped))?;
+        Ok((Self { stop, thread }, Orders { tx }))
+    }
+
+    /// Ends the thread.
+    pub fn close(self) {
+        drop(self.stop);
+        let _ = self.thread.join();
+    }
+}
+
+struct Caller {
+    store: store::Store,
+    control: control::Handle,
+    log: slog::Logger,
+    watch: Option<key_value::Watch>,
+    /// Whether the last read failed, so that an outage is logged once.
+    failing: bool,
+}
+
+impl Caller {
+    fn run(mut self, rx: &channel::Receiver<Order>, stopped: &channel::Receiver<()>) {
+        let none = channel::never();
+        loop {
+            let events = self
+                .watch
+                .as_ref()
+                .map_or(&none, key_value::Watch::events)
+                .clone();
+            channel::select! {
+                recv(stopped) -> _ => break,
+                recv(rx) -> order => match order {
+                    Ok(order) => self.carry_out(order),
+                    Err(_) => break,
+                },
+                recv(events) -> event => match event {
+                    Ok(event) => self.watched(event),
+                    Err(_) => self.restart_watch(),
+                },
+            }
+        }
+        self.unwatch();
+    }
+
+    fn carry_out(&mut self, order: Order) {
+        match order {
+            Order::Read(version) => {
+                let answer = self.read(version);
+                self.control.store_answer(answer);
+            }
+            Order::Watch => self.start_watch(),
+            Order::Unwatch => self.unwatch(),
+            Order::Repair {
+                expected,
+                delta,
+                lists,
+            } => self.repair(expected, delta, &lists),
+        }
+    }
+
+    fn read(&mut self, version: lists::Version) -> StoreAnswer {
+        match self.store.read() {
+            Ok(read) => {
+                self.failing = false;
+                match read.stored.version() == version {
+                    true => StoreAnswer::Same,
+                    false => StoreAnswer::Lists(read.stored.snapshot()),
+                }
+            }
+            Err(e) => {
+                if !self.failing {
+                    slog::warn!(self.log, "lists cannot be read"; "error" => %e);
+                }
+                self.failing = true;
+                StoreAnswer::Unavailable
+            }
+        }
+    }
+
+    /// Starts the watch at the present revision. What came before is found by the next read.
+    fn start_watch(&mut self) {
+        if self.watch.is_some() {
+            return;
+        }
+        let after = self
+            .store
+            .read()
+            .map_or(revision::Revision::NONE, |read| read.revision);
+        match self.store.watch(after) {
+            Ok(watch) => self.watch = Some(watch),
+            Err(e) => {
+                slog::warn!(self.log, "watch cannot be started"; "error" => %e);
+                thread::sleep(WATCH_PAUSE);
+            }
+        }
+    }
+
+    fn unwatch(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.close();
+        }
+    }
+
+    fn restart_watch(&mut self) {
+        self.unwatch();
+        thread::sleep(WATCH_PAUSE);
+        self.start_watch();
+    }
+
+    fn watched(&mut self, event: key_value::WatchEvent) {
+        match event {
+            key_value::WatchEvent::Changes { changes, .. } => {
+                for change in changes {
+                    self.changed(&change);
+                }
+            }
+            key_value::WatchEvent::Reset { .. } => {
+                let answer = self.read(lists::Version::NONE);
+                self.control.store_answer(answer);
+            }
+            key_value::WatchEvent::Progress(_) | key_value::WatchEvent::Lost(_) => {}
+        }
+    }
+
+    fn changed(&self, change: &key_value::Change) {
+        // A removal makes room in the history and changes no list.
+        let key_value::Change::Put(entry) = change else {
+            return;
+        };
+        match storage::read_record(&entry.key, &entry.value) {
+            Ok(record) => self.control.recorded(record.delta),
+            Err(e) => slog::error!(self.log, "edit cannot be read"; "error" => %e),
+        }
+    }
+
+    fn repair(&self, expected: lists::Version, delta: lists::Delta, lists: &lists::Lists) {
+        let record = storage::Record {
+            edit: storage::EditId(uuid::Uuid::now_v7()),
+            author: storage::Author::Fleet,
+            at_ms: unix::now_ms(),
+            delta: delta.clone(),
+        };
+        slog::warn!(self.log, "store is behind and gets the lists back"; "was" => ?expected);
+        // An answer that was lost is found by the next read.
+        if self.store.repair(expected, lists, &record) == Ok(edit::Answer::Taken) {
+            self.control.recorded(delta);
+        }
+    }
+}
--- a/crates/runtime/src/settings/scalar.rs
+++ b/crates/runtime/src/settings/scalar.rs
@@ -91,7 +91,7 @@
         "header_read_ms" header_read: Duration = Duration::from_millis, 10_000, 100..=120_000;
         /// Time in which the body has to arrive, in milliseconds.
         "body_read_ms" body_read: Duration = Duration::from_millis, 30_000, 100..=600_000;
-        /// Connections of callers at once.
+        /// Connections of callers with a request in progress at once.
         "connections" connections: u32 = identity, 1_024, 1..=65_536;
     }
 }
--- a/crates/runtime/tests/support/mod.rs
+++ b/crates/runtime/tests/support/mod.rs
@@ -8,13 +8,21 @@
 use std::time::{Duration, Instant};
 
 use pistachiochute_core::{entity, lists, revision, topology};
+use pistachiochute_runtime::lists::store;
+use pistachiochute_runtime::platform::etcd;
 use pistachiochute_runtime::{host, metrics, settings};
-use pistachiochute_standins::engine;
+use pistachiochute_standins::{engine, keyvalue};
 use serde_json::{Value, json};
 
 /// API key of the account `farm`.
 pub const KEY: &str = "farm-key";
 
+/// Credential of an operator who may edit everything.
+pub const OPERATOR: &str = "credential of ana";
+
+/// Credential of an operator who may edit the account `farm` only.
+pub const NARROW_OPERATOR: &str = "credential of bo";
+
 /// Model that every engine serves.
 pub const MODEL: &str = "m1";
 
@@ -23,6 +31,8 @@
     pub id: entity::HostId,
     pub host: host::Host,
     pub callers: net::SocketAddr,
+    pub admin: net::SocketAddr,
+    pub settings: settings::Settings,
 }
 
 /// Hosts and engines, with one region.
@@ -30,6 +40,7 @@
     pub members: Vec<Member>,
     pub engines: Vec<(entity::EndpointId, engine::Engine)>,
     pub list: topology::HostList,
+    pub key_value: keyvalue::KeyValue,
 }
 
 /// Shape of a fleet.
@@ -71,21 +82,33 @@
     listener.local_addr().expect("a bound address")
 }
 
+fn operator(name: &str, credential: &str, accounts: &[&str], plans: &[&str]) -> Value {
+    let digest = lists::KeyDigest::of(credential.as_bytes()).to_string();
+    json!({ "name": name, "digest": digest, "accounts": accounts, "plans": plans })
+}
+
 fn host_settings(
     id: u32,
     domain: u32,
     sockets: &host::Sockets,
+    key_value: net::SocketAddr,
     extra: &Value,
 ) -> settings::Settings {
     let mut document = json!({
         "host": { "id": format!("host{id}"), "domain": format!("dom{domain}"), "region": "reg0" },
         "listen": {
             "callers": addr(&sockets.callers),
-            "admin": "127.0.0.1:1",
+            "admin": addr(&sockets.admin),
             "links": addr(&sockets.links),
         },
-        "platform": { "key_value": ["127.0.0.1:2"], "host_list": "127.0.0.1:3" },
-        "credentials": { "link": "a secret of the links", "operators": [] },
+        "platform": { "key_value": [key_value], "host_list": "127.0.0.1:3" },
+        "credentials": {
+            "link": "a secret of the links",
+            "operators": [
+                operator("ana", OPERATOR, &["*"], &["*"]),
+                operator("bo", NARROW_OPERATOR, &["farm"], &[]),
+            ],
+        },
     });
     for (section, value) in extra.as_object().expect("an object of sections") {
         document[section] = value.clone();
@@ -116,12 +139,20 @@
     .expect("sound lists")
 }
 
+fn start_host(settings: settings::Settings, sockets: host::Sockets) -> host::Host {
+    let metrics = metrics::Metrics::new().expect("metrics");
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    host::Host::start(settings, sockets, metrics, log).expect("a host")
+}
+
 impl Fleet {
     pub fn start(shape: &Shape) -> Self {
         let mut list = topology::HostList {
             version: 1,
             ..topology::HostList::default()
         };
+        let key_value = keyvalue::KeyValue::start().expect("a key-value service");
+        record(key_value.addr(), &lists());
         let mut engines = Vec::new();
         let mut bound = Vec::new();
         for d in 0..shape.domains {
@@ -132,6 +163,7 @@
                 let sockets = host::Sockets {
                     callers: listener(),
                     links: listener(),
+                    admin: listener(),
                 };
                 let number = d * shape.hosts + i;
                 let id = format!("host{number}").parse().expect("a host");
@@ -164,21 +196,27 @@
             }
         }
         let start = |(number, d, id, sockets): (u32, u32, entity::HostId, host::Sockets)| {
-            let settings = host_settings(number, d, &sockets, &shape.settings);
+            let settings = host_settings(number, d, &sockets, key_value.addr(), &shape.settings);
             let callers = addr(&sockets.callers);
-            let metrics = metrics::Metrics::new().expect("metrics");
-            let log = slog::Logger::root(slog::Discard, slog::o!());
-            let host = host::Host::start(settings, sockets, metrics, log).expect("a host");
-            Member { id, host, callers }
+            let admin = addr(&sockets.admin);
+            let host = start_host(settings.clone(), sockets);
+            Member {
+                id,
+                host,
+                callers,
+                admin,
+                settings,
+            }
         };
         let members = bound.into_iter().map(start).collect();
         let fleet = Self {
             members,
             engines,
             list,
+            key_value,
         };
         fleet.announce();
-        fleet.set_lists(1, lists());
+        assert!(eventually(|| fleet.ready()), "the fleet gets ready");
         fleet
     }
 
@@ -199,14 +237,47 @@
         self.announce();
     }
 
-    pub fn set_lists(&self, revision: u64, lists: lists::Lists) {
-        let lists = Arc::new(lists);
-        for member in &self.members {
+    /// Closes a host and starts it again with nothing kept, on the same addresses.
+    pub fn restart(&mut self, index: usize) {
+        let member = self.members.remove(index);
+        let settings = member.settings.clone();
+        member.host.close();
+        let sockets = host::Sockets::bind(&settings.listen).expect("the addresses are free");
+        let host = start_host(settings.clone(), sockets);
+        host.control().host_list(self.list.clone());
+        let member = Member {
+            host,
+            settings,
+            ..member
+        };
+        self.members.insert(index, member);
+    }
+
+    /// Whether every host may get requests.
+    pub fn ready(&self) -> bool {
+        let statuses = self
+            .members
+            .iter()
+            .map(|member| member.host.control().status());
+        statuses
+            .into_iter()
+            .all(|status| status.is_some_and(|status| status.ready))
+    }
+
+    /// Records lists in the store and waits until they are in force on every host.
+    pub fn set_lists(&self, lists: &lists::Lists) {
+        let revision = record(self.key_value.addr(), lists);
+        let in_force = |member: &Member| {
             member
                 .host
                 .control()
-                .lists(revision::Revision(revision), Arc::clone(&lists));
-        }
+                .status()
+                .is_some_and(|status| status.revision >= revision)
+        };
+        assert!(
+            eventually(|| self.members.iter().all(in_force)),
+            "the lists come into force"
+        );
     }
 
     pub fn close(self) {
@@ -216,9 +287,32 @@
         for (_, engine) in self.engines {
             engine.close();
         }
+        self.key_value.close();
     }
 }
 
+/// Records lists in a store, as an edit of the fleet, and returns their revision.
+pub fn record(addr: net::SocketAddr, lists: &lists::Lists) -> revision::Revision {
+    let kv = etcd::Etcd::new(etcd::Settings {
+        addrs: vec![addr],
+        call_timeout: Duration::from_secs(5),
+        watch_idle: Duration::from_secs(5),
+        watch_retry: Duration::from_millis(100),
+    });
+    let store = store::Store::new(Arc::new(kv));
+    let read = store.read().expect("the store answers");
+    let before = read.stored.snapshot();
+    let record = lists::storage::Record {
+        edit: lists::storage::EditId(uuid::Uuid::now_v7()),
+        author: lists::storage::Author::Fleet,
+        at_ms: 0,
+        delta: lists::Delta::after(before.version, before.lists.changes_to(lists)),
+    };
+    let answer = store.commit(read.guard, &record);
+    assert_eq!(answer, lists::edit::Answer::Taken);
+    record.delta.to.revision
+}
+
 /// Body of a chat.
 pub fn prompt(text: &str, stream: bool, tokens: u32) -> Value {
     json!({
