--- a/crates/measure/src/routing/mod.rs
+++ b/crates/measure/src/routing/mod.rs
@@ -8,6 +8,7 @@
 mod churn;
 mod faults;
 mod fleet;
+mod growth;
 mod health;
 mod plain;
 mod readings;
@@ -60,6 +61,7 @@
         unit: "1/n of the chats",
         baseline: None,
     });
+    readings.push(growth::reading());
     readings.extend(health::readings());
     Ok(readings)
 }
