--- a/crates/core/src/routing/bound/mod.rs
+++ b/crates/core/src/routing/bound/mod.rs
@@ -26,6 +26,7 @@
 //! each admits only up to the mean, not to the multiple.
 
 pub mod drain;
+mod member;
 pub mod pool;
 
 use std::fmt;
--- a/crates/core/src/routing/bound/pool.rs
+++ b/crates/core/src/routing/bound/pool.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use crate::routing::bound::{self, drain};
+use crate::routing::bound::{self, drain, member};
 use crate::{entity, map, time};
 
+pub use member::Mean;
+
 /// Scale of [`bound::Multiple::as_hundredths`].
 const HUNDREDTHS: u128 = 100;
 
@@ -22,106 +24,6 @@
     AtBound,
 }
 
-/// Mean load of a pool.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Mean {
-    /// Load of the endpoints that are known.
-    pub sum: u64,
-    /// What is left of `sum` after the margin for completions not yet seen.
-    pub lowered_sum: u64,
-    /// Smallest load of the endpoints that are known, or zero if a view is older than
-    /// [`FLOOR_HORIZON`].
-    pub least: u64,
-    /// Endpoints whose load is known.
-    pub members: u64,
-    /// Age of the oldest view in the sum.
-    pub oldest: Duration,
-}
-
-impl Mean {
-    /// The mean as a ratio, or zero without members.
-    #[must_use]
-    pub fn as_ratio(&self) -> f64 {
-        self.sum as f64 / self.members.max(1) as f64
-    }
-}
-
-/// Load of an endpoint of this host.
-#[derive(Clone, Copy, Debug, Default)]
-struct Owned {
-    /// Work that this host admitted and that has not ended.
-    own: u64,
-    /// Work of other owners, as the endpoint reported it; an upper bound while contested.
-    foreign: u64,
-    /// Lower bound of the work of other owners, which counts in the mean.
-    surely_foreign: u64,
-    /// Largest `own` since the last report and between the two before it. A report is at most
-    /// one interval late, so it shows no more of this host's work than these.
-    peaks: [u64; 2],
-    /// Smallest `own` over the same time, which bounds the work of others from above.
-    troughs: [u64; 2],
-    /// When `foreign` was last set, at the earliest.
-    foreign_at: time::Time,
-    /// Until when the work of others is bounded from above, because another host may still admit.
-    contested_until: time::Time,
-    /// When the former owner counts as gone, while it has not handed over.
-    former_until: Option<time::Time>,
-}
-
-impl Owned {
-    fn load(&self) -> u64 {
-        self.own.saturating_add(self.foreign)
-    }
-
-    /// Load that the endpoint has at least.
-    fn least_load(&self) -> u64 {
-        self.own.saturating_add(self.surely_foreign)
-    }
-
-    /// Time for which the end of work of others may not be known.
-    fn foreign_age(&self, now: time::Time) -> Duration {
-        if self.surely_foreign == 0 {
-            Duration::ZERO
-        } else {
-            now.since(self.foreign_at) + REPORT_LAG
-        }
-    }
-
-    /// Notes a change of `own`.
-    fn track(&mut self) {
-        self.peaks[0] = self.peaks[0].max(self.own);
-        self.troughs[0] = self.troughs[0].min(self.own);
-    }
-
-    /// Takes in the endpoint's own report.
-    ///
-    /// What it shows beyond the largest `own` is surely the work of others. Once there is such
-    /// work, all that it shows beyond the smallest `own` is taken for theirs.
-    fn report(&mut self, load: u64, contested: Duration, now: time::Time) {
-        let peak = self.peaks[0].max(self.peaks[1]);
-        let trough = self.troughs[0].min(self.troughs[1]);
-        if load > peak {
-            self.contested_until = self.contested_until.max(now + contested);
-        }
-        let own = if now < self.contested_until {
-            trough
-        } else {
-            peak
-        };
-        self.foreign = load.saturating_sub(own);
-        self.surely_foreign = load.saturating_sub(peak);
-        self.foreign_at = now;
-        self.peaks = [self.own, self.peaks[0]];
-        self.troughs = [self.own, self.troughs[0]];
-    }
-}
-
-/// Age of a view up to which an endpoint counts as the least loaded by it.
-const FLOOR_HORIZON: Duration = Duration::from_secs(1);
-
-/// Age of an endpoint's own load report when it arrives, at most.
-const REPORT_LAG: Duration = Duration::from_secs(1);
-
 /// What another host says of the load of an endpoint that it owns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -134,37 +36,10 @@
     pub prompt: Option<bool>,
 }
 
-/// Load of an endpoint of another host.
-#[derive(Clone, Copy, Debug)]
-struct View {
-    load: u64,
-    taken: time::Time,
-    /// Whether the other host reports every change at once, so that silence means no change.
-    prompt: bool,
-}
-
-impl View {
-    /// Time for which changes may not be known.
-    fn blind_time(&self, age: Duration) -> Duration {
-        if self.prompt && age <= PROMPT_HORIZON {
-            age.min(PROMPT_DELAY)
-        } else {
-            age
-        }
-    }
-}
-
-/// Longest time on the way of a report that is sent at once inside a domain.
-const PROMPT_DELAY: Duration = Duration::from_millis(5);
-
-/// Age up to which silence of a prompt host means that nothing changed. Twice the interval at
-/// which such a host reports loads that did not change.
-const PROMPT_HORIZON: Duration = Duration::from_millis(500);
-
 #[derive(Clone, Copy, Debug)]
 enum Member {
-    Owned(Owned),
-    Other(View),
+    Owned(member::Owned),
+    Other(member::View),
 }
 
 /// Endpoints of one target in one failure domain, with the load of each.
@@ -189,7 +64,7 @@
     /// Adds an endpoint of another host, which counts as idle until its first view. An endpoint
     /// that the pool holds stays as it is.
     pub fn join(&mut self, endpoint: entity::EndpointId, now: time::Time) {
-        let idle = View {
+        let idle = member::View {
             load: 0,
             taken: now,
             prompt: false,
@@ -211,13 +86,13 @@
         if let Some(Member::Owned(_)) = self.members.get(endpoint) {
             return;
         }
-        let owned = Owned {
+        let owned = member::Owned {
             foreign: report.min(MAX_LOAD),
             surely_foreign: report.min(MAX_LOAD),
             foreign_at: now,
             former_until: Some(now + self.settings.grace),
             contested_until: now + self.settings.grace + self.settings.contested,
-            ..Owned::default()
+            ..member::Owned::default()
         };
         self.members.insert(endpoint, Member::Owned(owned));
     }
@@ -237,7 +112,7 @@
         let Some(Member::Owned(owned)) = self.members.get(endpoint).copied() else {
             return 0;
         };
-        let view = View {
+        let view = member::View {
             load: owned.load(),
             taken: now,
             prompt: false,
@@ -263,7 +138,7 @@
             }
             Some(Member::Other(view)) if view.taken < taken => {
                 let prompt = reading.prompt.unwrap_or(view.prompt);
-                *view = View {
+                *view = member::View {
                     load,
                     taken,
                     prompt,
@@ -293,7 +168,7 @@
     where
         I: IntoIterator<Item = entity::EndpointId>,
     {
-        let mut sum = Sum::default();
+        let mut sum = member::Sum::default();
         for endpoint in endpoints {
             match self.members.get(endpoint) {
                 Some(Member::Owned(owned)) => sum.add_owned(owned, now),
@@ -473,53 +348,3 @@
     let idle = load == 0 && mean.sum == 0;
     idle || after * u128::from(mean.members.max(1)) <= u128::from(mean.lowered_sum)
 }
-
-/// Loads that a mean is taken over.
-#[derive(Debug, Default)]
-struct Sum {
-    /// Work that is known exactly.
-    own: u64,
-    /// Work that is known from views and reports.
-    viewed: u64,
-    members: u64,
-    least: Option<u64>,
-    oldest: Duration,
-    /// Sum of the times for which completions may not be known, in seconds.
-    ages_s: f64,
-}
-
-impl Sum {
-    fn add_owned(&mut self, owned: &Owned, now: time::Time) {
-        self.own += owned.own;
-        self.viewed += owned.surely_foreign;
-        self.ages_s += owned.foreign_age(now).as_secs_f64();
-        self.add_member(owned.own);
-    }
-
-    fn add_view(&mut self, view: &View, horizon: Duration, now: time::Time) {
-        let age = now.since(view.taken);
-        if age > horizon {
-            return;
-        }
-        self.viewed += view.load;
-        self.ages_s += view.blind_time(age).as_secs_f64();
-        self.oldest = self.oldest.max(age);
-        self.add_member(view.load);
-    }
-
-    fn add_member(&mut self, load: u64) {
-        self.members += 1;
-        self.least = Some(self.least.map_or(load, |least| least.min(load)));
-    }
-
-    fn mean(&self, margin: u64) -> Mean {
-        let least = self.least.filter(|_| self.oldest <= FLOOR_HORIZON);
-        Mean {
-            sum: self.own + self.viewed,
-            lowered_sum: self.own + self.viewed.saturating_sub(margin),
-            least: least.unwrap_or(0),
-            members: self.members,
-            oldest: self.oldest,
-        }
-    }
-}
