--- a/crates/cli/tests/demo.rs
+++ b/crates/cli/tests/demo.rs
@@ -23,6 +23,8 @@
 /// A demo that stays up.
 struct Stay {
     child: process::Child,
+    /// Kept open: a demo whose output is closed ends at its next line.
+    _output: BufReader<process::ChildStdout>,
     addr: String,
     key: String,
 }
@@ -34,17 +36,19 @@
             .stdout(process::Stdio::piped())
             .spawn()
             .unwrap();
-        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
-        let mut lines = lines.map(Result::unwrap);
-        let curl = lines
-            .find(|line| line.starts_with("curl"))
-            .expect("a request to try");
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let mut curl = String::new();
+        while !curl.starts_with("curl") {
+            curl.clear();
+            assert!(output.read_line(&mut curl).unwrap() > 0, "a request to try");
+        }
         let between = |from: &str, to: &str| {
             let rest = curl.split_once(from).unwrap().1;
             rest.split_once(to).unwrap().0.to_owned()
         };
         Self {
             child,
+            _output: output,
             addr: between("http://", "/"),
             key: between("Bearer ", "'"),
         }
@@ -78,6 +82,15 @@
     assert_eq!(report["whole"], sent, "{report}");
     assert_eq!(report["first_token_ms"]["count"], sent);
     assert_eq!(report["token_gap_ms"]["count"], 3 * sent);
+    // Four tokens of 10 ms each lie between the arrival and the end.
+    assert!(
+        report["whole_after_ms"]["p50"].as_f64().unwrap() > 30.0,
+        "{report}"
+    );
+    assert!(
+        report["token_gap_ms"]["p50"].as_f64().unwrap() > 5.0,
+        "{report}"
+    );
     assert!(report["cached_share"].as_f64().unwrap() > 0.0, "{report}");
 
     // The same seed sends the same number of requests.
