--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod known_red;
 mod load;
 mod measure;
+mod report;
 mod table;
 
 use std::process;
@@ -45,6 +46,7 @@
         .subcommand(case::command())
         .subcommand(load::command())
         .subcommand(measure::command())
+        .subcommand(report::command())
         .subcommand(completions::command())
 }
 
@@ -55,6 +57,7 @@
         Some(("case", matches)) => case::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("measure", matches)) => measure::run(matches),
+        Some(("report", matches)) => report::run(matches),
         Some(("completions", matches)) => completions::run(matches, command()),
         _ => unreachable!("clap requires one of the subcommands"),
     }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bounds;
 pub mod figure;
 pub mod membership;
+pub mod report;
 pub mod routing;
 pub mod slopes;
 pub mod traces;
