--- a/crates/core/src/journal/machine.rs
+++ b/crates/core/src/journal/machine.rs
@@ -159,7 +159,11 @@
             End::Run(recorded) => State::Run(recorded),
         };
         let shard = self.cfg.shard(&key);
-        let due = at.now + self.cfg.outcome_linger();
+        // A caller that was told "not run" may come back at once.
+        let due = match state {
+            State::NotRun => at.now,
+            _ => at.now + self.cfg.outcome_linger(),
+        };
         let work = self.works.entry(shard).or_default();
         work.outbox.push(key.hash, attempt, state, due);
         self.advance(shard, at, effects);
--- a/crates/core/src/journal/outbox.rs
+++ b/crates/core/src/journal/outbox.rs
@@ -15,15 +15,16 @@
 #[derive(Clone, Debug, Default, Hash)]
 pub(super) struct Outbox {
     outcomes: Vec<Outcome>,
-    /// When the oldest outcome is written even if no reservation shares its swap.
+    /// When the most urgent outcome is written even if no reservation shares its swap.
     due: time::Time,
 }
 
 impl Outbox {
     pub(super) fn push(&mut self, key: KeyHash, attempt: AttemptId, state: State, due: time::Time) {
-        if self.outcomes.is_empty() {
-            self.due = due;
-        }
+        self.due = match self.outcomes.is_empty() {
+            true => due,
+            false => self.due.min(due),
+        };
         self.outcomes.push(Outcome {
             key,
             attempt,
--- a/crates/runtime/src/endpoint/pieces.rs
+++ b/crates/runtime/src/endpoint/pieces.rs
@@ -1,7 +1,7 @@
 //! Passes an answer on in numbered pieces.
 
-use bytes::Bytes;
-use pistachiochute_core::{answer, request, units};
+use bytes::{Bytes, BytesMut};
+use pistachiochute_core::{answer, journal, request, units};
 use tokio::sync::mpsc;
 
 /// The receiver of the answer went away.
@@ -20,6 +20,16 @@
     bytes: u64,
     /// Whether the status and content type were sent.
     has_head: bool,
+    /// Status, content type and body of an answer that is recorded.
+    kept: Option<Kept>,
+}
+
+/// An answer that is recorded once it is whole.
+#[derive(Debug, Default)]
+struct Kept {
+    status: u16,
+    content_type: Bytes,
+    body: BytesMut,
 }
 
 impl Pieces {
@@ -33,9 +43,35 @@
             chunks: 0,
             bytes: 0,
             has_head: false,
+            kept: None,
         }
     }
 
+    /// Keeps the answer, to be recorded.
+    pub fn keep(&mut self) {
+        self.kept = Some(Kept::default());
+    }
+
+    /// The answer that was kept.
+    #[must_use]
+    pub fn recorded(&self) -> Option<journal::Recorded> {
+        let kept = self.kept.as_ref()?;
+        let body = Bytes::copy_from_slice(&kept.body);
+        let recorded = journal::Recorded::new(kept.status, &kept.content_type, &body);
+        Some(recorded)
+    }
+
+    /// Sends an answer that was recorded earlier.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the receiver went away.
+    pub fn replay(mut self, recorded: &journal::Recorded) -> Result<(), Gone> {
+        self.head(recorded.status, recorded.content_type.clone())?;
+        self.chunk(recorded.body.clone().unwrap_or_default(), None)?;
+        self.end(None)
+    }
+
     /// Whether any part of the endpoint's answer was sent.
     #[must_use]
     pub fn has_head(&self) -> bool {
@@ -62,6 +98,10 @@
             return Ok(());
         }
         self.has_head = true;
+        if let Some(kept) = &mut self.kept {
+            kept.status = status;
+            kept.content_type = content_type.clone();
+        }
         self.reply(answer::Part::Head(answer::Head {
             status,
             content_type,
@@ -70,6 +110,9 @@
 
     /// Sends a piece of the body.
     pub(super) fn chunk(&mut self, data: Bytes, event: Option<u32>) -> Result<(), Gone> {
+        if let Some(kept) = &mut self.kept {
+            kept.body.extend_from_slice(&data);
+        }
         let seq = self.chunks;
         self.chunks += 1;
         self.bytes += data.len() as u64;
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -16,7 +16,7 @@
 use crate::lists::{editor, store, sync};
 use crate::platform::etcd;
 use crate::{
-    admin, clock, control, endpoint, entry, link, listener, metrics, owner, pool, settings,
+    admin, clock, control, endpoint, entry, journal, link, listener, metrics, owner, pool, settings,
 };
 
 /// Calls to endpoints at once.
@@ -43,6 +43,7 @@
     host_list: poll::HostListPoll,
     lists: sync::Sync,
     admin: listener::Listener,
+    journal: journal::Journal,
 }
 
 /// Sockets that a host serves.
@@ -119,14 +120,21 @@
             stall: settings.timeouts.stall,
         };
         let owner_pool = pool::Pool::new("owner", OWNER_THREADS);
-        let owner = owner::Server::new(control.handle(), owner_pool.clone(), timeouts);
+        let key_value = Arc::new(etcd::Etcd::new(etcd_settings(&settings)));
+        let journal = journal::Journal::start(&settings.journal, key_value.clone())?;
+        let owner = owner::Server::new(
+            control.handle(),
+            journal.handle(),
+            owner_pool.clone(),
+            timeouts,
+        );
         let messages = Arc::new(Messages {
             control: control.handle(),
             owner: Arc::clone(&owner),
         });
         let links = link::Links::start(link_config(&settings), sockets.links, messages)?;
         control.handle().connect(links.sender());
-        let store = store::Store::new(Arc::new(etcd::Etcd::new(etcd_settings(&settings))));
+        let store = store::Store::new(key_value);
         let (lists, orders) = sync::Sync::start(store.clone(), control.handle(), log.clone())?;
         control.handle().connect_store(orders);
         // The replica starts with the first host list, and needs the store by then.
@@ -164,6 +172,7 @@
             host_list,
             lists,
             admin,
+            journal,
         })
     }
 
@@ -216,6 +225,7 @@
         self.host_list.close();
         self.lists.close();
         self.links.close();
+        self.journal.close();
         self.control.close();
     }
 }
--- /dev/null
+++ b/crates/runtime/src/journal/mod.rs
@@ -0,0 +1,195 @@
+//! Runs the journal of actions against the key-value service.
+//!
+//! One thread holds the machine of `pistachiochute_core::journal`. Its calls to the service block,
+//! so each is made on a thread of a small pool, which gives the answer back as an event. Threads
+//! that carry requests wait for the decision on their own attempt.
+
+mod store;
+mod wait;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crossbeam::channel;
+use eyre::WrapErr as _;
+use pistachiochute_core::journal;
+
+use crate::platform::key_value;
+use crate::{clock, pool, settings};
+
+pub use wait::{Decision, Permit, Reservation};
+
+/// Calls to the key-value service at once.
+const STORE_THREADS: usize = 16;
+
+/// Commands that wait for the journal's thread.
+const COMMANDS: usize = 4_096;
+
+/// Longest time between two looks at the clock.
+const TICK: Duration = Duration::from_secs(1);
+
+/// Longest time that the outcomes of ended actions may take to be recorded when the host stops.
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
+
+pub(crate) enum Command {
+    Begin {
+        begin: journal::Begin,
+        tx: channel::Sender<Decision>,
+    },
+    Event(journal::Event),
+    Close,
+}
+
+/// Handle with which threads that carry requests use the journal.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    tx: channel::Sender<Command>,
+}
+
+/// A running journal.
+#[derive(Debug)]
+pub struct Journal {
+    handle: Handle,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Journal {
+    /// Starts the journal's thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started.
+    pub fn start(
+        settings: &settings::Journal,
+        store: Arc<dyn key_value::KeyValue>,
+    ) -> eyre::Result<Self> {
+        let cfg = config(settings);
+        let (tx, rx) = channel::bounded(COMMANDS);
+        let pool = pool::Pool::new("journal-store", STORE_THREADS);
+        let worker = Worker {
+            journal: journal::Journal::new(cfg),
+            waiting: HashMap::new(),
+            store: Arc::new(store::Store::new(store, &cfg.window)),
+            pool,
+            tx: tx.clone(),
+        };
+        let thread = thread::Builder::new()
+            .name("journal".to_owned())
+            .spawn(move || worker.run(&rx))
+            .wrap_err("cannot start the journal's thread")?;
+        let handle = Handle { tx };
+        Ok(Self { handle, thread })
+    }
+
+    /// Handle for other threads.
+    #[must_use]
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Records the outcomes of ended actions, within a bound, and ends the journal.
+    pub fn close(self) {
+        let _ = self.handle.tx.send(Command::Close);
+        let _ = self.thread.join();
+    }
+}
+
+fn config(settings: &settings::Journal) -> journal::Config {
+    journal::Config {
+        window: journal::Window {
+            retention_ms: settings.retention.as_millis() as u64,
+            ..journal::Window::default()
+        },
+        slots: settings.shards,
+        ..journal::Config::default()
+    }
+}
+
+/// Reads the wall clock, for the age of keys.
+pub(crate) fn wall_clock() -> journal::UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    journal::UnixMillis(since.unwrap_or_default().as_millis() as u64)
+}
+
+struct Worker {
+    journal: journal::Journal,
+    /// Threads that wait for the decision on their attempt. Bounded by the threads of the owner.
+    waiting: HashMap<journal::AttemptId, channel::Sender<Decision>>,
+    store: Arc<store::Store>,
+    pool: pool::Pool,
+    tx: channel::Sender<Command>,
+}
+
+impl Worker {
+    fn run(mut self, rx: &channel::Receiver<Command>) {
+        let mut closing = None;
+        while closing.is_none_or(|until| clock::now() < until && !self.journal.is_idle()) {
+            let event = match rx.recv_timeout(self.pause()) {
+                Ok(Command::Begin { begin, tx }) => {
+                    self.waiting.insert(begin.attempt, tx);
+                    journal::Event::Begin(begin)
+                }
+                Ok(Command::Event(event)) => event,
+                Err(channel::RecvTimeoutError::Timeout) => journal::Event::Tick,
+                Ok(Command::Close) => {
+                    closing = Some(clock::now() + CLOSE_WAIT);
+                    continue;
+                }
+                Err(channel::RecvTimeoutError::Disconnected) => return,
+            };
+            self.event(event);
+        }
+    }
+
+    /// Time until the machine has to look at its clock.
+    fn pause(&self) -> Duration {
+        let due = self.journal.wakeup();
+        due.map_or(TICK, |due| due.since(clock::now()).min(TICK))
+    }
+
+    fn event(&mut self, event: journal::Event) {
+        if let journal::Event::Cancel(attempt) = &event {
+            self.waiting.remove(attempt);
+        }
+        for effect in self.journal.handle(event, clock::now(), wall_clock()) {
+            match effect {
+                journal::Effect::Read { .. } | journal::Effect::Swap { .. } => self.call(effect),
+                journal::Effect::Dispatch {
+                    attempt, not_after, ..
+                } => self.decide(attempt, Decision::Dispatch { not_after }),
+                journal::Effect::Answer { attempt, answer } => {
+                    self.decide(attempt, Decision::Answer(answer));
+                }
+            }
+        }
+    }
+
+    fn decide(&mut self, attempt: journal::AttemptId, decision: Decision) {
+        if let Some(tx) = self.waiting.remove(&attempt) {
+            let _ = tx.send(decision);
+        }
+    }
+
+    /// Makes a call on a thread of its own. A call for which there is none surely has no effect.
+    fn call(&self, effect: journal::Effect) {
+        let unsent = store::unsent(&effect);
+        let store = Arc::clone(&self.store);
+        let tx = self.tx.clone();
+        let call = move || {
+            if let Some(event) = store.call(effect) {
+                let _ = tx.send(Command::Event(event));
+            }
+        };
+        if self.pool.run(call).is_err()
+            && let Some(event) = unsent
+        {
+            // The journal's own thread must not wait for room in its own channel.
+            let tx = self.tx.clone();
+            thread::spawn(move || {
+                let _ = tx.send(Command::Event(event));
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/journal/store.rs
@@ -0,0 +1,147 @@
+//! Shards of the journal as values of the key-value service.
+//!
+//! A shard is removed by a lease of the service that outlives the retention window of every key
+//! that the shard can hold, so no host has to delete it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use pistachiochute_core::{journal, revision, time};
+
+use crate::clock;
+use crate::platform::key_value;
+
+/// Prefix of the keys of shards.
+const PREFIX: &str = "journal/";
+
+/// Time for which one lease is put on the shards that are written.
+const LEASE_USE: Duration = Duration::from_secs(60);
+
+/// Time by which a lease outlives the shards beyond need.
+const LEASE_MARGIN: Duration = Duration::from_secs(60);
+
+/// Shards of the journal in the key-value service.
+pub struct Store {
+    service: Arc<dyn key_value::KeyValue>,
+    /// Time after which a new lease lapses.
+    ttl: Duration,
+    /// Lease for the shards that are written, and when it was granted.
+    lease: Mutex<Option<(key_value::LeaseId, time::Time)>>,
+}
+
+/// Event for a call that was not made.
+pub fn unsent(effect: &journal::Effect) -> Option<journal::Event> {
+    match effect {
+        journal::Effect::Read { call, .. } => Some(journal::Event::ReadFailed(*call)),
+        journal::Effect::Swap { call, .. } => Some(journal::Event::SwapFailed(*call)),
+        journal::Effect::Dispatch { .. } | journal::Effect::Answer { .. } => None,
+    }
+}
+
+impl Store {
+    /// Uses a key-value service.
+    pub fn new(service: Arc<dyn key_value::KeyValue>, window: &journal::Window) -> Self {
+        let kept = window.retention_ms + window.ahead_ms + window.segment_ms + 2 * window.skew_ms;
+        Self {
+            service,
+            ttl: Duration::from_millis(kept) + LEASE_USE + LEASE_MARGIN,
+            lease: Mutex::new(None),
+        }
+    }
+
+    /// Makes a call and returns its answer as an event.
+    pub fn call(&self, effect: journal::Effect) -> Option<journal::Event> {
+        match effect {
+            journal::Effect::Read { call, shard } => Some(self.read(call, shard)),
+            journal::Effect::Swap {
+                call,
+                shard,
+                expected,
+                content,
+            } => Some(self.swap(call, shard, expected, &content)),
+            journal::Effect::Dispatch { .. } | journal::Effect::Answer { .. } => None,
+        }
+    }
+
+    fn read(&self, call: journal::CallId, shard: journal::ShardId) -> journal::Event {
+        let found = self.service.range(&key_value::Keys::One(key(shard)));
+        match found.ok().and_then(|found| stored(&found)) {
+            Some(stored) => journal::Event::Loaded { call, stored },
+            None => journal::Event::ReadFailed(call),
+        }
+    }
+
+    fn swap(
+        &self,
+        call: journal::CallId,
+        shard: journal::ShardId,
+        expected: journal::ModRevision,
+        content: &journal::Shard,
+    ) -> journal::Event {
+        let (Ok(value), Some(lease)) = (content.encode(), self.lease()) else {
+            return journal::Event::SwapFailed(call);
+        };
+        let key = key(shard);
+        let modified = revision::Revision(expected.0);
+        let lease = Some(lease);
+        let txn = key_value::Txn {
+            compares: vec![key_value::Compare::Modified(key.clone(), modified)],
+            success: vec![key_value::Op::Put {
+                key: key.clone(),
+                value,
+                lease,
+            }],
+            failure: vec![key_value::Op::Range(key_value::Keys::One(key))],
+        };
+        match self.service.txn(&txn) {
+            Ok(committed) if committed.succeeded => journal::Event::Swapped {
+                call,
+                revision: journal::ModRevision(committed.revision.0),
+            },
+            Ok(committed) => match committed.found.first().and_then(stored) {
+                Some(stored) => journal::Event::Conflict { call, stored },
+                None => journal::Event::SwapUnknown(call),
+            },
+            Err(e) if e.had_no_effect() => {
+                self.forget_lease();
+                journal::Event::SwapFailed(call)
+            }
+            Err(_) => journal::Event::SwapUnknown(call),
+        }
+    }
+
+    /// A lease that outlives every shard that is written now.
+    fn lease(&self) -> Option<key_value::LeaseId> {
+        let now = clock::now();
+        let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((id, granted)) = *lease
+            && now.since(granted) < LEASE_USE
+        {
+            return Some(id);
+        }
+        let id = self.service.grant(self.ttl).ok()?;
+        *lease = Some((id, now));
+        Some(id)
+    }
+
+    /// Takes a new lease with the next swap, in case the service refused this one.
+    fn forget_lease(&self) {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+}
+
+fn key(shard: journal::ShardId) -> Bytes {
+    Bytes::from(format!("{PREFIX}{shard}"))
+}
+
+/// Content of the one shard that was read, or `None` if its value is not a shard.
+fn stored(found: &key_value::Found) -> Option<journal::Stored> {
+    let Some(entry) = found.entries.first() else {
+        return Some(journal::Stored::default());
+    };
+    Some(journal::Stored {
+        revision: journal::ModRevision(entry.modified.0),
+        shard: journal::Shard::decode(&entry.value).ok()?,
+    })
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod host;
+pub mod journal;
 pub mod link;
 pub mod listener;
 pub mod lists;
--- a/crates/runtime/src/owner/mod.rs
+++ b/crates/runtime/src/owner/mod.rs
@@ -1,15 +1,18 @@
 //! The side of the host that calls the endpoints it owns.
 
+use std::net;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use crossbeam::channel;
-use pistachiochute_core::{answer, health, outcome, owner, reason};
+use pistachiochute_core::{
+    answer, health, journal as actions, outcome, owner, reason, request, units,
+};
 use pistachiochute_messages::forward;
 use tokio::sync::mpsc;
 
-use crate::{control, endpoint, link, pool};
+use crate::{control, endpoint, journal, link, pool};
 
 /// Time between two looks at whether the caller of queued work is still there.
 const CALLER_CHECK: Duration = Duration::from_millis(100);
@@ -18,6 +21,7 @@
 #[derive(Debug)]
 pub struct Server {
     control: control::Handle,
+    journal: journal::Handle,
     pool: pool::Pool,
     timeouts: endpoint::Timeouts,
 }
@@ -27,11 +31,13 @@
     #[must_use]
     pub fn new(
         control: control::Handle,
+        journal: journal::Handle,
         pool: pool::Pool,
         timeouts: endpoint::Timeouts,
     ) -> Arc<Self> {
         Arc::new(Self {
             control,
+            journal,
             pool,
             timeouts,
         })
@@ -50,6 +56,7 @@
         };
         let work = Work {
             control: self.control.clone(),
+            journal: self.journal.clone(),
             timeouts: self.timeouts,
             head,
             body,
@@ -76,6 +83,7 @@
 
 struct Work {
     control: control::Handle,
+    journal: journal::Handle,
     timeouts: endpoint::Timeouts,
     head: forward::Forward,
     body: Bytes,
@@ -132,7 +140,53 @@
         }
     }
 
-    fn call(&self, addr: std::net::SocketAddr, mut pieces: endpoint::Pieces) {
+    /// Calls the endpoint. An action with a key is dispatched only with a permit of the journal.
+    fn call(&self, addr: net::SocketAddr, mut pieces: endpoint::Pieces) {
+        let action = self.head.repeat == request::Repeat::AtMostOnce;
+        let Some(key) = self.head.key.filter(|_| action) else {
+            let (ended, pieces) = self.dispatch(addr, pieces);
+            return reply(ended, pieces);
+        };
+        let wanted = || !self.tx.is_closed();
+        match self.journal.reserve(&self.head, key, &self.body, wanted) {
+            journal::Reservation::Permitted(permit) => {
+                pieces.keep();
+                let (ended, pieces) = self.dispatch(addr, pieces);
+                permit.close(end_of(&ended, &pieces));
+                reply(ended, pieces);
+            }
+            journal::Reservation::Answer(answer) => {
+                self.release(None);
+                let _ = match answer {
+                    actions::Answer::Recorded(recorded) => pieces.replay(&recorded),
+                    actions::Answer::Refused {
+                        reason,
+                        outcome,
+                        retry_after,
+                    } => pieces.reply(answer::Part::Failed {
+                        reason,
+                        outcome,
+                        retry_after,
+                    }),
+                };
+            }
+            journal::Reservation::Dropped => {
+                self.release(None);
+                let _ = pieces.reply(answer::Part::Failed {
+                    reason: reason::Refusal::Deadline,
+                    outcome: outcome::Outcome::NotRun,
+                    retry_after: None,
+                });
+            }
+        }
+    }
+
+    /// Sends the request to the endpoint and passes its answer on.
+    fn dispatch(
+        &self,
+        addr: net::SocketAddr,
+        mut pieces: endpoint::Pieces,
+    ) -> (endpoint::Ended, endpoint::Pieces) {
         let _ = pieces.reply(answer::Part::Dispatched);
         let call = endpoint::Call {
             addr,
@@ -144,19 +198,41 @@
         if let Some(sign) = sign_of(&ended) {
             self.control.sign(self.head.endpoint, sign);
         }
-        let used = match ended {
+        self.release(match ended {
             endpoint::Ended::Whole { used } => used,
             endpoint::Ended::Failed(_) => None,
-        };
+        });
+        (ended, pieces)
+    }
+
+    /// Gives the place at the endpoint back.
+    fn release(&self, used: Option<units::Tokens>) {
         self.control.finish(self.head.endpoint, self.id(), used);
-        let _ = match ended {
-            endpoint::Ended::Whole { used } => pieces.end(used),
-            endpoint::Ended::Failed(failure) => pieces.reply(answer::Part::Failed {
-                reason: failure.reason,
-                outcome: failure.outcome,
-                retry_after: failure.retry_after,
-            }),
-        };
+    }
+}
+
+/// Sends how the call ended.
+fn reply(ended: endpoint::Ended, pieces: endpoint::Pieces) {
+    let _ = match ended {
+        endpoint::Ended::Whole { used } => pieces.end(used),
+        endpoint::Ended::Failed(failure) => pieces.reply(answer::Part::Failed {
+            reason: failure.reason,
+            outcome: failure.outcome,
+            retry_after: failure.retry_after,
+        }),
+    };
+}
+
+/// How an action ended, for its record. An action whose answer is not whole may have run.
+fn end_of(ended: &endpoint::Ended, pieces: &endpoint::Pieces) -> actions::End {
+    match ended {
+        endpoint::Ended::Whole { .. } => pieces
+            .recorded()
+            .map_or(actions::End::Unknown, actions::End::Run),
+        endpoint::Ended::Failed(failure) if failure.outcome == outcome::Outcome::NotRun => {
+            actions::End::NotRun
+        }
+        endpoint::Ended::Failed(_) => actions::End::Unknown,
     }
 }
 
