--- a/crates/runtime/src/link/client.rs
+++ b/crates/runtime/src/link/client.rs
@@ -63,8 +63,15 @@
 
 type Requester = client::SendRequest<Bytes>;
 
+/// A connection, and what is known of its use.
+#[derive(Clone)]
+struct Connection {
+    requester: Requester,
+    monitor: ping::Monitor,
+}
+
 /// Connection to one host, or none yet. The lock makes concurrent calls share one attempt.
-type Slot = Arc<Mutex<Option<Requester>>>;
+type Slot = Arc<Mutex<Option<Connection>>>;
 
 /// Connections to other hosts, one for each address.
 pub struct Clients {
@@ -142,26 +149,28 @@
         body: Bytes,
         tx: &mpsc::Sender<link::Received>,
     ) -> Result<(), CallError> {
-        let (response, mut stream) = self.open(link::FORWARD_PATH).await?;
+        let (response, mut stream, open) = self.open(link::FORWARD_PATH).await?;
         stream.send_data(head, false).map_err(|_| CallError::Lost)?;
         send_body(&mut stream, body).await?;
         let response = self.wait(response).await??;
         if !response.status().is_success() {
             return Err(CallError::Refused);
         }
-        self.receive(response.into_body(), tx).await
+        open.heard();
+        self.receive(response.into_body(), tx, &open).await
     }
 
     async fn control(&self, message: Bytes) -> Result<Bytes, CallError> {
-        let (response, mut stream) = self.open(link::CONTROL_PATH).await?;
+        let (response, mut stream, open) = self.open(link::CONTROL_PATH).await?;
         send_body(&mut stream, message).await?;
         let response = self.wait(response).await??;
         if !response.status().is_success() {
             return Err(CallError::Refused);
         }
+        open.heard();
         let mut body = response.into_body();
         let mut answer = Vec::new();
-        while let Some(data) = self.wait_data(&mut body).await? {
+        while let Some(data) = self.wait_data(&mut body, &open).await? {
             if answer.len() + data.len() > codec::MAX_FRAME_LEN {
                 return Err(CallError::Malformed);
             }
@@ -175,9 +184,10 @@
         &self,
         mut body: h2::RecvStream,
         tx: &mpsc::Sender<link::Received>,
+        open: &ping::Open,
     ) -> Result<(), CallError> {
         let mut decoder = codec::Decoder::new();
-        while let Some(data) = self.wait_data(&mut body).await? {
+        while let Some(data) = self.wait_data(&mut body, open).await? {
             decoder.extend(&data);
             while let Some(frame) = decoder.take().map_err(|_| CallError::Malformed)? {
                 let last = is_last(&frame);
@@ -191,11 +201,16 @@
     }
 
     /// Waits for the next bytes; `None` is the end of the stream.
-    async fn wait_data(&self, body: &mut h2::RecvStream) -> Result<Option<Bytes>, CallError> {
+    async fn wait_data(
+        &self,
+        body: &mut h2::RecvStream,
+        open: &ping::Open,
+    ) -> Result<Option<Bytes>, CallError> {
         let Some(data) = self.wait(body.data()).await? else {
             return Ok(None);
         };
         let data = data.map_err(|_| CallError::Lost)?;
+        open.heard();
         let _ = body.flow_control().release_capacity(data.len());
         Ok(Some(data))
     }
@@ -217,11 +232,13 @@
         (
             impl Future<Output = Result<http::Response<h2::RecvStream>, CallError>> + use<>,
             h2::SendStream<Bytes>,
+            ping::Open,
         ),
         CallError,
     > {
-        let requester = self.requester().await?;
-        let mut requester = requester.ready().await.map_err(|_| CallError::Connect)?;
+        let connection = self.connection().await?;
+        let requester = connection.requester.ready().await;
+        let mut requester = requester.map_err(|_| CallError::Connect)?;
         let request = http::Request::builder()
             .method(http::Method::POST)
             .uri(format!("http://{}{path}", self.addr))
@@ -232,23 +249,24 @@
             .send_request(request, false)
             .map_err(|_| CallError::Connect)?;
         let response = async move { response.await.map_err(lost_or_refused) };
-        Ok((response, stream))
+        Ok((response, stream, connection.monitor.open()))
     }
 
-    async fn requester(&self) -> Result<Requester, CallError> {
+    async fn connection(&self) -> Result<Connection, CallError> {
         let mut slot = self.slot.lock().await;
-        if let Some(requester) = slot.take()
+        if let Some(Connection { requester, monitor }) = slot.take()
             && let Ok(requester) = requester.ready().await
         {
-            *slot = Some(requester.clone());
-            return Ok(requester);
+            let connection = Connection { requester, monitor };
+            *slot = Some(connection.clone());
+            return Ok(connection);
         }
-        let requester = self.connect().await?;
-        *slot = Some(requester.clone());
-        Ok(requester)
+        let connection = self.connect().await?;
+        *slot = Some(connection.clone());
+        Ok(connection)
     }
 
-    async fn connect(&self) -> Result<Requester, CallError> {
+    async fn connect(&self) -> Result<Connection, CallError> {
         let connecting = async {
             let socket = tokio::net::TcpStream::connect(self.addr).await.ok()?;
             socket.set_nodelay(true).ok()?;
@@ -262,16 +280,17 @@
         let connected = time::timeout(self.cfg.connect, connecting).await;
         let (requester, mut connection) = connected.ok().flatten().ok_or(CallError::Connect)?;
         let pings = connection.ping_pong();
-        let span = self.cfg.ping;
+        let monitor = ping::Monitor::new(self.cfg.ping, self.cfg.ping);
+        let watch = monitor.clone();
         tokio::spawn(async move {
             let Some(pings) = pings else { return };
             // Dropping the connection ends every stream on it.
             tokio::select! {
                 _ = connection => {}
-                () = ping::watch(pings, span) => {}
+                () = watch.watch(pings) => {}
             }
         });
-        Ok(requester)
+        Ok(Connection { requester, monitor })
     }
 }
 
--- a/crates/runtime/src/link/mod.rs
+++ b/crates/runtime/src/link/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! One thread runs every link of the host on a single-threaded executor. Traffic threads hand it
 //! calls and take replies from bounded channels, so a slow caller holds back its own stream alone.
-//! Each connection in use is checked by pings with a deadline, since a connection can go silent
-//! for good while new ones work.
+//! Each connection that is in use and silent is checked by pings with a deadline, since a
+//! connection can go silent for good while new ones work. An idle connection is not pinged.
 
 mod client;
 mod ping;
@@ -46,7 +46,8 @@
     pub secret: Bytes,
     /// Time to make a connection.
     pub connect: Duration,
-    /// Time in which a ping must be answered, and between pings.
+    /// Silence after which a connection in use is pinged, and time in which the ping must be
+    /// answered.
     pub ping: Duration,
     /// Time in which a control message must be answered.
     pub control: Duration,
--- a/crates/runtime/src/link/server.rs
+++ b/crates/runtime/src/link/server.rs
@@ -21,6 +21,10 @@
 /// Streams that one host may have open at once on a connection.
 const MAX_STREAMS: u32 = 4096;
 
+/// Silences after which the serving side pings, in those of the calling side. A stream of replies
+/// brings nothing back to the serving side, so it would ping every connection in use.
+const SERVER_SILENCES: u32 = 5;
+
 /// Serves every connection of the listener.
 pub async fn listen<H>(cfg: Arc<link::Config>, listener: net::TcpListener, handler: Arc<H>)
 where
@@ -52,19 +56,21 @@
     let Some(pings) = connection.ping_pong() else {
         return;
     };
+    let monitor = ping::Monitor::new(cfg.ping * SERVER_SILENCES, cfg.ping);
     let accepting = async {
         while let Some(Ok((request, respond))) = connection.accept().await {
             let stream = Stream {
                 cfg: Arc::clone(&cfg),
                 request,
                 respond,
+                open: monitor.open(),
             };
             tokio::spawn(stream.run(Arc::clone(&handler)));
         }
     };
     tokio::select! {
         () = accepting => {}
-        () = ping::watch(pings, cfg.ping) => {}
+        () = monitor.clone().watch(pings) => {}
     }
 }
 
@@ -72,6 +78,8 @@
     cfg: Arc<link::Config>,
     request: http::Request<h2::RecvStream>,
     respond: server::SendResponse<Bytes>,
+    /// Counts the stream as open for as long as it is served.
+    open: ping::Open,
 }
 
 impl Stream {
@@ -158,6 +166,7 @@
                 return Some(buf.freeze());
             };
             let data = data.ok()?;
+            self.open.heard();
             if buf.len() + data.len() > max {
                 return None;
             }
