--- a/crates/core/src/limits/authority.rs
+++ b/crates/core/src/limits/authority.rs
@@ -54,14 +54,14 @@
         floor + self.elastic.overlap(from, to) * rest
     }
 
-    /// The authority over requests in flight: those that a former holder granted may still run
-    /// for the longest time of a request. A span from the start of time has no former holder.
+    /// The authority over requests in flight, which starts when those that a former holder
+    /// granted have been reported again. A span from the start of time has no former holder.
     #[must_use]
     pub fn of_slots(&self) -> Self {
         let later = |span: Span| match span.from {
             time::Time::ZERO => span,
             from => Span {
-                from: from + terms::surely(terms::MAX_REQUEST + terms::CREDIT_TTL),
+                from: from + terms::surely(terms::SLOT_WAIT),
                 ..span
             },
         };
--- a/crates/core/src/limits/borrower.rs
+++ b/crates/core/src/limits/borrower.rs
@@ -24,6 +24,10 @@
 /// Accounts with state. Requests of further ones are refused until others are forgotten.
 const MAX_ACCOUNTS: usize = 8_192;
 
+/// Slices that are asked for one request. A saturated account would otherwise cost a message to
+/// each slice for each refusal.
+const MAX_ASKS: usize = 5;
+
 /// Time after which an account without requests and credit is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -64,6 +68,8 @@
     request: request::RequestId,
     cost: units::Tokens,
     until: time::Time,
+    /// Slices that were asked for it.
+    asks: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -72,6 +78,8 @@
     /// Credit of each slice, in the order in which they are asked.
     holdings: SmallVec<[Holding; 8]>,
     waiting: VecDeque<Waiting>,
+    /// Slice from which the search for credit goes on.
+    turn: usize,
     used: time::Time,
 }
 
@@ -126,6 +134,7 @@
             request,
             cost,
             until: now + MAX_WAIT,
+            asks: 0,
         });
         self.advance(now, account, &mut effects);
         effects
@@ -164,7 +173,12 @@
             let busy = account.holdings.iter().any(Holding::is_busy);
             busy || !account.waiting.is_empty() || now.since(account.used) < IDLE
         });
-        let names: Vec<_> = self.accounts.keys().cloned().collect();
+        let due = |account: &Account| {
+            let mut holdings = account.holdings.iter();
+            !account.waiting.is_empty() || holdings.any(|holding| holding.has_to_report(now))
+        };
+        let due = self.accounts.iter().filter(|(_, account)| due(account));
+        let names: Vec<_> = due.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.advance(now, &name, &mut effects);
             self.give_back(now, &name, &mut effects);
@@ -180,6 +194,9 @@
     ) -> &mut Account {
         let layout = Layout::of(name, plan);
         let local = self.local;
+        // Hosts start at different slices, so that none is left out by all.
+        let turn = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), self.boot);
+        let turn = (turn % u64::from(SLICES)) as usize;
         let account = self
             .accounts
             .entry(name.clone())
@@ -187,6 +204,7 @@
                 layout,
                 holdings: holdings(layout, local),
                 waiting: VecDeque::new(),
+                turn,
                 used: now,
             });
         if account.layout != layout {
@@ -220,8 +238,11 @@
                 effects.push(refused(first.request, reason, Some(MAX_WAIT)));
             } else if account.holdings.iter().any(Holding::is_asking) {
                 return;
-            } else if let Some(index) = account.next_to_ask(now) {
+            } else if let Some(index) = account.next_to_ask(now).filter(|_| first.asks < MAX_ASKS) {
                 self.asks += 1;
+                if let Some(first) = account.waiting.front_mut() {
+                    first.asks += 1;
+                }
                 let ask = account.ask(now, name, index, self.boot, self.asks);
                 effects.push(ask);
                 return;
@@ -266,11 +287,18 @@
         slot
     }
 
-    /// The next slice that may have credit.
-    fn next_to_ask(&self, now: time::Time) -> Option<usize> {
-        self.holdings
-            .iter()
-            .position(|holding| holding.may_ask(now))
+    /// The next slice that may have credit: the first, which is local if any is, and then the
+    /// others in turn.
+    fn next_to_ask(&mut self, now: time::Time) -> Option<usize> {
+        let len = self.holdings.len();
+        let turn = self.turn;
+        let others = (0..len).map(|i| (turn + i) % len).filter(|i| *i > 0);
+        let mut order = [0].into_iter().chain(others);
+        let next = order.find(|i| self.holdings[*i].may_ask(now))?;
+        if next > 0 {
+            self.turn = next + 1;
+        }
+        Some(next)
     }
 
     /// Makes the ask of a slice for all that waits.
--- a/crates/core/src/limits/claims.rs
+++ b/crates/core/src/limits/claims.rs
@@ -17,6 +17,9 @@
 /// Period at which a holder reads the values of its shards.
 const RENEW: Duration = Duration::from_secs(15);
 
+/// Period at which a host reads the values of shards with slices that it should hold and does not.
+const ACQUIRE: Duration = Duration::from_secs(3);
+
 /// Time for which a holder must be missing from the view before its slices are taken over.
 const MISSING: Duration = Duration::from_secs(10);
 
@@ -77,6 +80,10 @@
     format!("{PREFIX}{shard:02}")
 }
 
+/// The same for floors, whose next holder has to wait for hours. A domain that is cut off for less
+/// keeps its floors.
+const FLOOR_MISSING: Duration = Duration::from_secs(1800);
+
 /// What a host claims.
 #[derive(Clone, Copy, Debug, Default)]
 struct Claim {
@@ -107,6 +114,8 @@
     domains: Vec<entity::DomainId>,
     /// Since when a host that holds a slice is missing from the view. Bounded by the table.
     missing: BTreeMap<entity::HostId, time::Time>,
+    /// When the store last answered a read.
+    answered: time::Time,
     /// Slices that this host should hold, by its view.
     wanted: Vec<SliceId>,
     claims: BTreeMap<SliceId, Claim>,
@@ -114,6 +123,8 @@
     /// They are not used before the guard has moved.
     surrendering: BTreeMap<SliceId, Guard>,
     next_read: [time::Time; SHARDS as usize],
+    /// Guard of the last answer of each shard, and when it came.
+    latest: [(Guard, time::Time); SHARDS as usize],
     draining: bool,
 }
 
@@ -126,16 +137,22 @@
             hosts: Vec::new(),
             domains,
             missing: BTreeMap::new(),
+            answered: time::Time::ZERO,
             wanted: Vec::new(),
             claims: BTreeMap::new(),
             surrendering: BTreeMap::new(),
             next_read: [time::Time::ZERO; SHARDS as usize],
+            latest: [(Guard(0), time::Time::ZERO); SHARDS as usize],
             draining: false,
         }
     }
 
     /// Takes over a new view of the live hosts.
-    pub fn set_hosts(&mut self, hosts: Vec<(entity::HostId, entity::DomainId)>) {
+    pub fn set_hosts(&mut self, now: time::Time, hosts: Vec<(entity::HostId, entity::DomainId)>) {
+        let gone = self.hosts.iter().filter(|host| !hosts.contains(host));
+        for (host, _) in gone {
+            self.missing.entry(*host).or_insert(now);
+        }
         self.hosts = hosts;
         let is_own = |id: &SliceId| id.candidate(&self.hosts, &self.domains) == Some(self.own.host);
         let wanted: Vec<_> = SliceId::all().filter(is_own).collect();
@@ -178,7 +195,9 @@
             let held = self.claims.keys().any(|id| id.shard == shard);
             let next = &mut self.next_read[usize::from(shard)];
             if (wanted || held) && *next <= now {
-                *next = now + RENEW;
+                let mut lacking = self.wanted.iter().filter(|id| id.shard == shard);
+                let lacks = lacking.any(|id| !self.claims.contains_key(id)) && wanted;
+                *next = now + if lacks { ACQUIRE } else { RENEW };
                 effects.push(Effect::Read(shard));
             }
         }
@@ -195,6 +214,17 @@
         guard: Guard,
         value: &Shard,
     ) -> Vec<Effect> {
+        if now.since(self.answered) > 2 * RENEW {
+            // This host may have been the one that was cut off: its view may be as old.
+            self.missing.clear();
+        }
+        self.answered = now;
+        let (latest, at) = self.latest[usize::from(shard)];
+        if guard < latest && sent <= at {
+            // An answer that was overtaken by one to a later state.
+            return Vec::new();
+        }
+        self.latest[usize::from(shard)] = (guard, now);
         self.surrendering
             .retain(|id, sent| id.shard != shard || *sent == guard);
         let mut next = *value;
@@ -226,12 +256,21 @@
             let surrendering = self.surrendering.contains_key(&id);
             let wanted = self.wanted.contains(&id) && !self.draining && !surrendering;
             let holds = [row.elastic, row.floor].map(|part| part.holder == Some(self.own));
-            if !wanted && holds != [false, false] {
+            // A part that is still being waited for is kept: its next holder would wait again.
+            let may_keep = !self.draining && !surrendering;
+            let keep = [0, 1].map(|i| wanted || (holds[i] && !active[i] && may_keep));
+            if (holds[0] && !keep[0]) || (holds[1] && !keep[1]) {
                 self.claims.remove(&id);
                 self.surrendering.insert(id, guard);
             }
-            self.move_part(now, wanted, active[0], &mut row.elastic);
-            self.move_part(now, wanted, active[1], &mut row.floor);
+            self.move_part(now, [wanted, keep[0]], active[0], MISSING, &mut row.elastic);
+            self.move_part(
+                now,
+                [wanted, keep[1]],
+                active[1],
+                FLOOR_MISSING,
+                &mut row.floor,
+            );
         }
         if next == *value {
             return Vec::new();
@@ -248,15 +287,22 @@
     }
 
     /// Takes a part over, or gives it up to the host that should hold it.
-    fn move_part(&mut self, now: time::Time, wanted: bool, active: bool, part: &mut Part) {
+    fn move_part(
+        &mut self,
+        now: time::Time,
+        [wanted, keep]: [bool; 2],
+        active: bool,
+        missing: Duration,
+        part: &mut Part,
+    ) {
         match part.holder {
-            Some(holder) if holder == self.own && !wanted => {
+            Some(holder) if holder == self.own && !keep => {
                 part.holder = None;
                 if active {
                     part.after = After::Surrender;
                 }
             }
-            Some(holder) if holder != self.own && wanted && self.is_gone(now, holder) => {
+            Some(holder) if holder != self.own && wanted && self.is_gone(now, holder, missing) => {
                 part.holder = Some(self.own);
                 part.after = After::Lease;
             }
@@ -267,7 +313,7 @@
 
     /// Whether a holder has been missing from the view for long, or is a former process of this
     /// host.
-    fn is_gone(&mut self, now: time::Time, holder: Holder) -> bool {
+    fn is_gone(&mut self, now: time::Time, holder: Holder, missing: Duration) -> bool {
         if holder.host == self.own.host {
             return holder.boot < self.own.boot;
         }
@@ -275,7 +321,7 @@
             return false;
         }
         let since = *self.missing.entry(holder.host).or_insert(now);
-        now.since(since) >= MISSING
+        now.since(since) >= missing
     }
 }
 
--- a/crates/core/src/limits/holding.rs
+++ b/crates/core/src/limits/holding.rs
@@ -17,8 +17,8 @@
 /// Longest time for which a holder that was short is not asked again.
 const MAX_SHORT: Duration = Duration::from_millis(200);
 
-/// Time after which credit that is not needed is given back.
-const GIVE_BACK_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a tight slice is told what is given back.
+const TIGHT_REPORT: Duration = Duration::from_secs(1);
 
 /// Credit of one grant.
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +45,8 @@
     overused: units::Tokens,
     /// Since when there is something to report that no ask has carried.
     report_since: Option<time::Time>,
+    /// Whether the slice is so far used up that what is given back matters.
+    tight: bool,
 }
 
 impl Holding {
@@ -59,6 +61,7 @@
             refund: units::Tokens::ZERO,
             overused: units::Tokens::ZERO,
             report_since: None,
+            tight: false,
         }
     }
 
@@ -93,7 +96,12 @@
     }
 
     pub(super) fn has_to_report(&self, now: time::Time) -> bool {
-        let due = |since| now.since(since) >= GIVE_BACK_AFTER;
+        let wait = if self.tight {
+            TIGHT_REPORT
+        } else {
+            terms::SLOT_REPORT
+        };
+        let due = |since| now.since(since) >= wait;
         self.asking.is_none() && self.report_since.is_some_and(due)
     }
 
@@ -137,6 +145,7 @@
             return;
         }
         self.asking = None;
+        self.tight = grant.tight;
         self.seen = self.seen.max(grant.number);
         let until = sent + terms::CREDIT_TTL;
         if grant.amount != Amount::ZERO && now < until {
@@ -173,7 +182,8 @@
         if !wanted {
             self.credits.clear();
         }
-        self.report_since = (!self.credits.is_empty()).then_some(now);
+        let open = !self.credits.is_empty() || self.in_use > units::Requests::ZERO;
+        self.report_since = open.then_some(now);
         let credit = self.credit();
         let held = Amount {
             slots: credit.slots + self.in_use,
--- a/crates/core/src/limits/keeper.rs
+++ b/crates/core/src/limits/keeper.rs
@@ -50,7 +50,7 @@
     /// Forgets credit that can no longer be spent.
     fn expire(&mut self, now: time::Time) {
         let credit = terms::surely(terms::CREDIT_TTL);
-        let slots = terms::surely(terms::CREDIT_TTL + terms::MAX_REQUEST);
+        let slots = terms::surely(terms::SLOT_LEASE);
         let live = |amount: Amount, since: time::Time| {
             let age = now.since(since);
             let spendable = if age < credit { amount } else { Amount::ZERO };
@@ -87,9 +87,14 @@
             }
             !is_seen
         });
-        self.held = ask.held.min(seen);
+        let released = ask.released.min(seen.minus(ask.held));
+        // Requests in flight may have been granted by a former holder of the slice.
+        self.held = Amount {
+            slots: ask.held.slots,
+            ..ask.held.min(seen)
+        };
         self.reported = now;
-        ask.released.min(seen.minus(self.held))
+        released
     }
 }
 
@@ -163,6 +168,16 @@
         }
     }
 
+    /// Whether more than half of the slice is used up, so that what is given back matters.
+    fn is_tight(&self, now: time::Time, slice: &Slice, authority: &Authority) -> bool {
+        let available = self.available(now, slice, authority);
+        let parts = slice.slices * terms::QUARTERS;
+        let half = |burst: u64| burst * authority.quarters(now) / parts / 2;
+        available.requests.0 < half(slice.request_burst)
+            || available.tokens.0 < half(slice.token_burst)
+            || available.slots.0 < slice.slots / 2
+    }
+
     /// Why less than was wanted is available.
     fn short(&self, now: time::Time, slice: &Slice, authority: &Authority, want: Amount) -> Short {
         let quarters = authority.quarters(now);
@@ -256,9 +271,11 @@
             (!amount.covers(ask.want)).then(|| account.short(now, &slice, authority, ask.least));
         account.requests.take(amount.requests.0);
         account.tokens.take(amount.tokens.0);
+        let tight = account.is_tight(now, &slice, authority);
         let outstanding = account.outstanding.entry(from).or_default();
         if amount == Amount::ZERO {
-            return Some(grant(ask, outstanding.grant, amount, short));
+            let grant = grant(ask, outstanding.grant, amount, short);
+            return Some(Grant { tight, ..grant });
         }
         if outstanding.unseen.len() >= MAX_UNSEEN {
             account.requests.add(amount.requests.0);
@@ -271,7 +288,8 @@
             amount,
             granted: now,
         });
-        Some(grant(ask, outstanding.grant, amount, short))
+        let grant = grant(ask, outstanding.grant, amount, short);
+        Some(Grant { tight, ..grant })
     }
 
     /// Forgets accounts whose state equals that of an account never met.
@@ -330,5 +348,6 @@
         number,
         amount,
         short,
+        tight: true,
     }
 }
--- a/crates/core/src/limits/message.rs
+++ b/crates/core/src/limits/message.rs
@@ -50,6 +50,8 @@
     pub amount: Amount,
     /// What the slice lacks, or `None` if all was granted.
     pub short: Option<Short>,
+    /// Whether the slice is so far used up that credit and slots should be given back soon.
+    pub tight: bool,
 }
 
 /// Why a holder granted less than was asked for.
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -30,6 +30,6 @@
 pub use authority::{Authority, Span};
 pub use layout::{Layout, SHARDS, SLICES, SliceId};
 pub use terms::{
-    BURST, CREDIT_TTL, ELASTIC_LEASE, FLOOR_LEASE, MAX_REQUEST, SKEW_PPM, request_burst, surely,
+    BURST, CREDIT_TTL, ELASTIC_LEASE, FLOOR_LEASE, SKEW_PPM, SLOT_LEASE, request_burst, surely,
     token_burst,
 };
--- a/crates/core/src/limits/terms.rs
+++ b/crates/core/src/limits/terms.rs
@@ -22,8 +22,17 @@
 /// Time for which a holder may use the floor of a slice after it read that it holds it.
 pub const FLOOR_LEASE: Duration = Duration::from_secs(6 * 3600);
 
-/// Longest time that a request runs.
-pub const MAX_REQUEST: Duration = Duration::from_secs(300);
+/// Time for which a request in flight counts after its entry host last reported it. A request
+/// that runs on while its entry host cannot reach the holder of its slice no longer counts.
+pub const SLOT_LEASE: Duration = Duration::from_secs(30);
+
+/// Period at which an entry host reports its requests in flight to the holder of their slice,
+/// several times within [`SLOT_LEASE`].
+pub const SLOT_REPORT: Duration = Duration::from_secs(10);
+
+/// Time after which a new holder of a slice knows the requests in flight of every entry host that
+/// reaches it.
+pub const SLOT_WAIT: Duration = Duration::from_secs(12);
 
 /// Part of a slice that is its floor, in quarters.
 pub const FLOOR_QUARTERS: u64 = 1;
--- a/crates/core/tests/limits_claims.rs
+++ b/crates/core/tests/limits_claims.rs
@@ -58,7 +58,10 @@
     fn start(&mut self, host_index: u32, offset: u64, skew_ppm: i64) {
         let boot = self.processes.len() as u64;
         let mut claims = Claims::new(host(host_index), boot, vec![domain(0), domain(1)]);
-        claims.set_hosts((0..HOSTS).map(|i| (host(i), domain(i))).collect());
+        claims.set_hosts(
+            time::Time::ZERO,
+            (0..HOSTS).map(|i| (host(i), domain(i))).collect(),
+        );
         let host = host_index;
         self.processes.push(Process {
             host,
@@ -163,7 +166,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 250,
+        cases: 1_000,
         failure_persistence: None,
         rng_seed: proptest::test_runner::RngSeed::Fixed(0x636c_6169),
         ..ProptestConfig::default()
@@ -192,7 +195,9 @@
                 85..=92 => {
                     let live = (0..HOSTS).filter(|i| arg >> i & 1 == 1);
                     let hosts = live.map(|i| (host(i), domain(i))).collect();
-                    world.processes[process].claims.set_hosts(hosts);
+                    let p = &mut world.processes[process];
+                    let now = p.now(world.truth);
+                    p.claims.set_hosts(now, hosts);
                 }
                 93..=94 => world.processes[process].paused ^= true,
                 95 => {
@@ -248,9 +253,10 @@
     world.processes[lost].paused = true;
     for i in (0..4).filter(|i| *i != lost) {
         let live = (0..HOSTS).filter(|i| *i as usize != lost);
+        let now = world.processes[i].now(world.truth);
         world.processes[i]
             .claims
-            .set_hosts(live.map(|i| (host(i), domain(i))).collect());
+            .set_hosts(now, live.map(|i| (host(i), domain(i))).collect());
     }
     settle(&mut world, 60);
     assert_eq!(
@@ -263,7 +269,8 @@
     world.processes[lost].paused = false;
     for i in 0..4 {
         let live = (0..HOSTS).map(|i| (host(i), domain(i))).collect();
-        world.processes[i].claims.set_hosts(live);
+        let now = world.processes[i].now(world.truth);
+        world.processes[i].claims.set_hosts(now, live);
     }
     settle(&mut world, 70);
     assert_eq!(all(&world, 0), 8);
@@ -298,14 +305,21 @@
 fn wait_covers_the_lease_on_the_slowest_clock() {
     let mut store = (Guard(0), Shard::default());
     let mut first = Claims::new(host(0), 1, vec![domain(0)]);
-    first.set_hosts(vec![(host(0), domain(0))]);
+    first.set_hosts(time::Time::ZERO, vec![(host(0), domain(0))]);
     settle_alone(&mut first, &mut store, time::Time::ZERO);
     let mut second = Claims::new(host(1), 1, vec![domain(0)]);
-    second.set_hosts(vec![(host(1), domain(0))]);
+    second.set_hosts(time::Time::ZERO, vec![(host(1), domain(0))]);
     second.read(time::Time::ZERO, time::Time::ZERO, SHARD, store.0, &store.1);
     // Both clocks count from the last read of the first host, which is also the moment before
     // the second host takes over; the first runs slow and the second fast.
     let start = time::Time::from_secs(100);
+    second.read(
+        start - Duration::from_secs(20),
+        start - Duration::from_secs(20),
+        SHARD,
+        store.0,
+        &store.1,
+    );
     settle_alone(&mut first, &mut store, start);
     settle_alone(&mut second, &mut store, start);
     settle_alone(&mut second, &mut store, start + Duration::from_secs(30));
@@ -334,7 +348,7 @@
 fn slice_that_is_being_given_up_is_not_used_until_the_write_is_settled() {
     let mut store = (Guard(0), Shard::default());
     let mut claims = Claims::new(host(0), 1, vec![domain(0)]);
-    claims.set_hosts(vec![(host(0), domain(0))]);
+    claims.set_hosts(time::Time::ZERO, vec![(host(0), domain(0))]);
     settle_alone(&mut claims, &mut store, time::Time::ZERO);
     let id = SliceId {
         shard: SHARD,
@@ -342,11 +356,11 @@
     };
     let now = time::Time::from_secs(1);
     assert!(claims.authority(id).elastic.has(now));
-    claims.set_hosts(vec![(host(1), domain(0))]);
+    claims.set_hosts(time::Time::ZERO, vec![(host(1), domain(0))]);
     let effects = claims.read(now, now, SHARD, store.0, &store.1);
     assert!(matches!(effects[..], [Effect::Write(..)]));
     // The answer is lost, and the view changes back before the write has taken effect.
-    claims.set_hosts(vec![(host(0), domain(0))]);
+    claims.set_hosts(time::Time::ZERO, vec![(host(0), domain(0))]);
     claims.read(now, now, SHARD, store.0, &store.1);
     assert!(!claims.authority(id).elastic.has(now));
     // Another write has moved the guard, so the lost one can no longer take effect.
--- a/crates/core/tests/limits_credit.rs
+++ b/crates/core/tests/limits_credit.rs
@@ -223,7 +223,8 @@
                 88..=97 => (0..6).for_each(|_| world.end(index, u64::from(arg) % 300)),
                 98 => world.move_slice(arg as u8 % SLICES),
                 _ => {
-                    // The process starts again; requests in flight run on.
+                    // The process starts again; its requests in flight end with it.
+                    world.running.retain(|(other, _)| *other != entry);
                     let boot = 2 + world.requests as u64;
                     world.entries[entry].0 = Borrower::new(boot, [false; SLICES as usize]);
                 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod actions;
 pub mod bounds;
 pub mod figure;
+pub mod lists;
 pub mod membership;
 pub mod report;
 pub mod routing;
--- /dev/null
+++ b/crates/measure/src/lists/distribution.rs
@@ -0,0 +1,320 @@
+//! Time until a change is in force everywhere, and the traffic that this takes.
+
+use std::collections::BTreeMap;
+
+use pistachiochute_core::lists::replica::{Effect, Replica, StoreAnswer, View};
+use pistachiochute_core::lists::{self, Delta, Snapshot, Version, message, replica};
+use pistachiochute_core::{entity, entity::Entity as _, time};
+use rand::{Rng as _, SeedableRng as _};
+
+use super::clock::Agenda;
+use super::population;
+
+const SECOND: u64 = 1_000_000;
+
+/// Length of a run, in seconds.
+const LENGTH_S: u64 = 300;
+
+/// Time in which the start settles, in seconds.
+const SETTLE_S: u64 = 10;
+
+/// Seconds between two changes: 4,400 a day.
+const CHANGE_PERIOD_S: f64 = 86_400.0 / 4_400.0;
+
+/// Period of the replicas' ticks, in microseconds.
+const TICK: u64 = 250_000;
+
+/// Part of the messages between domains that are lost.
+const LOSS: f64 = 0.02;
+
+/// Seconds between two restarts of a host, many times the expected churn.
+const RESTART_PERIOD_S: u64 = 7;
+
+/// Calls that a watch counts as, a second: one waiting call a minute.
+const WATCH_CALLS_S: f64 = 1.0 / 60.0;
+
+/// Shape of a fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    hosts: usize,
+    domains: usize,
+}
+
+/// Today's deployments.
+pub const SMALL: Fleet = Fleet {
+    hosts: 8,
+    domains: 3,
+};
+
+/// The size to design for.
+pub const LARGE: Fleet = Fleet {
+    hosts: 420,
+    domains: 8,
+};
+
+/// What a run gave.
+#[derive(Debug)]
+pub struct Distribution {
+    /// Longest time from the record of a change until every host has it in force.
+    pub in_force_s: f64,
+    /// Bytes that a host sends a second, averaged over the hosts.
+    pub bytes_per_host_s: f64,
+    /// Bytes that the busiest host sends a second.
+    pub busiest_bytes_s: f64,
+    /// Bytes that a host would receive a second if each change sent it the whole lists.
+    pub broadcast_bytes_per_host_s: f64,
+    /// Reads of the store a second, waiting watches among them.
+    pub store_reads_s: f64,
+    /// Writes of the store a second.
+    pub store_writes_s: f64,
+}
+
+enum Event {
+    Tick(entity::HostId),
+    Message(entity::HostId, entity::HostId, message::Message),
+    Recorded(entity::HostId, Delta),
+    Answer(entity::HostId, StoreAnswer),
+    Change,
+    Restart,
+}
+
+struct World<'a> {
+    fleet: &'a Fleet,
+    rng: rand_chacha::ChaCha8Rng,
+    agenda: Agenda<Event>,
+    replicas: BTreeMap<entity::HostId, Replica>,
+    watchers: Vec<entity::HostId>,
+    store: Snapshot,
+    /// When each change was recorded.
+    recorded: BTreeMap<Version, u64>,
+    /// When the last host took each change over.
+    in_force: BTreeMap<Version, u64>,
+    sent: BTreeMap<entity::HostId, u64>,
+    reads: u64,
+    writes: u64,
+    counting: bool,
+}
+
+/// Runs a fleet.
+///
+/// # Errors
+///
+/// Returns an error if a message cannot be encoded.
+pub fn run(fleet: &Fleet) -> eyre::Result<Distribution> {
+    let mut world = World::new(fleet);
+    let end = (SETTLE_S + LENGTH_S) * SECOND;
+    while let Some((now, event)) = world.agenda.next() {
+        if now >= end {
+            break;
+        }
+        if !world.counting && now >= SETTLE_S * SECOND {
+            world.counting = true;
+        }
+        world.apply(now, event)?;
+    }
+    let span = LENGTH_S as f64;
+    let bytes = world.sent.values().sum::<u64>() as f64;
+    let busiest = world.sent.values().max().copied().unwrap_or_default() as f64;
+    let whole = population::message_bytes(&message::Message::Snapshot(world.store.clone()))?;
+    let watches = (fleet.domains * 2) as f64;
+    Ok(Distribution {
+        in_force_s: world.slowest(end),
+        bytes_per_host_s: bytes / fleet.hosts as f64 / span,
+        busiest_bytes_s: busiest / span,
+        broadcast_bytes_per_host_s: whole as f64 / CHANGE_PERIOD_S,
+        store_reads_s: world.reads as f64 / span + watches * WATCH_CALLS_S,
+        store_writes_s: world.writes as f64 / span,
+    })
+}
+
+impl<'a> World<'a> {
+    fn new(fleet: &'a Fleet) -> Self {
+        let lists = population::lists();
+        let version = Delta::after(Version::NONE, Vec::new()).to;
+        let mut world = Self {
+            fleet,
+            rng: rand_chacha::ChaCha8Rng::seed_from_u64(7),
+            agenda: Agenda::new(),
+            replicas: BTreeMap::new(),
+            watchers: Vec::new(),
+            store: Snapshot { version, lists },
+            recorded: BTreeMap::new(),
+            in_force: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            reads: 0,
+            writes: 0,
+            counting: false,
+        };
+        for (host, _) in population::hosts(fleet.hosts, fleet.domains) {
+            world.start(0, host);
+            let phase = world.rng.random_range(0..TICK);
+            world.agenda.add(phase, Event::Tick(host));
+        }
+        world.agenda.add(SETTLE_S * SECOND, Event::Change);
+        world.agenda.add(SETTLE_S * SECOND, Event::Restart);
+        world
+    }
+
+    fn start(&mut self, now: u64, host: entity::HostId) {
+        let domain = self.domain(host);
+        let hosts = population::hosts(self.fleet.hosts, self.fleet.domains);
+        let view = View::new(host, domain, hosts);
+        let (replica, effects) = Replica::start(time::Time::from_micros(now), view);
+        self.watchers.retain(|other| *other != host);
+        self.replicas.insert(host, replica);
+        // Nothing has been sent before the start, so that no encoding can fail here.
+        let _ = self.run(now, host, effects);
+    }
+
+    fn domain(&self, host: entity::HostId) -> entity::DomainId {
+        entity::DomainId::from_index(host.index() % self.fleet.domains)
+    }
+
+    fn apply(&mut self, now: u64, event: Event) -> eyre::Result<()> {
+        let time = time::Time::from_micros(now);
+        match event {
+            Event::Tick(host) => {
+                self.agenda.add(now + TICK, Event::Tick(host));
+                self.with(now, host, |replica| replica.tick(time))
+            }
+            Event::Message(from, to, message) => {
+                self.with(now, to, |replica| replica.receive(time, from, message))
+            }
+            Event::Recorded(host, delta) => {
+                self.with(now, host, |replica| replica.recorded(time, delta))
+            }
+            Event::Answer(host, answer) => {
+                self.with(now, host, |replica| replica.store(time, answer))
+            }
+            Event::Change => self.change(now),
+            Event::Restart => {
+                let host = self.rng.random_range(0..self.fleet.hosts);
+                self.start(now, entity::HostId::from_index(host));
+                self.agenda
+                    .add(now + RESTART_PERIOD_S * SECOND, Event::Restart);
+                Ok(())
+            }
+        }
+    }
+
+    fn with<F>(&mut self, now: u64, host: entity::HostId, act: F) -> eyre::Result<()>
+    where
+        F: FnOnce(&mut Replica) -> replica::Effects,
+    {
+        let Some(replica) = self.replicas.get_mut(&host) else {
+            return Ok(());
+        };
+        let effects = act(replica);
+        self.run(now, host, effects)
+    }
+
+    fn run(
+        &mut self,
+        now: u64,
+        host: entity::HostId,
+        effects: replica::Effects,
+    ) -> eyre::Result<()> {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => self.send(now, host, to, message)?,
+                Effect::ReadStore => {
+                    self.reads += u64::from(self.counting);
+                    let same = self.replicas.get(&host).map(Replica::version);
+                    let answer = if same == Some(self.store.version) {
+                        StoreAnswer::Same
+                    } else {
+                        StoreAnswer::Lists(self.store.clone())
+                    };
+                    let delay = self.rng.random_range(4_000..20_000);
+                    self.agenda.add(now + delay, Event::Answer(host, answer));
+                }
+                Effect::Watch => self.watchers.push(host),
+                Effect::Unwatch => self.watchers.retain(|other| *other != host),
+                Effect::InForce(version, _) => {
+                    let open = self
+                        .recorded
+                        .keys()
+                        .filter(|r| !self.in_force.contains_key(*r));
+                    let reached: Vec<_> = open.copied().collect();
+                    for recorded in reached.into_iter().filter(|r| *r <= version) {
+                        self.reach(now, recorded);
+                    }
+                }
+                Effect::Repair { .. } => self.writes += 1,
+            }
+        }
+        Ok(())
+    }
+
+    /// Notes that a change is in force, if no host that serves is behind it.
+    fn reach(&mut self, now: u64, version: Version) {
+        let mut others = self.replicas.values();
+        let behind = |replica: &Replica| replica.is_ready() && replica.version() < version;
+        if !others.any(behind) {
+            self.in_force.entry(version).or_insert(now);
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: u64,
+        from: entity::HostId,
+        to: entity::HostId,
+        message: message::Message,
+    ) -> eyre::Result<()> {
+        if self.counting {
+            let bytes = population::message_bytes(&message)? + population::EXCHANGE_BYTES;
+            *self.sent.entry(from).or_default() += bytes;
+            *self.sent.entry(to).or_default() += population::EXCHANGE_BYTES;
+        }
+        let remote = self.domain(from) != self.domain(to);
+        if remote && self.rng.random_bool(LOSS) {
+            return Ok(());
+        }
+        let delay = if remote {
+            self.rng.random_range(4_000..12_000)
+        } else {
+            self.rng.random_range(200..2_000)
+        };
+        self.agenda
+            .add(now + delay, Event::Message(from, to, message));
+        Ok(())
+    }
+
+    /// Records a change in the store and tells the watchers and the host that made it.
+    fn change(&mut self, now: u64) -> eyre::Result<()> {
+        let plan = population::plan(700 + now / SECOND, 700, 64);
+        let i = self.rng.random_range(0..43);
+        let change = lists::Change::PutPlan(population::plan_name(i), plan);
+        self.store.lists.apply(&change);
+        let delta = Delta::after(self.store.version, vec![change]);
+        self.store.version = delta.to;
+        self.recorded.insert(delta.to, now);
+        self.writes += u64::from(self.counting);
+        // The edit reads the lists once.
+        self.reads += u64::from(self.counting);
+        let editor = entity::HostId::from_index(self.rng.random_range(0..self.fleet.hosts));
+        for host in self.watchers.clone().into_iter().chain([editor]) {
+            let delay = self.rng.random_range(4_000..200_000);
+            self.agenda
+                .add(now + delay, Event::Recorded(host, delta.clone()));
+        }
+        let period = (CHANGE_PERIOD_S * SECOND as f64) as u64;
+        self.agenda.add(now + period, Event::Change);
+        Ok(())
+    }
+
+    /// Longest time until a change was in force, counted to the end if it never was. The last
+    /// change is left out if the run ended too soon after it.
+    fn slowest(&self, end: u64) -> f64 {
+        let settled = self
+            .recorded
+            .iter()
+            .filter(|(_, at)| **at + 10 * SECOND < end);
+        let spans = settled.map(|(version, at)| {
+            let reached = self.in_force.get(version).copied().unwrap_or(end);
+            (reached - at) as f64 / SECOND as f64
+        });
+        spans.fold(0.0, f64::max)
+    }
+}
