--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -2,7 +2,7 @@
 
 use std::{path, process};
 
-use pistachiochute_measure::{actions, bounds, figure, membership, routing, slopes};
+use pistachiochute_measure::{actions, bounds, figure, lists, membership, routing, slopes};
 
 use crate::{exit, known_red, table};
 
@@ -10,17 +10,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Group {
     Actions,
+    Lists,
     Routing,
     Membership,
     Slopes,
 }
 
 impl Group {
-    const ALL: &'static [Self] = &[Self::Actions, Self::Routing, Self::Membership, Self::Slopes];
+    const ALL: &'static [Self] = &[
+        Self::Actions,
+        Self::Lists,
+        Self::Routing,
+        Self::Membership,
+        Self::Slopes,
+    ];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Actions => "actions",
+            Self::Lists => "lists",
             Self::Routing => "routing",
             Self::Membership => "membership",
             Self::Slopes => "slopes",
@@ -30,6 +38,7 @@
     fn run(self) -> eyre::Result<Vec<figure::Reading>> {
         match self {
             Self::Actions => actions::run(),
+            Self::Lists => lists::run(),
             Self::Routing => routing::run(),
             Self::Membership => membership::run(),
             Self::Slopes => slopes::run(),
@@ -39,7 +48,7 @@
     /// Whether the group is run when none is named. Wall-clock readings are run on request only.
     const fn is_counted(self) -> bool {
         match self {
-            Self::Actions | Self::Routing | Self::Membership => true,
+            Self::Actions | Self::Lists | Self::Routing | Self::Membership => true,
             Self::Slopes => false,
         }
     }
--- a/crates/core/src/limits/borrower.rs
+++ b/crates/core/src/limits/borrower.rs
@@ -26,7 +26,7 @@
 
 /// Slices that are asked for one request. A saturated account would otherwise cost a message to
 /// each slice for each refusal.
-const MAX_ASKS: usize = 5;
+const MAX_ASKS: usize = 3;
 
 /// Time after which an account without requests and credit is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
