Add lists and status to the command line

Cause: operators had the API only. Change: lists get, put and history and status over the administration API; the credential comes from a file or the environment, never from an argument. Conclusion: a racing put shows both versions and exits 1, a faulty file exits 2.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,15 +3,18 @@
 //! Each subcommand is a module that gives its `command()` and its `run()`. The exit status is 0
 //! when all is well, 1 when a check or a bound failed, and 2 when the input is faulty.
 
+mod admin;
 mod case;
 mod check;
 mod client;
 mod completions;
 mod demo;
 mod known_red;
+mod lists;
 mod load;
 mod measure;
 mod report;
+mod status;
 mod table;
 
 use std::process;
@@ -43,6 +46,8 @@
         .arg_required_else_help(true)
         .subcommand(demo::command())
         .subcommand(check::command())
+        .subcommand(lists::command())
+        .subcommand(status::command())
         .subcommand(case::command())
         .subcommand(load::command())
         .subcommand(measure::command())
@@ -54,6 +59,8 @@
     match matches.subcommand() {
         Some(("demo", matches)) => demo::run(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("lists", matches)) => lists::run(matches),
+        Some(("status", matches)) => status::run(matches),
         Some(("case", matches)) => case::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("measure", matches)) => measure::run(matches),
--- a/crates/cli/tests/demo.rs
+++ b/crates/cli/tests/demo.rs
@@ -24,7 +24,7 @@
 struct Stay {
     child: process::Child,
     /// Kept open: a demo whose output is closed ends at its next line.
-    _output: BufReader<process::ChildStdout>,
+    output: BufReader<process::ChildStdout>,
     addr: String,
     key: String,
 }
@@ -48,7 +48,7 @@
         };
         Self {
             child,
-            _output: output,
+            output,
             addr: between("http://", "/"),
             key: between("Bearer ", "'"),
         }
@@ -67,6 +67,33 @@
         serde_json::from_slice(&output.stdout).unwrap()
     }
 
+    /// Address of a host for operators and the demo's credential, from the requests to try.
+    fn operator(&mut self) -> (String, String) {
+        let mut curl = String::new();
+        while !curl.contains("/v1/status") {
+            curl.clear();
+            assert!(
+                self.output.read_line(&mut curl).unwrap() > 0,
+                "a request to try"
+            );
+        }
+        let admin = curl
+            .split_once("http://")
+            .unwrap()
+            .1
+            .split_once('/')
+            .unwrap()
+            .0;
+        let credential = curl
+            .split_once("Bearer ")
+            .unwrap()
+            .1
+            .split_once('\'')
+            .unwrap()
+            .0;
+        (admin.to_owned(), credential.to_owned())
+    }
+
     fn close(mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
@@ -126,3 +153,46 @@
     assert_eq!(report["unreachable"], report["sent"]);
     assert!(report["sent"].as_u64().unwrap() > 0);
 }
+
+#[test]
+fn lists_are_read_edited_and_kept_apart_by_their_revision() {
+    let mut stay = Stay::start();
+    let (admin, credential) = stay.operator();
+    let run = |args: &[&str]| {
+        let mut command = program();
+        command.args(args).args(["--admin", &admin]);
+        command
+            .env("PISTACHIOCHUTE_CREDENTIAL", &credential)
+            .output()
+            .unwrap()
+    };
+    let got = run(&["lists", "get"]);
+    assert!(String::from_utf8_lossy(&got.stderr).contains("revision r1"));
+    let edited = String::from_utf8(got.stdout).unwrap().replace("64", "65");
+    let file = std::env::temp_dir().join(format!("lists-{}.json", process::id()));
+    std::fs::write(&file, &edited).unwrap();
+    let put = |revision: &str| {
+        run(&[
+            "lists",
+            "put",
+            file.to_str().unwrap(),
+            "--revision",
+            revision,
+        ])
+    };
+    assert_eq!(put("r1").status.code(), Some(0));
+    std::fs::write(&file, edited.replace("65", "66")).unwrap();
+    let late = put("r1");
+    assert_eq!(late.status.code(), Some(1));
+    let told = String::from_utf8_lossy(&late.stderr);
+    assert!(told.contains("yours") && told.contains("theirs"), "{told}");
+    std::fs::write(&file, "{\"plans\": 7}").unwrap();
+    assert_eq!(put("r2").status.code(), Some(2));
+    std::fs::remove_file(&file).unwrap();
+    let history: Value =
+        serde_json::from_slice(&run(&["lists", "history", "--json"]).stdout).unwrap();
+    assert_eq!(history["edits"].as_array().unwrap().len(), 2);
+    let status: Value = serde_json::from_slice(&run(&["status", "--json"]).stdout).unwrap();
+    assert_eq!(status["host"]["ready"], true);
+    stay.close();
+}
