Bound callers' connections, heads and slow requests with a gate

Cause: tiny_http reads a head without a bound and a head or a small body without a deadline for the whole, and the number of connections was not bounded: a caller could make a host hold a header of 64 MB, and one that sent a byte each 100 ms kept its connection for as long as it liked. Change: a gate takes the connections, bounds their number, and passes bytes on to the server's own loopback socket; a request that grows beyond its bound or still comes after its deadline ends its connection. A close passes on what the server has finished. Ruled out: a receive timeout on the socket, which each byte starts again. Conclusion: endless and slow headers, slow small bodies and too many connections are refused; before the gate the first three failed. A slow reader gets the whole of its stream through drain and close. The cost of the gate for each request was not measured.

--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -61,3 +61,9 @@
 fn new_request_id() -> pistachiochute_core::request::RequestId {
     pistachiochute_core::request::RequestId(uuid::Uuid::now_v7())
 }
+
+/// Answer to a connection for which the host has no place.
+#[must_use]
+pub fn busy_answer() -> bytes::Bytes {
+    respond::raw(&respond::Refused::busy(new_request_id()))
+}
--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -98,6 +98,21 @@
         "outcome" => %refused.outcome);
 }
 
+/// A refusal as the bytes of an answer that ends its connection.
+pub fn raw(refused: &Refused) -> Bytes {
+    let body = refused.body();
+    let status = refused.reason.status();
+    let head = format!(
+        "HTTP/1.1 {status} {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         {}: {}\r\nretry-after: 1\r\nconnection: close\r\n\r\n",
+        tiny_http::StatusCode(status).default_reason_phrase(),
+        body.len(),
+        endpoint::OUTCOME_HEADER,
+        refused.outcome,
+    );
+    Bytes::from(head + &body)
+}
+
 /// Answers with a refusal.
 pub fn refuse(cx: &entry::Context, req: tiny_http::Request, refused: &Refused) {
     count(cx, refused);
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -16,7 +16,8 @@
 use crate::lists::{editor, store, sync};
 use crate::platform::etcd;
 use crate::{
-    admin, clock, control, endpoint, entry, journal, link, listener, metrics, owner, pool, settings,
+    admin, clock, control, endpoint, entry, gate, journal, link, listener, metrics, owner, pool,
+    settings,
 };
 
 /// Calls to endpoints at once.
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub struct Host {
     settings: Arc<settings::Settings>,
+    gate: gate::Gate,
     control: control::Control,
     links: link::Links,
     listener: listener::Listener,
@@ -160,10 +162,13 @@
             log,
         };
         let cfg = listener_config(&settings);
-        let listener =
-            listener::Listener::start(sockets.callers, cfg, entry_pool.clone(), Arc::new(cx))?;
+        let inner = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
+        let gate_config = gate_config(&settings, inner.local_addr()?);
+        let listener = listener::Listener::start(inner, cfg, entry_pool.clone(), Arc::new(cx))?;
+        let gate = gate::Gate::start(sockets.callers, gate_config)?;
         Ok(Self {
             settings,
+            gate,
             control,
             links,
             listener,
@@ -179,7 +184,7 @@
     /// Address on which callers are served.
     #[must_use]
     pub fn callers(&self) -> net::SocketAddr {
-        self.listener.addr()
+        self.gate.addr()
     }
 
     /// Address on which links are served.
@@ -227,6 +232,20 @@
         self.links.close();
         self.journal.close();
         self.control.close();
+        self.gate.close();
+    }
+}
+
+fn gate_config(settings: &settings::Settings, server: net::SocketAddr) -> gate::Config {
+    let bounds = &settings.bounds;
+    gate::Config {
+        server,
+        connections: bounds.connections as usize,
+        busy: entry::busy_answer(),
+        // A chunked body is longer than what it carries.
+        request_bytes: bounds.header.0 + 2 * bounds.body.0,
+        request_time: bounds.header_read + bounds.body_read,
+        stall: settings.timeouts.stall,
     }
 }
 
