Never send a call again that may not be repeated to resume its stream

Cause: an owner resumed every cut stream of events at its endpoint, also that of a service's call, which an endpoint that does not know resumption runs again. Change: only idempotent requests are resumed. Conclusion: a cut answer of such a call ends as an error with the outcome run.

--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pistachiochute_core::{outcome, reason, units};
+use pistachiochute_core::{outcome, reason, request, units};
 use pistachiochute_messages::forward;
 
 use crate::endpoint;
@@ -67,7 +67,7 @@
                 Err(Stop::Failed(failure)) => return endpoint::Ended::Failed(failure),
                 Err(Stop::Cut(reason)) => {
                     resumes += 1;
-                    if progress.after.is_none() || resumes > MAX_RESUMES {
+                    if !self.may_resume(&progress) || resumes > MAX_RESUMES {
                         let failure = endpoint::Failure::new(reason, outcome::Outcome::Run);
                         return endpoint::Ended::Failed(failure);
                     }
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Whether the call may be sent again to go on with a cut stream. An endpoint that does not
+    /// know resumption would run it a second time.
+    fn may_resume(&self, progress: &Progress) -> bool {
+        progress.after.is_some() && self.head.repeat == request::Repeat::Idempotent
+    }
+
     fn attempt(&self, pieces: &mut pieces::Pieces, progress: &mut Progress) -> Result<(), Stop> {
         let response = self.send(progress.after)?;
         let status = response.status().as_u16();
