Split the view of the membership from its members

Cause: the machine had grown to 559 lines with three jobs. Change: members and marks, and settings and effects, in modules of their own. Conclusion: behaviour is the same.

--- /dev/null
+++ b/crates/core/src/membership/effect.rs
@@ -0,0 +1,71 @@
+//! Settings of the membership, and what it asks its surroundings to do.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::entity;
+use crate::membership::Probe;
+
+/// Settings of the membership.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Time between two probes of a neighbour.
+    pub period: Duration,
+    /// Neighbours that are probed.
+    pub neighbours: usize,
+    /// Probes in a row that a neighbour misses before it is suspected.
+    pub missed: u32,
+    /// Time in which a suspicion can be refuted.
+    pub suspicion: Duration,
+    /// Shortest time between two pushes of new updates.
+    pub push_gap: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_secs(1),
+            neighbours: 3,
+            missed: 2,
+            suspicion: Duration::from_secs(2),
+            push_gap: Duration::from_millis(100),
+        }
+    }
+}
+
+/// What has to be done after an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a probe. Its end is told by [`Membership::answered`] or [`Membership::failed`].
+    Send {
+        /// Host to probe.
+        to: entity::HostId,
+        /// The probe.
+        probe: Probe,
+    },
+    /// A host starts or stops taking new work.
+    Host {
+        /// The host.
+        host: entity::HostId,
+        /// Whether it takes new work.
+        usable: bool,
+    },
+    /// An endpoint starts or stops leaving.
+    Endpoint {
+        /// The endpoint.
+        endpoint: entity::EndpointId,
+        /// Whether it is leaving.
+        leaving: bool,
+    },
+    /// A failure domain becomes or stops being reachable from this host.
+    Domain {
+        /// The domain.
+        domain: entity::DomainId,
+        /// Whether it can be reached.
+        reachable: bool,
+    },
+}
+
+/// Effects of one event.
+pub type Effects = SmallVec<[Effect; 4]>;
--- a/crates/core/src/membership/machine.rs
+++ b/crates/core/src/membership/machine.rs
@@ -1,100 +1,16 @@
 //! The state machine of one host's view.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use crate::membership::member::{Mark, Member};
+use crate::membership::reach::Reach;
 use crate::membership::{
-    Damping, Probe, Standing, Subject, Update, message, reach::Reach, ring, rumour,
+    Config, Effect, Effects, Probe, Standing, Subject, Update, message, ring, rumour,
 };
 use crate::{entity, map, time, topology};
 
-/// Settings of the membership.
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Time between two probes of a neighbour.
-    pub period: Duration,
-    /// Neighbours that are probed.
-    pub neighbours: usize,
-    /// Probes in a row that a neighbour misses before it is suspected.
-    pub missed: u32,
-    /// Time in which a suspicion can be refuted.
-    pub suspicion: Duration,
-    /// Shortest time between two pushes of new updates.
-    pub push_gap: Duration,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Self {
-            period: Duration::from_secs(1),
-            neighbours: 3,
-            missed: 2,
-            suspicion: Duration::from_secs(2),
-            push_gap: Duration::from_millis(100),
-        }
-    }
-}
-
-/// What has to be done after an event.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Send a probe. Its end is told by [`Membership::answered`] or [`Membership::failed`].
-    Send {
-        /// Host to probe.
-        to: entity::HostId,
-        /// The probe.
-        probe: Probe,
-    },
-    /// A host starts or stops taking new work.
-    Host {
-        /// The host.
-        host: entity::HostId,
-        /// Whether it takes new work.
-        usable: bool,
-    },
-    /// An endpoint starts or stops leaving.
-    Endpoint {
-        /// The endpoint.
-        endpoint: entity::EndpointId,
-        /// Whether it is leaving.
-        leaving: bool,
-    },
-    /// A failure domain becomes or stops being reachable from this host.
-    Domain {
-        /// The domain.
-        domain: entity::DomainId,
-        /// Whether it can be reached.
-        reachable: bool,
-    },
-}
-
-/// Effects of one event.
-pub type Effects = SmallVec<[Effect; 4]>;
-
-#[derive(Clone, Debug)]
-struct Member {
-    domain: entity::DomainId,
-    known: Update,
-    /// Whether the member told in its present incarnation that it leaves.
-    leaving: bool,
-    /// Probes in a row that this host sent and that were not answered.
-    missed: u32,
-    /// When a suspicion becomes a loss, while the member is suspected.
-    suspected_until: Option<time::Time>,
-    damping: Damping,
-    /// Whether the member was last told to take new work.
-    usable: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Mark {
-    known: Update,
-    damping: Damping,
-    leaving: bool,
-}
-
 /// What one host knows of hosts and endpoints.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -162,7 +78,7 @@
         // A list does not change how a member stands, but what is held out is told anew, since the
         // receiver of the effects may have replaced its entries.
         for (host, member) in self.members.iter_mut() {
-            member.usable = is_usable(member, now);
+            member.usable = member.is_usable(now);
             if !member.usable {
                 effects.push(Effect::Host {
                     host,
@@ -182,36 +98,18 @@
         self.marks
             .retain(|id, _| list.endpoints.iter().any(|endpoint| endpoint.id == id));
         for endpoint in &list.endpoints {
-            let fresh = || Mark {
-                known: Update {
-                    subject: Subject::Endpoint(endpoint.id),
-                    incarnation: 0,
-                    standing: Standing::Alive,
-                },
-                damping: Damping::default(),
-                leaving: false,
-            };
-            self.marks.get_or_insert_with(endpoint.id, fresh);
+            self.marks
+                .get_or_insert_with(endpoint.id, || Mark::new(endpoint.id));
         }
     }
 
     fn take_hosts(&mut self, list: &topology::HostList) {
         let others = list.hosts.iter().filter(|host| host.id != self.me);
         for host in others.clone() {
-            let fresh = || Member {
-                domain: host.domain,
-                known: Update {
-                    subject: Subject::Host(host.id),
-                    incarnation: 0,
-                    standing: Standing::Alive,
-                },
-                leaving: false,
-                missed: 0,
-                suspected_until: None,
-                damping: Damping::default(),
-                usable: true,
-            };
-            self.members.get_or_insert_with(host.id, fresh).domain = host.domain;
+            let member = self
+                .members
+                .get_or_insert_with(host.id, || Member::new(host.id, host.domain));
+            member.domain = host.domain;
         }
         let mine = list.domains.iter().find(|domain| domain.id == self.domain);
         let region = mine.map(|domain| domain.region);
@@ -435,21 +333,8 @@
         if !update.supersedes(&member.known) {
             return;
         }
-        member.leaving = match update.standing {
-            Standing::Alive => false,
-            Standing::Leaving => true,
-            // A suspicion of one who leaves says nothing of whether it still leaves.
-            Standing::Suspect | Standing::Down => {
-                member.leaving && update.incarnation == member.known.incarnation
-            }
-        };
-        member.known = update;
-        let suspected = update.standing == Standing::Suspect;
-        member.suspected_until = suspected.then(|| now + self.cfg.suspicion);
-        if update.standing < Standing::Suspect {
-            member.missed = 0;
-        }
-        settle(host, member, now, effects);
+        member.take(update, now + self.cfg.suspicion);
+        member.settle(host, now, effects);
         self.spread(update);
     }
 
@@ -468,7 +353,7 @@
             return;
         }
         mark.known = update;
-        settle_mark(endpoint, mark, now, effects);
+        mark.settle(endpoint, now, effects);
         self.spread(update);
     }
 
@@ -492,10 +377,10 @@
     /// Lets in what was held out and has been steady.
     fn release(&mut self, now: time::Time, effects: &mut Effects) {
         for (host, member) in self.members.iter_mut().filter(|(_, member)| !member.usable) {
-            settle(host, member, now, effects);
+            member.settle(host, now, effects);
         }
         for (endpoint, mark) in self.marks.iter_mut().filter(|(_, mark)| mark.leaving) {
-            settle_mark(endpoint, mark, now, effects);
+            mark.settle(endpoint, now, effects);
         }
     }
 
@@ -522,38 +407,3 @@
         self.push_due = true;
     }
 }
-
-fn is_usable(member: &mut Member, now: time::Time) -> bool {
-    // A suspected host keeps its work until the suspicion is confirmed, since it may be late only.
-    let stands = matches!(member.known.standing, Standing::Alive | Standing::Suspect);
-    stands && !member.leaving && !member.damping.holds(now)
-}
-
-fn settle(host: entity::HostId, member: &mut Member, now: time::Time, effects: &mut Effects) {
-    let usable = is_usable(member, now);
-    if usable == member.usable {
-        return;
-    }
-    member.usable = usable;
-    if !usable {
-        member.damping.lost(now);
-    }
-    effects.push(Effect::Host { host, usable });
-}
-
-fn settle_mark(
-    endpoint: entity::EndpointId,
-    mark: &mut Mark,
-    now: time::Time,
-    effects: &mut Effects,
-) {
-    let leaving = mark.known.standing != Standing::Alive || mark.damping.holds(now);
-    if leaving == mark.leaving {
-        return;
-    }
-    mark.leaving = leaving;
-    if leaving {
-        mark.damping.lost(now);
-    }
-    effects.push(Effect::Endpoint { endpoint, leaving });
-}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -16,12 +16,15 @@
 //! refuses work before running it, and a second owner starts from the endpoint's own load.
 
 mod damping;
+mod effect;
 mod machine;
+mod member;
 mod message;
 mod reach;
 mod ring;
 mod rumour;
 
 pub use damping::Damping;
-pub use machine::{Config, Effect, Effects, Membership};
+pub use effect::{Config, Effect, Effects};
+pub use machine::Membership;
 pub use message::{Probe, Standing, Subject, Update};
