--- /dev/null
+++ b/crates/runtime/src/control/command.rs
@@ -0,0 +1,77 @@
+//! What other threads ask of the control thread.
+
+use bytes::Bytes;
+use crossbeam::channel;
+use pistachiochute_core::{
+    entity, health, lists, owner, request, retry, revision, time, topology, units,
+};
+use pistachiochute_messages::{control, forward};
+use tokio::sync::oneshot;
+
+use crate::control::{Admitted, Candidate, ListsStatus, Refused, Status, Verdict};
+use crate::entry::call;
+use crate::link;
+use crate::lists::sync;
+
+/// A command, with the channel for its answer if it has one.
+pub(super) enum Command {
+    Arrive {
+        request: request::RequestId,
+        call: Box<call::Call>,
+        tx: channel::Sender<Result<Admitted, Refused>>,
+    },
+    Depart(request::RequestId),
+    Retries {
+        request: request::RequestId,
+        repeat: request::Repeat,
+        deadline: time::Time,
+        tx: channel::Sender<retry::Request>,
+    },
+    Failed {
+        retries: Box<retry::Request>,
+        failure: retry::Failure,
+        tx: channel::Sender<(retry::Request, retry::Decision)>,
+    },
+    Locate {
+        endpoint: entity::EndpointId,
+        tx: channel::Sender<Option<Candidate>>,
+    },
+    Offer {
+        head: Box<forward::Forward>,
+        tx: channel::Sender<Verdict>,
+    },
+    Finish {
+        endpoint: entity::EndpointId,
+        id: owner::AttemptId,
+        used: Option<units::Tokens>,
+    },
+    Abandon {
+        endpoint: entity::EndpointId,
+        id: owner::AttemptId,
+    },
+    Sign(entity::EndpointId, health::Sign),
+    /// Gives the control thread its links, which need the control thread to be made.
+    Connect(link::Sender),
+    Message {
+        message: control::Message,
+        done: oneshot::Sender<Bytes>,
+    },
+    Answer {
+        from: entity::HostId,
+        answer: Result<control::Message, link::CallError>,
+    },
+    HostList(topology::HostList),
+    /// Gives the control thread the thread that calls the store.
+    ConnectStore(sync::Orders),
+    StoreAnswer(lists::replica::StoreAnswer),
+    Recorded(lists::Delta),
+    HighestVersion(channel::Sender<lists::Version>),
+    Catalog(channel::Sender<Option<lists::verify::Catalog>>),
+    ListsStatus {
+        revision: Option<revision::Revision>,
+        tx: channel::Sender<ListsStatus>,
+    },
+    Status(channel::Sender<Status>),
+    Drain,
+    Close,
+}
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -9,7 +9,8 @@
     routing, time, topology,
 };
 
-use crate::control::{Command, Status, Verdict};
+use crate::control::command::Command;
+use crate::control::{Status, Verdict};
 use crate::lists::sync;
 use crate::{clock, control, link, metrics, settings};
 
