Book through a service with a retried key in the demo

Cause: the demo showed no action that runs at most once. Change: a replica of a service in each domain, and a scene that books twice with one key through hosts of two domains and once with another body; a failing test ends the demo that it started.

--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -6,7 +6,7 @@
 use pistachiochute_core::entity::Entity as _;
 use pistachiochute_core::{entity, lists, revision, topology};
 use pistachiochute_runtime::{host, metrics, settings};
-use pistachiochute_standins::{engine, hosts, keyvalue};
+use pistachiochute_standins::{engine, hosts, keyvalue, service};
 use serde_json::{Value, json};
 
 /// API key of the demo's account.
@@ -15,6 +15,9 @@
 /// Model that every engine serves.
 pub(super) const MODEL: &str = "reader";
 
+/// Service that books, whose calls may not be repeated.
+pub(super) const SERVICE: &str = "bookings";
+
 /// Failure domains.
 const DOMAINS: usize = 3;
 
@@ -24,6 +27,9 @@
 /// Engines of each failure domain.
 const ENGINES: usize = 2;
 
+/// Calls that a replica of the service runs at once.
+const SERVICE_SLOTS: u32 = 4;
+
 /// Time to generate one token.
 pub(super) const TOKEN_TIME: Duration = Duration::from_millis(10);
 
@@ -65,6 +71,8 @@
 pub(super) struct Fleet {
     members: Vec<Member>,
     engines: Vec<engine::Engine>,
+    /// One replica of the service in each failure domain.
+    services: Vec<service::Service>,
     key_value: keyvalue::KeyValue,
     host_list: hosts::Hosts,
     list: topology::HostList,
@@ -81,7 +89,12 @@
         let engines: eyre::Result<Vec<_>> =
             (0..DOMAINS * ENGINES).map(|_| start_engine()).collect();
         let engines = engines?;
+        let services: eyre::Result<Vec<_>> = (0..DOMAINS)
+            .map(|_| service::Service::start(service::Settings::default()))
+            .collect();
+        let services = services?;
         let mut list = host_list(&engines)?;
+        list.endpoints.extend(service_entries(&services)?);
         let host_list = hosts::Hosts::start_on(
             local(port, PLATFORM_PORTS + 1),
             HOST_LIST_LAG,
@@ -97,6 +110,7 @@
         let fleet = Self {
             members,
             engines,
+            services,
             key_value,
             host_list,
             list,
@@ -126,6 +140,14 @@
         self.engines.iter().map(runs).collect()
     }
 
+    /// Calls of the service that ran, over all replicas.
+    pub(super) fn bookings(&self) -> u64 {
+        self.services
+            .iter()
+            .map(|service| service.counters().runs)
+            .sum()
+    }
+
     /// Shows an engine as live or leaving in the host list.
     pub(super) fn set_presence(&mut self, engine: usize, presence: topology::Presence) {
         self.list.endpoints[engine].presence = presence;
@@ -206,6 +228,9 @@
         for engine in self.engines {
             engine.close();
         }
+        for service in self.services {
+            service.close();
+        }
         self.host_list.close();
         self.key_value.close();
     }
@@ -307,6 +332,22 @@
     })
 }
 
+fn service_entries(services: &[service::Service]) -> eyre::Result<Vec<topology::Endpoint>> {
+    let entry = |(number, service): (usize, &service::Service)| -> eyre::Result<_> {
+        Ok(topology::Endpoint {
+            id: entity::EndpointId::from_index(DOMAINS * ENGINES + number),
+            domain: entity::DomainId::from_index(number),
+            addr: service.addr(),
+            serves: topology::Serves::Service {
+                name: SERVICE.parse()?,
+            },
+            slots: SERVICE_SLOTS,
+            presence: topology::Presence::Live,
+        })
+    };
+    services.iter().enumerate().map(entry).collect()
+}
+
 fn entry(number: usize, links: net::SocketAddr) -> topology::Host {
     topology::Host {
         id: entity::HostId::from_index(number),
@@ -324,6 +365,7 @@
         "plans": {
             "basic": {
                 "models": [MODEL],
+                "services": [SERVICE],
                 "requests_per_minute": 60_000,
                 "tokens_per_minute": 60_000_000,
                 "in_flight": 64,
--- a/crates/cli/src/demo/scenes.rs
+++ b/crates/cli/src/demo/scenes.rs
@@ -1,7 +1,7 @@
 //! Scenes of the demo, each with its stated outcome.
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pistachiochute_core::topology;
 use pistachiochute_runtime::host;
@@ -25,6 +25,12 @@
 /// Time after which a leaving endpoint gets no new work.
 const LEAVING: Duration = Duration::from_secs(3);
 
+/// Status of a call whose action is in progress or whose outcome is not yet recorded.
+const IN_PROGRESS: u16 = 409;
+
+/// Pause before a call in progress is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time that one request may take.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -47,6 +53,7 @@
         returning_chats(fleet),
         stream(fleet),
         outside_the_plan(fleet),
+        booking(fleet),
     ];
     let engine = busiest(&fleet.runs());
     played.push(leaving_engine(fleet, engine));
@@ -93,6 +100,75 @@
     }
 }
 
+/// Books twice with one key, through hosts of two failure domains, as a caller that lost its answer.
+fn booking(fleet: &fleet::Fleet) -> Scene {
+    let before = fleet.bookings();
+    let key = uuid::Uuid::now_v7().to_string();
+    let book = |host| call_service(fleet, host, &key, "teacher 7, school 3, Monday");
+    let answers = [book(0), settled(|| book(fleet.hosts() - 1))];
+    let other = call_service(fleet, 1, &key, "teacher 8, school 3, Monday");
+    let runs = fleet.bookings() - before;
+    let [first, second] = &answers;
+    let is_same = first.status == 200 && first == second;
+    Scene {
+        name: "booking",
+        stated: "one run, both callers get its answer, another body with the key gets 422"
+            .to_owned(),
+        seen: format!(
+            "{runs} run, {} then {}, same: {is_same}, other body {}",
+            first.status, second.status, other.status
+        ),
+        ok: runs == 1 && is_same && other.status == 422,
+    }
+}
+
+/// Repeats a call as long as its action is told to be in progress, as callers are asked to.
+fn settled<F>(call: F) -> Booked
+where
+    F: Fn() -> Booked,
+{
+    let until = Instant::now() + TIMEOUT;
+    loop {
+        let booked = call();
+        if booked.status != IN_PROGRESS || Instant::now() >= until {
+            return booked;
+        }
+        thread::sleep(REPEAT_PAUSE);
+    }
+}
+
+/// Status and body of an answer of the service.
+#[derive(Debug, PartialEq, Eq)]
+struct Booked {
+    status: u16,
+    body: String,
+}
+
+fn call_service(fleet: &fleet::Fleet, host: usize, key: &str, body: &str) -> Booked {
+    let url = format!(
+        "http://{}/v1/services/{}/book",
+        fleet.callers(host),
+        fleet::SERVICE
+    );
+    let answer = attohttpc::post(url)
+        .header("authorization", format!("Bearer {}", fleet::KEY))
+        .header("idempotency-key", key)
+        .timeout(TIMEOUT)
+        .text(body)
+        .send();
+    // A call without an answer has status 0 and comes out of the scene as such.
+    answer.map_or(
+        Booked {
+            status: 0,
+            body: String::new(),
+        },
+        |resp| Booked {
+            status: resp.status().as_u16(),
+            body: resp.text().unwrap_or_default(),
+        },
+    )
+}
+
 /// Asks for a model that the plan does not hold.
 fn outside_the_plan(fleet: &fleet::Fleet) -> Scene {
     let before = fleet.runs();
--- a/crates/cli/tests/demo.rs
+++ b/crates/cli/tests/demo.rs
@@ -94,9 +94,17 @@
         (admin.to_owned(), credential.to_owned())
     }
 
-    fn close(mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
+    fn close(self) {
+        drop(self);
+    }
+}
+
+/// A test that fails ends its demo too.
+impl Drop for Stay {
+    fn drop(&mut self) {
+        // The demo may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
