--- a/crates/runtime/tests/lists.rs
+++ b/crates/runtime/tests/lists.rs
@@ -42,6 +42,12 @@
         (status, resp.json().unwrap())
     }
 
+    /// Adds a plan that must not exist yet.
+    fn add_plan(&self, name: &str, requests: u64) -> (u16, Value) {
+        let path = format!("/v1/lists/plans/{name}");
+        self.send("PUT", &path, &[("if-none-match", "*")], &plan(requests))
+    }
+
     fn get(&self, path: &str) -> Value {
         self.send("GET", path, &[], &Value::Null).1
     }
@@ -77,12 +83,7 @@
     };
     let fleet = support::Fleet::start(&shape);
     let admin = Admin::of(&fleet, 0);
-    let (status, answer) = admin.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, answer) = admin.add_plan("gold", 5);
     assert_eq!(status, 200, "{answer}");
     assert_eq!(answer["state"], "recorded");
     let revision = answer["revision"].as_str().unwrap();
@@ -129,12 +130,7 @@
         credential: support::NARROW_OPERATOR,
         ..Admin::of(&fleet, 0)
     };
-    let (status, answer) = narrow.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, answer) = narrow.add_plan("gold", 5);
     assert_eq!(status, 403, "{answer}");
     let stranger = Admin {
         credential: "nobody",
@@ -174,12 +170,7 @@
         lost_answers: 1,
         ..keyvalue::Faults::default()
     });
-    let (status, answer) = admin.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, answer) = admin.add_plan("gold", 5);
     assert_eq!(
         (status, &answer["state"]),
         (200, &json!("recorded")),
@@ -203,12 +194,7 @@
         down: true,
         ..keyvalue::Faults::default()
     });
-    let (status, answer) = admin.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, answer) = admin.add_plan("gold", 5);
     assert_eq!(status, 503, "{answer}");
     assert_eq!(answer["error"]["state"], "not_recorded", "{answer}");
     let resp = support::chat(
@@ -217,12 +203,7 @@
     );
     assert_eq!(resp.unwrap().status().as_u16(), 200);
     fleet.key_value.set_faults(keyvalue::Faults::default());
-    let (status, _) = admin.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, _) = admin.add_plan("gold", 5);
     assert_eq!(status, 200);
     fleet.close();
 }
@@ -252,22 +233,12 @@
     let fleet = support::Fleet::start(&support::Shape::default());
     let admin = Admin::of(&fleet, 0);
     let old = fleet.key_value.snapshot();
-    let (status, answer) = admin.send(
-        "PUT",
-        "/v1/lists/plans/gold",
-        &[("if-none-match", "*")],
-        &plan(5),
-    );
+    let (status, answer) = admin.add_plan("gold", 5);
     assert_eq!(status, 200, "{answer}");
     let revision = answer["revision"].as_str().unwrap().to_owned();
     assert!(support::eventually(|| in_force(&fleet, &revision)));
     fleet.key_value.restore(old);
-    let (status, answer) = admin.send(
-        "PUT",
-        "/v1/lists/plans/iron",
-        &[("if-none-match", "*")],
-        &plan(6),
-    );
+    let (status, answer) = admin.add_plan("iron", 6);
     assert_eq!(
         status, 503,
         "a store that is behind takes no edit: {answer}"
