Borrow the plan of a request, and drop code that nothing calls

Cause: found on the read-through. Each admission cloned the caller's whole plan, with every model and service, to read three fields; Editor::verify and AccountId had no caller left. Change: plan_of lends the name and the plan; the two unused items are gone. Ruled out: one reader for settings and lists, since the settings refuse a repeated field at once and the lists keep it to report every finding. Conclusion: behaviour is the same.

--- a/crates/core/src/entity.rs
+++ b/crates/core/src/entity.rs
@@ -150,8 +150,3 @@
     /// A region, which holds several failure domains.
     RegionId, "reg"
 }
-entity! {
-    /// A client account, numbered by one host in the order it first met the accounts. Messages
-    /// and lists carry the account's name.
-    AccountId, "acct"
-}
--- a/crates/runtime/src/control/arrive.rs
+++ b/crates/runtime/src/control/arrive.rs
@@ -58,16 +58,16 @@
         let chat = call
             .chat
             .as_ref()
-            .map(|chat| request::ChatKey::new(&account, chat));
+            .map(|chat| request::ChatKey::new(account, chat));
         let admitted = Admitted {
             weight: plan.weight,
             priority: plan.priority,
             chat,
-            cost: cost(call, &plan),
+            cost: cost(call, plan),
             revision: self.revision,
             candidates: self.candidates(request, chat, &call.target),
             loads: self.loads(&call.target),
-            account,
+            account: account.clone(),
         };
         if admitted.candidates.is_empty() {
             let message = format!("no endpoint that can be reached serves {}", call.target);
@@ -77,7 +77,7 @@
         Ok(admitted)
     }
 
-    fn plan_of(&self, call: &call::Call) -> Result<(name::AccountName, lists::Plan), Refused> {
+    fn plan_of(&self, call: &call::Call) -> Result<(&name::AccountName, &lists::Plan), Refused> {
         let Some(lists) = &self.lists else {
             let message = "the host has not yet taken over the lists";
             return Err(Refused::later(reason::Refusal::NotReady, message));
@@ -89,7 +89,7 @@
             return Err(Refused::new(reason::Refusal::Unauthorized, message));
         };
         match lists.plans.get(&account.plan) {
-            Some(plan) if plan.has(&call.target) => Ok((name.clone(), plan.clone())),
+            Some(plan) if plan.has(&call.target) => Ok((name, plan)),
             _ => {
                 let message = format!("plan {} does not hold {}", account.plan, call.target);
                 Err(Refused::new(reason::Refusal::NotInPlan, message))
--- a/crates/runtime/src/lists/editor.rs
+++ b/crates/runtime/src/lists/editor.rs
@@ -1,7 +1,7 @@
 //! Carries out the edits of operators.
 
 use pistachiochute_core::lists::edit::{Edit, Outcome, Proposals, Resolve, ResolveStep, Resolved};
-use pistachiochute_core::lists::{self, edit, storage, verify};
+use pistachiochute_core::lists::{self, edit, storage};
 use pistachiochute_core::name;
 
 use crate::lists::store;
@@ -104,12 +104,6 @@
         }
         Resolved::Unavailable
     }
-
-    /// Checks lists against what endpoints serve now.
-    #[must_use]
-    pub fn verify(&self, lists: &lists::Lists) -> Vec<lists::Finding> {
-        verify::lists(lists, self.control.catalog().as_ref())
-    }
 }
 
 fn corrupt() -> Outcome {
