Copy cached prompt parts between engines, and tell hosts which endpoint reads what

Ruled out: too little memory (5.0M of 8.0M tokens were found kept); the choice by hash alone (it moves with the bound on load). Change: hosts tell each other which endpoint begins to read which shared part; a request that goes elsewhere copies the part from its best holder.

--- a/crates/core/src/choice/cost.rs
+++ b/crates/core/src/choice/cost.rs
@@ -3,16 +3,31 @@
 use crate::choice;
 
 /// Multiple of the mean load of a pool up to which an endpoint is preferred.
-const BOUND_MULTIPLE: f64 = 1.5;
+const BOUND_MULTIPLE: f64 = 1.6;
 
 /// Requests above the multiple that an endpoint may have.
-const BOUND_SLACK: f64 = 1.0;
+const BOUND_SLACK: f64 = 1.5;
+
+/// How an endpoint comes by the tokens of a prompt that it does not hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Tokens that it reads.
+    pub read_tokens: u32,
+    /// Tokens that it copies from another endpoint's cache.
+    pub copy_tokens: u32,
+}
 
 /// Speeds that costs are computed from.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rates {
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_tokens_per_ms: f64,
+    /// Multiple of its own time that reading costs, since it holds up all requests that run there.
+    pub read_weight: f64,
+    /// Prompt tokens that are copied between engines at the cost of a millisecond.
+    pub copy_tokens_per_ms: f64,
+    /// Cost of any copy, in milliseconds.
+    pub copy_ms: f64,
     /// Time that one more running request costs the others and the new one, in milliseconds.
     pub crowding_ms: f64,
     /// Time that a call to a plain service takes, in milliseconds.
@@ -27,6 +42,9 @@
     fn default() -> Self {
         Self {
             read_tokens_per_ms: 40.0,
+            read_weight: 2.5,
+            copy_tokens_per_ms: 200.0,
+            copy_ms: 10.0,
             crowding_ms: 3.0,
             call_ms: 30.0,
             stream_ms: 2_000.0,
@@ -48,19 +66,25 @@
 pub fn of(
     need: &choice::Need,
     candidate: &choice::Candidate,
-    read_tokens: u32,
+    reading: &Reading,
     rates: &Rates,
 ) -> f64 {
-    let remote = if candidate.is_local { 0.0 } else { rates.remote_ms };
+    let remote = if candidate.is_local {
+        0.0
+    } else {
+        rates.remote_ms
+    };
     let running = candidate.load.in_flight();
     let slots = candidate.slots.max(1);
     let waiting = (running + 1).saturating_sub(slots);
     match need.prompt {
         Some(_) => {
-            let unread = f64::from(candidate.load.unread_tokens()) + f64::from(read_tokens);
+            let unread = f64::from(candidate.load.unread_tokens());
+            let own = f64::from(reading.read_tokens) * rates.read_weight;
+            let copy = copy_cost(reading.copy_tokens, rates);
             let wait = f64::from(waiting) * rates.stream_ms / f64::from(slots);
             let crowding = f64::from(running) * rates.crowding_ms;
-            unread / rates.read_tokens_per_ms + wait + crowding + remote
+            (unread + own) / rates.read_tokens_per_ms + copy + wait + crowding + remote
         }
         None => {
             let wait = f64::from(waiting) * rates.call_ms / f64::from(slots);
@@ -69,3 +93,11 @@
         }
     }
 }
+
+/// Cost of copying tokens, in milliseconds.
+fn copy_cost(tokens: u32, rates: &Rates) -> f64 {
+    match tokens {
+        0 => 0.0,
+        _ => rates.copy_ms + f64::from(tokens) / rates.copy_tokens_per_ms,
+    }
+}
--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -16,6 +16,9 @@
 
 use crate::{entity, routing, time};
 
+/// Fewest tokens that are copied from another endpoint rather than read.
+const MIN_COPY_TOKENS: u32 = 256;
+
 /// An endpoint that may take a request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -51,6 +54,10 @@
     pub cost_ms: f64,
     /// Prompt tokens that it is predicted to read.
     pub read_tokens: u32,
+    /// Endpoint that it should copy cached prompt tokens from, before it reads the rest.
+    pub copy_from: Option<entity::EndpointId>,
+    /// Prompt tokens that it is predicted to copy.
+    pub copy_tokens: u32,
     /// Candidates that were compared.
     pub candidates: u32,
 }
@@ -66,10 +73,11 @@
 ) -> Option<Choice> {
     let bound = cost::bound(candidates);
     let home = home_of(need, candidates);
+    let holder = holder_of(need, candidates, prefixes, now);
     let mut best: Option<(Rank, Choice)> = None;
     for candidate in candidates {
-        let read = read_tokens(need, candidate, prefixes, home, now);
-        let cost_ms = cost::of(need, candidate, read, rates);
+        let reading = reading(need, candidate, prefixes, home, holder, now);
+        let cost_ms = cost::of(need, candidate, &reading, rates);
         let rank = Rank {
             is_failing: !candidate.is_healthy,
             is_over_bound: candidate.load.in_flight() >= bound,
@@ -82,7 +90,9 @@
         let choice = Choice {
             endpoint: candidate.endpoint,
             cost_ms,
-            read_tokens: read,
+            read_tokens: reading.read_tokens,
+            copy_from: holder.map(|h| h.0).filter(|_| reading.copy_tokens > 0),
+            copy_tokens: reading.copy_tokens,
             candidates: candidates.len() as u32,
         };
         best = Some((rank, choice));
@@ -108,17 +118,44 @@
         .max_by_key(|hash| routing::rendezvous::score(key, (*hash >> 32) as u32 ^ *hash as u32))
 }
 
-/// Prompt tokens that an endpoint has to read.
-fn read_tokens(
+/// The healthy endpoint that holds most of a prompt, and how much.
+fn holder_of(
+    need: &Need,
+    candidates: &[Candidate],
+    prefixes: &prefix::Prefixes,
+    now: time::Time,
+) -> Option<(entity::EndpointId, u32)> {
+    let prompt = need.prompt.as_ref()?;
+    let is_usable = |id| candidates.iter().any(|c| c.endpoint == id && c.is_healthy);
+    prefixes.best_holder(prompt, now, is_usable)
+}
+
+/// How an endpoint comes by the tokens of a prompt.
+fn reading(
     need: &Need,
     candidate: &Candidate,
     prefixes: &prefix::Prefixes,
     home: Option<u64>,
+    holder: Option<(entity::EndpointId, u32)>,
     now: time::Time,
-) -> u32 {
-    let Some(prompt) = &need.prompt else { return 0 };
+) -> cost::Reading {
+    let Some(prompt) = &need.prompt else {
+        return cost::Reading::default();
+    };
     let held = prefixes.held_tokens(prompt, candidate.endpoint, now);
+    let copyable = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
+    let copy_tokens = match copyable >= MIN_COPY_TOKENS {
+        true => copyable,
+        false => 0,
+    };
     let is_home = home == Some(candidate.hash);
-    let assumed = if is_home { prompt.shared_tokens() / 2 } else { 0 };
-    prompt.tokens.saturating_sub(held.max(assumed))
+    let assumed = match is_home && holder.is_none() {
+        true => prompt.shared_tokens() / 2,
+        false => 0,
+    };
+    let have = (held + copy_tokens).max(assumed);
+    cost::Reading {
+        read_tokens: prompt.tokens.saturating_sub(have),
+        copy_tokens,
+    }
 }
--- a/crates/core/src/choice/prefix.rs
+++ b/crates/core/src/choice/prefix.rs
@@ -15,10 +15,15 @@
 /// Most parts that are remembered.
 const MAX_PARTS: usize = 8_192;
 
+/// Time after which other hosts are told again that an endpoint uses a part.
+const TELL_AGAIN: Duration = Duration::from_secs(8);
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     endpoint: entity::EndpointId,
     used: time::Time,
+    /// When other hosts were last told of it, or told this one.
+    told: Option<time::Time>,
 }
 
 /// Parts and the endpoints that read them lately.
@@ -28,21 +33,73 @@
 }
 
 impl Prefixes {
-    /// Notes that an endpoint reads a prompt.
-    pub fn note(&mut self, prompt: &prompt::Prompt, endpoint: entity::EndpointId, now: time::Time) {
-        if self.holders.len() > MAX_PARTS {
-            self.forget_old(now);
+    /// Notes that an endpoint reads a prompt. Returns the chains that other hosts should hear of.
+    pub fn note(
+        &mut self,
+        prompt: &prompt::Prompt,
+        endpoint: entity::EndpointId,
+        now: time::Time,
+    ) -> SmallVec<[u64; 4]> {
+        let shared = prompt.parts.len().saturating_sub(1);
+        let mut news = SmallVec::new();
+        for (i, part) in prompt.parts.iter().enumerate() {
+            let holder = self.holder(part.chain, endpoint, now);
+            holder.used = now;
+            let is_told = |at| now.since(at) < TELL_AGAIN;
+            if i < shared && !holder.told.is_some_and(is_told) {
+                holder.told = Some(now);
+                news.push(part.chain);
+            }
         }
-        for part in &prompt.parts {
-            let holders = self.holders.entry(part.chain).or_default();
-            match holders.iter_mut().find(|h| h.endpoint == endpoint) {
-                Some(holder) => holder.used = now,
-                None => holders.push(Holder {
-                    endpoint,
-                    used: now,
-                }),
+        news
+    }
+
+    /// Takes in that another host had an endpoint read a part.
+    pub fn hear(&mut self, chain: u64, endpoint: entity::EndpointId, now: time::Time) {
+        let holder = self.holder(chain, endpoint, now);
+        holder.used = now;
+        holder.told = Some(now);
+    }
+
+    /// The endpoint among those that are usable that holds most of the start of a prompt, and the
+    /// tokens that it holds.
+    pub fn best_holder<F>(
+        &self,
+        prompt: &prompt::Prompt,
+        now: time::Time,
+        is_usable: F,
+    ) -> Option<(entity::EndpointId, u32)>
+    where
+        F: Fn(entity::EndpointId) -> bool,
+    {
+        let first = prompt.parts.first()?;
+        let holders = self.holders.get(&first.chain)?;
+        let mut best: Option<(entity::EndpointId, u32)> = None;
+        for holder in holders.iter().filter(|h| is_usable(h.endpoint)) {
+            let tokens = self.held_tokens(prompt, holder.endpoint, now);
+            if tokens > best.map_or(0, |(_, most)| most) {
+                best = Some((holder.endpoint, tokens));
             }
         }
+        best
+    }
+
+    /// The record of a holder, made if there is none.
+    fn holder(&mut self, chain: u64, endpoint: entity::EndpointId, now: time::Time) -> &mut Holder {
+        if self.holders.len() > MAX_PARTS {
+            self.forget_old(now);
+        }
+        let holders = self.holders.entry(chain).or_default();
+        let known = holders.iter().position(|h| h.endpoint == endpoint);
+        let i = known.unwrap_or_else(|| {
+            holders.push(Holder {
+                endpoint,
+                used: now,
+                told: None,
+            });
+            holders.len() - 1
+        });
+        &mut holders[i]
     }
 
     /// Tokens at the start of a prompt that an endpoint probably holds.
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -51,7 +51,8 @@
         }
         let last = known.and_then(|r| r.last.clone());
         let is_late = |endpoint: &Arc<Endpoint>| {
-            last.as_ref().is_some_and(|last| endpoint.is_older_than(last))
+            last.as_ref()
+                .is_some_and(|last| endpoint.is_older_than(last))
         };
         let record = match endpoint {
             Some(endpoint) if is_late(&endpoint) => {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -15,9 +15,9 @@
 //! Hosts may disagree for seconds. Nothing that must hold depends on their agreement: an owner
 //! refuses work before running it, and a second owner starts from the endpoint's own load.
 
-pub mod fingers;
 mod damping;
 mod effect;
+pub mod fingers;
 mod machine;
 mod member;
 mod message;
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -152,8 +152,7 @@
 
     /// Why no other attempt may follow, whatever the budget holds.
     fn forbidden(&self, ending: Ending) -> Option<reason::Refusal> {
-        let may_repeat =
-            self.kind.is_idempotent() || self.outcome == outcome::Outcome::NotRun;
+        let may_repeat = self.kind.is_idempotent() || self.outcome == outcome::Outcome::NotRun;
         let exhausted = self.arrivals >= self.max_arrivals || self.tries >= MAX_TRIES;
         (!may_repeat || exhausted).then(|| ending.refusal())
     }
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -115,7 +115,11 @@
     };
     match serde_json::from_slice::<HostEntry>(&entry.value) {
         Ok(host) => {
-            let known = cx.state.borrow_mut().hosts.insert(name.clone(), host.clone());
+            let known = cx
+                .state
+                .borrow_mut()
+                .hosts
+                .insert(name.clone(), host.clone());
             if known.as_ref() != Some(&host) {
                 cx.events.host_known(&name, host.links);
             }
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -112,7 +112,9 @@
     D: edge::Dialect,
     S: edge::Store,
 {
-    let stream = sockets::connect(address, CONNECT).await.wrap_err("connect")?;
+    let stream = sockets::connect(address, CONNECT)
+        .await
+        .wrap_err("connect")?;
     let (mut requests, connection) = h2::client::handshake(stream).await.wrap_err("handshake")?;
     let driver = tokio::task::spawn_local(async { drop(connection.await) });
     let req = http::Request::post("http://fleet/link").body(())?;
@@ -146,7 +148,10 @@
     S: edge::Store,
 {
     let (outbox_tx, mut outbox) = mpsc::channel(OUTBOX);
-    cx.state.borrow_mut().outboxes.insert(name.clone(), outbox_tx);
+    cx.state
+        .borrow_mut()
+        .outboxes
+        .insert(name.clone(), outbox_tx);
     let mut sent = Sent::default();
     let mut asking = Asking::default();
     loop {
@@ -332,6 +337,11 @@
                 cx.shared.confirm(now - age);
             }
         }
+        fleet::Message::Holdings(holdings) => {
+            for holding in holdings {
+                cx.shared.heard_holdings.push(holding);
+            }
+        }
         fleet::Message::Want(known) => answer(cx, sender, known),
         fleet::Message::Catalog(content) => {
             cx.offer_catalog(*content, events::Source::Host(sender.clone()));
@@ -379,3 +389,15 @@
         drop(outbox.try_send(message));
     }
 }
+
+/// Tells the other hosts which parts of prompts endpoints read for this one.
+pub(super) fn tell_holdings<D, S>(cx: &Context<D, S>) {
+    let holdings: Vec<_> = std::iter::from_fn(|| cx.shared.own_holdings.pop()).collect();
+    if holdings.is_empty() {
+        return;
+    }
+    for outbox in cx.state.borrow().outboxes.values() {
+        // A host that misses it has a prompt read again at worst.
+        drop(outbox.try_send(fleet::Message::Holdings(holdings.clone())));
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -28,7 +28,7 @@
 const HOSTS_PREFIX: &str = "hosts/";
 
 /// Time between two looks at what waits for its time.
-const TICK: Duration = Duration::from_millis(200);
+const TICK: Duration = Duration::from_millis(100);
 
 /// What every task of the control thread uses.
 struct Context<D, S> {
@@ -127,6 +127,7 @@
         if changed {
             self.publish();
         }
+        links::tell_holdings(self);
         let loads = self.state.borrow_mut().other_loads(now);
         if let Some(loads) = loads {
             self.shared.publish_other_loads(loads);
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -121,7 +121,8 @@
 {
     loop {
         let Err(e) = follow_endpoints_once(&cx).await;
-        cx.events.follower_stopped(cx.dialect.endpoints_prefix(), &e);
+        cx.events
+            .follower_stopped(cx.dialect.endpoints_prefix(), &e);
         wait_for_store(&cx).await;
     }
 }
@@ -168,11 +169,15 @@
     D: edge::Dialect,
     S: edge::Store,
 {
-    let entries = found
+    let entries: Vec<_> = found
         .entries
         .iter()
         .map(|entry| (key_of(&entry.key), entry.modified, read_endpoint(cx, entry)))
         .collect();
+    for (key, revision, endpoint) in &entries {
+        cx.events
+            .endpoint_changed(key, *revision, endpoint.as_deref());
+    }
     let now = clock::now();
     let changed = cx
         .state
@@ -215,14 +220,14 @@
     revision: revision::Revision,
     endpoint: Option<Arc<directory::Endpoint>>,
 ) -> bool {
-    let state = endpoint.as_ref().map(|e| e.state);
-    let changed = cx
-        .state
-        .borrow_mut()
-        .directory
-        .apply(key, revision, endpoint, clock::now());
+    let changed =
+        cx.state
+            .borrow_mut()
+            .directory
+            .apply(key, revision, endpoint.clone(), clock::now());
     if changed {
-        cx.events.endpoint_changed(key, revision, state);
+        cx.events
+            .endpoint_changed(key, revision, endpoint.as_deref());
     }
     changed
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -1,5 +1,6 @@
 //! What the gateway needs of the platform that it runs on.
 
+use std::net;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +37,8 @@
     pub priority: Option<u8>,
     /// Id of the last event of the stream that the caller has already.
     pub after_event: Option<u64>,
+    /// Endpoint whose cached part of the prompt is to be copied first.
+    pub copy_from: Option<net::SocketAddr>,
 }
 
 /// Load that an endpoint states of itself.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -81,6 +81,8 @@
     pub total: Duration,
     /// Events of a stream that were passed on.
     pub events: u64,
+    /// Longest time between two of them.
+    pub longest_gap: Duration,
     /// How the answer ended.
     pub end: &'a str,
 }
@@ -158,9 +160,9 @@
         &self,
         key: &str,
         revision: revision::Revision,
-        state: Option<directory::State>,
+        endpoint: Option<&directory::Endpoint>,
     ) {
-        let state = match state {
+        let state = match endpoint.map(|e| e.state) {
             Some(directory::State::Ready) => "ready",
             Some(directory::State::Leaving) => "leaving",
             None => "gone",
@@ -168,6 +170,8 @@
         slog::info!(
             self.log, "endpoint changed";
             "key" => key, "revision" => %revision, "state" => state,
+            "at" => endpoint.map(|e| e.address.to_string()),
+            "endpoint_domain" => endpoint.map(|e| &*e.domain),
         );
     }
 
@@ -227,7 +231,8 @@
             "status" => line.status, "reason" => line.reason.map(reason::Refusal::as_str),
             "outcome" => line.outcome.as_str(), "tries" => line.tries,
             "endpoint" => line.endpoint, "first_ms" => line.first.map(millis),
-            "total_ms" => millis(line.total), "events" => line.events, "end" => line.end,
+            "total_ms" => millis(line.total), "events" => line.events,
+            "longest_gap_ms" => millis(line.longest_gap), "end" => line.end,
         );
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,8 @@
 
 impl Sockets {
     fn bind(listen: &settings::Listen) -> eyre::Result<Self> {
-        let bind = |address| sockets::listen(address).wrap_err_with(|| format!("listen on {address}"));
+        let bind =
+            |address| sockets::listen(address).wrap_err_with(|| format!("listen on {address}"));
         Ok(Self {
             callers: bind(listen.callers)?,
             health: bind(listen.health)?,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use crossbeam::queue::SegQueue;
 use pistachiochute_core::{catalog, directory, time};
 use pistachiochute_messages::fleet;
 use tokio::sync::watch;
@@ -60,6 +61,10 @@
     view: ArcSwap<View>,
     other_loads: ArcSwap<OtherLoads>,
     own_loads: ArcSwap<Vec<fleet::EndpointLoad>>,
+    /// Parts of prompts that endpoints read for this host, for the others.
+    pub own_holdings: SegQueue<fleet::Holding>,
+    /// Parts of prompts that endpoints read for other hosts.
+    pub heard_holdings: SegQueue<fleet::Holding>,
     /// When the catalog was last known to be the newest one, in microseconds of the host's clock.
     confirmed_micros: AtomicU64,
     phase: watch::Sender<Phase>,
@@ -71,6 +76,8 @@
             view: ArcSwap::default(),
             other_loads: ArcSwap::default(),
             own_loads: ArcSwap::default(),
+            own_holdings: SegQueue::new(),
+            heard_holdings: SegQueue::new(),
             confirmed_micros: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -1,15 +1,14 @@
 //! One attempt: a request is sent to one endpoint, and its answer is judged.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use pistachiochute_core::health;
 use pistachiochute_core::retry::Ending;
-use pistachiochute_core::{choice, directory, health};
 use pistachiochute_runtime::clock;
 
 use crate::edge;
@@ -73,8 +72,7 @@
 pub(super) struct Attempt<'a> {
     pub plan: &'a Plan,
     pub outgoing: &'a Outgoing,
-    pub endpoint: &'a Arc<directory::Endpoint>,
-    pub choice: &'a choice::Choice,
+    pub chosen: &'a fleet::Chosen,
     /// Id of the last event that the caller has already.
     pub after_event: Option<u64>,
     /// Time after which silence counts as a failure, if the request can be repeated.
@@ -126,24 +124,22 @@
     let now = clock::now();
     cx.fleet
         .borrow_mut()
-        .sign(attempt.choice.endpoint, sign, now);
+        .sign(attempt.chosen.choice.endpoint, sign, now);
 }
 
-async fn exchange_in<D>(
-    cx: &Rc<Context<D>>,
-    attempt: &Attempt<'_>,
-    left: Duration,
-) -> Exchanged<D>
+async fn exchange_in<D>(cx: &Rc<Context<D>>, attempt: &Attempt<'_>, left: Duration) -> Exchanged<D>
 where
     D: edge::Dialect,
 {
     let plan = attempt.plan;
     let prompt = plan.need.prompt.as_ref();
-    let in_progress = fleet::InProgress::begin(cx, attempt.choice, prompt, clock::now());
+    let in_progress = fleet::InProgress::begin(cx, &attempt.chosen.choice, prompt, clock::now());
     let at_most_once = !plan.route.kind.is_idempotent();
     let max = plan.service().max_connections;
     let hosts = cx.shared.view().hosts;
-    let taken = cx.pool.take(attempt.endpoint, at_most_once, max, hosts);
+    let taken = cx
+        .pool
+        .take(&attempt.chosen.endpoint, at_most_once, max, hosts);
     let mut connection = match taken.await {
         Ok(connection) => connection,
         Err(e) => return ended(Ending::NotSent, e.to_string()),
@@ -180,7 +176,7 @@
         .body(Full::new(outgoing.body.clone()))?;
     *req.headers_mut() = outgoing.headers.clone();
     let call = edge::Call {
-        endpoint: attempt.endpoint,
+        endpoint: &attempt.chosen.endpoint,
         left,
         account: attempt.plan.account.as_deref(),
         priority: attempt
@@ -190,6 +186,7 @@
             .is_some()
             .then_some(attempt.plan.priority),
         after_event: attempt.after_event,
+        copy_from: attempt.chosen.copy_from,
     };
     cx.dialect.tell_endpoint(req.headers_mut(), &call);
     Ok(req)
@@ -212,7 +209,7 @@
         let now = clock::now();
         cx.fleet
             .borrow_mut()
-            .stated(attempt.choice.endpoint, load, now);
+            .stated(attempt.chosen.choice.endpoint, load, now);
     }
     // A late answer to an earlier request may stand where this one is due.
     let may_be_late = head.id.is_some() || !connection.is_new();
@@ -237,7 +234,11 @@
     cx.dialect.tell_caller(&mut parts.headers);
     let closes = closes(&parts.headers);
     reply::strip_connection_headers(&mut parts.headers);
-    let idle_limit = if closes { Some(Duration::ZERO) } else { head.idle_limit };
+    let idle_limit = if closes {
+        Some(Duration::ZERO)
+    } else {
+        head.idle_limit
+    };
     if parts.status.is_success() && is_event_stream(&parts.headers) {
         return Exchanged::Stream(Box::new(Opened {
             parts,
@@ -282,7 +283,11 @@
 /// Reads a body that nobody needs, so that its connection can be kept.
 async fn drain(body: Incoming, connection: pool::Connection, idle_limit: Option<Duration>) {
     const MAX_DRAINED_BYTES: usize = 64 << 10;
-    if Limited::new(body, MAX_DRAINED_BYTES).collect().await.is_ok() {
+    if Limited::new(body, MAX_DRAINED_BYTES)
+        .collect()
+        .await
+        .is_ok()
+    {
         connection.keep(idle_limit);
     }
 }
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -36,6 +36,15 @@
     stated: Option<(u32, time::Time)>,
 }
 
+/// The endpoint that a request is sent to.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    pub endpoint: Arc<directory::Endpoint>,
+    pub choice: choice::Choice,
+    /// Address of the endpoint that cached prompt tokens are copied from.
+    pub copy_from: Option<std::net::SocketAddr>,
+}
+
 /// State of the endpoints.
 #[derive(Debug)]
 pub(super) struct Fleet {
@@ -43,6 +52,7 @@
     budget: retry::FleetBudget,
     ids: HashMap<directory::Identity, entity::EndpointId>,
     known: map::EntityMap<entity::EndpointId, Known>,
+    by_hash: HashMap<u64, entity::EndpointId>,
     by_service: HashMap<Arc<str>, Vec<entity::EndpointId>>,
     budgets: HashMap<Arc<str>, retry::Share>,
     prefixes: prefix::Prefixes,
@@ -60,6 +70,7 @@
             budget,
             ids: HashMap::new(),
             known: map::EntityMap::new(),
+            by_hash: HashMap::new(),
             by_service: HashMap::new(),
             budgets: HashMap::new(),
             prefixes: prefix::Prefixes::default(),
@@ -95,7 +106,7 @@
         others: &shared::OtherLoads,
         tried: &[entity::EndpointId],
         now: time::Time,
-    ) -> Option<(Arc<directory::Endpoint>, choice::Choice)> {
+    ) -> Option<Chosen> {
         let ids = self.by_service.get(service)?;
         let candidates: Vec<_> = ids
             .iter()
@@ -104,7 +115,21 @@
             .collect();
         let choice = choice::choose(need, &candidates, &self.prefixes, &self.rates, now)?;
         let known = self.known.get(choice.endpoint)?;
-        Some((known.endpoint.clone(), choice))
+        let source = choice.copy_from.and_then(|id| self.known.get(id));
+        Some(Chosen {
+            endpoint: known.endpoint.clone(),
+            copy_from: source.map(|known| known.endpoint.address),
+            choice,
+        })
+    }
+
+    /// Takes in what other hosts had endpoints read.
+    pub(super) fn hear_holdings(&mut self, shared: &shared::Shared, now: time::Time) {
+        while let Some(holding) = shared.heard_holdings.pop() {
+            if let Some(id) = self.by_hash.get(&holding.endpoint) {
+                self.prefixes.hear(holding.chain, *id, now);
+            }
+        }
     }
 
     /// Whether a service has another endpoint than those that were tried.
@@ -188,12 +213,13 @@
         let id = entity::EndpointId::new(self.next_id).expect("fewer endpoints than ids");
         self.next_id += 1;
         self.ids.insert(endpoint.identity.clone(), id);
-        let name = endpoint.identity.to_string();
+        let hash = xxhash_rust::xxh3::xxh3_64(endpoint.identity.to_string().as_bytes());
+        self.by_hash.insert(hash, id);
         self.known.insert(
             id,
             Known {
                 endpoint: endpoint.clone(),
-                hash: xxhash_rust::xxh3::xxh3_64(name.as_bytes()),
+                hash,
                 requests: 0,
                 unread_tokens: 0,
                 stated: None,
@@ -215,6 +241,7 @@
         for id in gone {
             if let Some(known) = self.known.remove(id) {
                 self.ids.remove(&known.endpoint.identity);
+                self.by_hash.remove(&known.hash);
             }
             self.prefixes.forget(id);
             self.health.forget(id);
@@ -252,7 +279,14 @@
             known.unread_tokens += unread_tokens;
         }
         if let Some(prompt) = prompt {
-            fleet.prefixes.note(prompt, choice.endpoint, now);
+            let news = fleet.prefixes.note(prompt, choice.endpoint, now);
+            let hash = fleet.known.get(choice.endpoint).map(|known| known.hash);
+            for chain in news {
+                let holding = hash.map(|endpoint| fleet::Holding { chain, endpoint });
+                holding
+                    .into_iter()
+                    .for_each(|h| cx.shared.own_holdings.push(h));
+            }
         }
         drop(fleet);
         Self {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -59,7 +59,11 @@
         shared,
         events,
         metrics,
-        fleet: RefCell::new(fleet::Fleet::new(settings.host.domain, budget, clock::now())),
+        fleet: RefCell::new(fleet::Fleet::new(
+            settings.host.domain,
+            budget,
+            clock::now(),
+        )),
         pool: pool::Pool::default(),
         requests: Cell::new(0),
         connections: Cell::new(0),
@@ -78,6 +82,7 @@
     let mut last = Vec::new();
     loop {
         tokio::time::sleep(DIGEST_INTERVAL).await;
+        cx.pool.prune();
         let loads = cx.fleet.borrow_mut().digest(clock::now());
         if loads != last {
             cx.shared.publish_own_loads(loads.clone());
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -97,9 +97,7 @@
     }
     let key: &Bytes = ask.key.as_ref().ok_or(reason::Refusal::Unauthorized)?;
     let account = catalog.account_of_key(key);
-    account
-        .map(Some)
-        .ok_or(reason::Refusal::Unauthorized)
+    account.map(Some).ok_or(reason::Refusal::Unauthorized)
 }
 
 /// Number that spreads the decisions on a request.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -128,7 +128,12 @@
         })
     }
 
-    fn connection(&self, endpoint: &directory::Endpoint, sender: Sender, is_new: bool) -> Connection {
+    fn connection(
+        &self,
+        endpoint: &directory::Endpoint,
+        sender: Sender,
+        is_new: bool,
+    ) -> Connection {
         Connection {
             place: Place {
                 pool: self.clone(),
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -124,8 +124,8 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    let may_come_back = status == StatusCode::SERVICE_UNAVAILABLE
-        || status == StatusCode::TOO_MANY_REQUESTS;
+    let may_come_back =
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
     if may_come_back {
         headers.insert(header::RETRY_AFTER, retry_after(seed));
     }
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Request, Response, Uri, header, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use pistachiochute_core::{catalog, choice, directory, entity, outcome, reason, retry, time};
+use pistachiochute_core::{catalog, outcome, reason, retry, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
@@ -18,7 +18,7 @@
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::relay::{Cut, Origin, Relay};
 use crate::traffic::reply::Reply;
-use crate::traffic::{Context, exchange, reply};
+use crate::traffic::{Context, exchange, fleet, reply};
 use crate::{edge, events};
 
 /// Largest body if no catalog is in force, in bytes.
@@ -53,6 +53,8 @@
     endpoint: String,
     first: Option<Duration>,
     events: u64,
+    last_passed: time::Time,
+    longest_gap: Duration,
     /// Whether the end was reported. A report that is dropped before belongs to a request whose
     /// caller left.
     is_ended: bool,
@@ -79,6 +81,8 @@
             endpoint: String::new(),
             first: None,
             events: 0,
+            last_passed: arrived,
+            longest_gap: Duration::ZERO,
             is_ended: false,
         }
     }
@@ -103,12 +107,18 @@
 
     /// Notes that events were passed on.
     pub(super) fn passed(&mut self, events: u64) {
+        let now = clock::now();
         self.events = events;
         if self.first.is_none() {
-            let span = clock::now().since(self.arrived);
+            let span = now.since(self.arrived);
             self.first = Some(span);
             self.cx.metrics.first_token(span);
+        } else {
+            let gap = now.since(self.last_passed);
+            self.longest_gap = self.longest_gap.max(gap);
+            self.cx.metrics.token_gap(gap);
         }
+        self.last_passed = now;
     }
 
     /// Writes the line of the request.
@@ -133,6 +143,7 @@
             first: self.first,
             total: now.since(self.arrived),
             events: self.events,
+            longest_gap: self.longest_gap,
             end,
         });
     }
@@ -270,21 +281,20 @@
             let reason = reason::Refusal::Deadline;
             return Answer::None { reason, outcome };
         }
-        let Some((endpoint, choice)) = choose(&cx, origin, now) else {
+        let Some(chosen) = choose(&cx, origin, now) else {
             let reason = reason::Refusal::NoEndpoint;
             return Answer::None { reason, outcome };
         };
-        origin.tried.push(choice.endpoint);
+        origin.tried.push(chosen.choice.endpoint);
         if let Some(report) = &mut report {
             report.tries += 1;
-            report.endpoint = endpoint.identity.to_string();
+            report.endpoint = chosen.endpoint.identity.to_string();
         }
         let stall = stall(&cx, origin);
         let attempt = Attempt {
             plan: &origin.plan,
             outgoing: &origin.outgoing,
-            endpoint: &endpoint,
-            choice: &choice,
+            chosen: &chosen,
             after_event,
             stall,
         };
@@ -298,7 +308,7 @@
             } => (ending, cause, failure),
         };
         let next = next(&cx, origin, ending);
-        log_attempt(&cx, origin, &endpoint, &choice, (ending, &cause, next));
+        log_attempt(&cx, origin, &chosen, (ending, &cause, next));
         match next {
             retry::Next::Again(reason) => cx.metrics.retried(reason),
             retry::Next::GiveUp { reason, outcome } => {
@@ -329,16 +339,13 @@
     }
 }
 
-fn choose<D>(
-    cx: &Rc<Context<D>>,
-    origin: &Origin<D>,
-    now: time::Time,
-) -> Option<(Arc<directory::Endpoint>, choice::Choice)>
+fn choose<D>(cx: &Rc<Context<D>>, origin: &Origin<D>, now: time::Time) -> Option<fleet::Chosen>
 where
     D: edge::Dialect,
 {
     let mut fleet = cx.fleet.borrow_mut();
     fleet.follow(&cx.shared.view());
+    fleet.hear_holdings(&cx.shared, now);
     let others = cx.shared.other_loads();
     let service = &origin.plan.service().name;
     fleet.choose(service, &origin.plan.need, &others, &origin.tried, now)
@@ -380,8 +387,7 @@
 fn log_attempt<D>(
     cx: &Rc<Context<D>>,
     origin: &Origin<D>,
-    endpoint: &directory::Endpoint,
-    choice: &choice::Choice,
+    chosen: &fleet::Chosen,
     (ending, cause, next): (retry::Ending, &str, retry::Next),
 ) where
     D: edge::Dialect,
@@ -392,8 +398,8 @@
     };
     cx.events.attempt(&events::AttemptLine {
         request: &String::from_utf8_lossy(&origin.outgoing.id),
-        endpoint: &endpoint.identity,
-        choice,
+        endpoint: &chosen.endpoint.identity,
+        choice: &chosen.choice,
         ending: ending.as_str(),
         cause,
         next,
@@ -462,6 +468,3 @@
     };
     (origin, result)
 }
-
-/// Endpoints that a request was at.
-pub(super) type Tried = SmallVec<[entity::EndpointId; 4]>;
--- a/crates/messages/src/fleet.rs
+++ b/crates/messages/src/fleet.rs
@@ -18,9 +18,27 @@
     pub unread_tokens: u32,
 }
 
+/// A part of prompts that an endpoint reads, and so holds for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Holding {
+    /// Chain of the part.
+    pub chain: u64,
+    /// Hash of the endpoint's identity.
+    pub endpoint: u64,
+}
+
 /// How much of the configuration and of the endpoints a host knows.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
 )]
 pub struct Known {
     /// Version of the catalog in force.
@@ -57,6 +75,8 @@
         /// Work of the sender, or `None` if it is as before.
         loads: Option<Vec<EndpointLoad>>,
     },
+    /// Parts of prompts that endpoints began to read for the sender.
+    Holdings(Vec<Holding>),
     /// Asks for what is newer than what the sender knows.
     Want(Known),
     /// A catalog, in answer to a [`Message::Want`].
