Keep links to hosts whose entry lapsed, and tell an outage of one host from one of the store

Change: a roster keeps hosts without an entry for a while; hosts tell each other how their calls to the store fare, and an answer during the outage proves that the store was not away; a stopping host refuses (not run) what it cannot finish.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -11,7 +11,7 @@
 mod record;
 
 pub use endpoint::{Endpoint, Identity, State};
-pub use outage::{LAPSE_GRACE, Outage};
+pub use outage::{LAPSE_GRACE, Outage, Witness};
 pub use record::Record;
 
 use std::collections::HashMap;
@@ -23,6 +23,15 @@
 /// arrives late is known to be older.
 pub const REMOVED_KEPT: std::time::Duration = std::time::Duration::from_secs(60);
 
+/// Who tells of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store. What it no longer holds may have lapsed.
+    Store,
+    /// Another host, which tells only of removals that it has found to be final.
+    Host,
+}
+
 /// Endpoints by the key of their entry.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -43,6 +52,7 @@
         key: &Arc<str>,
         revision: revision::Revision,
         endpoint: Option<Arc<Endpoint>>,
+        source: Source,
         now: time::Time,
     ) -> bool {
         let known = self.records.get(key);
@@ -61,7 +71,9 @@
             }
             Some(endpoint) => Record::new(revision, Some(endpoint.clone()), Some(endpoint), now),
             None => match known.and_then(|r| r.endpoint.clone()) {
-                Some(kept) if self.outage.may_lapse(now) => Record::lapsing(revision, kept, now),
+                Some(kept) if source == Source::Store && self.outage.may_lapse(now) => {
+                    Record::lapsing(revision, kept, now)
+                }
                 _ => Record::new(revision, None, last, now),
             },
         };
@@ -91,10 +103,10 @@
             .collect();
         let mut changed = false;
         for (key, revision, endpoint) in entries {
-            changed |= self.apply(&key, revision, endpoint, now);
+            changed |= self.apply(&key, revision, endpoint, Source::Store, now);
         }
         for key in missing {
-            changed |= self.apply(&key, revision, None, now);
+            changed |= self.apply(&key, revision, None, Source::Store, now);
         }
         self.confirm(revision);
         changed
@@ -122,6 +134,11 @@
         self.outage.note(answers, now);
     }
 
+    /// Takes in what another host says of its calls to the store.
+    pub fn hear(&mut self, witness: Witness) {
+        self.outage.hear(witness);
+    }
+
     /// Ends what has lapsed for good and forgets old removals. Returns whether the endpoints in
     /// use changed.
     pub fn tick(&mut self, now: time::Time) -> bool {
--- a/crates/core/src/directory/outage.rs
+++ b/crates/core/src/directory/outage.rs
@@ -8,27 +8,57 @@
 /// again.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time into an outage after which an answer of the store to another host proves that it was not
+/// away for all: hosts do not notice an outage at the same moment.
+const PROOF_DELAY: Duration = Duration::from_millis(500);
+
 /// When the store was last away, as this host saw it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Outage {
-    is_away: bool,
-    /// When the store was first seen to answer after it was away.
+    /// When the store first failed to answer, while it is away and for a while after.
+    away_since: Option<time::Time>,
+    /// When it answered again.
     back_since: Option<time::Time>,
 }
 
+/// What another host says of its calls to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Witness {
+    /// Since when every call was answered.
+    pub steady_since: time::Time,
+    /// When the last call was answered.
+    pub answered: time::Time,
+}
+
 impl Outage {
     /// Notes whether the store answers.
     pub fn note(&mut self, answers: bool, now: time::Time) {
-        if self.is_away && answers {
-            self.back_since = Some(now);
+        match (answers, self.away_since, self.back_since) {
+            (false, None, _) | (false, Some(_), Some(_)) => {
+                *self = Self {
+                    away_since: Some(now),
+                    back_since: None,
+                };
+            }
+            (true, Some(_), None) => self.back_since = Some(now),
+            _ => {}
+        }
+    }
+
+    /// Takes in what another host says. If the store answered it all the while, it was away for
+    /// this host only, and no endpoint failed to renew its entry.
+    pub fn hear(&mut self, witness: Witness) {
+        let Some(away) = self.away_since else { return };
+        let was_steady = witness.steady_since <= away;
+        if was_steady && witness.answered >= away + PROOF_DELAY {
+            *self = Self::default();
         }
-        self.is_away = !answers;
     }
 
     /// Whether a removal that is seen now may be that of an endpoint that lives on.
     #[must_use]
     pub fn may_lapse(&self, now: time::Time) -> bool {
-        let is_new = |since| now.since(since) < LAPSE_GRACE;
-        self.is_away || self.back_since.is_some_and(is_new)
+        let is_over = |back| now.since(back) >= LAPSE_GRACE;
+        self.away_since.is_some() && !self.back_since.is_some_and(is_over)
     }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -23,6 +23,7 @@
 mod message;
 mod reach;
 mod ring;
+pub mod roster;
 mod rumour;
 
 pub use damping::Damping;
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -1,8 +1,10 @@
 //! The entry of this host in the store, and the entries of the others.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
 use crate::control::state::HostEntry;
@@ -23,8 +25,7 @@
 {
     loop {
         if let Err(e) = keep_once(&cx).await {
-            cx.events.follower_stopped("own host entry", &e);
-            sync::wait_for_store(&cx).await;
+            sync::failed(&cx, "own host entry", &e).await;
         }
     }
 }
@@ -46,7 +47,9 @@
     cx.store.put(&key, &value, lease).await?;
     loop {
         tokio::time::sleep(ttl / RENEWALS).await;
-        if !cx.store.keep_alive(lease).await? {
+        let holds = cx.store.keep_alive(lease).await?;
+        cx.note_answer();
+        if !holds {
             cx.events.lease_ended(lease);
             return Ok(());
         }
@@ -60,9 +63,7 @@
     S: edge::Store,
 {
     loop {
-        let Err(e) = follow_hosts_once(&cx).await;
-        cx.events.follower_stopped(HOSTS_PREFIX, &e);
-        sync::wait_for_store(&cx).await;
+        sync::until_store_returns(&cx, HOSTS_PREFIX, follow_hosts_once(&cx)).await;
     }
 }
 
@@ -76,10 +77,15 @@
     loop {
         let found = cx.store.range(HOSTS_PREFIX).await?;
         let mut after = found.revision;
-        cx.state.borrow_mut().hosts.clear();
-        for entry in found.entries {
-            set_host(cx, &entry);
+        for entry in &found.entries {
+            set_host(cx, entry);
         }
+        let names = found.entries.iter().filter_map(|e| host_name(&e.key));
+        let listed: BTreeSet<_> = names.collect();
+        cx.state
+            .borrow_mut()
+            .hosts
+            .retain_listed(&listed, clock::now());
         cx.publish();
         loop {
             let watched = cx.store.watch(HOSTS_PREFIX, after, WATCH).await?;
@@ -103,7 +109,7 @@
         key_value::Change::Put(entry) => set_host(cx, entry),
         key_value::Change::Deleted { key, .. } => {
             let Some(name) = host_name(key) else { return };
-            cx.state.borrow_mut().hosts.remove(&name);
+            cx.state.borrow_mut().hosts.remove(&name, clock::now());
             cx.events.host_gone(&name);
         }
     }
@@ -115,13 +121,10 @@
     };
     match serde_json::from_slice::<HostEntry>(&entry.value) {
         Ok(host) => {
-            let known = cx
-                .state
-                .borrow_mut()
-                .hosts
-                .insert(name.clone(), host.clone());
-            if known.as_ref() != Some(&host) {
-                cx.events.host_known(&name, host.links);
+            let links = host.links;
+            let is_news = cx.state.borrow_mut().hosts.put(name.clone(), host);
+            if is_news {
+                cx.events.host_known(&name, links);
             }
         }
         Err(e) => cx
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use pistachiochute_core::membership::fingers;
-use pistachiochute_core::time;
+use pistachiochute_core::{directory, time};
 use pistachiochute_messages::{codec, fleet};
 use pistachiochute_runtime::clock;
 use tokio::sync::mpsc;
@@ -74,13 +74,13 @@
 /// Hosts that this one talks to, with the addresses of their links.
 fn wanted<D, S>(cx: &Context<D, S>) -> HashMap<Arc<str>, net::SocketAddr> {
     let state = cx.state.borrow();
-    let names: Vec<_> = state.hosts.keys().collect();
-    let Some(me) = names.iter().position(|name| **name == state.me) else {
-        let all = state.hosts.iter().take(fingers::FULL_MESH);
-        return all.map(|(name, host)| (name.clone(), host.links)).collect();
-    };
-    fingers::of(me, names.len())
-        .map(|i| (names[i].clone(), state.hosts[names[i]].links))
+    let hosts: Vec<_> = state.hosts.hosts().collect();
+    let me = hosts.iter().position(|(name, _)| **name == state.me);
+    // A host whose own entry is not there yet talks to those after its place.
+    let me = me.unwrap_or_else(|| hosts.partition_point(|(name, _)| **name < state.me));
+    fingers::of(me, hosts.len())
+        .map(|i| (hosts[i].0.clone(), hosts[i].1.links))
+        .filter(|(name, _)| *name != state.me)
         .collect()
 }
 
@@ -211,10 +211,9 @@
             loads,
             at: now,
         };
-        let age = cx.shared.catalog_age(now).as_millis();
         Some(fleet::Message::Status {
             known,
-            catalog_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            store: cx.store_calls(now),
             loads: changed,
         })
     }
@@ -327,14 +326,19 @@
         fleet::Message::Hello { .. } => {}
         fleet::Message::Status {
             known,
-            catalog_age_ms,
+            store,
             loads,
         } => {
             let now = clock::now();
-            cx.state.borrow_mut().hear(sender, known, loads, now);
-            if known.catalog == cx.known().catalog {
-                let age = Duration::from_millis(u64::from(catalog_age_ms));
-                cx.shared.confirm(now - age);
+            let before = |ms| now - Duration::from_millis(u64::from(ms));
+            let mut state = cx.state.borrow_mut();
+            state.hear(sender, known, loads, now);
+            state.directory.hear(directory::Witness {
+                steady_since: before(store.steady_ms),
+                answered: before(store.answered_ms),
+            });
+            if known.catalog == state.known().catalog {
+                cx.shared.confirm(before(store.catalog_age_ms));
             }
         }
         fleet::Message::Holdings(holdings) => {
@@ -350,7 +354,13 @@
             let mut any = false;
             for record in records {
                 let endpoint = record.endpoint.map(Arc::new);
-                any |= sync::apply_endpoint(cx, &record.key, record.revision, endpoint);
+                any |= sync::apply_endpoint(
+                    cx,
+                    &record.key,
+                    record.revision,
+                    endpoint,
+                    directory::Source::Host,
+                );
             }
             cx.state.borrow_mut().directory.confirm(complete);
             if any {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::catalog;
+use pistachiochute_core::{catalog, time};
 use pistachiochute_messages::fleet;
 use pistachiochute_runtime::clock;
 use tokio::sync::Notify;
@@ -42,6 +42,12 @@
     store_answers: Cell<bool>,
     /// Wakes the tasks that wait for the store to come back.
     store_back: Notify,
+    /// Asks for a look at whether the store answers.
+    store_suspect: Notify,
+    /// Since when every call to the store was answered.
+    steady_since: Cell<time::Time>,
+    /// When the store answered last.
+    answered: Cell<time::Time>,
 }
 
 /// Runs the control thread until it is dropped.
@@ -65,6 +71,9 @@
         events,
         store_answers: Cell::new(true),
         store_back: Notify::new(),
+        store_suspect: Notify::new(),
+        steady_since: Cell::new(clock::now()),
+        answered: Cell::new(time::Time::ZERO),
     });
     tokio::task::spawn_local(sync::follow_catalog(cx.clone()));
     tokio::task::spawn_local(sync::follow_endpoints(cx.clone()));
@@ -95,7 +104,7 @@
 
     /// Publishes what the host believes.
     fn publish(&self) {
-        let view = self.state.borrow_mut().view();
+        let view = self.state.borrow_mut().view(clock::now());
         self.shared.publish(view);
     }
 
@@ -106,15 +115,35 @@
             .borrow_mut()
             .directory
             .store_answers(answered, now);
+        match answered {
+            true => self.answered.set(now),
+            false => self.steady_since.set(time::Time::from_micros(u64::MAX)),
+        }
         if self.store_answers.replace(answered) == answered {
             return;
         }
         self.events.store_answers(answered, cause);
         if answered {
+            self.steady_since.set(now);
             self.store_back.notify_waiters();
         }
     }
 
+    /// Notes that the store answered a call.
+    fn note_answer(&self) {
+        self.answered.set(clock::now());
+    }
+
+    /// How this host fares with its calls to the store.
+    fn store_calls(&self, now: time::Time) -> fleet::StoreCalls {
+        let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        fleet::StoreCalls {
+            catalog_age_ms: millis(self.shared.catalog_age(now)),
+            steady_ms: millis(now.since(self.steady_since.get())),
+            answered_ms: millis(now.since(self.answered.get())),
+        }
+    }
+
     /// What this host knows.
     fn known(&self) -> fleet::Known {
         self.state.borrow().known()
@@ -124,6 +153,7 @@
     fn tick(&self) {
         let now = clock::now();
         let changed = self.state.borrow_mut().directory.tick(now);
+        self.state.borrow_mut().hosts.tick(now);
         if changed {
             self.publish();
         }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,10 +1,11 @@
 //! State of the control thread.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net;
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::membership::roster;
 use pistachiochute_core::{catalog, directory, time};
 use pistachiochute_messages::fleet;
 use tokio::sync::mpsc;
@@ -44,8 +45,8 @@
     pub catalog: catalog::Current,
     /// Endpoints.
     pub directory: directory::Directory,
-    /// Entries of the hosts of the fleet, by name.
-    pub hosts: BTreeMap<Arc<str>, HostEntry>,
+    /// Hosts of the fleet.
+    pub hosts: roster::Roster<HostEntry>,
     /// Other hosts that spoke to this one.
     pub peers: HashMap<Arc<str>, Peer>,
     /// Messages to the hosts that this one has a link to.
@@ -64,7 +65,7 @@
             me,
             catalog: catalog::Current::default(),
             directory: directory::Directory::default(),
-            hosts: BTreeMap::new(),
+            hosts: roster::Roster::default(),
             peers: HashMap::new(),
             outboxes: HashMap::new(),
             serial: 0,
@@ -73,14 +74,13 @@
     }
 
     /// The next view.
-    pub fn view(&mut self) -> shared::View {
+    pub fn view(&mut self, now: time::Time) -> shared::View {
         self.serial += 1;
-        let others = self.hosts.keys().filter(|name| **name != self.me).count();
         shared::View {
             serial: self.serial,
             catalog: self.catalog.get().cloned(),
             endpoints: self.directory.usable().cloned().collect(),
-            hosts: others as u32 + 1,
+            hosts: (self.hosts.serving(now) as u32).max(1),
         }
     }
 
@@ -115,6 +115,7 @@
         let peer = self.peers.entry(host.clone()).or_default();
         peer.known = known;
         peer.heard = now;
+        self.hosts.hear(host, now);
         if let Some(loads) = loads {
             peer.loads = loads;
             self.loads_changed = true;
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -82,7 +82,11 @@
         cx.shared.confirm(asked);
         let mut after = found.revision;
         loop {
-            let watched = cx.store.watch(key, after, WATCH).await?;
+            let watched = tokio::select! {
+                watched = cx.store.watch(key, after, WATCH) => watched?,
+                // Another call failed: a read shows whether the store answers at all.
+                () = cx.store_suspect.notified() => break,
+            };
             cx.note_store(true, "");
             let edge::Watched::Changes { revision, changes } = watched else {
                 cx.events.history_gone(key, after);
@@ -127,8 +131,27 @@
     }
 }
 
+/// Runs a follower until it fails and the store may be tried again, or until the store has come
+/// back: a watch on another connection may wait in vain then.
+pub(super) async fn until_store_returns<D, S, F>(cx: &Context<D, S>, what: &str, follow: F)
+where
+    F: Future<Output = Result<std::convert::Infallible, key_value::Error>>,
+{
+    tokio::select! {
+        () = cx.store_back.notified() => {}
+        Err(e) = follow => failed(cx, what, &e).await,
+    }
+}
+
+/// Reports a call that failed, and waits until the store may be tried again.
+pub(super) async fn failed<D, S>(cx: &Context<D, S>, what: &str, e: &key_value::Error) {
+    cx.events.follower_stopped(what, e);
+    cx.store_suspect.notify_one();
+    wait_for_store(cx).await;
+}
+
 /// Waits until the store answers again, or for a bounded time.
-pub(super) async fn wait_for_store<D, S>(cx: &Context<D, S>) {
+async fn wait_for_store<D, S>(cx: &Context<D, S>) {
     let back = cx.store_back.notified();
     if cx.store_answers.get() {
         // The store answers others: only this call failed.
@@ -157,6 +180,7 @@
                 cx.events.history_gone(prefix, after);
                 break;
             };
+            cx.note_answer();
             apply_changes(cx, &changes, revision);
             after = after.max(revision);
             tokio::time::sleep(ENDPOINTS_PAUSE).await;
@@ -205,7 +229,8 @@
             key_value::Change::Put(entry) => (&entry.key, read_endpoint(cx, entry)),
             key_value::Change::Deleted { key, .. } => (key, None),
         };
-        any |= apply_endpoint(cx, &key_of(key), change.revision(), endpoint);
+        let source = directory::Source::Store;
+        any |= apply_endpoint(cx, &key_of(key), change.revision(), endpoint, source);
     }
     cx.state.borrow_mut().directory.confirm(revision);
     if any {
@@ -219,12 +244,15 @@
     key: &Arc<str>,
     revision: revision::Revision,
     endpoint: Option<Arc<directory::Endpoint>>,
+    source: directory::Source,
 ) -> bool {
-    let changed =
-        cx.state
-            .borrow_mut()
-            .directory
-            .apply(key, revision, endpoint.clone(), clock::now());
+    let changed = cx.state.borrow_mut().directory.apply(
+        key,
+        revision,
+        endpoint.clone(),
+        source,
+        clock::now(),
+    );
     if changed {
         cx.events
             .endpoint_changed(key, revision, endpoint.as_deref());
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -145,12 +145,12 @@
             return;
         }
     }
-    let began = clock::now();
+    let end = clock::now() + longest.saturating_sub(STOP_RESERVE);
+    cx.ends.set(Some(end));
     cx.events.stop_step("leaving", cx.requests.get());
     tokio::time::sleep(LEAVING.min(longest / 2)).await;
     cx.shared.enter(Phase::Closing);
     cx.events.stop_step("closing", cx.requests.get());
-    let end = began + longest.saturating_sub(STOP_RESERVE);
     while cx.connections.get() > 0 && clock::now() < end {
         tokio::time::sleep(STOP_CHECK).await;
     }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::retry;
+use pistachiochute_core::{retry, time};
 use pistachiochute_runtime::{clock, metrics};
 
 use crate::{edge, events, settings, shared};
@@ -38,6 +38,8 @@
     requests: Cell<usize>,
     /// Connections of callers.
     connections: Cell<usize>,
+    /// When a planned stop ends the process, once one has begun.
+    ends: Cell<Option<time::Time>>,
 }
 
 /// Runs the traffic thread until a planned stop has finished the last request, or its time is up.
@@ -67,6 +69,7 @@
         pool: pool::Pool::default(),
         requests: Cell::new(0),
         connections: Cell::new(0),
+        ends: Cell::new(None),
     });
     tokio::task::spawn_local(listener::accept(cx.clone(), callers));
     tokio::task::spawn_local(publish_loads(cx.clone()));
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -35,6 +35,12 @@
 /// another endpoint.
 const STREAM_STALL: f64 = 2.5;
 
+/// Time before the end of a stopping host from which on it takes no streams.
+const STOPPING_STREAM: Duration = Duration::from_millis(4_600);
+
+/// Time before the end of a stopping host from which on it takes no calls.
+const STOPPING_CALL: Duration = Duration::from_millis(1_000);
+
 /// What is known of a request when it ends, for its log line and the metrics.
 pub(super) struct Report<D>
 where
@@ -209,6 +215,9 @@
     let age = cx.shared.catalog_age(report.arrived);
     let plan = plan(&view, age, head, &ask, report.arrived)?;
     report.planned(&plan);
+    if !can_finish(cx, &plan, report.arrived) {
+        return Err(reason::Refusal::Draining);
+    }
     let mut fleet = cx.fleet.borrow_mut();
     fleet.follow(&view);
     let service = plan.service().name.clone();
@@ -216,6 +225,18 @@
     Ok((plan, ask, body))
 }
 
+/// Whether a host that stops can expect to finish a request before its end.
+fn can_finish<D>(cx: &Rc<Context<D>>, plan: &Plan, now: time::Time) -> bool
+where
+    D: edge::Dialect,
+{
+    let needed = match plan.route.kind.is_stream() {
+        true => STOPPING_STREAM,
+        false => STOPPING_CALL,
+    };
+    cx.ends.get().is_none_or(|end| end.since(now) >= needed)
+}
+
 /// Makes attempts until one gives an answer or none is left.
 async fn run<D>(
     cx: &Rc<Context<D>>,
--- a/crates/messages/src/fleet.rs
+++ b/crates/messages/src/fleet.rs
@@ -58,6 +58,17 @@
     pub endpoint: Option<directory::Endpoint>,
 }
 
+/// How a host fares with its calls to the store, in milliseconds before the message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StoreCalls {
+    /// Since when the host's catalog was known to be the newest one.
+    pub catalog_age_ms: u32,
+    /// Since when every call was answered.
+    pub steady_ms: u32,
+    /// When the last call was answered.
+    pub answered_ms: u32,
+}
+
 /// A message to another host.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -70,8 +81,8 @@
     Status {
         /// What the sender knows.
         known: Known,
-        /// Milliseconds since the store last confirmed the catalog of the sender.
-        catalog_age_ms: u32,
+        /// The sender's calls to the store.
+        store: StoreCalls,
         /// Work of the sender, or `None` if it is as before.
         loads: Option<Vec<EndpointLoad>>,
     },
