--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -45,6 +45,20 @@
     pub seed: u64,
 }
 
+/// What is known of the caches of endpoints.
+pub struct Caches<'a> {
+    /// Which endpoints hold which parts.
+    pub prefixes: &'a prefix::Prefixes,
+    /// Whether cached parts can be copied from an endpoint. It need not be a candidate.
+    pub is_source: &'a dyn Fn(entity::EndpointId) -> bool,
+}
+
+impl std::fmt::Debug for Caches<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Caches").finish_non_exhaustive()
+    }
+}
+
 /// The endpoint chosen, with the figures that decided.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -67,16 +81,16 @@
 pub fn choose(
     need: &Need,
     candidates: &[Candidate],
-    prefixes: &prefix::Prefixes,
+    caches: &Caches<'_>,
     rates: &cost::Rates,
     now: time::Time,
 ) -> Option<Choice> {
     let bound = cost::bound(candidates);
     let home = home_of(need, candidates);
-    let holder = holder_of(need, candidates, prefixes, now);
+    let holder = holder_of(need, caches, now);
     let mut best: Option<(Rank, Choice)> = None;
     for candidate in candidates {
-        let reading = reading(need, candidate, prefixes, home, holder, now);
+        let reading = reading(need, candidate, caches.prefixes, home, holder, now);
         let cost_ms = cost::of(need, candidate, &reading, rates);
         let rank = Rank {
             is_failing: !candidate.is_healthy,
@@ -118,16 +132,14 @@
         .max_by_key(|hash| routing::rendezvous::score(key, (*hash >> 32) as u32 ^ *hash as u32))
 }
 
-/// The healthy endpoint that holds most of a prompt, and how much.
+/// The endpoint that holds most of a prompt and can be copied from, and how much it holds.
 fn holder_of(
     need: &Need,
-    candidates: &[Candidate],
-    prefixes: &prefix::Prefixes,
+    caches: &Caches<'_>,
     now: time::Time,
 ) -> Option<(entity::EndpointId, u32)> {
     let prompt = need.prompt.as_ref()?;
-    let is_usable = |id| candidates.iter().any(|c| c.endpoint == id && c.is_healthy);
-    prefixes.best_holder(prompt, now, is_usable)
+    caches.prefixes.best_holder(prompt, now, caches.is_source)
 }
 
 /// How an endpoint comes by the tokens of a prompt.
--- a/crates/core/src/choice/prefix.rs
+++ b/crates/core/src/choice/prefix.rs
@@ -33,7 +33,7 @@
 }
 
 impl Prefixes {
-    /// Notes that an endpoint reads a prompt. Returns the chains that other hosts should hear of.
+    /// Notes that an endpoint reads a prompt. Returns the keys of parts that other hosts should hear of.
     pub fn note(
         &mut self,
         prompt: &prompt::Prompt,
@@ -43,20 +43,20 @@
         let shared = prompt.parts.len().saturating_sub(1);
         let mut news = SmallVec::new();
         for (i, part) in prompt.parts.iter().enumerate() {
-            let holder = self.holder(part.chain, endpoint, now);
+            let holder = self.holder(part.key, endpoint, now);
             holder.used = now;
             let is_told = |at| now.since(at) < TELL_AGAIN;
             if i < shared && !holder.told.is_some_and(is_told) {
                 holder.told = Some(now);
-                news.push(part.chain);
+                news.push(part.key);
             }
         }
         news
     }
 
     /// Takes in that another host had an endpoint read a part.
-    pub fn hear(&mut self, chain: u64, endpoint: entity::EndpointId, now: time::Time) {
-        let holder = self.holder(chain, endpoint, now);
+    pub fn hear(&mut self, key: u64, endpoint: entity::EndpointId, now: time::Time) {
+        let holder = self.holder(key, endpoint, now);
         holder.used = now;
         holder.told = Some(now);
     }
@@ -73,7 +73,7 @@
         F: Fn(entity::EndpointId) -> bool,
     {
         let first = prompt.parts.first()?;
-        let holders = self.holders.get(&first.chain)?;
+        let holders = self.holders.get(&first.key)?;
         let mut best: Option<(entity::EndpointId, u32)> = None;
         for holder in holders.iter().filter(|h| is_usable(h.endpoint)) {
             let tokens = self.held_tokens(prompt, holder.endpoint, now);
@@ -85,11 +85,11 @@
     }
 
     /// The record of a holder, made if there is none.
-    fn holder(&mut self, chain: u64, endpoint: entity::EndpointId, now: time::Time) -> &mut Holder {
+    fn holder(&mut self, key: u64, endpoint: entity::EndpointId, now: time::Time) -> &mut Holder {
         if self.holders.len() > MAX_PARTS {
             self.forget_old(now);
         }
-        let holders = self.holders.entry(chain).or_default();
+        let holders = self.holders.entry(key).or_default();
         let known = holders.iter().position(|h| h.endpoint == endpoint);
         let i = known.unwrap_or_else(|| {
             holders.push(Holder {
@@ -113,7 +113,7 @@
         prompt
             .parts
             .iter()
-            .take_while(|part| self.holds(part.chain, endpoint, now))
+            .take_while(|part| self.holds(part.key, endpoint, now))
             .map(|part| part.tokens)
             .sum()
     }
@@ -126,8 +126,8 @@
         });
     }
 
-    fn holds(&self, chain: u64, endpoint: entity::EndpointId, now: time::Time) -> bool {
-        let Some(holders) = self.holders.get(&chain) else {
+    fn holds(&self, key: u64, endpoint: entity::EndpointId, now: time::Time) -> bool {
+        let Some(holders) = self.holders.get(&key) else {
             return false;
         };
         holders
--- a/crates/core/src/choice/prompt.rs
+++ b/crates/core/src/choice/prompt.rs
@@ -5,13 +5,19 @@
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
-    /// Hash of the model and of all parts up to and with this one: two prompts with the same
-    /// chain share everything up to here.
-    pub chain: u64,
+    /// Hash of the model and of the part's id.
+    pub key: u64,
     /// Tokens of this part.
     pub tokens: u32,
 }
 
+/// Key of a part of prompts for a model.
+#[must_use]
+pub fn part_key(model: &[u8], id: &[u8]) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(model);
+    xxhash_rust::xxh3::xxh3_64_with_seed(id, seed)
+}
+
 /// Prompt of a request for an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -30,15 +36,14 @@
     where
         I: IntoIterator<Item = (&'a [u8], u32)>,
     {
-        let mut chain = xxhash_rust::xxh3::xxh3_64(model);
         let mut prompt = Self {
             output_tokens,
             ..Self::default()
         };
         let mut sum = 0_u32;
         for (id, tokens) in parts {
-            chain = xxhash_rust::xxh3::xxh3_64_with_seed(id, chain);
-            prompt.parts.push(Part { chain, tokens });
+            let key = part_key(model, id);
+            prompt.parts.push(Part { key, tokens });
             sum = sum.saturating_add(tokens);
         }
         prompt.tokens = tokens.max(sum);
@@ -52,10 +57,10 @@
         self.parts[..shared].iter().map(|p| p.tokens).sum()
     }
 
-    /// Chain of the longest part that other prompts may share.
+    /// Key of the last part that other prompts may share.
     #[must_use]
     pub fn home_key(&self) -> Option<u64> {
         let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].chain)
+        Some(self.parts[shared].key)
     }
 }
--- a/crates/core/src/directory/endpoint.rs
+++ b/crates/core/src/directory/endpoint.rs
@@ -24,6 +24,14 @@
     pub born: u64,
 }
 
+impl Identity {
+    /// Hash that every host computes alike.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.born)
+    }
+}
+
 impl fmt::Display for Identity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}@{}", self.id, self.born)
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -158,6 +158,12 @@
         self.records.values().filter_map(Record::usable)
     }
 
+    /// Endpoints that finish what they have before they leave.
+    pub fn leaving(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let present = self.records.values().filter_map(|r| r.endpoint.as_ref());
+        present.filter(|endpoint| endpoint.state == State::Leaving)
+    }
+
     /// Records that are newer than a revision, for a host that is behind. What has lapsed is left
     /// out, since that host decides on it by what it sees of the store.
     pub fn newer_than(
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -24,6 +24,28 @@
     }
 }
 
+/// Bounds on retries that all hosts of a fleet keep together, in every window of time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetBudget {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries beyond the ratio, of all hosts together.
+    pub extra: f64,
+}
+
+impl FleetBudget {
+    /// The part of one among `hosts` hosts. The parts sum to the whole, whichever of the hosts
+    /// receive the requests: a budget gives out no more than its reserve and what is deposited in
+    /// any window.
+    #[must_use]
+    pub fn share(&self, hosts: u32) -> BudgetConfig {
+        BudgetConfig {
+            per_request_millis: (self.ratio * RETRY_MILLIS as f64) as u64,
+            reserve: (self.extra / f64::from(hosts.max(1))) as u64,
+        }
+    }
+}
+
 /// Whether a retry draws on the budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Charge {
@@ -74,6 +96,19 @@
         }
     }
 
+    /// Makes an empty budget, for a host that may have spent its reserve before it was started
+    /// again.
+    #[must_use]
+    pub const fn empty(cfg: BudgetConfig) -> Self {
+        Self { cfg, balance: 0 }
+    }
+
+    /// Goes on under other settings.
+    pub fn set_config(&mut self, cfg: BudgetConfig) {
+        self.cfg = cfg;
+        self.balance = self.balance.min(Self::capacity(cfg));
+    }
+
     /// Adds the share of one new request.
     pub fn deposit(&mut self) {
         let balance = self.balance.saturating_add(self.cfg.per_request_millis);
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -15,10 +15,8 @@
 mod backoff;
 mod budget;
 mod decision;
-mod share;
 
 pub use attempts::{Attempts, Ending, MAX_TRIES, Next};
 pub use backoff::{Backoff, whole_seconds};
-pub use budget::{Budget, BudgetConfig, Charge};
+pub use budget::{Budget, BudgetConfig, Charge, FleetBudget};
 pub use decision::{Config, Decision, Failure, GivenUp, Recovery, Request, next_hop};
-pub use share::{FleetBudget, Share};
--- /dev/null
+++ b/crates/core/tests/attempts.rs
@@ -0,0 +1,147 @@
+//! What follows a failed attempt, and the share of the retry budget.
+
+use std::time::Duration;
+
+use pistachiochute_core::catalog::Kind;
+use pistachiochute_core::retry::{Attempts, Budget, Charge, Ending, FleetBudget, MAX_TRIES, Next};
+use pistachiochute_core::{outcome, reason, time};
+use proptest::prelude::{Strategy, proptest};
+use proptest::sample::select;
+use proptest::test_runner::{Config, RngSeed};
+use proptest::{collection, prop_assert};
+
+const SEED: u64 = 0xa77e;
+
+const ENDINGS: [Ending; 7] = [
+    Ending::NotSent,
+    Ending::Refused,
+    Ending::Elsewhere,
+    Ending::Failed,
+    Ending::Damaged,
+    Ending::Lost,
+    Ending::Stalled,
+];
+
+fn any_ending() -> impl Strategy<Value = Ending> {
+    select(&ENDINGS[..])
+}
+
+fn config() -> Config {
+    Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        cases: 2_000,
+        ..Config::default()
+    }
+}
+
+#[test]
+fn a_lost_call_that_may_not_be_repeated_is_given_up_as_unknown() {
+    let mut attempts = Attempts::new(Kind::AtMostOnce, 3);
+    let next = attempts.ended(Ending::Lost, || true);
+    let expected = Next::GiveUp {
+        reason: reason::Refusal::ConnectionLost,
+        outcome: outcome::Outcome::Unknown,
+    };
+    assert_eq!(next, expected);
+}
+
+#[test]
+fn a_connection_that_was_never_made_costs_no_arrival_and_no_budget() {
+    let mut attempts = Attempts::new(Kind::AtMostOnce, 1);
+    let next = attempts.ended(Ending::NotSent, || panic!("no budget is needed"));
+    assert_eq!(next, Next::Again(reason::Retry::ConnectFailed));
+}
+
+#[test]
+fn an_idempotent_call_that_failed_goes_to_another_endpoint_within_its_limit() {
+    let mut attempts = Attempts::new(Kind::Idempotent, 2);
+    let again = Next::Again(reason::Retry::EndpointFailed);
+    assert_eq!(attempts.ended(Ending::Failed, || true), again);
+    let given_up = attempts.ended(Ending::Failed, || true);
+    assert!(matches!(given_up, Next::GiveUp { .. }));
+}
+
+#[test]
+fn an_empty_budget_ends_the_attempts() {
+    let mut attempts = Attempts::new(Kind::Idempotent, 2);
+    let next = attempts.ended(Ending::Failed, || false);
+    let expected = Next::GiveUp {
+        reason: reason::Refusal::RetryBudget,
+        outcome: outcome::Outcome::Run,
+    };
+    assert_eq!(next, expected);
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A request that may run once is never sent again after it may have run, and "not run" is
+    /// said only if every attempt was proved not to have run.
+    #[test]
+    fn at_most_once_holds(endings in collection::vec(any_ending(), 1..10)) {
+        let mut attempts = Attempts::new(Kind::AtMostOnce, 9);
+        let mut may_have_run = false;
+        for ending in endings {
+            let next = attempts.ended(ending, || true);
+            may_have_run |= ending.outcome() != outcome::Outcome::NotRun;
+            match next {
+                Next::Again(_) => prop_assert!(!may_have_run),
+                Next::GiveUp { outcome, .. } => {
+                    prop_assert!((outcome == outcome::Outcome::NotRun) != may_have_run);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// No request arrives at more endpoints than its route allows.
+    #[test]
+    fn arrivals_are_bounded(
+        endings in collection::vec(any_ending(), 1..20),
+        max in 1_u32..4,
+    ) {
+        let mut attempts = Attempts::new(Kind::Idempotent, max);
+        let mut arrivals = 0;
+        for ending in endings {
+            arrivals += u32::from(!matches!(ending, Ending::NotSent | Ending::Elsewhere));
+            prop_assert!(arrivals <= max);
+            prop_assert!(attempts.tries() < MAX_TRIES);
+            if let Next::GiveUp { .. } = attempts.ended(ending, || true) {
+                break;
+            }
+        }
+    }
+
+    /// The hosts' shares together stay within the fleet's budget in every window, wherever the
+    /// requests arrive and however often repeats are asked for.
+    #[test]
+    fn shares_sum_to_the_budget(
+        steps in collection::vec((0_usize..4, 0_u64..400, 0_u32..4), 50..300),
+    ) {
+        let budget = FleetBudget {
+            ratio: 0.2,
+            extra: 20.0,
+        };
+        const WINDOW: Duration = Duration::from_secs(10);
+        let mut shares = vec![Budget::new(budget.share(4)); 4];
+        let mut now = time::Time::from_secs(50);
+        let mut requests: Vec<time::Time> = Vec::new();
+        let mut repeats: Vec<time::Time> = Vec::new();
+        for (host, pause, asks) in steps {
+            now += Duration::from_millis(pause);
+            shares[host].deposit();
+            requests.push(now);
+            for _ in 0..asks {
+                if shares[host].withdraw(Charge::Budget) {
+                    repeats.push(now);
+                }
+            }
+            let within = |times: &[time::Time]| {
+                times.iter().filter(|at| now.since(**at) <= WINDOW).count() as f64
+            };
+            let allowed = budget.ratio * within(&requests) + budget.extra;
+            prop_assert!(within(&repeats) <= allowed);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/catalog.rs
@@ -0,0 +1,105 @@
+//! Routes, accounts and the version in force.
+
+use std::time::Duration;
+
+use pistachiochute_core::catalog::{
+    Account, CallerLimits, Catalog, Content, Current, Kind, Offer, Route, Service, ServiceIndex,
+    Target, Version,
+};
+use pistachiochute_core::lists::KeyDigest;
+use smallvec::smallvec;
+
+fn route(name: &str, authority: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        authority: authority.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: None,
+        target_latency: None,
+        target_gap: None,
+        priority: 1,
+        targets: smallvec![Target {
+            service: ServiceIndex(0),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        is_public: false,
+    }
+}
+
+fn content(version: u64, routes: Vec<Route>) -> Content {
+    Content {
+        version: Version(version),
+        routes,
+        services: vec![Service {
+            name: "reader".into(),
+            max_connections: 10,
+            slots: None,
+            memory_tokens: None,
+        }],
+        accounts: vec![Account {
+            name: "farm".into(),
+            key_digests: vec![KeyDigest::of(b"key-1"), KeyDigest::of(b"key-2")],
+            priority: Some(2),
+        }],
+        limits: CallerLimits {
+            max_head_bytes: 1_000,
+            max_body_bytes: 1_000,
+            head_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let routes = vec![
+        route("root", "a.example", "/"),
+        route("outer", "a.example", "/x/"),
+        route("inner", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ];
+    let catalog = Catalog::new(content(1, routes));
+    let name = |authority: &str, path: &str| catalog.route(authority, path).map(|r| &*r.name);
+    assert_eq!(name("a.example", "/x/y/z/w"), Some("inner"));
+    assert_eq!(name("a.example", "/x/y"), Some("outer"));
+    assert_eq!(name("a.example", "/xy/z"), Some("root"));
+    assert_eq!(name("A.Example:8080", "/x/"), Some("outer"));
+    assert_eq!(name("b.example", "/x/y"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn keys_are_found_by_their_digest() {
+    let catalog = Catalog::new(content(1, Vec::new()));
+    assert!(catalog.account_of_key(b"key-2").is_some());
+    assert!(catalog.account_of_key(b"key-3").is_none());
+}
+
+#[test]
+fn the_version_in_force_never_goes_down() {
+    let mut current = Current::default();
+    assert_eq!(current.offer(content(7, Vec::new())), Offer::Taken);
+    assert_eq!(current.offer(content(3, Vec::new())), Offer::NotNewer);
+    assert_eq!(current.offer(content(7, Vec::new())), Offer::NotNewer);
+    assert_eq!(current.version(), Some(Version(7)));
+    assert_eq!(current.offer(content(20, Vec::new())), Offer::Taken);
+}
+
+#[test]
+fn weights_divide_the_requests() {
+    let mut split = route("split", "a.example", "/");
+    split.targets = smallvec![
+        Target {
+            service: ServiceIndex(0),
+            weight: 9_000,
+        },
+        Target {
+            service: ServiceIndex(1),
+            weight: 1_000,
+        },
+    ];
+    let to_second = (0..10_000).filter(|seed| split.target(*seed) == ServiceIndex(1));
+    assert_eq!(to_second.count(), 1_000);
+}
--- /dev/null
+++ b/crates/core/tests/choice.rs
@@ -0,0 +1,140 @@
+//! Choice of endpoints: cached prompts, the bound on load, and failing endpoints.
+
+use pistachiochute_core::choice::{
+    Caches, Candidate, Choice, Need, choose, cost, load, prefix, prompt,
+};
+use pistachiochute_core::{entity, time};
+
+const NOW: time::Time = time::Time::from_secs(5);
+
+fn id(number: u32) -> entity::EndpointId {
+    entity::EndpointId::new(number).expect("a small number")
+}
+
+fn candidate(number: u32, in_flight: u32) -> Candidate {
+    Candidate {
+        endpoint: id(number),
+        hash: u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        slots: 64,
+        is_local: true,
+        is_healthy: true,
+        load: load::Load {
+            own_requests: in_flight,
+            ..load::Load::default()
+        },
+    }
+}
+
+fn contract(session: &'static [u8]) -> prompt::Prompt {
+    let parts: [(&[u8], u32); 3] = [(b"system", 512), (b"contract", 10_000), (session, 1_300)];
+    prompt::Prompt::new(b"m", parts, 11_812, 400)
+}
+
+fn need(prompt: prompt::Prompt, seed: u64) -> Need {
+    Need {
+        prompt: Some(prompt),
+        seed,
+    }
+}
+
+fn pick(need: &Need, candidates: &[Candidate], prefixes: &prefix::Prefixes) -> Choice {
+    let rates = cost::Rates::default();
+    let is_source = |id| {
+        let candidate = candidates.iter().find(|c| c.endpoint == id);
+        candidate.is_none_or(|c| c.is_healthy)
+    };
+    let caches = Caches {
+        prefixes,
+        is_source: &is_source,
+    };
+    choose(need, candidates, &caches, &rates, NOW).expect("there are candidates")
+}
+
+#[test]
+fn a_returning_prompt_goes_where_it_is_cached() {
+    let candidates: Vec<_> = (0..18).map(|i| candidate(i, 4)).collect();
+    let mut prefixes = prefix::Prefixes::default();
+    prefixes.note(&contract(b"one"), id(7), NOW);
+    for seed in 0..100 {
+        let choice = pick(&need(contract(b"two"), seed), &candidates, &prefixes);
+        assert_eq!(choice.endpoint, id(7));
+        assert_eq!(choice.read_tokens, 1_300);
+    }
+}
+
+/// A hot key: one contract gets much of the traffic, and its holder is above the bound.
+#[test]
+fn a_holder_above_the_bound_gives_its_cache_to_another() {
+    let mut candidates: Vec<_> = (0..18).map(|i| candidate(i, 4)).collect();
+    candidates[7].load.own_requests = 12;
+    let mut prefixes = prefix::Prefixes::default();
+    prefixes.note(&contract(b"one"), id(7), NOW);
+    let choice = pick(&need(contract(b"two"), 1), &candidates, &prefixes);
+    assert_ne!(choice.endpoint, id(7));
+    assert_eq!(choice.copy_from, Some(id(7)));
+    assert_eq!(choice.copy_tokens, 10_512);
+    assert_eq!(choice.read_tokens, 1_300);
+}
+
+#[test]
+fn a_failing_holder_gives_nothing() {
+    let mut candidates: Vec<_> = (0..18).map(|i| candidate(i, 4)).collect();
+    candidates[7].is_healthy = false;
+    let mut prefixes = prefix::Prefixes::default();
+    prefixes.note(&contract(b"one"), id(7), NOW);
+    let choice = pick(&need(contract(b"two"), 1), &candidates, &prefixes);
+    assert_ne!(choice.endpoint, id(7));
+    assert_eq!(choice.copy_from, None);
+}
+
+/// A planned replacement: the holder takes no more requests and gives its cache to others.
+#[test]
+fn a_leaving_holder_is_copied_from() {
+    let candidates: Vec<_> = (0..18).map(|i| candidate(i, 4)).collect();
+    let mut prefixes = prefix::Prefixes::default();
+    prefixes.note(&contract(b"one"), id(30), NOW);
+    let choice = pick(&need(contract(b"two"), 1), &candidates, &prefixes);
+    assert_eq!(choice.copy_from, Some(id(30)));
+    assert_eq!(choice.read_tokens, 1_300);
+}
+
+/// Hosts that know of no holder yet agree on one, so that a prompt is read once.
+#[test]
+fn hosts_agree_on_the_first_reader() {
+    let on_one: Vec<_> = (0..18).map(|i| candidate(i, 3)).collect();
+    let mut on_other: Vec<_> = (0..18).map(|i| candidate(i, 3)).collect();
+    for (i, candidate) in on_other.iter_mut().enumerate() {
+        // Another host counts its endpoints in another order.
+        candidate.endpoint = id(17 - i as u32);
+    }
+    let prefixes = prefix::Prefixes::default();
+    let one = pick(&need(contract(b"one"), 1), &on_one, &prefixes);
+    let other = pick(&need(contract(b"two"), 2), &on_other, &prefixes);
+    assert_eq!(id(17 - one.endpoint.as_u32()), other.endpoint);
+}
+
+/// A burst of calls to a service with few slots is spread evenly.
+#[test]
+fn calls_go_to_the_endpoint_with_the_fewest() {
+    let mut candidates: Vec<_> = (0..3).map(|i| candidate(i, 0)).collect();
+    candidates.iter_mut().for_each(|c| c.slots = 6);
+    let prefixes = prefix::Prefixes::default();
+    for seed in 0..30 {
+        let need = Need { prompt: None, seed };
+        let choice = pick(&need, &candidates, &prefixes);
+        let chosen = candidates
+            .iter_mut()
+            .find(|c| c.endpoint == choice.endpoint);
+        chosen.expect("a candidate").load.own_requests += 1;
+    }
+    assert!(candidates.iter().all(|c| c.load.own_requests == 10));
+}
+
+#[test]
+fn parts_are_told_to_other_hosts_once_in_a_while() {
+    let mut prefixes = prefix::Prefixes::default();
+    assert_eq!(prefixes.note(&contract(b"one"), id(1), NOW).len(), 2);
+    assert!(prefixes.note(&contract(b"two"), id(1), NOW).is_empty());
+    let later = NOW + std::time::Duration::from_secs(9);
+    assert_eq!(prefixes.note(&contract(b"two"), id(1), later).len(), 2);
+}
--- /dev/null
+++ b/crates/core/tests/directory.rs
@@ -0,0 +1,268 @@
+//! Endpoints known from the store and from other hosts: late entries, lapses and leaving.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::directory::{Directory, Endpoint, Identity, Source, State, Witness};
+use pistachiochute_core::{directory, revision, time};
+use proptest::prelude::{Just, Strategy, any, prop_oneof, proptest};
+use proptest::test_runner::{Config, RngSeed};
+use proptest::{collection, prop_assert};
+
+const SEED: u64 = 0xd1_2ec7;
+
+fn endpoint(id: &str, born: u64, heartbeat: u64, state: State) -> Arc<Endpoint> {
+    Arc::new(Endpoint {
+        identity: Identity {
+            id: id.into(),
+            born,
+        },
+        service: "reader".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "dom-a".into(),
+        slots: 4,
+        state,
+        heartbeat,
+    })
+}
+
+fn at(revision: u64) -> revision::Revision {
+    revision::Revision(revision)
+}
+
+/// A directory, the time, and the one key that the tests write.
+struct World {
+    directory: Directory,
+    key: Arc<str>,
+    now: time::Time,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            directory: Directory::default(),
+            key: "ep".into(),
+            now: time::Time::from_secs(100),
+        }
+    }
+
+    fn put(&mut self, revision: u64, heartbeat: u64, state: State) -> bool {
+        let endpoint = endpoint("ep", 1, heartbeat, state);
+        let source = Source::Store;
+        self.directory
+            .apply(&self.key, at(revision), Some(endpoint), source, self.now)
+    }
+
+    fn remove(&mut self, revision: u64, source: Source) -> bool {
+        self.directory
+            .apply(&self.key, at(revision), None, source, self.now)
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.directory.tick(self.now);
+    }
+
+    fn is_usable(&self) -> bool {
+        self.directory.usable().next().is_some()
+    }
+}
+
+#[test]
+fn removal_in_calm_times_takes_effect_at_once() {
+    let mut world = World::new();
+    assert!(world.put(1, 1, State::Ready));
+    assert!(world.remove(2, Source::Store));
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn leaving_takes_effect_at_once_and_during_an_outage() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.store_answers(false, world.now);
+    assert!(world.put(2, 2, State::Leaving));
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn entries_that_lapse_around_an_outage_stay_until_the_grace_ends() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.store_answers(false, world.now);
+    world.pass(4_000);
+    world.directory.store_answers(true, world.now);
+    assert!(!world.remove(2, Source::Store));
+    world.pass(2_000);
+    assert!(world.is_usable());
+    world.pass(300);
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn an_entry_that_returns_within_the_grace_stays() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.store_answers(false, world.now);
+    world.pass(4_000);
+    world.directory.store_answers(true, world.now);
+    world.remove(2, Source::Store);
+    world.pass(1_500);
+    world.put(3, 2, State::Ready);
+    world.pass(10_000);
+    assert!(world.is_usable());
+}
+
+/// Trouble-1 of Bocage: a host that was cut off from the store for 8 s used an endpoint that had
+/// left 2.5 s before, since it took the removal for a lapse.
+#[test]
+fn an_outage_of_one_host_is_no_reason_to_keep_a_removed_endpoint() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    let cut = world.now;
+    world.directory.store_answers(false, world.now);
+    world.pass(8_000);
+    world.directory.hear(Witness {
+        steady_since: cut - Duration::from_secs(50),
+        answered: world.now - Duration::from_millis(200),
+    });
+    world.directory.store_answers(true, world.now);
+    assert!(world.remove(2, Source::Store));
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn a_host_that_noticed_the_outage_too_proves_nothing() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    let cut = world.now;
+    world.directory.store_answers(false, world.now);
+    world.pass(4_000);
+    world.directory.store_answers(true, world.now);
+    world.directory.hear(Witness {
+        steady_since: cut + Duration::from_millis(4_000),
+        answered: world.now,
+    });
+    world.directory.hear(Witness {
+        steady_since: cut - Duration::from_secs(50),
+        answered: cut - Duration::from_millis(100),
+    });
+    world.remove(2, Source::Store);
+    assert!(world.is_usable());
+}
+
+#[test]
+fn a_removal_that_another_host_tells_of_is_final() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.store_answers(false, world.now);
+    assert!(world.remove(2, Source::Host));
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn a_write_that_was_held_up_does_not_bring_an_endpoint_back() {
+    let mut world = World::new();
+    world.put(1, 5, State::Ready);
+    world.put(2, 6, State::Leaving);
+    assert!(!world.put(3, 4, State::Ready));
+    assert!(!world.is_usable());
+    world.remove(4, Source::Store);
+    assert!(!world.put(5, 4, State::Ready));
+    assert!(!world.is_usable());
+}
+
+#[test]
+fn a_new_life_under_the_same_id_is_used() {
+    let mut world = World::new();
+    world.put(1, 50, State::Leaving);
+    let reborn = endpoint("ep", 2, 1, State::Ready);
+    let source = Source::Store;
+    let key = world.key.clone();
+    world
+        .directory
+        .apply(&key, at(2), Some(reborn), source, world.now);
+    assert!(world.is_usable());
+}
+
+#[test]
+fn writes_that_change_nothing_do_not_count_as_changes() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    assert!(!world.put(9, 2, State::Ready));
+    assert_eq!(world.directory.changed(), at(1));
+}
+
+#[test]
+fn a_host_that_is_behind_gets_what_it_lacks() {
+    let mut ahead = World::new();
+    ahead.put(1, 1, State::Ready);
+    ahead.put(2, 2, State::Leaving);
+    let mut behind = World::new();
+    behind.put(1, 1, State::Ready);
+    for (key, record) in ahead.directory.newer_than(at(1)) {
+        let endpoint = record.endpoint.clone();
+        behind.directory.apply(
+            key,
+            record.revision,
+            endpoint,
+            directory::Source::Host,
+            behind.now,
+        );
+    }
+    assert!(!behind.is_usable());
+}
+
+/// What reaches a directory.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Write { heartbeat: u64, leaving: bool },
+    Remove,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (1_u64..6, any::<bool>())
+            .prop_map(|(heartbeat, leaving)| Step::Write { heartbeat, leaving }),
+        Just(Step::Remove),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        cases: 2_000,
+        ..Config::default()
+    })]
+
+    /// Whatever order the same revisions arrive in, and however often, the newest one decides.
+    #[test]
+    fn the_newest_revision_decides(
+        steps in collection::vec(step(), 1..8),
+        order in collection::vec(any::<proptest::sample::Index>(), 1..20),
+    ) {
+        let now = time::Time::from_secs(1);
+        let key: Arc<str> = "ep".into();
+        let apply = |directory: &mut Directory, i: usize| {
+            // Heartbeats grow with the revisions here: a held-up write has its own test.
+            let endpoint = match steps[i] {
+                Step::Write { heartbeat, leaving } => {
+                    let state = if leaving { State::Leaving } else { State::Ready };
+                    Some(endpoint("ep", 1, heartbeat + 10 * i as u64, state))
+                }
+                Step::Remove => None,
+            };
+            directory.apply(&key, at(i as u64 + 1), endpoint, Source::Host, now);
+        };
+        let mut in_order = Directory::default();
+        (0..steps.len()).for_each(|i| apply(&mut in_order, i));
+        let mut shuffled = Directory::default();
+        for index in &order {
+            apply(&mut shuffled, index.index(steps.len()));
+        }
+        apply(&mut shuffled, steps.len() - 1);
+        let usable = |d: &Directory| d.usable().next().is_some();
+        prop_assert!(usable(&in_order) == usable(&shuffled));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/sse.rs
@@ -0,0 +1,70 @@
+//! Streams of events: whole events only, none twice, and parts joined without a gap.
+
+use pistachiochute_core::sse::{Fault, Splitter};
+use proptest::prelude::proptest;
+use proptest::prop_assert_eq;
+use proptest::test_runner::{Config, RngSeed};
+
+const SEED: u64 = 0x55e;
+
+fn events(ids: std::ops::Range<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+#[test]
+fn a_cut_event_is_held_back_and_started_again() {
+    let mut splitter = Splitter::default();
+    let whole = events(0..3);
+    let cut = &whole.as_bytes()[..whole.len() - 4];
+    let passed = splitter.push(cut).expect("no fault");
+    assert_eq!(passed, events(0..2));
+    assert!(!splitter.is_whole());
+    splitter.restart();
+    assert_eq!(splitter.last_id(), Some(1));
+    let passed = splitter.push(events(2..5).as_bytes()).expect("no fault");
+    assert_eq!(passed, events(2..5));
+}
+
+#[test]
+fn events_that_the_caller_has_are_left_out() {
+    let mut splitter = Splitter::after(Some(4));
+    let passed = splitter.push(events(3..7).as_bytes()).expect("no fault");
+    assert_eq!(passed, events(5..7));
+}
+
+#[test]
+fn a_gap_between_two_parts_is_a_fault() {
+    let mut splitter = Splitter::after(Some(4));
+    let gap = Fault::Gap { after: 4, found: 6 };
+    assert_eq!(splitter.push(events(6..7).as_bytes()), Err(gap));
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns() {
+    let mut splitter = Splitter::default();
+    let text = "id: 0\r\ndata: x\r\n\r\nid: 1\r\n";
+    let passed = splitter.push(text.as_bytes()).expect("no fault");
+    assert_eq!(passed, "id: 0\r\ndata: x\r\n\r\n");
+}
+
+proptest! {
+    #![proptest_config(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(SEED),
+        cases: 1_000,
+        ..Config::default()
+    })]
+
+    /// However a stream is cut into reads, the caller gets the same bytes.
+    #[test]
+    fn reads_of_any_size_give_the_same_stream(size in 1_usize..40) {
+        let whole = events(0..10);
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        for read in whole.as_bytes().chunks(size) {
+            passed.extend_from_slice(&splitter.push(read).expect("no fault"));
+        }
+        prop_assert_eq!(passed, whole.into_bytes());
+    }
+}
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -119,8 +119,10 @@
     let driver = tokio::task::spawn_local(async { drop(connection.await) });
     let req = http::Request::post("http://fleet/link").body(())?;
     let (answer, mut tx) = requests.send_request(req, false).wrap_err("stream")?;
+    let up = clock::now().since(cx.started).as_millis();
     let hello = fleet::Message::Hello {
         host: cx.state.borrow().me.clone(),
+        up_ms: u32::try_from(up).unwrap_or(u32::MAX),
     };
     send(&mut tx, &hello)?;
     answer.await.wrap_err("answer")?;
@@ -152,16 +154,22 @@
         .borrow_mut()
         .outboxes
         .insert(name.clone(), outbox_tx);
+    let holdings = cx.state.borrow().holdings(clock::now());
+    if !holdings.is_empty() {
+        send(tx, &fleet::Message::Holdings(holdings))?;
+    }
     let mut sent = Sent::default();
     let mut asking = Asking::default();
+    let mut ticks = tokio::time::interval(SEND_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        match tokio::time::timeout(SEND_INTERVAL, outbox.recv()).await {
-            Ok(Some(message)) => {
+        tokio::select! {
+            message = outbox.recv() => {
+                let Some(message) = message else { return Ok(()) };
                 send(tx, &message)?;
                 continue;
             }
-            Ok(None) => return Ok(()),
-            Err(_) => {}
+            _ = ticks.tick() => {}
         }
         if let Some(status) = sent.next(cx) {
             send(tx, &status)?;
@@ -308,7 +316,11 @@
         decoder.extend(&data);
         while let Some(message) = decoder.take()? {
             match (message, &sender) {
-                (fleet::Message::Hello { host }, _) => sender = Some(host),
+                (fleet::Message::Hello { host, up_ms }, _) => {
+                    let up = Duration::from_millis(u64::from(up_ms));
+                    cx.oldest_peer.set(cx.oldest_peer.get().max(up));
+                    sender = Some(host);
+                }
                 (message, Some(sender)) => handle(cx, sender, message),
                 (_, None) => eyre::bail!("message before the name of the sender"),
             }
@@ -342,9 +354,7 @@
             }
         }
         fleet::Message::Holdings(holdings) => {
-            for holding in holdings {
-                cx.shared.heard_holdings.push(holding);
-            }
+            take_holdings(cx, &holdings);
         }
         fleet::Message::Want(known) => answer(cx, sender, known),
         fleet::Message::Catalog(content) => {
@@ -406,8 +416,17 @@
     if holdings.is_empty() {
         return;
     }
+    cx.state.borrow_mut().remember(&holdings, clock::now());
     for outbox in cx.state.borrow().outboxes.values() {
         // A host that misses it has a prompt read again at worst.
         drop(outbox.try_send(fleet::Message::Holdings(holdings.clone())));
     }
 }
+
+/// Takes in what endpoints hold, for this host.
+pub(super) fn take_holdings<D, S>(cx: &Context<D, S>, holdings: &[fleet::Holding]) {
+    cx.state.borrow_mut().remember(holdings, clock::now());
+    for holding in holdings {
+        cx.shared.heard_holdings.push(*holding);
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! One thread keeps the catalog, the endpoints and the other hosts. [`sync`] follows the store,
 //! [`lease`] keeps the entry of this host in it, and [`links`] exchanges news with other hosts, so
-//! that a host which the store turns away learns from those that it answers.
+//! that a host which the store turns away learns from those that it answers. [`warm`] asks the
+//! engines what they hold after the whole fleet was lost.
 
 mod lease;
 mod links;
 mod state;
 mod sync;
+mod warm;
 
 use std::cell::{Cell, RefCell};
 use std::net;
@@ -48,6 +50,10 @@
     steady_since: Cell<time::Time>,
     /// When the store answered last.
     answered: Cell<time::Time>,
+    /// When this host started.
+    started: time::Time,
+    /// How long the host had been up that had been up longest when its link was made.
+    oldest_peer: Cell<Duration>,
 }
 
 /// Runs the control thread until it is dropped.
@@ -74,6 +80,8 @@
         store_suspect: Notify::new(),
         steady_since: Cell::new(clock::now()),
         answered: Cell::new(time::Time::ZERO),
+        started: clock::now(),
+        oldest_peer: Cell::new(Duration::ZERO),
     });
     tokio::task::spawn_local(sync::follow_catalog(cx.clone()));
     tokio::task::spawn_local(sync::follow_endpoints(cx.clone()));
@@ -81,6 +89,9 @@
     tokio::task::spawn_local(lease::follow_hosts(cx.clone()));
     tokio::task::spawn_local(links::accept(cx.clone(), links));
     tokio::task::spawn_local(links::keep(cx.clone()));
+    if !cx.settings.is_first_start {
+        tokio::task::spawn_local(warm::learn(cx.clone()));
+    }
     loop {
         tokio::time::sleep(TICK).await;
         cx.tick();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::choice::prefix;
 use pistachiochute_core::membership::roster;
 use pistachiochute_core::{catalog, directory, time};
 use pistachiochute_messages::fleet;
@@ -15,6 +16,9 @@
 /// Age from which on the work that another host told of no longer counts.
 const LOADS_HORIZON: Duration = Duration::from_millis(2_500);
 
+/// Most holdings that are remembered without a look at their age.
+const MAX_HOLDINGS: usize = 8_192;
+
 /// Entry of a host in the store.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +55,8 @@
     pub peers: HashMap<Arc<str>, Peer>,
     /// Messages to the hosts that this one has a link to.
     pub outboxes: HashMap<Arc<str>, mpsc::Sender<fleet::Message>>,
+    /// Parts of prompts that endpoints hold, and when they last read them.
+    holdings: HashMap<fleet::Holding, time::Time>,
     /// Serial of the last published view.
     serial: u64,
     /// Whether the work of other hosts changed since it was last summed up.
@@ -68,6 +74,7 @@
             hosts: roster::Roster::default(),
             peers: HashMap::new(),
             outboxes: HashMap::new(),
+            holdings: HashMap::new(),
             serial: 0,
             loads_changed: false,
         }
@@ -80,6 +87,7 @@
             serial: self.serial,
             catalog: self.catalog.get().cloned(),
             endpoints: self.directory.usable().cloned().collect(),
+            leaving: self.directory.leaving().cloned().collect(),
             hosts: (self.hosts.serving(now) as u32).max(1),
         }
     }
@@ -122,6 +130,23 @@
         }
     }
 
+    /// Remembers what endpoints hold, for hosts that come later.
+    pub fn remember(&mut self, holdings: &[fleet::Holding], now: time::Time) {
+        self.holdings.extend(holdings.iter().map(|h| (*h, now)));
+        if self.holdings.len() > MAX_HOLDINGS {
+            self.holdings
+                .retain(|_, at| now.since(*at) < prefix::HELD_FOR / 2);
+        }
+    }
+
+    /// What endpoints hold.
+    #[must_use]
+    pub fn holdings(&self, now: time::Time) -> Vec<fleet::Holding> {
+        let is_held = |at: &time::Time| now.since(*at) < prefix::HELD_FOR;
+        let held = self.holdings.iter().filter(|(_, at)| is_held(at));
+        held.map(|(holding, _)| *holding).collect()
+    }
+
     /// Work of all other hosts, if it changed since the last call.
     pub fn other_loads(&mut self, now: time::Time) -> Option<shared::OtherLoads> {
         for peer in self.peers.values_mut() {
--- /dev/null
+++ b/crates/gateway/src/control/warm.rs
@@ -0,0 +1,115 @@
+//! Learns what the engines hold in their caches when the whole fleet has lost that knowledge.
+//!
+//! A host that starts beside others hears it from them. After all hosts were lost, each host asks
+//! the engines that fall to it, and tells the others: reading a prompt again costs an engine far
+//! more than the question.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use pistachiochute_core::{directory, routing};
+use pistachiochute_messages::fleet;
+
+use crate::control::{Context, links};
+use crate::{call, edge, shared};
+
+/// Time that the other hosts have to tell what they know.
+const WAIT_FOR_HOSTS: Duration = Duration::from_millis(200);
+
+/// Time for which another host has been up that knows what engines hold.
+const KNOWS_CACHES: Duration = Duration::from_secs(4);
+
+/// Time in which an engine answers.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time between two looks at whether the host knows its endpoints.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Asks the engines that fall to this host, unless other hosts told what they hold.
+pub(super) async fn learn<D, S>(cx: Rc<Context<D, S>>)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    while !cx.shared.view().is_complete() {
+        tokio::time::sleep(POLL).await;
+    }
+    tokio::time::sleep(WAIT_FOR_HOSTS).await;
+    if cx.oldest_peer.get() >= KNOWS_CACHES {
+        return;
+    }
+    let view = cx.shared.view().clone();
+    for endpoint in engines(&view) {
+        if falls_to_me(&cx, &endpoint) {
+            tokio::task::spawn_local(ask(cx.clone(), endpoint));
+        }
+    }
+}
+
+/// Endpoints that hold prompts.
+fn engines(view: &shared::View) -> Vec<Arc<directory::Endpoint>> {
+    let Some(catalog) = &view.catalog else {
+        return Vec::new();
+    };
+    let services = &catalog.content().services;
+    let is_engine = |endpoint: &&Arc<directory::Endpoint>| {
+        let mut named = services.iter().filter(|s| s.name == endpoint.service);
+        named.any(|service| service.memory_tokens.is_some())
+    };
+    view.endpoints.iter().filter(is_engine).cloned().collect()
+}
+
+/// Whether this host, of all hosts, asks an endpoint.
+fn falls_to_me<D, S>(cx: &Context<D, S>, endpoint: &directory::Endpoint) -> bool {
+    let state = cx.state.borrow();
+    let key = endpoint.identity.hash();
+    let score = |name: &str| {
+        let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        routing::rendezvous::score(key, hash as u32)
+    };
+    let own = score(&state.me);
+    state.hosts.hosts().all(|(name, _)| score(name) <= own)
+}
+
+async fn ask<D, S>(cx: Rc<Context<D, S>>, endpoint: Arc<directory::Endpoint>)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let client = call::Client::new(endpoint.address);
+    let req = Request::get(cx.dialect.cache_list_path())
+        .header(header::HOST, endpoint.address.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(req) = req else { return };
+    let answer = match client.call(req, TIMEOUT).await {
+        Ok(answer) if answer.status == StatusCode::OK => answer,
+        Ok(answer) => {
+            let cause = format!("status {}", answer.status.as_u16());
+            return cx.events.cache_unknown(&endpoint.identity, &cause);
+        }
+        Err(e) => return cx.events.cache_unknown(&endpoint.identity, &e.to_string()),
+    };
+    let parts = match cx.dialect.cached_parts(&answer.body) {
+        Ok(parts) => parts,
+        Err(e) => {
+            let cause = format!("{e:#}");
+            return cx.events.cache_unknown(&endpoint.identity, &cause);
+        }
+    };
+    let holdings: Vec<_> = parts
+        .into_iter()
+        .map(|part| fleet::Holding {
+            part,
+            endpoint: endpoint.identity.hash(),
+        })
+        .collect();
+    cx.events.cache_learned(&endpoint.identity, holdings.len());
+    links::take_holdings(&cx, &holdings);
+    for holding in holdings {
+        cx.shared.own_holdings.push(holding);
+    }
+}
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -83,6 +83,16 @@
     /// Removes what does not concern callers.
     fn tell_caller(&self, headers: &mut HeaderMap);
 
+    /// Path of the list of cached parts of prompts, at an engine.
+    fn cache_list_path(&self) -> &'static str;
+
+    /// Keys of the parts in an engine's list, as [`prompt::part_key`] makes them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list cannot be read.
+    fn cached_parts(&self, body: &[u8]) -> eyre::Result<Vec<u64>>;
+
     /// Key of the entry that holds the catalog.
     fn catalog_key(&self) -> &'static str;
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -75,6 +75,8 @@
     pub tries: u32,
     /// Endpoint that answered.
     pub endpoint: &'a str,
+    /// Figures that decided the choice of that endpoint.
+    pub choice: Option<choice::Choice>,
     /// Time to the head of the answer.
     pub first: Option<Duration>,
     /// Time to the end of the answer.
@@ -175,6 +177,16 @@
         );
     }
 
+    /// An engine told what it holds.
+    pub fn cache_learned(&self, endpoint: &directory::Identity, parts: usize) {
+        slog::info!(self.log, "cache learned"; "endpoint" => %endpoint, "parts" => parts);
+    }
+
+    /// An engine did not tell what it holds.
+    pub fn cache_unknown(&self, endpoint: &directory::Identity, cause: &str) {
+        slog::info!(self.log, "cache unknown"; "endpoint" => %endpoint, "cause" => cause);
+    }
+
     /// A host is known.
     pub fn host_known(&self, name: &str, links: net::SocketAddr) {
         slog::info!(self.log, "host known"; "peer" => name, "links" => %links);
@@ -230,7 +242,9 @@
             "catalog" => line.catalog.map(|v| v.0), "catalog_age_ms" => millis(line.catalog_age),
             "status" => line.status, "reason" => line.reason.map(reason::Refusal::as_str),
             "outcome" => line.outcome.as_str(), "tries" => line.tries,
-            "endpoint" => line.endpoint, "first_ms" => line.first.map(millis),
+            "endpoint" => line.endpoint, "cost_ms" => line.choice.map(|c| c.cost_ms),
+            "read_tokens" => line.choice.map(|c| c.read_tokens),
+            "copy_tokens" => line.choice.map(|c| c.copy_tokens), "first_ms" => line.first.map(millis),
             "total_ms" => millis(line.total), "events" => line.events,
             "longest_gap_ms" => millis(line.longest_gap), "end" => line.end,
         );
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -52,6 +52,8 @@
     pub stop: Duration,
     /// Longest time between a change of the catalog in the store and its effect here.
     pub catalog_lag: Duration,
+    /// Whether the whole fleet starts for the first time, so that no engine holds anything.
+    pub is_first_start: bool,
 }
 
 /// Shortest lease of the entry of a host, in milliseconds.
@@ -63,9 +65,6 @@
 /// Longest time of a planned stop, in seconds.
 const MAX_STOP_S: u64 = 3_600;
 
-/// Longest window of the retry budget, in seconds.
-const MAX_WINDOW_S: u64 = 3_600;
-
 impl Settings {
     /// Reads settings from a JSON file.
     ///
@@ -110,6 +109,10 @@
     let store = reader.section("store").and_then(read_store);
     let retry = reader.section("retry").and_then(read_retry);
     let stop = reader.scalar("stop_s", 8, 1..=MAX_STOP_S);
+    let first = match reader.optional("first_start") {
+        Some(_) => reader.typed("first_start"),
+        None => Some(false),
+    };
     let lag = reader.scalar("catalog_lag_ms", 2_000, 100..=60_000);
     reader.close();
     Some(Settings {
@@ -119,6 +122,7 @@
         retry: retry?,
         stop: Duration::from_secs(stop?),
         catalog_lag: Duration::from_millis(lag?),
+        is_first_start: first?,
     })
 }
 
@@ -159,11 +163,9 @@
 fn read_retry(mut reader: reader::Reader<'_>) -> Option<retry::FleetBudget> {
     let ratio = reader.scalar("ratio", 0.1, 0.0..=10.0);
     let extra = reader.scalar("extra", 0.0, 0.0..=1e9);
-    let window = reader.scalar("window_s", 10, 1..=MAX_WINDOW_S);
     reader.close();
     Some(retry::FleetBudget {
         ratio: ratio?,
         extra: extra?,
-        window: Duration::from_secs(window?),
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,8 @@
     pub catalog: Option<Arc<catalog::Catalog>>,
     /// Endpoints that new requests may be sent to.
     pub endpoints: Vec<Arc<directory::Endpoint>>,
+    /// Endpoints that finish what they have before they leave.
+    pub leaving: Vec<Arc<directory::Endpoint>>,
     /// Hosts of the fleet, this one included.
     pub hosts: u32,
 }
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -54,7 +54,9 @@
     known: map::EntityMap<entity::EndpointId, Known>,
     by_hash: HashMap<u64, entity::EndpointId>,
     by_service: HashMap<Arc<str>, Vec<entity::EndpointId>>,
-    budgets: HashMap<Arc<str>, retry::Share>,
+    /// Endpoints that leave. They take no requests, but others can copy from their caches.
+    leaving: Vec<entity::EndpointId>,
+    budgets: HashMap<Arc<str>, retry::Budget>,
     prefixes: prefix::Prefixes,
     health: health::Health,
     rates: cost::Rates,
@@ -72,6 +74,7 @@
             known: map::EntityMap::new(),
             by_hash: HashMap::new(),
             by_service: HashMap::new(),
+            leaving: Vec::new(),
             budgets: HashMap::new(),
             prefixes: prefix::Prefixes::default(),
             health: health::Health::new(HEALTH, now),
@@ -95,6 +98,7 @@
                 .or_default()
                 .push(id);
         }
+        self.leaving = view.leaving.iter().map(|e| self.id_of(e)).collect();
         self.forget_unused(view);
     }
 
@@ -113,7 +117,15 @@
             .filter(|id| !tried.contains(id))
             .filter_map(|id| self.candidate(*id, others, now))
             .collect();
-        let choice = choice::choose(need, &candidates, &self.prefixes, &self.rates, now)?;
+        let is_source = |id| {
+            let is_present = ids.contains(&id) || self.leaving.contains(&id);
+            is_present && self.health.is_usable(id)
+        };
+        let caches = choice::Caches {
+            prefixes: &self.prefixes,
+            is_source: &is_source,
+        };
+        let choice = choice::choose(need, &candidates, &caches, &self.rates, now)?;
         let known = self.known.get(choice.endpoint)?;
         let source = choice.copy_from.and_then(|id| self.known.get(id));
         Some(Chosen {
@@ -127,7 +139,7 @@
     pub(super) fn hear_holdings(&mut self, shared: &shared::Shared, now: time::Time) {
         while let Some(holding) = shared.heard_holdings.pop() {
             if let Some(id) = self.by_hash.get(&holding.endpoint) {
-                self.prefixes.hear(holding.chain, *id, now);
+                self.prefixes.hear(holding.part, *id, now);
             }
         }
     }
@@ -138,12 +150,15 @@
         ids.is_some_and(|ids| ids.iter().any(|id| !tried.contains(id)))
     }
 
-    /// Retry budget of a service.
-    pub(super) fn budget(&mut self, service: &Arc<str>) -> &mut retry::Share {
-        let budget = self.budget;
-        self.budgets
+    /// Retry budget of a service, as one of `hosts` hosts.
+    pub(super) fn budget(&mut self, service: &Arc<str>, hosts: u32) -> &mut retry::Budget {
+        let share = self.budget.share(hosts);
+        let budget = self
+            .budgets
             .entry(service.clone())
-            .or_insert_with(|| retry::Share::new(budget))
+            .or_insert_with(|| retry::Budget::empty(share));
+        budget.set_config(share);
+        budget
     }
 
     /// Takes in a sign of an endpoint's health.
@@ -213,7 +228,7 @@
         let id = entity::EndpointId::new(self.next_id).expect("fewer endpoints than ids");
         self.next_id += 1;
         self.ids.insert(endpoint.identity.clone(), id);
-        let hash = xxhash_rust::xxh3::xxh3_64(endpoint.identity.to_string().as_bytes());
+        let hash = endpoint.identity.hash();
         self.by_hash.insert(hash, id);
         self.known.insert(
             id,
@@ -230,8 +245,12 @@
 
     /// Forgets endpoints that are gone and have no work of this host.
     fn forget_unused(&mut self, view: &shared::View) {
-        let used: std::collections::HashSet<_> =
-            view.endpoints.iter().map(|e| &e.identity).collect();
+        let used: std::collections::HashSet<_> = view
+            .endpoints
+            .iter()
+            .chain(&view.leaving)
+            .map(|e| &e.identity)
+            .collect();
         let gone: Vec<_> = self
             .known
             .iter()
@@ -281,8 +300,8 @@
         if let Some(prompt) = prompt {
             let news = fleet.prefixes.note(prompt, choice.endpoint, now);
             let hash = fleet.known.get(choice.endpoint).map(|known| known.hash);
-            for chain in news {
-                let holding = hash.map(|endpoint| fleet::Holding { chain, endpoint });
+            for part in news {
+                let holding = hash.map(|endpoint| fleet::Holding { part, endpoint });
                 holding
                     .into_iter()
                     .for_each(|h| cx.shared.own_holdings.push(h));
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -9,7 +9,7 @@
 use http::{HeaderValue, Request, Response, Uri, header, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use pistachiochute_core::{catalog, outcome, reason, retry, time};
+use pistachiochute_core::{catalog, choice, outcome, reason, retry, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
@@ -57,6 +57,7 @@
     outcome: outcome::Outcome,
     tries: u32,
     endpoint: String,
+    choice: Option<choice::Choice>,
     first: Option<Duration>,
     events: u64,
     last_passed: time::Time,
@@ -85,6 +86,7 @@
             outcome: outcome::Outcome::NotRun,
             tries: 0,
             endpoint: String::new(),
+            choice: None,
             first: None,
             events: 0,
             last_passed: arrived,
@@ -146,6 +148,7 @@
             outcome: self.outcome,
             tries: self.tries,
             endpoint: &self.endpoint,
+            choice: self.choice,
             first: self.first,
             total: now.since(self.arrived),
             events: self.events,
@@ -221,7 +224,7 @@
     let mut fleet = cx.fleet.borrow_mut();
     fleet.follow(&view);
     let service = plan.service().name.clone();
-    fleet.budget(&service).deposit(report.arrived);
+    fleet.budget(&service, view.hosts).deposit();
     Ok((plan, ask, body))
 }
 
@@ -310,6 +313,7 @@
         if let Some(report) = &mut report {
             report.tries += 1;
             report.endpoint = chosen.endpoint.identity.to_string();
+            report.choice = Some(chosen.choice);
         }
         let stall = stall(&cx, origin);
         let attempt = Attempt {
@@ -398,10 +402,10 @@
     let hosts = cx.shared.view().hosts;
     let service = origin.plan.service().name.clone();
     origin.attempts.ended(ending, || {
-        cx.fleet
-            .borrow_mut()
-            .budget(&service)
-            .withdraw(hosts, clock::now())
+        let mut fleet = cx.fleet.borrow_mut();
+        fleet
+            .budget(&service, hosts)
+            .withdraw(retry::Charge::Budget)
     })
 }
 
--- a/crates/messages/src/fleet.rs
+++ b/crates/messages/src/fleet.rs
@@ -19,10 +19,10 @@
 }
 
 /// A part of prompts that an endpoint reads, and so holds for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Holding {
-    /// Chain of the part.
-    pub chain: u64,
+    /// Key of the part.
+    pub part: u64,
     /// Hash of the endpoint's identity.
     pub endpoint: u64,
 }
@@ -76,6 +76,8 @@
     Hello {
         /// Name of the sending host.
         host: Arc<str>,
+        /// Time since the sender started, in milliseconds.
+        up_ms: u32,
     },
     /// What the sender knows and does.
     Status {
@@ -86,7 +88,8 @@
         /// Work of the sender, or `None` if it is as before.
         loads: Option<Vec<EndpointLoad>>,
     },
-    /// Parts of prompts that endpoints began to read for the sender.
+    /// Parts of prompts that endpoints began to read for the sender; on a new link, all that it
+    /// knows of.
     Holdings(Vec<Holding>),
     /// Asks for what is newer than what the sender knows.
     Want(Known),
