Give each prompt a home that every host computes alike

Change: unless an engine is known to hold all shared parts, the home of the last shared part is taken to hold them, and is what others copy from.

--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -12,8 +12,6 @@
 pub mod prefix;
 pub mod prompt;
 
-use smallvec::SmallVec;
-
 use crate::{entity, routing, time};
 
 /// Fewest tokens that are copied from another endpoint rather than read.
@@ -86,11 +84,10 @@
     now: time::Time,
 ) -> Option<Choice> {
     let bound = cost::bound(candidates);
-    let home = home_of(need, candidates);
-    let holder = holder_of(need, caches, now);
+    let holder = holder_of(need, candidates, caches, now);
     let mut best: Option<(Rank, Choice)> = None;
     for candidate in candidates {
-        let reading = reading(need, candidate, caches.prefixes, home, holder, now);
+        let reading = reading(need, candidate, caches.prefixes, holder, now);
         let cost_ms = cost::of(need, candidate, &reading, rates);
         let rank = Rank {
             is_failing: !candidate.is_healthy,
@@ -123,23 +120,33 @@
     tie: u64,
 }
 
-/// Endpoint that every host takes for the holder of a prompt's prefix while it knows of no other.
-fn home_of(need: &Need, candidates: &[Candidate]) -> Option<u64> {
+/// The endpoint that every host takes for the holder of a prompt while it knows of no other. Hosts
+/// that never hear of each other's requests so have a prompt read once.
+fn home_of(need: &Need, candidates: &[Candidate]) -> Option<entity::EndpointId> {
     let key = need.prompt.as_ref()?.home_key()?;
-    let hashes: SmallVec<[u64; 32]> = candidates.iter().map(|c| c.hash).collect();
-    hashes
-        .into_iter()
-        .max_by_key(|hash| routing::rendezvous::score(key, (*hash >> 32) as u32 ^ *hash as u32))
+    let score = |candidate: &&Candidate| {
+        let hash = candidate.hash;
+        routing::rendezvous::score(key, (hash >> 32) as u32 ^ hash as u32)
+    };
+    candidates.iter().max_by_key(score).map(|c| c.endpoint)
 }
 
-/// The endpoint that holds most of a prompt and can be copied from, and how much it holds.
+/// The endpoint that holds most of a prompt and can be copied from, and how much it holds: as far
+/// as is known, or else its home.
 fn holder_of(
     need: &Need,
+    candidates: &[Candidate],
     caches: &Caches<'_>,
     now: time::Time,
 ) -> Option<(entity::EndpointId, u32)> {
     let prompt = need.prompt.as_ref()?;
-    caches.prefixes.best_holder(prompt, now, caches.is_source)
+    let shared = prompt.shared_tokens();
+    let known = caches.prefixes.best_holder(prompt, now, caches.is_source);
+    if known.is_some_and(|(_, tokens)| tokens >= shared) {
+        return known;
+    }
+    let home = home_of(need, candidates).filter(|id| (caches.is_source)(*id));
+    home.map(|home| (home, shared)).or(known)
 }
 
 /// How an endpoint comes by the tokens of a prompt.
@@ -147,25 +154,23 @@
     need: &Need,
     candidate: &Candidate,
     prefixes: &prefix::Prefixes,
-    home: Option<u64>,
     holder: Option<(entity::EndpointId, u32)>,
     now: time::Time,
 ) -> cost::Reading {
     let Some(prompt) = &need.prompt else {
         return cost::Reading::default();
     };
-    let held = prefixes.held_tokens(prompt, candidate.endpoint, now);
+    let known = prefixes.held_tokens(prompt, candidate.endpoint, now);
+    let held = match holder {
+        Some((holder, tokens)) if holder == candidate.endpoint => known.max(tokens),
+        _ => known,
+    };
     let copyable = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
     let copy_tokens = match copyable >= MIN_COPY_TOKENS {
         true => copyable,
         false => 0,
     };
-    let is_home = home == Some(candidate.hash);
-    let assumed = match is_home && holder.is_none() {
-        true => prompt.shared_tokens() / 2,
-        false => 0,
-    };
-    let have = (held + copy_tokens).max(assumed);
+    let have = held + copy_tokens;
     cost::Reading {
         read_tokens: prompt.tokens.saturating_sub(have),
         copy_tokens,
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -130,6 +130,21 @@
     assert!(candidates.iter().all(|c| c.load.own_requests == 10));
 }
 
+/// A new contract shares its first part with others: who holds that part is no reason to have the
+/// contract read elsewhere than at its home.
+#[test]
+fn a_holder_of_the_first_part_alone_does_not_replace_the_home() {
+    let candidates: Vec<_> = (0..140).map(|i| candidate(i, 1)).collect();
+    let unknown = prefix::Prefixes::default();
+    let home = pick(&need(contract(b"one"), 1), &candidates, &unknown).endpoint;
+    let other = id((home.as_u32() + 1) % 140);
+    let parts: [(&[u8], u32); 3] = [(b"system", 512), (b"another contract", 9_000), (b"s", 10)];
+    let mut prefixes = prefix::Prefixes::default();
+    prefixes.note(&prompt::Prompt::new(b"m", parts, 9_522, 400), other, NOW);
+    let choice = pick(&need(contract(b"two"), 2), &candidates, &prefixes);
+    assert_eq!(choice.endpoint, home);
+}
+
 #[test]
 fn parts_are_told_to_other_hosts_once_in_a_while() {
     let mut prefixes = prefix::Prefixes::default();
