Let two relays of each domain follow the store and carry digests in large fleets

Prompts whose home left or joined were read again. Change: in fleets of more than 13 hosts, relays (the first two hosts of a domain by name) follow the store, carry the sums of work between domains and to their hosts, and answer who is behind; the others follow the store only while no relay speaks. A prompt has three homes in an order that all hosts compute alike; engines that leave stay sources; the first home copies from the next one.

--- a/crates/core/src/choice/cost.rs
+++ b/crates/core/src/choice/cost.rs
@@ -1,21 +1,15 @@
 //! Predicted cost of a request at an endpoint, in milliseconds.
 
-use crate::choice;
+use crate::choice::{self, homes};
 
 /// Multiple of the mean load of a pool up to which an endpoint is preferred.
-const BOUND_MULTIPLE: f64 = 1.6;
+const BOUND_MULTIPLE: f64 = 1.8;
 
 /// Requests above the multiple that an endpoint may have.
-const BOUND_SLACK: f64 = 1.5;
+const BOUND_SLACK: f64 = 2.0;
 
-/// How an endpoint comes by the tokens of a prompt that it does not hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Reading {
-    /// Tokens that it reads.
-    pub read_tokens: u32,
-    /// Tokens that it copies from another endpoint's cache.
-    pub copy_tokens: u32,
-}
+/// Part of the cost of a copy that counts at a home of the prompt, which may hold it by now.
+const HOME_COPY: f64 = 0.25;
 
 /// Speeds that costs are computed from.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -66,7 +60,7 @@
 pub fn of(
     need: &choice::Need,
     candidate: &choice::Candidate,
-    reading: &Reading,
+    reading: &homes::Reading,
     rates: &Rates,
 ) -> f64 {
     let remote = if candidate.is_local {
@@ -82,6 +76,11 @@
             let unread = f64::from(candidate.load.unread_tokens());
             let own = f64::from(reading.read_tokens) * rates.read_weight;
             let copy = copy_cost(reading.copy_tokens, rates);
+            let copy = if reading.is_home {
+                copy * HOME_COPY
+            } else {
+                copy
+            };
             let wait = f64::from(waiting) * rates.stream_ms / f64::from(slots);
             let crowding = f64::from(running) * rates.crowding_ms;
             (unread + own) / rates.read_tokens_per_ms + copy + wait + crowding + remote
--- /dev/null
+++ b/crates/core/src/choice/homes.rs
@@ -0,0 +1,146 @@
+//! Homes of prompts: endpoints that every host computes alike.
+//!
+//! Hosts that never hear of each other's requests send a prompt to its first home and so have it
+//! read once; a hot prompt spreads over the same few endpoints, whoever sends it. Endpoints that
+//! leave keep their place as sources of copies, so a prompt whose home leaves is copied by the
+//! next one rather than read again.
+
+use smallvec::SmallVec;
+
+use crate::choice::{Candidate, prefix, prompt};
+use crate::{entity, routing, time};
+
+/// Homes of a prompt.
+const HOMES: usize = 3;
+
+/// Fewest tokens that are copied from another endpoint rather than read.
+const MIN_COPY_TOKENS: u32 = 256;
+
+/// An endpoint that takes no more requests, but still has its cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leaving {
+    /// The endpoint.
+    pub endpoint: entity::EndpointId,
+    /// Hash of its identity, the same on every host.
+    pub hash: u64,
+}
+
+/// How an endpoint comes by the tokens of a prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Tokens that it is predicted to read.
+    pub read_tokens: u32,
+    /// Tokens that it is predicted to copy from another endpoint's cache.
+    pub copy_tokens: u32,
+    /// Endpoint that it should copy from, before it reads the rest.
+    pub copy_from: Option<entity::EndpointId>,
+    /// Whether it is a home of the prompt.
+    pub is_home: bool,
+}
+
+type Ranked = SmallVec<[(u64, entity::EndpointId); HOMES + 1]>;
+
+/// Where a prompt is, as far as a host knows or assumes.
+#[derive(Debug)]
+pub struct Holders<'a> {
+    prompt: &'a prompt::Prompt,
+    prefixes: &'a prefix::Prefixes,
+    now: time::Time,
+    /// Tokens that other prompts may share.
+    shared: u32,
+    /// An endpoint that is known to hold all of them and can be copied from.
+    known: Option<entity::EndpointId>,
+    /// Homes among the candidates, the best first.
+    homes: Ranked,
+    /// Homes among all endpoints that can be copied from, the best first.
+    sources: Ranked,
+}
+
+impl<'a> Holders<'a> {
+    /// Works out where a prompt is.
+    pub fn new<F>(
+        prompt: &'a prompt::Prompt,
+        prefixes: &'a prefix::Prefixes,
+        candidates: &[Candidate],
+        leaving: &[Leaving],
+        is_source: F,
+        now: time::Time,
+    ) -> Self
+    where
+        F: Fn(entity::EndpointId) -> bool,
+    {
+        let shared = prompt.shared_tokens();
+        let best = prefixes.best_holder(prompt, now, &is_source);
+        let known = best.filter(|(_, tokens)| *tokens >= shared);
+        let mut homes = Ranked::new();
+        let mut sources = Ranked::new();
+        if let Some(key) = prompt.home_key() {
+            for candidate in candidates {
+                let entry = (score(key, candidate.hash), candidate.endpoint);
+                insert(&mut homes, entry);
+                if is_source(candidate.endpoint) {
+                    insert(&mut sources, entry);
+                }
+            }
+            for leaving in leaving.iter().filter(|l| is_source(l.endpoint)) {
+                insert(&mut sources, (score(key, leaving.hash), leaving.endpoint));
+            }
+        }
+        Self {
+            prompt,
+            prefixes,
+            now,
+            shared,
+            known: known.map(|(endpoint, _)| endpoint),
+            homes,
+            sources,
+        }
+    }
+
+    /// How an endpoint would come by the prompt.
+    #[must_use]
+    pub fn reading(&self, endpoint: entity::EndpointId) -> Reading {
+        let held = self.prefixes.held_tokens(self.prompt, endpoint, self.now);
+        let is_home = self.homes.iter().any(|(_, home)| *home == endpoint);
+        let missing = self.shared.saturating_sub(held);
+        let source = self.source_for(endpoint);
+        if missing < MIN_COPY_TOKENS || source.is_none() {
+            return Reading {
+                read_tokens: self.prompt.tokens.saturating_sub(held),
+                is_home,
+                ..Reading::default()
+            };
+        }
+        // The first home holds the prompt by all accounts, unless another endpoint is known to.
+        let first = self.homes.first().map(|(_, home)| *home);
+        let is_assumed = self.known.is_none() && first == Some(endpoint);
+        Reading {
+            read_tokens: self.prompt.tokens.saturating_sub(held + missing),
+            copy_tokens: if is_assumed { 0 } else { missing },
+            copy_from: source,
+            is_home,
+        }
+    }
+
+    /// Endpoint that another one copies from. Copying from one that holds nothing costs little.
+    fn source_for(&self, endpoint: entity::EndpointId) -> Option<entity::EndpointId> {
+        let sources = self.sources.iter().map(|(_, source)| *source);
+        self.known
+            .into_iter()
+            .chain(sources)
+            .find(|source| *source != endpoint)
+    }
+}
+
+fn score(key: u64, hash: u64) -> u64 {
+    routing::rendezvous::score(key, (hash >> 32) as u32 ^ hash as u32)
+}
+
+/// Keeps the best entries, the best first.
+fn insert(ranked: &mut Ranked, entry: (u64, entity::EndpointId)) {
+    let place = ranked.partition_point(|other| *other >= entry);
+    if place < HOMES {
+        ranked.insert(place, entry);
+        ranked.truncate(HOMES);
+    }
+}
--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -8,15 +8,13 @@
 //! others, and endpoints that [fail](crate::health) after those.
 
 pub mod cost;
+pub mod homes;
 pub mod load;
 pub mod prefix;
 pub mod prompt;
 
 use crate::{entity, routing, time};
 
-/// Fewest tokens that are copied from another endpoint rather than read.
-const MIN_COPY_TOKENS: u32 = 256;
-
 /// An endpoint that may take a request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -47,6 +45,8 @@
 pub struct Caches<'a> {
     /// Which endpoints hold which parts.
     pub prefixes: &'a prefix::Prefixes,
+    /// Endpoints that take no more requests but still have their caches.
+    pub leaving: &'a [homes::Leaving],
     /// Whether cached parts can be copied from an endpoint. It need not be a candidate.
     pub is_source: &'a dyn Fn(entity::EndpointId) -> bool,
 }
@@ -84,10 +84,23 @@
     now: time::Time,
 ) -> Option<Choice> {
     let bound = cost::bound(candidates);
-    let holder = holder_of(need, candidates, caches, now);
+    let holders = need.prompt.as_ref().map(|prompt| {
+        let leaving = caches.leaving;
+        homes::Holders::new(
+            prompt,
+            caches.prefixes,
+            candidates,
+            leaving,
+            caches.is_source,
+            now,
+        )
+    });
     let mut best: Option<(Rank, Choice)> = None;
     for candidate in candidates {
-        let reading = reading(need, candidate, caches.prefixes, holder, now);
+        let reading = match &holders {
+            Some(holders) => holders.reading(candidate.endpoint),
+            None => homes::Reading::default(),
+        };
         let cost_ms = cost::of(need, candidate, &reading, rates);
         let rank = Rank {
             is_failing: !candidate.is_healthy,
@@ -102,7 +115,7 @@
             endpoint: candidate.endpoint,
             cost_ms,
             read_tokens: reading.read_tokens,
-            copy_from: holder.map(|h| h.0).filter(|_| reading.copy_tokens > 0),
+            copy_from: reading.copy_from,
             copy_tokens: reading.copy_tokens,
             candidates: candidates.len() as u32,
         };
@@ -119,60 +132,3 @@
     cost_micros: u64,
     tie: u64,
 }
-
-/// The endpoint that every host takes for the holder of a prompt while it knows of no other. Hosts
-/// that never hear of each other's requests so have a prompt read once.
-fn home_of(need: &Need, candidates: &[Candidate]) -> Option<entity::EndpointId> {
-    let key = need.prompt.as_ref()?.home_key()?;
-    let score = |candidate: &&Candidate| {
-        let hash = candidate.hash;
-        routing::rendezvous::score(key, (hash >> 32) as u32 ^ hash as u32)
-    };
-    candidates.iter().max_by_key(score).map(|c| c.endpoint)
-}
-
-/// The endpoint that holds most of a prompt and can be copied from, and how much it holds: as far
-/// as is known, or else its home.
-fn holder_of(
-    need: &Need,
-    candidates: &[Candidate],
-    caches: &Caches<'_>,
-    now: time::Time,
-) -> Option<(entity::EndpointId, u32)> {
-    let prompt = need.prompt.as_ref()?;
-    let shared = prompt.shared_tokens();
-    let known = caches.prefixes.best_holder(prompt, now, caches.is_source);
-    if known.is_some_and(|(_, tokens)| tokens >= shared) {
-        return known;
-    }
-    let home = home_of(need, candidates).filter(|id| (caches.is_source)(*id));
-    home.map(|home| (home, shared)).or(known)
-}
-
-/// How an endpoint comes by the tokens of a prompt.
-fn reading(
-    need: &Need,
-    candidate: &Candidate,
-    prefixes: &prefix::Prefixes,
-    holder: Option<(entity::EndpointId, u32)>,
-    now: time::Time,
-) -> cost::Reading {
-    let Some(prompt) = &need.prompt else {
-        return cost::Reading::default();
-    };
-    let known = prefixes.held_tokens(prompt, candidate.endpoint, now);
-    let held = match holder {
-        Some((holder, tokens)) if holder == candidate.endpoint => known.max(tokens),
-        _ => known,
-    };
-    let copyable = holder.map_or(0, |(_, tokens)| tokens.saturating_sub(held));
-    let copy_tokens = match copyable >= MIN_COPY_TOKENS {
-        true => copyable,
-        false => 0,
-    };
-    let have = held + copy_tokens;
-    cost::Reading {
-        read_tokens: prompt.tokens.saturating_sub(have),
-        copy_tokens,
-    }
-}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -16,8 +16,8 @@
 //! refuses work before running it, and a second owner starts from the endpoint's own load.
 
 mod damping;
+pub mod digest;
 mod effect;
-pub mod fingers;
 mod machine;
 mod member;
 mod message;
@@ -25,6 +25,7 @@
 mod ring;
 pub mod roster;
 mod rumour;
+pub mod spread;
 
 pub use damping::Damping;
 pub use effect::{Config, Effect, Effects};
--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -91,11 +91,24 @@
         });
     }
 
-    /// Hosts to talk to, in the order of their names.
+    /// Hosts in the order of their names.
     pub fn hosts(&self) -> impl Iterator<Item = (&Arc<str>, &E)> {
         self.hosts.iter().map(|(name, seen)| (name, &seen.entry))
     }
 
+    /// Entry of a host.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&E> {
+        self.hosts.get(name).map(|seen| &seen.entry)
+    }
+
+    /// Whether a host serves, as far as is known.
+    #[must_use]
+    pub fn serves(&self, name: &str, now: time::Time) -> bool {
+        let seen = self.hosts.get(name);
+        seen.is_some_and(|seen| seen.unlisted.is_none() || seen.is_heard(now))
+    }
+
     /// Hosts that serve, as far as is known.
     #[must_use]
     pub fn serving(&self, now: time::Time) -> usize {
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -17,6 +17,12 @@
 /// Longest time that a watch of the hosts waits.
 const WATCH: std::time::Duration = std::time::Duration::from_secs(10);
 
+/// Pause between two watches of the hosts: when many start together, one answer carries them.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
+
+/// Time between two reads of the hosts by one that others feed.
+const REFRESH: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// Keeps the entry of this host, under a lease that ends if the host falls silent.
 pub(super) async fn keep<D, S>(cx: Rc<Context<D, S>>)
 where
@@ -67,15 +73,18 @@
     }
 }
 
-async fn follow_hosts_once<D, S>(
-    cx: &Context<D, S>,
-) -> Result<std::convert::Infallible, key_value::Error>
+async fn follow_hosts_once<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
 where
     D: edge::Dialect,
     S: edge::Store,
 {
     loop {
-        let found = cx.store.range(HOSTS_PREFIX).await?;
+        // A host that others feed only has to know its relays, which change seldom.
+        let freshness = match cx.is_fed() {
+            true => edge::Freshness::MayBeOld,
+            false => edge::Freshness::Latest,
+        };
+        let found = cx.store.range(HOSTS_PREFIX, freshness).await?;
         let mut after = found.revision;
         for entry in &found.entries {
             set_host(cx, entry);
@@ -87,6 +96,10 @@
             .hosts
             .retain_listed(&listed, clock::now());
         cx.publish();
+        if freshness == edge::Freshness::MayBeOld {
+            tokio::time::sleep(REFRESH).await;
+            continue;
+        }
         loop {
             let watched = cx.store.watch(HOSTS_PREFIX, after, WATCH).await?;
             let edge::Watched::Changes { revision, changes } = watched else {
@@ -100,6 +113,10 @@
                 cx.publish();
             }
             after = after.max(revision);
+            if cx.is_fed() {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 }
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
-use pistachiochute_core::membership::fingers;
+use pistachiochute_core::choice::load;
+use pistachiochute_core::membership::spread::Role;
 use pistachiochute_core::{directory, time};
 use pistachiochute_messages::{codec, fleet};
 use pistachiochute_runtime::clock;
@@ -74,13 +75,9 @@
 /// Hosts that this one talks to, with the addresses of their links.
 fn wanted<D, S>(cx: &Context<D, S>) -> HashMap<Arc<str>, net::SocketAddr> {
     let state = cx.state.borrow();
-    let hosts: Vec<_> = state.hosts.hosts().collect();
-    let me = hosts.iter().position(|(name, _)| **name == state.me);
-    // A host whose own entry is not there yet talks to those after its place.
-    let me = me.unwrap_or_else(|| hosts.partition_point(|(name, _)| **name < state.me));
-    fingers::of(me, hosts.len())
-        .map(|i| (hosts[i].0.clone(), hosts[i].1.links))
-        .filter(|(name, _)| *name != state.me)
+    let links = state.spread.links.iter();
+    links
+        .filter_map(|name| Some((name.clone(), state.hosts.get(name)?.links)))
         .collect()
 }
 
@@ -174,6 +171,9 @@
         if let Some(status) = sent.next(cx) {
             send(tx, &status)?;
         }
+        if let Some(carried) = sent.next_carried(cx, name) {
+            send(tx, &carried)?;
+        }
         if let Some(want) = asking.next(cx, name) {
             send(tx, &fleet::Message::Want(want))?;
         }
@@ -194,8 +194,9 @@
 #[derive(Default)]
 struct Sent {
     known: Option<fleet::Known>,
-    loads: Arc<Vec<fleet::EndpointLoad>>,
+    loads: Arc<Vec<load::EndpointLoad>>,
     at: time::Time,
+    carried: Vec<load::EndpointLoad>,
 }
 
 impl Sent {
@@ -214,11 +215,9 @@
             return None;
         }
         let changed = (!same_loads).then(|| Vec::clone(&loads));
-        *self = Self {
-            known: Some(known),
-            loads,
-            at: now,
-        };
+        self.known = Some(known);
+        self.loads = loads;
+        self.at = now;
         Some(fleet::Message::Status {
             known,
             store: cx.store_calls(now),
@@ -227,6 +226,34 @@
     }
 }
 
+impl Sent {
+    /// The work of others that this host carries to another one, if it changed.
+    fn next_carried<D, S>(&mut self, cx: &Context<D, S>, name: &str) -> Option<fleet::Message>
+    where
+        D: edge::Dialect,
+        S: edge::Store,
+    {
+        let state = cx.state.borrow();
+        let spread = &state.spread;
+        if spread.role != Role::Relay || spread.is_own_relay(name) {
+            return None;
+        }
+        let own = cx.shared.own_loads();
+        let carried = match spread.is_foreign_relay(name) {
+            true => state.digests.domain(spread, &own),
+            false => {
+                let others = cx.shared.other_loads();
+                state.digests.all_but(name, &others, &own)
+            }
+        };
+        if carried == self.carried {
+            return None;
+        }
+        self.carried.clone_from(&carried);
+        Some(fleet::Message::Carried(carried))
+    }
+}
+
 /// Since when another host has known more.
 #[derive(Default)]
 struct Asking {
@@ -246,6 +273,7 @@
         };
         let since = *self.behind_since.get_or_insert(now);
         let patience = match known.catalog > want.catalog {
+            _ if state.is_fed(now) => Duration::ZERO,
             true => ASK_CATALOG_AFTER,
             false => ASK_AFTER,
         };
@@ -344,7 +372,10 @@
             let now = clock::now();
             let before = |ms| now - Duration::from_millis(u64::from(ms));
             let mut state = cx.state.borrow_mut();
-            state.hear(sender, known, loads, now);
+            state.hear(sender, known, store, now);
+            if let Some(loads) = loads {
+                state.digests.own(sender, loads);
+            }
             state.directory.hear(directory::Witness {
                 steady_since: before(store.steady_ms),
                 answered: before(store.answered_ms),
@@ -353,6 +384,9 @@
                 cx.shared.confirm(before(store.catalog_age_ms));
             }
         }
+        fleet::Message::Carried(loads) => {
+            cx.state.borrow_mut().digests.carried(sender, loads);
+        }
         fleet::Message::Holdings(holdings) => {
             take_holdings(cx, &holdings);
         }
@@ -413,7 +447,9 @@
 /// Tells the other hosts which parts of prompts endpoints read for this one.
 pub(super) fn tell_holdings<D, S>(cx: &Context<D, S>) {
     let holdings: Vec<_> = std::iter::from_fn(|| cx.shared.own_holdings.pop()).collect();
-    if holdings.is_empty() {
+    // In a large fleet each host goes by the homes of prompts alone.
+    let is_small = cx.state.borrow().spread.role == Role::Mesh;
+    if holdings.is_empty() || !is_small {
         return;
     }
     cx.state.borrow_mut().remember(&holdings, clock::now());
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -50,6 +50,8 @@
     steady_since: Cell<time::Time>,
     /// When the store answered last.
     answered: Cell<time::Time>,
+    /// Calls in a row that failed while the store was taken to answer.
+    failures: Cell<u32>,
     /// When this host started.
     started: time::Time,
     /// How long the host had been up that had been up longest when its link was made.
@@ -69,7 +71,10 @@
     S: edge::Store,
 {
     let cx = Rc::new(Context {
-        state: RefCell::new(State::new(settings.host.name.as_str().into())),
+        state: RefCell::new(State::new(
+            settings.host.name.as_str().into(),
+            settings.host.domain.clone(),
+        )),
         dialect,
         store,
         settings,
@@ -80,6 +85,7 @@
         store_suspect: Notify::new(),
         steady_since: Cell::new(clock::now()),
         answered: Cell::new(time::Time::ZERO),
+        failures: Cell::new(0),
         started: clock::now(),
         oldest_peer: Cell::new(Duration::ZERO),
     });
@@ -143,6 +149,7 @@
     /// Notes that the store answered a call.
     fn note_answer(&self) {
         self.answered.set(clock::now());
+        self.failures.set(0);
     }
 
     /// How this host fares with its calls to the store.
@@ -155,6 +162,11 @@
         }
     }
 
+    /// Whether a relay brings the news of the store.
+    fn is_fed(&self) -> bool {
+        self.state.borrow().is_fed(clock::now())
+    }
+
     /// What this host knows.
     fn known(&self) -> fleet::Known {
         self.state.borrow().known()
@@ -168,10 +180,12 @@
         if changed {
             self.publish();
         }
+        let mut state = self.state.borrow_mut();
+        state.place(now);
+        state.digests.tick(now);
+        let others = state.digests.others(&state.spread);
+        drop(state);
+        self.shared.publish_other_loads(others);
         links::tell_holdings(self);
-        let loads = self.state.borrow_mut().other_loads(now);
-        if let Some(loads) = loads {
-            self.shared.publish_other_loads(loads);
-        }
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,15 +6,18 @@
 use std::time::Duration;
 
 use pistachiochute_core::choice::prefix;
-use pistachiochute_core::membership::roster;
+use pistachiochute_core::membership::{digest, roster, spread};
 use pistachiochute_core::{catalog, directory, time};
 use pistachiochute_messages::fleet;
 use tokio::sync::mpsc;
 
 use crate::shared;
 
-/// Age from which on the work that another host told of no longer counts.
-const LOADS_HORIZON: Duration = Duration::from_millis(2_500);
+/// Silence after which a relay no longer brings news.
+const FEED_SILENCE: Duration = Duration::from_millis(1_800);
+
+/// Time without an answer of the store after which a relay has no news to bring.
+const FEED_STORE_SILENCE: Duration = Duration::from_millis(3_500);
 
 /// Most holdings that are remembered without a look at their age.
 const MAX_HOLDINGS: usize = 8_192;
@@ -34,8 +37,8 @@
 pub struct Peer {
     /// What it knows.
     pub known: fleet::Known,
-    /// Its work.
-    pub loads: Vec<fleet::EndpointLoad>,
+    /// How it fares with its calls to the store.
+    pub store: fleet::StoreCalls,
     /// When it said so.
     pub heard: time::Time,
 }
@@ -57,16 +60,19 @@
     pub outboxes: HashMap<Arc<str>, mpsc::Sender<fleet::Message>>,
     /// Parts of prompts that endpoints hold, and when they last read them.
     holdings: HashMap<fleet::Holding, time::Time>,
+    /// What other hosts told of their work.
+    pub digests: digest::Digests,
+    /// Place of this host among the others.
+    pub spread: spread::Spread,
+    domain: String,
     /// Serial of the last published view.
     serial: u64,
-    /// Whether the work of other hosts changed since it was last summed up.
-    loads_changed: bool,
 }
 
 impl State {
     /// Makes the state of a host that knows nothing.
     #[must_use]
-    pub fn new(me: Arc<str>) -> Self {
+    pub fn new(me: Arc<str>, domain: String) -> Self {
         Self {
             me,
             catalog: catalog::Current::default(),
@@ -75,8 +81,10 @@
             peers: HashMap::new(),
             outboxes: HashMap::new(),
             holdings: HashMap::new(),
+            digests: digest::Digests::default(),
+            spread: spread::Spread::default(),
+            domain,
             serial: 0,
-            loads_changed: false,
         }
     }
 
@@ -112,22 +120,48 @@
         is_behind.then_some(own)
     }
 
-    /// Takes in the status of another host.
+    /// Takes in what another host knows and how it fares with the store.
     pub fn hear(
         &mut self,
         host: &Arc<str>,
         known: fleet::Known,
-        loads: Option<Vec<fleet::EndpointLoad>>,
+        store: fleet::StoreCalls,
         now: time::Time,
     ) {
-        let peer = self.peers.entry(host.clone()).or_default();
-        peer.known = known;
-        peer.heard = now;
+        let peer = Peer {
+            known,
+            store,
+            heard: now,
+        };
+        self.peers.insert(host.clone(), peer);
         self.hosts.hear(host, now);
-        if let Some(loads) = loads {
-            peer.loads = loads;
-            self.loads_changed = true;
-        }
+        self.digests.hear(host, now);
+    }
+
+    /// Works out the place of this host among the others.
+    pub fn place(&mut self, now: time::Time) {
+        let places: Vec<_> = self
+            .hosts
+            .hosts()
+            .map(|(name, entry)| spread::Place {
+                name: name.clone(),
+                domain: entry.domain.as_str().into(),
+                serves: self.hosts.serves(name, now),
+            })
+            .collect();
+        self.spread = spread::Spread::new(&self.me, &self.domain, &places);
+    }
+
+    /// Whether a relay brings the news of the store, so that this host need not follow it.
+    #[must_use]
+    pub fn is_fed(&self, now: time::Time) -> bool {
+        let follows = |peer: &Peer| {
+            let answered = Duration::from_millis(u64::from(peer.store.answered_ms));
+            now.since(peer.heard) < FEED_SILENCE && answered < FEED_STORE_SILENCE
+        };
+        let relays = self.spread.relays.iter();
+        self.spread.role == spread::Role::Member
+            && relays.filter_map(|name| self.peers.get(name)).any(follows)
     }
 
     /// Remembers what endpoints hold, for hosts that come later.
@@ -146,24 +180,4 @@
         let held = self.holdings.iter().filter(|(_, at)| is_held(at));
         held.map(|(holding, _)| *holding).collect()
     }
-
-    /// Work of all other hosts, if it changed since the last call.
-    pub fn other_loads(&mut self, now: time::Time) -> Option<shared::OtherLoads> {
-        for peer in self.peers.values_mut() {
-            if now.since(peer.heard) > LOADS_HORIZON && !peer.loads.is_empty() {
-                peer.loads.clear();
-                self.loads_changed = true;
-            }
-        }
-        if !std::mem::take(&mut self.loads_changed) {
-            return None;
-        }
-        let mut sums = shared::OtherLoads::new();
-        for load in self.peers.values().flat_map(|peer| &peer.loads) {
-            let sum = sums.entry(load.endpoint).or_default();
-            sum.requests += load.requests;
-            sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
-        }
-        Some(sums)
-    }
 }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -24,9 +24,15 @@
 /// Longest pause after calls that failed.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(1_200);
 
+/// Most doublings of the first pause.
+const MAX_DOUBLINGS: u32 = 4;
+
 /// Longest time that those wait who leave it to the follower of the catalog to try the store.
 const WAIT_FOR_STORE: Duration = Duration::from_secs(4);
 
+/// Time between two looks at whether a relay still brings the news.
+const FEED_CHECK: Duration = Duration::from_millis(200);
+
 /// Pause that grows with the failures in a row.
 struct Backoff {
     next: Duration,
@@ -39,6 +45,14 @@
         }
     }
 
+    /// Pause after a number of failures in a row.
+    fn after(failures: u32) -> Self {
+        let factor = 2_u32.saturating_pow(failures.min(MAX_DOUBLINGS));
+        Self {
+            next: (FIRST_BACKOFF * factor).min(LONGEST_BACKOFF),
+        }
+    }
+
     /// Pauses for a time that differs from host to host.
     async fn pause(&mut self) {
         let spread = rand::random_range(0.7..1.3);
@@ -55,17 +69,30 @@
 {
     let mut backoff = Backoff::new();
     loop {
-        let Err(e) = follow_catalog_once(&cx, &mut backoff).await;
-        cx.note_store(false, &e.to_string());
-        backoff.pause().await;
+        wait_while_fed(&cx).await;
+        if let Err(e) = follow_catalog_once(&cx, &mut backoff).await {
+            cx.note_store(false, &e.to_string());
+            backoff.pause().await;
+        }
+    }
+}
+
+/// Waits as long as a relay brings the news of the store.
+pub(super) async fn wait_while_fed<D, S>(cx: &Context<D, S>)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    while cx.is_fed() {
+        tokio::time::sleep(FEED_CHECK).await;
     }
 }
 
-/// Reads the catalog and follows its changes until a call fails.
+/// Reads the catalog and follows its changes until a call fails or a relay brings the news.
 async fn follow_catalog_once<D, S>(
     cx: &Context<D, S>,
     backoff: &mut Backoff,
-) -> Result<std::convert::Infallible, key_value::Error>
+) -> Result<(), key_value::Error>
 where
     D: edge::Dialect,
     S: edge::Store,
@@ -73,7 +100,7 @@
     let key = cx.dialect.catalog_key();
     loop {
         let asked = clock::now();
-        let found = cx.store.range(key).await?;
+        let found = cx.store.range(key, edge::Freshness::Latest).await?;
         cx.note_store(true, "");
         *backoff = Backoff::new();
         for entry in &found.entries {
@@ -99,6 +126,9 @@
             }
             cx.shared.confirm(clock::now());
             after = after.max(revision);
+            if cx.is_fed() {
+                return Ok(());
+            }
         }
     }
 }
@@ -124,10 +154,9 @@
     S: edge::Store,
 {
     loop {
-        let Err(e) = follow_endpoints_once(&cx).await;
-        cx.events
-            .follower_stopped(cx.dialect.endpoints_prefix(), &e);
-        wait_for_store(&cx).await;
+        wait_while_fed(&cx).await;
+        let prefix = cx.dialect.endpoints_prefix();
+        until_store_returns(&cx, prefix, follow_endpoints_once(&cx)).await;
     }
 }
 
@@ -135,11 +164,15 @@
 /// back: a watch on another connection may wait in vain then.
 pub(super) async fn until_store_returns<D, S, F>(cx: &Context<D, S>, what: &str, follow: F)
 where
-    F: Future<Output = Result<std::convert::Infallible, key_value::Error>>,
+    F: Future<Output = Result<(), key_value::Error>>,
 {
     tokio::select! {
         () = cx.store_back.notified() => {}
-        Err(e) = follow => failed(cx, what, &e).await,
+        result = follow => {
+            if let Err(e) = result {
+                failed(cx, what, &e).await;
+            }
+        }
     }
 }
 
@@ -154,24 +187,24 @@
 async fn wait_for_store<D, S>(cx: &Context<D, S>) {
     let back = cx.store_back.notified();
     if cx.store_answers.get() {
-        // The store answers others: only this call failed.
-        Backoff::new().pause().await;
+        // The store answers others, or nobody knows yet that it does not.
+        let mut backoff = Backoff::after(cx.failures.get());
+        cx.failures.set(cx.failures.get() + 1);
+        backoff.pause().await;
         return;
     }
     // Whether it came back or not, the next call shows.
     drop(tokio::time::timeout(WAIT_FOR_STORE, back).await);
 }
 
-async fn follow_endpoints_once<D, S>(
-    cx: &Context<D, S>,
-) -> Result<std::convert::Infallible, key_value::Error>
+async fn follow_endpoints_once<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
 where
     D: edge::Dialect,
     S: edge::Store,
 {
     let prefix = cx.dialect.endpoints_prefix();
     loop {
-        let found = cx.store.range(prefix).await?;
+        let found = cx.store.range(prefix, edge::Freshness::Latest).await?;
         let mut after = found.revision;
         replace_endpoints(cx, found);
         loop {
@@ -183,6 +216,9 @@
             cx.note_answer();
             apply_changes(cx, &changes, revision);
             after = after.max(revision);
+            if cx.is_fed() {
+                return Ok(());
+            }
             tokio::time::sleep(ENDPOINTS_PAUSE).await;
         }
     }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -128,14 +128,24 @@
     Compacted,
 }
 
+/// How current a read is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It sees every change that was acknowledged before it.
+    Latest,
+    /// It may be seconds old, and costs the store less.
+    MayBeOld,
+}
+
 /// The key-value service of a platform.
 ///
 /// Dropping a future gives the call up; its effect is then unknown.
 pub trait Store: Clone + 'static {
-    /// Reads all entries whose keys start with `prefix`, at the latest revision.
+    /// Reads all entries whose keys start with `prefix`.
     fn range(
         &self,
         prefix: &str,
+        freshness: Freshness,
     ) -> impl Future<Output = Result<key_value::Found, key_value::Error>>;
 
     /// Waits up to `wait` for changes after a revision.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,12 +1,13 @@
 //! What the two threads of a host share.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use crossbeam::queue::SegQueue;
+use pistachiochute_core::choice::load;
+use pistachiochute_core::membership::digest;
 use pistachiochute_core::{catalog, directory, time};
 use pistachiochute_messages::fleet;
 use tokio::sync::watch;
@@ -34,18 +35,6 @@
     }
 }
 
-/// Work of other hosts at one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct OtherWork {
-    /// Requests in progress.
-    pub requests: u32,
-    /// Prompt tokens of requests that have had no event yet.
-    pub unread_tokens: u32,
-}
-
-/// Work of other hosts by the hash of the endpoint's identity.
-pub type OtherLoads = HashMap<u64, OtherWork>;
-
 /// Steps of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -61,8 +50,8 @@
 #[derive(Debug)]
 pub struct Shared {
     view: ArcSwap<View>,
-    other_loads: ArcSwap<OtherLoads>,
-    own_loads: ArcSwap<Vec<fleet::EndpointLoad>>,
+    other_loads: ArcSwap<digest::Works>,
+    own_loads: ArcSwap<Vec<load::EndpointLoad>>,
     /// Parts of prompts that endpoints read for this host, for the others.
     pub own_holdings: SegQueue<fleet::Holding>,
     /// Parts of prompts that endpoints read for other hosts.
@@ -100,23 +89,23 @@
 
     /// Work of the other hosts.
     #[must_use]
-    pub fn other_loads(&self) -> arc_swap::Guard<Arc<OtherLoads>> {
+    pub fn other_loads(&self) -> arc_swap::Guard<Arc<digest::Works>> {
         self.other_loads.load()
     }
 
     /// Publishes the work of the other hosts.
-    pub fn publish_other_loads(&self, loads: OtherLoads) {
+    pub fn publish_other_loads(&self, loads: digest::Works) {
         self.other_loads.store(Arc::new(loads));
     }
 
     /// Work of this host.
     #[must_use]
-    pub fn own_loads(&self) -> Arc<Vec<fleet::EndpointLoad>> {
+    pub fn own_loads(&self) -> Arc<Vec<load::EndpointLoad>> {
         self.own_loads.load_full()
     }
 
     /// Publishes the work of this host.
-    pub fn publish_own_loads(&self, loads: Vec<fleet::EndpointLoad>) {
+    pub fn publish_own_loads(&self, loads: Vec<load::EndpointLoad>) {
         self.own_loads.store(Arc::new(loads));
     }
 
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::choice::{cost, load, prefix, prompt};
+use pistachiochute_core::choice::{cost, homes, load, prefix, prompt};
+use pistachiochute_core::membership::digest;
 use pistachiochute_core::{choice, directory, entity, health, map, retry, time};
 use pistachiochute_messages::fleet;
 
@@ -30,8 +31,8 @@
 struct Known {
     endpoint: Arc<directory::Endpoint>,
     hash: u64,
-    requests: u32,
-    unread_tokens: u32,
+    /// Work of this host.
+    work: load::Work,
     /// Requests that the endpoint stated, and when.
     stated: Option<(u32, time::Time)>,
 }
@@ -55,7 +56,7 @@
     by_hash: HashMap<u64, entity::EndpointId>,
     by_service: HashMap<Arc<str>, Vec<entity::EndpointId>>,
     /// Endpoints that leave. They take no requests, but others can copy from their caches.
-    leaving: Vec<entity::EndpointId>,
+    leaving: Vec<homes::Leaving>,
     budgets: HashMap<Arc<str>, retry::Budget>,
     prefixes: prefix::Prefixes,
     health: health::Health,
@@ -98,7 +99,11 @@
                 .or_default()
                 .push(id);
         }
-        self.leaving = view.leaving.iter().map(|e| self.id_of(e)).collect();
+        let leaving = view.leaving.iter().map(|endpoint| homes::Leaving {
+            endpoint: self.id_of(endpoint),
+            hash: endpoint.identity.hash(),
+        });
+        self.leaving = leaving.collect();
         self.forget_unused(view);
     }
 
@@ -107,7 +112,7 @@
         &self,
         service: &str,
         need: &choice::Need,
-        others: &shared::OtherLoads,
+        others: &digest::Works,
         tried: &[entity::EndpointId],
         now: time::Time,
     ) -> Option<Chosen> {
@@ -118,11 +123,13 @@
             .filter_map(|id| self.candidate(*id, others, now))
             .collect();
         let is_source = |id| {
-            let is_present = ids.contains(&id) || self.leaving.contains(&id);
+            let is_leaving = self.leaving.iter().any(|l| l.endpoint == id);
+            let is_present = is_leaving || ids.contains(&id);
             is_present && self.health.is_usable(id)
         };
         let caches = choice::Caches {
             prefixes: &self.prefixes,
+            leaving: &self.leaving,
             is_source: &is_source,
         };
         let choice = choice::choose(need, &candidates, &caches, &self.rates, now)?;
@@ -179,15 +186,14 @@
     }
 
     /// Work of this host. Also ends the holds of the health checks.
-    pub(super) fn digest(&mut self, now: time::Time) -> Vec<fleet::EndpointLoad> {
+    pub(super) fn digest(&mut self, now: time::Time) -> Vec<load::EndpointLoad> {
         self.health.tick(now);
         self.known
             .values()
-            .filter(|known| known.requests > 0)
-            .map(|known| fleet::EndpointLoad {
+            .filter(|known| known.work.requests > 0)
+            .map(|known| load::EndpointLoad {
                 endpoint: known.hash,
-                requests: known.requests,
-                unread_tokens: known.unread_tokens,
+                work: known.work,
             })
             .collect()
     }
@@ -195,7 +201,7 @@
     fn candidate(
         &self,
         id: entity::EndpointId,
-        others: &shared::OtherLoads,
+        others: &digest::Works,
         now: time::Time,
     ) -> Option<choice::Candidate> {
         let known = self.known.get(id)?;
@@ -209,10 +215,8 @@
             is_local: *known.endpoint.domain == *self.domain,
             is_healthy: self.health.is_usable(id),
             load: load::Load {
-                own_requests: known.requests,
-                own_unread_tokens: known.unread_tokens,
-                other_requests: other.requests,
-                other_unread_tokens: other.unread_tokens,
+                own: known.work,
+                others: other,
                 reported_requests: stated.map(|(requests, _)| requests),
             },
         })
@@ -235,8 +239,7 @@
             Known {
                 endpoint: endpoint.clone(),
                 hash,
-                requests: 0,
-                unread_tokens: 0,
+                work: load::Work::default(),
                 stated: None,
             },
         );
@@ -254,7 +257,9 @@
         let gone: Vec<_> = self
             .known
             .iter()
-            .filter(|(_, known)| known.requests == 0 && !used.contains(&known.endpoint.identity))
+            .filter(|(_, known)| {
+                known.work.requests == 0 && !used.contains(&known.endpoint.identity)
+            })
             .map(|(id, _)| id)
             .collect();
         for id in gone {
@@ -294,8 +299,8 @@
         let mut fleet = cx.fleet.borrow_mut();
         let unread_tokens = choice.read_tokens;
         if let Some(known) = fleet.known.get_mut(choice.endpoint) {
-            known.requests += 1;
-            known.unread_tokens += unread_tokens;
+            known.work.requests += 1;
+            known.work.unread_tokens += unread_tokens;
         }
         if let Some(prompt) = prompt {
             let news = fleet.prefixes.note(prompt, choice.endpoint, now);
@@ -320,7 +325,8 @@
         let tokens = std::mem::take(&mut self.unread_tokens);
         let mut fleet = self.cx.fleet.borrow_mut();
         if let Some(known) = fleet.known.get_mut(self.endpoint) {
-            known.unread_tokens = known.unread_tokens.saturating_sub(tokens);
+            let left = known.work.unread_tokens.saturating_sub(tokens);
+            known.work.unread_tokens = left;
         }
     }
 }
@@ -333,7 +339,7 @@
         self.prompt_read();
         let mut fleet = self.cx.fleet.borrow_mut();
         if let Some(known) = fleet.known.get_mut(self.endpoint) {
-            known.requests = known.requests.saturating_sub(1);
+            known.work.requests = known.work.requests.saturating_sub(1);
         }
     }
 }
--- a/crates/messages/src/fleet.rs
+++ b/crates/messages/src/fleet.rs
@@ -5,19 +5,9 @@
 
 use std::sync::Arc;
 
+use pistachiochute_core::choice::load;
 use pistachiochute_core::{catalog, directory, revision};
 
-/// Work of the sender at one endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct EndpointLoad {
-    /// Hash of the endpoint's identity.
-    pub endpoint: u64,
-    /// Requests in progress.
-    pub requests: u32,
-    /// Prompt tokens of requests that have had no event yet.
-    pub unread_tokens: u32,
-}
-
 /// A part of prompts that an endpoint reads, and so holds for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Holding {
@@ -86,8 +76,11 @@
         /// The sender's calls to the store.
         store: StoreCalls,
         /// Work of the sender, or `None` if it is as before.
-        loads: Option<Vec<EndpointLoad>>,
+        loads: Option<Vec<load::EndpointLoad>>,
     },
+    /// Work of other hosts that a relay carries: to a relay of another domain that of its own
+    /// domain, to a host of its domain that of everyone else.
+    Carried(Vec<load::EndpointLoad>),
     /// Parts of prompts that endpoints began to read for the sender; on a new link, all that it
     /// knows of.
     Holdings(Vec<Holding>),
