Learn of hosts from the links that they make

Ruled out: readiness (they said that they were not ready; with half of a domain stopping, the balancer uses them all the same). Change: the first message on a link names the address and domain of the sender, so a host that starts talks back and asks for what it lacks.

--- a/crates/core/src/membership/roster.rs
+++ b/crates/core/src/membership/roster.rs
@@ -60,6 +60,22 @@
         true
     }
 
+    /// Takes in that a host spoke that may have no entry. A host that starts while the store is
+    /// away learns of the others in this way. Returns whether it is news.
+    pub fn meet(&mut self, name: Arc<str>, entry: E, now: time::Time) -> bool {
+        if let Some(seen) = self.hosts.get_mut(&name) {
+            seen.heard = Some(now);
+            return false;
+        }
+        let seen = Seen {
+            entry,
+            unlisted: Some(now),
+            heard: Some(now),
+        };
+        self.hosts.insert(name, seen);
+        true
+    }
+
     /// Takes in that the entry of a host is gone.
     pub fn remove(&mut self, name: &str, now: time::Time) {
         if let Some(seen) = self.hosts.get_mut(name) {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -39,6 +39,21 @@
     assert_eq!(roster.serving(later), 1);
 }
 
+/// An incident of Bocage: hosts that were started again while the store was down knew nobody, and
+/// refused for three seconds although the others were linked to them.
+#[test]
+fn a_host_that_speaks_is_known_without_an_entry() {
+    let mut roster = roster::Roster::default();
+    let now = time::Time::from_secs(10);
+    assert!(roster.meet(name("a"), 1, now));
+    assert!(!roster.meet(name("a"), 1, now));
+    assert_eq!(roster.hosts().count(), 1);
+    assert!(roster.serves("a", now));
+    assert!(roster.put(name("a"), 1));
+    roster.tick(now + roster::UNLISTED_KEPT + Duration::from_secs(1));
+    assert_eq!(roster.hosts().count(), 1);
+}
+
 #[test]
 fn an_entry_that_returns_is_news() {
     let mut roster = roster::Roster::default();
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -16,6 +16,7 @@
 use pistachiochute_runtime::clock;
 use tokio::sync::mpsc;
 
+use crate::control::state::HostEntry;
 use crate::control::{Context, sync};
 use crate::net as sockets;
 use crate::{edge, events};
@@ -119,6 +120,8 @@
     let up = clock::now().since(cx.started).as_millis();
     let hello = fleet::Message::Hello {
         host: cx.state.borrow().me.clone(),
+        links: cx.settings.listen.links,
+        domain: cx.settings.host.domain.as_str().into(),
         up_ms: u32::try_from(up).unwrap_or(u32::MAX),
     };
     send(&mut tx, &hello)?;
@@ -344,9 +347,17 @@
         decoder.extend(&data);
         while let Some(message) = decoder.take()? {
             match (message, &sender) {
-                (fleet::Message::Hello { host, up_ms }, _) => {
-                    let up = Duration::from_millis(u64::from(up_ms));
-                    cx.oldest_peer.set(cx.oldest_peer.get().max(up));
+                (
+                    fleet::Message::Hello {
+                        host,
+                        links,
+                        domain,
+                        up_ms,
+                    },
+                    _,
+                ) => {
+                    let domain = domain.to_string();
+                    meet(cx, &host, HostEntry { links, domain }, up_ms);
                     sender = Some(host);
                 }
                 (message, Some(sender)) => handle(cx, sender, message),
@@ -357,6 +368,18 @@
     Ok(())
 }
 
+/// Takes in that a host made a link to this one.
+fn meet<D, S>(cx: &Context<D, S>, host: &Arc<str>, entry: HostEntry, up_ms: u32) {
+    let up = Duration::from_millis(u64::from(up_ms));
+    cx.oldest_peer.set(cx.oldest_peer.get().max(up));
+    let links = entry.links;
+    let now = clock::now();
+    let is_news = cx.state.borrow_mut().hosts.meet(host.clone(), entry, now);
+    if is_news {
+        cx.events.host_known(host, links);
+    }
+}
+
 fn handle<D, S>(cx: &Rc<Context<D, S>>, sender: &Arc<str>, message: fleet::Message)
 where
     D: edge::Dialect,
--- a/crates/messages/src/fleet.rs
+++ b/crates/messages/src/fleet.rs
@@ -3,6 +3,7 @@
 //! A host sends its messages to another host on one long stream of frames, and gets that host's
 //! messages on a stream that the other host opens.
 
+use std::net;
 use std::sync::Arc;
 
 use pistachiochute_core::choice::load;
@@ -66,6 +67,10 @@
     Hello {
         /// Name of the sending host.
         host: Arc<str>,
+        /// Address of its links.
+        links: net::SocketAddr,
+        /// Its failure domain.
+        domain: Arc<str>,
         /// Time since the sender started, in milliseconds.
         up_ms: u32,
     },
