--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -17,6 +17,9 @@
 /// Longest time that a watch of the hosts waits.
 const WATCH: std::time::Duration = std::time::Duration::from_secs(10);
 
+/// Time that a host that has stopped takes to remove its entry.
+const END_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(150);
+
 /// Pause between two watches of the hosts: when many start together, one answer carries them.
 const PAUSE: std::time::Duration = std::time::Duration::from_millis(400);
 
@@ -44,6 +47,7 @@
 {
     let ttl = cx.settings.store.lease;
     let lease = cx.store.grant(ttl).await?;
+    cx.lease.set(Some(lease));
     let entry = HostEntry {
         links: cx.settings.listen.links,
         domain: cx.settings.host.domain.clone(),
@@ -62,6 +66,17 @@
     }
 }
 
+/// Removes the entry of a host that has stopped, so that others need not wait for its lease.
+pub(super) async fn end<D, S>(cx: &Context<D, S>)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let Some(lease) = cx.lease.take() else { return };
+    // The lease ends by itself if this call is lost.
+    drop(tokio::time::timeout(END_TIMEOUT, cx.store.revoke(lease)).await);
+}
+
 /// Follows the entries of the hosts.
 pub(super) async fn follow_hosts<D, S>(cx: Rc<Context<D, S>>)
 where
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,8 @@
 
 use pistachiochute_core::{catalog, time};
 use pistachiochute_messages::fleet;
-use pistachiochute_runtime::clock;
+use pistachiochute_runtime::platform::key_value;
+use pistachiochute_runtime::{clock, metrics};
 use tokio::sync::Notify;
 
 use crate::{edge, events, settings, shared};
@@ -39,6 +40,7 @@
     settings: settings::Settings,
     shared: Arc<shared::Shared>,
     events: events::Events,
+    metrics: metrics::Metrics,
     state: RefCell<State>,
     /// Whether the store answered the last call.
     store_answers: Cell<bool>,
@@ -52,19 +54,21 @@
     answered: Cell<time::Time>,
     /// Calls in a row that failed while the store was taken to answer.
     failures: Cell<u32>,
+    /// Lease of this host's entry.
+    lease: Cell<Option<key_value::LeaseId>>,
     /// When this host started.
     started: time::Time,
     /// How long the host had been up that had been up longest when its link was made.
     oldest_peer: Cell<Duration>,
 }
 
-/// Runs the control thread until it is dropped.
+/// Runs the control thread until the host has stopped.
 pub async fn run<D, S>(
     dialect: D,
     store: S,
     settings: settings::Settings,
     shared: Arc<shared::Shared>,
-    events: events::Events,
+    (events, metrics): (events::Events, metrics::Metrics),
     links: net::TcpListener,
 ) where
     D: edge::Dialect,
@@ -80,12 +84,14 @@
         settings,
         shared,
         events,
+        metrics,
         store_answers: Cell::new(true),
         store_back: Notify::new(),
         store_suspect: Notify::new(),
         steady_since: Cell::new(clock::now()),
         answered: Cell::new(time::Time::ZERO),
         failures: Cell::new(0),
+        lease: Cell::new(None),
         started: clock::now(),
         oldest_peer: Cell::new(Duration::ZERO),
     });
@@ -98,10 +104,20 @@
     if !cx.settings.is_first_start {
         tokio::task::spawn_local(warm::learn(cx.clone()));
     }
-    loop {
-        tokio::time::sleep(TICK).await;
-        cx.tick();
+    let mut phases = cx.shared.phases();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while *phases.borrow_and_update() < shared::Phase::Stopped {
+        tokio::select! {
+            _ = ticks.tick() => cx.tick(),
+            changed = phases.changed() => {
+                if changed.is_err() {
+                    break;
+                }
+            }
+        }
     }
+    lease::end(&cx).await;
 }
 
 impl<D, S> Context<D, S>
@@ -162,6 +178,18 @@
         }
     }
 
+    /// Shows in the metrics what the host believes.
+    fn show_beliefs(&self, now: time::Time) {
+        let state = self.state.borrow();
+        self.metrics.believes(&metrics::Beliefs {
+            catalog_version: state.catalog.version().map_or(0, |version| version.0),
+            endpoints: state.directory.usable().count() as u64,
+            hosts_serving: state.hosts.serving(now) as u64,
+            hosts_heard: state.heard(now) as u64,
+            store_answers: self.store_answers.get(),
+        });
+    }
+
     /// Whether a relay brings the news of the store.
     fn is_fed(&self) -> bool {
         self.state.borrow().is_fed(clock::now())
@@ -186,6 +214,7 @@
         let others = state.digests.others(&state.spread);
         drop(state);
         self.shared.publish_other_loads(others);
+        self.show_beliefs(now);
         links::tell_holdings(self);
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -138,6 +138,13 @@
         self.digests.hear(host, now);
     }
 
+    /// Other hosts that spoke lately.
+    #[must_use]
+    pub fn heard(&self, now: time::Time) -> usize {
+        let is_near = |peer: &&Peer| now.since(peer.heard) < FEED_SILENCE;
+        self.peers.values().filter(is_near).count()
+    }
+
     /// Works out the place of this host among the others.
     pub fn place(&mut self, now: time::Time) {
         let places: Vec<_> = self
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,22 +20,29 @@
 }
 
 impl Sockets {
-    fn bind(listen: &settings::Listen) -> eyre::Result<Self> {
-        let bind =
-            |address| sockets::listen(address).wrap_err_with(|| format!("listen on {address}"));
+    /// Binds the addresses, and replaces ports that the system chooses by its choice.
+    fn bind(listen: &mut settings::Listen) -> eyre::Result<Self> {
         Ok(Self {
-            callers: bind(listen.callers)?,
-            health: bind(listen.health)?,
-            links: bind(listen.links)?,
-            metrics: bind(listen.metrics)?,
+            callers: bind(&mut listen.callers)?,
+            health: bind(&mut listen.health)?,
+            links: bind(&mut listen.links)?,
+            metrics: bind(&mut listen.metrics)?,
         })
     }
 }
 
+fn bind(address: &mut net::SocketAddr) -> eyre::Result<net::TcpListener> {
+    let listener = sockets::listen(*address).wrap_err_with(|| format!("listen on {address}"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
 /// A running host.
 #[derive(Debug)]
 pub struct Gateway {
     shared: Arc<shared::Shared>,
+    listen: settings::Listen,
+    control: thread::JoinHandle<eyre::Result<()>>,
     traffic: thread::JoinHandle<eyre::Result<usize>>,
 }
 
@@ -46,7 +53,7 @@
     ///
     /// Returns an error if an address cannot be listened on or a thread cannot be started.
     pub fn start<D, S, F>(
-        settings: settings::Settings,
+        mut settings: settings::Settings,
         dialect: D,
         store: F,
         log: slog::Logger,
@@ -58,7 +65,8 @@
     {
         let shared = Arc::new(shared::Shared::default());
         let metrics = metrics::Metrics::new()?;
-        let listening = Sockets::bind(&settings.listen)?;
+        let listening = Sockets::bind(&mut settings.listen)?;
+        let listen = settings.listen;
         let control = Control {
             settings: settings.clone(),
             dialect: dialect.clone(),
@@ -67,7 +75,7 @@
             log: log.clone(),
             sockets: (listening.links, listening.health, listening.metrics),
         };
-        thread::Builder::new()
+        let control = thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || control.run(store))
             .wrap_err("control thread")?;
@@ -82,7 +90,18 @@
                 block_on(serving)
             })
             .wrap_err("traffic thread")?;
-        Ok(Self { shared, traffic })
+        Ok(Self {
+            shared,
+            listen,
+            control,
+            traffic,
+        })
+    }
+
+    /// Addresses that the host listens on.
+    #[must_use]
+    pub const fn listen(&self) -> settings::Listen {
+        self.listen
     }
 
     /// Begins a planned stop.
@@ -94,11 +113,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the traffic thread failed.
+    /// Returns an error if a thread failed.
     pub fn close(self) -> eyre::Result<usize> {
-        self.traffic
-            .join()
-            .map_err(|_| eyre::eyre!("the traffic thread panicked"))?
+        let traffic = self.traffic.join();
+        self.shared.enter(Phase::Stopped);
+        let control = self.control.join();
+        let cut = traffic.map_err(|_| eyre::eyre!("the traffic thread panicked"))??;
+        control.map_err(|_| eyre::eyre!("the control thread panicked"))??;
+        Ok(cut)
     }
 }
 
@@ -123,8 +145,8 @@
     {
         let (links, health, metrics_listener) = self.sockets;
         let shared = self.shared.clone();
-        let metrics = self.metrics;
-        let events = events::Events::new(self.log);
+        let metrics = self.metrics.clone();
+        let observed = (events::Events::new(self.log), self.metrics);
         block_on(async move {
             let ready = probe::serve(health, move || readiness(&shared));
             tokio::task::spawn_local(ready);
@@ -136,7 +158,7 @@
                 store,
                 self.settings,
                 self.shared,
-                events,
+                observed,
                 links,
             )
             .await;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -44,6 +44,8 @@
     Leaving,
     /// Idle connections are closed, and the last requests are finished.
     Closing,
+    /// No request is left.
+    Stopped,
 }
 
 /// State that the threads share.
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -59,6 +59,21 @@
     }
 }
 
+/// What a host believes, as the metrics show it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Beliefs {
+    /// Version of the catalog in force, or 0.
+    pub catalog_version: u64,
+    /// Endpoints that take new requests.
+    pub endpoints: u64,
+    /// Hosts of the fleet that serve.
+    pub hosts_serving: u64,
+    /// Other hosts that spoke lately.
+    pub hosts_heard: u64,
+    /// Whether the store answered the last call.
+    pub store_answers: bool,
+}
+
 /// Instruments of one host. Clones share the instruments and can be used on any thread.
 #[derive(Clone)]
 pub struct Metrics {
@@ -73,6 +88,7 @@
     first_token: metrics::Histogram<f64>,
     token_gap: metrics::Histogram<f64>,
     link_bytes: metrics::Counter<u64>,
+    beliefs: metrics::Gauge<u64>,
 }
 
 impl Metrics {
@@ -117,6 +133,10 @@
                 &TOKEN_GAP_BUCKETS,
             ),
             link_bytes: counter(&meter, "link_bytes", "Bytes on the links between hosts"),
+            beliefs: meter
+                .u64_gauge("beliefs")
+                .with_description("What the host believes, by subject")
+                .build(),
             provider,
         };
         made.start_at_zero();
@@ -173,6 +193,20 @@
         self.link_bytes.add(bytes, &labels);
     }
 
+    /// Shows what the host believes.
+    pub fn believes(&self, beliefs: &Beliefs) {
+        let rows = [
+            ("catalog_version", beliefs.catalog_version),
+            ("endpoints", beliefs.endpoints),
+            ("hosts_serving", beliefs.hosts_serving),
+            ("hosts_heard", beliefs.hosts_heard),
+            ("store_answers", u64::from(beliefs.store_answers)),
+        ];
+        for (subject, value) in rows {
+            self.beliefs.record(value, &[label("subject", subject)]);
+        }
+    }
+
     /// Writes the metrics in the text format of Prometheus.
     ///
     /// # Errors
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod keyvalue;
+pub mod platform;
 pub mod relay;
 mod server;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/platform/endpoint.rs
@@ -0,0 +1,271 @@
+//! Stand-in of an endpoint that speaks the platform's dialect.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_core::Stream;
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::watch;
+
+use crate::platform::http;
+
+/// What an endpoint does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It answers with a whole body.
+    Answer {
+        /// HTTP status.
+        status: u16,
+    },
+    /// It states that it did not run the request.
+    Refuse,
+    /// It runs the request and closes the connection without an answer.
+    Lose,
+    /// It runs the request and never answers.
+    Hang,
+    /// It answers with the id of another request.
+    OtherId,
+    /// It answers without vouching for the answer.
+    Unsealed,
+    /// It sends a stream of events.
+    Stream {
+        /// Events of the whole stream.
+        events: u64,
+        /// Pause before each event.
+        pause: Duration,
+        /// Event in the middle of which the connection is cut, if any.
+        cut_at: Option<u64>,
+    },
+}
+
+/// A request that an endpoint ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Id of the request.
+    pub id: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers, as they arrived.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct Handler {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    runs: Mutex<Vec<Run>>,
+    /// Streams and hanging requests that were cancelled.
+    cancelled: watch::Sender<u64>,
+}
+
+/// An endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    server: http::Server,
+    handler: Arc<Handler>,
+}
+
+impl Endpoint {
+    /// Starts an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no address can be listened on.
+    pub fn start(id: &str, behaviour: Behaviour) -> eyre::Result<Self> {
+        let handler = Arc::new(Handler {
+            id: id.to_owned(),
+            behaviour: Mutex::new(behaviour),
+            runs: Mutex::default(),
+            cancelled: watch::Sender::new(0),
+        });
+        let server = http::Server::start(handler.clone())?;
+        Ok(Self { server, handler })
+    }
+
+    /// Address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.handler.id
+    }
+
+    /// Changes what it does with new requests.
+    pub fn set(&self, behaviour: Behaviour) {
+        *lock(&self.handler.behaviour) = behaviour;
+    }
+
+    /// Requests that it ran.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.handler.runs).clone()
+    }
+
+    /// Requests whose connection was closed while they ran.
+    #[must_use]
+    pub fn cancelled(&self) -> u64 {
+        *self.handler.cancelled.borrow()
+    }
+
+    /// Ends the endpoint and its connections.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Counts a request that is dropped before its end.
+struct Running {
+    handler: Arc<Handler>,
+    is_done: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.is_done {
+            self.handler.cancelled.send_modify(|n| *n += 1);
+        }
+    }
+}
+
+impl http::Handler for Handler {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        let (head, body) = req.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        let text = |name: &str| {
+            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or("").to_owned()
+        };
+        let id = text("x-request-id");
+        if text("x-expect-instance") != self.id {
+            return Some(self.reply(StatusCode::MISDIRECTED_REQUEST, &id, ""));
+        }
+        let behaviour = *lock(&self.behaviour);
+        if behaviour == Behaviour::Refuse {
+            let mut reply = self.reply(StatusCode::SERVICE_UNAVAILABLE, &id, "");
+            reply.headers_mut().insert("x-not-executed", value("1"));
+            return Some(reply);
+        }
+        let after: Option<u64> = text("last-event-id").parse().ok();
+        lock(&self.runs).push(Run {
+            id: id.clone(),
+            target: head.uri.to_string(),
+            headers: head.headers,
+            body,
+        });
+        match behaviour {
+            Behaviour::Answer { status } => {
+                let status = StatusCode::from_u16(status).ok()?;
+                Some(self.sealed(self.reply(status, &id, "answer")))
+            }
+            Behaviour::Refuse | Behaviour::Lose => None,
+            Behaviour::Hang => {
+                let _running = Running {
+                    handler: self.clone(),
+                    is_done: false,
+                };
+                std::future::pending().await
+            }
+            Behaviour::OtherId => Some(self.sealed(self.reply(StatusCode::OK, "another", "late"))),
+            Behaviour::Unsealed => Some(self.reply(StatusCode::OK, &id, "answer")),
+            Behaviour::Stream {
+                events,
+                pause,
+                cut_at,
+            } => {
+                let first = after.map_or(0, |after| after + 1);
+                let stream = self.clone().events(first..events, pause, cut_at);
+                let mut reply = self.sealed(self.reply(StatusCode::OK, &id, ""));
+                let headers = reply.headers_mut();
+                headers.insert("content-type", value("text/event-stream"));
+                Some(reply.map(|_| StreamBody::new(stream).boxed()))
+            }
+        }
+    }
+}
+
+fn value(text: &str) -> hyper::header::HeaderValue {
+    hyper::header::HeaderValue::from_str(text).expect("a header value")
+}
+
+impl Handler {
+    fn reply(&self, status: StatusCode, id: &str, body: &'static str) -> Response<http::Body> {
+        let mut reply = http::answer(status, body);
+        let headers = reply.headers_mut();
+        headers.insert("x-request-id", value(id));
+        headers.insert("x-instance-id", value(&self.id));
+        headers.insert("x-server-load", value("1,0,8"));
+        reply
+    }
+
+    fn sealed(&self, mut reply: Response<http::Body>) -> Response<http::Body> {
+        let seal = format!("seal-of-{}", self.id);
+        reply.headers_mut().insert("x-response-seal", value(&seal));
+        reply
+    }
+
+    /// Events of a stream, the last of which may be cut in its middle.
+    fn events(
+        self: Arc<Self>,
+        ids: std::ops::Range<u64>,
+        pause: Duration,
+        cut_at: Option<u64>,
+    ) -> impl Stream<Item = Result<Frame<Bytes>, std::io::Error>> + Send + Sync + 'static {
+        let (tx, rx) = tokio::sync::mpsc::channel(1);
+        let running = Running {
+            handler: self,
+            is_done: false,
+        };
+        tokio::spawn(async move {
+            let mut running = running;
+            for id in ids {
+                tokio::time::sleep(pause).await;
+                let event = format!("id: {id}\ndata: piece {id}\n\n");
+                let is_cut = cut_at == Some(id);
+                let bytes = match is_cut {
+                    true => Bytes::from(event[..event.len() / 2].to_owned()),
+                    false => Bytes::from(event),
+                };
+                if tx.send(Ok(Frame::data(bytes))).await.is_err() {
+                    return;
+                }
+                if is_cut {
+                    running.is_done = true;
+                    // The part of the event leaves before the connection is cut.
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    drop(tx.send(Err(std::io::Error::other("cut"))).await);
+                    return;
+                }
+            }
+            running.is_done = true;
+        });
+        Receiver(rx)
+    }
+}
+
+/// Stream of what is received.
+struct Receiver(tokio::sync::mpsc::Receiver<Result<Frame<Bytes>, std::io::Error>>);
+
+impl Stream for Receiver {
+    type Item = Result<Frame<Bytes>, std::io::Error>;
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0.poll_recv(cx)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/http.rs
@@ -0,0 +1,137 @@
+//! Serves HTTP on a loopback address, on a thread of its own.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use bytes::Bytes;
+use eyre::WrapErr as _;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::sync::watch;
+
+/// Body of an answer; an error cuts the connection.
+pub(crate) type Body = BoxBody<Bytes, std::io::Error>;
+
+/// What a stand-in does with a request. `None` closes the connection without an answer.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers a request.
+    fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> impl Future<Output = Option<Response<Body>>> + Send;
+}
+
+/// A server that runs until it is closed.
+#[derive(Debug)]
+pub(crate) struct Server {
+    addr: SocketAddr,
+    is_closed: watch::Sender<bool>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Server {
+    pub(crate) fn start<H>(handler: Arc<H>) -> eyre::Result<Self>
+    where
+        H: Handler,
+    {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").wrap_err("listener")?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let is_closed = watch::Sender::new(false);
+        let closed = is_closed.subscribe();
+        let thread = thread::Builder::new()
+            .name("stand-in".to_owned())
+            .spawn(move || run(listener, handler, closed))?;
+        Ok(Self {
+            addr,
+            is_closed,
+            thread,
+        })
+    }
+
+    pub(crate) const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    pub(crate) fn close(self) {
+        self.is_closed.send_replace(true);
+        // A thread that panicked has shown it in the output of the test.
+        drop(self.thread.join());
+    }
+}
+
+fn run<H>(listener: std::net::TcpListener, handler: Arc<H>, mut closed: watch::Receiver<bool>)
+where
+    H: Handler,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("an executor");
+    runtime.block_on(async move {
+        let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+        loop {
+            tokio::select! {
+                _ = closed.changed() => return,
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    tokio::spawn(serve(stream, handler.clone(), closed.clone()));
+                }
+            }
+        }
+    });
+}
+
+async fn serve<H>(stream: tokio::net::TcpStream, handler: Arc<H>, mut closed: watch::Receiver<bool>)
+where
+    H: Handler,
+{
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { handler.handle(req).await.ok_or(Closed) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // The caller sees what became of its connection.
+        _ = connection => {}
+        _ = closed.changed() => {}
+    }
+}
+
+/// Closes a connection without an answer.
+#[derive(Debug)]
+struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+/// A whole body.
+pub(crate) fn whole<B>(bytes: B) -> Body
+where
+    B: Into<Bytes>,
+{
+    let full = Full::new(bytes.into());
+    full.map_err(|never: Infallible| match never {}).boxed()
+}
+
+/// An answer with a status and a whole body.
+pub(crate) fn answer<B>(status: StatusCode, bytes: B) -> Response<Body>
+where
+    B: Into<Bytes>,
+{
+    let mut response = Response::new(whole(bytes));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,355 @@
+//! Stand-in of the platform's key-value service.
+//!
+//! Several [`Door`]s lead to one store, so that a test can shut the store to one host and leave it
+//! open to others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::platform::http;
+
+/// What a door does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It carries them out.
+    #[default]
+    Open,
+    /// It refuses them without doing anything.
+    Refusing,
+    /// It never answers.
+    Silent,
+    /// It carries writes out and loses the answers.
+    LosingAnswers,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: i64,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    item: Option<Item>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<Change>,
+    /// Changes up to and with this revision are forgotten.
+    forgotten: u64,
+    leases: i64,
+    calls: u64,
+}
+
+impl State {
+    fn write(&mut self, key: &str, item: Option<(Vec<u8>, i64)>) {
+        self.revision += 1;
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = item.map(|(value, lease)| Item {
+            value,
+            revision,
+            created,
+            lease,
+        });
+        match &item {
+            Some(item) => self.items.insert(key.to_owned(), item.clone()),
+            None => self.items.remove(key),
+        };
+        self.history.push(Change {
+            key: key.to_owned(),
+            revision,
+            item,
+        });
+    }
+
+    fn end_lease(&mut self, lease: i64) {
+        let of_lease = |item: &&Item| item.lease == lease;
+        let keys: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(_, item)| of_lease(item))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.write(&key, None);
+        }
+    }
+}
+
+fn shown(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key, "value": BASE64.encode(&item.value), "revision": item.revision,
+        "createdRev": item.created, "lease": item.lease,
+    })
+}
+
+/// The store behind all doors. Leases end only when they are ended.
+#[derive(Clone, Debug)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Store {
+    /// Makes an empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Writes an entry, as the operator or an endpoint would.
+    pub fn put(&self, key: &str, value: &Value) {
+        let bytes = value.to_string().into_bytes();
+        self.put_bytes(key, bytes);
+    }
+
+    /// Writes an entry that need not be JSON.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
+        self.edit(|state| state.write(key, Some((value, 0))));
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, key: &str) {
+        self.edit(|state| state.write(key, None));
+    }
+
+    /// Forgets the history, so that watches have to start anew.
+    pub fn forget_history(&self) {
+        self.edit(|state| {
+            state.forgotten = state.revision;
+            state.history.clear();
+        });
+    }
+
+    /// Calls that were made.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Opens a door to the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no address can be listened on.
+    pub fn door(&self) -> eyre::Result<Door> {
+        let handler = Arc::new(Handler {
+            store: self.clone(),
+            mode: watch::Sender::new(Mode::Open),
+        });
+        let server = http::Server::start(handler.clone())?;
+        Ok(Door { server, handler })
+    }
+
+    fn edit<F>(&self, edit: F)
+    where
+        F: FnOnce(&mut State),
+    {
+        let mut state = self.lock();
+        edit(&mut state);
+        self.changed.send_replace(state.revision);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An address of the store.
+#[derive(Debug)]
+pub struct Door {
+    server: http::Server,
+    handler: Arc<Handler>,
+}
+
+impl Door {
+    /// Address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Changes what the door does with calls, those that wait included.
+    pub fn set_mode(&self, mode: Mode) {
+        self.handler.mode.send_replace(mode);
+    }
+
+    /// Ends the door and its thread.
+    pub fn close(self) {
+        self.server.close();
+    }
+}
+
+#[derive(Debug)]
+struct Handler {
+    store: Store,
+    mode: watch::Sender<Mode>,
+}
+
+impl http::Handler for Handler {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        self.store.lock().calls += 1;
+        let mode = *self.mode.borrow();
+        if mode == Mode::Refusing {
+            return Some(http::answer(StatusCode::SERVICE_UNAVAILABLE, ""));
+        }
+        if mode == Mode::Silent {
+            self.until(|mode| mode != Mode::Silent).await;
+            return None;
+        }
+        let loses = mode == Mode::LosingAnswers && req.method() != Method::GET;
+        let mut shut = self.mode.subscribe();
+        let answer = tokio::select! {
+            answer = self.carry_out(req) => answer,
+            // A watch that waits is cut when the door is shut.
+            _ = shut.wait_for(|mode| *mode != Mode::Open) => None,
+        };
+        answer.filter(|_| !loses)
+    }
+}
+
+impl Handler {
+    async fn until<F>(&self, is_over: F)
+    where
+        F: Fn(Mode) -> bool,
+    {
+        let mut modes = self.mode.subscribe();
+        // The sender lives as long as this handler.
+        drop(modes.wait_for(|mode| is_over(*mode)).await);
+    }
+
+    async fn carry_out(&self, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        let path = req.uri().path().to_owned();
+        let query = query(req.uri().query().unwrap_or(""));
+        let method = req.method().clone();
+        let body = req.into_body().collect().await.ok()?.to_bytes();
+        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let call = path.strip_prefix("/pistachiochute/")?;
+        let (name, id) = call.split_once('/').unwrap_or((call, ""));
+        let lease: i64 = id.parse().unwrap_or(0);
+        Some(match (method, name) {
+            (Method::GET, "kv-range") => self.range(&query),
+            (Method::GET, "kv-watch") => self.watch(&query).await,
+            (Method::POST, "kv-txn") => self.txn(&body),
+            (Method::POST, "kv-lease") => {
+                let mut state = self.store.lock();
+                state.leases += 1;
+                ok(&json!({"lease": state.leases, "ttlMs": body["ttlMs"]}))
+            }
+            (Method::POST, "kv-keep") => ok(&json!({"ttlMs": 3_000})),
+            (Method::DELETE, "kv-lease-end") => {
+                self.store.edit(|state| state.end_lease(lease));
+                ok(&json!({}))
+            }
+            _ => http::answer(StatusCode::NOT_FOUND, ""),
+        })
+    }
+
+    fn range(&self, query: &BTreeMap<String, String>) -> Response<http::Body> {
+        let prefix = query.get("prefix").map_or("", String::as_str);
+        let state = self.store.lock();
+        let items: Vec<_> = state
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .map(|(key, item)| shown(key, item))
+            .collect();
+        ok(&json!({"items": items, "morePages": false, "asOf": state.revision}))
+    }
+
+    async fn watch(&self, query: &BTreeMap<String, String>) -> Response<http::Body> {
+        let prefix = query.get("prefix").cloned().unwrap_or_default();
+        let number = |name: &str| query.get(name).and_then(|n| n.parse::<u64>().ok());
+        let after = number("afterRevision").unwrap_or(0);
+        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+        let mut changed = self.store.changed.subscribe();
+        let waiting = async {
+            loop {
+                if let Some(answer) = self.changes(&prefix, after) {
+                    return answer;
+                }
+                if changed.changed().await.is_err() {
+                    return ok(&Value::Null);
+                }
+            }
+        };
+        match tokio::time::timeout(wait, waiting).await {
+            Ok(answer) => answer,
+            Err(_) => ok(&json!({"events": [], "asOf": self.store.lock().revision})),
+        }
+    }
+
+    /// Answer to a watch, if there is one yet.
+    fn changes(&self, prefix: &str, after: u64) -> Option<Response<http::Body>> {
+        let state = self.store.lock();
+        if after < state.forgotten {
+            return Some(http::answer(StatusCode::GONE, ""));
+        }
+        let is_new = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
+        let events: Vec<_> = state
+            .history
+            .iter()
+            .filter(is_new)
+            .map(|change| match &change.item {
+                Some(item) => shown(&change.key, item),
+                None => json!({
+                    "key": change.key, "revision": change.revision, "tombstone": true,
+                }),
+            })
+            .collect();
+        let answer = json!({"events": events, "asOf": state.revision});
+        (!events.is_empty()).then(|| ok(&answer))
+    }
+
+    fn txn(&self, body: &Value) -> Response<http::Body> {
+        let mut revision = 0;
+        self.store.edit(|state| {
+            for set in body["setKeys"].as_array().into_iter().flatten() {
+                let value = BASE64.decode(set["value"].as_str().unwrap_or(""));
+                let lease = set["lease"].as_i64().unwrap_or(0);
+                let key = set["key"].as_str().unwrap_or("");
+                state.write(key, Some((value.unwrap_or_default(), lease)));
+            }
+            revision = state.revision;
+        });
+        ok(&json!({"revision": revision}))
+    }
+}
+
+fn ok(value: &Value) -> Response<http::Body> {
+    http::answer(StatusCode::OK, value.to_string())
+}
+
+fn query(text: &str) -> BTreeMap<String, String> {
+    text.split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
