Add a fault soak of real processes, and a caller among the stand-ins

A seed draws overlapping faults: stops, kills, pauses, reloads, the store refusing, silent, losing answers, down for all, without its history; connections reset, delayed, silent both ways or one way; endpoints bad, cut and replaced; routes and keys changed. Checked: at most one run, true refusals, sealed and whole answers, streams in order, revoked keys, leaving endpoints, planned stops, recovery, and no process that ends by itself.

--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,199 @@
+//! The promises, held against what callers and endpoints saw.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use pistachiochute_standins::platform::caller::{events, whole};
+
+use crate::load::{Kind, Record};
+
+/// Events of every stream.
+pub(crate) const EVENTS: u64 = 25;
+
+/// Time after a key was taken away, with no fault on the host, after which it is refused: the
+/// bound of the pages (2 s) and the time that a host must have been undisturbed before (3 s).
+const KEY_BOUND: Duration = Duration::from_secs(5);
+
+/// Time after an endpoint said that it leaves after which no host sends to it: the longest fault,
+/// what may follow it, and the bound of the pages.
+const LEAVING_BOUND: Duration = Duration::from_secs(12);
+
+/// Time around a disturbance in which a host owes no bound on time.
+const DISTURBED: Duration = Duration::from_secs(3);
+
+/// A run of a request at an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Ran {
+    pub id: String,
+    pub endpoint: String,
+    pub at: Instant,
+}
+
+/// A time in which a host was disturbed, and whether by a planned stop alone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Disturbed {
+    pub host: usize,
+    pub from: Instant,
+    pub until: Instant,
+    pub is_planned: bool,
+}
+
+/// Everything that was seen.
+#[derive(Default)]
+pub(crate) struct Seen {
+    pub records: Vec<Record>,
+    pub runs: Vec<Ran>,
+    pub disturbed: Vec<Disturbed>,
+    /// When keys were taken away, by their numbers.
+    pub revoked: HashMap<u64, Instant>,
+    /// When endpoints said that they leave.
+    pub left: HashMap<String, Instant>,
+    /// Endpoints that were never disturbed.
+    pub steady: Vec<String>,
+    /// What the run itself found.
+    pub found: Vec<String>,
+}
+
+/// What a seed showed.
+pub(crate) struct Verdict {
+    pub seed: u64,
+    pub requests: usize,
+    pub served: usize,
+    pub runs: usize,
+    pub faults: usize,
+    pub broken: Vec<String>,
+}
+
+impl Verdict {
+    /// Whether every promise was kept.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} requests, {} served, {} runs, {} faults, {}",
+            self.seed,
+            self.requests,
+            self.served,
+            self.runs,
+            self.faults,
+            if self.is_kept() { "kept" } else { "BROKEN" },
+        )?;
+        for broken in &self.broken {
+            write!(f, "\n  {broken}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Seen {
+    /// Holds what was seen against the promises.
+    pub(crate) fn check(&self) -> Vec<String> {
+        let mut broken = self.found.clone();
+        let mut runs: HashMap<&str, Vec<&Ran>> = HashMap::new();
+        for ran in &self.runs {
+            runs.entry(&ran.id).or_default().push(ran);
+        }
+        for record in &self.records {
+            let of_record = runs.get(&*record.id).map_or(&[][..], Vec::as_slice);
+            broken.extend(check_runs(record, of_record));
+            broken.extend(check_answer(record, of_record));
+            broken.extend(self.check_key(record));
+            broken.extend(self.check_stop(record, of_record));
+        }
+        for ran in &self.runs {
+            let left = self.left.get(&ran.endpoint);
+            if left.is_some_and(|left| ran.at.saturating_duration_since(*left) > LEAVING_BOUND) {
+                broken.push(format!(
+                    "{} reached {} long after it left",
+                    ran.id, ran.endpoint
+                ));
+            }
+        }
+        broken
+    }
+
+    /// A key that was taken away is refused in time.
+    fn check_key(&self, record: &Record) -> Option<String> {
+        let revoked = self.revoked.get(&record.key)?;
+        let late = record.sent.saturating_duration_since(*revoked) > KEY_BOUND;
+        let is_served = (200..300).contains(&record.answer.status);
+        let calm = !self.is_disturbed(record.host, *revoked, record.sent, true);
+        (late && calm && is_served)
+            .then(|| format!("{} was served with a key that was taken away", record.id))
+    }
+
+    /// A planned stop cuts off nothing that a sound endpoint was working on.
+    fn check_stop(&self, record: &Record, runs: &[&Ran]) -> Option<String> {
+        let stop = self.disturbed.iter().find(|d| {
+            let in_flight = record.sent <= d.from && d.from <= record.ended;
+            d.is_planned && d.host == record.host && in_flight
+        })?;
+        let from = stop.from - DISTURBED;
+        let alone = !self.is_disturbed(record.host, from, record.ended, false);
+        let at_steady = !runs.is_empty() && runs.iter().all(|r| self.steady.contains(&r.endpoint));
+        let is_cut = !record.left && !record.answer.is_whole;
+        (alone && at_steady && is_cut)
+            .then(|| format!("{} was cut off by a planned stop", record.id))
+    }
+
+    /// Whether a host was disturbed between two points in time.
+    fn is_disturbed(&self, host: usize, from: Instant, until: Instant, planned: bool) -> bool {
+        self.disturbed.iter().any(|d| {
+            let counts = planned || !d.is_planned;
+            counts && d.host == host && d.from <= until && d.until + DISTURBED >= from
+        })
+    }
+}
+
+/// What may run once does, and what is said not to have run has not.
+fn check_runs(record: &Record, runs: &[&Ran]) -> Option<String> {
+    if matches!(record.kind, Kind::Call | Kind::Resumable) {
+        return None;
+    }
+    if runs.len() > 1 {
+        return Some(format!("{} ran {} times: {runs:?}", record.id, runs.len()));
+    }
+    let says_not_run = matches!(record.answer.status, 408 | 421 | 429 | 503);
+    (says_not_run && !runs.is_empty()).then(|| {
+        format!(
+            "{} ran and was answered {}",
+            record.id, record.answer.status
+        )
+    })
+}
+
+/// A success is the whole answer of an endpoint to this very request.
+fn check_answer(record: &Record, runs: &[&Ran]) -> Option<String> {
+    let answer = &record.answer;
+    if !(200..300).contains(&answer.status) {
+        return None;
+    }
+    let Some(seal) = answer.header("x-response-seal") else {
+        return Some(format!("{} was served without a seal", record.id));
+    };
+    let sealed_by_run = runs
+        .iter()
+        .any(|ran| seal == format!("seal-of-{}", ran.endpoint));
+    if !sealed_by_run {
+        return Some(format!("{} bears the seal {seal} of no run", record.id));
+    }
+    let is_stream = matches!(record.kind, Kind::Stream | Kind::Resumable);
+    let expected = match is_stream {
+        true => events(&record.id, 0..EVENTS),
+        false => whole(&record.id),
+    };
+    if answer.is_whole && answer.body != expected {
+        return Some(format!(
+            "{} got a wrong whole body: {:?}",
+            record.id, answer.body
+        ));
+    }
+    (!expected.starts_with(&answer.body))
+        .then(|| format!("{} got wrong bytes: {:?}", record.id, answer.body))
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,553 @@
+//! Plays one seed: a store, endpoints and hosts, with faults as the schedule says.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr as _;
+use pistachiochute_standins::platform::caller::Ask;
+use pistachiochute_standins::platform::endpoint::{Behaviour, Endpoint};
+use pistachiochute_standins::platform::store::{Door, Mode, Store};
+use pistachiochute_standins::relay::Relay;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::checks::{Disturbed, EVENTS, Ran, Seen, Verdict};
+use crate::process::{Host, STOP_S};
+use crate::schedule::{Fault, draw};
+use crate::{load, schedule};
+
+/// Endpoints that are disturbed.
+const ENDPOINTS: usize = 4;
+
+/// Endpoints that are never disturbed, so that something is always served.
+const STEADY: usize = 2;
+
+/// Callers of each host.
+const CALLERS: usize = 3;
+
+/// Time in which all hosts serve after the last fault has ended.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Time in which a new fleet serves.
+const START: Duration = Duration::from_secs(20);
+
+const GOOD: Behaviour = Behaviour::Stream {
+    events: EVENTS,
+    pause: Duration::from_millis(8),
+    cut_at: None,
+};
+
+/// One seed and its sizes.
+pub(crate) struct Run {
+    pub seed: u64,
+    pub hosts: usize,
+    pub length: Duration,
+    pub daemon: PathBuf,
+}
+
+/// An endpoint with an address of its own for the fleet. It serves calls at one address and
+/// streams at another.
+struct Served {
+    calls: Endpoint,
+    streams: Endpoint,
+    relays: [Relay; 2],
+    sequence: u64,
+}
+
+impl Served {
+    fn start(name: &str) -> eyre::Result<Self> {
+        let calls = Endpoint::start(&format!("{name}-call"), Behaviour::Answer { status: 200 })?;
+        let streams = Endpoint::start(&format!("{name}-stream"), GOOD)?;
+        let relays = [Relay::start(calls.addr())?, Relay::start(streams.addr())?];
+        Ok(Self {
+            calls,
+            streams,
+            relays,
+            sequence: 0,
+        })
+    }
+
+    fn both(&self) -> [&Endpoint; 2] {
+        [&self.calls, &self.streams]
+    }
+
+    /// Writes the entries of the endpoint.
+    fn register(&mut self, store: &Store, state: &str) {
+        self.sequence += 1;
+        for (i, endpoint) in self.both().into_iter().enumerate() {
+            let service = ["calls", "streams"][i];
+            let entry = json!({
+                "service": service, "address": self.relays[i].addr(),
+                "zone": "dom-a", "version": "v1", "slots": 16, "state": state,
+                "coldRemainingMs": 0, "sequence": self.sequence, "born": 1,
+            });
+            store.put(&format!("servers/{}", endpoint.id()), &entry);
+        }
+    }
+
+    fn set(&self, calls: Behaviour, streams: Behaviour) {
+        self.calls.set(calls);
+        self.streams.set(streams);
+    }
+
+    fn runs(&self) -> Vec<Ran> {
+        let runs = self.both().into_iter().flat_map(|endpoint| {
+            let ran = |run: pistachiochute_standins::platform::endpoint::Run| Ran {
+                id: run.id,
+                endpoint: endpoint.id().to_owned(),
+                at: run.at,
+            };
+            endpoint.runs().into_iter().map(ran)
+        });
+        runs.collect()
+    }
+}
+
+/// Bad behaviours of calls and streams.
+fn bad(kind: u8) -> (Behaviour, Behaviour) {
+    let cut = Behaviour::Stream {
+        events: EVENTS,
+        pause: Duration::from_millis(8),
+        cut_at: Some(u64::from(kind) * 4),
+    };
+    match kind {
+        0 => (Behaviour::Refuse, Behaviour::Refuse),
+        1 => (Behaviour::Lose, cut),
+        2 => (Behaviour::Hang, Behaviour::Hang),
+        3 => (Behaviour::OtherId, cut),
+        4 => (Behaviour::Unsealed, Behaviour::Lose),
+        _ => (Behaviour::Answer { status: 503 }, cut),
+    }
+}
+
+/// What ends a fault.
+type Ending = Box<dyn FnOnce(&mut World) -> eyre::Result<()>>;
+
+/// Everything that a seed plays with.
+struct World {
+    store: Store,
+    doors: Vec<Door>,
+    store_relays: Vec<Relay>,
+    hosts: Vec<Host>,
+    served: Vec<Served>,
+    /// Endpoints that have left, kept for what they ran.
+    gone: Vec<Served>,
+    callers: Arc<load::Shared>,
+    version: u64,
+    routes: u64,
+    seen: Seen,
+}
+
+impl World {
+    fn start(run: &Run, dir: &std::path::Path) -> eyre::Result<Self> {
+        let store = Store::new();
+        let mut world = Self {
+            store,
+            doors: Vec::new(),
+            store_relays: Vec::new(),
+            hosts: Vec::new(),
+            served: Vec::new(),
+            gone: Vec::new(),
+            callers: Arc::default(),
+            version: 0,
+            routes: 0,
+            seen: Seen::default(),
+        };
+        world.configure();
+        for i in 0..ENDPOINTS + STEADY {
+            let mut served = Served::start(&format!("i-{i}"))?;
+            served.register(&world.store, "ready");
+            if i >= ENDPOINTS {
+                let names = served.both().map(|e| e.id().to_owned());
+                world.seen.steady.extend(names);
+            }
+            world.served.push(served);
+        }
+        for i in 0..run.hosts {
+            let door = world.store.door()?;
+            let relay = Relay::start(door.addr())?;
+            let domain = ["dom-a", "dom-b"][i % 2];
+            let host = Host::start(i, domain, relay.addr(), &run.daemon, dir)?;
+            world.hosts.push(host);
+            world.doors.push(door);
+            world.store_relays.push(relay);
+        }
+        Ok(world)
+    }
+
+    /// Writes the next version of the configuration.
+    fn configure(&mut self) {
+        self.version += 1;
+        let key = load::key(self.callers.key.load(Ordering::Relaxed));
+        let route = |name: &str, kind: &str, service: &str, attempts: u32| {
+            json!({
+                "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind,
+                "timeoutMs": 4_000, "targetLatencyMs": 500, "priority": 1, "service": service,
+                "maxAttempts": attempts, "streamResume": name == "resumable",
+            })
+        };
+        let mut routes = vec![
+            route("call", "safe", "calls", 3),
+            route("once", "unsafe", "calls", 2),
+            route("stream", "streaming", "streams", 1),
+            route("resumable", "streaming", "streams", 3),
+        ];
+        for i in 0..self.routes {
+            routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
+        }
+        let config: Value = json!({
+            "version": self.version, "routes": routes,
+            "services": [
+                {"name": "calls", "maxConnections": 400},
+                {"name": "streams", "maxConnections": 400},
+            ],
+            "limits": {
+                "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000,
+            },
+            "tenants": [{"name": "farm", "apiKeys": [key], "priority": 3}],
+        });
+        self.store.put("op/config", &config);
+    }
+
+    fn disturb(&mut self, host: usize, span: Duration, is_planned: bool) {
+        let from = Instant::now();
+        self.seen.disturbed.push(Disturbed {
+            host,
+            from,
+            until: from + span,
+            is_planned,
+        });
+    }
+
+    /// Begins a fault. Returns what ends it and when, if it lasts.
+    fn begin(&mut self, fault: Fault) -> eyre::Result<Option<(Duration, Ending)>> {
+        let lasting = |span: Duration, ending: Ending| Ok(Some((span, ending)));
+        match fault {
+            Fault::Stop { host } => {
+                self.disturb(host, Duration::from_secs(STOP_S + 2), true);
+                self.hosts[host].signal(Signal::TERM)?;
+                let span = Duration::from_secs(STOP_S) + Duration::from_millis(200);
+                lasting(span, Box::new(move |world| world.stopped(host)))
+            }
+            Fault::Kill { host, down } => {
+                self.disturb(host, down + Duration::from_secs(1), false);
+                self.hosts[host].kill()?;
+                lasting(down, Box::new(move |world| world.hosts[host].spawn()))
+            }
+            Fault::Pause { host, span } => {
+                self.disturb(host, span, false);
+                self.hosts[host].signal(Signal::STOP)?;
+                lasting(span, Box::new(move |w| w.hosts[host].signal(Signal::CONT)))
+            }
+            Fault::Reload { host } => {
+                self.hosts[host].signal(Signal::HUP)?;
+                Ok(None)
+            }
+            Fault::StoreRefuses { host, span } => Ok(self.shut(host, Mode::Refusing, span)),
+            Fault::StoreSilent { host, span } => Ok(self.shut(host, Mode::Silent, span)),
+            Fault::StoreLosesAnswers { host, span } => {
+                Ok(self.shut(host, Mode::LosingAnswers, span))
+            }
+            Fault::StoreDown { span } => {
+                for host in 0..self.doors.len() {
+                    self.shut(host, Mode::Refusing, span);
+                }
+                let open = |world: &mut Self| {
+                    world
+                        .doors
+                        .iter()
+                        .for_each(|door| door.set_mode(Mode::Open));
+                    Ok(())
+                };
+                lasting(span, Box::new(open))
+            }
+            Fault::StoreForgets => {
+                self.store.forget_history();
+                Ok(None)
+            }
+            Fault::StoreReset { host } => {
+                self.disturb(host, Duration::ZERO, false);
+                self.store_relays[host].reset();
+                Ok(None)
+            }
+            Fault::StoreConnectionsSilent { host, one_way } => {
+                // The host finds out by a timeout of its own.
+                self.disturb(host, Duration::from_secs(12), false);
+                silence(&self.store_relays[host], one_way);
+                Ok(None)
+            }
+            Fault::StoreDelayed { host, span } => {
+                self.disturb(host, span, false);
+                self.store_relays[host].delay(Duration::from_millis(150));
+                let ending = move |world: &mut Self| {
+                    world.store_relays[host].delay(Duration::ZERO);
+                    Ok(())
+                };
+                lasting(span, Box::new(ending))
+            }
+            other => self.begin_at_endpoint(other),
+        }
+    }
+
+    fn begin_at_endpoint(&mut self, fault: Fault) -> eyre::Result<Option<(Duration, Ending)>> {
+        match fault {
+            Fault::EndpointReset { endpoint } => {
+                self.served[endpoint].relays.iter().for_each(Relay::reset);
+            }
+            Fault::EndpointSilent { endpoint, one_way } => {
+                let relays = &self.served[endpoint].relays;
+                relays.iter().for_each(|relay| silence(relay, one_way));
+            }
+            Fault::EndpointCut { endpoint, span } => {
+                self.served[endpoint].relays.iter().for_each(Relay::cut);
+                let heal = move |world: &mut Self| {
+                    world.served[endpoint].relays.iter().for_each(Relay::heal);
+                    Ok(())
+                };
+                return Ok(Some((span, Box::new(heal))));
+            }
+            Fault::EndpointBad {
+                endpoint,
+                kind,
+                span,
+            } => {
+                let (calls, streams) = bad(kind);
+                self.served[endpoint].set(calls, streams);
+                let heal = move |world: &mut Self| {
+                    world.served[endpoint].set(Behaviour::Answer { status: 200 }, GOOD);
+                    Ok(())
+                };
+                return Ok(Some((span, Box::new(heal))));
+            }
+            Fault::EndpointReplaced { endpoint } => self.replace(endpoint)?,
+            Fault::RouteAdded => {
+                self.routes += 1;
+                self.configure();
+            }
+            _ => self.change_key(),
+        }
+        Ok(None)
+    }
+
+    /// Lets an endpoint leave, and another one take its place.
+    fn replace(&mut self, endpoint: usize) -> eyre::Result<()> {
+        let name = format!("i-{endpoint}-{}", self.gone.len());
+        let mut next = Served::start(&name)?;
+        next.register(&self.store, "ready");
+        let mut old = std::mem::replace(&mut self.served[endpoint], next);
+        old.register(&self.store, "draining");
+        old.set(Behaviour::Answer { status: 200 }, GOOD);
+        for endpoint in old.both() {
+            let name = endpoint.id().to_owned();
+            self.seen.left.insert(name, Instant::now());
+        }
+        self.gone.push(old);
+        Ok(())
+    }
+
+    /// Takes the key of all callers away and gives them another.
+    fn change_key(&mut self) {
+        let old = self.callers.key.fetch_add(1, Ordering::Relaxed);
+        self.configure();
+        self.seen.revoked.insert(old, Instant::now());
+    }
+
+    fn shut(&mut self, host: usize, mode: Mode, span: Duration) -> Option<(Duration, Ending)> {
+        self.disturb(host, span, false);
+        self.doors[host].set_mode(mode);
+        let open = move |world: &mut Self| {
+            world.doors[host].set_mode(Mode::Open);
+            Ok(())
+        };
+        Some((span, Box::new(open)))
+    }
+
+    /// Ends a planned stop.
+    fn stopped(&mut self, host: usize) -> eyre::Result<()> {
+        let was_running = self.hosts[host].is_running();
+        match self.hosts[host].wait_stopped()? {
+            Some(_) => {}
+            None if was_running => {
+                let name = &self.hosts[host].name;
+                self.seen
+                    .found
+                    .push(format!("{name} did not end a planned stop"));
+            }
+            None => {}
+        }
+        self.hosts[host].spawn()
+    }
+
+    /// Notes processes that ended although nobody stopped them.
+    fn watch(&mut self, stopping: &[usize]) -> eyre::Result<()> {
+        for (i, host) in self.hosts.iter_mut().enumerate() {
+            if stopping.contains(&i) {
+                continue;
+            }
+            if let Some(status) = host.ended_by_itself()? {
+                let found = format!("{} ended by itself: {status}", host.name);
+                self.seen.found.push(found);
+                host.spawn()?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every host serves. Returns those that do not.
+    fn unready(&self, within: Duration) -> Vec<String> {
+        let end = Instant::now() + within;
+        let key = load::key(self.callers.key.load(Ordering::Relaxed));
+        let serves = |address: SocketAddr| {
+            let ask = Ask::new("probe", "/call/", &key);
+            ask.send(address).status == 200
+        };
+        let mut waiting: Vec<_> = self.hosts.iter().collect();
+        while !waiting.is_empty() && Instant::now() < end {
+            waiting.retain(|host| !serves(host.callers));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        waiting.iter().map(|host| host.name.clone()).collect()
+    }
+
+    fn close(mut self) -> eyre::Result<Seen> {
+        for host in &mut self.hosts {
+            host.kill()?;
+        }
+        self.seen.records = self.callers.records();
+        for served in self.served.iter().chain(&self.gone) {
+            self.seen.runs.extend(served.runs());
+        }
+        for relay in self.store_relays {
+            relay.close();
+        }
+        for door in self.doors {
+            door.close();
+        }
+        for served in self.served.into_iter().chain(self.gone) {
+            served.calls.close();
+            served.streams.close();
+            served.relays.into_iter().for_each(Relay::close);
+        }
+        Ok(self.seen)
+    }
+}
+
+fn silence(relay: &Relay, one_way: bool) {
+    match one_way {
+        true => relay.forget_answers(),
+        false => relay.forget(),
+    }
+}
+
+/// Host of a fault that ends with a process that is stopped on purpose.
+const fn stopping(fault: Fault) -> Option<usize> {
+    match fault {
+        Fault::Stop { host } => Some(host),
+        _ => None,
+    }
+}
+
+impl Run {
+    /// Plays the seed.
+    pub(crate) fn play(&self) -> eyre::Result<Verdict> {
+        let dir = std::env::temp_dir().join(format!(
+            "pistachiochute-soak-{}-{}",
+            std::process::id(),
+            self.seed
+        ));
+        std::fs::create_dir_all(&dir).wrap_err("directory of the run")?;
+        let mut world = World::start(self, &dir)?;
+        let unready = world.unready(START);
+        eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
+        let callers = self.start_callers(&world);
+        let steps = draw(self.seed, self.hosts, ENDPOINTS, self.length);
+        play_steps(&mut world, &steps)?;
+        let unready = world.unready(RECOVERY);
+        if !unready.is_empty() {
+            let found = format!("hosts that do not recover: {unready:?}");
+            world.seen.found.push(found);
+        }
+        world.callers.is_over.store(true, Ordering::Relaxed);
+        for caller in callers {
+            caller
+                .join()
+                .map_err(|_| eyre::eyre!("a caller panicked"))?;
+        }
+        let seen = world.close()?;
+        let verdict = self.verdict(&seen, steps.len());
+        match verdict.is_kept() {
+            true => std::fs::remove_dir_all(&dir).wrap_err("directory of the run")?,
+            false => eprintln!("logs of seed {} are in {}", self.seed, dir.display()),
+        }
+        Ok(verdict)
+    }
+
+    fn start_callers(&self, world: &World) -> Vec<std::thread::JoinHandle<()>> {
+        let hosts = world.hosts.iter().enumerate();
+        let callers = hosts.flat_map(|(i, host)| {
+            let address = host.callers;
+            (0..CALLERS).map(move |caller| (i, address, i * CALLERS + caller))
+        });
+        let start = |(host, address, number)| {
+            load::start(world.callers.clone(), (host, address), (self.seed, number))
+        };
+        callers.map(start).collect()
+    }
+
+    fn verdict(&self, seen: &Seen, faults: usize) -> Verdict {
+        let is_served = |record: &&load::Record| {
+            (200..300).contains(&record.answer.status) && record.answer.is_whole
+        };
+        Verdict {
+            seed: self.seed,
+            requests: seen.records.len(),
+            served: seen.records.iter().filter(is_served).count(),
+            runs: seen.runs.len(),
+            faults,
+            broken: seen.check(),
+        }
+    }
+}
+
+/// Plays the faults of a schedule, and ends all that are still under way.
+fn play_steps(world: &mut World, steps: &[schedule::Step]) -> eyre::Result<()> {
+    let began = Instant::now();
+    let mut steps = steps.iter().peekable();
+    let mut under_way: Vec<(Instant, Option<usize>, Ending)> = Vec::new();
+    while steps.peek().is_some() || !under_way.is_empty() {
+        let now = Instant::now();
+        let (due, rest): (Vec<_>, Vec<_>) = under_way.into_iter().partition(|(at, ..)| *at <= now);
+        under_way = rest;
+        for (_, _, end) in due {
+            end(world)?;
+        }
+        let busy: Vec<_> = under_way.iter().filter_map(|(_, host, _)| *host).collect();
+        world.watch(&busy)?;
+        if let Some(step) = steps.next_if(|step| began + step.at <= now) {
+            // A host that is being stopped is left alone until it has ended.
+            let touches = host_of(step.fault);
+            if !touches.is_some_and(|host| busy.contains(&host))
+                && let Some((span, end)) = world.begin(step.fault)?
+            {
+                under_way.push((Instant::now() + span, stopping(step.fault), end));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    Ok(())
+}
+
+/// Host whose process a fault touches.
+const fn host_of(fault: Fault) -> Option<usize> {
+    match fault {
+        Fault::Stop { host }
+        | Fault::Kill { host, .. }
+        | Fault::Pause { host, .. }
+        | Fault::Reload { host } => Some(host),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/process.rs
@@ -0,0 +1,144 @@
+//! Host processes. Only processes that were started here are signalled, by their ids.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use eyre::WrapErr as _;
+use rustix::process::{Pid, Signal};
+use serde_json::json;
+
+/// Time of a planned stop, in seconds.
+pub(crate) const STOP_S: u64 = 4;
+
+/// Time beyond that of a planned stop after which a process counts as hanging.
+const STOP_SLACK: Duration = Duration::from_secs(10);
+
+/// A host, running or not.
+pub(crate) struct Host {
+    pub name: String,
+    pub callers: SocketAddr,
+    daemon: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+fn free_address() -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("a free port")?;
+    Ok(listener.local_addr()?)
+}
+
+impl Host {
+    /// Writes the settings of a host and starts it.
+    pub(crate) fn start(
+        number: usize,
+        domain: &str,
+        store: SocketAddr,
+        daemon: &Path,
+        dir: &Path,
+    ) -> eyre::Result<Self> {
+        let name = format!("host-{number}");
+        let callers = free_address()?;
+        let settings = json!({
+            "host": {"name": name, "domain": domain},
+            "listen": {
+                "callers": callers, "health": free_address()?, "links": free_address()?,
+                "metrics": free_address()?,
+            },
+            "store": {"address": store, "lease_ms": 3_000},
+            "retry": {"ratio": 0.2, "extra": 40},
+            "stop_s": STOP_S,
+            "catalog_lag_ms": 2_000,
+        });
+        let path = dir.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).wrap_err("settings of a host")?;
+        let mut host = Self {
+            log: dir.join(format!("{name}.log")),
+            name,
+            callers,
+            daemon: daemon.to_owned(),
+            settings: path,
+            child: None,
+        };
+        host.spawn()?;
+        Ok(host)
+    }
+
+    /// Starts the process, if it does not run.
+    pub(crate) fn spawn(&mut self) -> eyre::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .wrap_err("log of a host")?;
+        let child = Command::new(&self.daemon)
+            .arg("--on-platform")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("start {}", self.daemon.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub(crate) const fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// How the process ended, if it did so by itself.
+    pub(crate) fn ended_by_itself(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        let status = child.try_wait()?;
+        if status.is_some() {
+            self.child = None;
+        }
+        Ok(status)
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let pid = Pid::from_child(child);
+        rustix::process::kill_process(pid, signal).wrap_err("signal")
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) -> eyre::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the end of a planned stop. Returns `None` if the process hangs; it is killed then.
+    pub(crate) fn wait_stopped(&mut self) -> eyre::Result<Option<ExitStatus>> {
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        let end = Instant::now() + Duration::from_secs(STOP_S) + STOP_SLACK;
+        while Instant::now() < end {
+            if let Some(status) = child.try_wait()? {
+                self.child = None;
+                return Ok(Some(status));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        self.kill()?;
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/caller.rs
@@ -0,0 +1,181 @@
+//! A caller that sees every byte of its answers.
+
+use std::fmt::Write as _;
+use std::io::{self, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A whole answer, or what came of it before the connection ended.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// HTTP status, or 0 if no head came.
+    pub status: u16,
+    /// Head as text.
+    pub head: String,
+    /// Body, as far as it came.
+    pub body: String,
+    /// Whether the body ended as its head says.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    /// Value of a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        lines
+            .find(|(found, _)| found.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Id of the request.
+    pub id: String,
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// API key.
+    pub key: String,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Ask {
+    /// Makes a request.
+    #[must_use]
+    pub fn new(id: &str, path: &str, key: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            method: "POST",
+            path: path.to_owned(),
+            key: key.to_owned(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Replaces the key.
+    #[must_use]
+    pub fn key(mut self, key: &str) -> Self {
+        key.clone_into(&mut self.key);
+        self
+    }
+
+    /// Sends the request on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn open(&self, addr: SocketAddr) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(addr)?;
+        stream.set_read_timeout(Some(TIMEOUT))?;
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nAuthorization: Bearer {}\r\n",
+            self.method, self.path, self.id, self.key,
+        );
+        for (name, value) in &self.headers {
+            // Writing to a string does not fail.
+            let _ = write!(text, "{name}: {value}\r\n");
+        }
+        text.push_str("Content-Length: 4\r\n\r\nbody");
+        stream.write_all(text.as_bytes())?;
+        Ok(stream)
+    }
+
+    /// Sends the request and reads its answer, which is empty if there is no connection.
+    #[must_use]
+    pub fn send(&self, addr: SocketAddr) -> Answer {
+        match self.open(addr) {
+            Ok(mut stream) => read(&mut stream),
+            Err(_) => Answer::default(),
+        }
+    }
+}
+
+/// Reads one answer.
+pub fn read(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4_096];
+    loop {
+        if let Some(answer) = parse(&bytes, false) {
+            return answer;
+        }
+        match stream.read(&mut buf) {
+            Ok(0) | Err(_) => {
+                return parse(&bytes, true).unwrap_or_default();
+            }
+            Ok(n) => bytes.extend_from_slice(&buf[..n]),
+        }
+    }
+}
+
+/// The answer in the bytes, once it is whole or the connection has ended.
+fn parse(bytes: &[u8], is_ended: bool) -> Option<Answer> {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let status = head.get(9..12)?.parse().ok()?;
+    let mut answer = Answer {
+        status,
+        head: head.to_owned(),
+        body: String::new(),
+        is_whole: false,
+    };
+    if let Some(len) = answer.header("content-length") {
+        let len: usize = len.parse().unwrap_or(usize::MAX);
+        answer.is_whole = rest.len() >= len;
+        answer.body = rest.get(..len).unwrap_or(rest).to_owned();
+    } else {
+        (answer.body, answer.is_whole) = unchunk(rest);
+    }
+    (answer.is_whole || is_ended).then_some(answer)
+}
+
+/// Chunks of a body so far, and whether the last one came.
+fn unchunk(mut rest: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, true);
+        }
+        let Some(chunk) = after.get(..size) else {
+            break;
+        };
+        body.push_str(chunk);
+        rest = after.get(size + 2..).unwrap_or("");
+    }
+    (body, false)
+}
+
+/// Events of the stream of a request, with the given ids.
+#[must_use]
+pub fn events(request: &str, ids: std::ops::Range<u64>) -> String {
+    ids.map(|id| event(request, id)).collect()
+}
+
+/// One event of the stream of a request.
+#[must_use]
+pub fn event(request: &str, id: u64) -> String {
+    format!("id: {id}\ndata: piece {id} of {request}\n\n")
+}
+
+/// Body of a whole answer to a request.
+#[must_use]
+pub fn whole(request: &str) -> String {
+    format!("answer to {request}")
+}
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_core::Stream;
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::watch;
 
-use crate::platform::http;
+use crate::platform::{caller, http};
 
 /// What an endpoint does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +53,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// When it began.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
@@ -165,11 +167,12 @@
             target: head.uri.to_string(),
             headers: head.headers,
             body,
+            at: Instant::now(),
         });
         match behaviour {
             Behaviour::Answer { status } => {
                 let status = StatusCode::from_u16(status).ok()?;
-                Some(self.sealed(self.reply(status, &id, "answer")))
+                Some(self.sealed(self.reply(status, &id, caller::whole(&id))))
             }
             Behaviour::Refuse | Behaviour::Lose => None,
             Behaviour::Hang => {
@@ -179,15 +182,19 @@
                 };
                 std::future::pending().await
             }
-            Behaviour::OtherId => Some(self.sealed(self.reply(StatusCode::OK, "another", "late"))),
-            Behaviour::Unsealed => Some(self.reply(StatusCode::OK, &id, "answer")),
+            Behaviour::OtherId => {
+                Some(self.sealed(self.reply(StatusCode::OK, "another", caller::whole("another"))))
+            }
+            Behaviour::Unsealed => Some(self.reply(StatusCode::OK, &id, caller::whole(&id))),
             Behaviour::Stream {
                 events,
                 pause,
                 cut_at,
             } => {
                 let first = after.map_or(0, |after| after + 1);
-                let stream = self.clone().events(first..events, pause, cut_at);
+                let stream = self
+                    .clone()
+                    .events(id.clone(), first..events, pause, cut_at);
                 let mut reply = self.sealed(self.reply(StatusCode::OK, &id, ""));
                 let headers = reply.headers_mut();
                 headers.insert("content-type", value("text/event-stream"));
@@ -202,7 +209,10 @@
 }
 
 impl Handler {
-    fn reply(&self, status: StatusCode, id: &str, body: &'static str) -> Response<http::Body> {
+    fn reply<B>(&self, status: StatusCode, id: &str, body: B) -> Response<http::Body>
+    where
+        B: Into<Bytes>,
+    {
         let mut reply = http::answer(status, body);
         let headers = reply.headers_mut();
         headers.insert("x-request-id", value(id));
@@ -220,6 +230,7 @@
     /// Events of a stream, the last of which may be cut in its middle.
     fn events(
         self: Arc<Self>,
+        request: String,
         ids: std::ops::Range<u64>,
         pause: Duration,
         cut_at: Option<u64>,
@@ -233,7 +244,7 @@
             let mut running = running;
             for id in ids {
                 tokio::time::sleep(pause).await;
-                let event = format!("id: {id}\ndata: piece {id}\n\n");
+                let event = caller::event(&request, id);
                 let is_cut = cut_at == Some(id);
                 let bytes = match is_cut {
                     true => Bytes::from(event[..event.len() / 2].to_owned()),
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! Each runs on a thread with an executor of its own. They know no more of the platform than the
 //! tests need.
 
+pub mod caller;
 pub mod endpoint;
 mod http;
 pub mod store;
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -36,6 +36,8 @@
     cut: AtomicBool,
     /// Bytes passed on, in both directions.
     bytes: AtomicU64,
+    /// Time for which each read is held back, in milliseconds.
+    delay_ms: AtomicU64,
     connections: Mutex<Vec<Connection>>,
 }
 
@@ -43,7 +45,8 @@
 #[derive(Debug)]
 struct Connection {
     sockets: [TcpStream; 2],
-    forgotten: Arc<AtomicBool>,
+    /// Whether the bytes to the target, and those from it, are discarded.
+    forgotten: [Arc<AtomicBool>; 2],
     /// Whether one direction has ended.
     ended: Arc<AtomicBool>,
 }
@@ -74,6 +77,7 @@
             closing: AtomicBool::new(false),
             cut: AtomicBool::new(false),
             bytes: AtomicU64::new(0),
+            delay_ms: AtomicU64::new(0),
             connections: Mutex::default(),
         });
         let thread = {
@@ -117,10 +121,31 @@
     /// Discards all further bytes of the connections that are established, and keeps them open.
     pub fn forget(&self) {
         for connection in sync::lock(&self.shared.connections).iter() {
-            connection.forgotten.store(true, Ordering::Release);
+            for forgotten in &connection.forgotten {
+                forgotten.store(true, Ordering::Release);
+            }
+        }
+    }
+
+    /// Discards what comes from the target on the connections that are established; what goes to
+    /// it is passed on.
+    pub fn forget_answers(&self) {
+        for connection in sync::lock(&self.shared.connections).iter() {
+            connection.forgotten[1].store(true, Ordering::Release);
         }
     }
 
+    /// Closes all connections, and takes new ones.
+    pub fn reset(&self) {
+        self.shared.close_connections();
+    }
+
+    /// Holds back whatever is passed on for a time.
+    pub fn delay(&self, delay: std::time::Duration) {
+        let millis = delay.as_millis() as u64;
+        self.shared.delay_ms.store(millis, Ordering::Relaxed);
+    }
+
     fn wait_for(&self, open: bool) {
         while TcpStream::connect(self.addr).is_ok() != open {
             thread::sleep(ACCEPT_PAUSE);
@@ -173,11 +198,11 @@
         }
         let connection = Connection {
             sockets: [near.try_clone()?, far.try_clone()?],
-            forgotten: Arc::default(),
+            forgotten: Default::default(),
             ended: Arc::default(),
         };
-        self.copy(near.try_clone()?, far.try_clone()?, &connection)?;
-        self.copy(far, near, &connection)?;
+        self.copy(near.try_clone()?, far.try_clone()?, &connection, 0)?;
+        self.copy(far, near, &connection, 1)?;
         Ok(connection)
     }
 
@@ -187,9 +212,10 @@
         mut from: TcpStream,
         mut to: TcpStream,
         connection: &Connection,
+        direction: usize,
     ) -> std::io::Result<()> {
         let shared = Arc::clone(self);
-        let forgotten = Arc::clone(&connection.forgotten);
+        let forgotten = Arc::clone(&connection.forgotten[direction]);
         let ended = Arc::clone(&connection.ended);
         let copying = move || {
             let mut buf = vec![0; BUFFER_LEN];
@@ -197,6 +223,10 @@
                 if forgotten.load(Ordering::Acquire) {
                     continue;
                 }
+                let delay = shared.delay_ms.load(Ordering::Relaxed);
+                if delay > 0 {
+                    thread::sleep(std::time::Duration::from_millis(delay));
+                }
                 // Counted first, so that whoever has received bytes finds them counted.
                 shared.bytes.fetch_add(len as u64, Ordering::Release);
                 if to.write_all(&buf[..len]).is_err() {
