Refuse at once while every endpoint is known to be unreachable

Ruled out: the choice (there was one candidate), the directory (the others had left). Change: while one request tries an unreachable endpoint and there is no other, the rest are refused as not run. Having no connection to spare is an ending of its own and no sign of bad health.

--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -28,6 +28,8 @@
     pub is_local: bool,
     /// Whether it answered well when it was last asked.
     pub is_healthy: bool,
+    /// Whether the last attempt to connect to it, if any, succeeded.
+    pub is_reachable: bool,
     /// Its load.
     pub load: load::Load,
 }
@@ -74,7 +76,14 @@
     pub candidates: u32,
 }
 
-/// Chooses the endpoint of a request, or `None` if there is no candidate.
+/// Whether every endpoint is known to be unreachable and a request is finding out whether it still
+/// is. Another request would only wait for the same answer.
+fn is_hopeless(candidates: &[Candidate]) -> bool {
+    let is_being_tried = |c: &Candidate| !c.is_reachable && c.load.own.requests > 0;
+    candidates.iter().all(is_being_tried)
+}
+
+/// Chooses the endpoint of a request, or `None` if no candidate can serve it.
 #[must_use]
 pub fn choose(
     need: &Need,
@@ -83,6 +92,9 @@
     rates: &cost::Rates,
     now: time::Time,
 ) -> Option<Choice> {
+    if is_hopeless(candidates) {
+        return None;
+    }
     let bound = cost::bound(candidates);
     let holders = need.prompt.as_ref().map(|prompt| {
         let leaving = caches.leaving;
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -8,6 +8,8 @@
 /// How an attempt ended without an answer that the caller can be given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
+    /// This host has as many connections to the endpoint as it may.
+    AtLimit,
     /// No byte of the request reached an endpoint.
     NotSent,
     /// The endpoint proved that it did not run the request.
@@ -29,7 +31,9 @@
     #[must_use]
     pub const fn outcome(self) -> outcome::Outcome {
         match self {
-            Self::NotSent | Self::Refused | Self::Elsewhere => outcome::Outcome::NotRun,
+            Self::AtLimit | Self::NotSent | Self::Refused | Self::Elsewhere => {
+                outcome::Outcome::NotRun
+            }
             Self::Damaged | Self::Lost | Self::Stalled => outcome::Outcome::Unknown,
             Self::Failed => outcome::Outcome::Run,
         }
@@ -39,6 +43,7 @@
     #[must_use]
     pub const fn refusal(self) -> reason::Refusal {
         match self {
+            Self::AtLimit => reason::Refusal::AtBound,
             Self::NotSent => reason::Refusal::ConnectFailed,
             Self::Refused => reason::Refusal::EndpointRefused,
             Self::Elsewhere => reason::Refusal::EndpointLeaving,
@@ -53,6 +58,7 @@
     #[must_use]
     pub const fn retry(self) -> reason::Retry {
         match self {
+            Self::AtLimit => reason::Retry::AtBound,
             Self::NotSent => reason::Retry::ConnectFailed,
             Self::Refused => reason::Retry::EndpointRefused,
             Self::Elsewhere => reason::Retry::EndpointLeaving,
@@ -66,6 +72,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::AtLimit => "at_limit",
             Self::NotSent => "not_sent",
             Self::Refused => "refused",
             Self::Elsewhere => "elsewhere",
@@ -76,9 +83,14 @@
         }
     }
 
+    /// Whether no byte of the request was sent.
+    const fn is_unsent(self) -> bool {
+        matches!(self, Self::AtLimit | Self::NotSent)
+    }
+
     /// Whether the request arrived at the endpoint that it was meant for.
     const fn arrived(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Elsewhere)
+        !self.is_unsent() && !matches!(self, Self::Elsewhere)
     }
 }
 
@@ -144,7 +156,7 @@
         match self.forbidden(ending) {
             Some(reason) => self.give_up(reason),
             // The endpoint sees no arrival, so there is nothing to take from the budget.
-            None if ending == Ending::NotSent => Next::Again(ending.retry()),
+            None if ending.is_unsent() => Next::Again(ending.retry()),
             None if withdraw() => Next::Again(ending.retry()),
             None => self.give_up(reason::Refusal::RetryBudget),
         }
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -12,7 +12,8 @@
 
 const SEED: u64 = 0xa77e;
 
-const ENDINGS: [Ending; 7] = [
+const ENDINGS: [Ending; 8] = [
+    Ending::AtLimit,
     Ending::NotSent,
     Ending::Refused,
     Ending::Elsewhere,
@@ -104,7 +105,10 @@
         let mut attempts = Attempts::new(Kind::Idempotent, max);
         let mut arrivals = 0;
         for ending in endings {
-            arrivals += u32::from(!matches!(ending, Ending::NotSent | Ending::Elsewhere));
+            arrivals += u32::from(!matches!(
+                ending,
+                Ending::AtLimit | Ending::NotSent | Ending::Elsewhere
+            ));
             prop_assert!(arrivals <= max);
             prop_assert!(attempts.tries() < MAX_TRIES);
             if let Next::GiveUp { .. } = attempts.ended(ending, || true) {
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -18,6 +18,7 @@
         slots: 64,
         is_local: true,
         is_healthy: true,
+        is_reachable: true,
         load: load::Load {
             own: load::Work {
                 requests: in_flight,
@@ -149,6 +150,32 @@
     assert_eq!(choice.endpoint, home);
 }
 
+/// An incident of Lombardy: the last endpoint of a service stood in a domain that was cut off, and
+/// each request waited for a connection that could not be made.
+#[test]
+fn requests_for_unreachable_endpoints_are_refused_while_one_tries() {
+    let prefixes = prefix::Prefixes::default();
+    let caches = Caches {
+        prefixes: &prefixes,
+        leaving: &[],
+        is_source: &|_| true,
+    };
+    let rates = cost::Rates::default();
+    let need = Need {
+        prompt: None,
+        seed: 1,
+    };
+    let mut only = candidate(1, 0);
+    only.is_reachable = false;
+    let first = choose(&need, &[only.clone()], &caches, &rates, NOW);
+    assert!(first.is_some());
+    only.load.own.requests = 1;
+    let second = choose(&need, &[only.clone()], &caches, &rates, NOW);
+    assert!(second.is_none());
+    let with_another = choose(&need, &[only, candidate(2, 9)], &caches, &rates, NOW);
+    assert!(with_another.is_some());
+}
+
 #[test]
 fn parts_are_told_to_other_hosts_once_in_a_while() {
     let mut prefixes = prefix::Prefixes::default();
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -118,7 +118,7 @@
         Exchanged::Ended { ending, .. } => match ending {
             Ending::NotSent | Ending::Elsewhere => health::Sign::ConnectFailed,
             Ending::Lost | Ending::Stalled => health::Sign::Stalled,
-            Ending::Refused | Ending::Failed | Ending::Damaged => return,
+            Ending::AtLimit | Ending::Refused | Ending::Failed | Ending::Damaged => return,
         },
     };
     let now = clock::now();
@@ -142,6 +142,7 @@
         .take(&attempt.chosen.endpoint, at_most_once, max, hosts);
     let mut connection = match taken.await {
         Ok(connection) => connection,
+        Err(e @ pool::NoConnection::AtLimit) => return ended(Ending::AtLimit, e.to_string()),
         Err(e) => return ended(Ending::NotSent, e.to_string()),
     };
     let req = match request(cx, attempt, left) {
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -33,6 +33,8 @@
     hash: u64,
     /// Work of this host.
     work: load::Work,
+    /// Whether the last attempt to connect failed.
+    is_unreachable: bool,
     /// Requests that the endpoint stated, and when.
     stated: Option<(u32, time::Time)>,
 }
@@ -171,6 +173,9 @@
     /// Takes in a sign of an endpoint's health.
     pub(super) fn sign(&mut self, id: entity::EndpointId, sign: health::Sign, now: time::Time) {
         self.health.sign(now, id, sign);
+        if let Some(known) = self.known.get_mut(id) {
+            known.is_unreachable = sign == health::Sign::ConnectFailed;
+        }
     }
 
     /// Takes in the load that an endpoint stated.
@@ -214,6 +219,7 @@
             slots: known.endpoint.slots,
             is_local: *known.endpoint.domain == *self.domain,
             is_healthy: self.health.is_usable(id),
+            is_reachable: !known.is_unreachable,
             load: load::Load {
                 own: known.work,
                 others: other,
@@ -240,6 +246,7 @@
                 endpoint: endpoint.clone(),
                 hash,
                 work: load::Work::default(),
+                is_unreachable: false,
                 stated: None,
             },
         );
