Compare a sample of endpoints, so that hosts with the same digests do not herd

Change: a request is compared over the endpoints that may hold its prompt and eight others drawn by its id; all are compared only if those are failing or above the bound, which is tighter now.

--- a/crates/core/src/choice/cost.rs
+++ b/crates/core/src/choice/cost.rs
@@ -3,10 +3,10 @@
 use crate::choice::{self, homes};
 
 /// Multiple of the mean load of a pool up to which an endpoint is preferred.
-const BOUND_MULTIPLE: f64 = 1.8;
+const BOUND_MULTIPLE: f64 = 1.5;
 
 /// Requests above the multiple that an endpoint may have.
-const BOUND_SLACK: f64 = 2.0;
+const BOUND_SLACK: f64 = 2.5;
 
 /// Part of the cost of a copy that counts at a home of the prompt, which may hold it by now.
 const HOME_COPY: f64 = 0.25;
--- a/crates/core/src/choice/homes.rs
+++ b/crates/core/src/choice/homes.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-use crate::choice::{Candidate, prefix, prompt};
+use crate::choice::{Caches, Candidate, prefix, prompt};
 use crate::{entity, routing, time};
 
 /// Homes of a prompt.
@@ -58,19 +58,19 @@
 
 impl<'a> Holders<'a> {
     /// Works out where a prompt is.
-    pub fn new<F>(
+    pub fn new(
         prompt: &'a prompt::Prompt,
-        prefixes: &'a prefix::Prefixes,
         candidates: &[Candidate],
-        leaving: &[Leaving],
-        is_source: F,
+        caches: &Caches<'a>,
         now: time::Time,
-    ) -> Self
-    where
-        F: Fn(entity::EndpointId) -> bool,
-    {
+    ) -> Self {
+        let Caches {
+            prefixes,
+            leaving,
+            is_source,
+        } = *caches;
         let shared = prompt.shared_tokens();
-        let best = prefixes.best_holder(prompt, now, &is_source);
+        let best = prefixes.best_holder(prompt, now, is_source);
         let known = best.filter(|(_, tokens)| *tokens >= shared);
         let mut homes = Ranked::new();
         let mut sources = Ranked::new();
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Whether an endpoint is a home of the prompt or known to hold a part of it.
+    #[must_use]
+    pub fn may_hold(&self, endpoint: entity::EndpointId) -> bool {
+        let is_home = self.homes.iter().any(|(_, home)| *home == endpoint);
+        is_home || self.known == Some(endpoint)
+    }
+
     /// How an endpoint would come by the prompt.
     #[must_use]
     pub fn reading(&self, endpoint: entity::EndpointId) -> Reading {
--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -15,6 +15,9 @@
 
 use crate::{entity, routing, time};
 
+/// Endpoints beside those that may hold the prompt that a request is compared over.
+const SAMPLE: u64 = 8;
+
 /// An endpoint that may take a request.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -95,45 +98,79 @@
     if is_hopeless(candidates) {
         return None;
     }
-    let bound = cost::bound(candidates);
-    let holders = need.prompt.as_ref().map(|prompt| {
-        let leaving = caches.leaving;
-        homes::Holders::new(
-            prompt,
-            caches.prefixes,
-            candidates,
-            leaving,
-            caches.is_source,
-            now,
-        )
-    });
-    let mut best: Option<(Rank, Choice)> = None;
-    for candidate in candidates {
-        let reading = match &holders {
+    let prompt = need.prompt.as_ref();
+    let holders = prompt.map(|prompt| homes::Holders::new(prompt, candidates, caches, now));
+    let comparison = Comparison {
+        need,
+        holders,
+        bound: cost::bound(candidates),
+        rates,
+        count: candidates.len() as u32,
+    };
+    let sampled = candidates.iter().filter(|c| comparison.is_considered(c));
+    let (rank, choice) = comparison.best(sampled)?;
+    if !rank.is_failing && !rank.is_over_bound {
+        return Some(choice);
+    }
+    comparison.best(candidates.iter()).map(|(_, choice)| choice)
+}
+
+/// What the candidates of one request are compared by.
+struct Comparison<'a> {
+    need: &'a Need,
+    holders: Option<homes::Holders<'a>>,
+    /// Load from which on an endpoint is above the bound.
+    bound: u32,
+    rates: &'a cost::Rates,
+    /// Candidates in all.
+    count: u32,
+}
+
+impl Comparison<'_> {
+    /// Whether a candidate is looked at first: where the prompt may be, and a few others that
+    /// differ from request to request. If all hosts compared all endpoints by the same digests,
+    /// they would all send to the least loaded one until the next digest.
+    fn is_considered(&self, candidate: &Candidate) -> bool {
+        let holders = self.holders.as_ref();
+        if holders.is_some_and(|holders| holders.may_hold(candidate.endpoint)) {
+            return true;
+        }
+        let point = routing::rendezvous::score(self.need.seed, candidate.endpoint.as_u32());
+        point % u64::from(self.count.max(1)) < SAMPLE
+    }
+
+    /// The best of some candidates.
+    fn best<'c, I>(&self, candidates: I) -> Option<(Rank, Choice)>
+    where
+        I: Iterator<Item = &'c Candidate>,
+    {
+        candidates
+            .map(|candidate| self.rate(candidate))
+            .min_by(|(a, _), (b, _)| a.cmp(b))
+    }
+
+    fn rate(&self, candidate: &Candidate) -> (Rank, Choice) {
+        let reading = match &self.holders {
             Some(holders) => holders.reading(candidate.endpoint),
             None => homes::Reading::default(),
         };
-        let cost_ms = cost::of(need, candidate, &reading, rates);
+        let cost_ms = cost::of(self.need, candidate, &reading, self.rates);
         let rank = Rank {
             is_failing: !candidate.is_healthy,
-            is_over_bound: candidate.load.in_flight() >= bound,
+            is_over_bound: candidate.load.in_flight() >= self.bound,
             cost_micros: (cost_ms * 1_000.0) as u64,
-            tie: routing::rendezvous::score(need.seed, candidate.endpoint.as_u32()),
+            tie: routing::rendezvous::score(self.need.seed, candidate.endpoint.as_u32()),
         };
-        if best.as_ref().is_some_and(|(best, _)| *best <= rank) {
-            continue;
-        }
         let choice = Choice {
             endpoint: candidate.endpoint,
             cost_ms,
             read_tokens: reading.read_tokens,
             copy_from: reading.copy_from,
             copy_tokens: reading.copy_tokens,
-            candidates: candidates.len() as u32,
+            candidates: self.count,
         };
-        best = Some((rank, choice));
+        (rank, choice)
     }
-    best.map(|(_, choice)| choice)
 }
 
 /// Order of candidates; the least is chosen.
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -118,6 +118,27 @@
     assert_eq!(id(17 - one.endpoint.as_u32()), other.endpoint);
 }
 
+/// A grown deployment that lost half of its engines: all hosts compare endpoints by the same digests
+/// for some 300 ms, and sent everything that its homes could not take to the least loaded one.
+#[test]
+fn hosts_with_the_same_digests_do_not_all_choose_the_same_endpoint() {
+    let mut candidates: Vec<_> = (0..72).map(|i| candidate(i, 14)).collect();
+    candidates.iter_mut().for_each(|c| c.slots = 12);
+    candidates[5].load.own.requests = 6;
+    let prefixes = prefix::Prefixes::default();
+    let mut chosen = [0_u32; 72];
+    for seed in 0..300_u64 {
+        let id = seed.to_le_bytes();
+        let parts: [(&[u8], u32); 2] = [(&id, 600), (b"own", 100)];
+        let prompt = prompt::Prompt::new(b"m", parts, 700, 200);
+        let need = need(prompt, seed.wrapping_mul(0x2545_f491_4f6c_dd1d));
+        let choice = pick(&need, &candidates, &prefixes);
+        chosen[choice.endpoint.as_u32() as usize] += 1;
+    }
+    let most = chosen.iter().max().expect("endpoints");
+    assert!(*most <= 60, "one endpoint got {most} of 300 requests");
+}
+
 /// A burst of calls to a service with few slots is spread evenly.
 #[test]
 fn calls_go_to_the_endpoint_with_the_fewest() {
