Ask callers that no host can serve to come back later

Change: where no host can serve the request for now, the delay is an eighth to a quarter of the time that the caller has left; otherwise as before. core::retry::come_back, with a test.

--- /dev/null
+++ b/crates/core/src/retry/come_back.rs
@@ -0,0 +1,34 @@
+//! When a refused caller is asked to come back.
+
+use std::time::Duration;
+
+use crate::reason;
+
+/// Shortest delay.
+const SHORTEST: Duration = Duration::from_millis(80);
+
+/// Longest delay if another host can probably serve the request at once: it only spreads callers
+/// that were refused together.
+const LONGEST_ELSEWHERE: Duration = Duration::from_millis(400);
+
+/// Part of the time that the caller has left, if no host can serve the request for now. Callers
+/// come back once or twice, so coming back too early is a chance lost.
+const PART_OF_LEFT: f64 = 0.25;
+
+/// Longest delay.
+const LONGEST: Duration = Duration::from_secs(3);
+
+/// Delay after which a caller may come back that has `left` to wait. The seed spreads callers over
+/// the upper half of the range.
+#[must_use]
+pub fn come_back(reason: reason::Refusal, left: Duration, seed: u64) -> Duration {
+    let longest = match reason {
+        reason::Refusal::NoEndpoint
+        | reason::Refusal::ConnectFailed
+        | reason::Refusal::AtBound
+        | reason::Refusal::EndpointRefused => left.mul_f64(PART_OF_LEFT),
+        _ => LONGEST_ELSEWHERE,
+    };
+    let longest = longest.clamp(SHORTEST, LONGEST).as_micros() as u64;
+    Duration::from_micros(longest / 2 + seed % (longest / 2 + 1))
+}
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -14,9 +14,11 @@
 mod attempts;
 mod backoff;
 mod budget;
+mod come_back;
 mod decision;
 
 pub use attempts::{Attempts, Ending, MAX_TRIES, Next};
 pub use backoff::{Backoff, whole_seconds};
 pub use budget::{Budget, BudgetConfig, Charge, FleetBudget};
+pub use come_back::come_back;
 pub use decision::{Config, Decision, Failure, GivenUp, Recovery, Request, next_hop};
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use pistachiochute_core::catalog::Kind;
-use pistachiochute_core::retry::{Attempts, Budget, Charge, Ending, FleetBudget, MAX_TRIES, Next};
+use pistachiochute_core::retry::{
+    Attempts, Budget, Charge, Ending, FleetBudget, MAX_TRIES, Next, come_back,
+};
 use pistachiochute_core::{outcome, reason, time};
 use proptest::prelude::{Strategy, proptest};
 use proptest::sample::select;
@@ -63,6 +65,24 @@
     assert!(matches!(given_up, Next::GiveUp { .. }));
 }
 
+/// Callers that no host can serve for now come back later than those that another host can serve,
+/// and well within the time that they have.
+#[test]
+fn callers_come_back_by_what_can_have_changed() {
+    let left = Duration::from_secs(3);
+    let (mut elsewhere, mut nowhere) = (Duration::ZERO, Duration::MAX);
+    for seed in 0..10_000 {
+        let spread = seed * 7_919;
+        let draining = come_back(reason::Refusal::Draining, left, spread);
+        let unreachable = come_back(reason::Refusal::NoEndpoint, left, spread);
+        elsewhere = elsewhere.max(draining);
+        nowhere = nowhere.min(unreachable);
+        assert!(unreachable <= left / 3);
+    }
+    assert!(elsewhere <= Duration::from_millis(400));
+    assert!(nowhere >= Duration::from_millis(350));
+}
+
 #[test]
 fn an_empty_budget_ends_the_attempts() {
     let mut attempts = Attempts::new(Kind::Idempotent, 2);
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -7,18 +7,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
-use pistachiochute_core::{outcome, reason};
+use pistachiochute_core::{outcome, reason, retry};
 
 use crate::edge;
 use crate::traffic::relay;
 
-/// Shortest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(80);
-
-/// Longest time after which a refused caller is asked to come back. Other hosts may serve it at
-/// once, so the time only spreads those that were refused together.
-const MAX_RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [header::HeaderName; 8] = [
     header::CONNECTION,
@@ -106,7 +99,7 @@
 pub(super) fn refusal<D>(
     reason: reason::Refusal,
     outcome: outcome::Outcome,
-    seed: u64,
+    (left, seed): (Duration, u64),
 ) -> Response<Reply<D>>
 where
     D: edge::Dialect,
@@ -127,7 +120,8 @@
     let may_come_back =
         status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
     if may_come_back {
-        headers.insert(header::RETRY_AFTER, retry_after(seed));
+        let delay = retry::come_back(reason, left, seed);
+        headers.insert(header::RETRY_AFTER, seconds(delay));
     }
     response
 }
@@ -144,10 +138,8 @@
     }
 }
 
-/// Seconds, with a fraction, after which the caller may come back.
-fn retry_after(seed: u64) -> HeaderValue {
-    let span = (MAX_RETRY_AFTER - MIN_RETRY_AFTER).as_millis() as u64;
-    let millis = MIN_RETRY_AFTER.as_millis() as u64 + seed % (span + 1);
-    let text = format!("{}.{:03}", millis / 1_000, millis % 1_000);
+/// Seconds with a fraction.
+fn seconds(delay: Duration) -> HeaderValue {
+    let text = format!("{}.{:03}", delay.as_secs(), delay.subsec_millis());
     HeaderValue::from_str(&text).expect("digits and a point")
 }
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -48,6 +48,7 @@
 {
     cx: Rc<Context<D>>,
     arrived: time::Time,
+    deadline: time::Time,
     id: String,
     route: Arc<str>,
     account: Option<Arc<str>>,
@@ -77,6 +78,7 @@
         Self {
             cx: cx.clone(),
             arrived,
+            deadline: arrived,
             id: String::new(),
             route: Arc::from(""),
             account: None,
@@ -99,6 +101,7 @@
         self.route = plan.route.name.clone();
         self.account.clone_from(&plan.account);
         self.catalog = Some(plan.catalog.version());
+        self.deadline = plan.deadline;
     }
 
     fn refused(&mut self, reason: reason::Refusal, outcome: outcome::Outcome, status: u16) {
@@ -465,8 +468,9 @@
 where
     D: edge::Dialect,
 {
-    let seed = report.arrived.as_micros();
-    let response = reply::refusal(reason, outcome, seed);
+    let left = report.deadline.since(clock::now());
+    let spread = (left, report.arrived.as_micros());
+    let response = reply::refusal(reason, outcome, spread);
     report.refused(reason, outcome, response.status().as_u16());
     report.end("refused");
     response
