Tell other hosts of removals that were first taken for a lapse

It told others of all changes but that one, as complete up to a later revision; when the lapse had ended, nobody asked again. A member sent to the endpoint 3.5 s after it had left. Ruled out: slow links (the others had it within 1.1 s of the reset); the member's own watch (relays fed it all the while). Change: what a host tells is complete only up to the first lapsed entry, and the end of a lapse counts as a change, so others ask again. Test: others_hear_of_a_removal_that_was_first_taken_for_a_lapse, which fails without the change.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -123,6 +123,17 @@
         self.complete
     }
 
+    /// Revision up to and with which [`Directory::newer_than`] gives another host all changes: what
+    /// has lapsed is told once that is final, so it must still be asked for then.
+    #[must_use]
+    pub fn complete_for_others(&self) -> revision::Revision {
+        let lapsing = self.records.values().filter(|r| r.is_lapsing);
+        let before = lapsing.map(|r| revision::Revision(r.revision.0.saturating_sub(1)));
+        before
+            .min()
+            .map_or(self.complete, |before| before.min(self.complete))
+    }
+
     /// Revision of the last known change of the endpoints in use.
     #[must_use]
     pub const fn changed(&self) -> revision::Revision {
@@ -145,7 +156,10 @@
         let mut changed = false;
         if !self.outage.may_lapse(now) {
             for record in self.records.values_mut() {
-                changed |= record.end_lapse(now);
+                if record.end_lapse(now) {
+                    changed = true;
+                    self.changed = self.changed.max(record.revision);
+                }
             }
         }
         self.records
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -213,6 +213,56 @@
     assert!(!behind.is_usable());
 }
 
+/// Lets a host ask another one, if it lacks anything, and returns whether it did.
+fn ask(asker: &mut World, told: &World) -> bool {
+    if told.directory.changed() <= asker.directory.complete() {
+        return false;
+    }
+    let complete = told.directory.complete_for_others();
+    let records: Vec<_> = told
+        .directory
+        .newer_than(asker.directory.complete())
+        .map(|(key, record)| (key.clone(), record.revision, record.endpoint.clone()))
+        .collect();
+    for (key, revision, endpoint) in records {
+        let source = directory::Source::Host;
+        let now = asker.now;
+        asker.directory.apply(&key, revision, endpoint, source, now);
+    }
+    asker.directory.confirm(complete);
+    true
+}
+
+/// Grown Lombardy, `reuse-and-resets` with seed 479728404167: a relay that had lost the store held a
+/// removed endpoint for lapsed and told others of all changes but that one. They never heard of
+/// it, and one sent to the endpoint 3.5 s after it had left.
+#[test]
+fn others_hear_of_a_removal_that_was_first_taken_for_a_lapse() {
+    let mut relay = World::new();
+    let mut member = World::new();
+    for world in [&mut relay, &mut member] {
+        world.put(1, 1, State::Ready);
+        world.directory.confirm(at(1));
+    }
+    relay.directory.store_answers(false, relay.now);
+    relay.directory.store_answers(true, relay.now);
+    relay.remove(2, Source::Store);
+    let other: Arc<str> = "other".into();
+    let source = Source::Store;
+    let ready = endpoint("other", 1, 1, State::Ready);
+    relay
+        .directory
+        .apply(&other, at(3), Some(ready), source, relay.now);
+    relay.directory.confirm(at(3));
+    assert!(ask(&mut member, &relay));
+    assert_eq!(member.directory.usable().count(), 2);
+    relay.pass(3_000);
+    assert_eq!(relay.directory.usable().count(), 1);
+    assert!(ask(&mut member, &relay));
+    assert_eq!(member.directory.usable().count(), 1);
+    assert!(!ask(&mut member, &relay));
+}
+
 /// What reaches a directory.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/crates/gateway/src/control/links.rs
+++ b/crates/gateway/src/control/links.rs
@@ -458,7 +458,7 @@
         })
         .collect();
     messages.push(fleet::Message::Endpoints {
-        complete: state.directory.complete(),
+        complete: state.directory.complete_for_others(),
         records,
     });
     for message in messages {
