Split the links and the report of a request into modules, and drop what nobody reads

Settings and catalog fields without a reader are gone; heads of requests are bounded by the catalog's limit.

--- a/crates/core/src/catalog/model.rs
+++ b/crates/core/src/catalog/model.rs
@@ -96,8 +96,6 @@
     pub timeout: Option<Duration>,
     /// Time within which an answer (of a stream: its first event) is on time.
     pub target_latency: Option<Duration>,
-    /// Longest pause between two events that is on time.
-    pub target_gap: Option<Duration>,
     /// Rank of the route; 0 is the most urgent.
     pub priority: u8,
     /// Services. Invariant: at least one.
@@ -132,8 +130,6 @@
     pub name: Arc<str>,
     /// Most connections that one endpoint takes from all hosts together.
     pub max_connections: u32,
-    /// Requests that one endpoint runs at once, if the catalog states it.
-    pub slots: Option<u32>,
     /// Tokens that fit the memory of one engine; `None` for a plain service.
     pub memory_tokens: Option<u64>,
 }
--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog.rs
@@ -17,7 +17,6 @@
         kind: Kind::Idempotent,
         timeout: None,
         target_latency: None,
-        target_gap: None,
         priority: 1,
         targets: smallvec![Target {
             service: ServiceIndex(0),
@@ -35,7 +34,6 @@
         services: vec![Service {
             name: "reader".into(),
             max_connections: 10,
-            slots: None,
             memory_tokens: None,
         }],
         accounts: vec![Account {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -263,6 +263,24 @@
     assert!(!ask(&mut member, &relay));
 }
 
+#[test]
+fn the_end_of_a_lapse_is_a_change_that_others_ask_for() {
+    let mut relay = World::new();
+    let mut member = World::new();
+    for world in [&mut relay, &mut member] {
+        world.put(1, 1, State::Ready);
+        world.directory.confirm(at(1));
+    }
+    relay.directory.store_answers(false, relay.now);
+    relay.directory.store_answers(true, relay.now);
+    relay.remove(2, Source::Store);
+    relay.directory.confirm(at(2));
+    assert!(!ask(&mut member, &relay));
+    relay.pass(3_000);
+    assert!(ask(&mut member, &relay));
+    assert!(!member.is_usable());
+}
+
 /// What reaches a directory.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- /dev/null
+++ b/crates/gateway/src/control/links/mod.rs
@@ -0,0 +1,189 @@
+//! Links to other hosts: each host sends what it knows and does on a stream of its own.
+//!
+//! [`due`] says what has to be sent, [`receive`] takes in what others send, and [`holdings`] is about
+//! what engines hold in their caches.
+
+mod due;
+mod holdings;
+mod receive;
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::WrapErr as _;
+use pistachiochute_messages::{codec, fleet};
+use pistachiochute_runtime::clock;
+use tokio::sync::mpsc;
+
+use crate::control::Context;
+use crate::edge;
+use crate::net as sockets;
+
+use due::{Asking, Sent};
+
+pub(super) use holdings::{take_holdings, tell_holdings};
+pub(super) use receive::accept;
+
+/// Time to make a connection.
+const CONNECT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at what has to be sent.
+const SEND_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Pause before a lost link is made again.
+const RECONNECT: Duration = Duration::from_millis(500);
+
+/// Messages that may wait for one host.
+const OUTBOX: usize = 16;
+
+/// Keeps a link to every host that this one talks to.
+pub(super) async fn keep<D, S>(cx: Rc<Context<D, S>>)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let mut links: HashMap<Arc<str>, (net::SocketAddr, tokio::task::JoinHandle<()>)> =
+        HashMap::new();
+    loop {
+        let wanted = wanted(&cx);
+        links.retain(|name, (address, task)| {
+            let keep = wanted.get(name) == Some(address);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for (name, address) in wanted {
+            links.entry(name.clone()).or_insert_with(|| {
+                let task = tokio::task::spawn_local(link(cx.clone(), name, address));
+                (address, task)
+            });
+        }
+        tokio::time::sleep(SEND_INTERVAL).await;
+    }
+}
+
+/// Hosts that this one talks to, with the addresses of their links.
+fn wanted<D, S>(cx: &Context<D, S>) -> HashMap<Arc<str>, net::SocketAddr> {
+    let state = cx.state.borrow();
+    let links = state.spread.links.iter();
+    links
+        .filter_map(|name| Some((name.clone(), state.hosts.get(name)?.links)))
+        .collect()
+}
+
+/// Keeps one link until it is aborted.
+async fn link<D, S>(cx: Rc<Context<D, S>>, name: Arc<str>, address: net::SocketAddr)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let was_up = Cell::new(false);
+    loop {
+        if let Err(e) = link_once(&cx, &name, address, &was_up).await
+            && was_up.replace(false)
+        {
+            cx.events.link_lost(&name, &e);
+        }
+        let spread = rand::random_range(0.8..1.6);
+        tokio::time::sleep(RECONNECT.mul_f64(spread)).await;
+    }
+}
+
+async fn link_once<D, S>(
+    cx: &Rc<Context<D, S>>,
+    name: &Arc<str>,
+    address: net::SocketAddr,
+    was_up: &Cell<bool>,
+) -> eyre::Result<()>
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let stream = sockets::connect(address, CONNECT)
+        .await
+        .wrap_err("connect")?;
+    let (mut requests, connection) = h2::client::handshake(stream).await.wrap_err("handshake")?;
+    let driver = tokio::task::spawn_local(async { drop(connection.await) });
+    let req = http::Request::post("http://fleet/link").body(())?;
+    let (answer, mut tx) = requests.send_request(req, false).wrap_err("stream")?;
+    let up = clock::now().since(cx.started).as_millis();
+    let hello = fleet::Message::Hello {
+        host: cx.state.borrow().me.clone(),
+        links: cx.settings.listen.links,
+        domain: cx.settings.host.domain.as_str().into(),
+        up_ms: u32::try_from(up).unwrap_or(u32::MAX),
+    };
+    send(&mut tx, &hello)?;
+    answer.await.wrap_err("answer")?;
+    if !was_up.replace(true) {
+        cx.events.link_up(name);
+    }
+    let result = send_status(cx, name, &mut tx).await;
+    driver.abort();
+    result
+}
+
+fn send(tx: &mut h2::SendStream<Bytes>, message: &fleet::Message) -> eyre::Result<()> {
+    let frame = codec::encode(message).wrap_err("message")?;
+    tx.send_data(frame, false).wrap_err("link")
+}
+
+/// Sends status and answers on a link until it is lost.
+async fn send_status<D, S>(
+    cx: &Rc<Context<D, S>>,
+    name: &Arc<str>,
+    tx: &mut h2::SendStream<Bytes>,
+) -> eyre::Result<()>
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let (outbox_tx, mut outbox) = mpsc::channel(OUTBOX);
+    cx.state
+        .borrow_mut()
+        .outboxes
+        .insert(name.clone(), outbox_tx);
+    let holdings = cx.state.borrow().holdings(clock::now());
+    if !holdings.is_empty() {
+        send(tx, &fleet::Message::Holdings(holdings))?;
+    }
+    let mut sent = Sent::default();
+    let mut asking = Asking::default();
+    let mut ticks = tokio::time::interval(SEND_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            message = outbox.recv() => {
+                let Some(message) = message else { return Ok(()) };
+                send(tx, &message)?;
+                continue;
+            }
+            _ = ticks.tick() => {}
+        }
+        if let Some(status) = sent.next(cx) {
+            send(tx, &status)?;
+        }
+        if let Some(carried) = sent.next_carried(cx, name) {
+            send(tx, &carried)?;
+        }
+        if let Some(want) = asking.next(cx, name) {
+            send(tx, &fleet::Message::Want(want))?;
+        }
+        // A stream that was reset shows it here, whether or not there was something to send.
+        if is_reset(tx) {
+            eyre::bail!("stream was reset");
+        }
+    }
+}
+
+/// Whether the other end has reset the stream.
+fn is_reset(tx: &mut h2::SendStream<Bytes>) -> bool {
+    let mut cx = std::task::Context::from_waker(std::task::Waker::noop());
+    tx.poll_reset(&mut cx).is_ready()
+}
--- /dev/null
+++ b/crates/gateway/src/control/links/receive.rs
@@ -0,0 +1,195 @@
+//! Takes in what other hosts send.
+
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::directory;
+use pistachiochute_messages::{codec, fleet};
+use pistachiochute_runtime::clock;
+
+use crate::control::links::take_holdings;
+use crate::control::state::HostEntry;
+use crate::control::{Context, sync};
+use crate::net as sockets;
+use crate::{edge, events};
+
+/// Accepts the links of other hosts.
+pub(in crate::control) async fn accept<D, S>(cx: Rc<Context<D, S>>, listener: net::TcpListener)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return cx.events.listener_failed("links", &e),
+    };
+    loop {
+        // A connection that failed before it was accepted concerns nobody else.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        if sockets::prepare(&stream).is_ok() {
+            let cx = cx.clone();
+            // The other host makes a lost link again, and says so in its own log.
+            tokio::task::spawn_local(async move { drop(receive(cx, stream).await) });
+        }
+    }
+}
+
+async fn receive<D, S>(cx: Rc<Context<D, S>>, stream: tokio::net::TcpStream) -> eyre::Result<()>
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let mut connection = h2::server::handshake(stream).await?;
+    while let Some(accepted) = connection.accept().await {
+        let (req, mut respond) = accepted?;
+        let answer = respond.send_response(http::Response::new(()), false)?;
+        let cx = cx.clone();
+        tokio::task::spawn_local(async move {
+            let result = receive_messages(&cx, req.into_body()).await;
+            drop(answer);
+            result
+        });
+    }
+    Ok(())
+}
+
+async fn receive_messages<D, S>(
+    cx: &Rc<Context<D, S>>,
+    mut body: h2::RecvStream,
+) -> eyre::Result<()>
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let mut decoder = codec::Decoder::new();
+    let mut sender: Option<Arc<str>> = None;
+    while let Some(data) = body.data().await {
+        let data = data?;
+        body.flow_control().release_capacity(data.len())?;
+        decoder.extend(&data);
+        while let Some(message) = decoder.take()? {
+            match (message, &sender) {
+                (
+                    fleet::Message::Hello {
+                        host,
+                        links,
+                        domain,
+                        up_ms,
+                    },
+                    _,
+                ) => {
+                    let domain = domain.to_string();
+                    meet(cx, &host, HostEntry { links, domain }, up_ms);
+                    sender = Some(host);
+                }
+                (message, Some(sender)) => handle(cx, sender, message),
+                (_, None) => eyre::bail!("message before the name of the sender"),
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Takes in that a host made a link to this one.
+fn meet<D, S>(cx: &Context<D, S>, host: &Arc<str>, entry: HostEntry, up_ms: u32) {
+    let up = Duration::from_millis(u64::from(up_ms));
+    cx.oldest_peer.set(cx.oldest_peer.get().max(up));
+    let links = entry.links;
+    let now = clock::now();
+    let is_news = cx.state.borrow_mut().hosts.meet(host.clone(), entry, now);
+    if is_news {
+        cx.events.host_known(host, links);
+    }
+}
+
+fn handle<D, S>(cx: &Rc<Context<D, S>>, sender: &Arc<str>, message: fleet::Message)
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    match message {
+        fleet::Message::Hello { .. } => {}
+        fleet::Message::Status {
+            known,
+            store,
+            loads,
+        } => {
+            let now = clock::now();
+            let before = |ms| now - Duration::from_millis(u64::from(ms));
+            let mut state = cx.state.borrow_mut();
+            state.hear(sender, known, store, now);
+            if let Some(loads) = loads {
+                state.digests.own(sender, loads);
+            }
+            state.directory.hear(directory::Witness {
+                steady_since: before(store.steady_ms),
+                answered: before(store.answered_ms),
+            });
+            if known.catalog == state.known().catalog {
+                cx.shared.confirm(before(store.catalog_age_ms));
+            }
+        }
+        fleet::Message::Carried(loads) => {
+            cx.state.borrow_mut().digests.carried(sender, loads);
+        }
+        fleet::Message::Holdings(holdings) => {
+            take_holdings(cx, &holdings);
+        }
+        fleet::Message::Want(known) => answer(cx, sender, known),
+        fleet::Message::Catalog(content) => {
+            cx.offer_catalog(*content, events::Source::Host(sender.clone()));
+        }
+        fleet::Message::Endpoints { complete, records } => {
+            let mut any = false;
+            for record in records {
+                let endpoint = record.endpoint.map(Arc::new);
+                any |= sync::apply_endpoint(
+                    cx,
+                    &record.key,
+                    record.revision,
+                    endpoint,
+                    directory::Source::Host,
+                );
+            }
+            cx.state.borrow_mut().directory.confirm(complete);
+            if any {
+                cx.publish();
+            }
+        }
+    }
+}
+
+/// Sends a host what it lacks.
+fn answer<D, S>(cx: &Rc<Context<D, S>>, host: &Arc<str>, has: fleet::Known) {
+    let state = cx.state.borrow();
+    let Some(outbox) = state.outboxes.get(host) else {
+        return;
+    };
+    let mut messages: Vec<fleet::Message> = Vec::new();
+    if let Some(catalog) = state.catalog.get()
+        && Some(catalog.version()) > has.catalog
+    {
+        messages.push(fleet::Message::Catalog(Box::new(catalog.content().clone())));
+    }
+    let newer = state.directory.newer_than(has.endpoints);
+    let records: Vec<_> = newer
+        .map(|(key, record)| fleet::Record {
+            key: key.clone(),
+            revision: record.revision,
+            endpoint: record.endpoint.as_deref().cloned(),
+        })
+        .collect();
+    messages.push(fleet::Message::Endpoints {
+        complete: state.directory.complete_for_others(),
+        records,
+    });
+    for message in messages {
+        // A full outbox belongs to a link that does not move; the host asks again.
+        drop(outbox.try_send(message));
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -50,8 +50,6 @@
     pub retry: retry::FleetBudget,
     /// Longest time that a planned stop takes.
     pub stop: Duration,
-    /// Longest time between a change of the catalog in the store and its effect here.
-    pub catalog_lag: Duration,
     /// Whether the whole fleet starts for the first time, so that no engine holds anything.
     pub is_first_start: bool,
 }
@@ -113,7 +111,6 @@
         Some(_) => reader.typed("first_start"),
         None => Some(false),
     };
-    let lag = reader.scalar("catalog_lag_ms", 2_000, 100..=60_000);
     reader.close();
     Some(Settings {
         host: host?,
@@ -121,7 +118,6 @@
         store: store?,
         retry: retry?,
         stop: Duration::from_secs(stop?),
-        catalog_lag: Duration::from_millis(lag?),
         is_first_start: first?,
     })
 }
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -16,8 +16,11 @@
 use crate::traffic::{Context, serve};
 use crate::{edge, net as sockets};
 
-/// Largest head of a request, in bytes. The library answers larger ones itself.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest head of a request before the first catalog, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 64 << 10;
+
+/// Smallest bound on heads that the library takes, in bytes. It answers larger heads itself.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
 
 /// Idle limit before the first catalog.
 const DEFAULT_IDLE: Duration = Duration::from_secs(60);
@@ -98,7 +101,7 @@
         }
     });
     let serving = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(head_limit(cx))
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
     let mut phases = cx.shared.phases();
@@ -128,6 +131,14 @@
     }
 }
 
+fn head_limit<D>(cx: &Rc<Context<D>>) -> usize {
+    let view = cx.shared.view();
+    let limits = view.catalog.as_ref().map(|c| c.content().limits);
+    limits.map_or(DEFAULT_HEAD_BYTES, |limits| {
+        limits.max_head_bytes.max(LEAST_HEAD_BYTES)
+    })
+}
+
 fn idle_limit<D>(cx: &Rc<Context<D>>) -> Duration {
     let view = cx.shared.view();
     let limits = view.catalog.as_ref().map(|c| c.content().limits);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod pool;
 mod relay;
 mod reply;
+mod report;
 mod serve;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -14,7 +14,7 @@
 use crate::edge;
 use crate::traffic::exchange::{Opened, Outgoing};
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, serve};
+use crate::traffic::{Context, report, serve};
 
 /// A stream that ends before it is whole. The connection of the caller is closed, so that the
 /// answer does not look complete.
@@ -69,7 +69,7 @@
     source: Source<D>,
     splitter: sse::Splitter,
     deadline: Pin<Box<tokio::time::Sleep>>,
-    report: serve::Report<D>,
+    report: report::Report<D>,
 }
 
 impl<D> Relay<D>
@@ -81,7 +81,7 @@
         origin: Box<Origin<D>>,
         opened: Box<Opened<D>>,
         after_event: Option<u64>,
-        report: serve::Report<D>,
+        report: report::Report<D>,
     ) -> Self {
         let left = origin.plan.deadline.since(clock::now());
         Self {
--- /dev/null
+++ b/crates/gateway/src/traffic/report.rs
@@ -0,0 +1,173 @@
+//! What is known of a request when it ends, for its log line and the metrics.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::{catalog, choice, outcome, reason, time};
+use pistachiochute_runtime::clock;
+
+use crate::traffic::plan::Plan;
+use crate::traffic::{Context, fleet};
+use crate::{edge, events};
+
+/// What is known of a request when it ends, for its log line and the metrics.
+pub(super) struct Report<D>
+where
+    D: edge::Dialect,
+{
+    cx: Rc<Context<D>>,
+    arrived: time::Time,
+    deadline: time::Time,
+    id: String,
+    route: Arc<str>,
+    account: Option<Arc<str>>,
+    catalog: Option<catalog::Version>,
+    status: u16,
+    reason: Option<reason::Refusal>,
+    outcome: outcome::Outcome,
+    tries: u32,
+    endpoint: String,
+    choice: Option<choice::Choice>,
+    first: Option<Duration>,
+    events: u64,
+    last_passed: time::Time,
+    longest_gap: Duration,
+    /// Whether the end was reported. A report that is dropped before belongs to a request whose
+    /// caller left.
+    is_ended: bool,
+}
+
+impl<D> Report<D>
+where
+    D: edge::Dialect,
+{
+    /// Begins the report of a request that has arrived.
+    pub(super) fn new(cx: &Rc<Context<D>>, arrived: time::Time) -> Self {
+        cx.requests.set(cx.requests.get() + 1);
+        cx.metrics.started();
+        Self {
+            cx: cx.clone(),
+            arrived,
+            deadline: arrived,
+            id: String::new(),
+            route: Arc::from(""),
+            account: None,
+            catalog: None,
+            status: 0,
+            reason: None,
+            outcome: outcome::Outcome::NotRun,
+            tries: 0,
+            endpoint: String::new(),
+            choice: None,
+            first: None,
+            events: 0,
+            last_passed: arrived,
+            longest_gap: Duration::ZERO,
+            is_ended: false,
+        }
+    }
+
+    /// Notes an attempt.
+    pub(super) fn tries(&mut self, chosen: &fleet::Chosen) {
+        self.tries += 1;
+        self.endpoint = chosen.endpoint.identity.to_string();
+        self.choice = Some(chosen.choice);
+    }
+
+    /// Notes what the catalog decided.
+    pub(super) fn planned(&mut self, plan: &Plan) {
+        self.route = plan.route.name.clone();
+        self.account.clone_from(&plan.account);
+        self.catalog = Some(plan.catalog.version());
+        self.deadline = plan.deadline;
+    }
+
+    /// Notes that the request was refused.
+    pub(super) fn refused(
+        &mut self,
+        reason: reason::Refusal,
+        outcome: outcome::Outcome,
+        status: u16,
+    ) {
+        self.reason = Some(reason);
+        self.outcome = outcome;
+        self.status = status;
+        self.cx.metrics.refused(reason);
+    }
+
+    /// Notes that an endpoint answered.
+    pub(super) fn answered(&mut self, status: u16) {
+        self.status = status;
+        self.outcome = outcome::Outcome::Run;
+    }
+
+    /// Notes that events were passed on.
+    pub(super) fn passed(&mut self, events: u64) {
+        let now = clock::now();
+        self.events = events;
+        if self.first.is_none() {
+            let span = now.since(self.arrived);
+            self.first = Some(span);
+            self.cx.metrics.first_token(span);
+        } else {
+            let gap = now.since(self.last_passed);
+            self.longest_gap = self.longest_gap.max(gap);
+            self.cx.metrics.token_gap(gap);
+        }
+        self.last_passed = now;
+    }
+
+    /// Sets the id, once it is known.
+    pub(super) fn identify(&mut self, id: &[u8]) {
+        self.id = String::from_utf8_lossy(id).into_owned();
+    }
+
+    /// When the request arrived.
+    pub(super) const fn arrived(&self) -> time::Time {
+        self.arrived
+    }
+
+    /// Point in time after which the answer is of no use.
+    pub(super) const fn deadline(&self) -> time::Time {
+        self.deadline
+    }
+
+    /// Writes the line of the request.
+    pub(super) fn end(&mut self, end: &str) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
+        let now = clock::now();
+        self.cx.requests.set(self.cx.requests.get() - 1);
+        self.cx.metrics.finished(self.outcome);
+        self.cx.events.request(&events::RequestLine {
+            request: &self.id,
+            route: &self.route,
+            account: self.account.as_deref().unwrap_or(""),
+            catalog: self.catalog,
+            catalog_age: self.cx.shared.catalog_age(now),
+            status: self.status,
+            reason: self.reason,
+            outcome: self.outcome,
+            tries: self.tries,
+            endpoint: &self.endpoint,
+            choice: self.choice,
+            first: self.first,
+            total: now.since(self.arrived),
+            events: self.events,
+            longest_gap: self.longest_gap,
+            end,
+        });
+    }
+}
+
+impl<D> Drop for Report<D>
+where
+    D: edge::Dialect,
+{
+    /// The future of a request is dropped when its caller leaves.
+    fn drop(&mut self) {
+        self.end("caller left");
+    }
+}
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -2,14 +2,13 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Uri, header, request};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use pistachiochute_core::{catalog, choice, outcome, reason, retry, time};
+use pistachiochute_core::{catalog, outcome, reason, retry, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
@@ -18,6 +17,7 @@
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::relay::{Cut, Origin, Relay};
 use crate::traffic::reply::Reply;
+use crate::traffic::report::Report;
 use crate::traffic::{Context, exchange, fleet, reply};
 use crate::{edge, events};
 
@@ -41,136 +41,6 @@
 /// Time before the end of a stopping host from which on it takes no calls.
 const STOPPING_CALL: Duration = Duration::from_millis(1_000);
 
-/// What is known of a request when it ends, for its log line and the metrics.
-pub(super) struct Report<D>
-where
-    D: edge::Dialect,
-{
-    cx: Rc<Context<D>>,
-    arrived: time::Time,
-    deadline: time::Time,
-    id: String,
-    route: Arc<str>,
-    account: Option<Arc<str>>,
-    catalog: Option<catalog::Version>,
-    status: u16,
-    reason: Option<reason::Refusal>,
-    outcome: outcome::Outcome,
-    tries: u32,
-    endpoint: String,
-    choice: Option<choice::Choice>,
-    first: Option<Duration>,
-    events: u64,
-    last_passed: time::Time,
-    longest_gap: Duration,
-    /// Whether the end was reported. A report that is dropped before belongs to a request whose
-    /// caller left.
-    is_ended: bool,
-}
-
-impl<D> Report<D>
-where
-    D: edge::Dialect,
-{
-    fn new(cx: &Rc<Context<D>>, arrived: time::Time) -> Self {
-        cx.requests.set(cx.requests.get() + 1);
-        cx.metrics.started();
-        Self {
-            cx: cx.clone(),
-            arrived,
-            deadline: arrived,
-            id: String::new(),
-            route: Arc::from(""),
-            account: None,
-            catalog: None,
-            status: 0,
-            reason: None,
-            outcome: outcome::Outcome::NotRun,
-            tries: 0,
-            endpoint: String::new(),
-            choice: None,
-            first: None,
-            events: 0,
-            last_passed: arrived,
-            longest_gap: Duration::ZERO,
-            is_ended: false,
-        }
-    }
-
-    fn planned(&mut self, plan: &Plan) {
-        self.route = plan.route.name.clone();
-        self.account.clone_from(&plan.account);
-        self.catalog = Some(plan.catalog.version());
-        self.deadline = plan.deadline;
-    }
-
-    fn refused(&mut self, reason: reason::Refusal, outcome: outcome::Outcome, status: u16) {
-        self.reason = Some(reason);
-        self.outcome = outcome;
-        self.status = status;
-        self.cx.metrics.refused(reason);
-    }
-
-    fn answered(&mut self, status: u16) {
-        self.status = status;
-        self.outcome = outcome::Outcome::Run;
-    }
-
-    /// Notes that events were passed on.
-    pub(super) fn passed(&mut self, events: u64) {
-        let now = clock::now();
-        self.events = events;
-        if self.first.is_none() {
-            let span = now.since(self.arrived);
-            self.first = Some(span);
-            self.cx.metrics.first_token(span);
-        } else {
-            let gap = now.since(self.last_passed);
-            self.longest_gap = self.longest_gap.max(gap);
-            self.cx.metrics.token_gap(gap);
-        }
-        self.last_passed = now;
-    }
-
-    /// Writes the line of the request.
-    pub(super) fn end(&mut self, end: &str) {
-        if std::mem::replace(&mut self.is_ended, true) {
-            return;
-        }
-        let now = clock::now();
-        self.cx.requests.set(self.cx.requests.get() - 1);
-        self.cx.metrics.finished(self.outcome);
-        self.cx.events.request(&events::RequestLine {
-            request: &self.id,
-            route: &self.route,
-            account: self.account.as_deref().unwrap_or(""),
-            catalog: self.catalog,
-            catalog_age: self.cx.shared.catalog_age(now),
-            status: self.status,
-            reason: self.reason,
-            outcome: self.outcome,
-            tries: self.tries,
-            endpoint: &self.endpoint,
-            choice: self.choice,
-            first: self.first,
-            total: now.since(self.arrived),
-            events: self.events,
-            longest_gap: self.longest_gap,
-            end,
-        });
-    }
-}
-
-impl<D> Drop for Report<D>
-where
-    D: edge::Dialect,
-{
-    /// The future of a request is dropped when its caller leaves.
-    fn drop(&mut self) {
-        self.end("caller left");
-    }
-}
-
 /// Serves a request.
 pub(super) async fn serve<D>(
     cx: Rc<Context<D>>,
@@ -217,11 +87,11 @@
         Ok(Err(_)) | Err(_) => return Err(reason::Refusal::BodyTruncated),
     };
     let ask = cx.dialect.ask(head)?;
-    report.id = String::from_utf8_lossy(&ask.id).into_owned();
-    let age = cx.shared.catalog_age(report.arrived);
-    let plan = plan(&view, age, head, &ask, report.arrived)?;
+    report.identify(&ask.id);
+    let age = cx.shared.catalog_age(report.arrived());
+    let plan = plan(&view, age, head, &ask, report.arrived())?;
     report.planned(&plan);
-    if !can_finish(cx, &plan, report.arrived) {
+    if !can_finish(cx, &plan, report.arrived()) {
         return Err(reason::Refusal::Draining);
     }
     let mut fleet = cx.fleet.borrow_mut();
@@ -314,9 +184,7 @@
         };
         origin.tried.push(chosen.choice.endpoint);
         if let Some(report) = &mut report {
-            report.tries += 1;
-            report.endpoint = chosen.endpoint.identity.to_string();
-            report.choice = Some(chosen.choice);
+            report.tries(&chosen);
         }
         let stall = stall(&cx, origin);
         let attempt = Attempt {
@@ -468,8 +336,8 @@
 where
     D: edge::Dialect,
 {
-    let left = report.deadline.since(clock::now());
-    let spread = (left, report.arrived.as_micros());
+    let left = report.deadline().since(clock::now());
+    let spread = (left, report.arrived().as_micros());
     let response = reply::refusal(reason, outcome, spread);
     report.refused(reason, outcome, response.status().as_u16());
     report.end("refused");
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -51,7 +51,6 @@
             "store": {"address": store, "lease_ms": 3_000},
             "retry": {"ratio": 0.2, "extra": 40},
             "stop_s": STOP_S,
-            "catalog_lag_ms": 2_000,
         });
         let path = dir.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).wrap_err("settings of a host")?;
