--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -233,11 +233,9 @@
     true
 }
 
-/// Grown Lombardy, `reuse-and-resets` with seed 479728404167: a relay that had lost the store held a
-/// removed endpoint for lapsed and told others of all changes but that one. They never heard of
-/// it, and one sent to the endpoint 3.5 s after it had left.
-#[test]
-fn others_hear_of_a_removal_that_was_first_taken_for_a_lapse() {
+/// Two hosts that know one endpoint, of which the first one has since seen its entry vanish right
+/// after the store was away.
+fn relay_with_a_lapse() -> (World, World) {
     let mut relay = World::new();
     let mut member = World::new();
     for world in [&mut relay, &mut member] {
@@ -247,6 +245,15 @@
     relay.directory.store_answers(false, relay.now);
     relay.directory.store_answers(true, relay.now);
     relay.remove(2, Source::Store);
+    (relay, member)
+}
+
+/// Grown Lombardy, `reuse-and-resets` with seed 479728404167: a relay that had lost the store held a
+/// removed endpoint for lapsed and told others of all changes but that one. They never heard of
+/// it, and one sent to the endpoint 3.5 s after it had left.
+#[test]
+fn others_hear_of_a_removal_that_was_first_taken_for_a_lapse() {
+    let (mut relay, mut member) = relay_with_a_lapse();
     let other: Arc<str> = "other".into();
     let source = Source::Store;
     let ready = endpoint("other", 1, 1, State::Ready);
@@ -265,15 +272,7 @@
 
 #[test]
 fn the_end_of_a_lapse_is_a_change_that_others_ask_for() {
-    let mut relay = World::new();
-    let mut member = World::new();
-    for world in [&mut relay, &mut member] {
-        world.put(1, 1, State::Ready);
-        world.directory.confirm(at(1));
-    }
-    relay.directory.store_answers(false, relay.now);
-    relay.directory.store_answers(true, relay.now);
-    relay.remove(2, Source::Store);
+    let (mut relay, mut member) = relay_with_a_lapse();
     relay.directory.confirm(at(2));
     assert!(!ask(&mut member, &relay));
     relay.pass(3_000);
