Tell the story of one request from the logs of the hosts

pistachiochute explain ID FILE... prints the lines of a request in the order in which each host wrote them, with what the host believed before.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod completions;
 mod demo;
+mod explain;
 mod known_red;
 mod lists;
 mod load;
@@ -48,6 +49,7 @@
         .subcommand(check::command())
         .subcommand(lists::command())
         .subcommand(status::command())
+        .subcommand(explain::command())
         .subcommand(case::command())
         .subcommand(load::command())
         .subcommand(measure::command())
@@ -61,6 +63,7 @@
         Some(("check", matches)) => check::run(matches),
         Some(("lists", matches)) => lists::run(matches),
         Some(("status", matches)) => status::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("case", matches)) => case::run(matches),
         Some(("load", matches)) => load::run(matches),
         Some(("measure", matches)) => measure::run(matches),
