--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -116,7 +116,7 @@
 /// Makes attempts until one gives an answer or none is left.
 async fn run<D>(
     cx: &Rc<Context<D>>,
-    report: Report<D>,
+    mut report: Report<D>,
     plan: Plan,
     ask: &edge::Ask,
     head: request::Parts,
@@ -134,7 +134,6 @@
         attempts,
         tried: SmallVec::new(),
     });
-    let mut report = report;
     let after = ask.after_event;
     match attempt_until_answer(&mut origin, after, Some(&mut report)).await {
         Answer::Whole(answer) => deliver(report, answer),
@@ -162,6 +161,8 @@
     },
 }
 
+/// Sends a request to one endpoint after another, as far as that is allowed. `report` is `None` for
+/// a stream that is resumed, whose answer has begun already.
 async fn attempt_until_answer<D>(
     origin: &mut Box<Origin<D>>,
     after_event: Option<u64>,
@@ -170,17 +171,17 @@
 where
     D: edge::Dialect,
 {
+    let cx = origin.cx.clone();
+    // The last failure that an endpoint answered, which is better than none of our own.
+    let mut failed: Option<Whole> = None;
     loop {
-        let cx = origin.cx.clone();
         let now = clock::now();
         let outcome = origin.attempts.outcome();
         if now >= origin.plan.deadline {
-            let reason = reason::Refusal::Deadline;
-            return Answer::None { reason, outcome };
+            return give_up(origin, failed, reason::Refusal::Deadline, outcome);
         }
         let Some(chosen) = choose(&cx, origin, now) else {
-            let reason = reason::Refusal::NoEndpoint;
-            return Answer::None { reason, outcome };
+            return give_up(origin, failed, reason::Refusal::NoEndpoint, outcome);
         };
         origin.tried.push(chosen.choice.endpoint);
         if let Some(report) = &mut report {
@@ -203,12 +204,13 @@
                 failure,
             } => (ending, cause, failure),
         };
+        failed = failure.or(failed);
         let next = next(&cx, origin, ending);
         log_attempt(&cx, origin, &chosen, (ending, &cause, next));
         match next {
             retry::Next::Again(reason) => cx.metrics.retried(reason),
             retry::Next::GiveUp { reason, outcome } => {
-                return give_up(origin, failure, reason, outcome);
+                return give_up(origin, failed, reason, outcome);
             }
         }
     }
@@ -235,6 +237,7 @@
     }
 }
 
+/// Chooses the endpoint of the next attempt by what is known now.
 fn choose<D>(cx: &Rc<Context<D>>, origin: &Origin<D>, now: time::Time) -> Option<fleet::Chosen>
 where
     D: edge::Dialect,
@@ -266,6 +269,7 @@
     }
 }
 
+/// Decides what follows an attempt, and takes a repeat from the budget if one follows.
 fn next<D>(cx: &Rc<Context<D>>, origin: &mut Origin<D>, ending: retry::Ending) -> retry::Next
 where
     D: edge::Dialect,
