--- a/crates/core/src/limits/terms.rs
+++ b/crates/core/src/limits/terms.rs
@@ -17,7 +17,7 @@
 pub const CREDIT_TTL: Duration = Duration::from_secs(2);
 
 /// Time for which a holder may use the elastic part of a slice after it read that it holds it.
-pub const ELASTIC_LEASE: Duration = Duration::from_secs(45);
+pub const ELASTIC_LEASE: Duration = Duration::from_secs(60);
 
 /// Time for which a holder may use the floor of a slice after it read that it holds it.
 pub const FLOOR_LEASE: Duration = Duration::from_secs(6 * 3600);
