--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use pistachiochute_standins::platform::caller::{events, whole};
+use pistachiochute_standins::platform::endpoint::seal_of;
 
 use crate::load::{Kind, Record};
 
@@ -174,12 +175,10 @@
     if !(200..300).contains(&answer.status) {
         return None;
     }
-    let Some(seal) = answer.header("x-response-seal") else {
+    let Some(seal) = answer.seal() else {
         return Some(format!("{} was served without a seal", record.id));
     };
-    let sealed_by_run = runs
-        .iter()
-        .any(|ran| seal == format!("seal-of-{}", ran.endpoint));
+    let sealed_by_run = runs.iter().any(|ran| seal == seal_of(&ran.endpoint));
     if !sealed_by_run {
         return Some(format!("{} bears the seal {seal} of no run", record.id));
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -9,10 +9,10 @@
 use eyre::WrapErr as _;
 use pistachiochute_standins::platform::caller::Ask;
 use pistachiochute_standins::platform::endpoint::{Behaviour, Endpoint};
+use pistachiochute_standins::platform::records;
 use pistachiochute_standins::platform::store::{Door, Mode, Store};
 use pistachiochute_standins::relay::Relay;
 use rustix::process::Signal;
-use serde_json::{Value, json};
 
 use crate::checks::{Disturbed, EVENTS, Ran, Seen, Verdict};
 use crate::process::{Host, STOP_S};
@@ -79,12 +79,9 @@
         self.sequence += 1;
         for (i, endpoint) in self.both().into_iter().enumerate() {
             let service = ["calls", "streams"][i];
-            let entry = json!({
-                "service": service, "address": self.relays[i].addr(),
-                "zone": "dom-a", "version": "v1", "slots": 16, "state": state,
-                "coldRemainingMs": 0, "sequence": self.sequence, "born": 1,
-            });
-            store.put(&format!("servers/{}", endpoint.id()), &entry);
+            let address = self.relays[i].addr();
+            let entry = records::entry(service, address, state, self.sequence);
+            store.put(&records::entry_key(endpoint.id()), &entry);
         }
     }
 
@@ -183,11 +180,15 @@
         self.version += 1;
         let key = load::key(self.callers.key.load(Ordering::Relaxed));
         let route = |name: &str, kind: &str, service: &str, attempts: u32| {
-            json!({
-                "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind,
-                "timeoutMs": 4_000, "targetLatencyMs": 500, "priority": 1, "service": service,
-                "maxAttempts": attempts, "streamResume": name == "resumable",
-            })
+            let route = records::Route {
+                name,
+                kind,
+                service,
+                attempts,
+                resumes: name == "resumable",
+                timeout_ms: 4_000,
+            };
+            route.record()
         };
         let mut routes = vec![
             route("call", "safe", "calls", 3),
@@ -198,19 +199,8 @@
         for i in 0..self.routes {
             routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
         }
-        let config: Value = json!({
-            "version": self.version, "routes": routes,
-            "services": [
-                {"name": "calls", "maxConnections": 400},
-                {"name": "streams", "maxConnections": 400},
-            ],
-            "limits": {
-                "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
-                "idleTimeoutMs": 15_000,
-            },
-            "tenants": [{"name": "farm", "apiKeys": [key], "priority": 3}],
-        });
-        self.store.put("op/config", &config);
+        let config = records::config(self.version, &routes, &["calls", "streams"], &[&key]);
+        self.store.put(records::CONFIG_KEY, &config);
     }
 
     fn disturb(&mut self, host: usize, span: Duration, is_planned: bool) {
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -22,6 +22,12 @@
 }
 
 impl Answer {
+    /// Seal of the endpoint that made the answer.
+    #[must_use]
+    pub fn seal(&self) -> Option<&str> {
+        self.header("x-response-seal")
+    }
+
     /// Value of a header.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -204,6 +204,12 @@
     }
 }
 
+/// Seal of an endpoint's answers.
+#[must_use]
+pub fn seal_of(id: &str) -> String {
+    format!("seal-of-{id}")
+}
+
 fn value(text: &str) -> hyper::header::HeaderValue {
     hyper::header::HeaderValue::from_str(text).expect("a header value")
 }
@@ -222,7 +228,7 @@
     }
 
     fn sealed(&self, mut reply: Response<http::Body>) -> Response<http::Body> {
-        let seal = format!("seal-of-{}", self.id);
+        let seal = seal_of(&self.id);
         reply.headers_mut().insert("x-response-seal", value(&seal));
         reply
     }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -6,4 +6,5 @@
 pub mod caller;
 pub mod endpoint;
 mod http;
+pub mod records;
 pub mod store;
--- /dev/null
+++ b/crates/standins/src/platform/records.rs
@@ -0,0 +1,69 @@
+//! What the operator and endpoints write into the platform's store.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// Key of the configuration.
+pub const CONFIG_KEY: &str = "op/config";
+
+/// A route of the configuration. Its prefix is its name between slashes.
+#[derive(Clone, Copy, Debug)]
+pub struct Route<'a> {
+    /// Name.
+    pub name: &'a str,
+    /// Kind, as the platform spells it.
+    pub kind: &'a str,
+    /// Service.
+    pub service: &'a str,
+    /// Most endpoints that a request may be sent to.
+    pub attempts: u32,
+    /// Whether its streams may be resumed.
+    pub resumes: bool,
+    /// Longest time of a request, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Route<'_> {
+    /// The route as it stands in the configuration.
+    #[must_use]
+    pub fn record(&self) -> Value {
+        json!({
+            "name": self.name, "host": "a.example", "prefix": format!("/{}/", self.name),
+            "kind": self.kind, "timeoutMs": self.timeout_ms, "targetLatencyMs": 500, "priority": 1,
+            "service": self.service, "maxAttempts": self.attempts, "authExempt": false,
+            "sticky": true, "streamResume": self.resumes,
+        })
+    }
+}
+
+/// A configuration with one client account that holds the keys.
+#[must_use]
+pub fn config(version: u64, routes: &[Value], services: &[&str], keys: &[&str]) -> Value {
+    let service =
+        |name: &&str| json!({"name": name, "healthPath": "/health", "maxConnections": 400});
+    let services: Vec<_> = services.iter().map(service).collect();
+    json!({
+        "version": version, "routes": routes, "services": services,
+        "limits": {
+            "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "farm", "apiKeys": keys, "priority": 3}],
+    })
+}
+
+/// Key of the entry of an endpoint.
+#[must_use]
+pub fn entry_key(id: &str) -> String {
+    format!("servers/{id}")
+}
+
+/// Entry of an endpoint.
+#[must_use]
+pub fn entry(service: &str, address: SocketAddr, state: &str, sequence: u64) -> Value {
+    json!({
+        "service": service, "address": address, "zone": "dom-a", "version": "v1", "slots": 8,
+        "state": state, "coldRemainingMs": 0, "sequence": sequence, "born": 1_000,
+    })
+}
