Copy prompts from leaving endpoints of the same service only

Cause (read-through): the endpoints that leave were kept in one list, so leaving endpoints of a plain service stood among the sources of prompts, by their hash. An engine that is told to copy from one asks in vain. The same look at presence compared every candidate with every endpoint of the service on each request. Change: leaving endpoints are kept by service, and an endpoint counts as present by the view that it was last in. Test: prompts_are_not_copied_from_leaving_endpoints_of_another_service failed before.

--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -1,5 +1,8 @@
 //! The endpoints as the traffic thread sees them: work in progress, caches, health and budgets.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,6 +38,8 @@
     work: load::Work,
     /// Whether the last attempt to connect failed.
     is_unreachable: bool,
+    /// Serial of the last view that held it.
+    serial: u64,
     /// Requests that the endpoint stated, and when.
     stated: Option<(u32, time::Time)>,
 }
@@ -57,8 +62,9 @@
     known: map::EntityMap<entity::EndpointId, Known>,
     by_hash: HashMap<u64, entity::EndpointId>,
     by_service: HashMap<Arc<str>, Vec<entity::EndpointId>>,
-    /// Endpoints that leave. They take no requests, but others can copy from their caches.
-    leaving: Vec<homes::Leaving>,
+    /// Endpoints that leave, by service. They take no requests, but others of their service can
+    /// copy from their caches.
+    leaving: HashMap<Arc<str>, Vec<homes::Leaving>>,
     budgets: HashMap<Arc<str>, retry::Budget>,
     prefixes: prefix::Prefixes,
     health: health::Health,
@@ -77,7 +83,7 @@
             known: map::EntityMap::new(),
             by_hash: HashMap::new(),
             by_service: HashMap::new(),
-            leaving: Vec::new(),
+            leaving: HashMap::new(),
             budgets: HashMap::new(),
             prefixes: prefix::Prefixes::default(),
             health: health::Health::new(HEALTH, now),
@@ -101,12 +107,18 @@
                 .or_default()
                 .push(id);
         }
-        let leaving = view.leaving.iter().map(|endpoint| homes::Leaving {
-            endpoint: self.id_of(endpoint),
-            hash: endpoint.identity.hash(),
-        });
-        self.leaving = leaving.collect();
-        self.forget_unused(view);
+        self.leaving.clear();
+        for endpoint in &view.leaving {
+            let leaving = homes::Leaving {
+                endpoint: self.id_of(endpoint),
+                hash: endpoint.identity.hash(),
+            };
+            self.leaving
+                .entry(endpoint.service.clone())
+                .or_default()
+                .push(leaving);
+        }
+        self.forget_unused();
     }
 
     /// Chooses an endpoint of a service, apart from those that the request was at already.
@@ -125,13 +137,14 @@
             .filter_map(|id| self.candidate(*id, others, now))
             .collect();
         let is_source = |id| {
-            let is_leaving = self.leaving.iter().any(|l| l.endpoint == id);
-            let is_present = is_leaving || ids.contains(&id);
-            is_present && self.health.is_usable(id)
+            let is_present =
+                |known: &Known| known.serial == self.serial && *known.endpoint.service == *service;
+            self.known.get(id).is_some_and(is_present) && self.health.is_usable(id)
         };
+        let leaving = self.leaving.get(service);
         let caches = choice::Caches {
             prefixes: &self.prefixes,
-            leaving: &self.leaving,
+            leaving: leaving.map_or(&[], Vec::as_slice),
             is_source: &is_source,
         };
         let choice = choice::choose(need, &candidates, &caches, &self.rates, now)?;
@@ -232,6 +245,7 @@
         if let Some(id) = self.ids.get(&endpoint.identity) {
             if let Some(known) = self.known.get_mut(*id) {
                 known.endpoint = endpoint.clone();
+                known.serial = self.serial;
             }
             return *id;
         }
@@ -247,6 +261,7 @@
                 hash,
                 work: load::Work::default(),
                 is_unreachable: false,
+                serial: self.serial,
                 stated: None,
             },
         );
@@ -254,19 +269,11 @@
     }
 
     /// Forgets endpoints that are gone and have no work of this host.
-    fn forget_unused(&mut self, view: &shared::View) {
-        let used: std::collections::HashSet<_> = view
-            .endpoints
-            .iter()
-            .chain(&view.leaving)
-            .map(|e| &e.identity)
-            .collect();
+    fn forget_unused(&mut self) {
         let gone: Vec<_> = self
             .known
             .iter()
-            .filter(|(_, known)| {
-                known.work.requests == 0 && !used.contains(&known.endpoint.identity)
-            })
+            .filter(|(_, known)| known.work.requests == 0 && known.serial != self.serial)
             .map(|(id, _)| id)
             .collect();
         for id in gone {
--- /dev/null
+++ b/crates/gateway/src/traffic/fleet/tests.rs
@@ -0,0 +1,80 @@
+//! Which endpoints cached prompts are copied from.
+
+use std::sync::Arc;
+
+use pistachiochute_core::choice::{self, prompt};
+use pistachiochute_core::membership::digest;
+use pistachiochute_core::{directory, retry, time};
+
+use super::Fleet;
+use crate::shared;
+
+const NOW: time::Time = time::Time::from_secs(5);
+
+fn endpoint(service: &str, number: u16, state: directory::State) -> Arc<directory::Endpoint> {
+    Arc::new(directory::Endpoint {
+        identity: directory::Identity {
+            id: format!("{service}-{number}").into(),
+            born: 1,
+        },
+        service: service.into(),
+        address: ([127, 0, 0, 1], number).into(),
+        domain: "dom-a".into(),
+        slots: 8,
+        state,
+        heartbeat: 1,
+    })
+}
+
+/// Ports of the endpoints that prompts are copied from, over many prompts.
+fn sources(view: &shared::View) -> Vec<u16> {
+    let budget = retry::FleetBudget {
+        ratio: 0.1,
+        extra: 10.0,
+    };
+    let mut fleet = Fleet::new("dom-a".to_owned(), budget, NOW);
+    fleet.follow(view);
+    let others = digest::Works::new();
+    (0..200_u64)
+        .filter_map(|seed| {
+            let id = seed.to_le_bytes();
+            let parts: [(&[u8], u32); 2] = [(&id, 5_000), (b"own", 100)];
+            let need = choice::Need {
+                prompt: Some(prompt::Prompt::new(b"m", parts, 5_100, 100)),
+                seed,
+            };
+            let chosen = fleet.choose("engines", &need, &others, &[], NOW)?;
+            chosen.copy_from.map(|address| address.port())
+        })
+        .collect()
+}
+
+fn view(endpoints: Vec<Arc<directory::Endpoint>>, leaving: &[u16], service: &str) -> shared::View {
+    let leaving = leaving.iter();
+    shared::View {
+        serial: 1,
+        endpoints,
+        leaving: leaving
+            .map(|n| endpoint(service, *n, directory::State::Leaving))
+            .collect(),
+        ..shared::View::default()
+    }
+}
+
+fn engines() -> Vec<Arc<directory::Endpoint>> {
+    let ready = |n| endpoint("engines", n, directory::State::Ready);
+    (1..4).map(ready).collect()
+}
+
+/// Endpoints of a plain service hold no prompts; asked for one, they keep an engine waiting.
+#[test]
+fn prompts_are_not_copied_from_leaving_endpoints_of_another_service() {
+    let sources = sources(&view(engines(), &[101, 102, 103, 104], "calls"));
+    assert!(sources.iter().all(|port| *port < 100), "{sources:?}");
+}
+
+#[test]
+fn prompts_are_copied_from_leaving_engines() {
+    let sources = sources(&view(engines(), &[101], "engines"));
+    assert!(sources.contains(&101));
+}
