End the outage of a host that gets its news from a relay

Cause: the host had lost the store at 6.3 s. From 7 s on a relay brought it the news, so its follower of the catalog, the only one that notes the store's return, never asked again. Its follower of the endpoints still had a watch open, whose answer at 16.0 s told of nine endpoints that leave and three removals. The removals were held for lapses, since the store was taken to be away, and nothing ended that: the relay had been without the store itself, so its word proved nothing, and what the relay tells of a revision that is known already changes nothing.

Ruled out: late writes that bring an entry back (no revision of these entries after the removal), a relay that is behind (it told of the next removal 0.1 s later).

Change: what the store itself tells shows that it answers; and the word of a host that the store has answered for the grace of a lapse ends an outage, however it began.

Both tests fail without the change.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -55,6 +55,10 @@
         source: Source,
         now: time::Time,
     ) -> bool {
+        if source == Source::Store {
+            // What the store tells shows that it answers, whatever other calls came to.
+            self.outage.note(true, now);
+        }
         let known = self.records.get(key);
         if known.is_some_and(|r| r.revision >= revision) {
             return false;
--- a/crates/core/src/directory/outage.rs
+++ b/crates/core/src/directory/outage.rs
@@ -46,11 +46,13 @@
     }
 
     /// Takes in what another host says. If the store answered it all the while, it was away for
-    /// this host only, and no endpoint failed to renew its entry.
+    /// this host only, and no endpoint failed to renew its entry. If the store has answered it for
+    /// [`LAPSE_GRACE`], every endpoint that lives on has written its entry again.
     pub fn hear(&mut self, witness: Witness) {
         let Some(away) = self.away_since else { return };
         let was_steady = witness.steady_since <= away;
-        if was_steady && witness.answered >= away + PROOF_DELAY {
+        let has_been_back = witness.answered.since(witness.steady_since) >= LAPSE_GRACE;
+        if (was_steady || has_been_back) && witness.answered >= away + PROOF_DELAY {
             *self = Self::default();
         }
     }
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -151,6 +151,41 @@
     assert!(world.is_usable());
 }
 
+/// Grown Bocage, trouble-1: a host lost the store, got the news from a relay from then on and so
+/// never tried the store itself again, but for the one watch that told of the removal. It used
+/// the endpoint 3.4 s after it had left, and would have gone on.
+#[test]
+fn a_removal_that_the_store_itself_tells_of_shows_that_it_is_back() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.store_answers(false, world.now);
+    world.pass(4_000);
+    world.remove(2, Source::Store);
+    assert!(world.is_usable());
+    world.pass(2_300);
+    assert!(!world.is_usable());
+}
+
+/// The same day: the relay had lost the store as well, but has had answers for longer than an entry
+/// of an endpoint that lives on can be missing.
+#[test]
+fn an_outage_is_over_once_the_store_has_answered_another_host_for_the_grace() {
+    let is_final_after = |answering: Duration| {
+        let mut world = World::new();
+        world.put(1, 1, State::Ready);
+        world.directory.store_answers(false, world.now);
+        world.pass(5_500);
+        world.directory.hear(Witness {
+            steady_since: world.now,
+            answered: world.now + answering,
+        });
+        world.now += answering;
+        world.remove(2, Source::Store)
+    };
+    assert!(!is_final_after(Duration::from_millis(2_100)));
+    assert!(is_final_after(Duration::from_millis(2_200)));
+}
+
 #[test]
 fn a_removal_that_another_host_tells_of_is_final() {
     let mut world = World::new();
