Take a watch that is cut for no outage of the store, and log the end of a lapse

The follower of the catalog took the cut of its watch for an outage of the store, so relays held removals for lapses for 2.2 s, and others heard of them another 0.8 s later. A watch may be cut at any time; only a call that is sent after that and fails shows that the store is away.

Ruled out: slow relays (changes that are no removals arrive within 0.2 s on the same links), the pause between watches.

Change: the follower reads anew after a cut watch, at once the first time and with the usual pause after that. The end of a lapse is logged as a change of the endpoint. A counter, store_losses, shows how often the store was lost.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -154,21 +154,21 @@
         self.outage.hear(witness);
     }
 
-    /// Ends what has lapsed for good and forgets old removals. Returns whether the endpoints in
-    /// use changed.
-    pub fn tick(&mut self, now: time::Time) -> bool {
-        let mut changed = false;
+    /// Ends what has lapsed for good and forgets old removals. Returns the keys of the entries
+    /// that lapsed, with the revisions of their removal.
+    pub fn tick(&mut self, now: time::Time) -> Vec<(Arc<str>, revision::Revision)> {
+        let mut lapsed = Vec::new();
         if !self.outage.may_lapse(now) {
-            for record in self.records.values_mut() {
+            for (key, record) in &mut self.records {
                 if record.end_lapse(now) {
-                    changed = true;
                     self.changed = self.changed.max(record.revision);
+                    lapsed.push((key.clone(), record.revision));
                 }
             }
         }
         self.records
             .retain(|_, r| r.is_present() || now.since(r.since) < REMOVED_KEPT);
-        changed
+        lapsed
     }
 
     /// Endpoints that new requests may be sent to.
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -75,13 +75,12 @@
         }
     }
 
-    /// Ends the use of an endpoint whose entry is gone. Returns whether it was in use.
+    /// Ends the use of an endpoint whose entry is gone. Returns whether it had been kept.
     pub(super) fn end_lapse(&mut self, now: time::Time) -> bool {
         if !self.is_lapsing {
             return false;
         }
-        let was_usable = self.usable().is_some();
         *self = Self::new(self.revision, None, self.last.take(), now);
-        was_usable
+        true
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -156,6 +156,9 @@
             return;
         }
         self.events.store_answers(answered, cause);
+        if !answered {
+            self.metrics.store_lost();
+        }
         if answered {
             self.steady_since.set(now);
             self.store_back.notify_waiters();
@@ -203,9 +206,12 @@
     /// Does what is due by time alone.
     fn tick(&self) {
         let now = clock::now();
-        let changed = self.state.borrow_mut().directory.tick(now);
+        let lapsed = self.state.borrow_mut().directory.tick(now);
         self.state.borrow_mut().hosts.tick(now);
-        if changed {
+        for (key, revision) in &lapsed {
+            self.events.endpoint_changed(key, *revision, None);
+        }
+        if !lapsed.is_empty() {
             self.publish();
         }
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -79,6 +79,7 @@
     S: edge::Store,
 {
     let key = cx.dialect.catalog_key();
+    let mut cut_watches = 0;
     loop {
         let asked = clock::now();
         let found = cx.store.range(key, edge::Freshness::Latest).await?;
@@ -91,10 +92,23 @@
         let mut after = found.revision;
         loop {
             let watched = tokio::select! {
-                watched = cx.store.watch(key, after, WATCH) => watched?,
+                watched = cx.store.watch(key, after, WATCH) => watched,
                 // Another call failed: a read shows whether the store answers at all.
                 () = cx.store_suspect.notified() => break,
             };
+            let watched = match watched {
+                Ok(watched) => watched,
+                Err(e) => {
+                    // A watch may be cut at any time. A read shows whether the store answers.
+                    cx.events.follower_stopped(key, &e);
+                    if cut_watches > 0 {
+                        pause_after(cut_watches).await;
+                    }
+                    cut_watches += 1;
+                    break;
+                }
+            };
+            cut_watches = 0;
             cx.note_store(true, "");
             let edge::Watched::Changes { revision, changes } = watched else {
                 cx.events.history_gone(key, after);
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -88,6 +88,7 @@
     first_token: metrics::Histogram<f64>,
     token_gap: metrics::Histogram<f64>,
     link_bytes: metrics::Counter<u64>,
+    store_losses: metrics::Counter<u64>,
     beliefs: metrics::Gauge<u64>,
 }
 
@@ -133,6 +134,7 @@
                 &TOKEN_GAP_BUCKETS,
             ),
             link_bytes: counter(&meter, "link_bytes", "Bytes on the links between hosts"),
+            store_losses: counter(&meter, "store_losses", "Times that the store was lost"),
             beliefs: meter
                 .u64_gauge("beliefs")
                 .with_description("What the host believes, by subject")
@@ -193,6 +195,11 @@
         self.link_bytes.add(bytes, &labels);
     }
 
+    /// Counts that the store ceased to answer.
+    pub fn store_lost(&self) {
+        self.store_losses.add(1, &[]);
+    }
+
     /// Shows what the host believes.
     pub fn believes(&self, beliefs: &Beliefs) {
         let rows = [
@@ -243,6 +250,7 @@
         }
         self.in_flight.add(0, &[]);
         self.queued.add(0, &[]);
+        self.store_losses.add(0, &[]);
     }
 }
 
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -163,6 +163,7 @@
         let handler = Arc::new(Handler {
             store: self.clone(),
             mode: watch::Sender::new(Mode::Open),
+            cuts: watch::Sender::new(0),
         });
         let server = http::Server::start(handler.clone())?;
         Ok(Door { server, handler })
@@ -196,6 +197,11 @@
         self.server.addr()
     }
 
+    /// Cuts the watches that wait. Calls after that are carried out.
+    pub fn cut_watches(&self) {
+        self.handler.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     /// Changes what the door does with calls, those that wait included.
     pub fn set_mode(&self, mode: Mode) {
         self.handler.mode.send_replace(mode);
@@ -211,6 +217,8 @@
 struct Handler {
     store: Store,
     mode: watch::Sender<Mode>,
+    /// Times that the watches were cut.
+    cuts: watch::Sender<u64>,
 }
 
 impl http::Handler for Handler {
@@ -226,10 +234,12 @@
         }
         let loses = mode == Mode::LosingAnswers && req.method() != Method::GET;
         let mut shut = self.mode.subscribe();
+        let mut cuts = self.cuts.subscribe();
         let answer = tokio::select! {
             answer = self.carry_out(req) => answer,
             // A watch that waits is cut when the door is shut.
             _ = shut.wait_for(|mode| *mode != Mode::Open) => None,
+            _ = cuts.changed() => None,
         };
         answer.filter(|_| !loses)
     }
