Serve the product's own interface with hyper, and drop tiny_http and the gate from the host

Cause: tiny_http reads heads without a bound, sets no timeouts, ends its accept loop by the timeout of its socket, and sends chunks of 8 KiB.

Change: runtime::listener serves HTTP/1.1 with hyper on one thread. A request is read whole within its bounds and handed to a thread of the pool, which answers through an Answer: whole, or as a Stream whose drop the caller sees as a cut. Heads, bodies, connections and silent callers are bounded as before. gate.rs is gone, and so are tiny_http and chunked_transfer from the runtime.

Ruled out: serving on the gateway's traffic thread now; its choice, retries and links differ from those of the owner path, which has to go first (docs/issues/one-path.md).

--- a/crates/runtime/src/admin/mod.rs
+++ b/crates/runtime/src/admin/mod.rs
@@ -14,6 +14,8 @@
 mod reply;
 mod route;
 
+pub use route::MAX_BODY;
+
 use std::sync::Arc;
 
 use crate::lists::editor;
@@ -35,12 +37,11 @@
 }
 
 impl listener::Service for Context {
-    fn serve(&self, mut req: tiny_http::Request) {
-        let reply = route::reply(self, &mut req);
-        reply.send(req);
+    fn serve(&self, req: listener::Request, answer: listener::Answer) {
+        route::reply(self, &req).send(answer);
     }
 
-    fn refuse_busy(&self, req: tiny_http::Request) {
-        reply::Reply::busy().send(req);
+    fn refuse_busy(&self, _req: listener::Request, answer: listener::Answer) {
+        reply::Reply::busy().send(answer);
     }
 }
--- a/crates/runtime/src/admin/reply.rs
+++ b/crates/runtime/src/admin/reply.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use pistachiochute_core::reason;
 use serde_json::{Value, json};
 
+use crate::listener;
+
 /// Type of a text that Prometheus reads.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
@@ -85,18 +88,18 @@
     }
 
     /// Sends the answer.
-    pub fn send(self, req: tiny_http::Request) {
-        let mut response =
-            tiny_http::Response::from_string(self.body).with_status_code(self.status);
-        response.add_header(field("content-type", self.content_type));
+    pub fn send(self, answer: listener::Answer) {
+        let mut response = http::Response::new(Bytes::from(self.body));
+        *response.status_mut() =
+            http::StatusCode::from_u16(self.status).expect("statuses of the host are valid");
+        let headers = response.headers_mut();
+        let content_type = http::HeaderValue::from_static(self.content_type);
+        headers.insert(http::header::CONTENT_TYPE, content_type);
         if let Some(delay) = self.retry_after {
-            response.add_header(field("retry-after", &delay.as_secs().max(1).to_string()));
+            let seconds = http::HeaderValue::from(delay.as_secs().max(1));
+            headers.insert(http::header::RETRY_AFTER, seconds);
         }
         // The operator may be gone, which nobody needs to know.
-        let _ = req.respond(response);
+        let _ = answer.whole(response);
     }
 }
-
-fn field(name: &str, value: &str) -> tiny_http::Header {
-    tiny_http::Header::from_bytes(name, value).expect("names and values are plain ASCII")
-}
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -32,28 +32,35 @@
 }
 
 impl listener::Service for Context {
-    fn serve(&self, mut req: tiny_http::Request) {
+    fn serve(&self, req: listener::Request, answer: listener::Answer) {
         let request = new_request_id();
-        match (req.method(), parse::path(&req)) {
-            (tiny_http::Method::Get, "/healthz") => respond::text(req, 200, "ok\n"),
-            (tiny_http::Method::Get, "/readyz") => self.ready(req),
-            _ => match parse::call(&mut req, &self.settings.bounds, clock::now()) {
-                Ok(call) => serve::Exchange::new(self, request, call).run(req),
-                Err(fault) => respond::refuse(self, req, &respond::Refused::parse(request, fault)),
+        match (&req.head.method, req.path()) {
+            (&http::Method::GET, "/healthz") => {
+                respond::text(answer, http::StatusCode::OK, "ok\n");
+            }
+            (&http::Method::GET, "/readyz") => self.ready(answer),
+            _ => match parse::call(req, &self.settings.bounds, clock::now()) {
+                Ok(call) => serve::Exchange::new(self, request, call).run(answer),
+                Err(fault) => {
+                    respond::refuse(self, answer, &respond::Refused::parse(request, fault));
+                }
             },
         }
     }
 
-    fn refuse_busy(&self, req: tiny_http::Request) {
-        respond::refuse(self, req, &respond::Refused::busy(new_request_id()));
+    fn refuse_busy(&self, _req: listener::Request, answer: listener::Answer) {
+        respond::refuse(self, answer, &respond::Refused::busy(new_request_id()));
     }
 }
 
 impl Context {
-    fn ready(&self, req: tiny_http::Request) {
+    fn ready(&self, answer: listener::Answer) {
         match self.control.status().is_some_and(|status| status.ready) {
-            true => respond::text(req, 200, "ready\n"),
-            false => respond::text(req, 503, "not ready\n"),
+            true => respond::text(answer, http::StatusCode::OK, "ready\n"),
+            false => {
+                let status = http::StatusCode::SERVICE_UNAVAILABLE;
+                respond::text(answer, status, "not ready\n");
+            }
         }
     }
 }
--- a/crates/runtime/src/entry/parse.rs
+++ b/crates/runtime/src/entry/parse.rs
@@ -5,7 +5,7 @@
 use pistachiochute_messages::forward;
 
 use crate::entry::call;
-use crate::{clock, settings};
+use crate::{listener, settings};
 
 /// Path of chat completions.
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -22,9 +22,6 @@
 /// Bytes of JSON text that count as one token in the estimate of a prompt.
 const BYTES_PER_TOKEN: u64 = 4;
 
-/// Bytes read from a body at once.
-const READ_LEN: usize = 16 * 1024;
-
 /// Why a request was refused before it was routed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -46,34 +43,29 @@
     }
 }
 
-/// Path of a request without its query.
-pub fn path(req: &tiny_http::Request) -> &str {
-    req.url().split('?').next().unwrap_or_default()
-}
-
-/// Reads the whole request and checks it.
+/// Checks a request.
 pub fn call(
-    req: &mut tiny_http::Request,
+    mut req: listener::Request,
     bounds: &settings::Bounds,
     arrived: time::Time,
 ) -> Result<call::Call, Fault> {
-    check_headers(req, bounds)?;
-    let key_digest = key_digest(req)?;
-    let route = route(req)?;
-    let body = read_body(req, bounds)?;
+    check_headers(&req, bounds)?;
+    let key_digest = key_digest(&req)?;
+    let route = route(&req)?;
+    let body = take_body(&mut req, bounds)?;
     match route {
-        Route::Chat => chat_call(req, key_digest, body, bounds, arrived),
+        Route::Chat => chat_call(&req, key_digest, body, bounds, arrived),
         Route::Service { name, method, path } => {
-            let key = idempotency_key(req)?;
+            let key = idempotency_key(&req)?;
             let prompt = units::Tokens::ZERO;
             Ok(call::Call {
                 key_digest,
                 target: request::Target::Service(name),
                 method,
                 path,
-                content_type: header(req, "content-type"),
+                content_type: header(&req, "content-type"),
                 body,
-                chat: Some(header(req, CHAT_HEADER)).filter(|chat| !chat.is_empty()),
+                chat: Some(header(&req, CHAT_HEADER)).filter(|chat| !chat.is_empty()),
                 stream: false,
                 repeat: repeat_of(method),
                 key,
@@ -101,24 +93,24 @@
     }
 }
 
-fn route(req: &tiny_http::Request) -> Result<Route, Fault> {
-    let method = match req.method() {
-        tiny_http::Method::Get => Some(forward::Method::Get),
-        tiny_http::Method::Post => Some(forward::Method::Post),
+fn route(req: &listener::Request) -> Result<Route, Fault> {
+    let method = match req.head.method {
+        http::Method::GET => Some(forward::Method::Get),
+        http::Method::POST => Some(forward::Method::Post),
         _ => None,
     };
     let wrong_method = || {
-        let message = format!("{} does not take {}", path(req), req.method());
+        let message = format!("{} does not take {}", req.path(), req.head.method);
         Fault::new(reason::Refusal::MethodNotAllowed, message)
     };
-    if path(req) == CHAT_PATH {
+    if req.path() == CHAT_PATH {
         return match method {
             Some(forward::Method::Post) => Ok(Route::Chat),
             _ => Err(wrong_method()),
         };
     }
-    let Some(rest) = req.url().strip_prefix(SERVICES_PATH) else {
-        let message = format!("no such path: {}", path(req));
+    let Some(rest) = req.target().strip_prefix(SERVICES_PATH) else {
+        let message = format!("no such path: {}", req.path());
         return Err(Fault::new(reason::Refusal::NotFound, message));
     };
     let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
@@ -133,12 +125,12 @@
     })
 }
 
-fn check_headers(req: &tiny_http::Request, bounds: &settings::Bounds) -> Result<(), Fault> {
-    let fields = req.headers().iter();
+fn check_headers(req: &listener::Request, bounds: &settings::Bounds) -> Result<(), Fault> {
+    let fields = req.head.headers.iter();
     let len: usize = fields
-        .map(|h| h.field.as_str().as_str().len() + h.value.as_str().len())
+        .map(|(name, value)| name.as_str().len() + value.len())
         .sum();
-    let len = (len + req.url().len()) as u64;
+    let len = (len + req.target().len()) as u64;
     if len > bounds.header.0 {
         let message = format!("headers of {len} bytes exceed {} bytes", bounds.header);
         return Err(Fault::new(reason::Refusal::HeadersTooLarge, message));
@@ -146,17 +138,12 @@
     Ok(())
 }
 
-fn header(req: &tiny_http::Request, name: &str) -> Bytes {
-    let found = req
-        .headers()
-        .iter()
-        .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
-    found
-        .map(|h| Bytes::copy_from_slice(h.value.as_str().as_bytes()))
-        .unwrap_or_default()
+fn header(req: &listener::Request, name: &str) -> Bytes {
+    let value = req.header(name);
+    value.map_or_else(Bytes::new, |value| Bytes::copy_from_slice(value.as_bytes()))
 }
 
-fn key_digest(req: &tiny_http::Request) -> Result<lists::KeyDigest, Fault> {
+fn key_digest(req: &listener::Request) -> Result<lists::KeyDigest, Fault> {
     let value = header(req, "authorization");
     let key = value.strip_prefix(b"Bearer ").map(<[u8]>::trim_ascii);
     match key {
@@ -168,7 +155,7 @@
     }
 }
 
-fn idempotency_key(req: &tiny_http::Request) -> Result<Option<uuid::Uuid>, Fault> {
+fn idempotency_key(req: &listener::Request) -> Result<Option<uuid::Uuid>, Fault> {
     let value = header(req, KEY_HEADER);
     if value.is_empty() {
         return Ok(None);
@@ -184,40 +171,18 @@
     key.ok_or_else(invalid).map(Some)
 }
 
-/// Reads the body within its bound and its deadline.
-fn read_body(req: &mut tiny_http::Request, bounds: &settings::Bounds) -> Result<Bytes, Fault> {
-    let too_large = || {
-        let message = format!("the body exceeds {} bytes", bounds.body);
-        Fault::new(reason::Refusal::BodyTooLarge, message)
-    };
-    let truncated = |message: &str| Fault::new(reason::Refusal::BodyTruncated, message);
-    let declared = req.body_length();
-    if declared.is_some_and(|len| len as u64 > bounds.body.0) {
-        return Err(too_large());
-    }
-    let deadline = clock::now() + bounds.body_read;
-    let reader = req.as_reader();
-    let mut body = Vec::new();
-    let mut buf = [0; READ_LEN];
-    loop {
-        let len = reader
-            .read(&mut buf)
-            .map_err(|e| truncated(&e.to_string()))?;
-        if len == 0 {
-            break;
-        }
-        body.extend_from_slice(&buf[..len]);
-        if body.len() as u64 > bounds.body.0 {
-            return Err(too_large());
+/// The body, if it came whole and within its bound.
+fn take_body(req: &mut listener::Request, bounds: &settings::Bounds) -> Result<Bytes, Fault> {
+    let body = std::mem::replace(&mut req.body, Ok(Bytes::new()));
+    body.map_err(|fault| match fault {
+        listener::BodyFault::TooLarge => {
+            let message = format!("the body exceeds {} bytes", bounds.body);
+            Fault::new(reason::Refusal::BodyTooLarge, message)
         }
-        if clock::now() > deadline {
-            return Err(truncated("the body did not arrive in time"));
+        listener::BodyFault::Truncated(message) => {
+            Fault::new(reason::Refusal::BodyTruncated, message)
         }
-    }
-    if declared.is_some_and(|len| len != body.len()) {
-        return Err(truncated("the body ended before its declared length"));
-    }
-    Ok(body.into())
+    })
 }
 
 /// Fields of a chat completion that routing needs. The body itself is passed on unchanged.
@@ -232,7 +197,7 @@
 }
 
 fn chat_call(
-    req: &tiny_http::Request,
+    req: &listener::Request,
     key_digest: lists::KeyDigest,
     body: Bytes,
     bounds: &settings::Bounds,
--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -1,19 +1,15 @@
 //! Writes answers and refusals to callers.
 
-use std::io;
-use std::io::Write as _;
 use std::time::Duration;
 
 use bytes::Bytes;
-use chunked_transfer::Encoder;
+use http::{HeaderValue, Response, StatusCode, header};
 use pistachiochute_core::{answer, outcome, reason, request, retry};
 
 use crate::entry::parse;
+use crate::listener::{Answer, Gone, Stream};
 use crate::{endpoint, entry};
 
-/// Bytes that are no chunk of a chunked body.
-const NO_CHUNK: &[u8] = b"!\r\n";
-
 /// A refusal, or an error in the place of the rest of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -84,10 +80,12 @@
 }
 
 /// Answers with a line of text.
-pub fn text(req: tiny_http::Request, status: u16, text: &str) {
-    let response = tiny_http::Response::from_string(text).with_status_code(status);
+pub fn text(answer: Answer, status: StatusCode, text: &'static str) {
+    let mut response = Response::new(Bytes::from_static(text.as_bytes()));
+    *response.status_mut() = status;
+    set(&mut response, header::CONTENT_TYPE.as_str(), "text/plain");
     // The caller may be gone, which nobody needs to know.
-    let _ = req.respond(response);
+    let _ = answer.whole(response);
 }
 
 /// Counts and logs a refusal.
@@ -101,11 +99,10 @@
 /// A refusal as the bytes of an answer that ends its connection.
 pub fn raw(refused: &Refused) -> Bytes {
     let body = refused.body();
-    let status = refused.reason.status();
+    let status = status_of(refused.reason.status());
     let head = format!(
-        "HTTP/1.1 {status} {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
          {}: {}\r\nretry-after: 1\r\nconnection: close\r\n\r\n",
-        tiny_http::StatusCode(status).default_reason_phrase(),
         body.len(),
         endpoint::OUTCOME_HEADER,
         refused.outcome,
@@ -114,99 +111,98 @@
 }
 
 /// Answers with a refusal.
-pub fn refuse(cx: &entry::Context, req: tiny_http::Request, refused: &Refused) {
+pub fn refuse(cx: &entry::Context, answer: Answer, refused: &Refused) {
     count(cx, refused);
-    let mut response = tiny_http::Response::from_string(refused.body())
-        .with_status_code(refused.reason.status())
-        .with_header(field("content-type", "application/json"))
-        .with_header(field(
-            endpoint::REQUEST_HEADER,
-            &refused.request.to_string(),
-        ))
-        .with_header(field(endpoint::OUTCOME_HEADER, refused.outcome.as_str()));
+    let mut response = Response::new(Bytes::from(refused.body()));
+    *response.status_mut() = status_of(refused.reason.status());
+    set(
+        &mut response,
+        header::CONTENT_TYPE.as_str(),
+        "application/json",
+    );
+    set_outcome(&mut response, refused.request, refused.outcome);
     if let Some(delay) = refused.retry_after {
         let seconds = delay.as_secs_f64().ceil().max(1.0);
-        response = response.with_header(field("retry-after", &format!("{seconds:.0}")));
+        let seconds = format!("{seconds:.0}");
+        set(&mut response, header::RETRY_AFTER.as_str(), &seconds);
     }
-    let _ = req.respond(response);
+    // The caller may be gone, which nobody needs to know.
+    let _ = answer.whole(response);
 }
 
 /// Answers with a whole answer of an endpoint.
 pub fn whole(
-    req: tiny_http::Request,
+    answer: Answer,
     request: request::RequestId,
     head: &answer::Head,
     body: Bytes,
-) -> io::Result<()> {
-    let content_type = String::from_utf8_lossy(&head.content_type);
-    let response = tiny_http::Response::from_data(body)
-        .with_status_code(head.status)
-        .with_header(field("content-type", &content_type))
-        .with_header(field(endpoint::REQUEST_HEADER, &request.to_string()))
-        .with_header(field(
-            endpoint::OUTCOME_HEADER,
-            outcome::Outcome::Run.as_str(),
-        ))
-        .with_chunked_threshold(usize::MAX);
-    req.respond(response)
+) -> Result<(), Gone> {
+    answer.whole(endpoint_head(request, head).map(|()| body))
+}
+
+/// Status and headers of an endpoint's answer.
+fn endpoint_head(request: request::RequestId, head: &answer::Head) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status_of(head.status);
+    // A content type that no header can carry is left out.
+    if let Ok(value) = HeaderValue::from_bytes(&head.content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    set_outcome(&mut response, request, outcome::Outcome::Run);
+    response
+}
+
+/// Status of a code. One that is none can only come from an endpoint.
+fn status_of(code: u16) -> StatusCode {
+    StatusCode::from_u16(code).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+fn set_outcome<B>(
+    response: &mut Response<B>,
+    request: request::RequestId,
+    outcome: outcome::Outcome,
+) {
+    set(response, endpoint::REQUEST_HEADER, &request.to_string());
+    set(response, endpoint::OUTCOME_HEADER, outcome.as_str());
 }
 
-fn field(name: &str, value: &str) -> tiny_http::Header {
-    tiny_http::Header::from_bytes(name, value).unwrap_or_else(|()| {
-        // Only a value from an endpoint can fail; an empty one is always well-formed.
-        tiny_http::Header::from_bytes("x-invalid", "").expect("constant header is well-formed")
-    })
+/// Sets a header to a value of the host's own.
+fn set<B>(response: &mut Response<B>, name: &'static str, value: &str) {
+    let value = HeaderValue::from_str(value).expect("values of the host are plain ASCII");
+    response.headers_mut().insert(name, value);
 }
 
 /// An answer that is written piece by piece.
 pub struct Streaming {
-    encoder: Encoder<Box<dyn io::Write + Send + 'static>>,
+    stream: Stream,
 }
 
 impl Streaming {
-    /// Writes the head of the answer.
+    /// Begins the answer.
     pub fn start(
-        req: tiny_http::Request,
+        answer: Answer,
         request: request::RequestId,
         head: &answer::Head,
-    ) -> io::Result<Self> {
-        let mut writer = req.into_writer();
-        let content_type = String::from_utf8_lossy(&head.content_type);
-        let reason = tiny_http::StatusCode(head.status);
-        write!(
-            writer,
-            "HTTP/1.1 {} {}\r\ncontent-type: {content_type}\r\ncache-control: no-store\r\n\
-             {}: {request}\r\n{}: {}\r\ntransfer-encoding: chunked\r\n\r\n",
-            head.status,
-            reason.default_reason_phrase(),
-            endpoint::REQUEST_HEADER,
-            endpoint::OUTCOME_HEADER,
-            outcome::Outcome::Run,
-        )?;
-        writer.flush()?;
-        Ok(Self {
-            encoder: Encoder::with_flush_after_write(writer),
-        })
+    ) -> Result<Self, Gone> {
+        let mut response = endpoint_head(request, head);
+        set(&mut response, header::CACHE_CONTROL.as_str(), "no-store");
+        let stream = answer.stream(response)?;
+        Ok(Self { stream })
     }
 
-    /// Writes a piece. The encoder hands it to a buffered writer, which has to be flushed apart.
-    pub fn piece(&mut self, data: &[u8]) -> io::Result<()> {
-        self.encoder.write_all(data)?;
-        self.encoder.get_mut().flush()
+    /// Writes a piece.
+    pub fn piece(&self, data: Bytes) -> Result<(), Gone> {
+        self.stream.piece(data)
     }
 
     /// Ends a whole answer.
-    pub fn close(self) -> io::Result<()> {
-        drop(self.encoder);
-        Ok(())
+    pub fn close(self) -> Result<(), Gone> {
+        self.stream.close()
     }
 
-    /// Ends an answer that is not whole: an error event, then bytes that are no chunk, so that no
-    /// client takes the answer for whole.
-    pub fn abort(mut self, refused: &Refused) -> io::Result<()> {
-        write!(self.encoder, "event: error\ndata: {}\n\n", refused.body())?;
-        let writer = self.encoder.get_mut();
-        writer.write_all(NO_CHUNK)?;
-        writer.flush()
+    /// Ends an answer that is not whole: an error event, and then the connection.
+    pub fn abort(self, refused: &Refused) -> Result<(), Gone> {
+        let event = format!("event: error\ndata: {}\n\n", refused.body());
+        self.stream.piece(Bytes::from(event))
     }
 }
--- a/crates/runtime/src/entry/serve.rs
+++ b/crates/runtime/src/entry/serve.rs
@@ -1,6 +1,5 @@
 //! Sends a caller's request to owners until one of them answers.
 
-use std::io;
 use std::thread;
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::entry::{call, hops, respond};
-use crate::{clock, control, entry, link};
+use crate::{clock, control, entry, link, listener};
 
 /// One request of a caller.
 pub struct Exchange<'a> {
@@ -25,9 +24,9 @@
     }
 
     /// Serves the request to its end.
-    pub fn run(self, req: tiny_http::Request) {
+    pub fn run(self, answer: listener::Answer) {
         self.cx.metrics.started();
-        let caller = Caller::new(self.cx, self.request, req, self.call.arrived);
+        let caller = Caller::new(self.cx, self.request, answer, self.call.arrived);
         let outcome = match self.cx.control.arrive(self.request, &self.call) {
             Ok(admitted) => {
                 let outcome = self.attempts(caller, &admitted);
@@ -244,7 +243,7 @@
 /// What the caller has of its answer.
 enum State {
     /// Nothing yet.
-    Waiting(tiny_http::Request),
+    Waiting(listener::Answer),
     /// The first pieces of a stream.
     Streaming(respond::Streaming),
     /// All that it will get.
@@ -264,30 +263,30 @@
     fn new(
         cx: &'a entry::Context,
         request: request::RequestId,
-        req: tiny_http::Request,
+        answer: listener::Answer,
         arrived: time::Time,
     ) -> Self {
         Self {
             cx,
             request,
-            state: State::Waiting(req),
+            state: State::Waiting(answer),
             last: arrived,
         }
     }
 
     /// Writes a part of the answer.
-    fn deliver(&mut self, delivery: answer::Delivery) -> io::Result<()> {
+    fn deliver(&mut self, delivery: answer::Delivery) -> Result<(), listener::Gone> {
         let now = clock::now();
         let span = now.since(self.last);
         self.last = now;
         self.state = match std::mem::replace(&mut self.state, State::Done) {
-            State::Waiting(req) => {
+            State::Waiting(answer) => {
                 self.cx.metrics.first_token(span);
-                self.first(req, &delivery)?
+                self.first(answer, &delivery)?
             }
-            State::Streaming(mut streaming) => {
+            State::Streaming(streaming) => {
                 self.cx.metrics.token_gap(span);
-                write_all(&mut streaming, &delivery.data)?;
+                write_all(&streaming, &delivery.data)?;
                 State::Streaming(streaming)
             }
             State::Done => State::Done,
@@ -300,22 +299,26 @@
         Ok(())
     }
 
-    fn first(&self, req: tiny_http::Request, delivery: &answer::Delivery) -> io::Result<State> {
-        let head = delivery.head.as_ref().ok_or(io::ErrorKind::InvalidData)?;
+    fn first(
+        &self,
+        answer: listener::Answer,
+        delivery: &answer::Delivery,
+    ) -> Result<State, listener::Gone> {
+        let head = delivery.head.as_ref().expect("the first part has the head");
         if delivery.end {
             let body = join(&delivery.data);
-            respond::whole(req, self.request, head, body)?;
+            respond::whole(answer, self.request, head, body)?;
             return Ok(State::Done);
         }
-        let mut streaming = respond::Streaming::start(req, self.request, head)?;
-        write_all(&mut streaming, &delivery.data)?;
+        let streaming = respond::Streaming::start(answer, self.request, head)?;
+        write_all(&streaming, &delivery.data)?;
         Ok(State::Streaming(streaming))
     }
 
     /// Ends the request without a whole answer, and returns the outcome that the caller is told.
     fn refuse(self, refused: &respond::Refused) -> outcome::Outcome {
         match self.state {
-            State::Waiting(req) => respond::refuse(self.cx, req, refused),
+            State::Waiting(answer) => respond::refuse(self.cx, answer, refused),
             State::Streaming(streaming) => {
                 respond::count(self.cx, refused);
                 // The caller may be gone, which nobody needs to know.
@@ -327,8 +330,9 @@
     }
 }
 
-fn write_all(streaming: &mut respond::Streaming, data: &[Bytes]) -> io::Result<()> {
-    data.iter().try_for_each(|piece| streaming.piece(piece))
+fn write_all(streaming: &respond::Streaming, data: &[Bytes]) -> Result<(), listener::Gone> {
+    data.iter()
+        .try_for_each(|piece| streaming.piece(piece.clone()))
 }
 
 fn join(data: &[Bytes]) -> Bytes {
--- a/crates/runtime/src/host/mod.rs
+++ b/crates/runtime/src/host/mod.rs
@@ -16,8 +16,7 @@
 use crate::lists::{editor, store, sync};
 use crate::platform::etcd;
 use crate::{
-    admin, clock, control, endpoint, entry, gate, journal, link, listener, metrics, owner, pool,
-    settings,
+    admin, clock, control, endpoint, entry, journal, link, listener, metrics, owner, pool, settings,
 };
 
 /// Calls to endpoints at once.
@@ -26,6 +25,12 @@
 /// Operators' requests served at once.
 const ADMIN_THREADS: usize = 16;
 
+/// Connections of operators at once.
+const ADMIN_CONNECTIONS: usize = 64;
+
+/// Bytes beyond the bound on heads up to which a caller is told what is wrong with its request.
+const HEAD_SLACK_BYTES: usize = 16 << 10;
+
 /// Silence after which a watch of the key-value service connects again.
 const WATCH_IDLE: Duration = Duration::from_secs(30);
 
@@ -36,7 +41,6 @@
 #[derive(Debug)]
 pub struct Host {
     settings: Arc<settings::Settings>,
-    gate: gate::Gate,
     control: control::Control,
     links: link::Links,
     listener: listener::Listener,
@@ -150,7 +154,7 @@
             log: log.clone(),
         };
         let admin_pool = pool::Pool::new("admin", ADMIN_THREADS);
-        let cfg = listener_config(&settings);
+        let cfg = admin_config(&settings);
         let admin = listener::Listener::start(sockets.admin, cfg, admin_pool, Arc::new(cx))?;
         let entry_pool = pool::Pool::new("entry", settings.bounds.connections as usize);
         let cx = entry::Context {
@@ -161,14 +165,11 @@
             metrics,
             log,
         };
-        let cfg = listener_config(&settings);
-        let inner = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
-        let gate_config = gate_config(&settings, inner.local_addr()?);
-        let listener = listener::Listener::start(inner, cfg, entry_pool.clone(), Arc::new(cx))?;
-        let gate = gate::Gate::start(sockets.callers, gate_config)?;
+        let cfg = caller_config(&settings);
+        let listener =
+            listener::Listener::start(sockets.callers, cfg, entry_pool.clone(), Arc::new(cx))?;
         Ok(Self {
             settings,
-            gate,
             control,
             links,
             listener,
@@ -184,7 +185,7 @@
     /// Address on which callers are served.
     #[must_use]
     pub fn callers(&self) -> net::SocketAddr {
-        self.gate.addr()
+        self.listener.addr()
     }
 
     /// Address on which links are served.
@@ -225,30 +226,38 @@
 
     /// Ends the host at once. Requests in progress are cut off; call [`Host::drain`] before.
     pub fn close(self) {
-        self.listener.close();
         self.admin.close();
         self.host_list.close();
         self.lists.close();
         self.links.close();
         self.journal.close();
         self.control.close();
-        self.gate.close();
+        // Last, so that what was cut off still gets its answer.
+        self.listener.close();
     }
 }
 
-fn gate_config(settings: &settings::Settings, server: net::SocketAddr) -> gate::Config {
+fn caller_config(settings: &settings::Settings) -> listener::Config {
     let bounds = &settings.bounds;
-    gate::Config {
-        server,
+    listener::Config {
         connections: bounds.connections as usize,
         busy: entry::busy_answer(),
-        // A chunked body is longer than what it carries.
-        request_bytes: bounds.header.0 + 2 * bounds.body.0,
-        request_time: bounds.header_read + bounds.body_read,
+        head_bytes: bounds.header.0 as usize + HEAD_SLACK_BYTES,
+        head_read: bounds.header_read,
+        body_bytes: bounds.body.0,
+        body_read: bounds.body_read,
         stall: settings.timeouts.stall,
     }
 }
 
+fn admin_config(settings: &settings::Settings) -> listener::Config {
+    listener::Config {
+        connections: ADMIN_CONNECTIONS,
+        body_bytes: admin::MAX_BODY,
+        ..caller_config(settings)
+    }
+}
+
 fn etcd_settings(settings: &settings::Settings) -> etcd::Settings {
     etcd::Settings {
         addrs: settings.platform.key_value.clone(),
@@ -258,14 +267,6 @@
     }
 }
 
-fn listener_config(settings: &settings::Settings) -> listener::Config {
-    listener::Config {
-        read: settings.bounds.header_read,
-        write: settings.timeouts.stall,
-        request: settings.timeouts.request,
-    }
-}
-
 /// Silence after which a forwarded request has stalled.
 ///
 /// It is longer than that of an endpoint by the time in which the owner resumes there, so that the
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod control;
 pub mod endpoint;
 pub mod entry;
-pub mod gate;
 pub mod host;
 pub mod journal;
 pub mod link;
--- /dev/null
+++ b/crates/runtime/src/listener/answer.rs
@@ -0,0 +1,180 @@
+//! Answers that a thread of a pool gives and the thread of the connections sends.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::Frame;
+use tokio::sync::{mpsc, oneshot};
+
+/// Pieces of a stream that wait to be sent.
+const MAX_WAITING: usize = 4;
+
+/// The caller has left, or its connection is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone;
+
+impl fmt::Display for Gone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the caller is gone")
+    }
+}
+
+impl std::error::Error for Gone {}
+
+/// The answer that a caller waits for. A connection whose answer is dropped is closed without one.
+#[derive(Debug)]
+pub struct Answer {
+    tx: oneshot::Sender<http::Response<Body>>,
+}
+
+/// The other end of an [`Answer`].
+pub(super) struct Answered {
+    rx: oneshot::Receiver<http::Response<Body>>,
+}
+
+impl Answered {
+    /// Waits for the answer.
+    pub(super) async fn wait(self) -> Result<http::Response<Body>, Gone> {
+        self.rx.await.map_err(|_| Gone)
+    }
+}
+
+impl Answer {
+    pub(super) fn new() -> (Self, Answered) {
+        let (tx, rx) = oneshot::channel();
+        (Self { tx }, Answered { rx })
+    }
+
+    /// Answers with a whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if nobody waits any more.
+    pub fn whole(self, response: http::Response<Bytes>) -> Result<(), Gone> {
+        self.tx.send(response.map(Body::whole)).map_err(|_| Gone)
+    }
+
+    /// Begins an answer that is sent piece by piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if nobody waits any more.
+    pub fn stream(self, head: http::Response<()>) -> Result<Stream, Gone> {
+        let (tx, rx) = mpsc::channel(MAX_WAITING);
+        let response = head.map(|()| Body::Pieces {
+            rx,
+            is_flushing: false,
+        });
+        self.tx.send(response).map_err(|_| Gone)?;
+        Ok(Stream { tx })
+    }
+}
+
+/// A part of a stream.
+#[derive(Debug)]
+pub(super) enum Piece {
+    Data(Bytes),
+    /// The stream is whole.
+    End,
+}
+
+/// An answer that is sent piece by piece. If it is dropped before [`Stream::close`], the caller
+/// sees that it was cut.
+#[derive(Debug)]
+pub struct Stream {
+    tx: mpsc::Sender<Piece>,
+}
+
+impl Stream {
+    /// Sends a piece. Waits while the caller is slower than its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the connection has ended.
+    pub fn piece(&self, data: Bytes) -> Result<(), Gone> {
+        self.tx.blocking_send(Piece::Data(data)).map_err(|_| Gone)
+    }
+
+    /// Ends a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the connection has ended.
+    pub fn close(self) -> Result<(), Gone> {
+        self.tx.blocking_send(Piece::End).map_err(|_| Gone)
+    }
+}
+
+/// The stream ends before it is whole, and its connection with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was cut")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub(super) enum Body {
+    /// A whole body.
+    Whole(Option<Bytes>),
+    /// Pieces as they come.
+    Pieces {
+        rx: mpsc::Receiver<Piece>,
+        /// Whether the stream is cut and what was sent before is being flushed.
+        is_flushing: bool,
+    },
+}
+
+impl Body {
+    /// A whole body; an empty one has no frame.
+    fn whole(bytes: Bytes) -> Self {
+        Self::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let (rx, is_flushing) = match self.get_mut() {
+            Self::Whole(bytes) => return Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Pieces { rx, is_flushing } => (rx, is_flushing),
+        };
+        match rx.poll_recv(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Piece::Data(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Poll::Ready(Some(Piece::End)) => Poll::Ready(None),
+            // The library drops what it has not sent yet once a body fails, so it gets one turn
+            // to send the last piece, which may say why the stream is cut.
+            Poll::Ready(None) if !std::mem::replace(is_flushing, true) => {
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Ready(None) => Poll::Ready(Some(Err(Cut))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Pieces { .. } => http_body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/listener/mod.rs
@@ -0,0 +1,340 @@
+//! Takes HTTP connections.
+//!
+//! One thread drives all connections and reads each request whole, within its bounds. The request
+//! is then served on a thread of a pool, which answers through an [`Answer`]. An answer that is not
+//! whole ends with its connection, so that no client takes it for whole.
+
+mod answer;
+
+pub use answer::{Answer, Gone, Stream};
+
+use std::net;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use eyre::WrapErr as _;
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::sockopt;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::sync::{Semaphore, watch};
+use tokio::time;
+
+use crate::pool;
+
+/// Smallest bound on the head of a request that the library takes, in bytes. It answers larger
+/// heads itself, without a reason code.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+
+/// Time in which the rest of a request is discarded beside its answer, so that closing the
+/// connection does not discard the answer.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Pause after the listener failed, for instance because no descriptor was left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest wait of a close for answers in progress.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What is done with the requests of a listener.
+pub trait Service: Send + Sync + 'static {
+    /// Serves one request to its end, on a thread of the pool.
+    fn serve(&self, req: Request, answer: Answer);
+
+    /// Refuses one request because the host serves as many as it may.
+    fn refuse_busy(&self, req: Request, answer: Answer);
+}
+
+/// A request that was read.
+#[derive(Debug)]
+pub struct Request {
+    /// Method, target and headers.
+    pub head: http::request::Parts,
+    /// The whole body, or why there is none.
+    pub body: Result<Bytes, BodyFault>,
+}
+
+impl Request {
+    /// Path without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    /// Path and query.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        let target = self.head.uri.path_and_query();
+        target.map_or("", http::uri::PathAndQuery::as_str)
+    }
+
+    /// Value of a header, or nothing.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&http::HeaderValue> {
+        self.head.headers.get(name)
+    }
+}
+
+/// Why a request has no whole body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyFault {
+    /// It is longer than the bound.
+    TooLarge,
+    /// It ended early or did not arrive in time.
+    Truncated(String),
+}
+
+/// Settings of a listener.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Connections at once.
+    pub connections: usize,
+    /// Answer to a connection beyond them.
+    pub busy: Bytes,
+    /// Longest head of a request, in bytes, up to which the service is asked.
+    pub head_bytes: usize,
+    /// Time in which the head of a request must arrive, and longest time between two requests.
+    pub head_read: Duration,
+    /// Longest body, in bytes.
+    pub body_bytes: u64,
+    /// Time in which a body must arrive.
+    pub body_read: Duration,
+    /// Longest time that a connection takes no bytes of an answer.
+    pub stall: Duration,
+}
+
+/// A listener.
+#[derive(Debug)]
+pub struct Listener {
+    addr: net::SocketAddr,
+    closing: watch::Sender<bool>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Listener {
+    /// Starts to take connections on `socket` and serves their requests on the threads of `pool`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the executor, the socket or the thread cannot be set up.
+    pub fn start<S>(
+        socket: net::TcpListener,
+        cfg: Config,
+        pool: pool::Pool,
+        service: Arc<S>,
+    ) -> eyre::Result<Self>
+    where
+        S: Service,
+    {
+        let addr = socket.local_addr()?;
+        socket.set_nonblocking(true)?;
+        let executor = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .wrap_err_with(|| format!("cannot serve {addr}"))?;
+        let (closing, closed) = watch::channel(false);
+        let serving = Arc::new(Serving { cfg, pool, service });
+        let thread = thread::Builder::new()
+            .name("listener".to_owned())
+            .spawn(move || executor.block_on(accept(socket, serving, closed)))?;
+        Ok(Self {
+            addr,
+            closing,
+            thread,
+        })
+    }
+
+    /// Address that is served.
+    #[must_use]
+    pub const fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Takes no more connections, and ends those that there are after the answers in progress, or
+    /// after a bounded time.
+    pub fn close(self) {
+        self.closing.send_replace(true);
+        // A thread that panicked has ended its connections.
+        let _ = self.thread.join();
+    }
+}
+
+/// What all connections of a listener share.
+struct Serving<S> {
+    cfg: Config,
+    pool: pool::Pool,
+    service: Arc<S>,
+}
+
+async fn accept<S>(
+    socket: net::TcpListener,
+    serving: Arc<Serving<S>>,
+    mut closed: watch::Receiver<bool>,
+) where
+    S: Service,
+{
+    let Ok(listener) = tokio::net::TcpListener::from_std(socket) else {
+        return;
+    };
+    let connections = serving.cfg.connections;
+    let places = Arc::new(Semaphore::new(connections));
+    loop {
+        let accepted = tokio::select! {
+            _ = closed.changed() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        match Arc::clone(&places).try_acquire_owned() {
+            Ok(place) => {
+                let serving = Arc::clone(&serving);
+                let closed = closed.clone();
+                tokio::spawn(async move {
+                    serving.connection(stream, closed).await;
+                    drop(place);
+                });
+            }
+            Err(_) => drop(tokio::spawn(refuse(stream, serving.cfg.busy.clone()))),
+        }
+    }
+    drop(listener);
+    let all = u32::try_from(connections).unwrap_or(u32::MAX);
+    let _ = time::timeout(CLOSE_TIMEOUT, places.acquire_many(all)).await;
+}
+
+/// Answers a connection that is one too many.
+async fn refuse(mut stream: tokio::net::TcpStream, busy: Bytes) {
+    let answering = async {
+        stream.write_all(&busy).await?;
+        stream.shutdown().await?;
+        let mut buf = [0; 1024];
+        while stream.read(&mut buf).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    // The caller may be gone, which nobody needs to know.
+    let _ = time::timeout(LINGER, answering).await;
+}
+
+impl<S> Serving<S>
+where
+    S: Service,
+{
+    /// Serves one connection until it ends.
+    async fn connection(
+        self: Arc<Self>,
+        stream: tokio::net::TcpStream,
+        mut closed: watch::Receiver<bool>,
+    ) {
+        if self.set_options(&stream).is_err() {
+            // The connection has ended already.
+            return;
+        }
+        let service = service_fn(|req| {
+            let serving = Arc::clone(&self);
+            async move { serving.answer(req).await }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.cfg.head_read)
+            .max_buf_size(self.cfg.head_bytes.max(LEAST_HEAD_BYTES))
+            // A caller that has ended its side may still wait for its answer.
+            .half_close(true)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        // The caller sees what went wrong on its connection.
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = closing(&mut closed) => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
+    }
+
+    fn set_options(&self, stream: &tokio::net::TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        let stall = u32::try_from(self.cfg.stall.as_millis()).unwrap_or(u32::MAX);
+        Ok(sockopt::set_tcp_user_timeout(stream, stall)?)
+    }
+
+    /// Reads a request and waits for its answer.
+    async fn answer(
+        &self,
+        req: http::Request<Incoming>,
+    ) -> Result<http::Response<answer::Body>, Gone> {
+        let (head, mut body) = req.into_parts();
+        let reading = time::timeout(self.cfg.body_read, self.read(&mut body)).await;
+        let body = match reading {
+            Ok(Ok(whole)) => Ok(whole),
+            Ok(Err(fault)) => {
+                discard(body);
+                Err(fault)
+            }
+            Err(_) => Err(BodyFault::Truncated(
+                "the body did not arrive in time".to_owned(),
+            )),
+        };
+        let (answer, answered) = Answer::new();
+        self.dispatch(Request { head, body }, answer);
+        answered.wait().await
+    }
+
+    /// Reads a body within its bound.
+    async fn read(&self, body: &mut Incoming) -> Result<Bytes, BodyFault> {
+        if body.size_hint().lower() > self.cfg.body_bytes {
+            return Err(BodyFault::TooLarge);
+        }
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| BodyFault::Truncated(e.to_string()))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            whole.extend_from_slice(&data);
+            if whole.len() as u64 > self.cfg.body_bytes {
+                return Err(BodyFault::TooLarge);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    fn dispatch(&self, req: Request, answer: Answer) {
+        let service = Arc::clone(&self.service);
+        // The request is taken back out if no thread is free.
+        let slot = Arc::new(Mutex::new(Some((req, answer))));
+        let taken = Arc::clone(&slot);
+        let job = move || {
+            if let Some((req, answer)) = take(&taken) {
+                service.serve(req, answer);
+            }
+        };
+        if self.pool.run(job).is_err()
+            && let Some((req, answer)) = take(&slot)
+        {
+            self.service.refuse_busy(req, answer);
+        }
+    }
+}
+
+/// Waits until the listener is closed.
+async fn closing(closed: &mut watch::Receiver<bool>) {
+    // A listener that is gone is closed as well.
+    drop(closed.wait_for(|closed| *closed).await);
+}
+
+fn take(slot: &Mutex<Option<(Request, Answer)>>) -> Option<(Request, Answer)> {
+    slot.lock().unwrap_or_else(PoisonError::into_inner).take()
+}
+
+/// Reads the rest of a body beside its answer.
+fn discard(mut body: Incoming) {
+    let discarding = async move { while let Some(Ok(_)) = body.frame().await {} };
+    drop(tokio::spawn(time::timeout(LINGER, discarding)));
+}
