Call endpoints and the platform's services of the product's own interface with hyper, and drop attohttpc from the host

Cause: attohttpc opens a connection a call (kept: it cannot go silent while idle), takes a body that ends before its length as whole, follows the environment's proxy settings, hides whether a failure came from connecting, and cannot be told that an answer is no longer wanted.

Change: runtime::client makes blocking calls over hyper, each on a connection of its own that the waiting thread drives. Lengths and last chunks are checked by the library, so the checks in endpoint::call and platform::http go; a call ends as soon as the receiver of its answer is gone.

The command line, the stand-ins and the tests still call with attohttpc.

--- /dev/null
+++ b/crates/runtime/src/client.rs
@@ -0,0 +1,245 @@
+//! Blocking HTTP calls, each on a connection of its own.
+//!
+//! A connection of its own cannot go silent while it is idle, and closing it ends the call at the
+//! other end. It is driven by the thread that waits for the answer.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::{fmt, io};
+
+use bytes::{Buf as _, Bytes, BytesMut};
+use http::{HeaderValue, Request, header, response};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use pistachiochute_core::answer;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::time::{self, Instant};
+
+/// Bounds on the time of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Time to make the connection.
+    pub connect: Duration,
+    /// Longest silence of the other end.
+    pub silence: Duration,
+    /// Time until the answer is whole, or `None` for one that goes on.
+    pub total: Option<Duration>,
+}
+
+/// Who wants an answer.
+#[derive(Clone, Debug)]
+pub enum Wanted {
+    /// The calling thread, to the end.
+    Always,
+    /// The receiver of a channel, as long as it is there.
+    By(mpsc::Sender<answer::Frame>),
+}
+
+impl Wanted {
+    /// Waits until the answer is no longer wanted.
+    async fn ended(&self) {
+        match self {
+            Self::Always => std::future::pending().await,
+            Self::By(tx) => tx.closed().await,
+        }
+    }
+}
+
+/// Why a call has no answer, or no more of it.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection was made, so the call was not sent.
+    NotSent(io::Error),
+    /// The other end was silent for too long, or the time of the call is over.
+    TimedOut,
+    /// The connection was lost before the answer was whole.
+    Lost(hyper::Error),
+    /// The answer is no longer wanted.
+    Unwanted,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(e) => write!(f, "connect: {e}"),
+            Self::TimedOut => f.write_str("no answer in time"),
+            Self::Lost(e) => write!(f, "connection lost: {e}"),
+            Self::Unwanted => f.write_str("the answer is no longer wanted"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<Error> for io::Error {
+    fn from(e: Error) -> Self {
+        let kind = match &e {
+            Error::NotSent(e) => e.kind(),
+            Error::TimedOut => io::ErrorKind::TimedOut,
+            Error::Lost(_) => io::ErrorKind::ConnectionReset,
+            Error::Unwanted => io::ErrorKind::BrokenPipe,
+        };
+        Self::new(kind, e)
+    }
+}
+
+/// A call and the executor that its connection runs on.
+struct Call {
+    runtime: Runtime,
+    silence: Duration,
+    end: Option<Instant>,
+    wanted: Wanted,
+}
+
+impl Call {
+    /// Drives the connection until something arrives, the answer is unwanted, or time is up.
+    fn wait<T, F>(&self, arrival: F) -> Result<T, Error>
+    where
+        F: Future<Output = T>,
+    {
+        self.runtime.block_on(async {
+            let silent = Instant::now() + self.silence;
+            let until = self.end.map_or(silent, |end| end.min(silent));
+            tokio::select! {
+                biased;
+                arrived = arrival => Ok(arrived),
+                () = self.wanted.ended() => Err(Error::Unwanted),
+                () = time::sleep_until(until) => Err(Error::TimedOut),
+            }
+        })
+    }
+}
+
+/// Sends a request and waits for the head of its answer. The target of the request is a path; the
+/// headers about the host and the connection are set here.
+///
+/// # Errors
+///
+/// Only [`Error::NotSent`] is proof that the request did not arrive.
+pub fn send(
+    addr: SocketAddr,
+    mut req: Request<Full<Bytes>>,
+    timeouts: Timeouts,
+    wanted: Wanted,
+) -> Result<Response, Error> {
+    let host = addr.to_string().try_into();
+    let host = host.expect("an address is a valid header value");
+    req.headers_mut().insert(header::HOST, host);
+    let close = HeaderValue::from_static("close");
+    req.headers_mut().insert(header::CONNECTION, close);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::NotSent)?;
+    let connecting = async {
+        let end = timeouts.total.map(|total| Instant::now() + total);
+        let limit = timeouts.total.unwrap_or(Duration::MAX);
+        let sender = connect(addr, timeouts.connect.min(limit)).await;
+        sender.map(|sender| (sender, end))
+    };
+    let (mut sender, end) = runtime.block_on(connecting).map_err(Error::NotSent)?;
+    let call = Call {
+        runtime,
+        silence: timeouts.silence,
+        end,
+        wanted,
+    };
+    let answer = call.wait(sender.send_request(req))?;
+    let (head, body) = answer.map_err(Error::Lost)?.into_parts();
+    Ok(Response {
+        head,
+        body,
+        unread: Bytes::new(),
+        call,
+    })
+}
+
+async fn connect(
+    addr: SocketAddr,
+    timeout: Duration,
+) -> io::Result<http1::SendRequest<Full<Bytes>>> {
+    let connecting = tokio::net::TcpStream::connect(addr);
+    let stream = time::timeout(timeout, connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
+    // An error of the connection is that of the call that it carries.
+    tokio::spawn(async { drop(connection.await) });
+    Ok(sender)
+}
+
+/// An answer whose body is read as it comes.
+pub struct Response {
+    /// Status and headers.
+    pub head: response::Parts,
+    body: Incoming,
+    /// Bytes that arrived and were not read.
+    unread: Bytes,
+    call: Call,
+}
+
+impl fmt::Debug for Response {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Response")
+            .field("head", &self.head)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Response {
+    /// Value of a header, or nothing.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Bytes {
+        let value = self.head.headers.get(name);
+        value.map_or_else(Bytes::new, |value| Bytes::copy_from_slice(value.as_bytes()))
+    }
+
+    /// The whole body, or `None` if it is longer than `max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is cut, silent, or no longer wanted.
+    pub fn whole(mut self, max: u64) -> Result<Option<Bytes>, Error> {
+        let mut whole = BytesMut::new();
+        while let Some(piece) = self.piece()? {
+            if (whole.len() + piece.len()) as u64 > max {
+                return Ok(None);
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(Some(whole.freeze()))
+    }
+
+    /// The next piece of the body, or `None` after a whole one.
+    fn piece(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            let frame = self.call.wait(self.body.frame())?;
+            let Some(frame) = frame.transpose().map_err(Error::Lost)? else {
+                return Ok(None);
+            };
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+}
+
+impl io::Read for Response {
+    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
+        while self.unread.is_empty() {
+            match self.piece()? {
+                Some(piece) => self.unread = piece,
+                None => return Ok(0),
+            }
+        }
+        let len = buf.len().min(self.unread.len());
+        self.unread.copy_to_slice(&mut buf[..len]);
+        Ok(len)
+    }
+}
--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::Full;
 use pistachiochute_core::{outcome, reason, request, units};
 use pistachiochute_messages::forward;
 
-use crate::endpoint;
 use crate::endpoint::{events, pieces};
+use crate::{client, endpoint};
 
 /// Times that a cut stream is resumed before the call fails.
 const MAX_RESUMES: u32 = 3;
@@ -84,13 +85,13 @@
     }
 
     fn attempt(&self, pieces: &mut pieces::Pieces, progress: &mut Progress) -> Result<(), Stop> {
-        let response = self.send(progress.after)?;
-        let status = response.status().as_u16();
+        let response = self.send(pieces, progress.after)?;
+        let status = response.head.status.as_u16();
         refusal_of(&response).map_or(Ok(()), Err)?;
         if progress.after.is_some() && status != http::StatusCode::OK {
             return Err(Stop::Cut(reason::Refusal::ConnectionLost));
         }
-        let content_type = header(&response, http::header::CONTENT_TYPE.as_str());
+        let content_type = response.header(http::header::CONTENT_TYPE.as_str());
         pieces.head(status, content_type.clone())?;
         if content_type.starts_with(b"text/event-stream") {
             return read_events(response, pieces, progress);
@@ -98,24 +99,32 @@
         read_whole(response, pieces)
     }
 
-    fn send(&self, after: Option<u32>) -> Result<attohttpc::Response, Stop> {
+    fn send(&self, pieces: &pieces::Pieces, after: Option<u32>) -> Result<client::Response, Stop> {
+        let timeouts = client::Timeouts {
+            connect: self.timeouts.connect,
+            silence: self.timeouts.stall,
+            total: Some(self.head.remaining),
+        };
+        let req = self.request(after).map_err(|_| malformed())?;
+        client::send(self.addr, req, timeouts, pieces.wanted()).map_err(send_failure)
+    }
+
+    /// The request as the endpoint gets it.
+    fn request(&self, after: Option<u32>) -> http::Result<http::Request<Full<Bytes>>> {
         let path = std::str::from_utf8(&self.head.path).unwrap_or("/");
-        let url = format!("http://{}{path}", self.addr);
-        let mut builder = match self.head.method {
-            forward::Method::Get => attohttpc::get(url),
-            forward::Method::Post => attohttpc::post(url),
+        let method = match self.head.method {
+            forward::Method::Get => http::Method::GET,
+            forward::Method::Post => http::Method::POST,
         };
-        builder = builder
-            .connect_timeout(self.timeouts.connect)
-            .read_timeout(self.timeouts.stall)
-            .timeout(self.head.remaining)
-            .follow_redirects(false)
+        let mut builder = http::Request::builder()
+            .method(method)
+            .uri(path)
             .header(endpoint::REQUEST_HEADER, self.head.request.to_string())
             .header(endpoint::PRIORITY_HEADER, self.head.priority.to_string());
         if let Ok(content_type) = http::HeaderValue::from_bytes(&self.head.content_type)
             && !content_type.is_empty()
         {
-            builder = builder.header(http::header::CONTENT_TYPE.as_str(), content_type);
+            builder = builder.header(http::header::CONTENT_TYPE, content_type);
         }
         if let Some(key) = self.head.key {
             builder = builder.header(endpoint::KEY_HEADER, key.to_string());
@@ -123,13 +132,16 @@
         if let Some(after) = after {
             builder = builder.header("last-event-id", after.to_string());
         }
-        builder
-            .bytes(&self.body[..])
-            .send()
-            .map_err(|e| send_failure(&e).into())
+        builder.body(Full::new(self.body.clone()))
     }
 }
 
+/// A request that cannot be sent, since its path is none.
+fn malformed() -> Stop {
+    let reason = reason::Refusal::BadRequest;
+    endpoint::Failure::new(reason, outcome::Outcome::NotRun).into()
+}
+
 /// Ends the call of a receiver that went away.
 ///
 /// Closing the connection stops the engine. A cancel by the id of the request could reach it after
@@ -148,36 +160,23 @@
 }
 
 /// A request that could not be connected did not run; any later failure may have come after.
-fn send_failure(e: &attohttpc::Error) -> endpoint::Failure {
-    let (reason, outcome) = match e.kind() {
-        attohttpc::ErrorKind::ConnectError { .. } => {
-            (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun)
-        }
-        attohttpc::ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun)
-        }
-        attohttpc::ErrorKind::Io(e) if is_timeout(e) => {
-            (reason::Refusal::Stalled, outcome::Outcome::Unknown)
-        }
-        _ => (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown),
+fn send_failure(e: client::Error) -> Stop {
+    let (reason, outcome) = match e {
+        client::Error::NotSent(_) => (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun),
+        client::Error::TimedOut => (reason::Refusal::Stalled, outcome::Outcome::Unknown),
+        client::Error::Lost(_) => (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown),
+        client::Error::Unwanted => return Stop::Gone,
     };
-    endpoint::Failure::new(reason, outcome)
-}
-
-fn is_timeout(e: &io::Error) -> bool {
-    matches!(
-        e.kind(),
-        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
-    )
+    endpoint::Failure::new(reason, outcome).into()
 }
 
 /// Failure that an endpoint's own refusal before running stands for.
-fn refusal_of(response: &attohttpc::Response) -> Option<Stop> {
-    let outcome = header(response, endpoint::OUTCOME_HEADER);
+fn refusal_of(response: &client::Response) -> Option<Stop> {
+    let outcome = response.header(endpoint::OUTCOME_HEADER);
     if outcome != outcome::Outcome::NotRun.as_str() {
         return None;
     }
-    let retry_after = header(response, http::header::RETRY_AFTER.as_str());
+    let retry_after = response.header(http::header::RETRY_AFTER.as_str());
     let seconds = std::str::from_utf8(&retry_after)
         .ok()
         .and_then(|text| text.parse().ok());
@@ -188,26 +187,17 @@
     }))
 }
 
-fn header(response: &attohttpc::Response, name: &str) -> Bytes {
-    let value = response.headers().get(name);
-    value
-        .map(|value| Bytes::copy_from_slice(value.as_bytes()))
-        .unwrap_or_default()
-}
-
 fn read_events(
-    response: attohttpc::Response,
+    response: client::Response,
     pieces: &mut pieces::Pieces,
     progress: &mut Progress,
 ) -> Result<(), Stop> {
-    let (_, _, reader) = response.split();
-    let mut events = events::Events::new(reader);
+    let mut events = events::Events::new(response);
     loop {
         let event = match events.next_event() {
             Ok(Some(event)) => event,
             Ok(None) => return Err(Stop::Cut(reason::Refusal::ConnectionLost)),
-            Err(e) if is_timeout(&e) => return Err(Stop::Cut(reason::Refusal::Stalled)),
-            Err(_) => return Err(Stop::Cut(reason::Refusal::ConnectionLost)),
+            Err(e) => return Err(cut_by(&e)),
         };
         progress.used = progress.used.max(event.data().and_then(used_tokens));
         progress.after = event.id.or(progress.after);
@@ -218,21 +208,26 @@
     }
 }
 
-/// Reads a whole body, whose length is checked before any of it is passed on.
-fn read_whole(response: attohttpc::Response, pieces: &mut pieces::Pieces) -> Result<(), Stop> {
-    let declared = header(&response, http::header::CONTENT_LENGTH.as_str());
-    let declared: Option<usize> = std::str::from_utf8(&declared)
-        .ok()
-        .and_then(|n| n.parse().ok());
-    let cut = |reason| endpoint::Failure::new(reason, outcome::Outcome::Run);
-    let body = response.bytes().map_err(|e| match e.kind() {
-        attohttpc::ErrorKind::Io(e) if is_timeout(e) => cut(reason::Refusal::Stalled),
-        _ => cut(reason::Refusal::AnswerIncomplete),
-    })?;
-    if declared.is_some_and(|declared| declared != body.len()) {
-        return Err(cut(reason::Refusal::AnswerIncomplete).into());
+/// Why a stream of events ended early.
+fn cut_by(e: &io::Error) -> Stop {
+    match e.kind() {
+        io::ErrorKind::BrokenPipe => Stop::Gone,
+        io::ErrorKind::TimedOut => Stop::Cut(reason::Refusal::Stalled),
+        _ => Stop::Cut(reason::Refusal::ConnectionLost),
     }
-    let mut body = Bytes::from(body);
+}
+
+/// Reads a whole body before any of it is passed on.
+fn read_whole(response: client::Response, pieces: &mut pieces::Pieces) -> Result<(), Stop> {
+    let cut = |reason| Stop::from(endpoint::Failure::new(reason, outcome::Outcome::Run));
+    let body = response.whole(u64::MAX).map_err(|e| match e {
+        client::Error::Unwanted => Stop::Gone,
+        client::Error::TimedOut => cut(reason::Refusal::Stalled),
+        client::Error::NotSent(_) | client::Error::Lost(_) => {
+            cut(reason::Refusal::AnswerIncomplete)
+        }
+    })?;
+    let mut body = body.unwrap_or_default();
     while !body.is_empty() {
         let piece = body.split_to(body.len().min(PIECE_LEN));
         pieces.chunk(piece, None)?;
--- a/crates/runtime/src/endpoint/pieces.rs
+++ b/crates/runtime/src/endpoint/pieces.rs
@@ -4,6 +4,8 @@
 use pistachiochute_core::{answer, journal, request, units};
 use tokio::sync::mpsc;
 
+use crate::client;
+
 /// The receiver of the answer went away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
@@ -72,6 +74,11 @@
         self.end(None)
     }
 
+    /// Who wants the answer.
+    pub(super) fn wanted(&self) -> client::Wanted {
+        client::Wanted::By(self.tx.clone())
+    }
+
     /// Whether any part of the endpoint's answer was sent.
     #[must_use]
     pub fn has_head(&self) -> bool {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets, threads and timers round the decisions of pistachiochute-core.
 
 pub mod admin;
+pub mod client;
 pub mod clock;
 pub mod control;
 pub mod endpoint;
--- a/crates/runtime/src/platform/etcd/watch.rs
+++ b/crates/runtime/src/platform/etcd/watch.rs
@@ -18,6 +18,7 @@
 use crossbeam::channel;
 use pistachiochute_core::revision::Revision;
 
+use crate::client;
 use crate::platform::key_value::{self, Error, WatchEvent};
 use crate::platform::{etcd, http};
 
@@ -127,7 +128,7 @@
         Ok(())
     }
 
-    fn connect(&self) -> Result<attohttpc::Response, Error> {
+    fn connect(&self) -> Result<client::Response, Error> {
         let body = etcd::wire::watch(&self.keys, self.next).to_string();
         let cfg = &self.client.cfg;
         let open = |addr| {
@@ -140,7 +141,7 @@
             )
         };
         let resp = self.client.send(open)?;
-        match resp.status().as_u16() {
+        match resp.head.status.as_u16() {
             200 => Ok(resp),
             status => Err(etcd::wire::refusal(status, b"")),
         }
--- a/crates/runtime/src/platform/http.rs
+++ b/crates/runtime/src/platform/http.rs
@@ -1,10 +1,14 @@
 //! HTTP calls to the platform with bounded time and size.
 
-use std::io::{self, Read as _};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::Full;
+
+use crate::client;
 
 /// Bounds of one call.
 #[derive(Clone, Copy, Debug)]
@@ -33,9 +37,8 @@
 
 /// Sends a `GET`.
 pub(super) fn get(addr: SocketAddr, path: &str, bounds: Bounds) -> Result<Answer, Failure> {
-    let req = attohttpc::get(format!("http://{addr}{path}"));
-    let sent = prepare(req, bounds.total).timeout(bounds.total).send();
-    whole(sent.map_err(failure)?, bounds.answer)
+    let req = Request::get(path).body(Full::default());
+    whole(req, addr, bounds)
 }
 
 /// Sends a `POST` with a JSON body.
@@ -45,12 +48,7 @@
     body: &[u8],
     bounds: Bounds,
 ) -> Result<Answer, Failure> {
-    let req = attohttpc::post(format!("http://{addr}{path}"));
-    let req = prepare(req, bounds.total)
-        .header("content-type", "application/json")
-        .bytes(body);
-    let sent = req.timeout(bounds.total).send();
-    whole(sent.map_err(failure)?, bounds.answer)
+    whole(json(path, body), addr, bounds)
 }
 
 /// Sends a `POST` whose answer is a stream that may be silent for `idle` at most.
@@ -60,77 +58,55 @@
     body: &[u8],
     connect: Duration,
     idle: Duration,
-) -> Result<attohttpc::Response, Failure> {
-    let req = attohttpc::post(format!("http://{addr}{path}"));
-    let req = prepare(req, connect)
-        .header("content-type", "application/json")
-        .bytes(body);
-    req.read_timeout(idle).send().map_err(failure)
-}
-
-/// Sets what all calls have in common. The platform is reached by IP number, so that no proxy of
-/// the environment applies, and it does not redirect.
-fn prepare<B>(
-    req: attohttpc::RequestBuilder<B>,
-    timeout: Duration,
-) -> attohttpc::RequestBuilder<B> {
-    req.connect_timeout(timeout)
-        .read_timeout(timeout)
-        .follow_redirects(false)
-        .proxy_settings(attohttpc::ProxySettings::builder().build())
+) -> Result<client::Response, Failure> {
+    let timeouts = client::Timeouts {
+        connect,
+        silence: idle,
+        total: None,
+    };
+    send(json(path, body), addr, timeouts)
 }
 
-/// Sorts an error of the client by whether the call may have been sent.
-///
-/// Only errors that the system call to connect alone gives are proof that it was not. A timeout
-/// may come from connecting as well as from reading.
-fn failure(err: attohttpc::Error) -> Failure {
-    let text = err.to_string();
-    match err.into_kind() {
-        attohttpc::ErrorKind::Io(err) if is_connect_error(err.kind()) => Failure::NotSent(err),
-        _ => Failure::Sent(text),
-    }
+fn json(path: &str, body: &[u8]) -> http::Result<Request<Full<Bytes>>> {
+    Request::post(path)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::copy_from_slice(body)))
 }
 
-const fn is_connect_error(kind: io::ErrorKind) -> bool {
-    matches!(
-        kind,
-        io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::HostUnreachable
-            | io::ErrorKind::NetworkUnreachable
-            | io::ErrorKind::AddrNotAvailable
-    )
+fn send(
+    req: http::Result<Request<Full<Bytes>>>,
+    addr: SocketAddr,
+    timeouts: client::Timeouts,
+) -> Result<client::Response, Failure> {
+    let req = req.map_err(|e| Failure::NotSent(io::Error::other(e)))?;
+    let sent = client::send(addr, req, timeouts, client::Wanted::Always);
+    sent.map_err(|e| match e {
+        client::Error::NotSent(e) => Failure::NotSent(e),
+        e => Failure::Sent(e.to_string()),
+    })
 }
 
-/// Reads an answer up to its end.
-///
-/// The client checks the last chunk of a chunked body, but takes a body that ends before its
-/// declared length as whole, so the length is checked here. It hides whether a body without a
-/// length was chunked or ended with its connection. All answers of the platform are JSON objects,
-/// and no beginning of a JSON object is one itself, so parsing them detects the remaining cuts.
-fn whole(resp: attohttpc::Response, max: u64) -> Result<Answer, Failure> {
-    let (status, headers, reader) = resp.split();
-    let length = headers
-        .get("content-length")
-        .and_then(|value| value.to_str().ok());
-    let length = length.and_then(|text| text.parse::<u64>().ok());
-    let mut body = Vec::new();
-    let read = reader.take(max.saturating_add(1)).read_to_end(&mut body);
-    read.map_err(|err| Failure::Sent(format!("the answer was cut: {err}")))?;
-    let got = body.len() as u64;
-    if got > max {
-        return Err(Failure::Sent(format!(
-            "the answer is longer than {max} bytes"
-        )));
-    }
-    match length {
-        Some(length) if length != got => {
-            let reason = format!("the answer was cut after {got} of {length} bytes");
-            Err(Failure::Sent(reason))
-        }
-        _ => Ok(Answer {
-            status: status.as_u16(),
-            body: body.into(),
-        }),
-    }
+/// Sends a request and reads its answer to the end. The client checks the declared length of a
+/// body and the last chunk of a chunked one. All answers of the platform are JSON objects, and no
+/// beginning of a JSON object is one itself, so parsing them detects the remaining cuts.
+fn whole(
+    req: http::Result<Request<Full<Bytes>>>,
+    addr: SocketAddr,
+    bounds: Bounds,
+) -> Result<Answer, Failure> {
+    let timeouts = client::Timeouts {
+        connect: bounds.total,
+        silence: bounds.total,
+        total: Some(bounds.total),
+    };
+    let resp = send(req, addr, timeouts)?;
+    let status = resp.head.status.as_u16();
+    let body = resp
+        .whole(bounds.answer)
+        .map_err(|e| Failure::Sent(format!("the answer was cut: {e}")))?;
+    let too_long = || Failure::Sent(format!("the answer is longer than {} bytes", bounds.answer));
+    Ok(Answer {
+        status,
+        body: body.ok_or_else(too_long)?,
+    })
 }
