Take an endpoint out at once when another one answers at its address

Ruled out: hosts that learn late of removals (the entries of those endpoints are still there; they fell silent); the budget's ratio (it is the users').

Change: the refusal proves that the endpoint is not there, so it is a sign of its own and holds the endpoint out for the longest hold. It also counts as unreachable, so that a service of which only such endpoints are left is refused at once.

A test in the core fails without the sign.

--- a/crates/core/src/health/machine.rs
+++ b/crates/core/src/health/machine.rs
@@ -14,6 +14,8 @@
     ConnectFailed,
     /// An answer stalled for longer than its deadline.
     Stalled,
+    /// Another endpoint answers at its address.
+    Replaced,
     /// An answer was whole.
     Served,
     /// An answer was whole, with this time for each token or call.
@@ -104,6 +106,11 @@
                     .then(|| self.take_out(now, endpoint, false))
                     .flatten()
             }
+            Sign::Replaced => {
+                // Proof, not a symptom: it stays out as long as any endpoint does.
+                state.holds = MAX_DOUBLINGS;
+                self.take_out(now, endpoint, false)
+            }
         }
     }
 
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -1,7 +1,8 @@
 //! Health of endpoints, as their owner sees it.
 //!
-//! Three signs take an endpoint out of the candidates for a while:
+//! Four signs take an endpoint out of the candidates for a while:
 //!
+//! - another endpoint that answers at its address, at once;
 //! - connections that fail: [`Settings::failures`] in a row;
 //! - answers that stall: as many in a row;
 //! - slowness beside the others of its pool, by the [chart](chart::Chart) of residuals. A surge
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -123,3 +123,21 @@
         None
     );
 }
+
+/// `reuse-and-resets` of grown Bocage: a quarter of a pool falls silent and its addresses go to other
+/// endpoints. The host learns it from the first request, long before their entries go.
+#[test]
+fn an_endpoint_whose_address_went_to_another_is_out_at_once_and_for_long() {
+    let mut health = fresh();
+    let longest = health::Settings::default().longest_hold;
+    let now = time::Time::from_secs(100);
+    let change = health.sign(now, endpoint(0), health::Sign::Replaced);
+    assert!(change.is_some_and(|change| !change.usable));
+    let almost = now + longest - Duration::from_millis(1);
+    health.tick(almost);
+    assert!(!health.is_usable(endpoint(0)));
+    health.tick(now + longest);
+    assert!(health.is_usable(endpoint(0)));
+    let again = health.sign(now + longest, endpoint(0), health::Sign::ConnectFailed);
+    assert!(again.is_some());
+}
--- a/crates/gateway/src/traffic/exchange.rs
+++ b/crates/gateway/src/traffic/exchange.rs
@@ -115,7 +115,8 @@
     let sign = match exchanged {
         Exchanged::Whole(_) | Exchanged::Stream(..) => health::Sign::Served,
         Exchanged::Ended { ending, .. } => match ending {
-            Ending::NotSent | Ending::Elsewhere => health::Sign::ConnectFailed,
+            Ending::NotSent => health::Sign::ConnectFailed,
+            Ending::Elsewhere => health::Sign::Replaced,
             Ending::Lost | Ending::Stalled => health::Sign::Stalled,
             Ending::AtLimit | Ending::Refused | Ending::Failed | Ending::Damaged => return,
         },
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -187,7 +187,8 @@
     pub(super) fn sign(&mut self, id: entity::EndpointId, sign: health::Sign, now: time::Time) {
         self.health.sign(now, id, sign);
         if let Some(known) = self.known.get_mut(id) {
-            known.is_unreachable = sign == health::Sign::ConnectFailed;
+            known.is_unreachable =
+                matches!(sign, health::Sign::ConnectFailed | health::Sign::Replaced);
         }
     }
 
