--- a/crates/measure/src/lists/limits.rs
+++ b/crates/measure/src/lists/limits/mod.rs
@@ -1,12 +1,15 @@
 //! Over-admission and use of the limits through churn, a crash, a pause and a cut-off domain.
 
+mod faults;
+mod result;
+
 use std::collections::BTreeMap;
 
 use pistachiochute_core::limits::borrower::{self, Borrower, Ticket};
 use pistachiochute_core::limits::claims::{self, Claims, Guard, Shard};
 use pistachiochute_core::limits::keeper::Keeper;
 use pistachiochute_core::limits::message::{Ask, Grant, Short};
-use pistachiochute_core::limits::{self, SHARDS, SKEW_PPM, SLICES, SliceId};
+use pistachiochute_core::limits::{SHARDS, SKEW_PPM, SLICES, SliceId};
 use pistachiochute_core::{entity, entity::Entity as _, lists, name, request, time, units};
 use rand::{Rng as _, SeedableRng as _};
 use rand_distr::Distribution as _;
@@ -234,43 +237,6 @@
         time::Time::from_micros(base.saturating_add_signed(skew))
     }
 
-    fn paused(now: u64, host: usize) -> bool {
-        host == PAUSED && (PAUSE_S.0 * SECOND..PAUSE_S.1 * SECOND).contains(&now)
-    }
-
-    fn is_cut(now: u64, host: usize) -> bool {
-        let cut = (CUT_S.0 * SECOND..CUT_S.1 * SECOND).contains(&now);
-        cut && host % DOMAINS == CUT_DOMAIN
-    }
-
-    /// Gives every host its view of the live hosts. A cut-off domain and the others do not see
-    /// each other.
-    fn set_view(&mut self, now: u64) {
-        let seen_by = |cut: bool| -> Vec<_> {
-            let all = population::hosts(HOSTS, DOMAINS).into_iter();
-            let live = all.filter(|(host, _)| {
-                let i = host.index();
-                let missing = !self.hosts[i].alive || Self::paused(now, i);
-                !missing && Self::is_cut(now, i) == cut
-            });
-            live.collect()
-        };
-        let views = [seen_by(false), seen_by(true)];
-        for i in 0..HOSTS {
-            let side = usize::from(Self::is_cut(now, i));
-            if self.hosts[i].alive && !Self::paused(now, i) {
-                let time = self.clock(i, now);
-                self.hosts[i].side = side;
-                self.hosts[i].claims.set_hosts(time, views[side].clone());
-            }
-        }
-        let domains: Vec<_> = (0..DOMAINS).map(entity::DomainId::from_index).collect();
-        self.candidates = views.map(|view| {
-            let candidate = |id: SliceId| Some((id, id.candidate(&view, &domains)?));
-            SliceId::all().filter_map(candidate).collect()
-        });
-    }
-
     fn apply(&mut self, now: u64, event: Event) {
         match event {
             Event::Tick(host) => self.tick(now, host),
@@ -445,115 +411,4 @@
             }
         }
     }
-
-    /// Stops a host gracefully: it gives its slices up, and comes back as another process.
-    fn restart(&mut self, now: u64) {
-        self.agenda
-            .add(now + RESTART_PERIOD_S * SECOND, Event::Restart);
-        let host = self.rng.random_range(0..HOSTS);
-        if [CRASHED, PAUSED].contains(&host) || Self::is_cut(now, host) {
-            return;
-        }
-        let effects = self.hosts[host].claims.drain();
-        self.claim(now, host, effects);
-        self.agenda.add(now + SECOND, Event::Stop(host));
-    }
-
-    /// Delay of a message, or `None` if it is lost.
-    fn delay(&mut self, now: u64, from: usize, to: usize) -> Option<u64> {
-        if Self::is_cut(now, from) != Self::is_cut(now, to) {
-            return None;
-        }
-        if from % DOMAINS == to % DOMAINS {
-            return Some(self.rng.random_range(200..1_500));
-        }
-        let lost = self.rng.random_bool(LOSS);
-        (!lost).then(|| self.rng.random_range(4_000..9_000))
-    }
-
-    fn store_delay(&mut self) -> u64 {
-        self.rng.random_range(1_000..6_000)
-    }
-
-    fn result(&self) -> Limits {
-        let over = (0..ACCOUNTS).map(|i| over(&self.plans[i], &self.charges[i]));
-        let over = over.fold([0.0; 2], |worst, over| {
-            [f64::max(worst[0], over[0]), f64::max(worst[1], over[1])]
-        });
-        let span = (LENGTH_S - SETTLE_S) as f64;
-        let used: Vec<_> = (0..ACCOUNTS).map(|i| self.used(i, span)).collect();
-        let seconds = LENGTH_S as f64;
-        Limits {
-            over,
-            used: self.weighted(&used),
-            used_mean: used.iter().sum::<f64>() / ACCOUNTS as f64,
-            used_worst: used.iter().copied().fold(f64::MAX, f64::min),
-            used_static: self.used_static(span),
-            bytes_per_host_s: self.bytes as f64 / HOSTS as f64 / seconds,
-            store_reads_s: self.reads as f64 / seconds,
-            store_writes_s: self.writes as f64 / seconds,
-        }
-    }
-
-    /// Part of an account's limit, or of its demand if that was less, that was used: of requests or of tokens, whichever is scarcer.
-    fn used(&self, account: usize, span: f64) -> f64 {
-        let plan = &self.plans[account];
-        let (requests, tokens) = self.used[account];
-        let offered = self.arrivals.iter().filter(|((of, _), _)| *of == account);
-        let offered = offered.map(|(_, arrivals)| *arrivals as f64).sum::<f64>();
-        let part = |used: u64, rate: units::PerMinute, each: f64| {
-            let limit = rate.0 as f64 * span / 60.0;
-            used as f64 / limit.min(offered * each)
-        };
-        let requests = part(requests, plan.requests_per_minute, 1.0);
-        let tokens = part(tokens, plan.tokens_per_minute, MEAN_TOKENS);
-        requests.max(tokens)
-    }
-
-    /// Part of the limits that hosts with an equal part each would use of the same arrivals.
-    fn used_static(&self, span: f64) -> f64 {
-        let mut used = vec![0.0; ACCOUNTS];
-        for ((account, _), arrivals) in &self.arrivals {
-            let share = 1e6 / self.gaps[*account] / DEMAND * span / HOSTS as f64;
-            used[*account] += (*arrivals as f64).min(share);
-        }
-        let part = |(i, used): (usize, &f64)| used / (1e6 / self.gaps[i] / DEMAND * span);
-        let parts: Vec<_> = used.iter().enumerate().map(part).collect();
-        self.weighted(&parts)
-    }
-
-    /// Mean of a figure of each account, weighted by the account's limit.
-    fn weighted(&self, of_accounts: &[f64]) -> f64 {
-        let weights = self.gaps.iter().map(|gap| 1.0 / gap);
-        let sum: f64 = weights.clone().sum();
-        weights
-            .zip(of_accounts)
-            .map(|(w, figure)| w * figure)
-            .sum::<f64>()
-            / sum
-    }
-}
-
-/// Largest charge over any window beyond rate and burst, as requests and tokens.
-fn over(plan: &lists::Plan, charges: &Charges) -> [f64; 2] {
-    let bursts = [
-        limits::request_burst(plan.requests_per_minute).0,
-        limits::token_burst(plan.tokens_per_minute, plan.longest_answer).0,
-    ];
-    let rates = [plan.requests_per_minute.0, plan.tokens_per_minute.0];
-    let mut over = [0.0; 2];
-    for kind in 0..2 {
-        // A bucket that starts full shows the worst window: it is below zero by the excess.
-        let full = i128::from(bursts[kind]) * 60_000_000;
-        let (mut level, mut last, mut worst) = (full, 0, 0_i128);
-        for (at, requests, tokens) in charges {
-            let charge = if kind == 0 { *requests } else { *tokens };
-            let refill = i128::from(*at - last) * i128::from(rates[kind]);
-            level = (level + refill).min(full) - i128::from(charge) * 60_000_000;
-            last = *at;
-            worst = worst.min(level);
-        }
-        over[kind] = (-worst) as f64 / 60_000_000.0;
-    }
-    over
 }
--- /dev/null
+++ b/crates/soak/src/fleet/faults.rs
@@ -0,0 +1,236 @@
+//! Begins and ends the faults of the schedule.
+
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use pistachiochute_standins::platform::endpoint::Behaviour;
+use pistachiochute_standins::platform::store::Mode;
+use pistachiochute_standins::relay::Relay;
+use rustix::process::Signal;
+
+use super::{Ending, GOOD, Served, World};
+use crate::checks::{Disturbed, EVENTS};
+use crate::process::STOP_S;
+use crate::schedule::Fault;
+
+impl World {
+    pub(super) fn disturb(&mut self, host: usize, span: Duration, is_planned: bool) {
+        let from = Instant::now();
+        self.seen.disturbed.push(Disturbed {
+            host,
+            from,
+            until: from + span,
+            is_planned,
+        });
+    }
+
+    /// Begins a fault. Returns what ends it and when, if it lasts.
+    pub(super) fn begin(&mut self, fault: Fault) -> eyre::Result<Option<(Duration, Ending)>> {
+        let lasting = |span: Duration, ending: Ending| Ok(Some((span, ending)));
+        match fault {
+            Fault::Stop { host } => {
+                self.disturb(host, Duration::from_secs(STOP_S + 2), true);
+                self.hosts[host].signal(Signal::TERM)?;
+                let span = Duration::from_secs(STOP_S) + Duration::from_millis(200);
+                lasting(span, Box::new(move |world| world.stopped(host)))
+            }
+            Fault::Kill { host, down } => {
+                self.disturb(host, down + Duration::from_secs(1), false);
+                self.hosts[host].kill()?;
+                lasting(down, Box::new(move |world| world.hosts[host].spawn()))
+            }
+            Fault::Pause { host, span } => {
+                self.disturb(host, span, false);
+                self.hosts[host].signal(Signal::STOP)?;
+                lasting(span, Box::new(move |w| w.hosts[host].signal(Signal::CONT)))
+            }
+            Fault::Reload { host } => {
+                self.hosts[host].signal(Signal::HUP)?;
+                Ok(None)
+            }
+            Fault::StoreRefuses { host, span } => Ok(self.shut(host, Mode::Refusing, span)),
+            Fault::StoreSilent { host, span } => Ok(self.shut(host, Mode::Silent, span)),
+            Fault::StoreLosesAnswers { host, span } => {
+                Ok(self.shut(host, Mode::LosingAnswers, span))
+            }
+            Fault::StoreDown { span } => {
+                for host in 0..self.doors.len() {
+                    self.shut(host, Mode::Refusing, span);
+                }
+                let open = |world: &mut Self| {
+                    world
+                        .doors
+                        .iter()
+                        .for_each(|door| door.set_mode(Mode::Open));
+                    Ok(())
+                };
+                lasting(span, Box::new(open))
+            }
+            Fault::StoreForgets => {
+                self.store.forget_history();
+                Ok(None)
+            }
+            Fault::StoreReset { host } => {
+                self.disturb(host, Duration::ZERO, false);
+                self.store_relays[host].reset();
+                Ok(None)
+            }
+            Fault::StoreConnectionsSilent { host, one_way } => {
+                // The host finds out by a timeout of its own.
+                self.disturb(host, Duration::from_secs(12), false);
+                silence(&self.store_relays[host], one_way);
+                Ok(None)
+            }
+            Fault::StoreDelayed { host, span } => {
+                self.disturb(host, span, false);
+                self.store_relays[host].delay(Duration::from_millis(150));
+                let ending = move |world: &mut Self| {
+                    world.store_relays[host].delay(Duration::ZERO);
+                    Ok(())
+                };
+                lasting(span, Box::new(ending))
+            }
+            other => self.begin_at_endpoint(other),
+        }
+    }
+
+    pub(super) fn begin_at_endpoint(
+        &mut self,
+        fault: Fault,
+    ) -> eyre::Result<Option<(Duration, Ending)>> {
+        match fault {
+            Fault::EndpointReset { endpoint } => {
+                self.served[endpoint].relays.iter().for_each(Relay::reset);
+            }
+            Fault::EndpointSilent { endpoint, one_way } => {
+                let relays = &self.served[endpoint].relays;
+                relays.iter().for_each(|relay| silence(relay, one_way));
+            }
+            Fault::EndpointCut { endpoint, span } => {
+                self.served[endpoint].relays.iter().for_each(Relay::cut);
+                let heal = move |world: &mut Self| {
+                    world.served[endpoint].relays.iter().for_each(Relay::heal);
+                    Ok(())
+                };
+                return Ok(Some((span, Box::new(heal))));
+            }
+            Fault::EndpointBad {
+                endpoint,
+                kind,
+                span,
+            } => {
+                let (calls, streams) = bad(kind);
+                self.served[endpoint].set(calls, streams);
+                let heal = move |world: &mut Self| {
+                    world.served[endpoint].set(Behaviour::Answer { status: 200 }, GOOD);
+                    Ok(())
+                };
+                return Ok(Some((span, Box::new(heal))));
+            }
+            Fault::EndpointReplaced { endpoint } => self.replace(endpoint)?,
+            Fault::RouteAdded => {
+                self.routes += 1;
+                self.configure();
+            }
+            _ => self.change_key(),
+        }
+        Ok(None)
+    }
+
+    /// Lets an endpoint leave, and another one take its place.
+    pub(super) fn replace(&mut self, endpoint: usize) -> eyre::Result<()> {
+        let name = format!("i-{endpoint}-{}", self.gone.len());
+        let mut next = Served::start(&name)?;
+        next.register(&self.store, "ready");
+        let mut old = std::mem::replace(&mut self.served[endpoint], next);
+        old.register(&self.store, "draining");
+        old.set(Behaviour::Answer { status: 200 }, GOOD);
+        for endpoint in old.both() {
+            let name = endpoint.id().to_owned();
+            self.seen.left.insert(name, Instant::now());
+        }
+        self.gone.push(old);
+        Ok(())
+    }
+
+    /// Takes the key of all callers away and gives them another.
+    pub(super) fn change_key(&mut self) {
+        let old = self.callers.key.fetch_add(1, Ordering::Relaxed);
+        self.configure();
+        self.seen.revoked.insert(old, Instant::now());
+    }
+
+    pub(super) fn shut(
+        &mut self,
+        host: usize,
+        mode: Mode,
+        span: Duration,
+    ) -> Option<(Duration, Ending)> {
+        self.disturb(host, span, false);
+        self.doors[host].set_mode(mode);
+        let open = move |world: &mut Self| {
+            world.doors[host].set_mode(Mode::Open);
+            Ok(())
+        };
+        Some((span, Box::new(open)))
+    }
+
+    /// Ends a planned stop.
+    pub(super) fn stopped(&mut self, host: usize) -> eyre::Result<()> {
+        let was_running = self.hosts[host].is_running();
+        match self.hosts[host].wait_stopped()? {
+            Some(_) => {}
+            None if was_running => {
+                let name = &self.hosts[host].name;
+                self.seen
+                    .found
+                    .push(format!("{name} did not end a planned stop"));
+            }
+            None => {}
+        }
+        self.hosts[host].spawn()
+    }
+}
+
+/// Bad behaviours of calls and streams.
+fn bad(kind: u8) -> (Behaviour, Behaviour) {
+    let cut = Behaviour::Stream {
+        events: EVENTS,
+        pause: Duration::from_millis(8),
+        cut_at: Some(u64::from(kind) * 4),
+    };
+    match kind {
+        0 => (Behaviour::Refuse, Behaviour::Refuse),
+        1 => (Behaviour::Lose, cut),
+        2 => (Behaviour::Hang, Behaviour::Hang),
+        3 => (Behaviour::OtherId, cut),
+        4 => (Behaviour::Unsealed, Behaviour::Lose),
+        _ => (Behaviour::Answer { status: 503 }, cut),
+    }
+}
+
+fn silence(relay: &Relay, one_way: bool) {
+    match one_way {
+        true => relay.forget_answers(),
+        false => relay.forget(),
+    }
+}
+
+/// Host of a fault that ends with a process that is stopped on purpose.
+pub(super) const fn stopping(fault: Fault) -> Option<usize> {
+    match fault {
+        Fault::Stop { host } => Some(host),
+        _ => None,
+    }
+}
+
+/// Host whose process a fault touches.
+pub(super) const fn host_of(fault: Fault) -> Option<usize> {
+    match fault {
+        Fault::Stop { host }
+        | Fault::Kill { host, .. }
+        | Fault::Pause { host, .. }
+        | Fault::Reload { host } => Some(host),
+        _ => None,
+    }
+}
