List the models of a caller's plan under /v1/models

An OpenAI client asks for them before it sends anything, and got 404. The list is that of the account's plan on this host, in the form of the OpenAI API; a wrong key is refused as elsewhere. The two lookups of an account in the control thread are one. Test: models_are_those_of_the_plan (404 before).

--- a/crates/runtime/src/control/arrive.rs
+++ b/crates/runtime/src/control/arrive.rs
@@ -77,18 +77,37 @@
         Ok(admitted)
     }
 
-    fn plan_of(&self, call: &call::Call) -> Result<(&name::AccountName, &lists::Plan), Refused> {
+    /// Models that the plan of an account may use.
+    pub(super) fn models(
+        &self,
+        key_digest: &lists::KeyDigest,
+    ) -> Result<Vec<name::ModelName>, Refused> {
+        let (_, account) = self.account_of(key_digest)?;
+        let plan = self.lists.as_ref().and_then(|l| l.plans.get(&account.plan));
+        Ok(plan.map_or_else(Vec::new, |plan| plan.models.clone()))
+    }
+
+    fn account_of(
+        &self,
+        key_digest: &lists::KeyDigest,
+    ) -> Result<(&name::AccountName, &lists::Account), Refused> {
         let Some(lists) = &self.lists else {
             let message = "the host has not yet taken over the lists";
             return Err(Refused::later(reason::Refusal::NotReady, message));
         };
-        let account = self.accounts.get(&call.key_digest);
-        let entry = account.and_then(|name| Some((name, lists.accounts.get(name)?)));
-        let Some((name, account)) = entry else {
-            let message = "the API key belongs to no account";
-            return Err(Refused::new(reason::Refusal::Unauthorized, message));
-        };
-        match lists.plans.get(&account.plan) {
+        let account = self.accounts.get(key_digest);
+        account
+            .and_then(|name| Some((name, lists.accounts.get(name)?)))
+            .ok_or_else(|| {
+                let message = "the API key belongs to no account";
+                Refused::new(reason::Refusal::Unauthorized, message)
+            })
+    }
+
+    fn plan_of(&self, call: &call::Call) -> Result<(&name::AccountName, &lists::Plan), Refused> {
+        let (name, account) = self.account_of(&call.key_digest)?;
+        let plan = self.lists.as_ref().and_then(|l| l.plans.get(&account.plan));
+        match plan {
             Some(plan) if plan.has(&call.target) => Ok((name, plan)),
             _ => {
                 let message = format!("plan {} does not hold {}", account.plan, call.target);
--- a/crates/runtime/src/control/command.rs
+++ b/crates/runtime/src/control/command.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use crossbeam::channel;
 use pistachiochute_core::{
-    entity, health, lists, owner, request, retry, revision, time, topology, units,
+    entity, health, lists, name, owner, request, retry, revision, time, topology, units,
 };
 use pistachiochute_messages::{control, forward};
 use tokio::sync::oneshot;
@@ -21,6 +21,10 @@
         tx: channel::Sender<Result<Admitted, Refused>>,
     },
     Depart(request::RequestId),
+    Models {
+        key_digest: lists::KeyDigest,
+        tx: channel::Sender<Result<Vec<name::ModelName>, Refused>>,
+    },
     Retries {
         request: request::RequestId,
         repeat: request::Repeat,
--- a/crates/runtime/src/control/handle.rs
+++ b/crates/runtime/src/control/handle.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use crossbeam::channel;
 use pistachiochute_core::{
-    entity, health, lists, owner, request, retry, revision, time, topology, units,
+    entity, health, lists, name, owner, request, retry, revision, time, topology, units,
 };
 use pistachiochute_messages::{control, forward};
 use tokio::sync::oneshot;
@@ -57,6 +57,16 @@
         admitted.unwrap_or_else(|| Err(Refused::stopped()))
     }
 
+    /// Models that the plan of a caller's account may use.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller.
+    pub fn models(&self, key_digest: lists::KeyDigest) -> Result<Vec<name::ModelName>, Refused> {
+        let models = self.ask(|tx| Command::Models { key_digest, tx });
+        models.unwrap_or_else(|| Err(Refused::stopped()))
+    }
+
     /// Ends a request that was admitted.
     pub fn depart(&self, request: request::RequestId) {
         self.tell(Command::Depart(request));
--- a/crates/runtime/src/control/state.rs
+++ b/crates/runtime/src/control/state.rs
@@ -126,6 +126,9 @@
                 let admitted = self.arrive(now, request, &call);
                 let _ = tx.send(admitted);
             }
+            Command::Models { key_digest, tx } => {
+                let _ = tx.send(self.models(&key_digest));
+            }
             Command::Depart(request) => {
                 self.arrived.remove(&request);
             }
--- a/crates/runtime/src/entry/mod.rs
+++ b/crates/runtime/src/entry/mod.rs
@@ -12,6 +12,8 @@
 
 use std::sync::Arc;
 
+use pistachiochute_core::request;
+
 use crate::{clock, control, link, listener, metrics, owner, settings};
 
 /// What the entry threads share.
@@ -39,6 +41,7 @@
                 respond::text(answer, http::StatusCode::OK, "ok\n");
             }
             (&http::Method::GET, "/readyz") => self.ready(answer),
+            (&http::Method::GET, "/v1/models") => self.models(&req, request, answer),
             _ => match parse::call(req, &self.settings.bounds, clock::now()) {
                 Ok(call) => serve::Exchange::new(self, request, call).run(answer),
                 Err(fault) => {
@@ -54,6 +57,24 @@
 }
 
 impl Context {
+    /// Lists the models that the caller's plan may use.
+    fn models(
+        &self,
+        req: &listener::Request,
+        request: request::RequestId,
+        answer: listener::Answer,
+    ) {
+        let refused = |fault| respond::Refused::parse(request, fault);
+        let key_digest = match parse::key_digest(req) {
+            Ok(key_digest) => key_digest,
+            Err(fault) => return respond::refuse(self, answer, &refused(fault)),
+        };
+        match self.control.models(key_digest) {
+            Ok(models) => respond::models(answer, request, &models),
+            Err(e) => respond::refuse(self, answer, &respond::Refused::not_admitted(request, e)),
+        }
+    }
+
     fn ready(&self, answer: listener::Answer) {
         match self.control.status().is_some_and(|status| status.ready) {
             true => respond::text(answer, http::StatusCode::OK, "ready\n"),
@@ -65,8 +86,8 @@
     }
 }
 
-fn new_request_id() -> pistachiochute_core::request::RequestId {
-    pistachiochute_core::request::RequestId(uuid::Uuid::now_v7())
+fn new_request_id() -> request::RequestId {
+    request::RequestId(uuid::Uuid::now_v7())
 }
 
 /// Answer to a connection for which the host has no place.
--- a/crates/runtime/src/entry/parse.rs
+++ b/crates/runtime/src/entry/parse.rs
@@ -143,7 +143,8 @@
     value.map_or_else(Bytes::new, |value| Bytes::copy_from_slice(value.as_bytes()))
 }
 
-fn key_digest(req: &listener::Request) -> Result<lists::KeyDigest, Fault> {
+/// Digest of the key that the request carries.
+pub fn key_digest(req: &listener::Request) -> Result<lists::KeyDigest, Fault> {
     let value = header(req, "authorization");
     let key = value.strip_prefix(b"Bearer ").map(<[u8]>::trim_ascii);
     match key {
--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
-use pistachiochute_core::{answer, outcome, reason, request, retry};
+use pistachiochute_core::{answer, name, outcome, reason, request, retry};
 
 use crate::entry::parse;
 use crate::listener::{Answer, Gone, Stream};
-use crate::{endpoint, entry};
+use crate::{control, endpoint, entry};
 
 /// A refusal, or an error in the place of the rest of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +37,17 @@
         }
     }
 
+    /// A request that the control thread did not admit.
+    pub fn not_admitted(request: request::RequestId, refused: control::Refused) -> Self {
+        Self {
+            request,
+            reason: refused.reason,
+            outcome: outcome::Outcome::NotRun,
+            retry_after: refused.retry_after,
+            message: refused.message,
+        }
+    }
+
     /// A request for which the host has no thread.
     pub fn busy(request: request::RequestId) -> Self {
         Self {
@@ -88,6 +99,26 @@
     let _ = answer.whole(response);
 }
 
+/// Answers with models, in the form of the OpenAI API.
+pub fn models(answer: Answer, request: request::RequestId, models: &[name::ModelName]) {
+    let model = |name| {
+        serde_json::json!({
+            "id": name, "object": "model", "created": 0, "owned_by": "pistachiochute",
+        })
+    };
+    let data: Vec<_> = models.iter().map(model).collect();
+    let body = serde_json::json!({ "object": "list", "data": data }).to_string();
+    let mut response = Response::new(Bytes::from(body));
+    set(
+        &mut response,
+        header::CONTENT_TYPE.as_str(),
+        "application/json",
+    );
+    set_outcome(&mut response, request, outcome::Outcome::Run);
+    // The caller may be gone, which nobody needs to know.
+    let _ = answer.whole(response);
+}
+
 /// Counts and logs a refusal.
 pub fn count(cx: &entry::Context, refused: &Refused) {
     cx.metrics.refused(refused.reason);
--- a/crates/runtime/src/entry/serve.rs
+++ b/crates/runtime/src/entry/serve.rs
@@ -33,19 +33,13 @@
                 self.cx.control.depart(self.request);
                 outcome
             }
-            Err(refused) => caller.refuse(&self.refused(refused)),
+            Err(refused) => caller.refuse(&self.not_admitted(refused)),
         };
         self.cx.metrics.finished(outcome);
     }
 
-    fn refused(&self, refused: control::Refused) -> respond::Refused {
-        respond::Refused {
-            request: self.request,
-            reason: refused.reason,
-            outcome: outcome::Outcome::NotRun,
-            retry_after: refused.retry_after,
-            message: refused.message,
-        }
+    fn not_admitted(&self, refused: control::Refused) -> respond::Refused {
+        respond::Refused::not_admitted(self.request, refused)
     }
 
     /// Makes attempts until the caller has an answer or a refusal, and returns the outcome.
@@ -56,7 +50,7 @@
             .control
             .retries(self.request, self.call.repeat, deadline);
         let Some(mut retries) = retries else {
-            return caller.refuse(&self.refused(control::Refused::stopped()));
+            return caller.refuse(&self.not_admitted(control::Refused::stopped()));
         };
         let mut assembly = answer::Assembly::new(self.request, self.call.stream);
         let mut hops = hops::Hops::new(&admitted.candidates);
@@ -77,7 +71,7 @@
                 Err(failure) => failure,
             };
             let Some((next, decision)) = self.cx.control.failed(retries, failure) else {
-                return caller.refuse(&self.refused(control::Refused::stopped()));
+                return caller.refuse(&self.not_admitted(control::Refused::stopped()));
             };
             retries = next;
             match decision {
--- a/crates/runtime/tests/path.rs
+++ b/crates/runtime/tests/path.rs
@@ -99,3 +99,25 @@
     assert!(!support::header(&resp, "retry-after").is_empty());
     fleet.close();
 }
+
+#[test]
+fn models_are_those_of_the_plan() {
+    let fleet = support::Fleet::start(&support::Shape::default());
+    let get = |key: &str| {
+        attohttpc::get(format!("http://{}/v1/models", fleet.members[0].callers))
+            .header("authorization", format!("Bearer {key}"))
+            .send()
+            .unwrap()
+    };
+    let resp = get(support::KEY);
+    assert_eq!(resp.status().as_u16(), 200);
+    assert_eq!(support::header(&resp, "x-outcome"), "run");
+    let list: Value = resp.json().unwrap();
+    assert_eq!(list["object"], "list");
+    assert_eq!(list["data"][0]["id"], support::MODEL);
+    assert_eq!(list["data"].as_array().map(Vec::len), Some(1));
+    let resp = get("wrong");
+    assert_eq!(resp.status().as_u16(), 401);
+    assert_eq!(support::header(&resp, "x-outcome"), "not_run");
+    fleet.close();
+}
