Ask another host for removals that a relay took for lapses

Cause: a relay that came back to the store found by its list, read at revision 323, that two entries were gone, and took that for a lapse. It left them out of what it told others and said that they knew all changes up to 322. The removals had been written at 317 and 320, so nobody asked the other relay for them, which had seen them; and by the end of the lapse they knew of later changes from that relay and did not ask the first one either.

Ruled out: late writes (the entries were not written again), the grace of the lapse (it ended at once by the other relay's word), a silent link (other changes arrived on it).

Change: a lapse remembers the last revision at which its entry is known to have been there, and a host with a lapse says that it tells all changes up to that one only. The test fails without the change.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -76,7 +76,8 @@
             Some(endpoint) => Record::new(revision, Some(endpoint.clone()), Some(endpoint), now),
             None => match known.and_then(|r| r.endpoint.clone()) {
                 Some(kept) if source == Source::Store && self.outage.may_lapse(now) => {
-                    Record::lapsing(revision, kept, now)
+                    let after = known.map_or(revision::Revision(0), Record::last_there);
+                    Record::lapsing((after, revision), kept, now)
                 }
                 _ => Record::new(revision, None, last, now),
             },
@@ -127,15 +128,13 @@
         self.complete
     }
 
-    /// Revision up to and with which [`Directory::newer_than`] gives another host all changes: what
-    /// has lapsed is told once that is final, so it must still be asked for then.
+    /// Revision up to and with which [`Directory::newer_than`] gives another host all changes. What
+    /// has lapsed is told once that is final, so it must still be asked for then, here or of a host
+    /// that knows when the entry was removed.
     #[must_use]
     pub fn complete_for_others(&self) -> revision::Revision {
-        let lapsing = self.records.values().filter(|r| r.is_lapsing);
-        let before = lapsing.map(|r| revision::Revision(r.revision.0.saturating_sub(1)));
-        before
-            .min()
-            .map_or(self.complete, |before| before.min(self.complete))
+        let lapsing = self.records.values().filter_map(|r| r.lapsing_after);
+        lapsing.fold(self.complete, revision::Revision::min)
     }
 
     /// Revision of the last known change of the endpoints in use.
@@ -190,6 +189,6 @@
     ) -> impl Iterator<Item = (&Arc<str>, &Record)> {
         self.records
             .iter()
-            .filter(move |(_, r)| r.revision > revision && !r.is_lapsing)
+            .filter(move |(_, r)| r.revision > revision && !r.is_lapsing())
     }
 }
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -12,8 +12,10 @@
     pub revision: revision::Revision,
     /// The endpoint, or `None` if the entry is gone or cannot be used.
     pub endpoint: Option<Arc<Endpoint>>,
-    /// Whether the entry is gone and the endpoint is kept in use for the time being.
-    pub is_lapsing: bool,
+    /// Set while the entry is gone and the endpoint is kept in use for the time being: the last
+    /// revision at which the entry is known to have been there. Its removal may have come at any
+    /// revision after that one, since a list only shows that the entry is gone by then.
+    pub lapsing_after: Option<revision::Revision>,
     /// The last usable entry under this key, by which an older one that arrives late is known.
     pub last: Option<Arc<Endpoint>>,
     /// When this host learned of the change.
@@ -30,14 +32,15 @@
         Self {
             revision,
             endpoint,
-            is_lapsing: false,
+            lapsing_after: None,
             last,
             since,
         }
     }
 
+    /// The record of an entry that is gone by `revision` and was there at `after`.
     pub(super) fn lapsing(
-        revision: revision::Revision,
+        (after, revision): (revision::Revision, revision::Revision),
         endpoint: Arc<Endpoint>,
         since: time::Time,
     ) -> Self {
@@ -45,11 +48,17 @@
             revision,
             last: Some(endpoint.clone()),
             endpoint: Some(endpoint),
-            is_lapsing: true,
+            lapsing_after: Some(after),
             since,
         }
     }
 
+    /// Whether the entry is gone and the endpoint is kept in use for the time being.
+    #[must_use]
+    pub const fn is_lapsing(&self) -> bool {
+        self.lapsing_after.is_some()
+    }
+
     /// The endpoint, if new requests may be sent to it.
     #[must_use]
     pub fn usable(&self) -> Option<&Arc<Endpoint>> {
@@ -66,6 +75,11 @@
         self.endpoint.is_some()
     }
 
+    /// Last revision at which the entry is known to have been there.
+    pub(super) fn last_there(&self) -> revision::Revision {
+        self.lapsing_after.unwrap_or(self.revision)
+    }
+
     /// Whether the same endpoint may be used under both records.
     pub(super) fn serves_like(&self, other: Option<&Self>) -> bool {
         match (self.usable(), other.and_then(Self::usable)) {
@@ -77,7 +91,7 @@
 
     /// Ends the use of an endpoint whose entry is gone. Returns whether it had been kept.
     pub(super) fn end_lapse(&mut self, now: time::Time) -> bool {
-        if !self.is_lapsing {
+        if !self.is_lapsing() {
             return false;
         }
         *self = Self::new(self.revision, None, self.last.take(), now);
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -315,6 +315,30 @@
     assert!(!member.is_usable());
 }
 
+/// Grown Lombardy, `hunt-bb55-3`: a relay that came back to the store found by its list that an entry
+/// was gone, and took that for a lapse at the revision of the list. It told others that they knew
+/// all changes before that, so they did not ask another relay for the removal, which had come
+/// earlier, and sent to the endpoint 3.4 s after it had left.
+#[test]
+fn a_lapse_found_by_a_list_hides_no_earlier_removal_that_another_host_tells_of() {
+    let [mut returned, mut steady, mut member] = [World::new(), World::new(), World::new()];
+    for world in [&mut returned, &mut steady, &mut member] {
+        world.put(1, 1, State::Ready);
+        world.directory.confirm(at(1));
+    }
+    steady.remove(2, Source::Store);
+    steady.directory.confirm(at(5));
+    let new: Arc<str> = "new".into();
+    let ready = endpoint("new", 1, 1, State::Ready);
+    let listed = vec![(new, at(4), Some(ready))];
+    returned.directory.store_answers(false, returned.now);
+    returned.directory.replace(listed, at(5), returned.now);
+    assert!(ask(&mut member, &returned));
+    assert_eq!(member.directory.usable().count(), 2);
+    assert!(ask(&mut member, &steady));
+    assert_eq!(member.directory.usable().count(), 1);
+}
+
 /// What reaches a directory.
 #[derive(Clone, Copy, Debug)]
 enum Step {
