--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -126,8 +126,8 @@
     timeouts: Timeouts,
     wanted: Wanted,
 ) -> Result<Response, Error> {
-    let host = addr.to_string().try_into();
-    let host = host.expect("an address is a valid header value");
+    let host = HeaderValue::try_from(addr.to_string());
+    let host = host.map_err(|e| Error::NotSent(io::Error::other(e)))?;
     req.headers_mut().insert(header::HOST, host);
     let close = HeaderValue::from_static("close");
     req.headers_mut().insert(header::CONNECTION, close);
