Split the listener and the follower of the catalog into functions of one job

Read as a newcomer: reading a request is a module of its own, the follower of the catalog reads, watches and decides what the end of a watch means in three functions, and the plan of an account is looked up in one place.

--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Reads the catalog and follows its changes until a call fails or a relay brings the news.
+/// Reads the catalog and follows its changes until a read fails or a relay brings the news.
 async fn follow_catalog_once<D, S>(
     cx: &Context<D, S>,
     failures: &mut u32,
@@ -78,53 +78,84 @@
     D: edge::Dialect,
     S: edge::Store,
 {
-    let key = cx.dialect.catalog_key();
     let mut cut_watches = 0;
     loop {
-        let asked = clock::now();
-        let found = cx.store.range(key, edge::Freshness::Latest).await?;
-        cx.note_store(true, "");
+        let after = read_catalog(cx).await?;
         *failures = 0;
-        for entry in &found.entries {
-            take_catalog(cx, entry);
-        }
-        cx.shared.confirm(asked);
-        let mut after = found.revision;
-        loop {
-            let watched = tokio::select! {
-                watched = cx.store.watch(key, after, WATCH) => watched,
-                // Another call failed: a read shows whether the store answers at all.
-                () = cx.store_suspect.notified() => break,
-            };
-            let watched = match watched {
-                Ok(watched) => watched,
-                Err(e) => {
-                    // A watch may be cut at any time. A read shows whether the store answers.
-                    cx.events.follower_stopped(key, &e);
-                    if cut_watches > 0 {
-                        pause_after(cut_watches).await;
-                    }
-                    cut_watches += 1;
-                    break;
+        match watch_catalog(cx, after).await {
+            WatchEnd::Fed => return Ok(()),
+            WatchEnd::ReadAnew => cut_watches = 0,
+            // A watch may be cut at any time. A read shows whether the store answers.
+            WatchEnd::Cut(e) => {
+                cx.events.follower_stopped(cx.dialect.catalog_key(), &e);
+                if cut_watches > 0 {
+                    pause_after(cut_watches).await;
                 }
-            };
-            cut_watches = 0;
-            cx.note_store(true, "");
-            let edge::Watched::Changes { revision, changes } = watched else {
+                cut_watches += 1;
+            }
+        }
+    }
+}
+
+/// Reads the catalog. Returns the revision after which its changes have to be followed.
+async fn read_catalog<D, S>(cx: &Context<D, S>) -> Result<revision::Revision, key_value::Error>
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let key = cx.dialect.catalog_key();
+    let asked = clock::now();
+    let found = cx.store.range(key, edge::Freshness::Latest).await?;
+    cx.note_store(true, "");
+    for entry in &found.entries {
+        take_catalog(cx, entry);
+    }
+    cx.shared.confirm(asked);
+    Ok(found.revision)
+}
+
+/// Why the changes of the catalog are not followed any further.
+enum WatchEnd {
+    /// A relay brings the news.
+    Fed,
+    /// The catalog has to be read anew: the history is gone, or another call failed.
+    ReadAnew,
+    /// A watch had no answer.
+    Cut(key_value::Error),
+}
+
+/// Follows the changes of the catalog after a revision.
+async fn watch_catalog<D, S>(cx: &Context<D, S>, mut after: revision::Revision) -> WatchEnd
+where
+    D: edge::Dialect,
+    S: edge::Store,
+{
+    let key = cx.dialect.catalog_key();
+    loop {
+        let watched = tokio::select! {
+            watched = cx.store.watch(key, after, WATCH) => watched,
+            () = cx.store_suspect.notified() => return WatchEnd::ReadAnew,
+        };
+        let (revision, changes) = match watched {
+            Ok(edge::Watched::Changes { revision, changes }) => (revision, changes),
+            Ok(edge::Watched::Compacted) => {
+                cx.note_store(true, "");
                 cx.events.history_gone(key, after);
-                break;
-            };
-            for change in &changes {
-                if let key_value::Change::Put(entry) = change {
-                    take_catalog(cx, entry);
-                }
+                return WatchEnd::ReadAnew;
             }
-            cx.shared.confirm(clock::now());
-            after = after.max(revision);
-            if cx.is_fed() {
-                return Ok(());
+            Err(e) => return WatchEnd::Cut(e),
+        };
+        cx.note_store(true, "");
+        for change in &changes {
+            if let key_value::Change::Put(entry) = change {
+                take_catalog(cx, entry);
             }
         }
+        cx.shared.confirm(clock::now());
+        after = after.max(revision);
+        if cx.is_fed() {
+            return WatchEnd::Fed;
+        }
     }
 }
 
--- a/crates/gateway/src/traffic/fleet.rs
+++ b/crates/gateway/src/traffic/fleet.rs
@@ -36,7 +36,7 @@
     hash: u64,
     /// Work of this host.
     work: load::Work,
-    /// Whether the last attempt to connect failed.
+    /// Whether the last attempt to connect failed, or met another endpoint at its address.
     is_unreachable: bool,
     /// Serial of the last view that held it.
     serial: u64,
--- a/crates/runtime/src/control/arrive.rs
+++ b/crates/runtime/src/control/arrive.rs
@@ -83,10 +83,14 @@
         key_digest: &lists::KeyDigest,
     ) -> Result<Vec<name::ModelName>, Refused> {
         let (_, account) = self.account_of(key_digest)?;
-        let plan = self.lists.as_ref().and_then(|l| l.plans.get(&account.plan));
+        let plan = self.plan(account);
         Ok(plan.map_or_else(Vec::new, |plan| plan.models.clone()))
     }
 
+    fn plan(&self, account: &lists::Account) -> Option<&lists::Plan> {
+        self.lists.as_ref()?.plans.get(&account.plan)
+    }
+
     fn account_of(
         &self,
         key_digest: &lists::KeyDigest,
@@ -106,8 +110,7 @@
 
     fn plan_of(&self, call: &call::Call) -> Result<(&name::AccountName, &lists::Plan), Refused> {
         let (name, account) = self.account_of(&call.key_digest)?;
-        let plan = self.lists.as_ref().and_then(|l| l.plans.get(&account.plan));
-        match plan {
+        match self.plan(account) {
             Some(plan) if plan.has(&call.target) => Ok((name, plan)),
             _ => {
                 let message = format!("plan {} does not hold {}", account.plan, call.target);
--- a/crates/runtime/src/listener/mod.rs
+++ b/crates/runtime/src/listener/mod.rs
@@ -5,18 +5,19 @@
 //! whole ends with its connection, so that no client takes it for whole.
 
 mod answer;
+mod request;
 
 pub use answer::{Answer, Gone, Stream};
+pub use request::{BodyFault, Request};
 
 use std::net;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use eyre::WrapErr as _;
-use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -31,9 +32,8 @@
 /// heads itself, without a reason code.
 const LEAST_HEAD_BYTES: usize = 8 << 10;
 
-/// Time in which the rest of a request is discarded beside its answer, so that closing the
-/// connection does not discard the answer.
-const LINGER: Duration = Duration::from_millis(200);
+/// Time in which a connection that is one too many gets its answer.
+const REFUSE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Pause after the listener failed, for instance because no descriptor was left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -50,45 +50,6 @@
     fn refuse_busy(&self, req: Request, answer: Answer);
 }
 
-/// A request that was read.
-#[derive(Debug)]
-pub struct Request {
-    /// Method, target and headers.
-    pub head: http::request::Parts,
-    /// The whole body, or why there is none.
-    pub body: Result<Bytes, BodyFault>,
-}
-
-impl Request {
-    /// Path without the query.
-    #[must_use]
-    pub fn path(&self) -> &str {
-        self.head.uri.path()
-    }
-
-    /// Path and query.
-    #[must_use]
-    pub fn target(&self) -> &str {
-        let target = self.head.uri.path_and_query();
-        target.map_or("", http::uri::PathAndQuery::as_str)
-    }
-
-    /// Value of a header, or nothing.
-    #[must_use]
-    pub fn header(&self, name: &str) -> Option<&http::HeaderValue> {
-        self.head.headers.get(name)
-    }
-}
-
-/// Why a request has no whole body.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BodyFault {
-    /// It is longer than the bound.
-    TooLarge,
-    /// It ended early or did not arrive in time.
-    Truncated(String),
-}
-
 /// Settings of a listener.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -219,7 +180,7 @@
         std::io::Result::Ok(())
     };
     // The caller may be gone, which nobody needs to know.
-    let _ = time::timeout(LINGER, answering).await;
+    let _ = time::timeout(REFUSE_TIMEOUT, answering).await;
 }
 
 impl<S> Serving<S>
@@ -269,42 +230,16 @@
         &self,
         req: http::Request<Incoming>,
     ) -> Result<http::Response<answer::Body>, Gone> {
-        let (head, mut body) = req.into_parts();
-        let reading = time::timeout(self.cfg.body_read, self.read(&mut body)).await;
-        let body = match reading {
-            Ok(Ok(whole)) => Ok(whole),
-            Ok(Err(fault)) => {
-                discard(body);
-                Err(fault)
-            }
-            Err(_) => Err(BodyFault::Truncated(
-                "the body did not arrive in time".to_owned(),
-            )),
+        let bounds = request::Bounds {
+            bytes: self.cfg.body_bytes,
+            time: self.cfg.body_read,
         };
+        let req = Request::read(req, bounds).await;
         let (answer, answered) = Answer::new();
-        self.dispatch(Request { head, body }, answer);
+        self.dispatch(req, answer);
         answered.wait().await
     }
 
-    /// Reads a body within its bound.
-    async fn read(&self, body: &mut Incoming) -> Result<Bytes, BodyFault> {
-        if body.size_hint().lower() > self.cfg.body_bytes {
-            return Err(BodyFault::TooLarge);
-        }
-        let mut whole = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| BodyFault::Truncated(e.to_string()))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            whole.extend_from_slice(&data);
-            if whole.len() as u64 > self.cfg.body_bytes {
-                return Err(BodyFault::TooLarge);
-            }
-        }
-        Ok(whole.freeze())
-    }
-
     fn dispatch(&self, req: Request, answer: Answer) {
         let service = Arc::clone(&self.service);
         // The request is taken back out if no thread is free.
@@ -332,9 +267,3 @@
 fn take(slot: &Mutex<Option<(Request, Answer)>>) -> Option<(Request, Answer)> {
     slot.lock().unwrap_or_else(PoisonError::into_inner).take()
 }
-
-/// Reads the rest of a body beside its answer.
-fn discard(mut body: Incoming) {
-    let discarding = async move { while let Some(Ok(_)) = body.frame().await {} };
-    drop(tokio::spawn(time::timeout(LINGER, discarding)));
-}
