--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -99,6 +99,15 @@
     let _ = answer.whole(response);
 }
 
+/// A JSON answer.
+fn json(status: StatusCode, body: String) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(body));
+    *response.status_mut() = status;
+    let name = header::CONTENT_TYPE.as_str();
+    set(&mut response, name, "application/json");
+    response
+}
+
 /// Answers with models, in the form of the OpenAI API.
 pub fn models(answer: Answer, request: request::RequestId, models: &[name::ModelName]) {
     let model = |name| {
@@ -108,12 +117,7 @@
     };
     let data: Vec<_> = models.iter().map(model).collect();
     let body = serde_json::json!({ "object": "list", "data": data }).to_string();
-    let mut response = Response::new(Bytes::from(body));
-    set(
-        &mut response,
-        header::CONTENT_TYPE.as_str(),
-        "application/json",
-    );
+    let mut response = json(StatusCode::OK, body);
     set_outcome(&mut response, request, outcome::Outcome::Run);
     // The caller may be gone, which nobody needs to know.
     let _ = answer.whole(response);
@@ -144,13 +148,7 @@
 /// Answers with a refusal.
 pub fn refuse(cx: &entry::Context, answer: Answer, refused: &Refused) {
     count(cx, refused);
-    let mut response = Response::new(Bytes::from(refused.body()));
-    *response.status_mut() = status_of(refused.reason.status());
-    set(
-        &mut response,
-        header::CONTENT_TYPE.as_str(),
-        "application/json",
-    );
+    let mut response = json(status_of(refused.reason.status()), refused.body());
     set_outcome(&mut response, refused.request, refused.outcome);
     if let Some(delay) = refused.retry_after {
         let seconds = delay.as_secs_f64().ceil().max(1.0);
