Read the change again: drop wrappers, and say each thing once

- A lapse is made from the record that it follows, in place of two revisions side by side and a default for a record that is always there.
- The bound on bodies uses the library's Limited, as the traffic path does, and what a caller is told of a body is said in one place for callers and operators.
- An answer longer than its bound is an error of the client, not an empty body at one of its callers.
- Two wrappers that only passed calls on (respond::Streaming, Answered) are gone.
- The daemon checks its settings, of either kind, and runs in one function.

Behaviour as before; no test is touched.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -74,11 +74,8 @@
                 Record::new(revision, kept, last, now)
             }
             Some(endpoint) => Record::new(revision, Some(endpoint.clone()), Some(endpoint), now),
-            None => match known.and_then(|r| r.endpoint.clone()) {
-                Some(kept) if source == Source::Store && self.outage.may_lapse(now) => {
-                    let after = known.map_or(revision::Revision(0), Record::last_there);
-                    Record::lapsing((after, revision), kept, now)
-                }
+            None => match known.and_then(|r| r.lapse(revision, now)) {
+                Some(lapse) if source == Source::Store && self.outage.may_lapse(now) => lapse,
                 _ => Record::new(revision, None, last, now),
             },
         };
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -38,19 +38,17 @@
         }
     }
 
-    /// The record of an entry that is gone by `revision` and was there at `after`.
-    pub(super) fn lapsing(
-        (after, revision): (revision::Revision, revision::Revision),
-        endpoint: Arc<Endpoint>,
-        since: time::Time,
-    ) -> Self {
-        Self {
+    /// The record of the entry once it is gone by `revision` and its endpoint is kept in use, or
+    /// `None` if there is no endpoint to keep.
+    pub(super) fn lapse(&self, revision: revision::Revision, since: time::Time) -> Option<Self> {
+        let endpoint = self.endpoint.clone()?;
+        Some(Self {
             revision,
             last: Some(endpoint.clone()),
             endpoint: Some(endpoint),
-            lapsing_after: Some(after),
+            lapsing_after: Some(self.lapsing_after.unwrap_or(self.revision)),
             since,
-        }
+        })
     }
 
     /// Whether the entry is gone and the endpoint is kept in use for the time being.
@@ -75,11 +73,6 @@
         self.endpoint.is_some()
     }
 
-    /// Last revision at which the entry is known to have been there.
-    pub(super) fn last_there(&self) -> revision::Revision {
-        self.lapsing_after.unwrap_or(self.revision)
-    }
-
     /// Whether the same endpoint may be used under both records.
     pub(super) fn serves_like(&self, other: Option<&Self>) -> bool {
         match (self.usable(), other.and_then(Self::usable)) {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,7 @@
 
 mod platform_host;
 
-use std::{path, process, thread};
+use std::{fmt, path, process, thread};
 
 use eyre::WrapErr as _;
 use pistachiochute_runtime::{host, log, metrics, settings};
@@ -23,8 +23,24 @@
     if matches.get_flag("on-platform") {
         return platform_host::main(file, matches.get_flag("check"));
     }
-    match settings::Settings::load(file) {
-        Ok(_) if matches.get_flag("check") => process::ExitCode::SUCCESS,
+    let loaded = settings::Settings::load(file);
+    check_and_run(file, loaded, matches.get_flag("check"), run)
+}
+
+/// Prints the findings of the settings, or runs the host with them unless only the check was asked
+/// for.
+fn check_and_run<T, E, F>(
+    file: &path::Path,
+    loaded: Result<T, Vec<E>>,
+    only_check: bool,
+    run: F,
+) -> process::ExitCode
+where
+    E: fmt::Display,
+    F: FnOnce(T) -> eyre::Result<process::ExitCode>,
+{
+    match loaded {
+        Ok(_) if only_check => process::ExitCode::SUCCESS,
         Ok(settings) => run(settings).unwrap_or_else(|e| {
             eprintln!("pistachiochuted: {e:#}");
             process::ExitCode::from(FAILED)
--- a/crates/daemon/src/platform_host.rs
+++ b/crates/daemon/src/platform_host.rs
@@ -9,23 +9,12 @@
 use signal_hook::consts;
 use signal_hook::iterator::Signals;
 
-use crate::{FAILED, FAULTY_SETTINGS};
+use crate::FAILED;
 
 /// Checks the settings, and runs the host unless that is all that was asked for.
 pub(crate) fn main(file: &path::Path, only_check: bool) -> process::ExitCode {
-    match settings::Settings::load(file) {
-        Ok(_) if only_check => process::ExitCode::SUCCESS,
-        Ok(settings) => run(file, settings).unwrap_or_else(|e| {
-            eprintln!("pistachiochuted: {e:#}");
-            process::ExitCode::from(FAILED)
-        }),
-        Err(findings) => {
-            for finding in findings {
-                eprintln!("{}: {finding}", file.display());
-            }
-            process::ExitCode::from(FAULTY_SETTINGS)
-        }
-    }
+    let loaded = settings::Settings::load(file);
+    crate::check_and_run(file, loaded, only_check, |settings| run(file, settings))
 }
 
 fn run(file: &path::Path, settings: settings::Settings) -> eyre::Result<process::ExitCode> {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -156,12 +156,11 @@
             return;
         }
         self.events.store_answers(answered, cause);
-        if !answered {
-            self.metrics.store_lost();
-        }
         if answered {
             self.steady_since.set(now);
             self.store_back.notify_waiters();
+        } else {
+            self.metrics.store_lost();
         }
     }
 
--- a/crates/runtime/src/admin/route.rs
+++ b/crates/runtime/src/admin/route.rs
@@ -119,13 +119,8 @@
 }
 
 fn body(req: &listener::Request) -> Result<Bytes, Reply> {
-    req.body.clone().map_err(|fault| match fault {
-        listener::BodyFault::TooLarge => {
-            let message = format!("the body exceeds {MAX_BODY} bytes");
-            Reply::error(reason::Refusal::BodyTooLarge, message)
-        }
-        listener::BodyFault::Truncated(message) => {
-            Reply::error(reason::Refusal::BodyTruncated, message)
-        }
+    req.body.clone().map_err(|fault| {
+        let (reason, message) = fault.explain(MAX_BODY);
+        Reply::error(reason, message)
     })
 }
--- a/crates/runtime/src/client.rs
+++ b/crates/runtime/src/client.rs
@@ -58,6 +58,8 @@
     TimedOut,
     /// The connection was lost before the answer was whole.
     Lost(hyper::Error),
+    /// The answer is longer than this many bytes.
+    TooLong(u64),
     /// The answer is no longer wanted.
     Unwanted,
 }
@@ -68,6 +70,7 @@
             Self::NotSent(e) => write!(f, "connect: {e}"),
             Self::TimedOut => f.write_str("no answer in time"),
             Self::Lost(e) => write!(f, "connection lost: {e}"),
+            Self::TooLong(max) => write!(f, "the answer is longer than {max} bytes"),
             Self::Unwanted => f.write_str("the answer is no longer wanted"),
         }
     }
@@ -81,6 +84,7 @@
             Error::NotSent(e) => e.kind(),
             Error::TimedOut => io::ErrorKind::TimedOut,
             Error::Lost(_) => io::ErrorKind::ConnectionReset,
+            Error::TooLong(_) => io::ErrorKind::InvalidData,
             Error::Unwanted => io::ErrorKind::BrokenPipe,
         };
         Self::new(kind, e)
@@ -200,20 +204,20 @@
         value.map_or_else(Bytes::new, |value| Bytes::copy_from_slice(value.as_bytes()))
     }
 
-    /// The whole body, or `None` if it is longer than `max` bytes.
+    /// The whole body, of at most `max` bytes.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is cut, silent, or no longer wanted.
-    pub fn whole(mut self, max: u64) -> Result<Option<Bytes>, Error> {
+    /// Returns an error if the body is cut, silent, too long, or no longer wanted.
+    pub fn whole(mut self, max: u64) -> Result<Bytes, Error> {
         let mut whole = BytesMut::new();
         while let Some(piece) = self.piece()? {
             if (whole.len() + piece.len()) as u64 > max {
-                return Ok(None);
+                return Err(Error::TooLong(max));
             }
             whole.extend_from_slice(&piece);
         }
-        Ok(Some(whole.freeze()))
+        Ok(whole.freeze())
     }
 
     /// The next piece of the body, or `None` after a whole one.
--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -164,7 +164,9 @@
     let (reason, outcome) = match e {
         client::Error::NotSent(_) => (reason::Refusal::ConnectFailed, outcome::Outcome::NotRun),
         client::Error::TimedOut => (reason::Refusal::Stalled, outcome::Outcome::Unknown),
-        client::Error::Lost(_) => (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown),
+        client::Error::Lost(_) | client::Error::TooLong(_) => {
+            (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown)
+        }
         client::Error::Unwanted => return Stop::Gone,
     };
     endpoint::Failure::new(reason, outcome).into()
@@ -220,14 +222,13 @@
 /// Reads a whole body before any of it is passed on.
 fn read_whole(response: client::Response, pieces: &mut pieces::Pieces) -> Result<(), Stop> {
     let cut = |reason| Stop::from(endpoint::Failure::new(reason, outcome::Outcome::Run));
-    let body = response.whole(u64::MAX).map_err(|e| match e {
+    let mut body = response.whole(u64::MAX).map_err(|e| match e {
         client::Error::Unwanted => Stop::Gone,
         client::Error::TimedOut => cut(reason::Refusal::Stalled),
-        client::Error::NotSent(_) | client::Error::Lost(_) => {
+        client::Error::NotSent(_) | client::Error::Lost(_) | client::Error::TooLong(_) => {
             cut(reason::Refusal::AnswerIncomplete)
         }
     })?;
-    let mut body = body.unwrap_or_default();
     while !body.is_empty() {
         let piece = body.split_to(body.len().min(PIECE_LEN));
         pieces.chunk(piece, None)?;
--- a/crates/runtime/src/entry/parse.rs
+++ b/crates/runtime/src/entry/parse.rs
@@ -175,14 +175,9 @@
 /// The body, if it came whole and within its bound.
 fn take_body(req: &mut listener::Request, bounds: &settings::Bounds) -> Result<Bytes, Fault> {
     let body = std::mem::replace(&mut req.body, Ok(Bytes::new()));
-    body.map_err(|fault| match fault {
-        listener::BodyFault::TooLarge => {
-            let message = format!("the body exceeds {} bytes", bounds.body);
-            Fault::new(reason::Refusal::BodyTooLarge, message)
-        }
-        listener::BodyFault::Truncated(message) => {
-            Fault::new(reason::Refusal::BodyTruncated, message)
-        }
+    body.map_err(|fault| {
+        let (reason, message) = fault.explain(bounds.body.0);
+        Fault { reason, message }
     })
 }
 
--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -201,37 +201,20 @@
     response.headers_mut().insert(name, value);
 }
 
-/// An answer that is written piece by piece.
-pub struct Streaming {
-    stream: Stream,
+/// Begins an answer of an endpoint that is sent piece by piece.
+pub fn stream(
+    answer: Answer,
+    request: request::RequestId,
+    head: &answer::Head,
+) -> Result<Stream, Gone> {
+    let mut response = endpoint_head(request, head);
+    set(&mut response, header::CACHE_CONTROL.as_str(), "no-store");
+    answer.stream(response)
 }
 
-impl Streaming {
-    /// Begins the answer.
-    pub fn start(
-        answer: Answer,
-        request: request::RequestId,
-        head: &answer::Head,
-    ) -> Result<Self, Gone> {
-        let mut response = endpoint_head(request, head);
-        set(&mut response, header::CACHE_CONTROL.as_str(), "no-store");
-        let stream = answer.stream(response)?;
-        Ok(Self { stream })
-    }
-
-    /// Writes a piece.
-    pub fn piece(&self, data: Bytes) -> Result<(), Gone> {
-        self.stream.piece(data)
-    }
-
-    /// Ends a whole answer.
-    pub fn close(self) -> Result<(), Gone> {
-        self.stream.close()
-    }
-
-    /// Ends an answer that is not whole: an error event, and then the connection.
-    pub fn abort(self, refused: &Refused) -> Result<(), Gone> {
-        let event = format!("event: error\ndata: {}\n\n", refused.body());
-        self.stream.piece(Bytes::from(event))
-    }
+/// Ends an answer that is not whole: an error event, and then the connection.
+pub fn abort(stream: Stream, refused: &Refused) {
+    let event = format!("event: error\ndata: {}\n\n", refused.body());
+    // The caller may be gone, which nobody needs to know.
+    let _ = stream.piece(Bytes::from(event));
 }
--- a/crates/runtime/src/entry/serve.rs
+++ b/crates/runtime/src/entry/serve.rs
@@ -239,7 +239,7 @@
     /// Nothing yet.
     Waiting(listener::Answer),
     /// The first pieces of a stream.
-    Streaming(respond::Streaming),
+    Streaming(listener::Stream),
     /// All that it will get.
     Done,
 }
@@ -278,17 +278,17 @@
                 self.cx.metrics.first_token(span);
                 self.first(answer, &delivery)?
             }
-            State::Streaming(streaming) => {
+            State::Streaming(stream) => {
                 self.cx.metrics.token_gap(span);
-                write_all(&streaming, &delivery.data)?;
-                State::Streaming(streaming)
+                write_all(&stream, &delivery.data)?;
+                State::Streaming(stream)
             }
             State::Done => State::Done,
         };
         if delivery.end
-            && let State::Streaming(streaming) = std::mem::replace(&mut self.state, State::Done)
+            && let State::Streaming(stream) = std::mem::replace(&mut self.state, State::Done)
         {
-            return streaming.close();
+            return stream.close();
         }
         Ok(())
     }
@@ -304,19 +304,18 @@
             respond::whole(answer, self.request, head, body)?;
             return Ok(State::Done);
         }
-        let streaming = respond::Streaming::start(answer, self.request, head)?;
-        write_all(&streaming, &delivery.data)?;
-        Ok(State::Streaming(streaming))
+        let stream = respond::stream(answer, self.request, head)?;
+        write_all(&stream, &delivery.data)?;
+        Ok(State::Streaming(stream))
     }
 
     /// Ends the request without a whole answer, and returns the outcome that the caller is told.
     fn refuse(self, refused: &respond::Refused) -> outcome::Outcome {
         match self.state {
             State::Waiting(answer) => respond::refuse(self.cx, answer, refused),
-            State::Streaming(streaming) => {
+            State::Streaming(stream) => {
                 respond::count(self.cx, refused);
-                // The caller may be gone, which nobody needs to know.
-                let _ = streaming.abort(refused);
+                respond::abort(stream, refused);
             }
             State::Done => respond::count(self.cx, refused),
         }
@@ -324,9 +323,9 @@
     }
 }
 
-fn write_all(streaming: &respond::Streaming, data: &[Bytes]) -> Result<(), listener::Gone> {
+fn write_all(stream: &listener::Stream, data: &[Bytes]) -> Result<(), listener::Gone> {
     data.iter()
-        .try_for_each(|piece| streaming.piece(piece.clone()))
+        .try_for_each(|piece| stream.piece(piece.clone()))
 }
 
 fn join(data: &[Bytes]) -> Bytes {
--- a/crates/runtime/src/listener/answer.rs
+++ b/crates/runtime/src/listener/answer.rs
@@ -29,22 +29,11 @@
     tx: oneshot::Sender<http::Response<Body>>,
 }
 
-/// The other end of an [`Answer`].
-pub(super) struct Answered {
-    rx: oneshot::Receiver<http::Response<Body>>,
-}
-
-impl Answered {
-    /// Waits for the answer.
-    pub(super) async fn wait(self) -> Result<http::Response<Body>, Gone> {
-        self.rx.await.map_err(|_| Gone)
-    }
-}
-
 impl Answer {
-    pub(super) fn new() -> (Self, Answered) {
+    /// Makes an answer, and the receiver that it comes to.
+    pub(super) fn new() -> (Self, oneshot::Receiver<http::Response<Body>>) {
         let (tx, rx) = oneshot::channel();
-        (Self { tx }, Answered { rx })
+        (Self { tx }, rx)
     }
 
     /// Answers with a whole body.
--- a/crates/runtime/src/listener/mod.rs
+++ b/crates/runtime/src/listener/mod.rs
@@ -237,7 +237,7 @@
         let req = Request::read(req, bounds).await;
         let (answer, answered) = Answer::new();
         self.dispatch(req, answer);
-        answered.wait().await
+        answered.await.map_err(|_| Gone)
     }
 
     fn dispatch(&self, req: Request, answer: Answer) {
--- a/crates/runtime/src/listener/request.rs
+++ b/crates/runtime/src/listener/request.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt as _;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
+use pistachiochute_core::reason;
 use tokio::time;
 
 /// Time in which the rest of a request is discarded beside its answer, so that closing the
@@ -73,23 +74,31 @@
     Truncated(String),
 }
 
+impl BodyFault {
+    /// Reason code and message for whoever sent a body that may have `max` bytes.
+    #[must_use]
+    pub fn explain(self, max: u64) -> (reason::Refusal, String) {
+        match self {
+            Self::TooLarge => {
+                let message = format!("the body exceeds {max} bytes");
+                (reason::Refusal::BodyTooLarge, message)
+            }
+            Self::Truncated(message) => (reason::Refusal::BodyTruncated, message),
+        }
+    }
+}
+
 /// Reads a body within its bound.
 async fn read_body(body: &mut Incoming, max: u64) -> Result<Bytes, BodyFault> {
     if body.size_hint().lower() > max {
         return Err(BodyFault::TooLarge);
     }
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| BodyFault::Truncated(e.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        whole.extend_from_slice(&data);
-        if whole.len() as u64 > max {
-            return Err(BodyFault::TooLarge);
-        }
+    let max = usize::try_from(max).unwrap_or(usize::MAX);
+    match Limited::new(body, max).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
+        Err(e) => Err(BodyFault::Truncated(e.to_string())),
     }
-    Ok(whole.freeze())
 }
 
 /// Reads the rest of a body beside its answer.
--- a/crates/runtime/src/platform/http.rs
+++ b/crates/runtime/src/platform/http.rs
@@ -101,12 +101,9 @@
     };
     let resp = send(req, addr, timeouts)?;
     let status = resp.head.status.as_u16();
-    let body = resp
-        .whole(bounds.answer)
-        .map_err(|e| Failure::Sent(format!("the answer was cut: {e}")))?;
-    let too_long = || Failure::Sent(format!("the answer is longer than {} bytes", bounds.answer));
-    Ok(Answer {
-        status,
-        body: body.ok_or_else(too_long)?,
-    })
+    let body = resp.whole(bounds.answer).map_err(|e| match e {
+        client::Error::TooLong(_) => Failure::Sent(e.to_string()),
+        e => Failure::Sent(format!("the answer was cut: {e}")),
+    })?;
+    Ok(Answer { status, body })
 }
