Log which answers a host ends itself, and the limits in force

Cause: when a host closed a caller's connection itself, at an idle check or at the deadline of a stop, the line `request ended` said `caller left`, as when the caller closed it. Limits of the catalog were not logged. The logs could not tell these cases apart.

Change: a connection counts its unfinished requests, from the arrival of a request until its report is finished, and keeps why the host closes it. `connection closed` names the cause (idle_check, stop_deadline, connection_error with the error text) and the number of these requests; the counter `connections_closed` counts by cause. `end` of `request ended` says `host closed the connection: CAUSE`. An end of stream, reset or broken pipe from the caller stays `caller left`: a caller that leaves with unread bytes resets its connection. `catalog taken over` has the number of routes and the limits on callers. The open connections are kept in a map instead of a counter, so that a stop can name the cause on each; when connections are closed has not changed.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -128,10 +128,15 @@
 {
     /// Applies and publishes a catalog if it is newer than the current one.
     fn apply_catalog(&self, content: catalog::Content, source: events::Source) {
-        let version = content.version;
+        let entry = events::CatalogLogEntry {
+            version: content.version,
+            routes: content.routes.len(),
+            limits: content.limits,
+            source,
+        };
         let result = self.state.borrow_mut().catalog.update(content);
         if result == catalog::UpdateResult::Applied {
-            self.events.catalog_applied(version, source);
+            self.events.catalog_applied(&entry);
             self.publish();
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -36,6 +36,19 @@
     }
 }
 
+/// Log entry of a catalog that came into force.
+#[derive(Clone, Debug)]
+pub struct CatalogLogEntry {
+    /// Version of the catalog.
+    pub version: catalog::Version,
+    /// Number of routes.
+    pub routes: usize,
+    /// Limits on callers.
+    pub limits: catalog::CallerLimits,
+    /// Where the catalog came from.
+    pub source: Source,
+}
+
 /// Log entry of a failed attempt of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptLogEntry<'a> {
@@ -122,8 +135,15 @@
     }
 
     /// A newer catalog was applied.
-    pub fn catalog_applied(&self, version: catalog::Version, source: Source) {
-        slog::info!(self.log, "catalog taken over"; "version" => %version, "source" => %source);
+    pub fn catalog_applied(&self, entry: &CatalogLogEntry) {
+        slog::info!(
+            self.log, "catalog taken over";
+            "version" => %entry.version, "source" => %entry.source, "routes" => entry.routes,
+            "max_head_bytes" => entry.limits.max_head_bytes,
+            "max_body_bytes" => entry.limits.max_body_bytes,
+            "head_timeout_ms" => millis(entry.limits.head_timeout),
+            "idle_timeout_ms" => millis(entry.limits.idle_timeout),
+        );
     }
 
     /// The store became reachable or unreachable.
@@ -239,7 +259,6 @@
         if !self.allow_line(clock::now()) {
             return;
         }
-        let millis = |span: Duration| span.as_micros() as f64 / 1_000.0;
         slog::info!(
             self.log, "request ended";
             "request" => entry.request, "route" => entry.route, "account" => entry.account,
@@ -255,6 +274,18 @@
         );
     }
 
+    /// The host closes a caller's connection that has unfinished requests. `error` is the error of
+    /// the connection, if that is the cause.
+    pub fn connection_closed(&self, cause: reason::Close, requests: usize, error: Option<&str>) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::info!(
+            self.log, "connection closed";
+            "cause" => cause.as_str(), "requests" => requests, "error" => error,
+        );
+    }
+
     /// A graceful stop entered a phase.
     pub fn stop_step(&self, step: &str, requests: usize) {
         slog::info!(self.log, "stop"; "step" => step, "requests" => requests);
@@ -280,3 +311,7 @@
         true
     }
 }
+
+fn millis(span: Duration) -> f64 {
+    span.as_micros() as f64 / 1_000.0
+}
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -9,11 +9,11 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use pistachiochute_core::time;
+use pistachiochute_core::{reason, time};
 use pistachiochute_runtime::clock;
 
 use crate::shared::Phase;
-use crate::traffic::{Context, serve};
+use crate::traffic::{Context, connection, serve};
 use crate::{adapter, sockets};
 
 /// Largest request head while there is no catalog, in bytes.
@@ -68,14 +68,17 @@
 where
     D: adapter::Dialect,
 {
-    cx.open_connections.set(cx.open_connections.get() + 1);
-    serve_connection(&cx, stream).await;
-    cx.open_connections.set(cx.open_connections.get() - 1);
+    let (number, connection) = cx.connections.add();
+    serve_connection(&cx, &connection, stream).await;
+    cx.connections.remove(number);
 }
 
 /// Serves a connection until it is closed, has been idle for too long, or the host stops.
-async fn serve_connection<D>(cx: &Rc<Context<D>>, stream: tokio::net::TcpStream)
-where
+async fn serve_connection<D>(
+    cx: &Rc<Context<D>>,
+    connection: &Rc<connection::Connection>,
+    stream: tokio::net::TcpStream,
+) where
     D: adapter::Dialect,
 {
     let activity = Rc::new(Activity {
@@ -84,10 +87,11 @@
     });
     let service = service_fn(|req| {
         let cx = cx.clone();
+        let connection = connection.clone();
         let activity = activity.clone();
         async move {
             activity.requests.set(activity.requests.get() + 1);
-            let response = serve::serve(cx, req).await;
+            let response = serve::serve(cx, connection, req).await;
             activity.requests.set(activity.requests.get() - 1);
             activity.last_active.set(clock::now());
             response
@@ -102,12 +106,15 @@
     let mut is_closing = false;
     loop {
         tokio::select! {
-            // An error needs no handling: the caller sees that its connection failed.
-            _ = serving.as_mut() => return,
+            // An error is only logged: the caller sees that its connection failed.
+            result = serving.as_mut() => {
+                return connection.record_result(result, cx.telemetry());
+            }
             _ = check.tick() => {
                 let is_idle = activity.requests.get() == 0
                     && clock::now().since(activity.last_active.get()) > idle_timeout(cx);
                 if is_idle && std::mem::replace(&mut is_closing, true) {
+                    connection.record_close(reason::Close::IdleCheck, None, cx.telemetry());
                     return;
                 }
                 if is_idle {
@@ -157,8 +164,11 @@
     tokio::time::sleep(LEAVING_DURATION.min(max_duration / 2)).await;
     cx.shared.enter_phase(Phase::Closing);
     cx.events.stop_step("closing", cx.active_requests.get());
-    while cx.open_connections.get() > 0 && clock::now() < deadline {
+    while cx.connections.count() > 0 && clock::now() < deadline {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
+    for connection in cx.connections.all() {
+        connection.record_close(reason::Close::StopDeadline, None, cx.telemetry());
+    }
     cx.events.stop_step("stopped", cx.active_requests.get());
 }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! hand-over between threads. The routing decisions are made by `pistachiochute-core`.
 
 mod attempt;
+mod connection;
 mod endpoints;
 mod event_stream;
 mod listener;
@@ -38,11 +39,18 @@
     /// Requests in progress.
     active_requests: Cell<usize>,
     /// Open connections of callers.
-    open_connections: Cell<usize>,
+    connections: connection::OpenConnections,
     /// When a graceful stop cuts off the remaining requests, once a stop has begun.
     stop_deadline: Cell<Option<time::Time>>,
 }
 
+impl<D> Context<D> {
+    /// Log and metrics of the thread.
+    const fn telemetry(&self) -> (&events::Events, &metrics::Metrics) {
+        (&self.events, &self.metrics)
+    }
+}
+
 /// Runs the traffic thread until a graceful stop has finished the last request or reached its
 /// deadline. Returns the number of requests that were cut off.
 pub async fn run<D>(
@@ -69,7 +77,7 @@
         )),
         pool: pool::Pool::default(),
         active_requests: Cell::new(0),
-        open_connections: Cell::new(0),
+        connections: connection::OpenConnections::default(),
         stop_deadline: Cell::new(None),
     });
     tokio::task::spawn_local(listener::accept(cx.clone(), callers));
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -8,7 +8,7 @@
 use pistachiochute_runtime::clock;
 
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, endpoints};
+use crate::traffic::{Context, connection, endpoints};
 use crate::{adapter, events};
 
 /// Collects the data for the log line and the metrics of a request while it is served.
@@ -17,6 +17,7 @@
     D: adapter::Dialect,
 {
     cx: Rc<Context<D>>,
+    connection: Rc<connection::Connection>,
     arrived: time::Time,
     deadline: time::Time,
     id: String,
@@ -33,8 +34,8 @@
     events: u64,
     last_event_at: time::Time,
     longest_gap: Duration,
-    /// Whether the log line was written. If the report is dropped before, the caller has
-    /// disconnected.
+    /// Whether the log line was written. If the report is dropped before, the connection of the
+    /// caller was closed.
     is_finished: bool,
 }
 
@@ -43,11 +44,17 @@
     D: adapter::Dialect,
 {
     /// Creates the report of a request that has arrived, and counts the request as active.
-    pub(super) fn new(cx: &Rc<Context<D>>, arrived: time::Time) -> Self {
+    pub(super) fn new(
+        cx: &Rc<Context<D>>,
+        connection: Rc<connection::Connection>,
+        arrived: time::Time,
+    ) -> Self {
         cx.active_requests.set(cx.active_requests.get() + 1);
+        connection.request_started();
         cx.metrics.started();
         Self {
             cx: cx.clone(),
+            connection,
             arrived,
             deadline: arrived,
             id: String::new(),
@@ -142,6 +149,7 @@
         self.cx
             .active_requests
             .set(self.cx.active_requests.get() - 1);
+        self.connection.request_finished();
         self.cx.metrics.finished(self.outcome);
         self.cx.events.request(&events::RequestLogEntry {
             request: &self.id,
@@ -168,8 +176,9 @@
 where
     D: adapter::Dialect,
 {
-    /// The future of a request is dropped when its caller disconnects.
+    /// The future and the answer of a request are dropped when its connection is closed.
     fn drop(&mut self) {
-        self.finish("caller left");
+        let end = self.connection.end_of_unfinished();
+        self.finish(&end);
     }
 }
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -20,7 +20,7 @@
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::reply::ReplyBody;
 use crate::traffic::report::Report;
-use crate::traffic::{Context, attempt, endpoints, reply};
+use crate::traffic::{Context, attempt, connection, endpoints, reply};
 use crate::{adapter, events};
 
 /// Largest request body while there is no catalog, in bytes.
@@ -46,12 +46,13 @@
 /// Serves a request.
 pub(super) async fn serve<D>(
     cx: Rc<Context<D>>,
+    connection: Rc<connection::Connection>,
     req: Request<Incoming>,
 ) -> Result<Response<ReplyBody<D>>, Infallible>
 where
     D: adapter::Dialect,
 {
-    let mut report = Report::new(&cx, clock::now());
+    let mut report = Report::new(&cx, connection, clock::now());
     let (head, body) = req.into_parts();
     let mut response = match receive(&cx, &mut report, &head, body).await {
         Ok((plan, metadata, body)) => {
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -1,6 +1,6 @@
 //! Metrics of one host, exported in the Prometheus text format.
 //!
-//! The counter of every refusal and retry reason starts at zero instead of appearing with the first
+//! The counter of every reason of a refusal, retry or closed connection starts at zero instead of appearing with the first
 //! event, so that a rate can be computed from the first event on. Durations are in seconds.
 
 use std::fmt;
@@ -83,6 +83,7 @@
     refusals: metrics::Counter<u64>,
     retries: metrics::Counter<u64>,
     requests: metrics::Counter<u64>,
+    connections_closed: metrics::Counter<u64>,
     in_flight: metrics::UpDownCounter<i64>,
     queued: metrics::UpDownCounter<i64>,
     first_token: metrics::Histogram<f64>,
@@ -111,6 +112,11 @@
             refusals: counter(&meter, "refusals", "Refused requests by reason"),
             retries: counter(&meter, "retries", "Repeated attempts by reason"),
             requests: counter(&meter, "requests", "Finished requests by outcome"),
+            connections_closed: counter(
+                &meter,
+                "connections_closed",
+                "Connections of callers that the host closed before their last answer, by cause",
+            ),
             in_flight: up_down_counter(
                 &meter,
                 "requests_in_flight",
@@ -166,6 +172,12 @@
         self.requests.add(1, &[label("outcome", outcome.as_str())]);
     }
 
+    /// Counts a caller's connection that the host closed although it had unfinished requests.
+    pub fn connection_closed(&self, cause: reason::Close) {
+        self.connections_closed
+            .add(1, &[label("cause", cause.as_str())]);
+    }
+
     /// Counts a request that enters the queue of an endpoint.
     pub fn enqueued(&self) {
         self.queued.add(1, &[]);
@@ -242,6 +254,10 @@
         for reason in reason::Retry::ALL {
             self.retries.add(0, &[label("reason", reason.as_str())]);
         }
+        for cause in reason::Close::ALL {
+            self.connections_closed
+                .add(0, &[label("cause", cause.as_str())]);
+        }
         for outcome in [
             outcome::Outcome::NotRun,
             outcome::Outcome::Unknown,
--- a/crates/runtime/tests/observability.rs
+++ b/crates/runtime/tests/observability.rs
@@ -11,11 +11,12 @@
 #[test]
 fn counters_of_all_reasons_start_at_zero() {
     let text = metrics::Metrics::new().unwrap().render().unwrap();
-    let starts_at_zero = |metric: &str, reason: &str| {
-        let label = format!("reason=\"{reason}\"");
+    let starts_at_zero_by = |label: &str, metric: &str, value: &str| {
+        let label = format!("{label}=\"{value}\"");
         let mut lines = text.lines();
         lines.any(|line| line.starts_with(metric) && line.contains(&label) && line.ends_with(" 0"))
     };
+    let starts_at_zero = |metric: &str, reason: &str| starts_at_zero_by("reason", metric, reason);
     for reason in reason::Refusal::ALL {
         assert!(
             starts_at_zero("refusals_total", reason.as_str()),
@@ -25,6 +26,12 @@
     for reason in reason::Retry::ALL {
         assert!(starts_at_zero("retries_total", reason.as_str()), "{reason}");
     }
+    for cause in reason::Close::ALL {
+        assert!(
+            starts_at_zero_by("cause", "connections_closed_total", cause.as_str()),
+            "{cause}"
+        );
+    }
 }
 
 #[test]
@@ -45,6 +52,7 @@
     for thread in threads {
         thread.join().unwrap();
     }
+    metrics.connection_closed(reason::Close::StopDeadline);
     metrics.first_token(Duration::from_millis(300));
     metrics.link_bytes(metrics::Direction::Sent, metrics::Traffic::Control, 71);
     let text = metrics.render().unwrap();
@@ -57,6 +65,7 @@
     };
     assert_eq!(value("refusals_total", "at_bound"), "400");
     assert_eq!(value("requests_total", "not_run"), "400");
+    assert_eq!(value("connections_closed_total", "stop_deadline"), "1");
     assert_eq!(value("requests_in_flight", "pistachiochute"), "0");
     assert_eq!(value("first_token_seconds_bucket", "le=\"0.35\""), "1");
     assert_eq!(value("first_token_seconds_bucket", "le=\"0.2\""), "0");
