Count an answer as in progress until its last byte

Cause: the idle check of a caller's connection counted a request as over when the head of its answer was returned. A stream that lasted longer than the idle timeout of the catalog plus 1 s was therefore idle: the first check (every 2 s) shut the connection down, which is harmless, and the next one closed it with the stream on it. A graceful stop set the same flag when it began to close connections, so that one check was enough. A catalog with a shorter idle timeout turned streams that were safe into idle ones.

Ruled out: the end of the stop (12.7 s), the deadline (18.7 s), a lost endpoint connection (both sides ended at once, and no other endpoint was tried).

Change: core::liveness::CallerConnection decides on the connections of callers. An answer is in progress until its request's report is finished, that is until the end of its body; no check closes such a connection, and the stop and the idle check no longer share a flag. A connection that has had a request is only shut down, never dropped; hyper closes it once its last answer is flushed. The cause idle_check of closed connections can no longer occur and is removed.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -1,4 +1,5 @@
-//! Closed sets of reasons for refusals, retries and closed connections. Every reason has a counter in the metrics.
+//! Closed sets of reasons for refusals, retries and closed connections. Every reason has a counter
+//! in the metrics.
 
 use std::fmt;
 
@@ -173,8 +174,6 @@
 reasons! {
     /// Why a host closed a caller's connection that had unfinished requests.
     Close {
-        /// The connection was found idle.
-        IdleCheck => "idle_check",
         /// The host stopped, and the time for its last requests was over.
         StopDeadline => "stop_deadline",
         /// The connection failed, but not because the caller closed it.
--- /dev/null
+++ b/crates/core/tests/caller_connection.rs
@@ -0,0 +1,106 @@
+//! A host closes the connection of a caller only while no answer on it is in progress.
+
+use std::time::Duration;
+
+use pistachiochute_core::liveness::{CallerConnection, ConnectionStep};
+use pistachiochute_core::time::Time;
+use proptest::prelude::*;
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+fn secs(secs: u64) -> Time {
+    Time::from_secs(secs)
+}
+
+/// Guards against counting an answer as over when its head is sent.
+#[test]
+fn a_connection_is_not_idle_while_an_answer_is_in_progress() {
+    let mut connection = CallerConnection::new(secs(0));
+    connection.request_arrived();
+    for now in 1..60 {
+        let step = connection.check_idle(secs(now), IDLE_TIMEOUT);
+        assert_eq!(step, ConnectionStep::Keep, "at {now} s");
+    }
+    connection.answer_ended(secs(60));
+    let step = connection.check_idle(secs(62), IDLE_TIMEOUT);
+    assert_eq!(step, ConnectionStep::Keep);
+    let step = connection.check_idle(secs(64), IDLE_TIMEOUT);
+    assert_eq!(step, ConnectionStep::ShutDown);
+}
+
+/// Guards against a stop after which one check for idleness closes the connection.
+#[test]
+fn a_stop_does_not_close_a_connection_with_an_answer_in_progress() {
+    let mut connection = CallerConnection::new(secs(0));
+    connection.request_arrived();
+    assert_eq!(connection.stop(), ConnectionStep::ShutDown);
+    assert_eq!(connection.stop(), ConnectionStep::Keep);
+    let step = connection.check_idle(secs(60), IDLE_TIMEOUT);
+    assert_eq!(step, ConnectionStep::Keep);
+}
+
+#[test]
+fn a_connection_that_never_had_a_request_is_closed_at_the_second_check() {
+    let mut connection = CallerConnection::new(secs(0));
+    let mut step = |now| connection.check_idle(secs(now), IDLE_TIMEOUT);
+    assert_eq!(step(3), ConnectionStep::Keep);
+    assert_eq!(step(4), ConnectionStep::ShutDown);
+    assert_eq!(step(6), ConnectionStep::Close);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Request,
+    AnswerEnd,
+    Stop,
+    Check,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Request),
+        Just(Event::AnswerEnd),
+        Just(Event::Stop),
+        Just(Event::Check),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn no_order_of_events_closes_a_connection_that_has_had_a_request(
+        events in prop::collection::vec((event(), 0_u64..10), 1..40),
+    ) {
+        let mut connection = CallerConnection::new(secs(0));
+        let mut now = 0;
+        let mut unfinished = 0_u32;
+        let mut had_request = false;
+        for (event, pause) in events {
+            now += pause;
+            match event {
+                Event::Request => {
+                    connection.request_arrived();
+                    unfinished += 1;
+                    had_request = true;
+                }
+                Event::AnswerEnd if unfinished > 0 => {
+                    connection.answer_ended(secs(now));
+                    unfinished -= 1;
+                }
+                Event::AnswerEnd => {}
+                Event::Stop => {
+                    prop_assert_ne!(connection.stop(), ConnectionStep::Close);
+                }
+                Event::Check => {
+                    let step = connection.check_idle(secs(now), IDLE_TIMEOUT);
+                    if unfinished > 0 {
+                        prop_assert_eq!(step, ConnectionStep::Keep);
+                    }
+                    if had_request {
+                        prop_assert_ne!(step, ConnectionStep::Close);
+                    }
+                }
+            }
+            prop_assert_eq!(connection.unfinished(), unfinished);
+        }
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -276,7 +276,7 @@
 
     /// The host closes a caller's connection that has unfinished requests. `error` is the error of
     /// the connection, if that is the cause.
-    pub fn connection_closed(&self, cause: reason::Close, requests: usize, error: Option<&str>) {
+    pub fn connection_closed(&self, cause: reason::Close, requests: u32, error: Option<&str>) {
         if !self.allow_line(clock::now()) {
             return;
         }
--- a/crates/gateway/src/traffic/connection.rs
+++ b/crates/gateway/src/traffic/connection.rs
@@ -9,31 +9,62 @@
 use std::error::Error as _;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
-use pistachiochute_core::reason;
+use pistachiochute_core::{liveness, reason, time};
 use pistachiochute_runtime::metrics;
 
 use crate::events;
 
 /// A connection of a caller.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Connection {
-    unfinished_requests: Cell<usize>,
+    state: Cell<liveness::CallerConnection>,
     /// Why the host closes the connection, or `None` while it does not.
     close_cause: Cell<Option<reason::Close>>,
 }
 
 impl Connection {
+    /// Creates the state of a connection that was accepted at `now`.
+    pub(super) fn new(now: time::Time) -> Self {
+        Self {
+            state: Cell::new(liveness::CallerConnection::new(now)),
+            close_cause: Cell::new(None),
+        }
+    }
+
     /// Counts a request that has arrived.
     pub(super) fn request_started(&self) {
-        self.unfinished_requests
-            .set(self.unfinished_requests.get() + 1);
+        self.update(liveness::CallerConnection::request_arrived);
     }
 
     /// Counts the end of a request that [`Connection::request_started`] counted.
-    pub(super) fn request_finished(&self) {
-        self.unfinished_requests
-            .set(self.unfinished_requests.get() - 1);
+    pub(super) fn request_finished(&self, now: time::Time) {
+        self.update(|state| state.answer_ended(now));
+    }
+
+    /// Checks whether the connection is idle.
+    pub(super) fn check_idle(
+        &self,
+        now: time::Time,
+        idle_timeout: Duration,
+    ) -> liveness::ConnectionStep {
+        self.update(|state| state.check_idle(now, idle_timeout))
+    }
+
+    /// Begins to shut the connection down because the host stops.
+    pub(super) fn stop(&self) -> liveness::ConnectionStep {
+        self.update(liveness::CallerConnection::stop)
+    }
+
+    fn update<T, F>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut liveness::CallerConnection) -> T,
+    {
+        let mut state = self.state.get();
+        let result = change(&mut state);
+        self.state.set(state);
+        result
     }
 
     /// How a request ended that is unfinished when the connection is closed.
@@ -52,7 +83,7 @@
         error: Option<&str>,
         (events, metrics): (&events::Events, &metrics::Metrics),
     ) {
-        let requests = self.unfinished_requests.get();
+        let requests = self.state.get().unfinished();
         if requests == 0 {
             return;
         }
@@ -91,11 +122,11 @@
 }
 
 impl OpenConnections {
-    /// Adds a connection.
-    pub(super) fn add(&self) -> (ConnectionNumber, Rc<Connection>) {
+    /// Adds a connection that was accepted at `now`.
+    pub(super) fn add(&self, now: time::Time) -> (ConnectionNumber, Rc<Connection>) {
         let number = self.next_number.get();
         self.next_number.set(ConnectionNumber(number.0 + 1));
-        let connection = Rc::<Connection>::default();
+        let connection = Rc::new(Connection::new(now));
         self.connections
             .borrow_mut()
             .insert(number, connection.clone());
--- a/crates/gateway/src/traffic/connection/tests.rs
+++ b/crates/gateway/src/traffic/connection/tests.rs
@@ -7,7 +7,7 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use pistachiochute_core::reason;
+use pistachiochute_core::{reason, time};
 use pistachiochute_runtime::{log, metrics};
 
 use super::Connection;
@@ -99,10 +99,10 @@
     let log = log::Log::with_fields(lines.clone(), slog::Level::Info, slog::o!());
     let events = events::Events::new(log.logger().clone());
     let metrics = metrics::Metrics::new().unwrap();
-    let connection = Connection::default();
+    let connection = Connection::new(time::Time::ZERO);
     connection.request_started();
     (0..unfinished).for_each(|_| connection.request_started());
-    connection.request_finished();
+    connection.request_finished(time::Time::ZERO);
     close(&connection, (&events, &metrics));
     drop(events);
     log.close();
@@ -143,10 +143,10 @@
 #[test]
 fn connection_without_unfinished_requests_is_not_logged() {
     let observed = observe(0, |connection, telemetry| {
-        connection.record_close(reason::Close::IdleCheck, None, telemetry);
+        connection.record_close(reason::Close::StopDeadline, None, telemetry);
     });
     assert_eq!(observed.lines, "");
-    assert_eq!(count(&observed, reason::Close::IdleCheck), "0");
+    assert_eq!(count(&observed, reason::Close::StopDeadline), "0");
 }
 
 #[test]
--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -1,6 +1,5 @@
 //! Connections of callers, and the graceful stop.
 
-use std::cell::Cell;
 use std::net;
 use std::pin::pin;
 use std::rc::Rc;
@@ -9,7 +8,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use pistachiochute_core::{reason, time};
+use pistachiochute_core::liveness::ConnectionStep;
+use pistachiochute_core::reason;
 use pistachiochute_runtime::clock;
 
 use crate::shared::Phase;
@@ -58,17 +58,11 @@
     }
 }
 
-/// Activity of one connection.
-struct Activity {
-    last_active: Cell<time::Time>,
-    requests: Cell<u32>,
-}
-
 async fn track_connection<D>(cx: Rc<Context<D>>, stream: tokio::net::TcpStream)
 where
     D: adapter::Dialect,
 {
-    let (number, connection) = cx.connections.add();
+    let (number, connection) = cx.connections.add(clock::now());
     serve_connection(&cx, &connection, stream).await;
     cx.connections.remove(number);
 }
@@ -81,52 +75,33 @@
 ) where
     D: adapter::Dialect,
 {
-    let activity = Rc::new(Activity {
-        last_active: Cell::new(clock::now()),
-        requests: Cell::new(0),
-    });
-    let service = service_fn(|req| {
-        let cx = cx.clone();
-        let connection = connection.clone();
-        let activity = activity.clone();
-        async move {
-            activity.requests.set(activity.requests.get() + 1);
-            let response = serve::serve(cx, connection, req).await;
-            activity.requests.set(activity.requests.get() - 1);
-            activity.last_active.set(clock::now());
-            response
-        }
-    });
+    let service = service_fn(|req| serve::serve(cx.clone(), connection.clone(), req));
     let serving = http1::Builder::new()
         .max_buf_size(head_limit(cx))
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = pin!(serving);
     let mut phases = cx.shared.subscribe_phase();
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
-    let mut is_closing = false;
+    let mut is_stopping = false;
     loop {
-        tokio::select! {
+        let step = tokio::select! {
             // An error is only logged: the caller sees that its connection failed.
             result = serving.as_mut() => {
                 return connection.record_result(result, cx.telemetry());
             }
-            _ = check.tick() => {
-                let is_idle = activity.requests.get() == 0
-                    && clock::now().since(activity.last_active.get()) > idle_timeout(cx);
-                if is_idle && std::mem::replace(&mut is_closing, true) {
-                    connection.record_close(reason::Close::IdleCheck, None, cx.telemetry());
-                    return;
-                }
-                if is_idle {
-                    serving.as_mut().graceful_shutdown();
-                }
-            }
-            changed = phases.changed(), if !is_closing => {
-                if changed.is_err() || *phases.borrow() >= Phase::Closing {
-                    is_closing = true;
-                    serving.as_mut().graceful_shutdown();
+            _ = check.tick() => connection.check_idle(clock::now(), idle_timeout(cx)),
+            changed = phases.changed(), if !is_stopping => {
+                is_stopping = changed.is_err() || *phases.borrow() >= Phase::Closing;
+                match is_stopping {
+                    true => connection.stop(),
+                    false => ConnectionStep::Keep,
                 }
             }
+        };
+        match step {
+            ConnectionStep::Keep => {}
+            ConnectionStep::ShutDown => serving.as_mut().graceful_shutdown(),
+            ConnectionStep::Close => return,
         }
     }
 }
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -149,7 +149,7 @@
         self.cx
             .active_requests
             .set(self.cx.active_requests.get() - 1);
-        self.connection.request_finished();
+        self.connection.request_finished(now);
         self.cx.metrics.finished(self.outcome);
         self.cx.events.request(&events::RequestLogEntry {
             request: &self.id,
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -1,7 +1,8 @@
 //! Metrics of one host, exported in the Prometheus text format.
 //!
-//! The counter of every reason of a refusal, retry or closed connection starts at zero instead of appearing with the first
-//! event, so that a rate can be computed from the first event on. Durations are in seconds.
+//! The counter of every reason of a refusal, retry or closed connection starts at zero instead of
+//! appearing with the first event, so that a rate can be computed from the first event on. Durations
+//! are in seconds.
 
 use std::fmt;
 use std::time::Duration;
