Stand-ins: endpoints with a software version, callers that take streams up

Cause: endpoints of several software versions may serve side by side in one service, and a stream may go on only at the version that began it. No stand-in told which version made an event, no endpoint could restart as another version, and no caller took a cut stream up again.

Change: an endpoint may have a software version and a start of its process. Its events and runs then bear the version; events of endpoints without one are as before. An endpoint can restart under its id or give its address to another one, which ends its connections, and its connections can be cut alone. Entries state version and start. StreamCaller drives a stream over several tries at any hosts, each with an id of its own, naming the last event and the try that brought the first one, and collects events and versions.

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -113,10 +113,20 @@
 
 /// Reads one answer, or the part of it that arrives before the connection ends.
 pub fn read(stream: &mut TcpStream) -> Answer {
+    read_until(stream, |_| false)
+}
+
+/// Reads one answer, or the part of it that arrives until it is enough or the connection ends.
+pub fn read_until<F>(stream: &mut TcpStream, is_enough: F) -> Answer
+where
+    F: Fn(&Answer) -> bool,
+{
     let mut bytes = Vec::new();
     let mut buf = [0; 4_096];
     loop {
-        if let Some(answer) = parse(&bytes, false) {
+        if let Some(answer) = parse(&bytes, true)
+            && (answer.is_complete || is_enough(&answer))
+        {
             return answer;
         }
         match stream.read(&mut buf) {
@@ -181,6 +191,12 @@
     format!("id: {id}\ndata: piece {id} of {request}\n\n")
 }
 
+/// One event of a request's stream, made by an endpoint with a software version.
+#[must_use]
+pub fn event_of_version(request: &str, id: u64, version: &str) -> String {
+    format!("id: {id}\ndata: piece {id} of {request} by {version}\n\n")
+}
+
 /// Body of the answer to a request.
 #[must_use]
 pub fn answer_body(request: &str) -> String {
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -51,15 +51,55 @@
     pub target: String,
     /// Headers as received.
     pub headers: HeaderMap,
+    /// Software version that ran it, if the endpoint has one.
+    pub version: Option<String>,
     /// Body of the request.
     pub body: Bytes,
     /// Time at which the run began.
     pub started_at: Instant,
 }
 
+/// Software of an endpoint's process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Software {
+    /// Version, which marks the events of the endpoint's streams.
+    pub version: String,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+}
+
+impl Software {
+    /// Software of a version whose process started at a time.
+    #[must_use]
+    pub fn new(version: &str, started_at_ms: u64) -> Self {
+        Self {
+            version: version.to_owned(),
+            started_at_ms,
+        }
+    }
+}
+
+/// Which process answers at an address.
+#[derive(Clone, Debug)]
+struct Incarnation {
+    id: String,
+    /// `None` if the events of the endpoint bear no version.
+    software: Option<Software>,
+}
+
+impl Incarnation {
+    /// An event of a stream.
+    fn event(&self, request: &str, id: u64) -> String {
+        match &self.software {
+            Some(software) => caller::event_of_version(request, id, &software.version),
+            None => caller::event(request, id),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Handler {
-    id: String,
+    incarnation: Mutex<Arc<Incarnation>>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Vec<Run>>,
     /// Number of streams and hanging requests whose connection closed before their end.
@@ -71,23 +111,53 @@
 pub struct Endpoint {
     server: http::Server,
     handler: Arc<Handler>,
+    incarnation: Arc<Incarnation>,
 }
 
 impl Endpoint {
-    /// Starts an endpoint.
+    /// Starts an endpoint whose events bear no version.
     ///
     /// # Errors
     ///
     /// No address can be bound or the thread cannot be started.
     pub fn start(id: &str, behaviour: Behaviour) -> eyre::Result<Self> {
-        let handler = Arc::new(Handler {
+        Self::start_incarnation(id, None, behaviour)
+    }
+
+    /// Starts an endpoint whose events bear its software version.
+    ///
+    /// # Errors
+    ///
+    /// No address can be bound or the thread cannot be started.
+    pub fn start_software(
+        id: &str,
+        software: Software,
+        behaviour: Behaviour,
+    ) -> eyre::Result<Self> {
+        Self::start_incarnation(id, Some(software), behaviour)
+    }
+
+    fn start_incarnation(
+        id: &str,
+        software: Option<Software>,
+        behaviour: Behaviour,
+    ) -> eyre::Result<Self> {
+        let incarnation = Arc::new(Incarnation {
             id: id.to_owned(),
+            software,
+        });
+        let handler = Arc::new(Handler {
+            incarnation: Mutex::new(incarnation.clone()),
             behaviour: Mutex::new(behaviour),
             runs: Mutex::default(),
             cancelled: watch::Sender::new(0),
         });
         let server = http::Server::start(handler.clone())?;
-        Ok(Self { server, handler })
+        Ok(Self {
+            server,
+            handler,
+            incarnation,
+        })
     }
 
     /// Address that the endpoint is bound to.
@@ -99,7 +169,29 @@
     /// Id of the endpoint.
     #[must_use]
     pub fn id(&self) -> &str {
-        &self.handler.id
+        &self.incarnation.id
+    }
+
+    /// Software of the endpoint, if its events bear its version.
+    #[must_use]
+    pub fn software(&self) -> Option<&Software> {
+        self.incarnation.software.as_ref()
+    }
+
+    /// Ends the process with its connections and starts another at the same address: under the same
+    /// id, or under that of another endpoint. What ran before stays in [`Endpoint::runs`].
+    pub fn restart(&mut self, id: &str, software: Software) {
+        self.incarnation = Arc::new(Incarnation {
+            id: id.to_owned(),
+            software: Some(software),
+        });
+        *lock(&self.handler.incarnation) = self.incarnation.clone();
+        self.server.cut_connections();
+    }
+
+    /// Cuts the open connections. Later ones are not affected.
+    pub fn cut_connections(&self) {
+        self.server.cut_connections();
     }
 
     /// Changes how new requests are handled.
@@ -152,12 +244,13 @@
             value.unwrap_or("").to_owned()
         };
         let id = text("x-request-id");
-        if text("x-expect-instance") != self.id {
-            return Some(self.reply(StatusCode::MISDIRECTED_REQUEST, &id, ""));
+        let incarnation = lock(&self.incarnation).clone();
+        if text("x-expect-instance") != incarnation.id {
+            return Some(incarnation.reply(StatusCode::MISDIRECTED_REQUEST, &id, ""));
         }
         let behaviour = *lock(&self.behaviour);
         if behaviour == Behaviour::Refuse {
-            let mut reply = self.reply(StatusCode::SERVICE_UNAVAILABLE, &id, "");
+            let mut reply = incarnation.reply(StatusCode::SERVICE_UNAVAILABLE, &id, "");
             reply.headers_mut().insert("x-not-executed", value("1"));
             return Some(reply);
         }
@@ -166,13 +259,14 @@
             id: id.clone(),
             target: head.uri.to_string(),
             headers: head.headers,
+            version: incarnation.software.as_ref().map(|s| s.version.clone()),
             body,
             started_at: Instant::now(),
         });
         match behaviour {
             Behaviour::Answer { status } => {
                 let status = StatusCode::from_u16(status).ok()?;
-                Some(self.sealed(self.reply(status, &id, caller::answer_body(&id))))
+                Some(incarnation.sealed(incarnation.reply(status, &id, caller::answer_body(&id))))
             }
             Behaviour::Refuse | Behaviour::CloseWithoutAnswer => None,
             Behaviour::Hang => {
@@ -182,22 +276,29 @@
                 };
                 std::future::pending().await
             }
-            Behaviour::WrongRequestId => Some(self.sealed(self.reply(
+            Behaviour::WrongRequestId => Some(incarnation.sealed(incarnation.reply(
                 StatusCode::OK,
                 "another",
                 caller::answer_body("another"),
             ))),
-            Behaviour::Unsealed => Some(self.reply(StatusCode::OK, &id, caller::answer_body(&id))),
+            Behaviour::Unsealed => {
+                Some(incarnation.reply(StatusCode::OK, &id, caller::answer_body(&id)))
+            }
             Behaviour::Stream {
                 events,
                 pause,
                 cut_at,
             } => {
                 let first = after.map_or(0, |after| after + 1);
-                let stream = self
-                    .clone()
-                    .events(id.clone(), first..events, pause, cut_at);
-                let mut reply = self.sealed(self.reply(StatusCode::OK, &id, ""));
+                let stream = EventSource {
+                    incarnation: incarnation.clone(),
+                    request: id.clone(),
+                    ids: first..events,
+                    pause,
+                    cut_at,
+                };
+                let stream = self.clone().events(stream);
+                let mut reply = incarnation.sealed(incarnation.reply(StatusCode::OK, &id, ""));
                 let headers = reply.headers_mut();
                 headers.insert("content-type", value("text/event-stream"));
                 Some(reply.map(|_| StreamBody::new(stream).boxed()))
@@ -216,7 +317,7 @@
     hyper::header::HeaderValue::from_str(text).expect("header of a stand-in is ASCII")
 }
 
-impl Handler {
+impl Incarnation {
     fn reply<B>(&self, status: StatusCode, id: &str, body: B) -> Response<http::Body>
     where
         B: Into<Bytes>,
@@ -234,14 +335,22 @@
         reply.headers_mut().insert("x-response-seal", value(&seal));
         reply
     }
+}
 
-    /// Body of a stream, which is cut half-way through event `cut_at`.
+/// A stream, which is cut half-way through event `cut_at`.
+struct EventSource {
+    incarnation: Arc<Incarnation>,
+    request: String,
+    ids: std::ops::Range<u64>,
+    pause: Duration,
+    cut_at: Option<u64>,
+}
+
+impl Handler {
+    /// Body of a stream.
     fn events(
         self: Arc<Self>,
-        request: String,
-        ids: std::ops::Range<u64>,
-        pause: Duration,
-        cut_at: Option<u64>,
+        source: EventSource,
     ) -> impl Stream<Item = Result<Frame<Bytes>, std::io::Error>> + Send + Sync + 'static {
         let (tx, rx) = tokio::sync::mpsc::channel(1);
         let guard = CancellationGuard {
@@ -250,10 +359,10 @@
         };
         tokio::spawn(async move {
             let mut guard = guard;
-            for id in ids {
-                tokio::time::sleep(pause).await;
-                let event = caller::event(&request, id);
-                let is_cut = cut_at == Some(id);
+            for id in source.ids {
+                tokio::time::sleep(source.pause).await;
+                let event = source.incarnation.event(&source.request, id);
+                let is_cut = source.cut_at == Some(id);
                 let bytes = match is_cut {
                     true => Bytes::from(event[..event.len() / 2].to_owned()),
                     false => Bytes::from(event),
--- a/crates/standins/src/platform/http.rs
+++ b/crates/standins/src/platform/http.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Server {
     addr: SocketAddr,
     close_signal: watch::Sender<bool>,
+    /// Number of times that the open connections were cut.
+    cuts: watch::Sender<u64>,
     thread: thread::JoinHandle<()>,
 }
 
@@ -46,13 +48,18 @@
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let close_signal = watch::Sender::new(false);
-        let closed = close_signal.subscribe();
+        let cuts = watch::Sender::new(0);
+        let signals = Signals {
+            closed: close_signal.subscribe(),
+            cuts: cuts.subscribe(),
+        };
         let thread = thread::Builder::new()
             .name("stand-in".to_owned())
-            .spawn(move || run(listener, handler, closed))?;
+            .spawn(move || run(listener, handler, signals))?;
         Ok(Self {
             addr,
             close_signal,
+            cuts,
             thread,
         })
     }
@@ -61,6 +68,11 @@
         self.addr
     }
 
+    /// Cuts the open connections. Later ones are not affected.
+    pub(crate) fn cut_connections(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     pub(crate) fn close(self) {
         self.close_signal.send_replace(true);
         // A panic of the thread has already been printed.
@@ -68,7 +80,14 @@
     }
 }
 
-fn run<H>(listener: std::net::TcpListener, handler: Arc<H>, mut closed: watch::Receiver<bool>)
+/// What ends the connections of a server.
+#[derive(Clone, Debug)]
+struct Signals {
+    closed: watch::Receiver<bool>,
+    cuts: watch::Receiver<u64>,
+}
+
+fn run<H>(listener: std::net::TcpListener, handler: Arc<H>, mut signals: Signals)
 where
     H: Handler,
 {
@@ -81,17 +100,18 @@
             .expect("the listener can be registered with the runtime");
         loop {
             tokio::select! {
-                _ = closed.changed() => return,
+                _ = signals.closed.changed() => return,
                 accepted = listener.accept() => {
                     let Ok((stream, _)) = accepted else { continue };
-                    tokio::spawn(serve(stream, handler.clone(), closed.clone()));
+                    signals.cuts.mark_unchanged();
+                    tokio::spawn(serve(stream, handler.clone(), signals.clone()));
                 }
             }
         }
     });
 }
 
-async fn serve<H>(stream: tokio::net::TcpStream, handler: Arc<H>, mut closed: watch::Receiver<bool>)
+async fn serve<H>(stream: tokio::net::TcpStream, handler: Arc<H>, mut signals: Signals)
 where
     H: Handler,
 {
@@ -103,7 +123,8 @@
     tokio::select! {
         // A failure of the connection is visible to its caller.
         _ = connection => {}
-        _ = closed.changed() => {}
+        _ = signals.closed.changed() => {}
+        _ = signals.cuts.changed() => {}
     }
 }
 
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for the users' platform: its store, endpoints that use its protocol, and a caller.
+//! Stand-ins for the users' platform: its store, endpoints that use its protocol, and callers.
 //!
 //! Each server runs on its own thread with its own executor. Only the parts of the platform that
 //! the tests need are implemented.
@@ -8,3 +8,4 @@
 mod http;
 pub mod records;
 pub mod store;
+pub mod stream_caller;
--- a/crates/standins/src/platform/records.rs
+++ b/crates/standins/src/platform/records.rs
@@ -59,11 +59,52 @@
     format!("servers/{id}")
 }
 
+/// Software version in the entries of endpoints that tests give none.
+pub const VERSION: &str = "v1";
+
+/// Start of the process in the entries of endpoints that tests give none, in milliseconds since the
+/// Unix epoch.
+pub const STARTED_AT_MS: u64 = 1_000;
+
 /// An endpoint's entry in the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry<'a> {
+    /// Service that the endpoint belongs to.
+    pub service: &'a str,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    /// State, in the platform's spelling.
+    pub state: &'a str,
+    /// Software version.
+    pub version: &'a str,
+    /// Start of the process, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    /// Sequence number of the write within the life of the process.
+    pub sequence: u64,
+}
+
+impl Entry<'_> {
+    /// The entry in the format of the store.
+    #[must_use]
+    pub fn record(&self) -> Value {
+        json!({
+            "service": self.service, "address": self.address, "zone": "dom-a",
+            "version": self.version, "slots": 8, "state": self.state, "coldRemainingMs": 0,
+            "sequence": self.sequence, "born": self.started_at_ms,
+        })
+    }
+}
+
+/// The entry of an endpoint with [`VERSION`] and [`STARTED_AT_MS`].
 #[must_use]
 pub fn entry(service: &str, address: SocketAddr, state: &str, sequence: u64) -> Value {
-    json!({
-        "service": service, "address": address, "zone": "dom-a", "version": "v1", "slots": 8,
-        "state": state, "coldRemainingMs": 0, "sequence": sequence, "born": 1_000,
-    })
+    let entry = Entry {
+        service,
+        address,
+        state,
+        version: VERSION,
+        started_at_ms: STARTED_AT_MS,
+        sequence,
+    };
+    entry.record()
 }
