Soak and relay: reserve ports while no process listens on them

Change: ReservedPort holds a port with a socket that is bound with SO_REUSEADDR and does not listen. The host and the relay bind the same port beside it; automatic binds and outgoing connections are not given it.

--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -218,13 +218,14 @@
         waiting.iter().map(|host| host.name.clone()).collect()
     }
 
-    fn close(mut self) -> eyre::Result<Seen> {
-        for host in &mut self.hosts {
-            host.kill()?;
+    fn close(self) -> eyre::Result<Seen> {
+        for host in self.hosts {
+            host.close()?;
         }
-        self.seen.records = self.callers.records();
+        let mut seen = self.seen;
+        seen.records = self.callers.records();
         for served in self.served.iter().chain(&self.gone) {
-            self.seen.runs.extend(served.runs());
+            seen.runs.extend(served.runs());
         }
         for relay in self.store_relays {
             relay.close();
@@ -237,7 +238,7 @@
             served.streams.close();
             served.relays.into_iter().for_each(Relay::close);
         }
-        Ok(self.seen)
+        Ok(seen)
     }
 }
 
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,12 +1,13 @@
 //! Host processes. Only processes that were started here are signalled, by their ids.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr as _;
+use pistachiochute_standins::port::ReservedPort;
 use rustix::process::{Pid, Signal};
 use serde_json::json;
 
@@ -23,12 +24,14 @@
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Hold the ports of the host while it does not run.
+    ports: [ReservedPort; 4],
     child: Option<Child>,
 }
 
-fn free_address() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("a free port")?;
-    Ok(listener.local_addr()?)
+fn reserve_ports() -> eyre::Result<[ReservedPort; 4]> {
+    let port = ReservedPort::reserve;
+    Ok([port()?, port()?, port()?, port()?])
 }
 
 impl Host {
@@ -41,12 +44,12 @@
         dir: &Path,
     ) -> eyre::Result<Self> {
         let name = format!("host-{number}");
-        let callers = free_address()?;
+        let ports = reserve_ports()?;
+        let [callers, health, links, metrics] = ports.each_ref().map(ReservedPort::addr);
         let settings = json!({
             "host": {"name": name, "domain": domain},
             "listen": {
-                "callers": callers, "health": free_address()?, "links": free_address()?,
-                "metrics": free_address()?,
+                "callers": callers, "health": health, "links": links, "metrics": metrics,
             },
             "store": {"address": store, "lease_ms": 3_000},
             "retry": {"ratio": 0.2, "extra": 40},
@@ -60,6 +63,7 @@
             callers,
             daemon: daemon.to_owned(),
             settings: path,
+            ports,
             child: None,
         };
         host.spawn()?;
@@ -115,6 +119,13 @@
         rustix::process::kill_process(pid, signal).wrap_err("signal")
     }
 
+    /// Kills the process and gives its ports back.
+    pub(crate) fn close(mut self) -> eyre::Result<()> {
+        self.kill()?;
+        self.ports.into_iter().for_each(ReservedPort::close);
+        Ok(())
+    }
+
     /// Kills the process.
     pub(crate) fn kill(&mut self) -> eyre::Result<()> {
         if let Some(mut child) = self.child.take() {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod host_list_server;
 pub mod keyvalue;
 pub mod platform;
+pub mod port;
 pub mod relay;
 mod server;
 pub mod service;
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -5,7 +5,7 @@
 //! notified. New connections are not affected by a blackhole.
 
 use std::io::{Read as _, Write as _};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -13,7 +13,7 @@
 
 use eyre::WrapErr as _;
 
-use crate::sync;
+use crate::{port, sync};
 
 /// Interval at which the listening socket is polled.
 const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -24,7 +24,8 @@
 /// A running relay.
 #[derive(Debug)]
 pub struct Relay {
-    addr: SocketAddr,
+    /// Holds the port while the relay is partitioned.
+    port: port::ReservedPort,
     shared: Arc<Shared>,
     thread: thread::JoinHandle<()>,
 }
@@ -69,9 +70,9 @@
     ///
     /// No address can be bound or a thread cannot be started.
     pub fn start(target: SocketAddr) -> eyre::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .wrap_err("cannot bind the listener of the relay")?;
-        let addr = listener.local_addr()?;
+        let port = port::ReservedPort::reserve()?;
+        let addr = port.addr();
+        let listener = TcpListener::bind(addr).wrap_err("cannot bind the listener of the relay")?;
         listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
             target,
@@ -88,7 +89,7 @@
                 .spawn(move || shared.accept(addr, listener))?
         };
         Ok(Self {
-            addr,
+            port,
             shared,
             thread,
         })
@@ -97,7 +98,7 @@
     /// Address on which clients reach the target through the relay.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.port.addr()
     }
 
     /// Bytes read in order to be forwarded, in both directions, since the start.
@@ -149,7 +150,7 @@
 
     /// Waits until connections are accepted (`open`) or refused.
     fn wait_for_listener(&self, open: bool) {
-        while TcpStream::connect(self.addr).is_ok() != open {
+        while TcpStream::connect(self.addr()).is_ok() != open {
             thread::sleep(ACCEPT_POLL_INTERVAL);
         }
     }
@@ -160,6 +161,7 @@
         let joined = self.thread.join();
         drop(joined);
         self.shared.close_connections();
+        self.port.close();
     }
 }
 
