Stand-ins: streams of a requested pace, silent endpoints, kept connections

Cause: all streams of an endpoint had one pause between events, endpoints never fell silent and went on, and the caller opened a connection for each request, so no test could hold a connection open under streams of several seconds. Change: a request may ask for the pause before each event; Endpoint::fall_silent holds back answers and events for a while; CallerRequest::write_to sends on an open connection. Events are now due at multiples of the pause after the start, so that a stream catches up after a silence.

--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -8,6 +8,9 @@
 /// Timeout of each read from the connection.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Start of a query that states the pause before each event, in milliseconds.
+pub(crate) const PAUSE_PARAMETER: &str = "pause_ms=";
+
 /// An answer, or the part of it that arrived before the connection ended.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
@@ -28,6 +31,14 @@
         self.header("x-response-seal")
     }
 
+    /// Whether the connection may carry another request: the answer is complete, and the host did
+    /// not say that it closes the connection.
+    #[must_use]
+    pub fn keeps_connection(&self) -> bool {
+        let says_close = |value: &str| value.eq_ignore_ascii_case("close");
+        self.is_complete && !self.header("connection").is_some_and(says_close)
+    }
+
     /// Value of a header.
     #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -80,6 +91,14 @@
         self
     }
 
+    /// Asks the endpoint for another pause before each event of its stream.
+    #[must_use]
+    pub fn event_pause(mut self, pause: Duration) -> Self {
+        let text = format!("?{PAUSE_PARAMETER}{}", pause.as_millis());
+        self.path.push_str(&text);
+        self
+    }
+
     /// Sends the request on a connection of its own.
     ///
     /// # Errors
@@ -88,6 +107,16 @@
     pub fn open(&self, addr: SocketAddr) -> io::Result<TcpStream> {
         let mut stream = TcpStream::connect(addr)?;
         stream.set_read_timeout(Some(TIMEOUT))?;
+        self.write_to(&mut stream)?;
+        Ok(stream)
+    }
+
+    /// Sends the request on a connection that may have carried others.
+    ///
+    /// # Errors
+    ///
+    /// Writing fails.
+    pub fn write_to(&self, stream: &mut TcpStream) -> io::Result<()> {
         let mut text = format!(
             "{} {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nAuthorization: Bearer {}\r\n",
             self.method, self.path, self.id, self.key,
@@ -97,8 +126,7 @@
             let _ = write!(text, "{name}: {value}\r\n");
         }
         text.push_str("Content-Length: 4\r\n\r\nbody");
-        stream.write_all(text.as_bytes())?;
-        Ok(stream)
+        stream.write_all(text.as_bytes())
     }
 
     /// Sends the request and reads its answer. The answer is empty if the request cannot be sent.
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -35,7 +35,7 @@
     Stream {
         /// Number of events in the complete stream.
         events: u64,
-        /// Pause before each event.
+        /// Pause before each event, unless the request asks for another one.
         pause: Duration,
         /// Event half-way through which the connection is cut, if any.
         cut_at: Option<u64>,
@@ -61,6 +61,8 @@
 struct Handler {
     id: String,
     behaviour: Mutex<Behaviour>,
+    /// When the endpoint may send again.
+    silent_until: Mutex<Instant>,
     runs: Mutex<Vec<Run>>,
     /// Number of streams and hanging requests whose connection closed before their end.
     cancelled: watch::Sender<u64>,
@@ -83,6 +85,7 @@
         let handler = Arc::new(Handler {
             id: id.to_owned(),
             behaviour: Mutex::new(behaviour),
+            silent_until: Mutex::new(Instant::now()),
             runs: Mutex::default(),
             cancelled: watch::Sender::new(0),
         });
@@ -107,6 +110,12 @@
         *lock(&self.handler.behaviour) = behaviour;
     }
 
+    /// Sends nothing for a while. Requests are still run; answers that become due are sent after it,
+    /// and streams under way catch up.
+    pub fn fall_silent(&self, span: Duration) {
+        *lock(&self.handler.silent_until) = Instant::now() + span;
+    }
+
     /// Requests that the endpoint ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -162,6 +171,7 @@
             return Some(reply);
         }
         let after: Option<u64> = text("last-event-id").parse().ok();
+        let requested_pause = requested_pause(&head.uri);
         lock(&self.runs).push(Run {
             id: id.clone(),
             target: head.uri.to_string(),
@@ -169,6 +179,7 @@
             body,
             started_at: Instant::now(),
         });
+        self.wait_while_silent().await;
         match behaviour {
             Behaviour::Answer { status } => {
                 let status = StatusCode::from_u16(status).ok()?;
@@ -194,6 +205,7 @@
                 cut_at,
             } => {
                 let first = after.map_or(0, |after| after + 1);
+                let pause = requested_pause.unwrap_or(pause);
                 let stream = self
                     .clone()
                     .events(id.clone(), first..events, pause, cut_at);
@@ -216,7 +228,18 @@
     hyper::header::HeaderValue::from_str(text).expect("header of a stand-in is ASCII")
 }
 
+/// Pause before each event that a request asks for.
+fn requested_pause(uri: &hyper::Uri) -> Option<Duration> {
+    let millis = uri.query()?.strip_prefix(caller::PAUSE_PARAMETER)?;
+    millis.parse().ok().map(Duration::from_millis)
+}
+
 impl Handler {
+    async fn wait_while_silent(&self) {
+        let until = *lock(&self.silent_until);
+        tokio::time::sleep_until(until.into()).await;
+    }
+
     fn reply<B>(&self, status: StatusCode, id: &str, body: B) -> Response<http::Body>
     where
         B: Into<Bytes>,
@@ -250,8 +273,11 @@
         };
         tokio::spawn(async move {
             let mut guard = guard;
+            let mut due = tokio::time::Instant::now();
             for id in ids {
-                tokio::time::sleep(pause).await;
+                due += pause;
+                tokio::time::sleep_until(due).await;
+                guard.handler.wait_while_silent().await;
                 let event = caller::event(&request, id);
                 let is_cut = cut_at == Some(id);
                 let bytes = match is_cut {
