Soak: long streams on kept connections, and hosts with planned work only

Cause: a stream of several seconds may be cut off in its middle by the host under planned work only. The soak did not show it: its streams took 0.2 s, its callers opened a connection for each request, the idle timeout was 15 s, and hosts seldom went 3 s without an unplanned fault. Change: four more hosts meet planned work only, in series that overlap: stops one after another (one host is never stopped), reloads, also while a host stops, 480 routes more, changes of the idle timeout, endpoints that leave, sound endpoints that fall silent for about a second. Callers that keep their connections ask for streams of 1 to 5.5 s (1 to 2 s on the hosts with faults). A new check holds that a host without a fault cuts off nothing that a sound endpoint was working on, also without a stop, and what a stopping host accepted. The earlier checks and bounds stand; the faults of a seed are those of before, but that a reload may now meet a stopping host.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use pistachiochute_standins::platform::caller::{answer_body, events};
 use pistachiochute_standins::platform::endpoint::seal_of;
 
-use crate::load::{Kind, Record};
+use crate::load::Record;
 
 /// Events of every stream.
 pub(crate) const EVENTS: u64 = 25;
@@ -23,6 +23,9 @@
 /// Time around a disturbance in which a host owes no bound on time.
 const DISTURBED: Duration = Duration::from_secs(3);
 
+/// Time beyond that of a planned stop in which a host starts again.
+pub(crate) const RESTART: Duration = Duration::from_secs(2);
+
 /// A run of a request at an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Ran {
@@ -50,7 +53,8 @@
     pub revoked: HashMap<u64, Instant>,
     /// When endpoints said that they leave.
     pub left: HashMap<String, Instant>,
-    /// Endpoints that were never disturbed.
+    /// Endpoints that were never disturbed. They may have left in a planned way, or fallen silent
+    /// for a while.
     pub steady: Vec<String>,
     /// What the run itself found.
     pub found: Vec<String>,
@@ -105,7 +109,8 @@
             broken.extend(check_runs(record, of_record));
             broken.extend(check_answer(record, of_record));
             broken.extend(self.check_key(record));
-            broken.extend(self.check_stop(record, of_record));
+            let cut = self.check_stop(record, of_record);
+            broken.extend(cut.or_else(|| self.check_planned_work(record, of_record)));
         }
         for ran in &self.runs {
             let left = self.left.get(&ran.endpoint);
@@ -137,10 +142,37 @@
         })?;
         let from = stop.from - DISTURBED;
         let alone = !self.is_disturbed(record.host, from, record.ended, false);
+        (alone && self.is_cut(record, runs))
+            .then(|| format!("{} was cut off by a planned stop", describe(record, runs)))
+    }
+
+    /// A host without a fault cuts off nothing that a sound endpoint was working on: neither in
+    /// reloads and changes of the configuration, nor in a planned stop that had already begun when
+    /// the request was sent, nor without any cause from outside.
+    fn check_planned_work(&self, record: &Record, runs: &[&Ran]) -> Option<String> {
+        let is_faulty = self.is_disturbed(record.host, record.sent, record.ended, false);
+        if is_faulty || !self.is_cut(record, runs) {
+            return None;
+        }
+        let stops = self.disturbed.iter().filter(|d| d.is_planned);
+        let mut stops = stops.filter(|d| d.host == record.host);
+        let stop = stops.find(|d| d.from <= record.sent && record.sent + RESTART <= d.until);
+        let described = describe(record, runs);
+        Some(match stop {
+            Some(stop) => {
+                let span = record.ended.duration_since(stop.from).as_secs_f64();
+                format!(
+                    "{described} was accepted in a planned stop and cut off {span:.1} s into it"
+                )
+            }
+            None => format!("{described} was cut off although nothing stopped its host"),
+        })
+    }
+
+    /// Whether a request that only sound endpoints worked on got no whole answer.
+    fn is_cut(&self, record: &Record, runs: &[&Ran]) -> bool {
         let at_steady = !runs.is_empty() && runs.iter().all(|r| self.steady.contains(&r.endpoint));
-        let is_cut = !record.left && !record.answer.is_complete;
-        (alone && at_steady && is_cut)
-            .then(|| format!("{} was cut off by a planned stop", record.id))
+        at_steady && !record.left && !record.answer.is_complete
     }
 
     /// Whether a host was disturbed between two points in time.
@@ -152,9 +184,25 @@
     }
 }
 
+/// Names a request that was cut off, with what is needed to find it in the logs.
+fn describe(record: &Record, runs: &[&Ran]) -> String {
+    let events = record.answer.body.matches("\n\n").count();
+    let age = record.ended.duration_since(record.sent);
+    let endpoints: Vec<_> = runs.iter().map(|ran| ran.endpoint.as_str()).collect();
+    format!(
+        "{} ({:?}, host-{}, at {}, status {}, {events} events, {:.1} s after it was sent)",
+        record.id,
+        record.kind,
+        record.host,
+        endpoints.join(" and "),
+        record.answer.status,
+        age.as_secs_f64(),
+    )
+}
+
 /// What may run once does, and what is said not to have run has not.
 fn check_runs(record: &Record, runs: &[&Ran]) -> Option<String> {
-    if matches!(record.kind, Kind::Call | Kind::Resumable) {
+    if record.kind.may_repeat() {
         return None;
     }
     if runs.len() > 1 {
@@ -182,8 +230,7 @@
     if !sealed_by_run {
         return Some(format!("{} bears the seal {seal} of no run", record.id));
     }
-    let is_stream = matches!(record.kind, Kind::Stream | Kind::Resumable);
-    let expected = match is_stream {
+    let expected = match record.kind.is_stream() {
         true => events(&record.id, 0..EVENTS),
         false => answer_body(&record.id),
     };
--- /dev/null
+++ b/crates/soak/src/fleet/configuration.rs
@@ -0,0 +1,82 @@
+//! Configuration that the fleet serves, and its changes.
+
+use pistachiochute_standins::platform::records;
+
+/// Timeout of the routes with short answers, in milliseconds.
+const TIMEOUT_MS: u64 = 4_000;
+
+/// Timeout of the routes with streams of seconds, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 9_000;
+
+/// Idle timeout of callers' connections at the start, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 3_000;
+
+/// Routes of the large configuration that no request uses.
+const MANY_ROUTES: u64 = 480;
+
+/// What changes between versions of the configuration.
+pub(super) struct Configuration {
+    version: u64,
+    /// Routes that were added one by one, and that no request uses.
+    pub added_routes: u64,
+    pub has_many_routes: bool,
+    /// Idle timeout of callers' connections, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Configuration {
+    pub(super) const fn new() -> Self {
+        Self {
+            version: 0,
+            added_routes: 0,
+            has_many_routes: false,
+            idle_timeout_ms: IDLE_TIMEOUT_MS,
+        }
+    }
+
+    /// Record of the next version, in which the client account has one key.
+    pub(super) fn next_record(&mut self, key: &str) -> serde_json::Value {
+        self.version += 1;
+        let mut routes = vec![
+            route("call", "safe", "calls", 3),
+            route("once", "unsafe", "calls", 2),
+            route("stream", "streaming", "streams", 1),
+            route("resumable", "streaming", "streams", 3),
+            route("long", "streaming", "streams", 1),
+            route("long-resumable", "streaming", "streams", 3),
+        ];
+        for i in 0..self.unused_routes() {
+            routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
+        }
+        let config = records::Config {
+            version: self.version,
+            routes: &routes,
+            services: &["calls", "streams"],
+            keys: &[key],
+            idle_timeout_ms: self.idle_timeout_ms,
+        };
+        config.record()
+    }
+
+    const fn unused_routes(&self) -> u64 {
+        match self.has_many_routes {
+            true => self.added_routes + MANY_ROUTES,
+            false => self.added_routes,
+        }
+    }
+}
+
+fn route(name: &str, kind: &str, service: &str, attempts: u32) -> serde_json::Value {
+    let route = records::Route {
+        name,
+        kind,
+        service,
+        attempts,
+        resumes: name.ends_with("resumable"),
+        timeout_ms: match name.starts_with("long") {
+            true => LONG_TIMEOUT_MS,
+            false => TIMEOUT_MS,
+        },
+    };
+    route.record()
+}
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -8,9 +8,8 @@
 use pistachiochute_standins::relay::Relay;
 use rustix::process::Signal;
 
-use super::{Ending, GOOD, Served, World};
-use crate::checks::{Disturbed, EVENTS};
-use crate::process::STOP_S;
+use super::{Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
+use crate::checks::{Disturbed, EVENTS, RESTART};
 use crate::schedule::Fault;
 
 impl World {
@@ -29,9 +28,10 @@
         let lasting = |span: Duration, ending: Ending| Ok(Some((span, ending)));
         match fault {
             Fault::Stop { host } => {
-                self.disturb(host, Duration::from_secs(STOP_S + 2), true);
+                let stop = self.hosts[host].stop;
+                self.disturb(host, stop + RESTART, true);
                 self.hosts[host].signal(Signal::TERM)?;
-                let span = Duration::from_secs(STOP_S) + Duration::from_millis(200);
+                let span = stop + Duration::from_millis(200);
                 lasting(span, Box::new(move |world| world.stopped(host)))
             }
             Fault::Kill { host, down } => {
@@ -134,20 +134,33 @@
                 return Ok(Some((span, Box::new(heal))));
             }
             Fault::EndpointReplaced { endpoint } => self.replace(endpoint)?,
-            Fault::RouteAdded => {
-                self.routes += 1;
-                self.configure();
+            Fault::EndpointPauses { endpoint, span } => {
+                for endpoint in self.served[endpoint].both() {
+                    endpoint.fall_silent(span);
+                }
             }
-            _ => self.change_key(),
+            other => self.change_configuration(other),
         }
         Ok(None)
     }
 
+    fn change_configuration(&mut self, fault: Fault) {
+        let next = &mut self.configuration;
+        match fault {
+            Fault::RouteAdded => next.added_routes += 1,
+            Fault::ManyRoutes => next.has_many_routes = !next.has_many_routes,
+            Fault::LimitsChanged { idle_timeout_ms } => next.idle_timeout_ms = idle_timeout_ms,
+            _ => return self.change_key(),
+        }
+        self.configure();
+    }
+
     /// Lets an endpoint leave, and another one take its place.
     pub(super) fn replace(&mut self, endpoint: usize) -> eyre::Result<()> {
         let name = format!("i-{endpoint}-{}", self.gone.len());
         let mut next = Served::start(&name)?;
         next.register(&self.store, "ready");
+        let is_steady = endpoint >= FAULTY_ENDPOINTS;
         let mut old = std::mem::replace(&mut self.served[endpoint], next);
         old.register(&self.store, "draining");
         old.set(Behaviour::Answer { status: 200 }, GOOD);
@@ -155,6 +168,10 @@
             let name = endpoint.id().to_owned();
             self.seen.left.insert(name, Instant::now());
         }
+        if is_steady {
+            let names = self.served[endpoint].both().map(|e| e.id().to_owned());
+            self.seen.steady.extend(names);
+        }
         self.gone.push(old);
         Ok(())
     }
@@ -230,13 +247,10 @@
     }
 }
 
-/// Host whose process a fault touches.
+/// Host whose process a fault stops or holds up.
 pub(super) const fn host_of(fault: Fault) -> Option<usize> {
     match fault {
-        Fault::Stop { host }
-        | Fault::Kill { host, .. }
-        | Fault::Pause { host, .. }
-        | Fault::Reload { host } => Some(host),
+        Fault::Stop { host } | Fault::Kill { host, .. } | Fault::Pause { host, .. } => Some(host),
         _ => None,
     }
 }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! Plays one seed: a store, endpoints and hosts, with faults as the schedule says.
 
+mod configuration;
 mod faults;
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -20,14 +22,47 @@
 use crate::schedule::draw;
 use crate::{load, schedule};
 
-/// Endpoints that are disturbed.
-const ENDPOINTS: usize = 4;
+/// Endpoints with faults of all kinds.
+const FAULTY_ENDPOINTS: usize = 4;
 
-/// Endpoints that are never disturbed, so that something is always served.
-const STEADY: usize = 2;
+/// Endpoints that stay and are never disturbed, so that something is always served. They may fall
+/// silent for a while.
+const STEADY_ENDPOINTS: usize = 2;
 
-/// Callers of each host.
-const CALLERS: usize = 3;
+/// Endpoints that are never disturbed, and that leave in a planned way.
+const LEAVING_ENDPOINTS: usize = 2;
+
+/// All endpoints.
+const ENDPOINTS: usize = FAULTY_ENDPOINTS + STEADY_ENDPOINTS + LEAVING_ENDPOINTS;
+
+/// Hosts that meet planned work only, beside outages of the whole store.
+const PLANNED_HOSTS: usize = 4;
+
+/// Those of them that are not stopped.
+const UNSTOPPED_HOSTS: usize = 1;
+
+/// Callers of each host that open a connection for each request.
+const FRESH_CALLERS: usize = 3;
+
+/// Callers of a host with faults of all kinds that keep their connections.
+const KEEPING_CALLERS: usize = 1;
+
+/// Callers of a host with planned work only that keep their connections.
+const PLANNED_KEEPING_CALLERS: usize = 4;
+
+/// Time of a planned stop of a host with faults of all kinds.
+const SHORT_STOP: Duration = Duration::from_secs(4);
+
+/// Time of a planned stop of a host with planned work only.
+const LONG_STOP: Duration = Duration::from_secs(8);
+
+/// Pauses between the events of streams that end well within [`SHORT_STOP`], in milliseconds. With
+/// [`EVENTS`], the streams take 1 to 2 s.
+const SHORT_PAUSE_MS: Range<u64> = 40..80;
+
+/// Pauses between the events of streams that end within [`LONG_STOP`], in milliseconds. With
+/// [`EVENTS`], the streams take 1 to 5.5 s.
+const LONG_PAUSE_MS: Range<u64> = 40..220;
 
 /// Time in which all hosts serve after the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -44,6 +79,7 @@
 /// One seed and its sizes.
 pub(crate) struct Run {
     pub seed: u64,
+    /// Hosts with faults of all kinds.
     pub hosts: usize,
     pub length: Duration,
     pub daemon: PathBuf,
@@ -117,8 +153,7 @@
     /// Endpoints that have left, kept for what they ran.
     gone: Vec<Served>,
     callers: Arc<load::Shared>,
-    version: u64,
-    routes: u64,
+    configuration: configuration::Configuration,
     seen: Seen,
 }
 
@@ -133,25 +168,28 @@
             served: Vec::new(),
             gone: Vec::new(),
             callers: Arc::default(),
-            version: 0,
-            routes: 0,
+            configuration: configuration::Configuration::new(),
             seen: Seen::default(),
         };
         world.configure();
-        for i in 0..ENDPOINTS + STEADY {
+        for i in 0..ENDPOINTS {
             let mut served = Served::start(&format!("i-{i}"))?;
             served.register(&world.store, "ready");
-            if i >= ENDPOINTS {
+            if i >= FAULTY_ENDPOINTS {
                 let names = served.both().map(|e| e.id().to_owned());
                 world.seen.steady.extend(names);
             }
             world.served.push(served);
         }
-        for i in 0..run.hosts {
+        for i in 0..run.hosts + PLANNED_HOSTS {
             let store_listener = world.store.listen()?;
             let relay = Relay::start(store_listener.addr())?;
             let domain = ["dom-a", "dom-b"][i % 2];
-            let host = Host::start(i, domain, relay.addr(), &run.daemon, dir)?;
+            let stop = match i < run.hosts {
+                true => SHORT_STOP,
+                false => LONG_STOP,
+            };
+            let host = Host::start(i, domain, relay.addr(), stop, &run.daemon, dir)?;
             world.hosts.push(host);
             world.store_listeners.push(store_listener);
             world.store_relays.push(relay);
@@ -161,30 +199,9 @@
 
     /// Writes the next version of the configuration.
     fn configure(&mut self) {
-        self.version += 1;
         let key = load::key(self.callers.key.load(Ordering::Relaxed));
-        let route = |name: &str, kind: &str, service: &str, attempts: u32| {
-            let route = records::Route {
-                name,
-                kind,
-                service,
-                attempts,
-                resumes: name == "resumable",
-                timeout_ms: 4_000,
-            };
-            route.record()
-        };
-        let mut routes = vec![
-            route("call", "safe", "calls", 3),
-            route("once", "unsafe", "calls", 2),
-            route("stream", "streaming", "streams", 1),
-            route("resumable", "streaming", "streams", 3),
-        ];
-        for i in 0..self.routes {
-            routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
-        }
-        let config = records::config(self.version, &routes, &["calls", "streams"], &[&key]);
-        self.store.put(records::CONFIG_KEY, &config);
+        let record = self.configuration.next_record(&key);
+        self.store.put(records::CONFIG_KEY, &record);
     }
 
     /// Notes processes that ended although nobody stopped them.
@@ -255,7 +272,7 @@
         let unready = world.unready(START);
         eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
         let callers = self.start_callers(&world);
-        let steps = draw(self.seed, self.hosts, ENDPOINTS, self.length);
+        let steps = draw(self.seed, &self.places(), self.length);
         play_steps(&mut world, &steps)?;
         let unready = world.unready(RECOVERY);
         if !unready.is_empty() {
@@ -280,13 +297,38 @@
     fn start_callers(&self, world: &World) -> Vec<std::thread::JoinHandle<()>> {
         let hosts = world.hosts.iter().enumerate();
         let callers = hosts.flat_map(|(i, host)| {
-            let address = host.callers;
-            (0..CALLERS).map(move |caller| (i, address, i * CALLERS + caller))
+            let (keeping, pause_ms) = match i < self.hosts {
+                true => (KEEPING_CALLERS, SHORT_PAUSE_MS),
+                false => (PLANNED_KEEPING_CALLERS, LONG_PAUSE_MS),
+            };
+            let habits = std::iter::repeat_n(load::Habit::Fresh, FRESH_CALLERS).chain(
+                std::iter::repeat_n(load::Habit::Keeping { pause_ms }, keeping),
+            );
+            habits.map(move |habit| (i, host.callers, habit))
         });
-        let start = |(host, address, number)| {
-            load::start(world.callers.clone(), (host, address), (self.seed, number))
+        let start = |(number, (host, address, habit))| {
+            let caller = load::Caller {
+                number,
+                host,
+                address,
+                habit,
+            };
+            caller.start(world.callers.clone(), self.seed)
         };
-        callers.map(start).collect()
+        callers.enumerate().map(start).collect()
+    }
+
+    /// What the schedule touches.
+    fn places(&self) -> schedule::Places {
+        let hosts = self.hosts + PLANNED_HOSTS;
+        schedule::Places {
+            faulty_hosts: self.hosts,
+            faulty_endpoints: FAULTY_ENDPOINTS,
+            planned_hosts: self.hosts..hosts,
+            stopped_hosts: self.hosts..hosts - UNSTOPPED_HOSTS,
+            leaving_endpoints: FAULTY_ENDPOINTS + STEADY_ENDPOINTS..ENDPOINTS,
+            pausing_endpoints: FAULTY_ENDPOINTS..ENDPOINTS,
+        }
     }
 
     fn verdict(&self, seen: &Seen, faults: usize) -> Verdict {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -1,6 +1,7 @@
 //! Callers.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -20,6 +21,10 @@
     Once,
     Stream,
     Resumable,
+    /// A stream of seconds.
+    Long,
+    /// A stream of seconds that may be resumed.
+    LongResumable,
 }
 
 impl Kind {
@@ -30,8 +35,30 @@
             Self::Once => "/once/",
             Self::Stream => "/stream/",
             Self::Resumable => "/resumable/",
+            Self::Long => "/long/",
+            Self::LongResumable => "/long-resumable/",
         }
     }
+
+    /// Whether it may run more than once.
+    pub(crate) const fn may_repeat(self) -> bool {
+        match self {
+            Self::Call | Self::Resumable | Self::LongResumable => true,
+            Self::Once | Self::Stream | Self::Long => false,
+        }
+    }
+
+    /// Whether its answer is a stream.
+    pub(crate) const fn is_stream(self) -> bool {
+        match self {
+            Self::Call | Self::Once => false,
+            Self::Stream | Self::Resumable | Self::Long | Self::LongResumable => true,
+        }
+    }
+
+    const fn is_long(self) -> bool {
+        matches!(self, Self::Long | Self::LongResumable)
+    }
 }
 
 /// A request and what came of it.
@@ -71,66 +98,104 @@
     format!("key-{number}")
 }
 
-/// Starts a caller that sends to one host until the soak is over.
-pub(crate) fn start(
-    shared: Arc<Shared>,
-    (host, address): (usize, SocketAddr),
-    (seed, number): (u64, usize),
-) -> thread::JoinHandle<()> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ((number as u64 + 1) << 32));
-    thread::spawn(move || {
-        let mut sent = 0_u64;
-        while !shared.is_over.load(Ordering::Relaxed) {
-            sent += 1;
-            let id = format!("c{number}-{sent}");
-            if let Some(record) = send(&shared, &mut rng, host, address, &id) {
-                let mut records = shared
-                    .records
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner);
-                records.push(record);
+/// How a caller uses its connections.
+#[derive(Clone, Debug)]
+pub(crate) enum Habit {
+    /// It opens a connection for each request, and asks for short answers.
+    Fresh,
+    /// It keeps its connection for as long as the host does, and also asks for streams of seconds,
+    /// whose events have pauses drawn from `pause_ms`, in milliseconds.
+    Keeping { pause_ms: Range<u64> },
+}
+
+/// A caller that sends to one host until the soak is over.
+pub(crate) struct Caller {
+    pub number: usize,
+    pub host: usize,
+    pub address: SocketAddr,
+    pub habit: Habit,
+}
+
+impl Caller {
+    /// Starts the caller.
+    pub(crate) fn start(self, shared: Arc<Shared>, seed: u64) -> thread::JoinHandle<()> {
+        let number = self.number as u64 + 1;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 32));
+        thread::spawn(move || {
+            let mut sent = 0_u64;
+            let mut kept = None;
+            while !shared.is_over.load(Ordering::Relaxed) {
+                sent += 1;
+                let id = format!("c{}-{sent}", self.number);
+                if let Some(record) = self.send(&shared, &mut rng, &id, &mut kept) {
+                    let mut records = shared
+                        .records
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner);
+                    records.push(record);
+                }
+                let pause = rng.random_range(0..LONGEST_PAUSE_MS);
+                thread::sleep(Duration::from_millis(pause));
             }
-            let pause = rng.random_range(0..LONGEST_PAUSE_MS);
-            thread::sleep(Duration::from_millis(pause));
+        })
+    }
+
+    /// Sends one request. Returns `None` if there was no connection.
+    fn send(
+        &self,
+        shared: &Shared,
+        rng: &mut ChaCha8Rng,
+        id: &str,
+        kept: &mut Option<TcpStream>,
+    ) -> Option<Record> {
+        let kind = self.draw_kind(rng);
+        let leaves = rng.random_bool(0.05);
+        let number = shared.key.load(Ordering::Relaxed);
+        let sent = Instant::now();
+        let mut ask = CallerRequest::new(id, kind.path(), &key(number));
+        if let (Habit::Keeping { pause_ms }, true) = (&self.habit, kind.is_long()) {
+            let pause = rng.random_range(pause_ms.clone());
+            ask = ask.event_pause(Duration::from_millis(pause));
         }
-    })
-}
+        let mut stream = match kept.take() {
+            Some(mut stream) => ask.write_to(&mut stream).ok().map(|()| stream),
+            None => ask.open(self.address).ok(),
+        }?;
+        let answer = match leaves {
+            true => {
+                thread::sleep(Duration::from_millis(30));
+                Answer::default()
+            }
+            false => read(&mut stream),
+        };
+        if matches!(self.habit, Habit::Keeping { .. }) && answer.keeps_connection() {
+            *kept = Some(stream);
+        }
+        Some(Record {
+            id: id.to_owned(),
+            kind,
+            host: self.host,
+            key: number,
+            sent,
+            ended: Instant::now(),
+            left: leaves,
+            answer,
+        })
+    }
 
-/// Sends one request. Returns `None` if there was no connection.
-fn send(
-    shared: &Shared,
-    rng: &mut ChaCha8Rng,
-    host: usize,
-    address: SocketAddr,
-    id: &str,
-) -> Option<Record> {
-    let kind = match rng.random_range(0..10) {
-        0..=2 => Kind::Call,
-        3..=5 => Kind::Once,
-        6 | 7 => Kind::Stream,
-        _ => Kind::Resumable,
-    };
-    let leaves = rng.random_bool(0.05);
-    let number = shared.key.load(Ordering::Relaxed);
-    let sent = Instant::now();
-    let ask = CallerRequest::new(id, kind.path(), &key(number));
-    let mut stream = ask.open(address).ok()?;
-    let answer = match leaves {
-        true => {
-            thread::sleep(Duration::from_millis(30));
-            Answer::default()
+    fn draw_kind(&self, rng: &mut ChaCha8Rng) -> Kind {
+        let draw = rng.random_range(0..10);
+        match (&self.habit, draw) {
+            (Habit::Fresh, 0..=2) => Kind::Call,
+            (Habit::Fresh, 3..=5) => Kind::Once,
+            (Habit::Fresh, 6 | 7) => Kind::Stream,
+            (Habit::Fresh, _) => Kind::Resumable,
+            (Habit::Keeping { .. }, 0 | 1) => Kind::Call,
+            (Habit::Keeping { .. }, 2 | 3) => Kind::Once,
+            (Habit::Keeping { .. }, 4) => Kind::Stream,
+            (Habit::Keeping { .. }, 5) => Kind::Resumable,
+            (Habit::Keeping { .. }, 6 | 7) => Kind::Long,
+            (Habit::Keeping { .. }, _) => Kind::LongResumable,
         }
-        false => read(&mut stream),
-    };
-    drop(stream);
-    Some(Record {
-        id: id.to_owned(),
-        kind,
-        host,
-        key: number,
-        sent,
-        ended: Instant::now(),
-        left: leaves,
-        answer,
-    })
+    }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,8 +3,9 @@
 //! A seed gives a schedule of faults: hosts are stopped, killed, paused and told to reload; the
 //! store refuses, falls silent or loses answers; connections to the store and to endpoints are
 //! reset, delayed, silenced both ways or one way; endpoints refuse, lose, hang and garble; routes,
-//! keys and endpoints change. Meanwhile callers send requests, and what they and the endpoints see
-//! is held against the promises of the product. See `docs/SOAK.md`.
+//! keys and endpoints change. Other hosts meet planned work only, in series that overlap. Meanwhile
+//! callers send requests, and what they and the endpoints see is held against the promises of the
+//! product. See `docs/SOAK.md`.
 
 mod checks;
 mod fleet;
@@ -79,7 +80,7 @@
                 .long("hosts")
                 .default_value("4")
                 .value_parser(clap::value_parser!(usize))
-                .help("Hosts"),
+                .help("Hosts with faults of all kinds, beside those with planned work only"),
         )
         .arg(
             clap::Arg::new("daemon")
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -11,9 +11,6 @@
 use rustix::process::{Pid, Signal};
 use serde_json::json;
 
-/// Time of a planned stop, in seconds.
-pub(crate) const STOP_S: u64 = 4;
-
 /// Time beyond that of a planned stop after which a process counts as hanging.
 const STOP_SLACK: Duration = Duration::from_secs(10);
 
@@ -21,6 +18,8 @@
 pub(crate) struct Host {
     pub name: String,
     pub callers: SocketAddr,
+    /// Time of a planned stop.
+    pub stop: Duration,
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -40,6 +39,7 @@
         number: usize,
         domain: &str,
         store: SocketAddr,
+        stop: Duration,
         daemon: &Path,
         dir: &Path,
     ) -> eyre::Result<Self> {
@@ -53,7 +53,7 @@
             },
             "store": {"address": store, "lease_ms": 3_000},
             "retry": {"ratio": 0.2, "extra": 40},
-            "stop_s": STOP_S,
+            "stop_s": stop.as_secs(),
         });
         let path = dir.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).wrap_err("settings of a host")?;
@@ -61,6 +61,7 @@
             log: dir.join(format!("{name}.log")),
             name,
             callers,
+            stop,
             daemon: daemon.to_owned(),
             settings: path,
             ports,
@@ -140,7 +141,7 @@
         let Some(child) = &mut self.child else {
             return Ok(None);
         };
-        let end = Instant::now() + Duration::from_secs(STOP_S) + STOP_SLACK;
+        let end = Instant::now() + self.stop + STOP_SLACK;
         while Instant::now() < end {
             if let Some(status) = child.try_wait()? {
                 self.child = None;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,5 +1,6 @@
-//! Faults of one seed.
+//! Faults and planned work of one seed.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::{Rng as _, SeedableRng as _};
@@ -9,7 +10,37 @@
 pub(crate) const LONGEST: Duration = Duration::from_millis(3_000);
 
 /// Shortest and longest pause between the beginnings of two faults, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 150..1_200;
+const PAUSE_MS: Range<u64> = 150..1_200;
+
+/// Time before the first fault.
+const LEAD: Duration = Duration::from_millis(500);
+
+/// Distinguishes the planned work of a seed from its faults.
+const PLANNED_SEED: u64 = 0x706c_616e;
+
+/// Pause between the beginnings of two planned stops, in milliseconds. It is shorter than a stop.
+const STOP_PAUSE_MS: Range<u64> = 400..2_500;
+
+/// Pause between two reloads, in milliseconds.
+const RELOAD_PAUSE_MS: Range<u64> = 100..600;
+
+/// Pause between two changes of the configuration, in milliseconds.
+const CHANGE_PAUSE_MS: Range<u64> = 300..2_000;
+
+/// Pause between two endpoints that leave, in milliseconds.
+const LEAVE_PAUSE_MS: Range<u64> = 600..2_000;
+
+/// Pause between the beginnings of two silences of endpoints, in milliseconds. With the number of
+/// endpoints that fall silent in turn, a stream meets at most one silence beside one that delayed
+/// its head.
+const SILENCE_PAUSE_MS: Range<u64> = 1_700..2_500;
+
+/// Time for which an endpoint falls silent, in milliseconds. It is below the time after which a
+/// stream without a head is sent elsewhere.
+const SILENCE_MS: Range<u64> = 800..1_100;
+
+/// Idle timeouts of callers' connections, in milliseconds.
+const IDLE_TIMEOUTS_MS: [u64; 4] = [500, 1_000, 3_000, 15_000];
 
 /// One fault. Numbers are places in the lists of hosts and endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +87,29 @@
     RouteAdded,
     /// A new version of the configuration takes a key away and adds another.
     KeyChanged,
+    /// A new version of the configuration adds many routes, or takes them away.
+    ManyRoutes,
+    /// A new version of the configuration changes the idle timeout.
+    LimitsChanged { idle_timeout_ms: u64 },
+    /// The endpoint sends nothing for a while and goes on.
+    EndpointPauses { endpoint: usize, span: Duration },
+}
+
+/// What faults and planned work touch, as places in the lists of hosts and endpoints.
+#[derive(Clone, Debug)]
+pub(crate) struct Places {
+    /// Hosts with faults of all kinds.
+    pub faulty_hosts: usize,
+    /// Endpoints with faults of all kinds.
+    pub faulty_endpoints: usize,
+    /// Hosts with planned work only.
+    pub planned_hosts: Range<usize>,
+    /// Those of them that are stopped.
+    pub stopped_hosts: Range<usize>,
+    /// Endpoints that leave in a planned way.
+    pub leaving_endpoints: Range<usize>,
+    /// Endpoints that fall silent for a while.
+    pub pausing_endpoints: Range<usize>,
 }
 
 /// A fault and when it begins.
@@ -65,21 +119,68 @@
     pub fault: Fault,
 }
 
-/// Draws the faults of a seed, in the order in which they begin. They may overlap.
-pub(crate) fn draw(seed: u64, hosts: usize, endpoints: usize, length: Duration) -> Vec<Step> {
+/// Draws the faults and the planned work of a seed, in the order in which they begin. They may
+/// overlap.
+pub(crate) fn draw(seed: u64, places: &Places, length: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (hosts, endpoints) = (places.faulty_hosts, places.faulty_endpoints);
+    let mut steps = series(&mut rng, PAUSE_MS, length, |rng| {
+        fault(rng, hosts, endpoints)
+    });
+    steps.extend(planned_work(seed, places, length));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Draws one series of steps.
+fn series<F>(rng: &mut ChaCha8Rng, pause_ms: Range<u64>, length: Duration, mut next: F) -> Vec<Step>
+where
+    F: FnMut(&mut ChaCha8Rng) -> Fault,
+{
     let mut steps = Vec::new();
-    let mut at = Duration::from_millis(500);
+    let mut at = LEAD;
     while at < length {
-        steps.push(Step {
-            at,
-            fault: fault(&mut rng, hosts, endpoints),
-        });
-        at += Duration::from_millis(rng.random_range(PAUSE_MS));
+        let fault = next(rng);
+        steps.push(Step { at, fault });
+        at += Duration::from_millis(rng.random_range(pause_ms.clone()));
     }
     steps
 }
 
+/// Draws the series of planned work, which overlap.
+fn planned_work(seed: u64, places: &Places, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PLANNED_SEED);
+    let rng = &mut rng;
+    let mut stopped = places.stopped_hosts.clone().cycle();
+    let mut leaving = places.leaving_endpoints.clone().cycle();
+    let mut pausing = places.pausing_endpoints.clone().cycle();
+    let stops = series(rng, STOP_PAUSE_MS, length, |_| Fault::Stop {
+        host: stopped.next().expect("a host that is stopped"),
+    });
+    let reloads = series(rng, RELOAD_PAUSE_MS, length, |rng| Fault::Reload {
+        host: rng.random_range(places.planned_hosts.clone()),
+    });
+    let changes = series(rng, CHANGE_PAUSE_MS, length, change);
+    let leaves = series(rng, LEAVE_PAUSE_MS, length, |_| Fault::EndpointReplaced {
+        endpoint: leaving.next().expect("an endpoint that leaves"),
+    });
+    let silences = series(rng, SILENCE_PAUSE_MS, length, |rng| Fault::EndpointPauses {
+        endpoint: pausing.next().expect("an endpoint that falls silent"),
+        span: Duration::from_millis(rng.random_range(SILENCE_MS)),
+    });
+    [stops, reloads, changes, leaves, silences].concat()
+}
+
+/// Draws a planned change of the configuration.
+fn change(rng: &mut ChaCha8Rng) -> Fault {
+    let idle_timeout_ms = IDLE_TIMEOUTS_MS[rng.random_range(0..IDLE_TIMEOUTS_MS.len())];
+    match rng.random_range(0..4) {
+        0 => Fault::RouteAdded,
+        1 => Fault::ManyRoutes,
+        _ => Fault::LimitsChanged { idle_timeout_ms },
+    }
+}
+
 fn fault(rng: &mut ChaCha8Rng, hosts: usize, endpoints: usize) -> Fault {
     let host = rng.random_range(0..hosts);
     let endpoint = rng.random_range(0..endpoints);
--- a/crates/standins/src/platform/records.rs
+++ b/crates/standins/src/platform/records.rs
@@ -37,20 +37,37 @@
     }
 }
 
-/// A configuration with one client account, to which `keys` belong.
-#[must_use]
-pub fn config(version: u64, routes: &[Value], services: &[&str], keys: &[&str]) -> Value {
-    let service =
-        |name: &&str| json!({"name": name, "healthPath": "/health", "maxConnections": 400});
-    let services: Vec<_> = services.iter().map(service).collect();
-    json!({
-        "version": version, "routes": routes, "services": services,
-        "limits": {
-            "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
-            "idleTimeoutMs": 15_000,
-        },
-        "tenants": [{"name": "farm", "apiKeys": keys, "priority": 3}],
-    })
+/// A configuration with one client account.
+#[derive(Clone, Copy, Debug)]
+pub struct Config<'a> {
+    /// Version.
+    pub version: u64,
+    /// Records of the routes.
+    pub routes: &'a [Value],
+    /// Names of the services.
+    pub services: &'a [&'a str],
+    /// API keys of the client account.
+    pub keys: &'a [&'a str],
+    /// Idle timeout of callers' connections, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Config<'_> {
+    /// The configuration in the platform's format.
+    #[must_use]
+    pub fn record(&self) -> Value {
+        let service =
+            |name: &&str| json!({"name": name, "healthPath": "/health", "maxConnections": 400});
+        let services: Vec<_> = self.services.iter().map(service).collect();
+        json!({
+            "version": self.version, "routes": self.routes, "services": services,
+            "limits": {
+                "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": self.idle_timeout_ms,
+            },
+            "tenants": [{"name": "farm", "apiKeys": self.keys, "priority": 3}],
+        })
+    }
 }
 
 /// Key of an endpoint's entry in the store.
