--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,18 +1,16 @@
 //! Host processes. Only processes that were started here are signalled, by their ids.
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr as _;
+use pistachiochute_standins::port::ReservedPort;
 use rustix::process::{Pid, Signal};
 use serde_json::json;
 
-/// Time of a planned stop, in seconds.
-pub(crate) const STOP_S: u64 = 4;
-
 /// Time beyond that of a planned stop after which a process counts as hanging.
 const STOP_SLACK: Duration = Duration::from_secs(10);
 
@@ -20,15 +18,19 @@
 pub(crate) struct Host {
     pub name: String,
     pub callers: SocketAddr,
+    /// Time of a planned stop.
+    pub stop: Duration,
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Hold the ports of the host while it does not run.
+    ports: [ReservedPort; 4],
     child: Option<Child>,
 }
 
-fn free_address() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").wrap_err("a free port")?;
-    Ok(listener.local_addr()?)
+fn reserve_ports() -> eyre::Result<[ReservedPort; 4]> {
+    let port = ReservedPort::reserve;
+    Ok([port()?, port()?, port()?, port()?])
 }
 
 impl Host {
@@ -37,20 +39,21 @@
         number: usize,
         domain: &str,
         store: SocketAddr,
+        stop: Duration,
         daemon: &Path,
         dir: &Path,
     ) -> eyre::Result<Self> {
         let name = format!("host-{number}");
-        let callers = free_address()?;
+        let ports = reserve_ports()?;
+        let [callers, health, links, metrics] = ports.each_ref().map(ReservedPort::addr);
         let settings = json!({
             "host": {"name": name, "domain": domain},
             "listen": {
-                "callers": callers, "health": free_address()?, "links": free_address()?,
-                "metrics": free_address()?,
+                "callers": callers, "health": health, "links": links, "metrics": metrics,
             },
             "store": {"address": store, "lease_ms": 3_000},
             "retry": {"ratio": 0.2, "extra": 40},
-            "stop_s": STOP_S,
+            "stop_s": stop.as_secs(),
         });
         let path = dir.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).wrap_err("settings of a host")?;
@@ -58,8 +61,10 @@
             log: dir.join(format!("{name}.log")),
             name,
             callers,
+            stop,
             daemon: daemon.to_owned(),
             settings: path,
+            ports,
             child: None,
         };
         host.spawn()?;
@@ -115,6 +120,13 @@
         rustix::process::kill_process(pid, signal).wrap_err("signal")
     }
 
+    /// Kills the process and gives its ports back.
+    pub(crate) fn close(mut self) -> eyre::Result<()> {
+        self.kill()?;
+        self.ports.into_iter().for_each(ReservedPort::close);
+        Ok(())
+    }
+
     /// Kills the process.
     pub(crate) fn kill(&mut self) -> eyre::Result<()> {
         if let Some(mut child) = self.child.take() {
@@ -129,7 +141,7 @@
         let Some(child) = &mut self.child else {
             return Ok(None);
         };
-        let end = Instant::now() + Duration::from_secs(STOP_S) + STOP_SLACK;
+        let end = Instant::now() + self.stop + STOP_SLACK;
         while Instant::now() < end {
             if let Some(status) = child.try_wait()? {
                 self.child = None;
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -35,7 +35,7 @@
     Stream {
         /// Number of events in the complete stream.
         events: u64,
-        /// Pause before each event.
+        /// Pause before each event, unless the request asks for another one.
         pause: Duration,
         /// Event half-way through which the connection is cut, if any.
         cut_at: Option<u64>,
@@ -101,6 +101,8 @@
 struct Handler {
     incarnation: Mutex<Arc<Incarnation>>,
     behaviour: Mutex<Behaviour>,
+    /// When the endpoint may send again.
+    silent_until: Mutex<Instant>,
     runs: Mutex<Vec<Run>>,
     /// Number of streams and hanging requests whose connection closed before their end.
     cancelled: watch::Sender<u64>,
@@ -149,6 +151,7 @@
         let handler = Arc::new(Handler {
             incarnation: Mutex::new(incarnation.clone()),
             behaviour: Mutex::new(behaviour),
+            silent_until: Mutex::new(Instant::now()),
             runs: Mutex::default(),
             cancelled: watch::Sender::new(0),
         });
@@ -199,6 +202,12 @@
         *lock(&self.handler.behaviour) = behaviour;
     }
 
+    /// Sends nothing for a while. Requests are still run; answers that become due are sent after it,
+    /// and streams under way catch up.
+    pub fn fall_silent(&self, span: Duration) {
+        *lock(&self.handler.silent_until) = Instant::now() + span;
+    }
+
     /// Requests that the endpoint ran.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -235,6 +244,13 @@
     }
 }
 
+impl Handler {
+    async fn wait_while_silent(&self) {
+        let until = *lock(&self.silent_until);
+        tokio::time::sleep_until(until.into()).await;
+    }
+}
+
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
         let (head, body) = req.into_parts();
@@ -255,6 +271,7 @@
             return Some(reply);
         }
         let after: Option<u64> = text("last-event-id").parse().ok();
+        let requested_pause = requested_pause(&head.uri);
         lock(&self.runs).push(Run {
             id: id.clone(),
             target: head.uri.to_string(),
@@ -263,6 +280,7 @@
             body,
             started_at: Instant::now(),
         });
+        self.wait_while_silent().await;
         match behaviour {
             Behaviour::Answer { status } => {
                 let status = StatusCode::from_u16(status).ok()?;
@@ -294,7 +312,7 @@
                     incarnation: incarnation.clone(),
                     request: id.clone(),
                     ids: first..events,
-                    pause,
+                    pause: requested_pause.unwrap_or(pause),
                     cut_at,
                 };
                 let stream = self.clone().events(stream);
@@ -317,6 +335,12 @@
     hyper::header::HeaderValue::from_str(text).expect("header of a stand-in is ASCII")
 }
 
+/// Pause before each event that a request asks for.
+fn requested_pause(uri: &hyper::Uri) -> Option<Duration> {
+    let millis = uri.query()?.strip_prefix(caller::PAUSE_PARAMETER)?;
+    millis.parse().ok().map(Duration::from_millis)
+}
+
 impl Incarnation {
     fn reply<B>(&self, status: StatusCode, id: &str, body: B) -> Response<http::Body>
     where
@@ -359,8 +383,11 @@
         };
         tokio::spawn(async move {
             let mut guard = guard;
+            let mut due = tokio::time::Instant::now();
             for id in source.ids {
-                tokio::time::sleep(source.pause).await;
+                due += source.pause;
+                tokio::time::sleep_until(due).await;
+                guard.handler.wait_while_silent().await;
                 let event = source.incarnation.event(&source.request, id);
                 let is_cut = source.cut_at == Some(id);
                 let bytes = match is_cut {
