Soak: a stream that outlasts a stop may be cut at its end

Traced: the host's log has the step stopped with the stream in progress, the endpoint was at work until then, and the balancer still sends callers for two health checks.

The users' rules allow just this: a request that was sent no later than 3 s after the signal and that an endpoint was still at work on in the last sixth of the stop. The check now asks for both; what is cut earlier, or was sent later, is still reported.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -26,6 +26,13 @@
 /// Time beyond that of a planned stop in which a host starts again.
 pub(crate) const RESTART: Duration = Duration::from_secs(2);
 
+/// Time after the signal of a planned stop up to which a request is accepted that may outlast the
+/// stop.
+const ACCEPTED_IN_STOP: Duration = Duration::from_secs(3);
+
+/// Part of a planned stop, from its end, in which a request that outlasts the stop may be cut off.
+const LAST_PART_OF_STOP: f64 = 1.0 / 6.0;
+
 /// A run of a request at an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Ran {
@@ -157,6 +164,9 @@
         let stops = self.disturbed.iter().filter(|d| d.is_planned);
         let mut stops = stops.filter(|d| d.host == record.host);
         let stop = stops.find(|d| d.from <= record.sent && record.sent + RESTART <= d.until);
+        if stop.is_some_and(|stop| outlasts_stop(record, stop)) {
+            return None;
+        }
         let described = describe(record, runs);
         Some(match stop {
             Some(stop) => {
@@ -184,6 +194,13 @@
     }
 }
 
+/// Whether a request that was sent early in a planned stop was still worked on in its last part.
+fn outlasts_stop(record: &Record, stop: &Disturbed) -> bool {
+    let length = stop.until - stop.from - RESTART;
+    let last_part = stop.from + length.mul_f64(1.0 - LAST_PART_OF_STOP);
+    record.sent <= stop.from + ACCEPTED_IN_STOP && record.ended >= last_part
+}
+
 /// Names a request that was cut off, with what is needed to find it in the logs.
 fn describe(record: &Record, runs: &[&Ran]) -> String {
     let events = record.answer.body.matches("\n\n").count();
