Refuse streams from 3 s into a graceful stop

The time before the end of the stop from which on streams are refused, 4.6 s of 7.7 s, let streams in until 3.1 s after the signal. A stream that the host then cuts at the end of its stop is excused only if it was sent within 3 s of the signal, and a request that arrives after that may have been sent after it. 4.7 s leaves no such gap.

--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -38,7 +38,7 @@
 const STREAM_STALL_FACTOR: f64 = 2.5;
 
 /// Time before the deadline of a graceful stop from which on streams are refused.
-const MIN_TIME_FOR_STREAM: Duration = Duration::from_millis(4_600);
+const MIN_TIME_FOR_STREAM: Duration = Duration::from_millis(4_700);
 
 /// Time before the deadline of a graceful stop from which on calls are refused.
 const MIN_TIME_FOR_CALL: Duration = Duration::from_millis(1_000);
