Know which software version began a stream

Cause: the entry of an endpoint states its software version, which the adapter decoded and dropped. Nothing in a host knew which version began a stream, so a resumption could go to an endpoint of another one.

Change: directory::SoftwareVersion and Endpoint.version, which an entry of the same incarnation without a version does not erase. It is not part of the encoded entry, whose form other builds read. The module streams holds the origins of streams, the versions that ids and services have had, and the decision between them. Nothing uses it yet.

No tests of the module yet.

--- a/crates/core/src/directory/endpoint.rs
+++ b/crates/core/src/directory/endpoint.rs
@@ -4,6 +4,8 @@
 use std::net;
 use std::sync::Arc;
 
+use crate::directory::SoftwareVersion;
+
 /// Whether an endpoint takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -54,6 +56,10 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
+    /// Version of its software, or `None` if the host that forwarded the entry did not state it.
+    /// Hosts state it in a message of its own.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
     /// Sequence number of the write of its entry, which grows within one incarnation.
     pub heartbeat: u64,
 }
@@ -69,6 +75,7 @@
             domain,
             slots,
             state,
+            version,
             heartbeat: _,
         } = self;
         *identity == other.identity
@@ -77,6 +84,7 @@
             && *domain == other.domain
             && *slots == other.slots
             && *state == other.state
+            && *version == other.version
     }
 
     /// Whether this entry was written before the other one, regardless of the order of their
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -9,10 +9,12 @@
 
 mod endpoint;
 mod record;
+mod software;
 mod store_outage;
 
 pub use endpoint::{Endpoint, Identity, State};
 pub use record::Record;
+pub use software::SoftwareVersion;
 pub use store_outage::{RENEWAL_GRACE, StoreObservation, StoreOutage};
 
 use std::collections::HashMap;
@@ -74,7 +76,10 @@
                 let kept = known.and_then(|r| r.endpoint.clone());
                 Record::new(revision, kept, last, now)
             }
-            Some(endpoint) => Record::new(revision, Some(endpoint.clone()), Some(endpoint), now),
+            Some(endpoint) => {
+                let endpoint = with_known_version(endpoint, last.as_deref());
+                Record::new(revision, Some(endpoint.clone()), Some(endpoint), now)
+            }
             None => match known.and_then(|r| r.with_unconfirmed_removal(revision, now)) {
                 Some(unconfirmed)
                     if source == Source::Store && self.outage.is_removal_uncertain(now) =>
@@ -194,3 +199,16 @@
             .filter(move |(_, r)| r.revision > revision && !r.is_removal_unconfirmed())
     }
 }
+
+/// Adds the version that the last known entry of the same incarnation states, if the new entry
+/// states none.
+fn with_known_version(endpoint: Arc<Endpoint>, last: Option<&Endpoint>) -> Arc<Endpoint> {
+    let known = last.filter(|last| last.identity == endpoint.identity);
+    match known.and_then(|last| last.version.clone()) {
+        Some(version) if endpoint.version.is_none() => Arc::new(Endpoint {
+            version: Some(version),
+            ..Arc::unwrap_or_clone(endpoint)
+        }),
+        _ => endpoint,
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod revision;
 pub mod routing;
 pub mod sse;
+pub mod streams;
 pub mod time;
 pub mod topology;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/streams/history.rs
@@ -0,0 +1,280 @@
+//! Versions that endpoint ids and services have had lately.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::streams::{EndpointKey, Origin, RETENTION, VersionTag};
+use crate::{directory, time};
+
+/// Longest time between two confirmations of the list of endpoints that leaves no gap. A version
+/// may have come and gone unnoticed in a longer one. Other hosts may use an endpoint for this long
+/// after this host has learned of its end.
+pub const MAX_GAP: Duration = Duration::from_secs(5);
+
+/// Longest time that the report of a stream's origin takes to other hosts.
+pub const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
+
+/// Time for which versions are kept after they were last listed, so that a span of [`RETENTION`]
+/// is covered together with the endpoints that other hosts used a little longer.
+const VERSION_RETENTION: Duration = RETENTION.saturating_add(MAX_GAP);
+
+/// One incarnation of an endpoint.
+#[derive(Debug)]
+struct Incarnation {
+    /// Start in milliseconds since the Unix epoch; 0 if it is not known.
+    started_at_ms: u64,
+    service: Arc<str>,
+    version: Option<VersionTag>,
+    first_listed: time::Time,
+    last_listed: time::Time,
+    /// Latest time at which it is known to have been alive, from a write of its entry.
+    alive_at: Option<time::Time>,
+}
+
+impl Incarnation {
+    fn new(endpoint: &directory::Endpoint, now: time::Time) -> Self {
+        Self {
+            started_at_ms: endpoint.identity.started_at_ms,
+            service: endpoint.service.clone(),
+            version: tag(endpoint),
+            first_listed: now,
+            last_listed: now,
+            alive_at: None,
+        }
+    }
+
+    /// Whether an entry describes this incarnation. A version that was not known may become known.
+    fn is_described_by(&self, endpoint: &directory::Endpoint, version: Option<VersionTag>) -> bool {
+        self.started_at_ms == endpoint.identity.started_at_ms
+            && self.service == endpoint.service
+            && (self.version == version || (self.version.is_none() && self.is_distinct()))
+    }
+
+    /// Whether its start distinguishes it from other incarnations under its id.
+    const fn is_distinct(&self) -> bool {
+        self.started_at_ms != 0
+    }
+
+    /// Whether it may have the version, as far as is known.
+    fn may_have(&self, version: VersionTag) -> bool {
+        self.version.is_none_or(|own| own == version)
+    }
+
+    /// Whether it is known to have been alive when a stream began that was recorded at
+    /// `recorded_at`, or later.
+    fn was_alive_after(&self, recorded_at: time::Time) -> bool {
+        self.is_distinct()
+            && self
+                .alive_at
+                .is_some_and(|alive_at| recorded_at <= alive_at)
+    }
+
+    /// Whether this host knew it before a stream began that was recorded at `recorded_at`.
+    fn was_known_before(&self, recorded_at: time::Time) -> bool {
+        self.first_listed + MAX_REPORT_DELAY <= recorded_at
+    }
+}
+
+/// A version of a service, or `None` for endpoints whose version is not known.
+#[derive(Debug)]
+struct ServiceVersion {
+    version: Option<VersionTag>,
+    last_listed: time::Time,
+}
+
+/// Time that the confirmations of the list of endpoints cover.
+#[derive(Debug)]
+struct Coverage {
+    /// Start of the time without a gap, or `None` if no version can have been missed since the
+    /// fleet started.
+    since: Option<time::Time>,
+    last_confirmed: Option<time::Time>,
+    started_at: time::Time,
+}
+
+impl Coverage {
+    const fn new(is_complete: bool, now: time::Time) -> Self {
+        Self {
+            since: if is_complete { None } else { Some(now) },
+            last_confirmed: None,
+            started_at: now,
+        }
+    }
+
+    fn confirm(&mut self, now: time::Time) {
+        let is_first = self.last_confirmed.is_none();
+        let previous = self.last_confirmed.unwrap_or(self.started_at);
+        let is_complete_so_far = is_first && self.since.is_none();
+        if now.since(previous) > MAX_GAP && !is_complete_so_far {
+            self.since = Some(now);
+        }
+        self.last_confirmed = Some(now);
+    }
+
+    /// Whether the last `span` is covered.
+    fn covers(&self, span: Duration, now: time::Time) -> bool {
+        let is_current = |at: time::Time| now.since(at) <= MAX_GAP;
+        let is_covered = |since: time::Time| now.since(since) >= span;
+        self.last_confirmed.is_some_and(is_current) && self.since.is_none_or(is_covered)
+    }
+}
+
+/// Versions that endpoint ids and services have had, with the time at which each was last listed.
+#[derive(Debug)]
+pub struct VersionHistory {
+    /// Incarnations by the id of the endpoint. Ids whose keys collide count as one.
+    incarnations: HashMap<EndpointKey, SmallVec<[Incarnation; 1]>>,
+    services: HashMap<Arc<str>, SmallVec<[ServiceVersion; 1]>>,
+    coverage: Coverage,
+}
+
+impl VersionHistory {
+    /// An empty history. `is_complete` states that nothing was served before this host started, so
+    /// that no version can have been missed.
+    #[must_use]
+    pub fn new(is_complete: bool, now: time::Time) -> Self {
+        Self {
+            incarnations: HashMap::new(),
+            services: HashMap::new(),
+            coverage: Coverage::new(is_complete, now),
+        }
+    }
+
+    /// Records all endpoints of the directory, those that are leaving included.
+    pub fn observe<'a, Endpoints>(&mut self, endpoints: Endpoints, now: time::Time)
+    where
+        Endpoints: Iterator<Item = &'a directory::Endpoint>,
+    {
+        for endpoint in endpoints {
+            self.list(endpoint, now);
+        }
+    }
+
+    /// Records that an incarnation wrote its entry at `alive_at` or later. The write of an
+    /// incarnation that has been replaced was delayed and does not show that it is alive.
+    pub fn record_write(
+        &mut self,
+        endpoint: &directory::Endpoint,
+        alive_at: time::Time,
+        now: time::Time,
+    ) {
+        let started_at_ms = endpoint.identity.started_at_ms;
+        let key = EndpointKey::of_id(&endpoint.identity.id);
+        let known = self.incarnations.get(&key);
+        let is_replaced =
+            known.is_some_and(|known| known.iter().any(|i| i.started_at_ms > started_at_ms));
+        let incarnation = self.list(endpoint, now);
+        if !is_replaced {
+            incarnation.alive_at = incarnation.alive_at.max(Some(alive_at));
+        }
+    }
+
+    /// Records that the list of endpoints was confirmed to be current.
+    pub fn confirm(&mut self, now: time::Time) {
+        self.coverage.confirm(now);
+    }
+
+    /// Drops what was not listed for longer than a query can ask about.
+    pub fn tick(&mut self, now: time::Time) {
+        let is_kept = |last_listed: time::Time| now.since(last_listed) <= VERSION_RETENTION;
+        self.incarnations.retain(|_, incarnations| {
+            incarnations.retain(|i| is_kept(i.last_listed));
+            !incarnations.is_empty()
+        });
+        self.services.retain(|_, versions| {
+            versions.retain(|v| is_kept(v.last_listed));
+            !versions.is_empty()
+        });
+    }
+
+    /// Number of versions of a service in the history. Endpoints whose version is not known count
+    /// as one more.
+    #[must_use]
+    pub fn versions(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, SmallVec::len)
+    }
+
+    /// Whether an origin that was recorded at `recorded_at` names the version that began the
+    /// stream. It does if the endpoint's id has had no other version, or if the incarnation that
+    /// the record means was alive after the stream began.
+    #[must_use]
+    pub fn is_certain(&self, origin: Origin, recorded_at: time::Time) -> bool {
+        let Some(incarnations) = self.incarnations.get(&origin.endpoint) else {
+            return false;
+        };
+        let has_version = |i: &Incarnation| i.version == Some(origin.version);
+        if incarnations.iter().all(has_version) {
+            return true;
+        }
+        let candidates = incarnations.iter().filter(|i| i.may_have(origin.version));
+        let is_only_candidate = candidates.count() == 1;
+        incarnations.iter().any(|i| {
+            has_version(i)
+                && i.was_alive_after(recorded_at)
+                && (is_only_candidate || i.was_known_before(recorded_at))
+        })
+    }
+
+    /// The only version that a service has had in the last `span`, or `None` if it had several,
+    /// if the version of an endpoint is not known, or if the history does not cover the span.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        service: &str,
+        span: Duration,
+        now: time::Time,
+    ) -> Option<VersionTag> {
+        if span > RETENTION || !self.coverage.covers(span, now) {
+            return None;
+        }
+        let is_in_span = |v: &&ServiceVersion| now.since(v.last_listed) <= span + MAX_GAP;
+        let mut versions = self.services.get(service)?.iter().filter(is_in_span);
+        let only = versions.next()?;
+        match versions.next() {
+            None => only.version,
+            Some(_) => None,
+        }
+    }
+
+    fn list(&mut self, endpoint: &directory::Endpoint, now: time::Time) -> &mut Incarnation {
+        let version = tag(endpoint);
+        self.list_version(&endpoint.service, version, now);
+        let key = EndpointKey::of_id(&endpoint.identity.id);
+        let incarnations = self.incarnations.entry(key).or_default();
+        let position = incarnations
+            .iter()
+            .position(|i| i.is_described_by(endpoint, version));
+        let position = position.unwrap_or_else(|| {
+            incarnations.push(Incarnation::new(endpoint, now));
+            incarnations.len() - 1
+        });
+        let incarnation = &mut incarnations[position];
+        incarnation.version = version;
+        incarnation.last_listed = now;
+        incarnation
+    }
+
+    fn list_version(&mut self, service: &Arc<str>, version: Option<VersionTag>, now: time::Time) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), SmallVec::new());
+        }
+        let Some(versions) = self.services.get_mut(service) else {
+            return;
+        };
+        match versions.iter_mut().find(|v| v.version == version) {
+            Some(known) => known.last_listed = now,
+            None => versions.push(ServiceVersion {
+                version,
+                last_listed: now,
+            }),
+        }
+    }
+}
+
+fn tag(endpoint: &directory::Endpoint) -> Option<VersionTag> {
+    let version = endpoint.version.as_ref()?;
+    Some(VersionTag::new(&endpoint.service, version))
+}
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -25,6 +25,7 @@
         domain: "dom-a".into(),
         slots: 4,
         state,
+        version: Some("1".into()),
         heartbeat,
     })
 }
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -22,6 +22,7 @@
         domain: "dom-a".into(),
         slots: 8,
         state,
+        version: Some("1".into()),
         heartbeat: 1,
     })
 }
