Messages about the versions that began streams

Cause: nothing in the messages between hosts tells which software version began a stream, and hosts of the old build close a link on a message that they do not know.

Change: four variants at the end of Message, and the feature that a host must have announced before it is sent one of them. The encoding of the old variants stays.

Result: the workspace's gateway compiles with it (cargo check).

--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use pistachiochute_core::choice::load;
-use pistachiochute_core::{catalog, directory, revision};
+use pistachiochute_core::{catalog, directory, revision, streams};
 
 /// A part of a prompt that an endpoint processes and therefore keeps in its cache for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
@@ -62,6 +62,42 @@
     pub answered_ms: u32,
 }
 
+/// Software version of an endpoint. It is not part of an [`EndpointRecord`], whose encoding is fixed.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct EndpointVersion {
+    /// Identity of the incarnation.
+    pub identity: directory::Identity,
+    /// Version of its software.
+    pub version: directory::SoftwareVersion,
+}
+
+/// Header in which the host that accepts a link names its optional [`Feature`]s.
+pub const FEATURES_HEADER: &str = "link-features";
+
+/// Messages that a host reads only if it announces so. A host that does not know a message closes
+/// the link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feature {
+    /// The messages about the software versions that began streams.
+    StreamVersions,
+}
+
+impl Feature {
+    /// Name in [`FEATURES_HEADER`].
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::StreamVersions => "stream-versions",
+        }
+    }
+
+    /// Whether a value of [`FEATURES_HEADER`], a list separated by commas, names the feature.
+    #[must_use]
+    pub fn is_in(self, header: &str) -> bool {
+        header.split(',').any(|name| name.trim() == self.as_str())
+    }
+}
+
 /// A message to another host. Encoded by position: the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -104,4 +140,46 @@
         /// Records that are newer than the requested versions.
         records: Vec<EndpointRecord>,
     },
+    /// Origins of streams that endpoints began for the sender.
+    StreamOrigins(Vec<streams::StreamOrigin>),
+    /// Asks for the version that began a stream.
+    OriginQuery {
+        /// Number that the answer repeats.
+        id: u32,
+        /// The stream, if it is known.
+        stream: Option<streams::StreamKey>,
+        /// Service that serves the stream.
+        service: Arc<str>,
+        /// Longest time since the stream can have begun, in milliseconds.
+        span_ms: u32,
+    },
+    /// Answers [`Message::OriginQuery`].
+    OriginAnswer {
+        /// Number of the query.
+        id: u32,
+        /// The version, or `None` if the sender cannot determine it.
+        version: Option<streams::VersionTag>,
+    },
+    /// Software versions of the endpoints in the next [`Message::Endpoints`] of the sender.
+    EndpointVersions(Vec<EndpointVersion>),
+}
+
+impl Message {
+    /// Feature that the receiver must have announced, or `None` if every host reads the message.
+    #[must_use]
+    pub const fn feature(&self) -> Option<Feature> {
+        match self {
+            Self::Hello { .. }
+            | Self::Status { .. }
+            | Self::Carried(_)
+            | Self::Holdings(_)
+            | Self::Want(_)
+            | Self::Catalog(_)
+            | Self::Endpoints { .. } => None,
+            Self::StreamOrigins(_)
+            | Self::OriginQuery { .. }
+            | Self::OriginAnswer { .. }
+            | Self::EndpointVersions(_) => Some(Feature::StreamVersions),
+        }
+    }
 }
