Hosts share the software versions that began streams

Cause: the software version in the store's entries of endpoints was dropped, so no host knew which version began a stream.

Change: the answer to a link's opening announces link-features: stream-versions, and the opener sends the new messages only to hosts that announced it. Endpoint records are preceded by their versions.

--- a/crates/gateway/src/control/links/cached_parts.rs
+++ b/crates/gateway/src/control/links/cached_parts.rs
@@ -19,7 +19,7 @@
         .record_cached_parts(&parts, clock::now());
     for outbox in cx.state.borrow().outboxes.values() {
         // A lost message at worst makes an endpoint read a prompt again.
-        drop(outbox.try_send(peer::Message::Holdings(parts.clone())));
+        outbox.try_send(peer::Message::Holdings(parts.clone()));
     }
 }
 
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -1,17 +1,19 @@
 //! Receives and handles messages of other hosts.
 
+use std::collections::HashMap;
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::directory;
+use pistachiochute_core::choice::load;
+use pistachiochute_core::{directory, revision, streams};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::clock;
 
 use crate::control::links::apply_cached_parts;
 use crate::control::state::HostEntry;
-use crate::control::{Context, sync};
+use crate::control::{Context, origins, sync};
 use crate::{adapter, events, sockets};
 
 /// Accepts the links of other hosts.
@@ -40,7 +42,9 @@
     let mut connection = h2::server::handshake(stream).await?;
     while let Some(accepted) = connection.accept().await {
         let (req, mut respond) = accepted?;
-        let answer = respond.send_response(http::Response::new(()), false)?;
+        let features = peer::Feature::StreamVersions.as_str();
+        let head = http::Response::builder().header(peer::FEATURES_HEADER, features);
+        let answer = respond.send_response(head.body(())?, false)?;
         let cx = cx.clone();
         tokio::task::spawn_local(async move {
             let result = receive_messages(&cx, req.into_body()).await;
@@ -51,6 +55,13 @@
     Ok(())
 }
 
+/// Host at the other end of a link.
+struct Sender {
+    name: Arc<str>,
+    /// Software versions for its next endpoint records.
+    versions: HashMap<directory::Identity, directory::SoftwareVersion>,
+}
+
 async fn receive_messages<D, S>(
     cx: &Rc<Context<D, S>>,
     mut body: h2::RecvStream,
@@ -60,13 +71,13 @@
     S: adapter::Store,
 {
     let mut decoder = codec::Decoder::new();
-    let mut sender: Option<Arc<str>> = None;
+    let mut sender: Option<Sender> = None;
     while let Some(data) = body.data().await {
         let data = data?;
         body.flow_control().release_capacity(data.len())?;
         decoder.extend(&data);
         while let Some(message) = decoder.take()? {
-            match (message, &sender) {
+            match (message, &mut sender) {
                 (
                     peer::Message::Hello {
                         host,
@@ -78,7 +89,10 @@
                 ) => {
                     let domain = domain.to_string();
                     register_peer(cx, &host, HostEntry { links, domain }, up_ms);
-                    sender = Some(host);
+                    sender = Some(Sender {
+                        name: host,
+                        versions: HashMap::new(),
+                    });
                 }
                 (message, Some(sender)) => handle_message(cx, sender, message),
                 (_, None) => eyre::bail!("message before the name of the sender"),
@@ -104,68 +118,121 @@
     }
 }
 
-fn handle_message<D, S>(cx: &Rc<Context<D, S>>, sender: &Arc<str>, message: peer::Message)
+fn handle_message<D, S>(cx: &Rc<Context<D, S>>, sender: &mut Sender, message: peer::Message)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    let name = &sender.name;
     match message {
         peer::Message::Hello { .. } => {}
         peer::Message::Status {
             known: version,
             store,
             loads,
-        } => {
-            let now = clock::now();
-            let before = |ms| now - Duration::from_millis(u64::from(ms));
-            let mut state = cx.state.borrow_mut();
-            state.record_status(sender, version, store, now);
-            if let Some(loads) = loads {
-                state.load_reports.set_own_load(sender, loads);
-            }
-            state
-                .directory
-                .apply_store_observation(directory::StoreObservation {
-                    answering_since: before(store.steady_ms),
-                    last_answered: before(store.answered_ms),
-                });
-            if version.catalog == state.state_version().catalog {
-                cx.shared.confirm_catalog(before(store.catalog_age_ms));
-            }
-        }
+        } => apply_status(cx, name, version, store, loads),
         peer::Message::Carried(loads) => {
             cx.state
                 .borrow_mut()
                 .load_reports
-                .set_relayed_load(sender, loads);
+                .set_relayed_load(name, loads);
         }
         peer::Message::Holdings(parts) => {
             apply_cached_parts(cx, &parts);
         }
-        peer::Message::Want(version) => send_updates(cx, sender, version),
+        peer::Message::Want(version) => send_updates(cx, name, version),
         peer::Message::Catalog(content) => {
-            cx.apply_catalog(*content, events::Source::Host(sender.clone()));
+            cx.apply_catalog(*content, events::Source::Host(name.clone()));
         }
         peer::Message::Endpoints { complete, records } => {
-            let mut any = false;
-            for record in records {
-                let endpoint = record.endpoint.map(Arc::new);
-                any |= sync::apply_endpoint(
-                    cx,
-                    &record.key,
-                    record.revision,
-                    endpoint,
-                    directory::Source::Host,
-                );
-            }
-            cx.state.borrow_mut().directory.mark_complete(complete);
-            if any {
-                cx.publish();
-            }
+            let versions = std::mem::take(&mut sender.versions);
+            apply_endpoints(cx, complete, records, &versions);
+        }
+        peer::Message::EndpointVersions(versions) => {
+            let pairs = versions.into_iter().map(|v| (v.identity, v.version));
+            sender.versions = pairs.collect();
+        }
+        peer::Message::StreamOrigins(origins) => origins::apply_origins(cx, &origins),
+        peer::Message::OriginQuery {
+            id,
+            stream,
+            service,
+            span_ms,
+        } => {
+            let query = streams::OriginQuery {
+                stream,
+                service,
+                span: Duration::from_millis(u64::from(span_ms)),
+            };
+            let answer = origins::answer_host(cx.clone(), name.clone(), id, query);
+            tokio::task::spawn_local(answer);
+        }
+        peer::Message::OriginAnswer { id, version } => {
+            origins::apply_answer(cx, name, id, version);
         }
     }
 }
 
+/// Applies the status of another host.
+fn apply_status<D, S>(
+    cx: &Context<D, S>,
+    sender: &Arc<str>,
+    version: peer::StateVersion,
+    store: peer::StoreHealth,
+    loads: Option<Vec<load::EndpointLoad>>,
+) {
+    let now = clock::now();
+    let before = |ms| now - Duration::from_millis(u64::from(ms));
+    let mut state = cx.state.borrow_mut();
+    state.record_status(sender, version, store, now);
+    if let Some(loads) = loads {
+        state.load_reports.set_own_load(sender, loads);
+    }
+    state
+        .directory
+        .apply_store_observation(directory::StoreObservation {
+            answering_since: before(store.steady_ms),
+            last_answered: before(store.answered_ms),
+        });
+    if version.catalog == state.state_version().catalog {
+        cx.shared.confirm_catalog(before(store.catalog_age_ms));
+    }
+    if state.is_confirmed_by(sender, now) {
+        state.observe_versions(now);
+        state.versions.confirm(now);
+    }
+}
+
+/// Applies endpoint records of another host, with the software versions that it stated.
+fn apply_endpoints<D, S>(
+    cx: &Context<D, S>,
+    complete: revision::Revision,
+    records: Vec<peer::EndpointRecord>,
+    versions: &HashMap<directory::Identity, directory::SoftwareVersion>,
+) where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let mut any = false;
+    for record in records {
+        let endpoint = record.endpoint.map(|mut endpoint| {
+            endpoint.version = versions.get(&endpoint.identity).cloned();
+            Arc::new(endpoint)
+        });
+        any |= sync::apply_endpoint(
+            cx,
+            &record.key,
+            record.revision,
+            endpoint,
+            directory::Source::Host,
+        );
+    }
+    cx.state.borrow_mut().directory.mark_complete(complete);
+    if any {
+        cx.publish();
+    }
+}
+
 /// Sends a host the catalog and the endpoints that are newer than its own.
 fn send_updates<D, S>(cx: &Rc<Context<D, S>>, host: &Arc<str>, theirs: peer::StateVersion) {
     let state = cx.state.borrow();
@@ -186,12 +253,28 @@
             endpoint: record.endpoint.as_deref().cloned(),
         })
         .collect();
+    if outbox.has_feature(peer::Feature::StreamVersions) {
+        let versions = records.iter().filter_map(endpoint_version);
+        messages.push(peer::Message::EndpointVersions(versions.collect()));
+    }
     messages.push(peer::Message::Endpoints {
         complete: state.directory.complete_revision_for_peers(),
         records,
     });
     for message in messages {
         // If the outbox is full, the link is stalled, and the host repeats its request later.
-        drop(outbox.try_send(message));
+        // Endpoints must not arrive without their versions.
+        if !outbox.try_send(message) {
+            return;
+        }
     }
 }
+
+/// Software version of the endpoint of a record, if it is known.
+fn endpoint_version(record: &peer::EndpointRecord) -> Option<peer::EndpointVersion> {
+    let endpoint = record.endpoint.as_ref()?;
+    Some(peer::EndpointVersion {
+        identity: endpoint.identity.clone(),
+        version: endpoint.version.clone()?,
+    })
+}
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -1,10 +1,11 @@
 //! Links to other hosts. Each host sends its messages on an HTTP/2 stream that it opens itself.
 //!
-//! [`outgoing`] decides what to send, [`incoming`] handles received messages, and [`cached_parts`]
-//! distributes the prompt parts in the caches of engines.
+//! [`outgoing`] decides what to send, [`outbox`] queues messages of other tasks, [`incoming`] handles
+//! received messages, and [`cached_parts`] distributes the prompt parts in the caches of engines.
 
 mod cached_parts;
 mod incoming;
+mod outbox;
 mod outgoing;
 
 use std::cell::Cell;
@@ -18,15 +19,16 @@
 use eyre::WrapErr as _;
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::clock;
-use tokio::sync::mpsc;
 
 use crate::control::Context;
 use crate::{adapter, sockets};
 
+use outbox::Features;
 use outgoing::{CatchUp, SentState};
 
 pub(super) use cached_parts::{apply_cached_parts, broadcast_cached_parts};
 pub(super) use incoming::accept;
+pub use outbox::Outbox;
 
 /// Time in which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -37,9 +39,6 @@
 /// Delay before a lost link is opened again, before jitter.
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
-/// Queued messages per link.
-const OUTBOX_CAPACITY: usize = 16;
-
 /// Maintains a link to every host that the overlay assigns to this one.
 pub(super) async fn maintain_links<D, S>(cx: Rc<Context<D, S>>)
 where
@@ -119,15 +118,25 @@
         up_ms: u32::try_from(uptime).unwrap_or(u32::MAX),
     };
     send(&mut tx, &hello)?;
-    answer.await.wrap_err("answer")?;
+    let answer = answer.await.wrap_err("answer")?;
+    let features = announced_features(answer.headers());
     if !was_up.replace(true) {
         cx.events.link_up(name);
     }
-    let result = send_messages(cx, name, &mut tx).await;
+    let result = send_messages(cx, name, features, &mut tx).await;
     driver.abort();
     result
 }
 
+/// Features that the header of the peer's answer announces.
+fn announced_features(headers: &http::HeaderMap) -> Features {
+    let values = headers.get_all(peer::FEATURES_HEADER);
+    let mut texts = values.iter().filter_map(|value| value.to_str().ok());
+    let feature = peer::Feature::StreamVersions;
+    let is_announced = texts.any(|text| feature.is_in(text));
+    is_announced.then_some(feature).into_iter().collect()
+}
+
 fn send(tx: &mut h2::SendStream<Bytes>, message: &peer::Message) -> eyre::Result<()> {
     let frame = codec::encode(message).wrap_err("message")?;
     tx.send_data(frame, false).wrap_err("link")
@@ -137,17 +146,15 @@
 async fn send_messages<D, S>(
     cx: &Rc<Context<D, S>>,
     name: &Arc<str>,
+    features: Features,
     tx: &mut h2::SendStream<Bytes>,
 ) -> eyre::Result<()>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let (outbox_tx, mut outbox) = mpsc::channel(OUTBOX_CAPACITY);
-    cx.state
-        .borrow_mut()
-        .outboxes
-        .insert(name.clone(), outbox_tx);
+    let (sender, mut outbox) = Outbox::new(features);
+    cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
     let parts = cx.state.borrow().cached_parts(clock::now());
     if !parts.is_empty() {
         send(tx, &peer::Message::Holdings(parts))?;
--- /dev/null
+++ b/crates/gateway/src/control/links/outbox.rs
@@ -0,0 +1,40 @@
+//! Queue of messages for the host at the other end of a link.
+
+use pistachiochute_messages::peer;
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+
+/// Queued messages per link.
+const CAPACITY: usize = 16;
+
+/// Optional features that a host announced.
+pub type Features = SmallVec<[peer::Feature; 1]>;
+
+/// Sending end of the queue. Takes only messages that the other host can read.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    tx: mpsc::Sender<peer::Message>,
+    features: Features,
+}
+
+impl Outbox {
+    /// Creates the queue of a link whose peer announced these features.
+    #[must_use]
+    pub fn new(features: Features) -> (Self, mpsc::Receiver<peer::Message>) {
+        let (tx, rx) = mpsc::channel(CAPACITY);
+        (Self { tx, features }, rx)
+    }
+
+    /// Whether the other host announced a feature.
+    #[must_use]
+    pub fn has_feature(&self, feature: peer::Feature) -> bool {
+        self.features.contains(&feature)
+    }
+
+    /// Queues a message. Returns false if the other host cannot read it, the link is lost, or the
+    /// queue is full.
+    pub fn try_send(&self, message: peer::Message) -> bool {
+        let is_readable = message.feature().is_none_or(|f| self.has_feature(f));
+        is_readable && self.tx.try_send(message).is_ok()
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! [`sync`] reads and watches the entries of the store, and [`host_registry`] registers this host
 //! there. [`links`] exchanges changes with other hosts, so that a host that cannot reach the store
-//! gets them from those that can. [`cache_recovery`] queries the caches of engines after all hosts
-//! were lost.
+//! gets them from those that can. [`origins`] knows which software version began a stream.
+//! [`cache_recovery`] queries the caches of engines after all hosts were lost.
 
 mod cache_recovery;
 mod host_registry;
 mod links;
+mod origins;
 mod state;
 mod sync;
 
@@ -17,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{catalog, time};
+use pistachiochute_core::{catalog, streams, time};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::platform::key_value;
 use pistachiochute_runtime::{clock, metrics};
@@ -79,6 +80,7 @@
         state: RefCell::new(State::new(
             settings.host.name.as_str().into(),
             settings.host.domain.clone(),
+            streams::VersionHistory::new(settings.is_first_start, clock::now()),
         )),
         dialect,
         store,
@@ -102,6 +104,8 @@
     tokio::task::spawn_local(host_registry::sync_hosts(cx.clone()));
     tokio::task::spawn_local(links::accept(cx.clone(), links));
     tokio::task::spawn_local(links::maintain_links(cx.clone()));
+    tokio::task::spawn_local(origins::share_origins(cx.clone()));
+    tokio::task::spawn_local(origins::answer_requests(cx.clone()));
     if !cx.settings.is_first_start {
         tokio::task::spawn_local(cache_recovery::recover(cx.clone()));
     }
@@ -143,7 +147,11 @@
 
     /// Publishes a view of the current state to the traffic thread.
     fn publish(&self) {
-        let view = self.state.borrow_mut().view(clock::now());
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        state.observe_versions(now);
+        let view = state.view(now);
+        drop(state);
         self.shared.publish(view);
     }
 
@@ -176,6 +184,14 @@
         self.store_failures.set(0);
     }
 
+    /// Records that all changes of the endpoints up to now are known.
+    fn confirm_endpoints(&self) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        state.observe_versions(now);
+        state.versions.confirm(now);
+    }
+
     /// Health of this host's connection to the store.
     fn store_health(&self, now: time::Time) -> peer::StoreHealth {
         let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
@@ -223,6 +239,7 @@
         let mut state = self.state.borrow_mut();
         state.update_overlay(now);
         state.load_reports.tick(now);
+        state.tick_streams(now);
         let others = state.load_reports.total_of_others(&state.overlay);
         drop(state);
         self.shared.publish_remote_loads(others);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,13 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::control::links::Outbox;
+use crate::control::origins;
+use crate::shared;
 use pistachiochute_core::choice::prefix;
 use pistachiochute_core::membership::{load_reports, overlay, roster};
-use pistachiochute_core::{catalog, directory, time};
+use pistachiochute_core::{catalog, directory, streams, time};
 use pistachiochute_messages::peer;
-use tokio::sync::mpsc;
-
-use crate::shared;
 
 /// Silence after which a peer counts as gone, so that a relay no longer supplies changes.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
@@ -57,13 +57,21 @@
     /// Last status of each host that has sent one.
     pub peers: HashMap<Arc<str>, PeerStatus>,
     /// Queues of outgoing messages, by the host at the other end of the link.
-    pub outboxes: HashMap<Arc<str>, mpsc::Sender<peer::Message>>,
+    pub outboxes: HashMap<Arc<str>, Outbox>,
     /// Prompt parts in the caches of endpoints, and when their last use was reported.
     cached_parts: HashMap<peer::CachedPart, time::Time>,
     /// Endpoint loads that other hosts have reported.
     pub load_reports: load_reports::LoadReports,
     /// Links and role of this host in the overlay network of hosts.
     pub overlay: overlay::Overlay,
+    /// Origins of the streams that began lately, as far as this host knows them.
+    pub origins: streams::Origins,
+    /// Origins of this host's streams that other hosts have not been sent.
+    pub unsent_origins: Vec<streams::StreamOrigin>,
+    /// Queries for the origins of streams that other hosts were sent.
+    pub origin_queries: origins::OpenQueries,
+    /// Software versions that endpoints have had lately.
+    pub versions: streams::VersionHistory,
     domain: String,
     /// Generation of the last published view.
     generation: u64,
@@ -72,7 +80,7 @@
 impl State {
     /// Creates the state of a host without catalog, endpoints, or peers.
     #[must_use]
-    pub fn new(name: Arc<str>, domain: String) -> Self {
+    pub fn new(name: Arc<str>, domain: String, versions: streams::VersionHistory) -> Self {
         Self {
             name,
             catalog: catalog::CurrentCatalog::default(),
@@ -83,6 +91,10 @@
             cached_parts: HashMap::new(),
             load_reports: load_reports::LoadReports::default(),
             overlay: overlay::Overlay::default(),
+            origins: streams::Origins::new(),
+            unsent_origins: Vec::new(),
+            origin_queries: origins::OpenQueries::default(),
+            versions,
             domain,
             generation: 0,
         }
@@ -100,6 +112,19 @@
         }
     }
 
+    /// Records the software versions of all endpoints.
+    pub fn observe_versions(&mut self, now: time::Time) {
+        let endpoints = self.directory.usable().chain(self.directory.leaving());
+        self.versions.observe(endpoints.map(Arc::as_ref), now);
+    }
+
+    /// Records the software versions of all endpoints, and drops what is known of old streams.
+    pub fn tick_streams(&mut self, now: time::Time) {
+        self.observe_versions(now);
+        self.versions.tick(now);
+        self.origins.tick(now);
+    }
+
     /// Version of this host's catalog and endpoints, as its peers are sent it.
     #[must_use]
     pub fn state_version(&self) -> peer::StateVersion {
@@ -164,15 +189,27 @@
     /// itself.
     #[must_use]
     pub fn has_live_relay(&self, now: time::Time) -> bool {
+        let mut relays = self.overlay.relays.iter();
+        relays.any(|name| self.supplies_changes(name, now))
+    }
+
+    /// Whether a host is a relay that supplies this one with changes of the store.
+    fn supplies_changes(&self, name: &str, now: time::Time) -> bool {
         let is_current = |peer: &PeerStatus| {
             let answered = Duration::from_millis(u64::from(peer.store.answered_ms));
             now.since(peer.last_heard) < PEER_TIMEOUT && answered < RELAY_STORE_TIMEOUT
         };
-        let relays = self.overlay.relays.iter();
         self.overlay.role == overlay::Role::Member
-            && relays
-                .filter_map(|name| self.peers.get(name))
-                .any(is_current)
+            && self.overlay.is_own_relay(name)
+            && self.peers.get(name).is_some_and(is_current)
+    }
+
+    /// Whether the last status of a host shows that this host has all changes of the endpoints.
+    #[must_use]
+    pub fn is_confirmed_by(&self, name: &str, now: time::Time) -> bool {
+        let is_behind =
+            |peer: &PeerStatus| peer.version.endpoints > self.directory.complete_revision();
+        self.supplies_changes(name, now) && !self.peers.get(name).is_some_and(is_behind)
     }
 
     /// Records prompt parts that endpoints have cached, to be sent to hosts that join later.
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{directory, revision};
+use pistachiochute_core::{directory, revision, time};
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
@@ -241,20 +241,25 @@
 {
     let prefix = cx.dialect.endpoints_prefix();
     loop {
+        let mut known_at = clock::now();
         let found = cx
             .store
             .range(prefix, adapter::Consistency::Linearizable)
             .await?;
         let mut after = found.revision;
         replace_endpoints(cx, found);
+        cx.confirm_endpoints();
         loop {
+            let requested_at = clock::now();
             let watched = cx.store.watch(prefix, after, WATCH_TIMEOUT).await?;
             let adapter::WatchResponse::Changes { revision, changes } = watched else {
                 cx.events.watch_compacted(prefix, after);
                 break;
             };
             cx.record_store_response();
-            apply_changes(cx, &changes, revision);
+            apply_changes(cx, &changes, revision, known_at);
+            cx.confirm_endpoints();
+            known_at = requested_at;
             after = after.max(revision);
             if cx.has_live_relay() {
                 return Ok(());
@@ -297,10 +302,13 @@
         .endpoints_listed(found.entries.len(), found.revision);
 }
 
+/// Applies changes of the endpoints. They were written at `known_at` or later, since this host
+/// already knows the state of the store at that time.
 fn apply_changes<D, S>(
     cx: &Context<D, S>,
     changes: &[key_value::Change],
     revision: revision::Revision,
+    known_at: time::Time,
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -311,6 +319,10 @@
             key_value::Change::Put(entry) => (&entry.key, decode_endpoint(cx, entry)),
             key_value::Change::Deleted { key, .. } => (key, None),
         };
+        if let Some(endpoint) = &endpoint {
+            let versions = &mut cx.state.borrow_mut().versions;
+            versions.record_write(endpoint, known_at, clock::now());
+        }
         let source = directory::Source::Store;
         any |= apply_endpoint(cx, &key_text(key), change.revision(), endpoint, source);
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{catalog, choice, directory, outcome, reason, revision, time};
+use pistachiochute_core::{catalog, choice, directory, outcome, reason, revision, streams, time};
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
@@ -103,6 +103,21 @@
     pub end: &'a str,
 }
 
+/// Log entry of a stream whose version is not known for certain.
+#[derive(Clone, Copy, Debug)]
+pub struct OriginLogEntry<'a> {
+    /// The stream, if the request named it.
+    pub stream: Option<streams::StreamKey>,
+    /// Service that serves the stream.
+    pub service: &'a str,
+    /// Whether this host has a record of the stream.
+    pub has_record: bool,
+    /// Number of versions that the service has had lately.
+    pub versions: usize,
+    /// Time for which other hosts were asked.
+    pub waited: Duration,
+}
+
 /// Event log of one thread.
 #[derive(Clone)]
 pub struct Events {
@@ -274,6 +289,19 @@
         );
     }
 
+    /// The version that began a stream is not known for certain, so that the stream is not resumed.
+    pub fn origin_unknown(&self, entry: &OriginLogEntry<'_>) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::info!(
+            self.log, "stream version unknown";
+            "stream" => entry.stream.map(|stream| stream.to_string()), "service" => entry.service,
+            "has_record" => entry.has_record, "versions" => entry.versions,
+            "waited_ms" => millis(entry.waited),
+        );
+    }
+
     /// The host closes a caller's connection that has unfinished requests. `error` is the error of
     /// the connection, if that is the cause.
     pub fn connection_closed(&self, cause: reason::Close, requests: u32, error: Option<&str>) {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,16 +1,23 @@
 //! State shared by the control and the traffic thread of a host.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use crossbeam::queue::SegQueue;
 use pistachiochute_core::choice::load;
 use pistachiochute_core::membership::load_reports;
-use pistachiochute_core::{catalog, directory, time};
+use pistachiochute_core::{catalog, directory, streams, time};
 use pistachiochute_messages::peer;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Time in which the control thread answers a query for the origin of a stream.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Queries for the origins of streams that wait for the control thread. Those beyond are not
+/// answered.
+const MAX_WAITING_QUERIES: usize = 4_096;
 
 /// Immutable snapshot of the routing state.
 #[derive(Clone, Debug, Default)]
@@ -49,6 +56,15 @@
     Stopped,
 }
 
+/// A query of the traffic thread for the version that began a stream.
+#[derive(Debug)]
+pub(crate) struct OriginRequest {
+    /// The query.
+    pub(crate) query: streams::OriginQuery,
+    /// Takes the answer.
+    pub(crate) reply: oneshot::Sender<Option<streams::VersionTag>>,
+}
+
 /// State shared by the two threads.
 #[derive(Debug)]
 pub struct Shared {
@@ -59,6 +75,11 @@
     pub local_cached_parts: SegQueue<peer::CachedPart>,
     /// Prompt parts that endpoints cached for other hosts.
     pub remote_cached_parts: SegQueue<peer::CachedPart>,
+    /// Streams that endpoints began for this host, to be sent to other hosts.
+    pub local_origins: SegQueue<streams::StreamOrigin>,
+    origin_requests: mpsc::Sender<OriginRequest>,
+    /// Receiver of `origin_requests`, until the control thread takes it.
+    origin_requests_rx: Mutex<Option<mpsc::Receiver<OriginRequest>>>,
     /// When the catalog was last confirmed to be the newest one, in microseconds of the host's
     /// clock.
     catalog_confirmed_micros: AtomicU64,
@@ -67,12 +88,16 @@
 
 impl Default for Shared {
     fn default() -> Self {
+        let (origin_requests, origin_requests_rx) = mpsc::channel(MAX_WAITING_QUERIES);
         Self {
             view: ArcSwap::default(),
             remote_loads: ArcSwap::default(),
             local_loads: ArcSwap::default(),
             local_cached_parts: SegQueue::new(),
             remote_cached_parts: SegQueue::new(),
+            local_origins: SegQueue::new(),
+            origin_requests,
+            origin_requests_rx: Mutex::new(Some(origin_requests_rx)),
             catalog_confirmed_micros: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -113,6 +138,26 @@
         self.local_loads.store(Arc::new(loads));
     }
 
+    /// Version that began a stream, or `None` if it is not certain or the control thread does not
+    /// answer in time.
+    pub async fn query_origin(&self, query: streams::OriginQuery) -> Option<streams::VersionTag> {
+        let (reply, answer) = oneshot::channel();
+        self.origin_requests
+            .try_send(OriginRequest { query, reply })
+            .ok()?;
+        let answer = tokio::time::timeout(QUERY_TIMEOUT, answer).await.ok()?;
+        answer.ok()?
+    }
+
+    /// Queries of the traffic thread, for the control thread. `None` after the first call.
+    pub(crate) fn take_origin_requests(&self) -> Option<mpsc::Receiver<OriginRequest>> {
+        let mut receiver = self
+            .origin_requests_rx
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        receiver.take()
+    }
+
     /// Records that the catalog was the newest one at a point in time.
     pub fn confirm_catalog(&self, at: time::Time) {
         self.catalog_confirmed_micros
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -60,6 +60,30 @@
     }
 }
 
+/// Result of a query for the version that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OriginResult {
+    /// The host knew it.
+    Local,
+    /// Another host knew it.
+    Peer,
+    /// It is not known for certain.
+    Unknown,
+}
+
+impl OriginResult {
+    /// All results.
+    pub const ALL: [Self; 3] = [Self::Local, Self::Peer, Self::Unknown];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Local => "local",
+            Self::Peer => "peer",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// State of a host as it sees itself and the fleet, exported as the metric `beliefs`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HostState {
@@ -91,6 +115,7 @@
     token_gap: metrics::Histogram<f64>,
     link_bytes: metrics::Counter<u64>,
     store_losses: metrics::Counter<u64>,
+    origin_queries: metrics::Counter<u64>,
     host_state: metrics::Gauge<u64>,
 }
 
@@ -142,6 +167,11 @@
             ),
             link_bytes: counter(&meter, "link_bytes", "Bytes on the links between hosts"),
             store_losses: counter(&meter, "store_losses", "Times that the store was lost"),
+            origin_queries: counter(
+                &meter,
+                "stream_origin_queries",
+                "Queries for the version that began a stream, by result",
+            ),
             host_state: meter
                 .u64_gauge("beliefs")
                 .with_description("What the host believes, by subject")
@@ -213,6 +243,12 @@
         self.store_losses.add(1, &[]);
     }
 
+    /// Counts a query for the version that began a stream.
+    pub fn origin_queried(&self, result: OriginResult) {
+        self.origin_queries
+            .add(1, &[label("result", result.as_str())]);
+    }
+
     /// Sets the gauges of the host's state.
     pub fn record_host_state(&self, state: &HostState) {
         let rows = [
@@ -269,6 +305,10 @@
         self.in_flight.add(0, &[]);
         self.queued.add(0, &[]);
         self.store_losses.add(0, &[]);
+        for result in OriginResult::ALL {
+            self.origin_queries
+                .add(0, &[label("result", result.as_str())]);
+        }
     }
 }
 
