Resume a stream only at the software version that began it

Cause: the version in an endpoint's entry was decoded and dropped, and the header Resumes was not read, so nothing knew at which version a stream had begun. A resumption went to the cheapest endpoint of the service.

Change: the traffic thread records the version and the endpoint of each stream that begins; the control thread sends these records to other hosts and answers queries. A request that resumes a stream, and a host that resumes one inside an answer, first asks for the version that began it. Only endpoints of that version are selected, and cached prompt parts are copied only from these. If the version is not certain, or no endpoint of it is left, the caller is refused at once with 503 (stream_version_unknown, stream_version_gone), and a stream in progress is cut visibly. A route that is split among services picks the service by the request that began the stream. A stream of which no event was forwarded goes on anywhere, and is recorded anew.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -127,6 +127,10 @@
         InvalidLists => "invalid_lists",
         /// The host itself failed.
         Internal => "internal",
+        /// It is not known for certain which software version began the stream.
+        StreamVersionUnknown => "stream_version_unknown",
+        /// No endpoint of the software version that began the stream can be used.
+        StreamVersionGone => "stream_version_gone",
     }
 }
 
@@ -166,7 +170,9 @@
             | Self::RetryBudget
             | Self::HopLimit
             | Self::ConnectFailed
-            | Self::EndpointRefused => 503,
+            | Self::EndpointRefused
+            | Self::StreamVersionUnknown
+            | Self::StreamVersionGone => 503,
         }
     }
 }
--- a/crates/core/src/retry/retry_after.rs
+++ b/crates/core/src/retry/retry_after.rs
@@ -25,6 +25,7 @@
 pub fn retry_after(reason: reason::Refusal, remaining: Duration, seed: u64) -> Duration {
     let longest = match reason {
         reason::Refusal::NoEndpoint
+        | reason::Refusal::StreamVersionGone
         | reason::Refusal::ConnectFailed
         | reason::Refusal::AtBound
         | reason::Refusal::EndpointRefused => remaining.mul_f64(REMAINING_FRACTION),
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -22,6 +22,8 @@
     pub prompt: Option<prompt::Prompt>,
     /// Id of the last stream event that the caller has received, if it resumes a stream.
     pub after_event: Option<u64>,
+    /// Id of the request that began the stream, if the caller resumes it and states that id.
+    pub resumes: Option<Bytes>,
 }
 
 /// Metadata that the gateway sends to an endpoint with a request.
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -10,7 +10,7 @@
 
 use pistachiochute_core::choice::{cost, homes, load, prefix, prompt};
 use pistachiochute_core::membership::load_reports;
-use pistachiochute_core::{choice, directory, entity, health, map, retry, time};
+use pistachiochute_core::{choice, directory, entity, health, map, retry, streams, time};
 use pistachiochute_messages::peer;
 
 use crate::traffic::Context;
@@ -34,6 +34,8 @@
 struct Entry {
     endpoint: Arc<directory::Endpoint>,
     hash: u64,
+    /// Software version, if it is known.
+    version: Option<streams::VersionTag>,
     /// Load of this host's requests.
     work: load::Work,
     /// Whether the last attempt to connect failed, or reached another endpoint at its address.
@@ -51,6 +53,24 @@
     pub choice: choice::Choice,
     /// Address of the endpoint that cached prompt tokens are copied from.
     pub copy_from: Option<std::net::SocketAddr>,
+    /// Software version of the endpoint, if it is known.
+    pub version: Option<streams::VersionTag>,
+}
+
+/// Which endpoints of a service an attempt may be sent to.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Eligibility<'a> {
+    /// Endpoints that the request was sent to before.
+    pub tried: &'a [entity::EndpointId],
+    /// Software version that the endpoint must have, if the request resumes a stream. Cached
+    /// prompt parts are then copied only from endpoints of this version, too.
+    pub version: Option<streams::VersionTag>,
+}
+
+impl Eligibility<'_> {
+    fn has_version(&self, entry: &Entry) -> bool {
+        self.version.is_none() || entry.version == self.version
+    }
 }
 
 /// State of all endpoints. An endpoint stays in the table until it has left the view and the last
@@ -122,24 +142,26 @@
         self.remove_unused();
     }
 
-    /// Selects an endpoint of a service, excluding those that the request was sent to before.
+    /// Selects an eligible endpoint of a service.
     pub(super) fn select(
         &self,
         service: &str,
         request: &choice::Request,
         others: &load_reports::WorkByEndpoint,
-        tried: &[entity::EndpointId],
+        eligibility: &Eligibility<'_>,
         now: time::Time,
     ) -> Option<SelectedEndpoint> {
         let ids = self.by_service.get(service)?;
         let candidates: Vec<_> = ids
             .iter()
-            .filter(|id| !tried.contains(id))
+            .filter(|id| self.is_eligible(**id, eligibility))
             .filter_map(|id| self.candidate(*id, others, now))
             .collect();
         let is_source = |id| {
             let is_present = |entry: &Entry| {
-                entry.generation == self.generation && *entry.endpoint.service == *service
+                entry.generation == self.generation
+                    && *entry.endpoint.service == *service
+                    && eligibility.has_version(entry)
             };
             self.entries.get(id).is_some_and(is_present) && self.health.is_usable(id)
         };
@@ -155,6 +177,7 @@
         Some(SelectedEndpoint {
             endpoint: entry.endpoint.clone(),
             copy_from: source.map(|entry| entry.endpoint.address),
+            version: entry.version,
             choice,
         })
     }
@@ -168,10 +191,16 @@
         }
     }
 
-    /// Whether a service has an endpoint that the request was not sent to.
-    pub(super) fn has_untried(&self, service: &str, tried: &[entity::EndpointId]) -> bool {
+    /// Whether a service has an eligible endpoint.
+    pub(super) fn has_eligible(&self, service: &str, eligibility: &Eligibility<'_>) -> bool {
         let ids = self.by_service.get(service);
-        ids.is_some_and(|ids| ids.iter().any(|id| !tried.contains(id)))
+        ids.is_some_and(|ids| ids.iter().any(|id| self.is_eligible(*id, eligibility)))
+    }
+
+    fn is_eligible(&self, id: entity::EndpointId, eligibility: &Eligibility<'_>) -> bool {
+        let entry = self.entries.get(id);
+        !eligibility.tried.contains(&id)
+            && entry.is_some_and(|entry| eligibility.has_version(entry))
     }
 
     /// Retry budget of a service: the share of one of `hosts` hosts.
@@ -252,9 +281,14 @@
     }
 
     fn id_for(&mut self, endpoint: &Arc<directory::Endpoint>) -> entity::EndpointId {
+        let version = endpoint
+            .version
+            .as_ref()
+            .map(|version| streams::VersionTag::new(&endpoint.service, version));
         if let Some(id) = self.ids.get(&endpoint.identity) {
             if let Some(entry) = self.entries.get_mut(*id) {
                 entry.endpoint = endpoint.clone();
+                entry.version = version;
                 entry.generation = self.generation;
             }
             return *id;
@@ -269,6 +303,7 @@
             Entry {
                 endpoint: endpoint.clone(),
                 hash,
+                version,
                 work: load::Work::default(),
                 is_unreachable: false,
                 generation: self.generation,
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -6,7 +6,7 @@
 use pistachiochute_core::membership::load_reports;
 use pistachiochute_core::{directory, retry, time};
 
-use super::EndpointTable;
+use super::{Eligibility, EndpointTable};
 use crate::shared;
 
 const NOW: time::Time = time::Time::from_secs(5);
@@ -44,7 +44,8 @@
                 prompt: Some(prompt::Prompt::new(b"m", parts, 5_100, 100)),
                 seed,
             };
-            let selected = table.select("engines", &request, &others, &[], NOW)?;
+            let selected =
+                table.select("engines", &request, &others, &Eligibility::default(), NOW)?;
             selected.copy_from.map(|address| address.port())
         })
         .collect()
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -7,14 +7,14 @@
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame};
-use pistachiochute_core::{entity, retry, sse};
+use pistachiochute_core::{entity, retry, sse, streams};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
 use crate::adapter;
 use crate::traffic::attempt::{OpenedStream, OutgoingRequest};
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, report, serve};
+use crate::traffic::{Context, endpoints, report, serve};
 
 /// Error of a stream that ended early. The connection of the caller is closed, so that the answer
 /// does not look complete.
@@ -42,6 +42,23 @@
     pub attempts: retry::Attempts,
     /// Endpoints that the request was sent to.
     pub tried: SmallVec<[entity::EndpointId; 4]>,
+    /// Key of the stream, over all requests of its caller.
+    pub stream: streams::StreamKey,
+    /// Software version at which the stream goes on, or `None` while it has no event.
+    pub version: Option<streams::VersionTag>,
+}
+
+impl<D> RequestState<D>
+where
+    D: adapter::Dialect,
+{
+    /// Endpoints that the next attempt may be sent to.
+    pub(super) fn eligibility(&self) -> endpoints::Eligibility<'_> {
+        endpoints::Eligibility {
+            tried: &self.tried,
+            version: self.version,
+        }
+    }
 }
 
 /// Resumption in progress. Returns the state of the request and the new stream.
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -36,6 +36,11 @@
 }
 
 impl Plan {
+    /// Longest time since a stream that this request resumes can have begun.
+    pub(super) fn longest_span(&self) -> Duration {
+        self.route.timeout.unwrap_or(DEFAULT_TIMEOUT)
+    }
+
     /// Service that the request goes to, from the catalog.
     pub(super) fn service(&self) -> &catalog::Service {
         self.catalog.service(self.service)
@@ -61,10 +66,12 @@
         .ok_or_else(|| unknown_or_not_ready(reason::Refusal::NotFound))?;
     let account = authenticate(catalog, route, metadata).map_err(unknown_or_not_ready)?;
     let seed = request_seed(&metadata.id);
+    // A route may be split among services. A stream goes on at the one that began it.
+    let first_id = metadata.resumes.as_ref().unwrap_or(&metadata.id);
     let timeout = route.timeout.unwrap_or(DEFAULT_TIMEOUT);
     let caller_timeout = metadata.timeout.unwrap_or(timeout);
     Ok(Plan {
-        service: route.target(seed),
+        service: route.target(request_seed(first_id)),
         account: account.map(|a| a.name.clone()),
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
         deadline: arrived + timeout.min(caller_timeout),
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Response, Uri, header, request, response};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use pistachiochute_core::{catalog, outcome, reason, retry, time};
+use pistachiochute_core::{catalog, outcome, reason, retry, streams, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
@@ -21,7 +21,7 @@
 use crate::traffic::reply::ReplyBody;
 use crate::traffic::report::Report;
 use crate::traffic::{Context, attempt, connection, endpoints, reply};
-use crate::{adapter, events};
+use crate::{adapter, events, shared};
 
 /// Largest request body while there is no catalog, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
@@ -131,6 +131,14 @@
 where
     D: adapter::Dialect,
 {
+    let stream = stream_key(metadata);
+    let version = match metadata.after_event {
+        Some(_) => match resumed_version(&cx.shared, &plan, stream).await {
+            Ok(version) => Some(version),
+            Err(reason) => return refuse(report, reason, outcome::Outcome::NotRun),
+        },
+        None => None,
+    };
     let outgoing = outgoing_request(head, body, metadata);
     let attempts = retry::Attempts::new(plan.route.kind, plan.route.max_attempts);
     let mut state = Box::new(RequestState {
@@ -139,6 +147,8 @@
         outgoing,
         attempts,
         tried: SmallVec::new(),
+        stream: stream.unwrap_or_else(|| streams::StreamKey::of_request(&metadata.id)),
+        version,
     });
     let after_event = metadata.after_event;
     match attempt_until_answer(&mut state, after_event, Some(&mut report)).await {
@@ -154,6 +164,52 @@
     }
 }
 
+/// Key of the stream that a request resumes or begins, or `None` if it resumes a stream without
+/// naming it.
+fn stream_key(metadata: &adapter::RequestMetadata) -> Option<streams::StreamKey> {
+    let first_id = match metadata.after_event {
+        Some(_) => metadata.resumes.as_ref()?,
+        None => &metadata.id,
+    };
+    Some(streams::StreamKey::of_request(first_id))
+}
+
+/// Software version at which a stream goes on that has events.
+async fn resumed_version(
+    shared: &shared::Shared,
+    plan: &Plan,
+    stream: Option<streams::StreamKey>,
+) -> Result<streams::VersionTag, reason::Refusal> {
+    let query = streams::OriginQuery {
+        stream,
+        service: plan.service().name.clone(),
+        span: plan.longest_span(),
+    };
+    let version = shared.query_origin(query).await;
+    version.ok_or(reason::Refusal::StreamVersionUnknown)
+}
+
+/// Records at which software version a stream has begun, so that any host can resume it there.
+fn record_origin<D>(
+    cx: &Rc<Context<D>>,
+    state: &mut RequestState<D>,
+    selected: &endpoints::SelectedEndpoint,
+) where
+    D: adapter::Dialect,
+{
+    let begins = state.version.is_none() && state.plan.route.kind.is_stream();
+    let Some(version) = selected.version.filter(|_| begins) else {
+        return;
+    };
+    cx.shared.local_origins.push(streams::StreamOrigin {
+        stream: state.stream,
+        origin: streams::Origin {
+            version,
+            endpoint: streams::EndpointKey::of_id(&selected.endpoint.identity.id),
+        },
+    });
+}
+
 /// Result of all attempts of a request.
 enum FinalAnswer<D>
 where
@@ -187,7 +243,8 @@
             return give_up(state, last_answer, reason::Refusal::Deadline, outcome);
         }
         let Some(selected) = select_endpoint(&cx, state, now) else {
-            return give_up(state, last_answer, reason::Refusal::NoEndpoint, outcome);
+            let reason = no_endpoint_reason(&cx, state);
+            return give_up(state, last_answer, reason, outcome);
         };
         state.tried.push(selected.choice.endpoint);
         if let Some(report) = &mut report {
@@ -203,7 +260,10 @@
         };
         let (failure, cause, answer) = match attempt::execute(&cx, &attempt).await {
             AttemptResult::Complete(answer) => return FinalAnswer::Complete(answer),
-            AttemptResult::Stream(parts, opened) => return FinalAnswer::Stream(parts, opened),
+            AttemptResult::Stream(parts, opened) => {
+                record_origin(&cx, state, &selected);
+                return FinalAnswer::Stream(parts, opened);
+            }
             AttemptResult::Failed {
                 failure,
                 cause,
@@ -261,11 +321,27 @@
         service,
         &state.plan.choice_request,
         &others,
-        &state.tried,
+        &state.eligibility(),
         now,
     )
 }
 
+/// Why no endpoint can be selected.
+fn no_endpoint_reason<D>(cx: &Rc<Context<D>>, state: &RequestState<D>) -> reason::Refusal
+where
+    D: adapter::Dialect,
+{
+    let of_version = endpoints::Eligibility {
+        version: state.version,
+        ..endpoints::Eligibility::default()
+    };
+    let service = &state.plan.service().name;
+    match cx.endpoints.borrow().has_eligible(service, &of_version) {
+        false if state.version.is_some() => reason::Refusal::StreamVersionGone,
+        _ => reason::Refusal::NoEndpoint,
+    }
+}
+
 /// Time without an answer after which an attempt fails, or `None` if the request cannot be sent
 /// elsewhere.
 fn stall_timeout<D>(cx: &Rc<Context<D>>, state: &RequestState<D>) -> Option<Duration>
@@ -275,7 +351,8 @@
     let route = &state.plan.route;
     let service = &state.plan.service().name;
     let is_last = state.attempts.count() + 1 >= route.max_attempts;
-    if is_last || !cx.endpoints.borrow().has_untried(service, &state.tried) {
+    let endpoints = cx.endpoints.borrow();
+    if is_last || !endpoints.has_eligible(service, &state.eligibility()) {
         return None;
     }
     let target = route.target_latency?;
@@ -391,6 +468,12 @@
     {
         return (state, Err(TruncatedStream::new(cause)));
     }
+    if after_event.is_some() && state.version.is_none() {
+        match resumed_version(&cx.shared, &state.plan, Some(state.stream)).await {
+            Ok(version) => state.version = Some(version),
+            Err(reason) => return (state, Err(TruncatedStream::new(reason.as_str()))),
+        }
+    }
     cx.metrics.retried(reason::Retry::Resume);
     let result = match attempt_until_answer(&mut state, after_event, None).await {
         FinalAnswer::Stream(_, opened) => Ok(*opened),
