Keep a known version only for an incarnation whose start is known

Cause: an entry without a version kept the version of the last entry of the same identity. Identities without a known start are equal across restarts, so a restarted endpoint could get the version of the earlier incarnation.

--- a/crates/core/src/directory/endpoint.rs
+++ b/crates/core/src/directory/endpoint.rs
@@ -33,6 +33,12 @@
     pub fn hash(&self) -> u64 {
         xxhash_rust::xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.started_at_ms)
     }
+
+    /// Whether the identity distinguishes this incarnation from others under the same id.
+    #[must_use]
+    pub const fn is_distinct(&self) -> bool {
+        self.started_at_ms != 0
+    }
 }
 
 impl fmt::Display for Identity {
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -203,7 +203,10 @@
 /// Adds the version that the last known entry of the same incarnation states, if the new entry
 /// states none.
 fn with_known_version(endpoint: Arc<Endpoint>, last: Option<&Endpoint>) -> Arc<Endpoint> {
-    let known = last.filter(|last| last.identity == endpoint.identity);
+    let is_same = |last: &&Endpoint| last.identity == endpoint.identity;
+    let known = last
+        .filter(is_same)
+        .filter(|last| last.identity.is_distinct());
     match known.and_then(|last| last.version.clone()) {
         Some(version) if endpoint.version.is_none() => Arc::new(Endpoint {
             version: Some(version),
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -347,6 +347,63 @@
     assert_eq!(member.directory.usable().count(), 1);
 }
 
+/// Version of the endpoint in use after an entry that another host forwarded without a version.
+fn version_after_a_forwarded_entry(
+    known_start: u64,
+    start: u64,
+) -> Option<directory::SoftwareVersion> {
+    let mut world = World::new();
+    let key = world.key.clone();
+    let known = endpoint("ep", known_start, 1, State::Ready);
+    world
+        .directory
+        .apply(&key, at(1), Some(known), Source::Store, world.now);
+    let mut forwarded = (*endpoint("ep", start, 2, State::Ready)).clone();
+    forwarded.version = None;
+    let forwarded = Some(Arc::new(forwarded));
+    world
+        .directory
+        .apply(&key, at(2), forwarded, Source::Host, world.now);
+    let used = world.directory.usable().next().expect("an endpoint");
+    assert_eq!(used.heartbeat, 2);
+    used.version.clone()
+}
+
+#[test]
+fn an_entry_without_a_version_keeps_the_known_one_of_the_same_incarnation_only() {
+    assert_eq!(version_after_a_forwarded_entry(1, 1), Some("1".into()));
+    assert_eq!(version_after_a_forwarded_entry(1, 2), None);
+    assert_eq!(version_after_a_forwarded_entry(0, 0), None);
+}
+
+#[test]
+fn another_version_is_a_change_of_the_endpoints_in_use() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    let mut other = (*endpoint("ep", 1, 2, State::Ready)).clone();
+    other.version = Some("2".into());
+    let key = world.key.clone();
+    let source = Source::Store;
+    assert!(
+        world
+            .directory
+            .apply(&key, at(2), Some(Arc::new(other)), source, world.now)
+    );
+    assert_eq!(world.directory.last_change(), at(2));
+}
+
+/// Hosts of builds that know no versions read the encoded entry.
+#[test]
+fn the_encoded_entry_has_no_version() {
+    let stated = endpoint("ep", 1, 1, State::Ready);
+    let mut unstated = (*stated).clone();
+    unstated.version = None;
+    let encode = |e: &Endpoint| {
+        bincode::serde::encode_to_vec(e, bincode::config::standard()).expect("an entry")
+    };
+    assert_eq!(encode(&stated), encode(&unstated));
+}
+
 /// A change of an entry.
 #[derive(Clone, Copy, Debug)]
 enum Step {
