Tests: encoding of the messages between hosts

Cause: hosts of two builds share links, and messages are encoded by position.

Change: literal samples of the old messages, the numbers of the new ones, and the feature that each needs.

--- /dev/null
+++ b/crates/messages/tests/peer.rs
@@ -0,0 +1,202 @@
+//! Encoding of the messages between hosts. Hosts of the build before stream versions read the first
+//! seven variants, so their encoding is fixed.
+
+use std::collections::HashSet;
+
+use pistachiochute_core::choice::load;
+use pistachiochute_core::{catalog, directory, revision, streams};
+use pistachiochute_messages::codec;
+use pistachiochute_messages::peer::{self, Message};
+use proptest::collection;
+use proptest::prelude::{any, proptest};
+use proptest::test_runner::{Config, RngSeed};
+
+fn identity() -> directory::Identity {
+    directory::Identity {
+        id: "i".into(),
+        started_at_ms: 200,
+    }
+}
+
+fn endpoint(version: Option<&str>) -> directory::Endpoint {
+    directory::Endpoint {
+        identity: identity(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 7).into(),
+        domain: "d".into(),
+        slots: 4,
+        state: directory::State::Leaving,
+        version: version.map(directory::SoftwareVersion::from),
+        heartbeat: 6,
+    }
+}
+
+fn endpoints(version: Option<&str>) -> Message {
+    let record = |key: &str, revision, endpoint| peer::EndpointRecord {
+        key: key.into(),
+        revision: revision::Revision(revision),
+        endpoint,
+    };
+    Message::Endpoints {
+        complete: revision::Revision(9),
+        records: vec![
+            record("k", 8, Some(endpoint(version))),
+            record("g", 7, None),
+        ],
+    }
+}
+
+fn load() -> load::EndpointLoad {
+    load::EndpointLoad {
+        endpoint: 1,
+        work: load::Work {
+            requests: 2,
+            unread_tokens: 3,
+        },
+    }
+}
+
+/// Messages that every host reads, with their encodings without the length prefix.
+fn fixed() -> Vec<(Message, Vec<u8>)> {
+    let known = peer::StateVersion {
+        catalog: Some(catalog::Version(5)),
+        endpoints: revision::Revision(9),
+    };
+    let hello = Message::Hello {
+        host: "a".into(),
+        links: ([127, 0, 0, 1], 7).into(),
+        domain: "d".into(),
+        up_ms: 300,
+    };
+    let status = Message::Status {
+        known,
+        store: peer::StoreHealth {
+            catalog_age_ms: 1,
+            steady_ms: 2,
+            answered_ms: 3,
+        },
+        loads: Some(vec![load()]),
+    };
+    let part = peer::CachedPart {
+        part: 4,
+        endpoint: 5,
+    };
+    let endpoints_encoding = vec![
+        6, 9, 2, // variant, complete, records
+        1, b'k', 8, 1, // key, revision, has an endpoint
+        1, b'i', 200, 1, b's', 0, 127, 0, 0, 1, 7, 1, b'd', 4, 1, 6, // endpoint
+        1, b'g', 7, 0, // key, revision, has no endpoint
+    ];
+    vec![
+        (
+            hello,
+            vec![0, 1, b'a', 0, 127, 0, 0, 1, 7, 1, b'd', 251, 44, 1],
+        ),
+        (status, vec![1, 1, 5, 9, 1, 2, 3, 1, 1, 1, 2, 3]),
+        (Message::Carried(vec![load()]), vec![2, 1, 1, 2, 3]),
+        (Message::Holdings(vec![part]), vec![3, 1, 4, 5]),
+        (Message::Want(known), vec![4, 1, 5, 9]),
+        (endpoints(None), endpoints_encoding),
+    ]
+}
+
+/// Messages for hosts that announced the feature, with the start of their encodings.
+fn optional() -> Vec<(Message, Vec<u8>)> {
+    let version = directory::SoftwareVersion::from("v2");
+    let tag = streams::VersionTag::new("s", &version);
+    let stream = streams::StreamKey::of_request(b"r1");
+    let origin = streams::StreamOrigin {
+        stream,
+        origin: streams::Origin {
+            version: tag,
+            endpoint: streams::EndpointKey::of_id("i"),
+        },
+    };
+    let query = |stream| Message::OriginQuery {
+        id: 1,
+        stream,
+        service: "s".into(),
+        span_ms: 300,
+    };
+    let answer = |version| Message::OriginAnswer { id: 1, version };
+    let endpoint_version = peer::EndpointVersion {
+        identity: identity(),
+        version,
+    };
+    vec![
+        (Message::StreamOrigins(vec![origin]), vec![7, 1]),
+        (query(Some(stream)), vec![8, 1, 1]),
+        (query(None), vec![8, 1, 0, 1, b's', 251, 44, 1]),
+        (answer(Some(tag)), vec![9, 1, 1]),
+        (answer(None), vec![9, 1, 0]),
+        (
+            Message::EndpointVersions(vec![endpoint_version]),
+            vec![10, 1, 1, b'i', 200, 2, b'v', b'2'],
+        ),
+    ]
+}
+
+fn encode(message: &Message) -> Vec<u8> {
+    let frame = codec::encode(message).expect("a small message");
+    frame[4..].to_vec()
+}
+
+#[test]
+fn encoding_of_old_messages_is_fixed() {
+    for (message, encoding) in fixed() {
+        assert_eq!(encode(&message), encoding, "{message:?}");
+        assert_eq!(codec::decode::<Message>(&encoding), Ok(message));
+    }
+}
+
+#[test]
+fn endpoint_records_do_not_carry_versions() {
+    assert_eq!(encode(&endpoints(Some("v2"))), encode(&endpoints(None)));
+}
+
+#[test]
+fn new_messages_follow_the_old_ones() {
+    for (message, start) in optional() {
+        let encoding = encode(&message);
+        assert!(encoding.starts_with(&start), "{message:?}: {encoding:?}");
+        assert_eq!(codec::decode::<Message>(&encoding), Ok(message));
+    }
+}
+
+#[test]
+fn only_new_messages_need_a_feature() {
+    let feature = Some(peer::Feature::StreamVersions);
+    assert!(fixed().iter().all(|(m, _)| m.feature().is_none()));
+    assert!(optional().iter().all(|(m, _)| m.feature() == feature));
+    let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
+    assert_eq!(variants.len(), 4);
+}
+
+#[test]
+fn feature_is_found_in_a_list() {
+    let feature = peer::Feature::StreamVersions;
+    for header in [
+        "stream-versions",
+        "other, stream-versions",
+        "stream-versions,x",
+    ] {
+        assert!(feature.is_in(header), "{header}");
+    }
+    for header in ["", "other", "stream-versions-2", "stream versions"] {
+        assert!(!feature.is_in(header), "{header}");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(0x5eed),
+        cases: 2_000,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn any_bytes_decode_or_fail(bytes in collection::vec(any::<u8>(), 0..300)) {
+        let _ = codec::decode::<Message>(&bytes);
+    }
+}
