Resume no stream that has sent events without ids

What callers saw (trial with the real daemon): a stream of 20 events without ids that was cut after 7 ended with 27 events, since the endpoint that went on began anew. Without an id, no Last-Event-Id can be sent.

Change: the splitter remembers that it forwarded data without an id, and such a stream is cut visibly. Comments do not count. The test failed to compile before, as nothing told the two cases apart; the trial is the evidence of the fault.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -41,6 +41,8 @@
     last_id: Option<u64>,
     /// Number of forwarded events.
     events: u64,
+    /// Whether an event with data and without an id was forwarded.
+    has_unnumbered: bool,
 }
 
 impl Splitter {
@@ -97,10 +99,18 @@
         self.events
     }
 
+    /// Whether another endpoint can continue the stream. After an event without an id, it would send
+    /// events again.
+    #[must_use]
+    pub const fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Whether the caller does not have the event yet. Records it as forwarded if so.
     fn is_new(&mut self, event: &[u8]) -> Result<bool, StreamError> {
         let Some(id) = event_id(event) else {
             self.events += 1;
+            self.has_unnumbered |= has_data(event);
             return Ok(true);
         };
         match self.last_id {
@@ -130,6 +140,12 @@
     None
 }
 
+/// Whether an event has data. One without is a comment, which may be sent again.
+fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(|b| *b == b'\n');
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 /// Numeric id of an event, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|b| *b == b'\n');
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -26,6 +26,19 @@
     assert_eq!(passed, events(2..5));
 }
 
+/// Guards against events that are sent twice: without their ids, the endpoint that continues a
+/// stream begins anew.
+#[test]
+fn a_stream_with_an_event_without_an_id_is_not_resumable() {
+    let mut splitter = Splitter::default();
+    let comment = b": still there\n\n";
+    splitter.push(comment).expect("no error");
+    splitter.push(events(0..2).as_bytes()).expect("no error");
+    assert!(splitter.is_resumable());
+    splitter.push(b"data: piece\n\n").expect("no error");
+    assert!(!splitter.is_resumable());
+}
+
 #[test]
 fn events_that_the_caller_already_has_are_dropped() {
     let mut splitter = Splitter::resume_after(Some(4));
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -208,10 +208,11 @@
         self.splitter.discard_partial();
         // Closes the connection and ends the count of the request at the endpoint.
         self.source = Source::Done;
-        let may_resume = self
+        let is_idempotent = self
             .state
             .as_ref()
             .is_some_and(|state| state.plan.route.kind.is_idempotent());
+        let may_resume = is_idempotent && self.splitter.is_resumable();
         match self.state.take() {
             Some(state) if may_resume => {
                 let after = self.splitter.last_id();
