Identify incarnations in the version history by their identity

Cause: the history kept only the start of an incarnation under the key of its id.

Change: an incarnation keeps its identity, so ids whose keys collide are not mixed up.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -24,8 +24,7 @@
 /// One incarnation of an endpoint.
 #[derive(Debug)]
 struct Incarnation {
-    /// Start in milliseconds since the Unix epoch; 0 if it is not known.
-    started_at_ms: u64,
+    identity: directory::Identity,
     service: Arc<str>,
     version: Option<VersionTag>,
     first_listed: time::Time,
@@ -37,7 +36,7 @@
 impl Incarnation {
     fn new(endpoint: &directory::Endpoint, now: time::Time) -> Self {
         Self {
-            started_at_ms: endpoint.identity.started_at_ms,
+            identity: endpoint.identity.clone(),
             service: endpoint.service.clone(),
             version: tag(endpoint),
             first_listed: now,
@@ -48,14 +47,14 @@
 
     /// Whether an entry describes this incarnation. A version that was not known may become known.
     fn is_described_by(&self, endpoint: &directory::Endpoint, version: Option<VersionTag>) -> bool {
-        self.started_at_ms == endpoint.identity.started_at_ms
+        self.identity == endpoint.identity
             && self.service == endpoint.service
-            && (self.version == version || (self.version.is_none() && self.is_distinct()))
+            && (self.version == version || (self.version.is_none() && self.identity.is_distinct()))
     }
 
-    /// Whether its start distinguishes it from other incarnations under its id.
-    const fn is_distinct(&self) -> bool {
-        self.started_at_ms != 0
+    /// Whether it started after another incarnation under the same id.
+    fn replaces(&self, other: &directory::Identity) -> bool {
+        self.identity.id == other.id && self.identity.started_at_ms > other.started_at_ms
     }
 
     /// Whether it may have the version, as far as is known.
@@ -66,7 +65,7 @@
     /// Whether it is known to have been alive when a stream began that was recorded at
     /// `recorded_at`, or later.
     fn was_alive_after(&self, recorded_at: time::Time) -> bool {
-        self.is_distinct()
+        self.identity.is_distinct()
             && self
                 .alive_at
                 .is_some_and(|alive_at| recorded_at <= alive_at)
@@ -161,11 +160,10 @@
         alive_at: time::Time,
         now: time::Time,
     ) {
-        let started_at_ms = endpoint.identity.started_at_ms;
         let key = EndpointKey::of_id(&endpoint.identity.id);
         let known = self.incarnations.get(&key);
         let is_replaced =
-            known.is_some_and(|known| known.iter().any(|i| i.started_at_ms > started_at_ms));
+            known.is_some_and(|known| known.iter().any(|i| i.replaces(&endpoint.identity)));
         let incarnation = self.list(endpoint, now);
         if !is_replaced {
             incarnation.alive_at = incarnation.alive_at.max(Some(alive_at));
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -179,6 +179,7 @@
     let endpoints = [endpoint("a", 1, Some("1")), endpoint("b", 1, None)];
     host.run(&endpoints, 0, 20);
     assert_eq!(host.determine(None, 10, 20), None);
+    assert_eq!(host.history.versions(SERVICE), 2);
 }
 
 #[test]
@@ -312,12 +313,36 @@
 }
 
 #[test]
-fn a_version_that_becomes_known_replaces_the_unknown_one_of_the_incarnation() {
+fn an_uncertain_record_gives_none_while_the_history_has_another_version() {
     let mut host = Host::new(true);
-    host.run(&[endpoint("a", 1, None)], 0, 10);
-    host.run(&[endpoint("a", 1, Some("1"))], 11, 12);
-    host.record("s", origin("a", "1"), 12);
-    assert_eq!(host.determine(Some("s"), 10, 12), Some(tag("1")));
+    host.run(&[endpoint("a", 1, Some("1"))], 0, 10);
+    host.run(&[endpoint("a", 2, Some("2"))], 11, 40);
+    host.record("s", origin("a", "2"), 39);
+    assert_eq!(host.determine(None, 10, 40), Some(tag("2")));
+    assert_eq!(host.determine(Some("s"), 10, 40), None);
+}
+
+#[test]
+fn an_incarnation_without_a_known_start_is_not_told_from_a_later_one() {
+    let mut host = Host::new(true);
+    let [earlier, later] = ["1", "2"].map(|version| endpoint("a", 0, Some(version)));
+    host.run(std::slice::from_ref(&earlier), 0, 10);
+    host.record("s", origin("a", "1"), 10);
+    host.run(&[later], 11, 14);
+    host.run(std::slice::from_ref(&earlier), 15, 16);
+    host.history.record_write(&earlier, secs(16), secs(16));
+    assert_eq!(host.determine(Some("s"), 10, 16), None);
+}
+
+#[test]
+fn a_version_that_becomes_known_replaces_the_unknown_one_if_the_start_is_known() {
+    for (start, expected) in [(1, Some(tag("1"))), (0, None)] {
+        let mut host = Host::new(true);
+        host.run(&[endpoint("a", start, None)], 0, 10);
+        host.run(&[endpoint("a", start, Some("1"))], 11, 12);
+        host.record("s", origin("a", "1"), 12);
+        assert_eq!(host.determine(Some("s"), 10, 12), expected);
+    }
 }
 
 /// Longest time until a host learns of a change of an endpoint, unless it has lost the store.
@@ -690,7 +715,10 @@
 
     /// A service with one version throughout always gets its answer.
     #[test]
-    fn one_version_throughout_always_gives_it(drawn in drawn(), version in any::<proptest::sample::Index>()) {
+    fn one_version_throughout_always_gives_it(
+        drawn in drawn(),
+        version in any::<proptest::sample::Index>(),
+    ) {
         let mut drawn = drawn;
         drawn.gaps.clear();
         drawn.host_start_step = 0;
