Tell resumptions by either header, on stream routes only

A request that names a stream to resume but no last event, or a malformed one, counted as a new stream, although its headers reach the endpoint; it now asks for the version like any resumption. A call with a Last-Event-Id was asked about as well and could be refused; only routes of streams are asked about now.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -26,6 +26,14 @@
     pub resumes: Option<Bytes>,
 }
 
+impl RequestMetadata {
+    /// Whether the caller resumes a stream.
+    #[must_use]
+    pub const fn resumes_stream(&self) -> bool {
+        self.after_event.is_some() || self.resumes.is_some()
+    }
+}
+
 /// Metadata that the gateway sends to an endpoint with a request.
 #[derive(Clone, Copy, Debug)]
 pub struct CallMetadata<'a> {
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -132,12 +132,12 @@
     D: adapter::Dialect,
 {
     let stream = stream_key(metadata);
-    let version = match metadata.after_event {
-        Some(_) => match resumed_version(&cx.shared, &plan, stream).await {
+    let version = match plan.route.kind.is_stream() && metadata.resumes_stream() {
+        true => match resumed_version(&cx.shared, &plan, stream).await {
             Ok(version) => Some(version),
             Err(reason) => return refuse(report, reason, outcome::Outcome::NotRun),
         },
-        None => None,
+        false => None,
     };
     let outgoing = outgoing_request(head, body, metadata);
     let attempts = retry::Attempts::new(plan.route.kind, plan.route.max_attempts);
@@ -167,9 +167,9 @@
 /// Key of the stream that a request resumes or begins, or `None` if it resumes a stream without
 /// naming it.
 fn stream_key(metadata: &adapter::RequestMetadata) -> Option<streams::StreamKey> {
-    let first_id = match metadata.after_event {
-        Some(_) => metadata.resumes.as_ref()?,
-        None => &metadata.id,
+    let first_id = match metadata.resumes_stream() {
+        true => metadata.resumes.as_ref()?,
+        false => &metadata.id,
     };
     Some(streams::StreamKey::of_request(first_id))
 }
