Prefer endpoints without a lost connection for resumed streams

Change: an endpoint is not selected for a resumed stream for 3 s after a connection to it was lost or could not be made, unless all endpoints of the version had that. New requests are selected as before. Two unit tests of the endpoint table.

--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -29,6 +29,11 @@
     max_slow_share: 0.2,
 };
 
+/// Time after a lost connection in which other endpoints are preferred for resumed streams. The
+/// endpoint may have restarted under its id with another software version, and its new entry comes
+/// after up to one heartbeat and one delay of the watch.
+const RESTART_NOTICE: Duration = Duration::from_secs(3);
+
 /// State of one endpoint.
 #[derive(Debug)]
 struct Entry {
@@ -40,6 +45,8 @@
     work: load::Work,
     /// Whether the last attempt to connect failed, or reached another endpoint at its address.
     is_unreachable: bool,
+    /// When a connection to it was last lost or could not be made.
+    lost_at: Option<time::Time>,
     /// Generation of the last view that contained the endpoint.
     generation: u64,
     /// Running and queued requests that the endpoint last reported, and when.
@@ -152,9 +159,13 @@
         now: time::Time,
     ) -> Option<SelectedEndpoint> {
         let ids = self.by_service.get(service)?;
+        let mut ids = ids.to_vec();
+        ids.retain(|id| self.is_eligible(*id, eligibility));
+        if eligibility.version.is_some() {
+            self.prefer_steady(&mut ids, now);
+        }
         let candidates: Vec<_> = ids
             .iter()
-            .filter(|id| self.is_eligible(**id, eligibility))
             .filter_map(|id| self.candidate(*id, others, now))
             .collect();
         let is_source = |id| {
@@ -197,6 +208,24 @@
         ids.is_some_and(|ids| ids.iter().any(|id| self.is_eligible(*id, eligibility)))
     }
 
+    /// Removes endpoints that may have restarted lately, unless all may.
+    fn prefer_steady(&self, ids: &mut Vec<entity::EndpointId>, now: time::Time) {
+        let lost_at = |id: &entity::EndpointId| self.entries.get(*id)?.lost_at;
+        let is_steady = |id: &entity::EndpointId| {
+            lost_at(id).is_none_or(|lost_at| now.since(lost_at) >= RESTART_NOTICE)
+        };
+        if ids.iter().any(is_steady) {
+            ids.retain(is_steady);
+        }
+    }
+
+    /// Records that a connection to an endpoint was lost.
+    fn record_lost_connection(&mut self, id: entity::EndpointId, now: time::Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.lost_at = Some(now);
+        }
+    }
+
     fn is_eligible(&self, id: entity::EndpointId, eligibility: &Eligibility<'_>) -> bool {
         let entry = self.entries.get(id);
         !eligibility.tried.contains(&id)
@@ -222,6 +251,9 @@
         now: time::Time,
     ) {
         self.health.observe(now, id, observation);
+        if observation != health::Observation::Completed {
+            self.record_lost_connection(id, now);
+        }
         if let Some(entry) = self.entries.get_mut(id) {
             entry.is_unreachable = matches!(
                 observation,
@@ -306,6 +338,7 @@
                 version,
                 work: load::Work::default(),
                 is_unreachable: false,
+                lost_at: None,
                 generation: self.generation,
                 reported: None,
             },
@@ -381,6 +414,12 @@
         }
     }
 
+    /// Records that the connection to the endpoint was lost.
+    pub(super) fn record_lost_connection(&self, now: time::Time) {
+        let mut endpoints = self.cx.endpoints.borrow_mut();
+        endpoints.record_lost_connection(self.endpoint, now);
+    }
+
     /// Records that the endpoint has read the prompt.
     pub(super) fn mark_prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -1,10 +1,11 @@
 //! Selection of the endpoint that cached prompt parts are copied from.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use pistachiochute_core::choice::{self, prompt};
 use pistachiochute_core::membership::load_reports;
-use pistachiochute_core::{directory, retry, time};
+use pistachiochute_core::{directory, retry, streams, time};
 
 use super::{Eligibility, EndpointTable};
 use crate::shared;
@@ -81,3 +82,58 @@
     let sources = sources(&view(engines(), &[101], "engines"));
     assert!(sources.contains(&101));
 }
+
+/// Ports of the endpoints that are selected for resumed streams, over 200 requests.
+fn resumed_at(table: &EndpointTable, now: time::Time) -> BTreeSet<u16> {
+    let others = load_reports::WorkByEndpoint::new();
+    let eligibility = Eligibility {
+        version: Some(streams::VersionTag::new("engines", &"1".into())),
+        ..Eligibility::default()
+    };
+    let select = |seed| {
+        let request = choice::Request { prompt: None, seed };
+        let selected = table.select("engines", &request, &others, &eligibility, now)?;
+        Some(selected.endpoint.address.port())
+    };
+    (0..200).filter_map(select).collect()
+}
+
+/// Guards against a resumed stream at an endpoint that has just restarted with another version.
+#[test]
+fn a_lost_endpoint_is_avoided_for_resumed_streams_until_its_entry_can_be_known() {
+    let endpoints: Vec<_> = (1..=2)
+        .map(|number| endpoint("engines", number, directory::State::Ready))
+        .collect();
+    let budget = retry::FleetBudget {
+        ratio: 0.1,
+        extra: 10.0,
+    };
+    let mut table = EndpointTable::new("dom-a".to_owned(), budget, NOW);
+    table.update(&view(endpoints, &[], "engines"));
+    let ids = table.by_service["engines"].clone();
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([1, 2]));
+    table.record_lost_connection(ids[0], NOW);
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
+    let later = NOW + super::RESTART_NOTICE;
+    assert_eq!(resumed_at(&table, later), BTreeSet::from([1, 2]));
+    table.record_lost_connection(ids[0], later);
+    table.record_lost_connection(ids[1], later);
+    assert_eq!(resumed_at(&table, later), BTreeSet::from([1, 2]));
+}
+
+#[test]
+fn an_endpoint_of_another_or_unknown_version_is_not_selected_for_a_resumed_stream() {
+    let mut other = directory::Endpoint::clone(&endpoint("engines", 1, directory::State::Ready));
+    other.version = Some("2".into());
+    let mut unknown = directory::Endpoint::clone(&endpoint("engines", 2, directory::State::Ready));
+    unknown.version = None;
+    let budget = retry::FleetBudget {
+        ratio: 0.1,
+        extra: 10.0,
+    };
+    let mut table = EndpointTable::new("dom-a".to_owned(), budget, NOW);
+    let same = endpoint("engines", 3, directory::State::Ready);
+    let endpoints = vec![Arc::new(other), Arc::new(unknown), same];
+    table.update(&view(endpoints, &[], "engines"));
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([3]));
+}
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -206,6 +206,9 @@
         cause: &str,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
         self.splitter.discard_partial();
+        if let Source::Endpoint(opened) = &self.source {
+            opened.in_flight.record_lost_connection(clock::now());
+        }
         // Closes the connection and ends the count of the request at the endpoint.
         self.source = Source::Done;
         let is_idempotent = self
