Measure the messages about streams between hosts

Cause: the origins of streams and the queries for them are control traffic, and no measurement counted them against the budget of 9 KB/s a host.

Change: the group `streams` of `measure` encodes real messages with the codec of the links, with a fixed seed, at the design size and in a full mesh of 8 hosts, each request a resumable stream. The headers of packets and frames are those of the membership figures. The bounds are the budget, and the size of the table. `measure slopes` reads the memory of the table.

--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -2,7 +2,9 @@
 
 use std::{path, process};
 
-use pistachiochute_measure::{actions, bounds, figure, lists, membership, routing, slopes};
+use pistachiochute_measure::{
+    actions, bounds, figure, lists, membership, routing, slopes, streams,
+};
 
 use crate::{exit, known_red, table};
 
@@ -13,6 +15,7 @@
     Lists,
     Routing,
     Membership,
+    Streams,
     Slopes,
 }
 
@@ -22,6 +25,7 @@
         Self::Lists,
         Self::Routing,
         Self::Membership,
+        Self::Streams,
         Self::Slopes,
     ];
 
@@ -31,6 +35,7 @@
             Self::Lists => "lists",
             Self::Routing => "routing",
             Self::Membership => "membership",
+            Self::Streams => "streams",
             Self::Slopes => "slopes",
         }
     }
@@ -41,6 +46,7 @@
             Self::Lists => lists::run(),
             Self::Routing => routing::run(),
             Self::Membership => membership::run(),
+            Self::Streams => streams::run(),
             Self::Slopes => slopes::run(),
         }
     }
@@ -48,7 +54,7 @@
     /// Whether the group is run when none is named. Wall-clock readings are run on request only.
     const fn is_counted(self) -> bool {
         match self {
-            Self::Actions | Self::Lists | Self::Routing | Self::Membership => true,
+            Self::Actions | Self::Lists | Self::Routing | Self::Membership | Self::Streams => true,
             Self::Slopes => false,
         }
     }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod report;
 pub mod routing;
 pub mod slopes;
+pub mod streams;
 pub mod traces;
--- a/crates/measure/src/membership/mod.rs
+++ b/crates/measure/src/membership/mod.rs
@@ -9,6 +9,8 @@
 
 use crate::figure;
 
+pub(crate) use simulation::{FRAME_HEADER_BYTES, PACKET_HEADER_BYTES};
+
 /// Time in which bytes are counted, after the warm-up.
 const COUNTING_PERIOD: Duration = Duration::from_secs(60);
 
--- a/crates/measure/src/membership/simulation.rs
+++ b/crates/measure/src/membership/simulation.rs
@@ -17,13 +17,13 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Size of the headers of a TCP/IPv4 packet with timestamps, in bytes.
-const PACKET_HEADER_BYTES: u64 = 52;
+pub(crate) const PACKET_HEADER_BYTES: u64 = 52;
 
 /// Number of packets that each end sends in an exchange: data, acknowledgement and window update.
 const PACKETS_PER_EXCHANGE: u64 = 3;
 
 /// Size of an h2 frame header, in bytes.
-const FRAME_HEADER_BYTES: u64 = 9;
+pub(crate) const FRAME_HEADER_BYTES: u64 = 9;
 
 /// Size in bytes of the h2 frames other than data that each end sends in an exchange: headers, end
 /// of stream, and a window update with its payload of 4 bytes. The header block is extra.
--- a/crates/measure/src/slopes/mod.rs
+++ b/crates/measure/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 mod fit;
 mod roles;
 mod sample;
+mod streams;
 
 use std::fmt::Write as _;
 
@@ -55,6 +56,7 @@
     // Memory first: memory that other work has freed would be used again without being seen.
     let lists_memory = roles::lists_memory()?;
     let entry_memory = roles::entry_memory()?;
+    let origins_memory = streams::origins_memory()?;
     Ok(vec![
         roles::entry_time(),
         entry_memory,
@@ -68,6 +70,7 @@
         lists_memory,
         roles::journal_time()?,
         roles::journal_bytes()?,
+        origins_memory,
     ])
 }
 
