Send the origins of streams every 150 ms

Cause: messages every 50 ms, most of them with one origin, cost a host of a full mesh of 8 at 120 streams/s 10,810 B/s, over the budget of 9,000 B/s for all control, and 140 sends a second.

Change: 150 ms. A host that is killed loses the origins of so long instead.

--- a/crates/gateway/src/control/origins.rs
+++ b/crates/gateway/src/control/origins.rs
@@ -25,7 +25,7 @@
 use crate::{events, shared};
 
 /// Interval at which new origins are sent.
-const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+const SHARE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Time in which other hosts answer a query of this host's traffic thread.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/measure/src/streams.rs
+++ b/crates/measure/src/streams.rs
@@ -16,7 +16,7 @@
 use crate::membership::{FRAME_HEADER_BYTES, PACKET_HEADER_BYTES};
 
 /// Interval at which a host sends the origins of its new streams.
-const SHARE_INTERVAL: Duration = Duration::from_millis(50);
+const SHARE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Time in which bytes are counted. Twice the retention, so that tables reach their full size.
 const COUNTING_PERIOD: Duration = Duration::from_secs(120);
