Soak: releases with two software versions, and callers that take streams up

Cause: the soak had endpoints of one version only, and no caller took a cut stream up again, so it could not show a stream that holds events of two versions.

Change: a service of its own with endpoints of two versions, three each. Endpoints drain and are replaced by others of the other version, restart as the other version under their id, give their address to another endpoint, or have their connections cut; two of each version are left. Eight callers disconnect within half of their tries and take cut streams up at any host, those with planned work included. Checks: a stream holds events of one version, in one answer and over its tries, in order and none missing; and of 12 take-ups or more, while two endpoints of their version serve, the share that goes on is at least half of the share of new streams that begin. Other checks and bounds are unchanged.

--- a/crates/soak/src/fleet/configuration.rs
+++ b/crates/soak/src/fleet/configuration.rs
@@ -2,6 +2,8 @@
 
 use pistachiochute_standins::platform::records;
 
+use crate::versions;
+
 /// Timeout of the routes with short answers, in milliseconds.
 const TIMEOUT_MS: u64 = 4_000;
 
@@ -44,6 +46,7 @@
             route("resumable", "streaming", "streams", 3),
             route("long", "streaming", "streams", 1),
             route("long-resumable", "streaming", "streams", 3),
+            route(versions::ROUTE, "streaming", versions::SERVICE, 3),
         ];
         for i in 0..self.unused_routes() {
             routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
@@ -51,7 +54,7 @@
         let config = records::Config {
             version: self.version,
             routes: &routes,
-            services: &["calls", "streams"],
+            services: &["calls", "streams", versions::SERVICE],
             keys: &[key],
             idle_timeout_ms: self.idle_timeout_ms,
         };
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 use crate::checks::{EVENTS, Ran, Seen, Verdict};
 use crate::process::Host;
 use crate::schedule::draw;
-use crate::{load, schedule};
+use crate::{load, schedule, versions};
 
 /// Endpoints with faults of all kinds.
 const FAULTY_ENDPOINTS: usize = 4;
@@ -269,9 +269,12 @@
         ));
         std::fs::create_dir_all(&dir).wrap_err("directory of the run")?;
         let mut world = World::start(self, &dir)?;
+        let replicas = versions::Replicas::start(&world.store, self.seed)?;
         let unready = world.unready(START);
         eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
         let callers = self.start_callers(&world);
+        let addresses: Vec<_> = world.hosts.iter().map(|host| host.callers).collect();
+        let versions = replicas.serve(&addresses, &world.callers, self.seed);
         let steps = draw(self.seed, &self.places(), self.length);
         play_steps(&mut world, &steps)?;
         let unready = world.unready(RECOVERY);
@@ -285,6 +288,9 @@
                 .join()
                 .map_err(|_| eyre::eyre!("a caller panicked"))?;
         }
+        let findings = versions.finish()?;
+        println!("seed {}: {}", self.seed, findings.summary);
+        world.seen.found.extend(findings.broken);
         let seen = world.close()?;
         let verdict = self.verdict(&seen, steps.len());
         match verdict.is_kept() {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod process;
 mod schedule;
+mod versions;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
