--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::control::links::Outbox;
-use crate::control::origins;
-use crate::shared;
 use pistachiochute_core::choice::prefix;
 use pistachiochute_core::membership::{load_reports, overlay, roster};
 use pistachiochute_core::{catalog, directory, streams, time};
 use pistachiochute_messages::peer;
 
+use crate::control::links::Outbox;
+use crate::control::origins;
+use crate::shared;
+
 /// Silence after which a peer counts as gone, so that a relay no longer supplies changes.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_800);
 
