--- a/crates/core/src/liveness/caller_connection.rs
+++ b/crates/core/src/liveness/caller_connection.rs
@@ -18,8 +18,9 @@
 /// State of one connection.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerConnection {
-    /// Requests that have arrived and whose answers have not ended. An answer ends with its last
-    /// byte, not with its head: a stream may go on for longer than the idle timeout.
+    /// Requests that have arrived and whose answers have not ended. An answer ends when its body
+    /// ends, not with its head: a stream may go on for longer than the idle timeout. The last bytes
+    /// may still wait to be sent then; shutting the connection down does not cut them off.
     unfinished: u32,
     /// Whether a request has ever arrived.
     has_had_request: bool,
