Decode and log that an endpoint says that it leaves

Cause: the name of the header is in no crate, and logs cannot show that an endpoint says that it leaves, nor what it is sent afterwards. An answer of an unknown request on a new connection, and one of another endpoint at the address (421), say nothing of this endpoint. Nothing is decided by it yet.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -60,6 +60,17 @@
     pub waiting: u32,
 }
 
+/// What an answer says of whether its endpoint leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveNotice {
+    /// Nothing.
+    Absent,
+    /// The endpoint leaves.
+    Leaving,
+    /// Something that the platform does not define.
+    Invalid,
+}
+
 /// Metadata in the head of an endpoint's answer.
 #[derive(Clone, Debug)]
 pub struct ResponseMetadata {
@@ -74,6 +85,8 @@
     /// Requests a second that the endpoint takes from all hosts together, if it names a limit. An
     /// error if what it names is not a rate.
     pub limit: Option<Result<rate_limits::RequestRate, rate_limits::ParseRateError>>,
+    /// Whether the endpoint says that it leaves.
+    pub leave_notice: LeaveNotice,
     /// Time after which the endpoint closes an idle connection.
     pub idle_limit: Option<Duration>,
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -329,6 +329,16 @@
         );
     }
 
+    /// An endpoint says in an answer that it leaves.
+    pub fn endpoint_leaves(&self, endpoint: &directory::Identity) {
+        slog::info!(self.log, "endpoint leaves"; "endpoint" => %endpoint);
+    }
+
+    /// What an endpoint says of whether it leaves is not defined.
+    pub fn leave_notice_invalid(&self, endpoint: &directory::Identity) {
+        slog::warn!(self.log, "endpoint leave notice invalid"; "endpoint" => %endpoint);
+    }
+
     /// An endpoint has crashed: it lost connections and refuses others.
     pub fn endpoint_crashed(&self, endpoint: &directory::Identity, crash: &quarantine::Crash) {
         let prompts: Vec<String> = crash.prompts.iter().map(|p| part_list(p)).collect();
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -179,6 +179,10 @@
         Ok(req) => req,
         Err(e) => return failed(AttemptFailure::NotSent, e.to_string()),
     };
+    let endpoint = attempt.selected.choice.endpoint;
+    if cx.endpoints.borrow().has_announced_leaving(endpoint) {
+        cx.metrics.sent_after_leave_notice();
+    }
     match connection.sender().try_send_request(req).await {
         Ok(answer) => evaluate_answer(cx, attempt, answer, connection, in_flight).await,
         Err(mut e) => {
@@ -268,14 +272,16 @@
             .borrow_mut()
             .record_reported_load(attempt.selected.choice.endpoint, load, now);
     }
-    // On a reused connection, a late answer to an earlier request may arrive first. The id of the
-    // answer must then match, as must any id on a new connection.
-    let may_be_late = head.id.is_some() || !connection.is_new();
-    if may_be_late && head.id.as_ref() != Some(&attempt.outgoing.id) {
+    let answered = answered_request(&head, attempt.outgoing, &connection);
+    let is_elsewhere = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if answered != AnsweredRequest::Unknown && !is_elsewhere {
+        record_leave_notice(cx, attempt.selected, head.leave_notice);
+    }
+    if answered != AnsweredRequest::Own {
         return failed(AttemptFailure::InvalidAnswer, "answer to another request");
     }
     record_limit(cx, attempt.selected, head.limit, in_flight.started());
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+    if is_elsewhere {
         return failed(
             AttemptFailure::EndpointReplaced,
             "another endpoint has the address",
@@ -327,6 +333,55 @@
     result
 }
 
+/// Request that an answer belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnsweredRequest {
+    /// The request of the attempt.
+    Own,
+    /// An earlier one on the same connection, and thus of the same process.
+    Earlier,
+    /// Neither: the endpoint may not have made the answer.
+    Unknown,
+}
+
+/// Request that an answer belongs to. On a reused connection, a late answer to an earlier request may
+/// arrive first. The id of the answer must then match, as must any id on a new connection.
+fn answered_request(
+    head: &adapter::ResponseMetadata,
+    outgoing: &OutgoingRequest,
+    connection: &pool::Connection,
+) -> AnsweredRequest {
+    match &head.id {
+        Some(id) if *id == outgoing.id => AnsweredRequest::Own,
+        None if connection.is_new() => AnsweredRequest::Own,
+        _ if connection.is_new() => AnsweredRequest::Unknown,
+        _ => AnsweredRequest::Earlier,
+    }
+}
+
+/// Records what an answer says of whether its endpoint leaves.
+fn record_leave_notice<D>(
+    cx: &Rc<Context<D>>,
+    selected: &endpoints::SelectedEndpoint,
+    notice: adapter::LeaveNotice,
+) where
+    D: adapter::Dialect,
+{
+    let mut endpoints = cx.endpoints.borrow_mut();
+    if !endpoints.record_leave_notice(selected.choice.endpoint, notice) {
+        return;
+    }
+    let identity = &selected.endpoint.identity;
+    match notice {
+        adapter::LeaveNotice::Absent => {}
+        adapter::LeaveNotice::Leaving => {
+            cx.metrics.leave_notice();
+            cx.events.endpoint_leaves(identity);
+        }
+        adapter::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
+    }
+}
+
 /// Records the limit that an answer names, or that it names none.
 fn record_limit<D>(
     cx: &Rc<Context<D>>,
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -50,6 +50,8 @@
     is_unreachable: bool,
     /// When a connection to it was last lost or could not be made.
     lost_at: Option<time::Time>,
+    /// What it last said of whether it leaves. Invariant: stays [`adapter::LeaveNotice::Leaving`].
+    leave_notice: adapter::LeaveNotice,
     /// Generation of the last view that contained the endpoint.
     generation: u64,
     /// Running and queued requests that the endpoint last reported, and when.
@@ -327,6 +329,30 @@
         }
     }
 
+    /// Records what an answer says of whether its endpoint leaves. Returns whether that has changed.
+    ///
+    /// An endpoint that leaves says so in all later answers. One that does not say so was made
+    /// before, even if it arrives later.
+    pub(super) fn record_leave_notice(
+        &mut self,
+        id: entity::EndpointId,
+        notice: adapter::LeaveNotice,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if entry.leave_notice == adapter::LeaveNotice::Leaving {
+            return false;
+        }
+        std::mem::replace(&mut entry.leave_notice, notice) != notice
+    }
+
+    /// Whether an endpoint has said that it leaves.
+    pub(super) fn has_announced_leaving(&self, id: entity::EndpointId) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.leave_notice == adapter::LeaveNotice::Leaving)
+    }
+
     /// Records the limit that an answer of an endpoint names, or that it names none. Returns what
     /// other hosts are to be told, if it is new.
     pub(super) fn record_limit(
@@ -450,6 +476,7 @@
                 work: load::Work::default(),
                 is_unreachable: false,
                 lost_at: None,
+                leave_notice: adapter::LeaveNotice::Absent,
                 generation: self.generation,
                 reported: None,
             },
