--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -131,6 +131,10 @@
     crashes: http::CrashSwitch,
     /// Value of the header in which the endpoint names its limit, if it does.
     limit: Mutex<Option<String>>,
+    /// Value of the header in which the endpoint says that it leaves, if it does.
+    leave_notice: Mutex<Option<String>>,
+    /// When requests came, run or not.
+    arrivals: Mutex<Vec<Instant>>,
     /// When the endpoint may send again.
     silent_until: Mutex<Instant>,
     runs: Mutex<Vec<Run>>,
@@ -186,6 +190,8 @@
             crashing_call: Mutex::default(),
             crashes: crashes.clone(),
             limit: Mutex::default(),
+            leave_notice: Mutex::default(),
+            arrivals: Mutex::default(),
             silent_until: Mutex::new(Instant::now()),
             runs: Mutex::default(),
             cancelled: watch::Sender::new(0),
@@ -252,6 +258,17 @@
         *lock(&self.handler.limit) = limit.map(str::to_owned);
     }
 
+    /// Says in all later answers that it leaves, with this value, or no longer.
+    pub fn set_leave_notice(&self, notice: Option<&str>) {
+        *lock(&self.handler.leave_notice) = notice.map(str::to_owned);
+    }
+
+    /// Times at which requests came, run or not.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.handler.arrivals).clone()
+    }
+
     /// Crashes the endpoint, whatever it is running.
     pub fn crash(&self, down_for: Duration) {
         self.handler.crashes.crash(down_for);
@@ -340,10 +357,14 @@
 
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        lock(&self.arrivals).push(Instant::now());
         let mut reply = self.clone().answer(req).await?;
         if let Some(limit) = &*lock(&self.limit) {
             reply.headers_mut().insert("server-limit", value(limit));
         }
+        if let Some(notice) = &*lock(&self.leave_notice) {
+            reply.headers_mut().insert("server-leaving", value(notice));
+        }
         Some(reply)
     }
 }
