Send nothing to endpoints that have said that they leave

Callers saw: requests sent to an endpoint that had told the host that it leaves (DRAIN). Cause: no host read what endpoints say of their leaving; it was known from the store alone, which may be late, out of reach, or never told. Change: from the head of such an answer on, the traffic thread selects the incarnation for nothing (first attempts, retries, resumed streams, trials), drops what waits for a connection to it (sent elsewhere without a charge to the retry budget), and closes idle connections. The counter of attempts after a notice is dropped: it could count nothing now.

--- a/crates/core/src/directory/endpoint.rs
+++ b/crates/core/src/directory/endpoint.rs
@@ -47,6 +47,33 @@
     }
 }
 
+/// Key of one incarnation of an endpoint, the same on every host.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct IncarnationKey(u64);
+
+impl IncarnationKey {
+    /// Key of an incarnation.
+    #[must_use]
+    pub fn of(identity: &Identity) -> Self {
+        Self(identity.hash())
+    }
+
+    /// Key with this value.
+    #[must_use]
+    pub const fn new(key: u64) -> Self {
+        Self(key)
+    }
+}
+
+impl fmt::Display for IncarnationKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// An endpoint, as its entry in the store describes it.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Endpoint {
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -6,13 +6,18 @@
 //! unconfirmed, and they stay in use, until the store has been available again for
 //! [`RENEWAL_GRACE`]. A removal at any other time, and an endpoint's announcement that it is
 //! leaving, take effect at once.
+//!
+//! An endpoint may also say in its answers that it leaves ([`Departures`]), before its entry does.
+//! Whatever entries of that incarnation come later, it stays out of use.
 
+mod departures;
 mod endpoint;
 mod record;
 mod software;
 mod store_outage;
 
-pub use endpoint::{Endpoint, Identity, State};
+pub use departures::{DEPARTURE_RETENTION, Departure, Departures};
+pub use endpoint::{Endpoint, Identity, IncarnationKey, State};
 pub use record::Record;
 pub use software::SoftwareVersion;
 pub use store_outage::{RENEWAL_GRACE, StoreObservation, StoreOutage};
@@ -45,6 +50,8 @@
     /// endpoints, which change only the heartbeat and do not count.
     last_change: revision::Revision,
     outage: StoreOutage,
+    /// Endpoints that have said that they leave.
+    departures: Departures,
 }
 
 impl Directory {
@@ -174,18 +181,55 @@
         }
         self.records
             .retain(|_, r| r.is_present() || now.since(r.learned_at) < TOMBSTONE_RETENTION);
+        self.tick_departures(now);
         confirmed
     }
 
+    fn tick_departures(&mut self, now: time::Time) {
+        if self.departures.is_empty() {
+            return;
+        }
+        let present = self.present();
+        let keys: Vec<_> = present
+            .map(|endpoint| IncarnationKey::of(&endpoint.identity))
+            .collect();
+        self.departures.tick(keys, now);
+    }
+
+    /// Records that an endpoint has said that it leaves. Returns whether that is new.
+    pub fn record_departure(&mut self, departure: Departure, now: time::Time) -> bool {
+        self.departures.record(departure, now)
+    }
+
+    /// Endpoints that have said that they leave.
+    #[must_use]
+    pub const fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Endpoints that new requests may be sent to.
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.records.values().filter_map(Record::usable)
+        self.present().filter(|endpoint| !self.is_leaving(endpoint))
     }
 
     /// Endpoints that finish the work that they have before they leave.
     pub fn leaving(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        let present = self.records.values().filter_map(|r| r.endpoint.as_ref());
-        present.filter(|endpoint| endpoint.state == State::Leaving)
+        self.present().filter(|endpoint| self.is_leaving(endpoint))
+    }
+
+    fn present(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.records.values().filter_map(|r| r.endpoint.as_ref())
+    }
+
+    fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let has_announced = || {
+            self.departures
+                .contains(IncarnationKey::of(&endpoint.identity))
+        };
+        match endpoint.state {
+            State::Leaving => true,
+            State::Ready => !self.departures.is_empty() && has_announced(),
+        }
     }
 
     /// Records that are newer than a revision, for a host that is behind. Unconfirmed removals are
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -30,7 +30,7 @@
 use smallvec::SmallVec;
 
 use crate::choice::prompt;
-use crate::directory;
+pub use crate::directory::IncarnationKey;
 
 /// Separate crashes after which a part is accused, if no answer on it went on in between.
 pub const CRASHES_TO_ACCUSE: usize = 3;
@@ -79,33 +79,6 @@
     }
 }
 
-/// Key of one incarnation of an endpoint, the same on every host.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-#[serde(transparent)]
-pub struct IncarnationKey(u64);
-
-impl IncarnationKey {
-    /// Key of an incarnation.
-    #[must_use]
-    pub fn of(identity: &directory::Identity) -> Self {
-        Self(identity.hash())
-    }
-
-    /// Key with this value.
-    #[must_use]
-    pub const fn new(key: u64) -> Self {
-        Self(key)
-    }
-}
-
-impl fmt::Display for IncarnationKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
 /// Most parts of a prompt that are considered, which bounds what a caller can make hosts keep.
 const MAX_PARTS: usize = 16;
 
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -14,6 +14,8 @@
 pub enum AttemptFailure {
     /// This host has reached its limit of connections to the endpoint.
     AtLimit,
+    /// The endpoint leaves, or has left, before a byte of the request was sent.
+    Leaving,
     /// No byte of the request was sent to an endpoint.
     NotSent,
     /// The endpoint proved that it did not run the request.
@@ -35,9 +37,11 @@
     #[must_use]
     pub const fn outcome(self) -> outcome::Outcome {
         match self {
-            Self::AtLimit | Self::NotSent | Self::Refused | Self::EndpointReplaced => {
-                outcome::Outcome::NotRun
-            }
+            Self::AtLimit
+            | Self::Leaving
+            | Self::NotSent
+            | Self::Refused
+            | Self::EndpointReplaced => outcome::Outcome::NotRun,
             Self::InvalidAnswer | Self::ConnectionLost | Self::Stalled => outcome::Outcome::Unknown,
             Self::Failed => outcome::Outcome::Run,
         }
@@ -50,7 +54,7 @@
             Self::AtLimit => reason::Refusal::AtBound,
             Self::NotSent => reason::Refusal::ConnectFailed,
             Self::Refused => reason::Refusal::EndpointRefused,
-            Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
+            Self::Leaving | Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
             Self::Failed => reason::Refusal::EndpointFailed,
             Self::InvalidAnswer => reason::Refusal::AnswerIncomplete,
             Self::ConnectionLost => reason::Refusal::ConnectionLost,
@@ -65,7 +69,7 @@
             Self::AtLimit => reason::Retry::AtBound,
             Self::NotSent => reason::Retry::ConnectFailed,
             Self::Refused => reason::Retry::EndpointRefused,
-            Self::EndpointReplaced => reason::Retry::EndpointLeaving,
+            Self::Leaving | Self::EndpointReplaced => reason::Retry::EndpointLeaving,
             Self::Failed => reason::Retry::EndpointFailed,
             Self::InvalidAnswer | Self::ConnectionLost => reason::Retry::ConnectionLost,
             Self::Stalled => reason::Retry::Stalled,
@@ -77,6 +81,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::AtLimit => "at_limit",
+            Self::Leaving => "leaving",
             Self::NotSent => "not_sent",
             Self::Refused => "refused",
             Self::EndpointReplaced => "elsewhere",
@@ -89,7 +94,7 @@
 
     /// Whether no byte of the request was sent.
     const fn is_unsent(self) -> bool {
-        matches!(self, Self::AtLimit | Self::NotSent)
+        matches!(self, Self::AtLimit | Self::Leaving | Self::NotSent)
     }
 
     /// Whether the request may have reached the intended endpoint.
--- a/crates/gateway/src/control/links/flood.rs
+++ b/crates/gateway/src/control/links/flood.rs
@@ -7,7 +7,7 @@
 use pistachiochute_messages::peer;
 
 use crate::control::state::State;
-use crate::control::{crash_evidence, endpoint_limits};
+use crate::control::{crash_evidence, departures, endpoint_limits};
 
 /// Queues messages for all hosts that this one is linked with, but for `source`.
 pub(in crate::control) fn flood(
@@ -29,7 +29,8 @@
 
 /// Everything that is flooded, for a host that may know nothing of it.
 pub(super) fn snapshot(state: &State, now: time::Time) -> Vec<peer::Message> {
-    let mut messages = crash_evidence::state_messages(state, now);
+    let mut messages = departures::state_messages(state, now);
+    messages.extend(crash_evidence::state_messages(state, now));
     messages.extend(endpoint_limits::state_messages(state, now));
     messages
 }
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -13,7 +13,7 @@
 
 use crate::control::links::apply_cached_parts;
 use crate::control::state::HostEntry;
-use crate::control::{Context, crash_evidence, endpoint_limits, origins, sync};
+use crate::control::{Context, crash_evidence, departures, endpoint_limits, origins, sync};
 use crate::{adapter, events, sockets};
 
 /// Accepts the links of other hosts.
@@ -174,6 +174,9 @@
         peer::Message::EndpointLimits(records) => {
             endpoint_limits::apply_records(cx, name, &records);
         }
+        peer::Message::EndpointDepartures(records) => {
+            departures::apply_records(cx, name, &records);
+        }
     }
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,13 +3,15 @@
 //! [`sync`] reads and watches the entries of the store, and [`host_registry`] registers this host
 //! there. [`links`] exchanges changes with other hosts, so that a host that cannot reach the store
 //! gets them from those that can. [`origins`] knows which software version began a stream.
-//! [`crash_evidence`] exchanges evidence about prompt parts that crash endpoints, and
-//! [`endpoint_limits`] the limits that endpoints name. [`cache_recovery`] queries the caches of
+//! [`crash_evidence`] exchanges evidence about prompt parts that crash endpoints,
+//! [`endpoint_limits`] the limits that endpoints name, and [`departures`] which endpoints say that they
+//! leave. [`cache_recovery`] queries the caches of
 //! engines after all hosts were lost.
 
 mod ages;
 mod cache_recovery;
 mod crash_evidence;
+mod departures;
 mod endpoint_limits;
 mod host_registry;
 mod links;
@@ -158,6 +160,8 @@
     /// Publishes a view of the current state to the traffic thread.
     fn publish(&self) {
         let now = clock::now();
+        // A view must not bring back an endpoint that has told the traffic thread that it leaves.
+        departures::apply_local(self, now);
         let mut state = self.state.borrow_mut();
         state.observe_versions(now);
         let view = state.view(now);
@@ -243,7 +247,8 @@
         for (key, revision) in &expired {
             self.events.endpoint_changed(key, *revision, None);
         }
-        if !expired.is_empty() {
+        let any_departed = departures::apply_local(self, now);
+        if any_departed || !expired.is_empty() {
             self.publish();
         }
         let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -397,7 +397,7 @@
     run(Some("stream-versions"), async |shared, mut peer| {
         assert_eq!(
             peer.features.as_deref(),
-            Some("stream-versions,quarantine,endpoint-limits")
+            Some("stream-versions,quarantine,endpoint-limits,endpoint-departures")
         );
         provoke(&shared, &mut peer);
         let endpoints = peer.wait_for("endpoints", is_endpoints).await;
@@ -519,6 +519,42 @@
     });
 }
 
+#[test]
+fn endpoint_that_leaves_is_sent_and_leaves_the_view() {
+    let departure = |endpoint| directory::Departure {
+        endpoint,
+        last_seen: clock::now(),
+    };
+    let other = directory::IncarnationKey::new(5);
+    run(Some("endpoint-departures"), async |shared, mut peer| {
+        provoke(&shared, &mut peer);
+        peer.wait_for("endpoints", is_endpoints).await;
+        shared.local_departures.push(departure(other));
+        let is_departure = |m: &peer::Message| matches!(m, peer::Message::EndpointDepartures(_));
+        let position = peer.wait_for("a departure", is_departure).await;
+        let message = peer.received.borrow()[position].clone();
+        let peer::Message::EndpointDepartures(records) = message else {
+            unreachable!("it is a departure");
+        };
+        assert_eq!(records.len(), 1);
+        assert_eq!(records[0].endpoint, other);
+        let known = shared.view().endpoints[0].clone();
+        let record = peer::DepartureRecord {
+            endpoint: directory::IncarnationKey::of(&known.identity),
+            age_ms: 0,
+        };
+        peer.send(&peer::Message::EndpointDepartures(vec![record]));
+        let applied = async {
+            while !shared.view().endpoints.is_empty() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let applied = tokio::time::timeout(WAIT_TIMEOUT, applied).await;
+        assert!(applied.is_ok(), "the endpoint leaves the view");
+        assert_eq!(shared.view().leaving, [known]);
+    });
+}
+
 #[test]
 fn host_asks_its_peer_for_a_stream_that_it_does_not_know() {
     run(Some("stream-versions"), async |shared, mut peer| {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -38,6 +38,24 @@
     }
 }
 
+/// Where a host learned that an endpoint leaves, other than from its entry in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoticeSource {
+    /// An answer of the endpoint.
+    Answer,
+    /// Another host, by name.
+    Host(Arc<str>),
+}
+
+impl fmt::Display for NoticeSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answer => f.write_str("answer"),
+            Self::Host(name) => write!(f, "host {name}"),
+        }
+    }
+}
+
 /// Log entry of a catalog that came into force.
 #[derive(Clone, Debug)]
 pub struct CatalogLogEntry {
@@ -330,8 +348,12 @@
     }
 
     /// An endpoint says in an answer that it leaves.
-    pub fn endpoint_leaves(&self, endpoint: &directory::Identity) {
-        slog::info!(self.log, "endpoint leaves"; "endpoint" => %endpoint);
+    pub fn endpoint_leaves(&self, endpoint: &directory::Identity, source: &NoticeSource) {
+        slog::info!(
+            self.log, "endpoint leaves";
+            "endpoint" => %endpoint, "incarnation" => %directory::IncarnationKey::of(endpoint),
+            "source" => %source,
+        );
     }
 
     /// What an endpoint says of whether it leaves is not defined.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,6 +100,8 @@
     pub local_limits: SegQueue<rate_limits::Statement>,
     /// Limits that endpoints have named to other hosts.
     pub remote_limits: SegQueue<rate_limits::Statement>,
+    /// Endpoints that have told this host that they leave, for the control thread.
+    pub local_departures: SegQueue<directory::Departure>,
     verdicts: ArcSwap<quarantine::Verdicts>,
     /// Shared parts of prompts whose answers have gone on for this host.
     pub proven_prompts: SegQueue<quarantine::Parts>,
@@ -128,6 +130,7 @@
             local_origins: SegQueue::new(),
             local_limits: SegQueue::new(),
             remote_limits: SegQueue::new(),
+            local_departures: SegQueue::new(),
             verdicts: ArcSwap::default(),
             proven_prompts: SegQueue::new(),
             observed_crashes,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,12 +8,12 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::AttemptFailure;
-use pistachiochute_core::{entity, health, outcome, rate_limits, time};
+use pistachiochute_core::{directory, entity, health, outcome, rate_limits, time};
 use pistachiochute_runtime::clock;
 
-use crate::adapter;
 use crate::traffic::plan::Plan;
 use crate::traffic::{Context, endpoints, in_flight, pool, reply};
+use crate::{adapter, events};
 
 /// Largest answer that is buffered until it is complete, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -140,6 +140,7 @@
                 health::Observation::Stalled
             }
             AttemptFailure::AtLimit
+            | AttemptFailure::Leaving
             | AttemptFailure::Refused
             | AttemptFailure::Failed
             | AttemptFailure::InvalidAnswer => return,
@@ -179,9 +180,8 @@
         Ok(req) => req,
         Err(e) => return failed(AttemptFailure::NotSent, e.to_string()),
     };
-    let endpoint = attempt.selected.choice.endpoint;
-    if cx.endpoints.borrow().has_announced_leaving(endpoint) {
-        cx.metrics.sent_after_leave_notice();
+    if !still_takes_requests(cx, attempt.selected.choice.endpoint) {
+        return failed(AttemptFailure::Leaving, "left while the host connected");
     }
     match connection.sender().try_send_request(req).await {
         Ok(answer) => evaluate_answer(cx, attempt, answer, connection, in_flight).await,
@@ -204,6 +204,16 @@
     }
 }
 
+/// Whether an endpoint that was selected before still takes requests.
+fn still_takes_requests<D>(cx: &Rc<Context<D>>, endpoint: entity::EndpointId) -> bool
+where
+    D: adapter::Dialect,
+{
+    let mut endpoints = cx.endpoints.borrow_mut();
+    endpoints.update(&cx.shared.view());
+    endpoints.takes_requests(endpoint)
+}
+
 /// Reports an answer that is not a stream and that its endpoint broke off.
 fn report_broken_answer<D>(
     attempt: &Attempt<'_>,
@@ -376,7 +386,13 @@
         adapter::LeaveNotice::Absent => {}
         adapter::LeaveNotice::Leaving => {
             cx.metrics.leave_notice();
-            cx.events.endpoint_leaves(identity);
+            cx.events
+                .endpoint_leaves(identity, &events::NoticeSource::Answer);
+            cx.pool.close_idle(identity);
+            cx.shared.local_departures.push(directory::Departure {
+                endpoint: directory::IncarnationKey::of(identity),
+                last_seen: clock::now(),
+            });
         }
         adapter::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
     }
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -52,12 +52,26 @@
     lost_at: Option<time::Time>,
     /// What it last said of whether it leaves. Invariant: stays [`adapter::LeaveNotice::Leaving`].
     leave_notice: adapter::LeaveNotice,
+    /// Whether the last view that contained the endpoint has it among those that leave.
+    is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
     generation: u64,
     /// Running and queued requests that the endpoint last reported, and when.
     reported: Option<(u32, time::Time)>,
 }
 
+impl Entry {
+    /// Whether the endpoint has said that it leaves.
+    fn has_announced(&self) -> bool {
+        self.leave_notice == adapter::LeaveNotice::Leaving
+    }
+
+    /// Whether the view of a generation has the endpoint among those that take requests.
+    fn is_listed_ready(&self, generation: u64) -> bool {
+        self.generation == generation && !self.is_listed_leaving
+    }
+}
+
 /// Endpoint selected for an attempt.
 #[derive(Clone, Debug)]
 pub(super) struct SelectedEndpoint {
@@ -137,7 +151,7 @@
         self.limits.set_hosts(&view.host_hashes, clock::now());
         self.by_service.clear();
         for endpoint in &view.endpoints {
-            let id = self.id_for(endpoint);
+            let id = self.id_for(endpoint, false);
             self.by_service
                 .entry(endpoint.service.clone())
                 .or_default()
@@ -146,7 +160,7 @@
         self.leaving.clear();
         for endpoint in &view.leaving {
             let leaving = homes::LeavingEndpoint {
-                endpoint: self.id_for(endpoint),
+                endpoint: self.id_for(endpoint, true),
                 hash: endpoint.identity.hash(),
             };
             self.leaving
@@ -284,7 +298,7 @@
     fn is_eligible(&self, id: entity::EndpointId, eligibility: &Eligibility<'_>) -> bool {
         let entry = self.entries.get(id);
         !eligibility.tried.contains(&id)
-            && entry.is_some_and(|entry| eligibility.has_version(entry))
+            && entry.is_some_and(|entry| eligibility.has_version(entry) && !entry.has_announced())
     }
 
     /// Retry budget of a service: the share of one of `hosts` hosts.
@@ -347,10 +361,10 @@
         std::mem::replace(&mut entry.leave_notice, notice) != notice
     }
 
-    /// Whether an endpoint has said that it leaves.
-    pub(super) fn has_announced_leaving(&self, id: entity::EndpointId) -> bool {
+    /// Whether an endpoint takes requests, as far as its entry and its answers say.
+    pub(super) fn takes_requests(&self, id: entity::EndpointId) -> bool {
         let entry = self.entries.get(id);
-        entry.is_some_and(|entry| entry.leave_notice == adapter::LeaveNotice::Leaving)
+        entry.is_some_and(|entry| entry.is_listed_ready(self.generation) && !entry.has_announced())
     }
 
     /// Records the limit that an answer of an endpoint names, or that it names none. Returns what
@@ -449,7 +463,13 @@
         })
     }
 
-    fn id_for(&mut self, endpoint: &Arc<directory::Endpoint>) -> entity::EndpointId {
+    /// Id of an endpoint of the current view, which is made if it has none. `is_leaving` states whether
+    /// the view has it among those that leave.
+    fn id_for(
+        &mut self,
+        endpoint: &Arc<directory::Endpoint>,
+        is_leaving: bool,
+    ) -> entity::EndpointId {
         let version = endpoint
             .version
             .as_ref()
@@ -458,6 +478,7 @@
             if let Some(entry) = self.entries.get_mut(*id) {
                 entry.endpoint = endpoint.clone();
                 entry.version = version;
+                entry.is_listed_leaving = is_leaving;
                 entry.generation = self.generation;
             }
             return *id;
@@ -477,6 +498,7 @@
                 is_unreachable: false,
                 lost_at: None,
                 leave_notice: adapter::LeaveNotice::Absent,
+                is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
             },
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -8,7 +8,7 @@
 use pistachiochute_core::{directory, retry, streams, time};
 
 use super::{Eligibility, EndpointTable};
-use crate::{settings, shared};
+use crate::{adapter, settings, shared};
 
 const NOW: time::Time = time::Time::from_secs(5);
 
@@ -144,3 +144,56 @@
     table.update(&view(endpoints, &[], "engines"));
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([3]));
 }
+
+/// A table with a view of two endpoints that are ready.
+fn table_of_two() -> (EndpointTable, Vec<Arc<directory::Endpoint>>) {
+    let ready = |number| endpoint("engines", number, directory::State::Ready);
+    let endpoints: Vec<_> = (1..=2).map(ready).collect();
+    let budget = retry::FleetBudget {
+        ratio: 0.1,
+        extra: 10.0,
+    };
+    let mut table = EndpointTable::new(&host(), budget, NOW);
+    table.update(&view(endpoints.clone(), &[], "engines"));
+    (table, endpoints)
+}
+
+/// Guards against an endpoint that is selected, or kept for a request that waits for its connection,
+/// after it has said that it leaves (DRAIN), even by a view that is published later.
+#[test]
+fn endpoint_that_says_it_leaves_takes_no_requests() {
+    let (mut table, endpoints) = table_of_two();
+    let id = table.by_service["engines"][0];
+    assert!(table.takes_requests(id));
+    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Leaving));
+    assert!(!table.record_leave_notice(id, adapter::LeaveNotice::Absent));
+    assert!(!table.takes_requests(id));
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
+    let mut later = view(endpoints, &[], "engines");
+    later.generation += 1;
+    table.update(&later);
+    assert!(!table.takes_requests(id));
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
+}
+
+#[test]
+fn endpoint_that_its_entry_shows_as_leaving_or_gone_takes_no_requests() {
+    for leaving in [&[1_u16][..], &[]] {
+        let (mut table, endpoints) = table_of_two();
+        let ids = table.by_service["engines"].clone();
+        let mut later = view(endpoints[1..].to_vec(), leaving, "engines");
+        later.generation += 1;
+        table.update(&later);
+        let taken: Vec<bool> = ids.iter().map(|id| table.takes_requests(*id)).collect();
+        assert_eq!(taken, [false, true]);
+    }
+}
+
+#[test]
+fn undefined_notice_is_a_change_of_belief_once() {
+    let (mut table, _) = table_of_two();
+    let id = table.by_service["engines"][0];
+    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Invalid));
+    assert!(!table.record_leave_notice(id, adapter::LeaveNotice::Invalid));
+    assert!(table.takes_requests(id));
+}
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -179,6 +179,15 @@
         })
     }
 
+    /// Closes the idle connections to an incarnation.
+    pub(super) fn close_idle(&self, identity: &directory::Identity) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        if let Some(endpoint) = endpoints.get_mut(identity) {
+            endpoint.open -= endpoint.idle.len() as u32;
+            endpoint.idle.clear();
+        }
+    }
+
     /// Closes idle connections that have expired or were closed by the endpoint.
     pub(super) fn prune(&self) {
         let now = clock::now();
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -84,11 +84,18 @@
     Quarantine,
     /// The messages about limits that endpoints name.
     EndpointLimits,
+    /// The messages about endpoints that say that they leave.
+    EndpointDepartures,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 3] = [Self::StreamVersions, Self::Quarantine, Self::EndpointLimits];
+    pub const ALL: [Self; 4] = [
+        Self::StreamVersions,
+        Self::Quarantine,
+        Self::EndpointLimits,
+        Self::EndpointDepartures,
+    ];
 
     /// Name in [`FEATURES_HEADER`].
     #[must_use]
@@ -97,6 +104,7 @@
             Self::StreamVersions => "stream-versions",
             Self::Quarantine => "quarantine",
             Self::EndpointLimits => "endpoint-limits",
+            Self::EndpointDepartures => "endpoint-departures",
         }
     }
 
@@ -160,6 +168,15 @@
     pub age_ms: u32,
 }
 
+/// An endpoint that has said that it leaves, as in [`directory::Departure`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct DepartureRecord {
+    /// The incarnation that leaves.
+    pub endpoint: directory::IncarnationKey,
+    /// Time since it was last seen when the message is sent, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A message to another host. Encoded by position: the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Message {
@@ -230,6 +247,8 @@
     /// Limits that endpoints have named, or no longer name. On a new stream, all that the sender
     /// knows.
     EndpointLimits(Vec<LimitRecord>),
+    /// Endpoints that have said that they leave. On a new stream, all that the sender knows.
+    EndpointDepartures(Vec<DepartureRecord>),
 }
 
 impl Message {
@@ -250,6 +269,7 @@
             | Self::EndpointVersions(_) => Some(Feature::StreamVersions),
             Self::Quarantine(_) => Some(Feature::Quarantine),
             Self::EndpointLimits(_) => Some(Feature::EndpointLimits),
+            Self::EndpointDepartures(_) => Some(Feature::EndpointDepartures),
         }
     }
 }
--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -176,6 +176,13 @@
             ]),
             vec![12, 2, 5, 1, 200, 30, 5, 0, 30],
         ),
+        (
+            Message::EndpointDepartures(vec![peer::DepartureRecord {
+                endpoint: directory::IncarnationKey::new(9),
+                age_ms: 30,
+            }]),
+            vec![13, 1, 9, 30],
+        ),
     ]
 }
 
@@ -213,12 +220,13 @@
         let feature = match start[0] {
             7..=10 => peer::Feature::StreamVersions,
             11 => peer::Feature::Quarantine,
-            _ => peer::Feature::EndpointLimits,
+            12 => peer::Feature::EndpointLimits,
+            _ => peer::Feature::EndpointDepartures,
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
     }
     let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
-    assert_eq!(variants, HashSet::from([7, 8, 9, 10, 11, 12]));
+    assert_eq!(variants, HashSet::from([7, 8, 9, 10, 11, 12, 13]));
 }
 
 #[test]
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -111,7 +111,6 @@
     connections_closed: metrics::Counter<u64>,
     answers_broken: metrics::Counter<u64>,
     leave_notices: metrics::Counter<u64>,
-    sent_after_leave_notice: metrics::Counter<u64>,
     endpoint_crashes: metrics::Counter<u64>,
     accusations: metrics::Counter<u64>,
     in_flight: metrics::UpDownCounter<i64>,
@@ -158,11 +157,6 @@
                 "endpoint_leave_notices",
                 "Endpoints that said in an answer to this host that they leave",
             ),
-            sent_after_leave_notice: counter(
-                &meter,
-                "sent_after_leave_notice",
-                "Attempts at endpoints that had said to this host that they leave",
-            ),
             endpoint_crashes: counter(
                 &meter,
                 "endpoint_crashes",
@@ -250,11 +244,6 @@
         self.leave_notices.add(1, &[]);
     }
 
-    /// Counts an attempt at an endpoint that had said in an answer that it leaves.
-    pub fn sent_after_leave_notice(&self) {
-        self.sent_after_leave_notice.add(1, &[]);
-    }
-
     /// Counts a crash of an endpoint.
     pub fn endpoint_crashed(&self) {
         self.endpoint_crashes.add(1, &[]);
@@ -366,7 +355,6 @@
         self.queued.add(0, &[]);
         self.store_losses.add(0, &[]);
         self.leave_notices.add(0, &[]);
-        self.sent_after_leave_notice.add(0, &[]);
         self.endpoint_crashes.add(0, &[]);
         self.accusations.add(0, &[]);
         for result in OriginResult::ALL {
