Read from answers to cache queries that an endpoint leaves

After all hosts were lost, hosts ask engines for their caches, and dropped the heads of the answers; an engine that says there that it leaves got a request. Change: the client returns the headers; the answer is treated like any other one.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -106,6 +106,9 @@
     /// Reads the metadata of an endpoint's answer.
     fn response_metadata(&self, head: &response::Parts) -> ResponseMetadata;
 
+    /// Reads from the headers of any answer of an endpoint whether it says that it leaves.
+    fn leave_notice(&self, headers: &HeaderMap) -> LeaveNotice;
+
     /// Removes headers of an endpoint's answer that callers must not see.
     fn strip_internal_headers(&self, headers: &mut HeaderMap);
 
--- a/crates/gateway/src/control/cache_recovery.rs
+++ b/crates/gateway/src/control/cache_recovery.rs
@@ -13,9 +13,10 @@
 use http_body_util::Full;
 use pistachiochute_core::directory;
 use pistachiochute_messages::peer;
+use pistachiochute_runtime::clock;
 
 use crate::control::{Context, links};
-use crate::{adapter, http_client, shared};
+use crate::{adapter, events, http_client, shared};
 
 /// Time that other hosts are given to open their links and send their index.
 const PEER_WAIT: Duration = Duration::from_millis(200);
@@ -79,24 +80,24 @@
         .header(header::HOST, endpoint.address.to_string())
         .body(Full::new(Bytes::new()));
     let Ok(req) = req else { return };
+    let fail = |cause: &str| cx.events.cache_list_failed(&endpoint.identity, cause);
     let answer = match client.call(req, QUERY_TIMEOUT).await {
-        Ok(answer) if answer.status == StatusCode::OK => answer,
-        Ok(answer) => {
-            let cause = format!("status {}", answer.status.as_u16());
-            return cx.events.cache_list_failed(&endpoint.identity, &cause);
-        }
-        Err(e) => {
-            return cx
-                .events
-                .cache_list_failed(&endpoint.identity, &e.to_string());
-        }
+        Ok(answer) => answer,
+        Err(e) => return fail(&e.to_string()),
     };
+    if cx.dialect.leave_notice(&answer.headers) == adapter::LeaveNotice::Leaving {
+        let source = events::NoticeSource::Answer;
+        cx.metrics.leave_notice();
+        cx.events.endpoint_leaves(&endpoint.identity, &source);
+        cx.shared
+            .announce_departure(&endpoint.identity, clock::now());
+    }
+    if answer.status != StatusCode::OK {
+        return fail(&format!("status {}", answer.status.as_u16()));
+    }
     let parts = match cx.dialect.decode_cached_parts(&answer.body) {
         Ok(parts) => parts,
-        Err(e) => {
-            let cause = format!("{e:#}");
-            return cx.events.cache_list_failed(&endpoint.identity, &cause);
-        }
+        Err(e) => return fail(&format!("{e:#}")),
     };
     let cached_parts: Vec<_> = parts
         .into_iter()
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -77,6 +77,10 @@
         unimplemented!("there are no requests")
     }
 
+    fn leave_notice(&self, _: &HeaderMap) -> adapter::LeaveNotice {
+        adapter::LeaveNotice::Absent
+    }
+
     fn strip_internal_headers(&self, _: &mut HeaderMap) {}
 
     fn cache_list_path(&self) -> &'static str {
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,11 +23,13 @@
 /// Idle connections kept open for later calls.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
-/// Status and body of a response.
+/// Head and body of a response.
 #[derive(Clone, Debug)]
 pub struct Response {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -121,13 +123,14 @@
         .send_request(req)
         .await
         .map_err(|e| key_value::Error::unknown(e.to_string()))?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
         .await
         .map_err(|e| key_value::Error::unknown(e.to_string()))?;
     Ok(Response {
-        status,
+        status: head.status,
+        headers: head.headers,
         body: body.to_bytes(),
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -223,6 +223,15 @@
         receiver.take()
     }
 
+    /// Tells the control thread, and through it the other hosts, that an endpoint has said to this host
+    /// that it leaves.
+    pub(crate) fn announce_departure(&self, endpoint: &directory::Identity, now: time::Time) {
+        self.local_departures.push(directory::Departure {
+            endpoint: directory::IncarnationKey::of(endpoint),
+            last_seen: now,
+        });
+    }
+
     /// Records that the catalog was the newest one at a point in time.
     pub fn confirm_catalog(&self, at: time::Time) {
         self.catalog_confirmed_micros
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::AttemptFailure;
-use pistachiochute_core::{directory, entity, health, outcome, rate_limits, time};
+use pistachiochute_core::{entity, health, outcome, rate_limits, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::plan::Plan;
@@ -389,10 +389,7 @@
             cx.events
                 .endpoint_leaves(identity, &events::NoticeSource::Answer);
             cx.pool.close_idle(identity);
-            cx.shared.local_departures.push(directory::Departure {
-                endpoint: directory::IncarnationKey::of(identity),
-                last_seen: clock::now(),
-            });
+            cx.shared.announce_departure(identity, clock::now());
         }
         adapter::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
     }
