Soak: endpoints that say in their answers that they leave

Change: two endpoints of their own say so in turn, half of them in bad answers; their entries show later that they leave, nothing, or to the end that they are ready. The steps have a seed of their own, so that the older steps of each seed stay as they were.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,5 +1,7 @@
 //! The promises, held against what callers and endpoints saw.
 
+mod notices;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -41,13 +43,30 @@
     pub at: Instant,
 }
 
-/// A time in which a host was disturbed, and whether by a planned stop alone.
+/// What disturbs a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Disturbance {
+    /// A planned stop alone.
+    PlannedStop,
+    /// Its process is killed or stands still.
+    Process,
+    /// It cannot use the store as usual.
+    Store,
+}
+
+/// A time in which a host was disturbed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Disturbed {
     pub host: usize,
     pub from: Instant,
     pub until: Instant,
-    pub is_planned: bool,
+    pub kind: Disturbance,
+}
+
+impl Disturbed {
+    pub(crate) fn is_planned(&self) -> bool {
+        self.kind == Disturbance::PlannedStop
+    }
 }
 
 /// Everything that was seen.
@@ -60,6 +79,8 @@
     pub revoked: HashMap<u64, Instant>,
     /// When endpoints said that they leave.
     pub left: HashMap<String, Instant>,
+    /// When endpoints began to say in their answers that they leave.
+    pub noticed: HashMap<String, Instant>,
     /// Endpoints that were never disturbed. They may have left in a planned way, or fallen silent
     /// for a while.
     pub steady: Vec<String>,
@@ -128,6 +149,7 @@
                 ));
             }
         }
+        broken.extend(notices::check(self));
         broken
     }
 
@@ -145,7 +167,7 @@
     fn check_stop(&self, record: &Record, runs: &[&Ran]) -> Option<String> {
         let stop = self.disturbed.iter().find(|d| {
             let in_flight = record.sent <= d.from && d.from <= record.ended;
-            d.is_planned && d.host == record.host && in_flight
+            d.is_planned() && d.host == record.host && in_flight
         })?;
         let from = stop.from - DISTURBED;
         let alone = !self.is_disturbed(record.host, from, record.ended, false);
@@ -161,7 +183,7 @@
         if is_faulty || !self.is_cut(record, runs) {
             return None;
         }
-        let stops = self.disturbed.iter().filter(|d| d.is_planned);
+        let stops = self.disturbed.iter().filter(|d| d.is_planned());
         let mut stops = stops.filter(|d| d.host == record.host);
         let stop = stops.find(|d| d.from <= record.sent && record.sent + RESTART <= d.until);
         if stop.is_some_and(|stop| outlasts_stop(record, stop)) {
@@ -188,7 +210,7 @@
     /// Whether a host was disturbed between two points in time.
     fn is_disturbed(&self, host: usize, from: Instant, until: Instant, planned: bool) -> bool {
         self.disturbed.iter().any(|d| {
-            let counts = planned || !d.is_planned;
+            let counts = planned || !d.is_planned();
             counts && d.host == host && d.from <= until && d.until + DISTURBED >= from
         })
     }
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -9,17 +9,17 @@
 use rustix::process::Signal;
 
 use super::{Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
-use crate::checks::{Disturbed, EVENTS, RESTART};
-use crate::schedule::Fault;
+use crate::checks::{Disturbance, Disturbed, EVENTS, RESTART};
+use crate::schedule::{EntryOfLeaving, Fault};
 
 impl World {
-    pub(super) fn disturb(&mut self, host: usize, span: Duration, is_planned: bool) {
+    pub(super) fn disturb(&mut self, host: usize, span: Duration, kind: Disturbance) {
         let from = Instant::now();
         self.seen.disturbed.push(Disturbed {
             host,
             from,
             until: from + span,
-            is_planned,
+            kind,
         });
     }
 
@@ -29,18 +29,18 @@
         match fault {
             Fault::Stop { host } => {
                 let stop = self.hosts[host].stop;
-                self.disturb(host, stop + RESTART, true);
+                self.disturb(host, stop + RESTART, Disturbance::PlannedStop);
                 self.hosts[host].signal(Signal::TERM)?;
                 let span = stop + Duration::from_millis(200);
                 lasting(span, Box::new(move |world| world.stopped(host)))
             }
             Fault::Kill { host, down } => {
-                self.disturb(host, down + Duration::from_secs(1), false);
+                self.disturb(host, down + Duration::from_secs(1), Disturbance::Process);
                 self.hosts[host].kill()?;
                 lasting(down, Box::new(move |world| world.hosts[host].spawn()))
             }
             Fault::Pause { host, span } => {
-                self.disturb(host, span, false);
+                self.disturb(host, span, Disturbance::Process);
                 self.hosts[host].signal(Signal::STOP)?;
                 lasting(span, Box::new(move |w| w.hosts[host].signal(Signal::CONT)))
             }
@@ -71,18 +71,18 @@
                 Ok(None)
             }
             Fault::StoreReset { host } => {
-                self.disturb(host, Duration::ZERO, false);
+                self.disturb(host, Duration::ZERO, Disturbance::Store);
                 self.store_relays[host].reset_connections();
                 Ok(None)
             }
             Fault::StoreConnectionsSilent { host, one_way } => {
                 // The host finds out by a timeout of its own.
-                self.disturb(host, Duration::from_secs(12), false);
+                self.disturb(host, Duration::from_secs(12), Disturbance::Store);
                 silence(&self.store_relays[host], one_way);
                 Ok(None)
             }
             Fault::StoreDelayed { host, span } => {
-                self.disturb(host, span, false);
+                self.disturb(host, span, Disturbance::Store);
                 self.store_relays[host].delay(Duration::from_millis(150));
                 let ending = move |world: &mut Self| {
                     world.store_relays[host].delay(Duration::ZERO);
@@ -139,11 +139,54 @@
                     endpoint.fall_silent(span);
                 }
             }
+            Fault::EndpointSaysLeaving {
+                endpoint,
+                bad_kind,
+                entry,
+                lead,
+            } => {
+                let ending = self.say_leaving(endpoint, bad_kind, entry)?;
+                return Ok(Some((lead, ending)));
+            }
             other => self.change_configuration(other),
         }
         Ok(None)
     }
 
+    /// Lets an endpoint say in its answers that it leaves, and another one take its place. Returns what
+    /// changes its entry.
+    fn say_leaving(
+        &mut self,
+        endpoint: usize,
+        bad_kind: Option<u8>,
+        entry: EntryOfLeaving,
+    ) -> eyre::Result<Ending> {
+        let name = format!("i-{endpoint}-{}", self.gone.len());
+        let mut next = Served::start(&name)?;
+        next.register(&self.store, "ready");
+        let old = std::mem::replace(&mut self.served[endpoint], next);
+        if let Some(kind) = bad_kind {
+            let (calls, streams) = bad(kind);
+            old.set(calls, streams);
+        }
+        for endpoint in old.both() {
+            endpoint.set_leave_notice(Some("1"));
+            let name = endpoint.id().to_owned();
+            self.seen.noticed.insert(name, Instant::now());
+        }
+        let place = self.gone.len();
+        self.gone.push(old);
+        Ok(Box::new(move |world: &mut Self| {
+            let old = &mut world.gone[place];
+            match entry {
+                EntryOfLeaving::Draining => old.register(&world.store, "draining"),
+                EntryOfLeaving::Removed => old.deregister(&world.store),
+                EntryOfLeaving::Ready => old.register(&world.store, "ready"),
+            }
+            Ok(())
+        }))
+    }
+
     fn change_configuration(&mut self, fault: Fault) {
         let next = &mut self.configuration;
         match fault {
@@ -189,7 +232,7 @@
         mode: Mode,
         span: Duration,
     ) -> Option<(Duration, Ending)> {
-        self.disturb(host, span, false);
+        self.disturb(host, span, Disturbance::Store);
         self.store_listeners[host].set_mode(mode);
         let open = move |world: &mut Self| {
             world.store_listeners[host].set_mode(Mode::Serving);
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -32,8 +32,14 @@
 /// Endpoints that are never disturbed, and that leave in a planned way.
 const LEAVING_ENDPOINTS: usize = 2;
 
+/// Endpoints that say in their answers that they leave.
+const NOTICING_ENDPOINTS: usize = 2;
+
+/// Endpoints that stay or leave in a planned way, and those before them.
+const PLANNED_ENDPOINTS: usize = FAULTY_ENDPOINTS + STEADY_ENDPOINTS + LEAVING_ENDPOINTS;
+
 /// All endpoints.
-const ENDPOINTS: usize = FAULTY_ENDPOINTS + STEADY_ENDPOINTS + LEAVING_ENDPOINTS;
+const ENDPOINTS: usize = PLANNED_ENDPOINTS + NOTICING_ENDPOINTS;
 
 /// Hosts that meet planned work only, beside outages of the whole store.
 const PLANNED_HOSTS: usize = 4;
@@ -122,6 +128,13 @@
         }
     }
 
+    /// Removes the entries of the endpoint.
+    fn deregister(&self, store: &Store) {
+        for endpoint in self.both() {
+            store.remove(&records::entry_key(endpoint.id()));
+        }
+    }
+
     fn set(&self, calls: Behaviour, streams: Behaviour) {
         self.calls.set_behaviour(calls);
         self.streams.set_behaviour(streams);
@@ -337,8 +350,9 @@
             faulty_endpoints: FAULTY_ENDPOINTS,
             planned_hosts: self.hosts..hosts,
             stopped_hosts: self.hosts..hosts - UNSTOPPED_HOSTS,
-            leaving_endpoints: FAULTY_ENDPOINTS + STEADY_ENDPOINTS..ENDPOINTS,
-            pausing_endpoints: FAULTY_ENDPOINTS..ENDPOINTS,
+            leaving_endpoints: FAULTY_ENDPOINTS + STEADY_ENDPOINTS..PLANNED_ENDPOINTS,
+            pausing_endpoints: FAULTY_ENDPOINTS..PLANNED_ENDPOINTS,
+            noticing_endpoints: PLANNED_ENDPOINTS..ENDPOINTS,
         }
     }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -30,6 +30,16 @@
 /// Pause between two endpoints that leave, in milliseconds.
 const LEAVE_PAUSE_MS: Range<u64> = 600..2_000;
 
+/// Distinguishes the endpoints of a seed that say that they leave from its other steps.
+const NOTICE_SEED: u64 = 0x6e6f_7469;
+
+/// Pause between two endpoints that say that they leave, in milliseconds.
+const NOTICE_PAUSE_MS: Range<u64> = 700..2_500;
+
+/// Time from the first answer in which an endpoint says that it leaves to its entry's change, in
+/// milliseconds.
+const NOTICE_LEAD_MS: Range<u64> = 300..4_000;
+
 /// Pause between the beginnings of two silences of endpoints, in milliseconds. With the number of
 /// endpoints that fall silent in turn, a stream meets at most one silence beside one that delayed
 /// its head.
@@ -39,9 +49,23 @@
 /// stream without a head is sent elsewhere.
 const SILENCE_MS: Range<u64> = 800..1_100;
 
+/// Number of ways in which an endpoint answers badly.
+const BAD_KINDS: u8 = 6;
+
 /// Idle timeouts of callers' connections, in milliseconds.
 const IDLE_TIMEOUTS_MS: [u64; 4] = [500, 1_000, 3_000, 15_000];
 
+/// What the store shows of an endpoint that says in its answers that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EntryOfLeaving {
+    /// Later that it leaves.
+    Draining,
+    /// Later nothing.
+    Removed,
+    /// To the end that it is ready.
+    Ready,
+}
+
 /// One fault. Numbers are places in the lists of hosts and endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -93,6 +117,14 @@
     LimitsChanged { idle_timeout_ms: u64 },
     /// The endpoint sends nothing for a while and goes on.
     EndpointPauses { endpoint: usize, span: Duration },
+    /// The endpoint says in its answers, which may be bad ones, that it leaves, and another one takes
+    /// its place. Its entry changes later.
+    EndpointSaysLeaving {
+        endpoint: usize,
+        bad_kind: Option<u8>,
+        entry: EntryOfLeaving,
+        lead: Duration,
+    },
 }
 
 /// What faults and planned work touch, as places in the lists of hosts and endpoints.
@@ -110,6 +142,8 @@
     pub leaving_endpoints: Range<usize>,
     /// Endpoints that fall silent for a while.
     pub pausing_endpoints: Range<usize>,
+    /// Endpoints that say in their answers that they leave.
+    pub noticing_endpoints: Range<usize>,
 }
 
 /// A fault and when it begins.
@@ -128,6 +162,7 @@
         fault(rng, hosts, endpoints)
     });
     steps.extend(planned_work(seed, places, length));
+    steps.extend(leave_notices(seed, places, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -171,6 +206,25 @@
     [stops, reloads, changes, leaves, silences].concat()
 }
 
+/// Draws the endpoints that say in their answers that they leave.
+fn leave_notices(seed: u64, places: &Places, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ NOTICE_SEED);
+    let mut endpoints = places.noticing_endpoints.clone().cycle();
+    series(&mut rng, NOTICE_PAUSE_MS, length, |rng| {
+        let bad_kind = rng.random_range(0..BAD_KINDS);
+        Fault::EndpointSaysLeaving {
+            endpoint: endpoints.next().expect("an endpoint that says so"),
+            bad_kind: rng.random_bool(0.5).then_some(bad_kind),
+            entry: match rng.random_range(0..3) {
+                0 => EntryOfLeaving::Draining,
+                1 => EntryOfLeaving::Removed,
+                _ => EntryOfLeaving::Ready,
+            },
+            lead: Duration::from_millis(rng.random_range(NOTICE_LEAD_MS)),
+        }
+    })
+}
+
 /// Draws a planned change of the configuration.
 fn change(rng: &mut ChaCha8Rng) -> Fault {
     let idle_timeout_ms = IDLE_TIMEOUTS_MS[rng.random_range(0..IDLE_TIMEOUTS_MS.len())];
@@ -208,7 +262,7 @@
         17 => Fault::EndpointCut { endpoint, span },
         18 | 19 => Fault::EndpointBad {
             endpoint,
-            kind: rng.random_range(0..6),
+            kind: rng.random_range(0..BAD_KINDS),
             span,
         },
         20 => Fault::EndpointReplaced { endpoint },
