--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -3,7 +3,7 @@
 use std::{path, process};
 
 use pistachiochute_measure::{
-    actions, bounds, figure, lists, membership, quarantine, routing, slopes, streams,
+    actions, bounds, departures, figure, lists, membership, quarantine, routing, slopes, streams,
 };
 
 use crate::{exit, known_red, table};
@@ -17,6 +17,7 @@
     Membership,
     Streams,
     Quarantine,
+    Departures,
     Slopes,
 }
 
@@ -28,6 +29,7 @@
         Self::Membership,
         Self::Streams,
         Self::Quarantine,
+        Self::Departures,
         Self::Slopes,
     ];
 
@@ -39,6 +41,7 @@
             Self::Membership => "membership",
             Self::Streams => "streams",
             Self::Quarantine => "quarantine",
+            Self::Departures => "departures",
             Self::Slopes => "slopes",
         }
     }
@@ -51,6 +54,7 @@
             Self::Membership => membership::run(),
             Self::Streams => streams::run(),
             Self::Quarantine => quarantine::run(),
+            Self::Departures => departures::run(),
             Self::Slopes => slopes::run(),
         }
     }
@@ -59,7 +63,7 @@
     const fn is_counted(self) -> bool {
         match self {
             Self::Actions | Self::Lists | Self::Routing => true,
-            Self::Membership | Self::Streams | Self::Quarantine => true,
+            Self::Membership | Self::Streams | Self::Quarantine | Self::Departures => true,
             Self::Slopes => false,
         }
     }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod actions;
 pub mod bounds;
+pub mod departures;
 pub mod figure;
 pub mod lists;
 pub mod membership;
