--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -13,9 +13,6 @@
 
 use crate::platform::{caller, http};
 
-/// Time until an endpoint is back that a call has crashed.
-const CALL_DOWN_FOR: Duration = Duration::from_secs(60);
-
 /// How an endpoint handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -83,6 +80,17 @@
     }
 }
 
+/// A request that ends the process of an endpoint which runs it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashingCall {
+    /// Path of the request.
+    pub path: String,
+    /// Time from the arrival of the request to the crash.
+    pub after: Duration,
+    /// Time until the process is back, under the same id and at the same address.
+    pub down_for: Duration,
+}
+
 /// Software of an endpoint's process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Software {
@@ -126,8 +134,7 @@
     incarnation: Mutex<Arc<Incarnation>>,
     behaviour: Mutex<Behaviour>,
     crashing_parts: Mutex<Vec<CrashingPart>>,
-    /// Path of calls that crash the endpoint.
-    crashing_call: Mutex<Option<String>>,
+    crashing_call: Mutex<Option<CrashingCall>>,
     crashes: http::CrashSwitch,
     /// Value of the header in which the endpoint names its limit, if it does.
     limit: Mutex<Option<String>>,
@@ -248,9 +255,9 @@
         *lock(&self.handler.crashing_parts) = parts;
     }
 
-    /// Sets the path of calls that crash the endpoint, or none.
-    pub fn set_crashing_call(&self, path: Option<String>) {
-        *lock(&self.handler.crashing_call) = path;
+    /// Sets the request that crashes the endpoint, or none.
+    pub fn set_crashing_call(&self, call: Option<CrashingCall>) {
+        *lock(&self.handler.crashing_call) = call;
     }
 
     /// Names a limit in all later answers, or none.
@@ -389,7 +396,8 @@
             return Some(reply);
         }
         let crashing_part = self.crashing_part_of(&text("x-prompt-prefix"));
-        let is_crashing_call = lock(&self.crashing_call).as_deref() == Some(head.uri.path());
+        let crashing_call = lock(&self.crashing_call).clone();
+        let crashing_call = crashing_call.filter(|call| call.path == head.uri.path());
         let after: Option<u64> = text("last-event-id").parse().ok();
         let requested_pause = requested_pause(&head.uri);
         lock(&self.runs).push(Run {
@@ -401,8 +409,9 @@
             started_at: Instant::now(),
         });
         self.wait_while_silent().await;
-        if is_crashing_call {
-            self.crashes.crash(CALL_DOWN_FOR);
+        if let Some(call) = crashing_call {
+            tokio::time::sleep(call.after).await;
+            self.crashes.crash(call.down_for);
             return std::future::pending().await;
         }
         if let Some(part) = crashing_part {
