Send a call under which an endpoint ended to no second one

Callers saw: a service of three endpoints lost two of them under one call, and refused nearly everything for seconds (docs/incidents/repeated-call.md). Cause: a call went to a second endpoint after a first crash, since calls that are under way at a crash of another cause are more common. In the record's service about 0.2 calls that may be repeated are under way at an endpoint (9.24/s of 60 ms over three), and their callers repeat them themselves; a wrong second try costs a third of the service for seconds. Change: calls are treated like prompts.

--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -135,8 +135,8 @@
 /// Whether a request whose connection an endpoint just lost may have crashed it, so that it is not
 /// sent to another one.
 ///
-/// A prompt may have unless answers on all its shared parts have gone on lately. A call may have if it
-/// was under way at another crash, too. Waits until it is known whether the endpoint has crashed.
+/// It may have unless answers on all its shared parts have gone on lately and it was under way at no other
+/// crash. Waits until it is known whether the endpoint has crashed.
 pub(super) async fn is_suspect<D>(
     cx: &Context<D>,
     endpoint: &directory::Identity,
@@ -144,9 +144,8 @@
 ) -> bool {
     let now = clock::now();
     let parts = &plan.shared_parts;
-    let is_new_prompt =
-        plan.choice_request.prompt.is_some() && !cx.crash_watch.borrow().are_proven(parts, now);
-    if !is_new_prompt && !cx.shared.verdicts().is_suspect(parts, now) {
+    let is_proven = cx.crash_watch.borrow().are_proven(parts, now);
+    if is_proven && !cx.shared.verdicts().is_suspect(parts, now) {
         return false;
     }
     let state = {
