Tell the requests of accounts apart when they crash endpoints

Callers saw: a sound call refused for ten minutes, since another account's call with the same path and body had crashed endpoints. One account could have another's calls refused. Cause: the key of a whole request was made of its path and body alone. Change: account, method and authority are part of it. Hosts of the build before have other keys: during a roll their evidence does not add up.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -59,11 +59,11 @@
     }
 
     /// Key of a whole request, for one that shares no part of a prompt with others: it crashes
-    /// endpoints again only if it is repeated.
+    /// endpoints again only if it is repeated. `fields` are what a repetition has in common with it.
     #[must_use]
-    pub fn of_request(target: &[u8], body: &[u8]) -> Self {
-        let seed = xxhash_rust::xxh3::xxh3_64(target);
-        Self(xxhash_rust::xxh3::xxh3_64_with_seed(body, seed))
+    pub fn of_request(fields: &[&[u8]]) -> Self {
+        let hash = |seed, field: &&[u8]| xxhash_rust::xxh3::xxh3_64_with_seed(field, seed);
+        Self(fields.iter().fold(0, hash))
     }
 
     /// Hash that assigns the trials of the part to hosts.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -295,3 +295,21 @@
     quarantine.tick(at(5_000_000) + Duration::from_secs(600));
     assert!(quarantine.state().is_empty());
 }
+
+/// Guards against one account that has the requests of another refused.
+#[test]
+fn key_of_a_request_depends_on_every_field() {
+    let key = |fields: &[&[u8]]| PartKey::of_request(fields);
+    let keys = [
+        key(&[b"account", b"/path", b"body"]),
+        key(&[b"another", b"/path", b"body"]),
+        key(&[b"account", b"/other", b"body"]),
+        key(&[b"account", b"/path", b"other"]),
+        key(&[b"account", b"/pathbody", b""]),
+        key(&[b"", b"account/path", b"body"]),
+    ];
+    for (i, one) in keys.iter().enumerate() {
+        assert!(!keys[..i].contains(one), "{i}");
+    }
+    assert_eq!(keys[0], key(&[b"account", b"/path", b"body"]));
+}
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -69,6 +69,7 @@
         .route(authority(head), head.uri.path())
         .ok_or_else(|| unknown_or_not_ready(reason::Refusal::NotFound))?;
     let account = authenticate(catalog, route, metadata).map_err(unknown_or_not_ready)?;
+    let account_name = account.map(|account| account.name.clone());
     let seed = request_seed(&metadata.id);
     // A route may be split among services. A stream goes on at the one that began it.
     let first_id = metadata.resumes.as_ref().unwrap_or(&metadata.id);
@@ -76,23 +77,24 @@
     let caller_timeout = metadata.timeout.unwrap_or(timeout);
     Ok(Plan {
         service: route.target(request_seed(first_id)),
-        account: account.map(|a| a.name.clone()),
+        shared_parts: shared_parts(head, account_name.as_deref(), metadata, body),
+        account: account_name,
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
         deadline: arrived + timeout.min(caller_timeout),
         choice_request: choice::Request {
             prompt: metadata.prompt.clone(),
             seed,
         },
-        shared_parts: shared_parts(head, metadata, body),
         route: route.clone(),
         catalog: catalog.clone(),
     })
 }
 
 /// Parts of the prompt that other prompts may have, or the key of the whole request if there are
-/// none.
+/// none. The same request of another account has another key, since it may be sound.
 fn shared_parts(
     head: &request::Parts,
+    account: Option<&str>,
     metadata: &adapter::RequestMetadata,
     body: &[u8],
 ) -> quarantine::Parts {
@@ -102,7 +104,13 @@
         return parts;
     }
     let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
-    let request = quarantine::PartKey::of_request(target.as_bytes(), body);
+    let request = quarantine::PartKey::of_request(&[
+        account.unwrap_or("").as_bytes(),
+        head.method.as_str().as_bytes(),
+        authority(head).as_bytes(),
+        target.as_bytes(),
+        body,
+    ]);
     [request].into_iter().collect()
 }
 
