Count a request under its own key beside the shared parts of its prompt

Callers saw: sound requests refused for ten minutes, since one request that shares parts with them crashes endpoints by itself. Cause: a request with shared parts counted under these alone. Whatever crashed under it, it was the shared parts that were accused; answers on them cleared them only while sound traffic was frequent and served. Change: every request counts under its shared parts and a key of its own (RequestKeys). Keys that were in all of the crashes are accused together, so that only this request is refused; a part of different requests is accused without their own keys, as before.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -17,11 +17,13 @@
 mod accusation;
 mod evidence;
 mod machine;
+mod request_keys;
 mod verdicts;
 
 pub use accusation::Accusation;
 pub use evidence::{Crash, Proof};
 pub use machine::{Effects, Quarantine, Update};
+pub use request_keys::RequestKeys;
 pub use verdicts::{Admission, Verdicts};
 
 use std::fmt;
@@ -58,8 +60,7 @@
         Self(key)
     }
 
-    /// Key of a whole request, for one that shares no part of a prompt with others: it crashes
-    /// endpoints again only if it is repeated. `fields` are what a repetition has in common with it.
+    /// Key of a whole request, which may crash endpoints again if it is repeated. `fields` are what a repetition has in common with it.
     #[must_use]
     pub fn of_request(fields: &[&[u8]]) -> Self {
         let hash = |seed, field: &&[u8]| xxhash_rust::xxh3::xxh3_64_with_seed(field, seed);
@@ -82,7 +83,7 @@
 /// Most parts of a prompt that are considered, which bounds what a caller can make hosts keep.
 const MAX_PARTS: usize = 16;
 
-/// Parts that other prompts may have, in prompt order. Never has the part of the request itself.
+/// Keys of parts that other prompts may have, in prompt order, or of these and a whole request.
 pub type Parts = SmallVec<[PartKey; 4]>;
 
 /// The parts of a prompt that other prompts may have.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use pistachiochute_core::quarantine::{
-    Accusation, Admission, Crash, IncarnationKey, PartKey, Parts, QUARANTINE, Quarantine, Update,
+    Accusation, Admission, Crash, IncarnationKey, PartKey, Parts, QUARANTINE, Quarantine,
+    RequestKeys, Update,
 };
 use pistachiochute_core::time::Time;
 
@@ -313,3 +314,44 @@
     }
     assert_eq!(keys[0], key(&[b"account", b"/path", b"body"]));
 }
+
+/// Guards against a conversation tree that is refused since one request of it crashes endpoints by
+/// itself.
+#[test]
+fn request_that_crashes_by_itself_is_accused_with_its_parts() {
+    let own = PartKey::new(9);
+    let mut quarantine = Quarantine::new();
+    for i in 1..=3 {
+        let prompt: &[PartKey] = &[FIRST, SOUND, own];
+        let _ = quarantine.apply(crash(i, i * 1_000, &[prompt]), at(i * 1_000));
+    }
+    assert_eq!(accused(&quarantine), [parts(&[FIRST, SOUND, own])]);
+    let other = admission(&quarantine, 3_000, &[FIRST, SOUND, PartKey::new(10)]);
+    assert_eq!(other, Admission::Admitted);
+    let same = admission(&quarantine, 3_000, &[FIRST, SOUND, own]);
+    assert_eq!(same, Admission::Refused(parts(&[FIRST, SOUND, own])));
+}
+
+/// Guards against a part that is found later since each request with it has a key of its own.
+#[test]
+fn part_of_different_requests_is_accused_without_them() {
+    let mut quarantine = Quarantine::new();
+    for i in 1..=3 {
+        let prompt: &[PartKey] = &[CRASHING, PartKey::new(100 + i)];
+        let _ = quarantine.apply(crash(i, i * 1_000, &[prompt]), at(i * 1_000));
+    }
+    assert_eq!(accused(&quarantine), [parts(&[CRASHING])]);
+}
+
+#[test]
+fn keys_of_a_request_without_shared_parts_are_its_own() {
+    let own = PartKey::new(9);
+    let call = RequestKeys::new(Parts::new(), own);
+    assert_eq!(
+        (call.all().as_slice(), call.shared()),
+        (&[own][..], &[own][..])
+    );
+    let prompt = RequestKeys::new(parts(&[FIRST]), own);
+    assert_eq!(prompt.all().as_slice(), [FIRST, own]);
+    assert_eq!(prompt.shared(), [FIRST]);
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -93,8 +93,8 @@
     pub request: &'a str,
     /// Endpoint that broke the answer off.
     pub endpoint: &'a directory::Identity,
-    /// Shared parts of the prompt.
-    pub shared_parts: &'a [quarantine::PartKey],
+    /// What of the request may crash endpoints.
+    pub keys: &'a [quarantine::PartKey],
     /// How far the answer was.
     pub progress: outcome::AnswerProgress,
     /// Time since the attempt began.
@@ -306,8 +306,8 @@
         );
     }
 
-    /// An endpoint broke an answer off. The shared parts of the prompt relate the requests that an
-    /// endpoint was processing when it ended.
+    /// An endpoint broke an answer off. The keys relate the requests that an endpoint was processing
+    /// when it ended.
     pub fn answer_broken(&self, entry: &BrokenAnswerLogEntry<'_>) {
         if !self.allow_line(clock::now()) {
             return;
@@ -316,7 +316,7 @@
             self.log, "answer broken off";
             "request" => entry.request, "endpoint" => %entry.endpoint,
             "progress" => entry.progress.as_str(), "after_ms" => millis(entry.after),
-            "shared_parts" => part_list(entry.shared_parts), "cause" => entry.cause,
+            "keys" => part_list(entry.keys), "cause" => entry.cause,
         );
     }
 
@@ -367,7 +367,7 @@
         slog::info!(
             self.log, "endpoint crashed";
             "endpoint" => %endpoint, "incarnation" => %crash.incarnation,
-            "shared_parts" => prompts.join(" "),
+            "keys" => prompts.join(" "),
         );
     }
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -228,7 +228,7 @@
         has_gone_on: false,
         cause,
     };
-    in_flight.report_broken_answer(attempt.outgoing, &attempt.plan.shared_parts, &broken);
+    in_flight.report_broken_answer(attempt.outgoing, attempt.plan.keys.all(), &broken);
 }
 
 /// Builds the request for the selected endpoint.
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -91,7 +91,7 @@
         if now >= state.plan.deadline {
             return give_up(state, last_answer, reason::Refusal::Deadline, outcome);
         }
-        if crash_watch::is_refused(&cx, &state.plan.shared_parts) {
+        if crash_watch::is_refused(&cx, state.plan.keys.all()) {
             return give_up(
                 state,
                 last_answer,
@@ -117,7 +117,7 @@
         };
         let (failure, cause, answer) = match attempt::execute(&cx, &attempt).await {
             AttemptResult::Complete(answer) => {
-                crash_watch::record_proof(&cx, &state.plan.shared_parts);
+                crash_watch::record_proof(&cx, state.plan.keys.all());
                 return FinalAnswer::Complete(answer);
             }
             AttemptResult::Stream(parts, opened) => {
@@ -132,7 +132,7 @@
         };
         if answer.is_some() {
             // It failed the request, but it goes on.
-            crash_watch::record_proof(&cx, &state.plan.shared_parts);
+            crash_watch::record_proof(&cx, state.plan.keys.all());
         }
         last_answer = answer.or(last_answer);
         let next = match failure {
--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -143,9 +143,9 @@
     plan: &Plan,
 ) -> bool {
     let now = clock::now();
-    let parts = &plan.shared_parts;
-    let is_proven = cx.crash_watch.borrow().are_proven(parts, now);
-    if is_proven && !cx.shared.verdicts().is_suspect(parts, now) {
+    let keys = &plan.keys;
+    let is_proven = cx.crash_watch.borrow().are_proven(keys.shared(), now);
+    if is_proven && !cx.shared.verdicts().is_suspect(keys.all(), now) {
         return false;
     }
     let state = {
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -236,7 +236,7 @@
     /// Reports that the answer went on, so that the parts of its prompt do not crash endpoints.
     fn clear_prompt(&self) {
         if let Some(state) = &self.state {
-            crash_watch::record_proof(&state.cx, &state.plan.shared_parts);
+            crash_watch::record_proof(&state.cx, state.plan.keys.all());
         }
     }
 
@@ -281,7 +281,7 @@
             has_gone_on,
             cause,
         };
-        in_flight.report_broken_answer(&state.outgoing, &state.plan.shared_parts, &broken);
+        in_flight.report_broken_answer(&state.outgoing, state.plan.keys.all(), &broken);
         Some(attempts::BrokenStream {
             after_event: self.splitter.last_id(),
             endpoint: in_flight.endpoint().clone(),
--- a/crates/gateway/src/traffic/in_flight.rs
+++ b/crates/gateway/src/traffic/in_flight.rs
@@ -87,7 +87,7 @@
     pub(super) fn report_broken_answer(
         &self,
         outgoing: &attempt::OutgoingRequest,
-        shared_parts: &quarantine::Parts,
+        keys: &quarantine::Parts,
         broken: &BrokenAnswer<'_>,
     ) {
         let cx = &self.cx;
@@ -95,13 +95,13 @@
         cx.events.answer_broken(&events::BrokenAnswerLogEntry {
             request: &String::from_utf8_lossy(&outgoing.id),
             endpoint: &self.endpoint.identity,
-            shared_parts,
+            keys,
             progress: broken.progress,
             after: clock::now().since(self.started),
             cause: broken.cause,
         });
         if !broken.has_gone_on {
-            crash_watch::record_loss(cx, &self.endpoint, shared_parts.clone());
+            crash_watch::record_loss(cx, &self.endpoint, keys.clone());
         }
     }
 
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -33,9 +33,8 @@
     pub deadline: time::Time,
     /// Input for the selection of an endpoint.
     pub choice_request: choice::Request,
-    /// What the request shares with others that may crash endpoints in the same way: parts of its
-    /// prompt, or the whole of it.
-    pub shared_parts: quarantine::Parts,
+    /// What of the request may crash endpoints.
+    pub keys: quarantine::RequestKeys,
 }
 
 impl Plan {
@@ -77,7 +76,7 @@
     let caller_timeout = metadata.timeout.unwrap_or(timeout);
     Ok(Plan {
         service: route.target(request_seed(first_id)),
-        shared_parts: shared_parts(head, account_name.as_deref(), metadata, body),
+        keys: request_keys(head, account_name.as_deref(), metadata, body),
         account: account_name,
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
         deadline: arrived + timeout.min(caller_timeout),
@@ -90,19 +89,16 @@
     })
 }
 
-/// Parts of the prompt that other prompts may have, or the key of the whole request if there are
-/// none. The same request of another account has another key, since it may be sound.
-fn shared_parts(
+/// What of a request may crash endpoints. The same request of another account has another key, since it
+/// may be sound.
+fn request_keys(
     head: &request::Parts,
     account: Option<&str>,
     metadata: &adapter::RequestMetadata,
     body: &[u8],
-) -> quarantine::Parts {
+) -> quarantine::RequestKeys {
     let prompt = metadata.prompt.as_ref();
-    let parts = prompt.map(quarantine::shared_parts).unwrap_or_default();
-    if !parts.is_empty() {
-        return parts;
-    }
+    let shared_parts = prompt.map(quarantine::shared_parts).unwrap_or_default();
     let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
     let request = quarantine::PartKey::of_request(&[
         account.unwrap_or("").as_bytes(),
@@ -111,7 +107,7 @@
         target.as_bytes(),
         body,
     ]);
-    [request].into_iter().collect()
+    quarantine::RequestKeys::new(shared_parts, request)
 }
 
 /// Authority of a request, from its target or its `Host` header.
--- a/crates/measure/src/quarantine.rs
+++ b/crates/measure/src/quarantine.rs
@@ -79,14 +79,15 @@
     forwarded.count() as u64
 }
 
-/// A crash under one prompt with two parts of its own.
+/// A crash under one request whose prompt has two parts that no other one has.
 fn crash(number: u64, at: time::Time) -> quarantine::Crash {
-    let part = |i| quarantine::PartKey::new(u64::MAX - 2 * number - i);
-    let prompt: quarantine::Parts = [part(0), part(1)].into_iter().collect();
+    let key = |i| quarantine::PartKey::new(u64::MAX - 3 * number - i);
+    let shared_parts = [key(0), key(1)].into_iter().collect();
+    let keys = quarantine::RequestKeys::new(shared_parts, key(2));
     quarantine::Crash {
         incarnation: quarantine::IncarnationKey::new(u64::MAX - number),
         at,
-        prompts: [prompt].into_iter().collect(),
+        prompts: [keys.all().clone()].into_iter().collect(),
     }
 }
 
