Soak: no planned stop of a host that does not run

Its schedule kills host-2 at 2.336 s and stops it at 2.514 s, before it is started again at 3.07 s: the signal went nowhere, and the soak waited 14 s for the end of the next process, killed it, and played all steps that had become due at once. One of them was SIGHUP to host-6 in the first moment of its process (signal-at-start). Change: a planned stop of a host that does not run is left out.

--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -27,6 +27,8 @@
     pub(super) fn begin(&mut self, fault: Fault) -> eyre::Result<Option<(Duration, Ending)>> {
         let lasting = |span: Duration, ending: Ending| Ok(Some((span, ending)));
         match fault {
+            // A host that was killed and is not started yet cannot be stopped.
+            Fault::Stop { host } if !self.hosts[host].is_running() => Ok(None),
             Fault::Stop { host } => {
                 let stop = self.hosts[host].stop;
                 self.disturb(host, stop + RESTART, Disturbance::PlannedStop);
