Count crashes that follow each other as separate, whatever the time between

Callers saw: more endpoints ended than evidence was needed, if each ended within milliseconds of the one before. Cause: crashes within 50 ms counted as one, for a rack may have failed. The second end under a request that was sent after the first had no such cause. Change: hosts state when the requests of a crash were sent (peer::Message::TimedQuarantine, in place of Quarantine for hosts that announce that they read it). A crash is separate from an earlier one if all its requests with the part were sent after that one; if it is not known, the 50 ms hold. Tried and reverted: a margin of 8 ms for times from other hosts.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -12,8 +12,8 @@
 /// Crashes that are kept. The oldest makes room for a new one.
 const MAX_CRASHES: usize = 512;
 
-/// Prompts of one crash that are kept.
-const MAX_PROMPTS: usize = 64;
+/// Requests of one crash that are kept.
+const MAX_REQUESTS: usize = 64;
 
 /// Parts whose last proof is kept.
 const MAX_PROOFS: usize = 16_384;
@@ -28,15 +28,57 @@
 /// Reports of the crash of an incarnation within this time mean the same crash.
 const SAME_CRASH: Duration = Duration::from_millis(300);
 
-/// The end of an endpoint's process, and the prompts that it had begun to process.
+/// A request that was under way at an endpoint whose process ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostRequest {
+    /// Keys of the request.
+    pub keys: Parts,
+    /// When it was sent to the endpoint, if that is known.
+    pub sent_at: Option<time::Time>,
+}
+
+impl LostRequest {
+    /// Records that the same request was sent at another time, too. The earlier one counts, and an
+    /// unknown one is before any other. Returns whether that changed it.
+    fn merge_sent_at(&mut self, other: Option<time::Time>) -> bool {
+        let is_earlier = other < self.sent_at;
+        self.sent_at = self.sent_at.min(other);
+        is_earlier
+    }
+}
+
+/// The end of an endpoint's process, and the requests that it had begun to process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// The incarnation that ended.
     pub incarnation: IncarnationKey,
     /// When its connections were lost.
     pub at: time::Time,
-    /// Shared parts of each prompt whose answer had not gone on.
-    pub prompts: SmallVec<[Parts; 2]>,
+    /// The requests whose answers had not gone on.
+    pub requests: SmallVec<[LostRequest; 2]>,
+}
+
+impl Crash {
+    /// Adds a request from another report on the crash, if there is room. Returns whether it was new.
+    fn add(&mut self, request: &LostRequest) -> bool {
+        let mut known = self.requests.iter_mut();
+        if let Some(known) = known.find(|known| known.keys == request.keys) {
+            return known.merge_sent_at(request.sent_at);
+        }
+        let has_room = self.requests.len() < MAX_REQUESTS;
+        if has_room {
+            self.requests.push(request.clone());
+        }
+        has_room
+    }
+
+    /// Whether every request with a part was sent after an earlier crash.
+    fn follows(&self, earlier: time::Time, part: PartKey) -> bool {
+        let is_later = |at: time::Time| at >= earlier;
+        let with_part = |request: &&LostRequest| request.keys.contains(&part);
+        let mut requests = self.requests.iter().filter(with_part);
+        requests.all(|request| request.sent_at.is_some_and(is_later))
+    }
 }
 
 /// An answer on a part went on.
@@ -93,7 +135,7 @@
     /// An incarnation ends once. If it is reported again later, it has not crashed, and both reports
     /// count for nothing: a network cut may refuse connections, too.
     pub(super) fn record_crash(&mut self, mut crash: Crash) -> Option<Crash> {
-        crash.prompts.truncate(MAX_PROMPTS);
+        crash.requests.truncate(MAX_REQUESTS);
         if self.refuted.get(&crash.incarnation).is_some() {
             return None;
         }
@@ -108,15 +150,10 @@
             let is_one_of_many = self.simultaneous(crash.at) >= MAX_SIMULTANEOUS;
             return (!is_one_of_many).then(|| self.insert_crash(crash));
         };
-        crash
-            .prompts
-            .retain(|prompt| !known.prompts.contains(prompt));
-        let room = MAX_PROMPTS - known.prompts.len();
-        crash.prompts.truncate(room);
-        known.prompts.extend(crash.prompts.iter().cloned());
+        crash.requests.retain(|request| known.add(request));
         let number = *number;
         self.index(number, &crash);
-        (!crash.prompts.is_empty()).then_some(crash)
+        (!crash.requests.is_empty()).then_some(crash)
     }
 
     /// Whether an incarnation is known to have crashed at another time.
@@ -126,18 +163,18 @@
         })
     }
 
-    /// Drops the prompts of an incarnation that has not crashed.
+    /// Drops the requests of an incarnation that has not crashed.
     fn refute(&mut self, incarnation: IncarnationKey) {
         self.refuted.insert(incarnation, ());
         let mut refuted = Vec::new();
         for (number, crash) in &mut self.crashes {
             if crash.incarnation == incarnation {
-                let prompts = std::mem::take(&mut crash.prompts);
-                refuted.push((*number, prompts));
+                let requests = std::mem::take(&mut crash.requests);
+                refuted.push((*number, requests));
             }
         }
-        for (number, prompts) in refuted {
-            self.remove_from_index(number, &prompts);
+        for (number, requests) in refuted {
+            self.remove_from_index(number, &requests);
         }
     }
 
@@ -159,7 +196,7 @@
     }
 
     fn index(&mut self, number: u64, crash: &Crash) {
-        for part in crash.prompts.iter().flatten() {
+        for part in crash.requests.iter().flat_map(|request| &request.keys) {
             let numbers = self.by_part.entry(*part).or_default();
             if !numbers.contains(&number) {
                 numbers.push(number);
@@ -171,11 +208,11 @@
         let Some((number, crash)) = self.crashes.pop_first() else {
             return;
         };
-        self.remove_from_index(number, &crash.prompts);
+        self.remove_from_index(number, &crash.requests);
     }
 
-    fn remove_from_index(&mut self, number: u64, prompts: &[Parts]) {
-        for part in prompts.iter().flatten() {
+    fn remove_from_index(&mut self, number: u64, requests: &[LostRequest]) {
+        for part in requests.iter().flat_map(|request| &request.keys) {
             let Some(numbers) = self.by_part.get_mut(part) else {
                 continue;
             };
@@ -222,24 +259,25 @@
         let last_proof = self.last_proof(part);
         let counts = |crash: &&Crash| {
             let is_unproven = last_proof.is_none_or(|proof| crash.at > proof);
-            let mut prompts = crash.prompts.iter();
-            is_unproven && prompts.any(|prompt| prompt.contains(&part) && !is_explained(prompt))
+            let mut requests = crash.requests.iter().map(|request| &request.keys);
+            is_unproven && requests.any(|keys| keys.contains(&part) && !is_explained(keys))
         };
         self.with_part(part).filter(counts).collect()
     }
 
-    /// Parts that are in every prompt of these crashes that has `part`, and that no answer has
+    /// Keys that are in every request of these crashes that has `part`, and that no answer has
     /// proven since the first of them.
     pub(super) fn companions(&self, part: PartKey, crashes: &[&Crash]) -> Parts {
-        let mut prompts = crashes.iter().flat_map(|crash| &crash.prompts);
-        let with_part = |prompt: &&Parts| prompt.contains(&part);
-        let Some(first) = prompts.find(with_part) else {
+        let requests = crashes.iter().flat_map(|crash| &crash.requests);
+        let mut keys = requests.map(|request| &request.keys);
+        let with_part = |keys: &&Parts| keys.contains(&part);
+        let Some(first) = keys.find(with_part) else {
             return Parts::new();
         };
         let mut common = first.clone();
         common.dedup();
-        for prompt in prompts.filter(with_part) {
-            common.retain(|part| prompt.contains(part));
+        for keys in keys.filter(with_part) {
+            common.retain(|part| keys.contains(part));
         }
         let first_at = crashes.iter().map(|crash| crash.at).min();
         common.retain(|part| self.last_proof(*part) < first_at);
@@ -252,22 +290,23 @@
     a.since(b).max(b.since(a))
 }
 
-/// Number of separate crashes: those within [`SIMULTANEOUS`] of an earlier one count as one.
-pub(super) fn separate(crashes: &[&Crash]) -> usize {
-    separate_times(crashes).len()
+/// Number of separate crashes that count against a part.
+pub(super) fn separate(crashes: &[&Crash], part: PartKey) -> usize {
+    separate_times(crashes, part).len()
 }
 
-/// Times of the separate crashes.
-pub(super) fn separate_times(crashes: &[&Crash]) -> SmallVec<[time::Time; 4]> {
-    let mut times: SmallVec<[time::Time; 8]> = crashes.iter().map(|crash| crash.at).collect();
-    times.sort_unstable();
+/// Times of the separate crashes that count against a part. One within [`SIMULTANEOUS`] of an earlier
+/// one counts as one with it, unless its requests with the part were sent after that one: then it
+/// has no cause in common with it but the part.
+pub(super) fn separate_times(crashes: &[&Crash], part: PartKey) -> SmallVec<[time::Time; 4]> {
+    let mut crashes: SmallVec<[&Crash; 8]> = crashes.iter().copied().collect();
+    crashes.sort_unstable_by_key(|crash| crash.at);
     let mut separate: SmallVec<[time::Time; 4]> = SmallVec::new();
-    for at in times {
-        if separate
-            .last()
-            .is_none_or(|last| at.since(*last) > SIMULTANEOUS)
-        {
-            separate.push(at);
+    for crash in crashes {
+        let is_separate =
+            |last: &time::Time| crash.at.since(*last) > SIMULTANEOUS || crash.follows(*last, part);
+        if separate.last().is_none_or(is_separate) {
+            separate.push(crash.at);
         }
     }
     separate
--- a/crates/core/src/quarantine/machine.rs
+++ b/crates/core/src/quarantine/machine.rs
@@ -146,7 +146,7 @@
     fn suspects(&self) -> HashMap<PartKey, smallvec::SmallVec<[time::Time; 4]>> {
         let mut suspects = HashMap::new();
         for part in self.evidence.parts() {
-            let times = separate_times(&self.against(part));
+            let times = separate_times(&self.against(part), part);
             if !times.is_empty() {
                 suspects.insert(part, times);
             }
@@ -189,7 +189,8 @@
         effects.verdicts_changed = true;
         self.forward_later_proofs(&new, effects);
         self.end_failed_trials(&new, now);
-        let mut parts: Vec<PartKey> = new.prompts.iter().flatten().copied().collect();
+        let requests = new.requests.iter();
+        let mut parts: Vec<PartKey> = requests.flat_map(|r| r.keys.iter().copied()).collect();
         parts.sort_unstable();
         parts.dedup();
         for part in parts {
@@ -200,7 +201,7 @@
 
     /// Forwards the proofs that contradict a crash: the host that reported it does not know them.
     fn forward_later_proofs(&self, crash: &Crash, effects: &mut Effects) {
-        for part in crash.prompts.iter().flatten() {
+        for part in crash.requests.iter().flat_map(|request| &request.keys) {
             let Some(at) = self.evidence.last_proof(*part) else {
                 continue;
             };
@@ -214,9 +215,9 @@
     /// Begins the quarantine again of parts whose trial has ended in a crash.
     fn end_failed_trials(&mut self, crash: &Crash, now: time::Time) {
         for accusation in &mut self.accusations {
-            let mut prompts = crash.prompts.iter();
+            let mut requests = crash.requests.iter();
             let is_on_trial = accusation.is_on_trial(now) && crash.at >= accusation.until;
-            if is_on_trial && prompts.any(|prompt| accusation.applies_to(prompt)) {
+            if is_on_trial && requests.any(|request| accusation.applies_to(&request.keys)) {
                 *accusation = Accusation::new(accusation.parts.clone(), crash.at, now);
             }
         }
@@ -225,12 +226,12 @@
     /// Accuses a part if enough crashes count against it.
     fn consider(&mut self, part: PartKey, now: time::Time, effects: &mut Effects) {
         let crashes = self.against(part);
-        let count = separate(&crashes);
+        let count = separate(&crashes, part);
         if count < CRASHES_TO_ACCUSE {
             return;
         }
         let companions = self.evidence.companions(part, &crashes);
-        let is_stronger = |other: &PartKey| separate(&self.against(*other)) > count;
+        let is_stronger = |other: &PartKey| separate(&self.against(*other), *other) > count;
         if companions.iter().any(is_stronger) {
             return;
         }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,7 +6,8 @@
 //! other. A part that was in several crashes without any answer in between is accused, and requests
 //! with it are refused before they reach an endpoint.
 //!
-//! Crashes at about the same time count as one, since a rack or a domain may have failed. The parts
+//! Crashes at about the same time count as one, since a rack or a domain may have failed, unless
+//! requests that were sent after the first were lost in the second. The parts
 //! of nearly all requests are in nearly all crashes, but answers on them go on in between. Where
 //! the evidence does not tell the parts of a prompt apart, only prompts that contain all of them
 //! are refused.
@@ -21,7 +22,7 @@
 mod verdicts;
 
 pub use accusation::Accusation;
-pub use evidence::{Crash, Proof};
+pub use evidence::{Crash, LostRequest, Proof};
 pub use machine::{Effects, Quarantine, Update};
 pub use request_keys::RequestKeys;
 pub use verdicts::{Admission, Verdicts};
@@ -37,7 +38,7 @@
 /// Separate crashes after which a part is accused, if no answer on it went on in between.
 pub const CRASHES_TO_ACCUSE: usize = 3;
 
-/// Crashes within this time count as one.
+/// Crashes within this time count as one, unless one is known to follow the other.
 pub const SIMULTANEOUS: Duration = Duration::from_millis(50);
 
 /// Time for which requests with an accused part are refused before a trial.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use pistachiochute_core::quarantine::{
-    Accusation, Admission, Crash, IncarnationKey, PartKey, Parts, QUARANTINE, Quarantine,
-    RequestKeys, Update,
+    Accusation, Admission, Crash, IncarnationKey, LostRequest, PartKey, Parts, QUARANTINE,
+    Quarantine, RequestKeys, Update,
 };
 use pistachiochute_core::time::Time;
 
@@ -24,10 +24,17 @@
     Update::crash(Crash {
         incarnation: IncarnationKey::new(incarnation),
         at: at(ms),
-        prompts: prompts.iter().map(|prompt| parts(prompt)).collect(),
+        requests: prompts.iter().map(|keys| lost(keys, None)).collect(),
     })
 }
 
+fn lost(keys: &[PartKey], sent_at: Option<Time>) -> LostRequest {
+    LostRequest {
+        keys: parts(keys),
+        sent_at,
+    }
+}
+
 fn proof(part: PartKey, ms: u64) -> Update {
     Update::proofs(&[part], at(ms))
 }
@@ -292,7 +299,7 @@
     }
     let state = quarantine.state();
     assert!(state.crashes.len() <= 512);
-    assert!(state.crashes.iter().all(|c| c.prompts.len() <= 64));
+    assert!(state.crashes.iter().all(|c| c.requests.len() <= 64));
     quarantine.tick(at(5_000_000) + Duration::from_secs(600));
     assert!(quarantine.state().is_empty());
 }
@@ -355,3 +362,62 @@
     assert_eq!(prompt.all().as_slice(), [FIRST, own]);
     assert_eq!(prompt.shared(), [FIRST]);
 }
+
+/// A crash at `ms` under requests with [`CRASHING`] that were sent at these times.
+fn crash_of_sent(incarnation: u64, ms: u64, sent_ms: &[Option<u64>]) -> Update {
+    let own_key = |i: usize| PartKey::new(1_000 + incarnation * 10 + i as u64);
+    let requests = sent_ms.iter().enumerate();
+    let requests = requests.map(|(i, sent)| lost(&[CRASHING, own_key(i)], sent.map(at)));
+    Update::crash(Crash {
+        incarnation: IncarnationKey::new(incarnation),
+        at: at(ms),
+        requests: requests.collect(),
+    })
+}
+
+/// Guards against ends under one request, sent again and again, that count as one since each ends its
+/// endpoint within milliseconds.
+#[test]
+fn crashes_that_follow_each_other_are_separate_whatever_the_time_between() {
+    let mut quarantine = Quarantine::new();
+    for i in 1..=3_u64 {
+        assert!(accused(&quarantine).is_empty());
+        let ms = 1_000 + i * 20;
+        let _ = quarantine.apply(crash_of_sent(i, ms, &[Some(ms - 12)]), at(ms));
+    }
+    assert_eq!(accused(&quarantine), [parts(&[CRASHING])]);
+}
+
+/// Guards against refusing a part that was under way when a rack failed: some of its requests were
+/// sent before, or nobody knows when.
+#[test]
+fn crashes_that_need_not_follow_each_other_count_as_one() {
+    for sent_ms in [Some(900), None] {
+        let mut quarantine = Quarantine::new();
+        for i in 1..=9_u64 {
+            let ms = 1_000 + i * 5;
+            let sent_ms = [Some(ms - 1), sent_ms];
+            let _ = quarantine.apply(crash_of_sent(i, ms, &sent_ms), at(ms));
+        }
+        assert!(accused(&quarantine).is_empty(), "{sent_ms:?}");
+    }
+}
+
+/// Guards against two hosts that report the same request of one crash, of which one sent it before.
+#[test]
+fn earliest_report_of_a_request_counts() {
+    for reversed in [false, true] {
+        let mut quarantine = Quarantine::new();
+        for i in 1..=9_u64 {
+            let ms = 1_000 + i * 5;
+            let mut reports = [Some(ms - 1), Some(900)];
+            if reversed {
+                reports.reverse();
+            }
+            for sent_ms in reports {
+                let _ = quarantine.apply(crash_of_sent(i, ms, &[sent_ms]), at(ms));
+            }
+        }
+        assert!(accused(&quarantine).is_empty());
+    }
+}
--- a/crates/core/tests/quarantine_fleet.rs
+++ b/crates/core/tests/quarantine_fleet.rs
@@ -9,7 +9,7 @@
 
 use pistachiochute_core::membership::overlay;
 use pistachiochute_core::quarantine::{
-    Admission, Crash, IncarnationKey, PROOF_AFTER, PartKey, Parts, Quarantine, Update,
+    Admission, Crash, IncarnationKey, LostRequest, PROOF_AFTER, PartKey, Parts, Quarantine, Update,
 };
 use pistachiochute_core::time::Time;
 use rand::{Rng as _, SeedableRng as _};
@@ -296,11 +296,15 @@
                 prompts.entry(lost.host).or_default().push(lost.parts);
             }
         }
+        let lost = |keys| LostRequest {
+            keys,
+            sent_at: None,
+        };
         for (host, prompts) in prompts {
             let crash = Crash {
                 incarnation: IncarnationKey::new(incarnation),
                 at: self.now,
-                prompts: prompts.into(),
+                requests: prompts.into_iter().map(lost).collect(),
             };
             let delay = self.millis(2, 30);
             self.schedule(delay, Event::Verified { host, crash });
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -69,14 +69,16 @@
     }
 }
 
-/// Applies an update of another host.
+/// Applies an update of another host, with the times at which the requests of its crashes were sent as
+/// far as they are known.
 pub(super) fn apply_update<D, S>(
     cx: &Context<D, S>,
     host: &Arc<str>,
     update: peer::QuarantineUpdate,
+    sent_ages_ms: &[Vec<Option<u32>>],
 ) {
     let now = clock::now();
-    apply(cx, from_message(update, now), Some(host));
+    apply(cx, from_message(update, sent_ages_ms, now), Some(host));
 }
 
 /// Messages with everything that this host knows, for a host that may know nothing.
@@ -221,57 +223,90 @@
     cx.shared.publish_verdicts(verdicts);
 }
 
-/// Messages that carry an update, none if it says nothing.
+/// Messages that carry an update, none if it says nothing: for hosts that read the times of requests,
+/// and for others.
 fn to_messages(update: &quarantine::Update, now: time::Time) -> Vec<peer::Message> {
     let proofs = update.proofs.iter().map(|proof| peer::ProofRecord {
         part: proof.part,
         age_ms: ages::age_of(proof.at, now),
     });
-    let crashes = update.crashes.iter().map(|crash| peer::CrashRecord {
-        incarnation: crash.incarnation,
-        age_ms: ages::age_of(crash.at, now),
-        prompts: crash.prompts.to_vec(),
-    });
     let accusations = update.accusations.iter().map(|a| peer::AccusationRecord {
         parts: a.parts.clone(),
         age_ms: ages::age_of(a.since, now),
         remaining_ms: ages::millis(a.until.since(now)),
     });
     let mut proofs: Vec<_> = proofs.collect();
-    let mut crashes: Vec<_> = crashes.collect();
+    let mut crashes = update.crashes.clone();
     let mut accusations: Vec<_> = accusations.collect();
     let mut messages = Vec::new();
     while !(proofs.is_empty() && crashes.is_empty() && accusations.is_empty()) {
-        messages.push(peer::Message::Quarantine(peer::QuarantineUpdate {
-            proofs: take_chunk(&mut proofs),
-            // Crashes must not arrive before the proofs that contradict them.
-            crashes: match proofs.is_empty() {
-                true => take_chunk(&mut crashes),
-                false => Vec::new(),
-            },
+        let proofs_chunk = take_chunk(&mut proofs);
+        // Crashes must not arrive before the proofs that contradict them.
+        let crashes_chunk = match proofs.is_empty() {
+            true => take_chunk(&mut crashes),
+            false => Vec::new(),
+        };
+        let update = peer::QuarantineUpdate {
+            proofs: proofs_chunk,
+            crashes: crashes_chunk.iter().map(|c| crash_record(c, now)).collect(),
             accusations: match proofs.is_empty() && crashes.is_empty() {
                 true => take_chunk(&mut accusations),
                 false => Vec::new(),
             },
-        }));
+        };
+        messages.push(peer::Message::TimedQuarantine {
+            update: update.clone(),
+            sent_ages_ms: crashes_chunk.iter().map(|c| sent_ages(c, now)).collect(),
+        });
+        messages.push(peer::Message::Quarantine(update));
     }
     messages
 }
 
+fn crash_record(crash: &quarantine::Crash, now: time::Time) -> peer::CrashRecord {
+    let keys = crash.requests.iter().map(|request| request.keys.clone());
+    peer::CrashRecord {
+        incarnation: crash.incarnation,
+        age_ms: ages::age_of(crash.at, now),
+        prompts: keys.collect(),
+    }
+}
+
+/// Time since each request of a crash was sent, in milliseconds.
+fn sent_ages(crash: &quarantine::Crash, now: time::Time) -> Vec<Option<u32>> {
+    let sent_at = crash.requests.iter().map(|request| request.sent_at);
+    sent_at
+        .map(|at| at.map(|at| ages::age_of(at, now)))
+        .collect()
+}
+
 fn take_chunk<T>(records: &mut Vec<T>) -> Vec<T> {
     let count = records.len().min(MAX_RECORDS_PER_MESSAGE);
     records.drain(..count).collect()
 }
 
-fn from_message(update: peer::QuarantineUpdate, now: time::Time) -> quarantine::Update {
+fn from_message(
+    update: peer::QuarantineUpdate,
+    sent_ages_ms: &[Vec<Option<u32>>],
+    now: time::Time,
+) -> quarantine::Update {
     let proofs = update.proofs.into_iter().map(|proof| quarantine::Proof {
         part: proof.part,
         at: ages::time_of(proof.age_ms, now),
     });
-    let crashes = update.crashes.into_iter().map(|crash| quarantine::Crash {
-        incarnation: crash.incarnation,
-        at: ages::time_of(crash.age_ms, now),
-        prompts: crash.prompts.into(),
+    let crashes = update.crashes.into_iter().enumerate().map(|(i, crash)| {
+        let sent_ages_ms = sent_ages_ms.get(i).map_or(&[][..], Vec::as_slice);
+        let sent_at = sent_ages_ms.iter().copied().chain(std::iter::repeat(None));
+        let requests = crash.prompts.into_iter().zip(sent_at);
+        let requests = requests.map(|(keys, age_ms)| quarantine::LostRequest {
+            keys,
+            sent_at: age_ms.map(|age_ms| ages::time_of(age_ms, now)),
+        });
+        quarantine::Crash {
+            incarnation: crash.incarnation,
+            at: ages::time_of(crash.age_ms, now),
+            requests: requests.collect(),
+        }
     });
     let accusations = update.accusations.into_iter();
     let accusations = accusations.map(|a| quarantine::Accusation {
--- a/crates/gateway/src/control/links/flood.rs
+++ b/crates/gateway/src/control/links/flood.rs
@@ -19,8 +19,7 @@
         if Some(host) == source {
             continue;
         }
-        let can_read = |m: &&peer::Message| m.feature().is_none_or(|f| outbox.has_feature(f));
-        let mut readable = messages.iter().filter(can_read);
+        let mut readable = messages.iter().filter(|message| outbox.takes(message));
         if !readable.all(|message| outbox.try_send(message.clone())) {
             state.behind.insert(host.clone());
         }
@@ -47,8 +46,7 @@
         let Some(outbox) = outboxes.get(host) else {
             return false;
         };
-        let can_read = |m: &&peer::Message| m.feature().is_none_or(|f| outbox.has_feature(f));
-        let mut readable = messages.iter().filter(can_read);
+        let mut readable = messages.iter().filter(|message| outbox.takes(message));
         !readable.all(|message| outbox.try_send(message.clone()))
     });
 }
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -170,7 +170,13 @@
         peer::Message::OriginAnswer { id, version } => {
             origins::apply_answer(cx, name, id, version);
         }
-        peer::Message::Quarantine(update) => crash_evidence::apply_update(cx, name, update),
+        peer::Message::Quarantine(update) => {
+            crash_evidence::apply_update(cx, name, update, &[]);
+        }
+        peer::Message::TimedQuarantine {
+            update,
+            sent_ages_ms,
+        } => crash_evidence::apply_update(cx, name, update, &sent_ages_ms),
         peer::Message::EndpointLimits(records) => {
             endpoint_limits::apply_records(cx, name, &records);
         }
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -162,8 +162,8 @@
         send(tx, &peer::Message::Holdings(parts))?;
     }
     let snapshot = flood::snapshot(&cx.state.borrow(), clock::now());
-    let can_read = |m: &&peer::Message| m.feature().is_none_or(|f| features.contains(&f));
-    for message in snapshot.iter().filter(can_read) {
+    let is_sent = |message: &&peer::Message| outbox::is_sent(message, &features);
+    for message in snapshot.iter().filter(is_sent) {
         send(tx, message)?;
     }
     let mut sent = SentState::default();
--- a/crates/gateway/src/control/links/outbox.rs
+++ b/crates/gateway/src/control/links/outbox.rs
@@ -10,6 +10,13 @@
 /// Optional features that a host announced.
 pub type Features = SmallVec<[peer::Feature; 2]>;
 
+/// Whether a host with these features is sent a message.
+pub(super) fn is_sent(message: &peer::Message, features: &[peer::Feature]) -> bool {
+    let is_announced = |feature| features.contains(&feature);
+    let can_read = message.feature().is_none_or(is_announced);
+    can_read && !message.replaced_by().is_some_and(is_announced)
+}
+
 /// Sending end of the queue. Takes only messages that the other host can read.
 #[derive(Clone, Debug)]
 pub struct Outbox {
@@ -25,6 +32,12 @@
         (Self { tx, features }, rx)
     }
 
+    /// Whether the other host is sent a message.
+    #[must_use]
+    pub fn takes(&self, message: &peer::Message) -> bool {
+        is_sent(message, &self.features)
+    }
+
     /// Whether the other host announced a feature.
     #[must_use]
     pub fn has_feature(&self, feature: peer::Feature) -> bool {
@@ -34,7 +47,6 @@
     /// Queues a message. Returns false if the other host cannot read it, the link is lost, or the
     /// queue is full.
     pub fn try_send(&self, message: peer::Message) -> bool {
-        let is_readable = message.feature().is_none_or(|f| self.has_feature(f));
-        is_readable && self.tx.try_send(message).is_ok()
+        self.takes(&message) && self.tx.try_send(message).is_ok()
     }
 }
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -401,7 +401,7 @@
     run(Some("stream-versions"), async |shared, mut peer| {
         assert_eq!(
             peer.features.as_deref(),
-            Some("stream-versions,quarantine,endpoint-limits,endpoint-departures")
+            Some("stream-versions,quarantine,endpoint-limits,endpoint-departures,crash-times")
         );
         provoke(&shared, &mut peer);
         let endpoints = peer.wait_for("endpoints", is_endpoints).await;
@@ -434,7 +434,12 @@
         crash: quarantine::Crash {
             incarnation: quarantine::IncarnationKey::of(&identity),
             at: clock::now(),
-            prompts: [parts].into_iter().collect(),
+            requests: [quarantine::LostRequest {
+                keys: parts,
+                sent_at: Some(clock::now()),
+            }]
+            .into_iter()
+            .collect(),
         },
         endpoint: identity,
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -363,11 +363,12 @@
 
     /// An endpoint has crashed: it lost connections and refuses others.
     pub fn endpoint_crashed(&self, endpoint: &directory::Identity, crash: &quarantine::Crash) {
-        let prompts: Vec<String> = crash.prompts.iter().map(|p| part_list(p)).collect();
+        let requests = crash.requests.iter();
+        let requests: Vec<String> = requests.map(|r| part_list(&r.keys)).collect();
         slog::info!(
             self.log, "endpoint crashed";
             "endpoint" => %endpoint, "incarnation" => %crash.incarnation,
-            "keys" => prompts.join(" "),
+            "keys" => requests.join(" "),
         );
     }
 
--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -55,8 +55,8 @@
 struct Loss {
     at: time::Time,
     state: watch::Sender<State>,
-    /// Shared parts of the prompts that it was processing and that are not reported yet.
-    prompts: SmallVec<[quarantine::Parts; 2]>,
+    /// Requests that it was processing and that are not reported yet.
+    requests: SmallVec<[quarantine::LostRequest; 2]>,
 }
 
 /// Lost connections to endpoints, and trials of accused parts.
@@ -166,7 +166,7 @@
 pub(super) fn record_loss<D>(
     cx: &Rc<Context<D>>,
     endpoint: &Arc<directory::Endpoint>,
-    prompt: quarantine::Parts,
+    request: quarantine::LostRequest,
 ) where
     D: adapter::Dialect,
 {
@@ -175,7 +175,7 @@
     watch.prune(now);
     let losses = &mut watch.losses;
     if let Some(loss) = losses.get_mut(&endpoint.identity) {
-        loss.prompts.push(prompt);
+        loss.requests.push(request);
         let has_crashed = *loss.state.borrow() == State::Crashed;
         if has_crashed {
             report(cx, &endpoint.identity, loss);
@@ -185,7 +185,7 @@
     let loss = Loss {
         at: now,
         state: watch::Sender::new(State::Probing),
-        prompts: SmallVec::from_iter([prompt]),
+        requests: SmallVec::from_iter([request]),
     };
     losses.insert(endpoint.identity.clone(), loss);
     tokio::task::spawn_local(probe(cx.clone(), endpoint.clone()));
@@ -219,7 +219,7 @@
     let crash = quarantine::Crash {
         incarnation: quarantine::IncarnationKey::of(endpoint),
         at: loss.at,
-        prompts: std::mem::take(&mut loss.prompts),
+        requests: std::mem::take(&mut loss.requests),
     };
     // One that the control thread cannot take is lost; others of the same part follow.
     cx.shared.report_crash(shared::ObservedCrash {
--- a/crates/gateway/src/traffic/in_flight.rs
+++ b/crates/gateway/src/traffic/in_flight.rs
@@ -101,7 +101,11 @@
             cause: broken.cause,
         });
         if !broken.has_gone_on {
-            crash_watch::record_loss(cx, &self.endpoint, keys.clone());
+            let request = quarantine::LostRequest {
+                keys: keys.clone(),
+                sent_at: Some(self.started),
+            };
+            crash_watch::record_loss(cx, &self.endpoint, request);
         }
     }
 
--- a/crates/measure/src/quarantine.rs
+++ b/crates/measure/src/quarantine.rs
@@ -87,28 +87,40 @@
     quarantine::Crash {
         incarnation: quarantine::IncarnationKey::new(u64::MAX - number),
         at,
-        prompts: [keys.all().clone()].into_iter().collect(),
+        requests: [quarantine::LostRequest {
+            keys: keys.all().clone(),
+            sent_at: Some(at),
+        }]
+        .into_iter()
+        .collect(),
     }
 }
 
 fn crash_bytes() -> eyre::Result<u64> {
     let crash = crash(0, time::Time::ZERO);
-    wire_bytes(&peer::Message::Quarantine(peer::QuarantineUpdate {
-        crashes: vec![peer::CrashRecord {
-            incarnation: crash.incarnation,
-            age_ms: 300,
-            prompts: crash.prompts.to_vec(),
-        }],
-        ..peer::QuarantineUpdate::default()
-    }))
+    let keys = crash.requests.iter().map(|request| request.keys.clone());
+    wire_bytes(&peer::Message::TimedQuarantine {
+        update: peer::QuarantineUpdate {
+            crashes: vec![peer::CrashRecord {
+                incarnation: crash.incarnation,
+                age_ms: 300,
+                prompts: keys.collect(),
+            }],
+            ..peer::QuarantineUpdate::default()
+        },
+        sent_ages_ms: vec![vec![Some(300)]],
+    })
 }
 
 fn proof_bytes() -> eyre::Result<u64> {
-    wire_bytes(&peer::Message::Quarantine(peer::QuarantineUpdate {
-        proofs: vec![peer::ProofRecord {
-            part: quarantine::PartKey::new(u64::MAX),
-            age_ms: 300,
-        }],
-        ..peer::QuarantineUpdate::default()
-    }))
+    wire_bytes(&peer::Message::TimedQuarantine {
+        update: peer::QuarantineUpdate {
+            proofs: vec![peer::ProofRecord {
+                part: quarantine::PartKey::new(u64::MAX),
+                age_ms: 300,
+            }],
+            ..peer::QuarantineUpdate::default()
+        },
+        sent_ages_ms: Vec::new(),
+    })
 }
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -86,15 +86,18 @@
     EndpointLimits,
     /// The messages about endpoints that say that they leave.
     EndpointDepartures,
+    /// Evidence about parts of prompts with the times at which requests were sent.
+    CrashTimes,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::StreamVersions,
         Self::Quarantine,
         Self::EndpointLimits,
         Self::EndpointDepartures,
+        Self::CrashTimes,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -105,6 +108,7 @@
             Self::Quarantine => "quarantine",
             Self::EndpointLimits => "endpoint-limits",
             Self::EndpointDepartures => "endpoint-departures",
+            Self::CrashTimes => "crash-times",
         }
     }
 
@@ -122,7 +126,7 @@
     pub incarnation: quarantine::IncarnationKey,
     /// Time since its end when the message is sent, in milliseconds.
     pub age_ms: u32,
-    /// Shared parts of each prompt whose answer had not gone on.
+    /// Keys of each request whose answer had not gone on.
     pub prompts: Vec<quarantine::Parts>,
 }
 
@@ -249,6 +253,14 @@
     EndpointLimits(Vec<LimitRecord>),
     /// Endpoints that have said that they leave. On a new stream, all that the sender knows.
     EndpointDepartures(Vec<DepartureRecord>),
+    /// What [`Message::Quarantine`] says, with the times at which the requests of its crashes were sent.
+    TimedQuarantine {
+        /// Evidence.
+        update: QuarantineUpdate,
+        /// For each crash and each of its requests, the time since it was sent when the message is
+        /// sent, in milliseconds, if it is known.
+        sent_ages_ms: Vec<Vec<Option<u32>>>,
+    },
 }
 
 impl Message {
@@ -270,6 +282,17 @@
             Self::Quarantine(_) => Some(Feature::Quarantine),
             Self::EndpointLimits(_) => Some(Feature::EndpointLimits),
             Self::EndpointDepartures(_) => Some(Feature::EndpointDepartures),
+            Self::TimedQuarantine { .. } => Some(Feature::CrashTimes),
+        }
+    }
+
+    /// Feature whose message says the same and more, so that a receiver that announced it is not sent
+    /// this one.
+    #[must_use]
+    pub const fn replaced_by(&self) -> Option<Feature> {
+        match self {
+            Self::Quarantine(_) => Some(Feature::CrashTimes),
+            _ => None,
         }
     }
 }
--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -183,6 +183,18 @@
             }]),
             vec![13, 1, 9, 30],
         ),
+        (
+            Message::TimedQuarantine {
+                update: quarantine_update(),
+                sent_ages_ms: vec![vec![Some(25), None]],
+            },
+            vec![
+                14, 1, 7, 30, // variant, proofs: part, age
+                1, 9, 20, 1, 2, 7, 8, // crashes: incarnation, age, requests
+                1, 1, 8, 40, 50, // accusations: parts, age, remaining time
+                1, 2, 1, 25, 0, // ages of the requests
+            ],
+        ),
     ]
 }
 
@@ -221,12 +233,13 @@
             7..=10 => peer::Feature::StreamVersions,
             11 => peer::Feature::Quarantine,
             12 => peer::Feature::EndpointLimits,
-            _ => peer::Feature::EndpointDepartures,
+            13 => peer::Feature::EndpointDepartures,
+            _ => peer::Feature::CrashTimes,
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
     }
     let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
-    assert_eq!(variants, HashSet::from([7, 8, 9, 10, 11, 12, 13]));
+    assert_eq!(variants, HashSet::from([7, 8, 9, 10, 11, 12, 13, 14]));
 }
 
 #[test]
