Let repetitions of a request that may crash endpoints take turns

Callers saw: waves of the same request at several hosts end several endpoints each, three seconds and more after the third end (BUDGET): 6 late repetitions, of waves of three at two hosts. Cause: ends at the same time count as one, so that a wave is one of the three events that accuse, and nothing held the repetitions of the next wave back until the first of them was known to have crashed an endpoint. Change: a host sends one repetition at a time of a request that was under way at a crash, after a random delay of at most 60 ms for each live host (1 s, and a quarter of the time left, at most), unless an answer on it has gone on at this host in the last minute. And a request, by its own key, is accused by two separate events in which three endpoints ended together; a shared part still needs three events.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -38,6 +38,12 @@
 }
 
 impl LostRequest {
+    /// Whether a key is that of the request itself. Hosts that state when they sent a request state
+    /// its own key last.
+    pub(super) fn is_own_key(&self, key: PartKey) -> bool {
+        self.sent_at.is_some() && self.keys.last() == Some(&key)
+    }
+
     /// Records that the same request was sent at another time, too. The earlier one counts, and an
     /// unknown one is before any other. Returns whether that changed it.
     fn merge_sent_at(&mut self, other: Option<time::Time>) -> bool {
--- a/crates/core/src/quarantine/machine.rs
+++ b/crates/core/src/quarantine/machine.rs
@@ -11,6 +11,9 @@
 /// Accusations that are kept. The oldest makes room for a new one.
 const MAX_ACCUSATIONS: usize = 64;
 
+/// Separate crashes that accuse a whole request, if as many endpoints as accuse a part ended in them.
+const EVENTS_OF_REPEATED_REQUEST: usize = 2;
+
 /// Evidence and accusations, from this host or from another one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Update {
@@ -227,7 +230,7 @@
     fn consider(&mut self, part: PartKey, now: time::Time, effects: &mut Effects) {
         let crashes = self.against(part);
         let count = separate(&crashes, part);
-        if count < CRASHES_TO_ACCUSE {
+        if count < CRASHES_TO_ACCUSE && !is_repeated_request(&crashes, part, count) {
             return;
         }
         let companions = self.evidence.companions(part, &crashes);
@@ -289,3 +292,17 @@
         true
     }
 }
+
+/// Whether crashes accuse a request by its own key although fewer of them are separate than accuse a
+/// part: as many endpoints ended, under repetitions at the same time, and another one at another
+/// time. A failed rack explains only one of these events, and answers on requests that are sound and
+/// as frequent come in between.
+fn is_repeated_request(crashes: &[&Crash], key: PartKey, separate: usize) -> bool {
+    let is_own_key = |crash: &&Crash| {
+        let mut with_key = crash.requests.iter().filter(|r| r.keys.contains(&key));
+        with_key.all(|request| request.is_own_key(key))
+    };
+    separate >= EVENTS_OF_REPEATED_REQUEST
+        && crashes.len() >= CRASHES_TO_ACCUSE
+        && crashes.iter().all(is_own_key)
+}
--- a/crates/core/src/quarantine/request_keys.rs
+++ b/crates/core/src/quarantine/request_keys.rs
@@ -6,8 +6,10 @@
 /// which may be repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestKeys {
-    /// Invariant: the last one is the key of the request.
+    /// Invariant: the last one is `own`.
     keys: Parts,
+    /// Key of the request itself.
+    own: PartKey,
 }
 
 impl RequestKeys {
@@ -16,7 +18,7 @@
     pub fn new(shared_parts: Parts, request: PartKey) -> Self {
         let mut keys = shared_parts;
         keys.push(request);
-        Self { keys }
+        Self { keys, own: request }
     }
 
     /// All keys. A crash counts against each of them, and an answer speaks for each of them.
@@ -25,6 +27,12 @@
         &self.keys
     }
 
+    /// Key of the request itself.
+    #[must_use]
+    pub const fn own(&self) -> PartKey {
+        self.own
+    }
+
     /// The shared parts, or the request itself if there are none.
     #[must_use]
     pub fn shared(&self) -> &[PartKey] {
--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -63,6 +63,12 @@
         })
     }
 
+    /// Number of separate crashes that count against a part.
+    #[must_use]
+    pub fn crashes_against(&self, part: PartKey) -> usize {
+        self.suspects.get(&part).map_or(0, SmallVec::len)
+    }
+
     /// Whether any part is accused.
     #[must_use]
     pub fn has_accusations(&self) -> bool {
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -421,3 +421,54 @@
         assert!(accused(&quarantine).is_empty());
     }
 }
+
+/// A crash under a request with its own key, sent before any crash.
+fn crash_of_own(incarnation: u64, ms: u64, keys: &[PartKey]) -> Update {
+    Update::crash(Crash {
+        incarnation: IncarnationKey::new(incarnation),
+        at: at(ms),
+        requests: [lost(keys, Some(at(ms - 15)))].into_iter().collect(),
+    })
+}
+
+/// Guards against waves of one request that end several endpoints each before it is accused.
+#[test]
+fn request_is_accused_by_the_first_crash_after_a_wave_of_them() {
+    let mut quarantine = Quarantine::new();
+    for i in 1..=4 {
+        let _ = quarantine.apply(crash_of_own(i, 1_000 + i, &[FIRST, CRASHING]), at(1_010));
+    }
+    assert!(accused(&quarantine).is_empty());
+    let _ = quarantine.apply(crash_of_own(5, 4_000, &[FIRST, CRASHING]), at(4_000));
+    assert_eq!(accused(&quarantine), [parts(&[FIRST, CRASHING])]);
+}
+
+/// Guards against refusing a request that was under way at two endpoints of a rack and at another crash,
+/// and one that was answered in between.
+#[test]
+fn few_crashes_of_a_request_do_not_accuse_it() {
+    let mut quarantine = Quarantine::new();
+    for (i, ms) in [(1, 1_001), (2, 4_000)] {
+        let _ = quarantine.apply(crash_of_own(i, ms, &[SOUND]), at(ms));
+    }
+    assert!(accused(&quarantine).is_empty());
+    let mut quarantine = Quarantine::new();
+    for i in 1..=4 {
+        let _ = quarantine.apply(crash_of_own(i, 1_000 + i, &[SOUND]), at(1_010));
+    }
+    let _ = quarantine.apply(proof(SOUND, 2_000), at(2_000));
+    let _ = quarantine.apply(crash_of_own(5, 4_000, &[SOUND]), at(4_000));
+    assert!(accused(&quarantine).is_empty());
+}
+
+/// Guards against a shared part that is accused as early as a request: it is never the last key.
+#[test]
+fn shared_part_needs_three_separate_crashes() {
+    let mut quarantine = Quarantine::new();
+    for i in 1..=5 {
+        let ms = 1_000 + i + 3_000 * (i / 5);
+        let keys = [FIRST, PartKey::new(100 + i)];
+        let _ = quarantine.apply(crash_of_own(i, ms, &keys), at(ms));
+    }
+    assert!(accused(&quarantine).is_empty());
+}
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -12,7 +12,7 @@
 use crate::traffic::event_stream::{RequestState, TruncatedStream};
 use crate::traffic::plan::Plan;
 use crate::traffic::report::Report;
-use crate::traffic::{Context, attempt, crash_watch, endpoints, reply};
+use crate::traffic::{Context, attempt, crash_watch, endpoints, reply, suspect_turns};
 use crate::{adapter, events, shared};
 
 /// Fraction of the target latency after which an idempotent call without an answer is sent to
@@ -85,6 +85,11 @@
     let cx = state.cx.clone();
     // The last server error of an endpoint. It is more useful to the caller than a refusal.
     let mut last_answer: Option<CompleteAnswer> = None;
+    // Held until an endpoint has answered, or it is known why it has not.
+    let _turn = match state.attempts.count() {
+        0 => suspect_turns::wait(&cx, &state.plan).await,
+        _ => None,
+    };
     loop {
         let now = clock::now();
         let outcome = state.attempts.outcome();
--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -87,7 +87,7 @@
     }
 
     /// Whether answers of this host have lately gone on for all of these parts.
-    fn are_proven(&self, prompt: &[quarantine::PartKey], now: time::Time) -> bool {
+    pub(super) fn are_proven(&self, prompt: &[quarantine::PartKey], now: time::Time) -> bool {
         prompt.iter().all(|part| {
             let proof = self.proofs.get(part);
             proof.is_some_and(|at| now.since(*at) < PROOF_VALIDITY)
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod reply;
 mod report;
 mod serve;
+mod suspect_turns;
 
 use std::cell::{Cell, RefCell};
 use std::net;
@@ -41,6 +42,7 @@
     endpoints: RefCell<endpoints::EndpointTable>,
     pool: pool::Pool,
     crash_watch: RefCell<crash_watch::CrashWatch>,
+    suspect_turns: RefCell<suspect_turns::SuspectTurns>,
     /// Requests in progress.
     active_requests: Cell<usize>,
     /// Open connections of callers.
@@ -82,6 +84,7 @@
         )),
         pool: pool::Pool::default(),
         crash_watch: RefCell::default(),
+        suspect_turns: RefCell::default(),
         active_requests: Cell::new(0),
         connections: connection::OpenConnections::default(),
         stop_deadline: Cell::new(None),
@@ -102,6 +105,7 @@
         tokio::time::sleep(LOAD_PUBLISH_INTERVAL).await;
         cx.pool.prune();
         cx.crash_watch.borrow_mut().prune(clock::now());
+        cx.suspect_turns.borrow_mut().prune();
         let loads = cx.endpoints.borrow_mut().local_loads(clock::now());
         if loads != last {
             cx.shared.publish_local_loads(loads.clone());
--- /dev/null
+++ b/crates/gateway/src/traffic/suspect_turns.rs
@@ -0,0 +1,88 @@
+//! Turns of requests that were under way at a crash and that their callers repeat.
+//!
+//! Repetitions may come at many hosts at once. Each of them that is sent before the others are known to
+//! have crashed an endpoint crashes one more. So a host sends one at a time, and not at once, so
+//! that hosts learn of each other's crashes in between.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::{quarantine, time};
+use pistachiochute_runtime::clock;
+use tokio::sync::{Mutex, OwnedMutexGuard};
+
+use crate::traffic::Context;
+use crate::traffic::plan::Plan;
+
+/// Longest delay of a turn for each live host: with one repetition at each host, the time between two
+/// of them is then on average longer than a crash takes to be known.
+const DELAY_PER_HOST: Duration = Duration::from_millis(60);
+
+/// Longest delay of a turn.
+const MAX_DELAY: Duration = Duration::from_secs(1);
+
+/// Longest delay of a turn as a fraction of the time until the deadline.
+const MAX_DELAY_FRACTION: f64 = 0.25;
+
+/// Separate crashes from which on a request waits for its turn, even if an answer on it has gone on
+/// lately.
+const CRASHES_DESPITE_PROOF: usize = 2;
+
+/// The turn of a request, until it is dropped.
+pub(super) type Turn = OwnedMutexGuard<()>;
+
+/// Turns by the key of the request.
+#[derive(Debug, Default)]
+pub(super) struct SuspectTurns {
+    by_key: HashMap<quarantine::PartKey, Arc<Mutex<()>>>,
+}
+
+impl SuspectTurns {
+    /// Forgets requests that nobody waits for.
+    pub(super) fn prune(&mut self) {
+        self.by_key.retain(|_, turn| Arc::strong_count(turn) > 1);
+    }
+
+    fn of(&mut self, key: quarantine::PartKey) -> Arc<Mutex<()>> {
+        self.by_key.entry(key).or_default().clone()
+    }
+}
+
+/// Waits for the turn of a request that was under way at a crash, if it was. The turn lasts until it is
+/// dropped.
+pub(super) async fn wait<D>(cx: &Context<D>, plan: &Plan) -> Option<Turn> {
+    let key = plan.keys.own();
+    if !must_wait(cx, key, clock::now()) {
+        return None;
+    }
+    let lock = cx.suspect_turns.borrow_mut().of(key);
+    let remaining = plan.deadline.since(clock::now());
+    let turn = tokio::time::timeout(remaining, lock.lock_owned())
+        .await
+        .ok()?;
+    // Another repetition may have been answered, or refused, meanwhile.
+    if must_wait(cx, key, clock::now()) {
+        tokio::time::sleep(delay(cx, plan)).await;
+    }
+    Some(turn)
+}
+
+fn must_wait<D>(cx: &Context<D>, key: quarantine::PartKey, now: time::Time) -> bool {
+    let verdicts = cx.shared.verdicts();
+    match verdicts.crashes_against(key) {
+        0 => false,
+        crashes if crashes >= CRASHES_DESPITE_PROOF => true,
+        _ => !cx.crash_watch.borrow().are_proven(&[key], now),
+    }
+}
+
+/// Random delay of a turn.
+fn delay<D>(cx: &Context<D>, plan: &Plan) -> Duration {
+    let remaining = plan.deadline.since(clock::now());
+    let by_hosts = DELAY_PER_HOST * cx.shared.view().hosts;
+    let longest = by_hosts
+        .min(MAX_DELAY)
+        .min(remaining.mul_f64(MAX_DELAY_FRACTION));
+    longest.mul_f64(rand::random_range(0.0..1.0))
+}
