--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -1,8 +1,9 @@
 //! Prompts with a part that crashes each endpoint that begins to answer on it, among sound prompts
 //! that share their other parts.
 //!
-//! The endpoints form a service of their own. Two parts come one after the other; the requests go to
-//! all hosts, which meet their own faults meanwhile.
+//! The endpoints form a service of their own. Two parts come one after the other, and beside them one
+//! request that its callers repeat, several at once; the requests go to all hosts, which meet their
+//! own faults meanwhile.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,7 +12,9 @@
 use std::time::{Duration, Instant};
 
 use pistachiochute_standins::platform::caller::CallerRequest;
-use pistachiochute_standins::platform::endpoint::{Behaviour, CrashingPart, Endpoint};
+use pistachiochute_standins::platform::endpoint::{
+    Behaviour, CrashingCall, CrashingPart, Endpoint,
+};
 use pistachiochute_standins::platform::records;
 use pistachiochute_standins::platform::store::Store;
 use rand::{Rng as _, SeedableRng as _};
@@ -26,6 +29,19 @@
 /// Route to the service, whose streams may be resumed.
 pub(crate) const ROUTE: &str = "crashes-resumable";
 
+/// Path of the request that crashes endpoints and is repeated.
+const REPEATED_PATH: &str = "/crashes-resumable/repeated";
+
+/// Name of that request in the ids of its repetitions.
+const REPEATED: &str = "repeated";
+
+/// Repetitions at once.
+const REPEATED_AT_ONCE: usize = 3;
+
+/// Time from one wave of repetitions to the next: longer than the time after which the hosts must know
+/// the request.
+const WAVE_PAUSE: Duration = Duration::from_millis(3_300);
+
 /// Endpoints: enough that most are left after the crashes that the bounds allow.
 const ENDPOINTS: usize = 24;
 
@@ -53,12 +69,18 @@
 /// Longest pause between two sound requests of a caller, in milliseconds.
 const SOUND_PAUSE_MS: u64 = 80;
 
+/// Time from the beginning of an answer to the crash.
+const CRASH_AFTER: Duration = Duration::from_millis(20);
+
 /// Time for which an endpoint that crashed refuses connections. It outlasts the soak: an incarnation
 /// ends once, and no entry of a next one is written.
 const DOWN_FOR: Duration = Duration::from_secs(120);
 
 /// Crashes from which on the hosts must know a part: the bound of the pages.
-const CRASHES_TO_KNOW: usize = 5;
+const CRASHES_TO_KNOW_PART: usize = 5;
+
+/// Crashes from which on the hosts must know a request that is repeated: the bound of the pages.
+const CRASHES_TO_KNOW_REQUEST: usize = 3;
 
 /// Time after the last of these in which all hosts know it, and for which a host must have been
 /// undisturbed to owe anything: the bound of the pages.
@@ -140,13 +162,24 @@
         });
         let sound = sound.collect();
         let crashing = caller(0);
+        let repeating = (1..=REPEATED_AT_ONCE as u64).map(|number| {
+            let caller = caller(SOUND_CALLERS as u64 + number);
+            thread::spawn(move || caller.send_repeated())
+        });
+        let repeating = repeating.collect();
         for endpoint in &self.endpoints {
             endpoint.set_crashing_parts(CRASHING_PARTS.map(crashing_part).to_vec());
+            endpoint.set_crashing_call(Some(CrashingCall {
+                path: REPEATED_PATH.to_owned(),
+                after: CRASH_AFTER,
+                down_for: DOWN_FOR,
+            }));
         }
         Scenario {
             endpoints: self.endpoints,
             sound,
             crashing: thread::spawn(move || crashing.send_crashing()),
+            repeating,
             is_over,
         }
     }
@@ -155,7 +188,7 @@
 fn crashing_part(id: &str) -> CrashingPart {
     CrashingPart {
         id: id.to_owned(),
-        after: Duration::from_millis(20),
+        after: CRASH_AFTER,
         down_for: DOWN_FOR,
     }
 }
@@ -165,6 +198,7 @@
     endpoints: Vec<Endpoint>,
     sound: Vec<thread::JoinHandle<Vec<Record>>>,
     crashing: thread::JoinHandle<Vec<Record>>,
+    repeating: Vec<thread::JoinHandle<Vec<Record>>>,
     is_over: Arc<AtomicBool>,
 }
 
@@ -178,7 +212,10 @@
         for caller in self.sound {
             sound.extend(caller.join().map_err(panicked)?);
         }
-        let crashing = self.crashing.join().map_err(panicked)?;
+        let mut crashing = self.crashing.join().map_err(panicked)?;
+        for caller in self.repeating {
+            crashing.extend(caller.join().map_err(panicked)?);
+        }
         let seen = Seen {
             sound,
             crashing,
@@ -242,6 +279,19 @@
         records
     }
 
+    /// Repeats one request in waves, of which each such caller sends one.
+    fn send_repeated(mut self) -> Vec<Record> {
+        let mut records = Vec::new();
+        let mut next = Instant::now() + FIRST_PART_AFTER / 2;
+        while !self.is_over() {
+            self.pause_until(next);
+            next += WAVE_PAUSE;
+            let id = format!("{REPEATED}-{}-{}", self.number, records.len());
+            records.push(self.send_to(REPEATED_PATH, &id, "50ee"));
+        }
+        records
+    }
+
     fn pause_until(&self, end: Instant) {
         while Instant::now() < end && !self.is_over() {
             thread::sleep(Duration::from_millis(20));
@@ -249,12 +299,16 @@
     }
 
     fn send(&mut self, id: &str, part: &str) -> Record {
+        self.send_to(&format!("/{ROUTE}/"), id, part)
+    }
+
+    fn send_to(&mut self, path: &str, id: &str, part: &str) -> Record {
         let host = self.rng.random_range(0..self.hosts.len());
         let first = self.rng.random_range(0..FIRST_PARTS);
         let key = load::key(self.shared.key.load(Ordering::Relaxed));
         let prompt = format!("f0{first}:100,{part}:100,{id}:100");
         let at = Instant::now();
-        let answer = CallerRequest::new(id, &format!("/{ROUTE}/"), &key)
+        let answer = CallerRequest::new(id, path, &key)
             .header("X-Model", "m")
             .header("X-Token-Usage", "300,40")
             .header("X-Prompt-Prefix", &prompt)
@@ -280,10 +334,12 @@
     fn check(&self) -> Findings {
         let mut broken = Vec::new();
         let mut counts = Vec::new();
-        for part in CRASHING_PARTS {
+        let parts = CRASHING_PARTS.map(|part| (part, CRASHES_TO_KNOW_PART));
+        let repeated = [(REPEATED, CRASHES_TO_KNOW_REQUEST)];
+        for (part, crashes_to_know) in parts.into_iter().chain(repeated) {
             let runs = self.runs_of(part);
             counts.push(runs.len().to_string());
-            let Some(known_at) = runs.get(CRASHES_TO_KNOW - 1).map(|at| *at + CONTACT) else {
+            let Some(known_at) = runs.get(crashes_to_know - 1).map(|at| *at + CONTACT) else {
                 continue;
             };
             let late = self.late(part, known_at);
@@ -297,7 +353,7 @@
             "{} of {} sound requests served beside crashing ones, of which {} reached endpoints",
             served,
             self.sound.len(),
-            counts.join(" and "),
+            counts.join(", "),
         );
         Findings { broken, summary }
     }
