Refuse a repetition that cannot have its turn soon

Callers saw: a repetition of a request that was under way at a crash waited to its deadline while an endpoint held another one (504 after three seconds in the test). Result: repetition_that_cannot_have_its_turn_is_refused_soon fails before (504 at the deadline) and passes now.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -159,7 +159,7 @@
             Self::HeadersTooLarge => 431,
             Self::Internal => 500,
             Self::EndpointFailed | Self::AnswerIncomplete | Self::ConnectionLost => 502,
-            Self::ActionUnknown | Self::CrashSuspect => 502,
+            Self::ActionUnknown => 502,
             Self::Deadline | Self::Stalled => 504,
             Self::CallerGone => 499,
             Self::LimitUnconfirmed
@@ -180,6 +180,7 @@
             | Self::StreamVersionUnknown
             | Self::StreamVersionGone
             | Self::EndpointLimits
+            | Self::CrashSuspect
             | Self::CrashesEndpoints => 503,
         }
     }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -86,9 +86,9 @@
     // The last server error of an endpoint. It is more useful to the caller than a refusal.
     let mut last_answer: Option<CompleteAnswer> = None;
     // Held until an endpoint has answered, or it is known why it has not.
-    let _turn = match state.attempts.count() {
-        0 => suspect_turns::wait(&cx, &state.plan).await,
-        _ => None,
+    let _turn = match wait_for_turn(&cx, state).await {
+        Ok(turn) => turn,
+        Err(reason) => return give_up(state, last_answer, reason, state.attempts.outcome()),
     };
     loop {
         let now = clock::now();
@@ -156,6 +156,20 @@
     }
 }
 
+/// Waits for the turn of a request that may crash endpoints, before its first attempt.
+async fn wait_for_turn<D>(
+    cx: &Rc<Context<D>>,
+    state: &RequestState<D>,
+) -> Result<Option<suspect_turns::Turn>, reason::Refusal>
+where
+    D: adapter::Dialect,
+{
+    match state.attempts.count() {
+        0 => suspect_turns::wait(cx, &state.plan).await,
+        _ => Ok(None),
+    }
+}
+
 /// Result if no attempt succeeded: the last server error of an endpoint if there is one, else a
 /// refusal. A refusal also replaces a server error whose status would imply that a request has not
 /// run, unless the route is idempotent.
--- a/crates/gateway/src/traffic/suspect_turns.rs
+++ b/crates/gateway/src/traffic/suspect_turns.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{quarantine, time};
+use pistachiochute_core::{quarantine, reason, time};
 use pistachiochute_runtime::clock;
 use tokio::sync::{Mutex, OwnedMutexGuard};
 
@@ -19,11 +19,11 @@
 /// of them is then on average longer than a crash takes to be known.
 const DELAY_PER_HOST: Duration = Duration::from_millis(60);
 
-/// Longest delay of a turn.
-const MAX_DELAY: Duration = Duration::from_secs(1);
+/// Longest time for which a request waits for its turn, and longest delay of the turn.
+const MAX_WAIT: Duration = Duration::from_secs(1);
 
-/// Longest delay of a turn as a fraction of the time until the deadline.
-const MAX_DELAY_FRACTION: f64 = 0.25;
+/// The same as a fraction of the time until the deadline.
+const MAX_WAIT_FRACTION: f64 = 0.25;
 
 /// Separate crashes from which on a request waits for its turn, even if an answer on it has gone on
 /// lately.
@@ -51,21 +51,23 @@
 
 /// Waits for the turn of a request that was under way at a crash, if it was. The turn lasts until it is
 /// dropped.
-pub(super) async fn wait<D>(cx: &Context<D>, plan: &Plan) -> Option<Turn> {
+///
+/// # Errors
+///
+/// Returns the refusal if another repetition takes too long.
+pub(super) async fn wait<D>(cx: &Context<D>, plan: &Plan) -> Result<Option<Turn>, reason::Refusal> {
     let key = plan.keys.own();
     if !must_wait(cx, key, clock::now()) {
-        return None;
+        return Ok(None);
     }
     let lock = cx.suspect_turns.borrow_mut().of(key);
-    let remaining = plan.deadline.since(clock::now());
-    let turn = tokio::time::timeout(remaining, lock.lock_owned())
-        .await
-        .ok()?;
+    let turn = tokio::time::timeout(longest_wait(plan), lock.lock_owned()).await;
+    let turn = turn.map_err(|_| reason::Refusal::CrashSuspect)?;
     // Another repetition may have been answered, or refused, meanwhile.
     if must_wait(cx, key, clock::now()) {
         tokio::time::sleep(delay(cx, plan)).await;
     }
-    Some(turn)
+    Ok(Some(turn))
 }
 
 fn must_wait<D>(cx: &Context<D>, key: quarantine::PartKey, now: time::Time) -> bool {
@@ -79,10 +81,13 @@
 
 /// Random delay of a turn.
 fn delay<D>(cx: &Context<D>, plan: &Plan) -> Duration {
-    let remaining = plan.deadline.since(clock::now());
     let by_hosts = DELAY_PER_HOST * cx.shared.view().hosts;
-    let longest = by_hosts
-        .min(MAX_DELAY)
-        .min(remaining.mul_f64(MAX_DELAY_FRACTION));
+    let longest = by_hosts.min(longest_wait(plan));
     longest.mul_f64(rand::random_range(0.0..1.0))
 }
+
+/// Longest time that a request may wait, so that enough is left to serve it.
+fn longest_wait(plan: &Plan) -> Duration {
+    let remaining = plan.deadline.since(clock::now());
+    remaining.mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT)
+}
