Log a leave notice once for each change of belief

An endpoint whose answers bear an undefined notice and none by turns had a line for every other answer; a host that had heard a notice itself logged it a second time if another host's message came before its own tick of 100 ms. Change: what an endpoint has said never goes back (nothing, undefined, leaving); what this host has heard is applied before what another one says. Result: undefined_notice_is_a_change_of_belief_once asserts the first.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -60,15 +60,16 @@
     pub waiting: u32,
 }
 
-/// What an answer says of whether its endpoint leaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What an answer says of whether its endpoint leaves. A later variant is not taken back by an earlier
+/// one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LeaveNotice {
     /// Nothing.
     Absent,
-    /// The endpoint leaves.
-    Leaving,
     /// Something that the platform does not define.
     Invalid,
+    /// The endpoint leaves.
+    Leaving,
 }
 
 /// Metadata in the head of an endpoint's answer.
--- a/crates/gateway/src/control/departures.rs
+++ b/crates/gateway/src/control/departures.rs
@@ -32,6 +32,8 @@
     S: adapter::Store,
 {
     let now = clock::now();
+    // What this host has heard itself is not logged again as news of another one.
+    let any_local = apply_local(cx, now);
     let departure = |record: &peer::DepartureRecord| directory::Departure {
         endpoint: record.endpoint,
         last_seen: ages::time_of(record.age_ms, now),
@@ -47,7 +49,7 @@
         }
     }
     drop(state);
-    if !new.is_empty() {
+    if any_local || !new.is_empty() {
         cx.publish();
     }
 }
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -50,7 +50,7 @@
     is_unreachable: bool,
     /// When a connection to it was last lost or could not be made.
     lost_at: Option<time::Time>,
-    /// What it last said of whether it leaves. Invariant: stays [`adapter::LeaveNotice::Leaving`].
+    /// What it has said of whether it leaves. Invariant: never goes back.
     leave_notice: adapter::LeaveNotice,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
@@ -345,8 +345,8 @@
 
     /// Records what an answer says of whether its endpoint leaves. Returns whether that has changed.
     ///
-    /// An endpoint that leaves says so in all later answers. One that does not say so was made
-    /// before, even if it arrives later.
+    /// An endpoint that leaves says so in all its answers from then on. An answer that does not say so
+    /// was made before, even if it arrives later.
     pub(super) fn record_leave_notice(
         &mut self,
         id: entity::EndpointId,
@@ -355,10 +355,9 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        if entry.leave_notice == adapter::LeaveNotice::Leaving {
-            return false;
-        }
-        std::mem::replace(&mut entry.leave_notice, notice) != notice
+        let is_change = notice > entry.leave_notice;
+        entry.leave_notice = entry.leave_notice.max(notice);
+        is_change
     }
 
     /// Whether an endpoint takes requests, as far as its entry and its answers say.
@@ -463,8 +462,8 @@
         })
     }
 
-    /// Id of an endpoint of the current view, which is made if it has none. `is_leaving` states whether
-    /// the view has it among those that leave.
+    /// Id of an endpoint of the current view; one is assigned if it has none. `is_leaving` states
+    /// whether the view has it among those that leave.
     fn id_for(
         &mut self,
         endpoint: &Arc<directory::Endpoint>,
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -194,6 +194,9 @@
     let (mut table, _) = table_of_two();
     let id = table.by_service["engines"][0];
     assert!(table.record_leave_notice(id, adapter::LeaveNotice::Invalid));
-    assert!(!table.record_leave_notice(id, adapter::LeaveNotice::Invalid));
+    for notice in [adapter::LeaveNotice::Absent, adapter::LeaveNotice::Invalid] {
+        assert!(!table.record_leave_notice(id, notice));
+    }
     assert!(table.takes_requests(id));
+    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Leaving));
 }
