Reword comments on repeated requests that crash endpoints

Cause: read as a newcomer: two lines were too long, one return value was described wrongly. Result: no change of behaviour.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -65,7 +65,8 @@
 }
 
 impl Crash {
-    /// Adds a request from another report on the crash, if there is room. Returns whether it was new.
+    /// Adds a request from another report on the crash, if there is room. Returns whether the report
+    /// said more than was known.
     fn add(&mut self, request: &LostRequest) -> bool {
         let mut known = self.requests.iter_mut();
         if let Some(known) = known.find(|known| known.keys == request.keys) {
--- a/crates/core/src/quarantine/machine.rs
+++ b/crates/core/src/quarantine/machine.rs
@@ -294,9 +294,8 @@
 }
 
 /// Whether crashes accuse a request by its own key although fewer of them are separate than accuse a
-/// part: as many endpoints ended, under repetitions at the same time, and another one at another
-/// time. A failed rack explains only one of these events, and answers on requests that are sound and
-/// as frequent come in between.
+/// part: as many endpoints ended, several of them at once under repetitions. A failed rack explains only
+/// one of the separate events, and a sound request that comes as often is answered in between.
 fn is_repeated_request(crashes: &[&Crash], key: PartKey, separate: usize) -> bool {
     let is_own_key = |crash: &&Crash| {
         let mut with_key = crash.requests.iter().filter(|r| r.keys.contains(&key));
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -61,7 +61,8 @@
         Self(key)
     }
 
-    /// Key of a whole request, which may crash endpoints again if it is repeated. `fields` are what a repetition has in common with it.
+    /// Key of a whole request, which may crash endpoints again if it is repeated. `fields` are what a
+    /// repetition has in common with it.
     #[must_use]
     pub fn of_request(fields: &[&[u8]]) -> Self {
         let hash = |seed, field: &&[u8]| xxhash_rust::xxh3::xxh3_64_with_seed(field, seed);
--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -87,9 +87,9 @@
     }
 
     /// Whether answers of this host have lately gone on for all of these parts.
-    pub(super) fn are_proven(&self, prompt: &[quarantine::PartKey], now: time::Time) -> bool {
-        prompt.iter().all(|part| {
-            let proof = self.proofs.get(part);
+    pub(super) fn are_proven(&self, keys: &[quarantine::PartKey], now: time::Time) -> bool {
+        keys.iter().all(|key| {
+            let proof = self.proofs.get(key);
             proof.is_some_and(|at| now.since(*at) < PROOF_VALIDITY)
         })
     }
@@ -135,8 +135,8 @@
 /// Whether a request whose connection an endpoint just lost may have crashed it, so that it is not
 /// sent to another one.
 ///
-/// It may have unless answers on all its shared parts have gone on lately and it was under way at no other
-/// crash. Waits until it is known whether the endpoint has crashed.
+/// It may have unless answers on all its shared parts have gone on lately and it was under way at no
+/// other crash. Waits until it is known whether the endpoint has crashed.
 pub(super) async fn is_suspect<D>(
     cx: &Context<D>,
     endpoint: &directory::Identity,
