--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -43,7 +43,7 @@
     })
 }
 
-/// A directory of one endpoint, which the store and other hosts tell of it.
+/// A directory of one endpoint, with entries of it from the store and from other hosts.
 struct World {
     directory: Directory,
     now: time::Time,
--- a/crates/gateway/src/control/departures.rs
+++ b/crates/gateway/src/control/departures.rs
@@ -1,4 +1,4 @@
-//! Exchange of the endpoints that say that they leave: what one host hears serves all.
+//! Exchange of the endpoints that say that they leave: what one host receives serves all.
 
 use std::sync::Arc;
 
@@ -13,7 +13,7 @@
 /// Most records in one message, which keeps it well below the limit of a frame.
 const MAX_RECORDS_PER_MESSAGE: usize = 4_096;
 
-/// Applies what endpoints have said to this host and tells the others. Returns whether any of it is
+/// Applies what endpoints have said to this host and forwards it. Returns whether any of it is
 /// new.
 pub(super) fn apply_local<D, S>(cx: &Context<D, S>, now: time::Time) -> bool {
     let announced = std::iter::from_fn(|| cx.shared.local_departures.pop());
@@ -32,7 +32,7 @@
     S: adapter::Store,
 {
     let now = clock::now();
-    // What this host has heard itself is not logged again as news of another one.
+    // What this host has received itself is not logged again as news of another one.
     let any_local = apply_local(cx, now);
     let departure = |record: &peer::DepartureRecord| directory::Departure {
         endpoint: record.endpoint,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -160,7 +160,7 @@
     /// Publishes a view of the current state to the traffic thread.
     fn publish(&self) {
         let now = clock::now();
-        // A view must not bring back an endpoint that has told the traffic thread that it leaves.
+        // A view must not bring back an endpoint that has said to the traffic thread that it leaves.
         departures::apply_local(self, now);
         let mut state = self.state.borrow_mut();
         state.observe_versions(now);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,7 +100,7 @@
     pub local_limits: SegQueue<rate_limits::Statement>,
     /// Limits that endpoints have named to other hosts.
     pub remote_limits: SegQueue<rate_limits::Statement>,
-    /// Endpoints that have told this host that they leave, for the control thread.
+    /// Endpoints that have said to this host that they leave, for the control thread.
     pub local_departures: SegQueue<directory::Departure>,
     verdicts: ArcSwap<quarantine::Verdicts>,
     /// Shared parts of prompts whose answers have gone on for this host.
--- a/crates/soak/src/checks/notices.rs
+++ b/crates/soak/src/checks/notices.rs
@@ -35,16 +35,16 @@
         }
     }
     let checked = by_endpoint.values().flat_map(|late| {
-        let told = told(late);
+        let informed = informed(late);
         late.iter()
-            .filter_map(move |one| check_one(seen, one, &told))
+            .filter_map(move |one| check_one(seen, one, &informed))
     });
     checked.collect()
 }
 
 /// When each host has passed on an answer of the endpoint.
-fn told(late: &[Late<'_>]) -> HashMap<usize, Instant> {
-    let mut told: HashMap<usize, Instant> = HashMap::new();
+fn informed(late: &[Late<'_>]) -> HashMap<usize, Instant> {
+    let mut informed: HashMap<usize, Instant> = HashMap::new();
     let passed_on = |one: &&Late<'_>| {
         let seal = seal_of(&one.ran.endpoint);
         one.record
@@ -53,29 +53,28 @@
             .is_some_and(|found| *found == *seal)
     };
     for one in late.iter().filter(passed_on) {
-        let first = told.entry(one.record.host).or_insert(one.record.ended);
+        let first = informed.entry(one.record.host).or_insert(one.record.ended);
         *first = (*first).min(one.record.ended);
     }
-    told
+    informed
 }
 
-fn check_one(seen: &Seen, one: &Late<'_>, told: &HashMap<usize, Instant>) -> Option<String> {
+fn check_one(seen: &Seen, one: &Late<'_>, informed: &HashMap<usize, Instant>) -> Option<String> {
     let Record { host, sent, .. } = *one.record;
-    let is_late = |told: Instant| sent.saturating_duration_since(told) > NOTICE_BOUND;
-    let restarted = |told: Instant| {
+    let is_late = |informed: Instant| sent.saturating_duration_since(informed) > NOTICE_BOUND;
+    let restarted = |informed: Instant| {
         let mut disturbed = seen.disturbed.iter();
         disturbed.any(|d| {
-            d.kind != Disturbance::Store && d.host == host && d.from <= sent && d.until >= told
+            d.kind != Disturbance::Store && d.host == host && d.from <= sent && d.until >= informed
         })
     };
-    let by_told_host = told
+    let by_informed_host = informed
         .get(&host)
-        .is_some_and(|told| is_late(*told) && !restarted(*told));
-    let by_other = told
-        .values()
-        .min()
-        .is_some_and(|told| is_late(*told) && !seen.is_disturbed(host, *told, sent, true));
-    (by_told_host || by_other).then(|| {
+        .is_some_and(|informed| is_late(*informed) && !restarted(*informed));
+    let by_other = informed.values().min().is_some_and(|informed| {
+        is_late(*informed) && !seen.is_disturbed(host, *informed, sent, true)
+    });
+    (by_informed_host || by_other).then(|| {
         format!(
             "{} reached {} from host-{host} after it had said that it leaves",
             one.record.id, one.ran.endpoint
