--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -28,7 +28,7 @@
 /// Reports of the crash of an incarnation within this time mean the same crash.
 const SAME_CRASH: Duration = Duration::from_millis(300);
 
-/// A request that was under way at an endpoint whose process ended.
+/// A request in flight at an endpoint whose process ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LostRequest {
     /// Keys of the request.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -388,7 +388,7 @@
     assert_eq!(accused(&quarantine), [parts(&[CRASHING])]);
 }
 
-/// Guards against refusing a part that was under way when a rack failed: some of its requests were
+/// Guards against refusing a part that was in flight when a rack failed: some of its requests were
 /// sent before, or nobody knows when.
 #[test]
 fn crashes_that_need_not_follow_each_other_count_as_one() {
@@ -443,7 +443,7 @@
     assert_eq!(accused(&quarantine), [parts(&[FIRST, CRASHING])]);
 }
 
-/// Guards against refusing a request that was under way at two endpoints of a rack and at another crash,
+/// Guards against refusing a request that was in flight at two endpoints of a rack and at another crash,
 /// and one that was answered in between.
 #[test]
 fn few_crashes_of_a_request_do_not_accuse_it() {
--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -135,7 +135,7 @@
 /// Whether a request whose connection an endpoint just lost may have crashed it, so that it is not
 /// sent to another one.
 ///
-/// It may have unless answers on all its shared parts have gone on lately and it was under way at no
+/// It may have unless answers on all its shared parts have gone on recently and it was in flight at no
 /// other crash. Waits until it is known whether the endpoint has crashed.
 pub(super) async fn is_suspect<D>(
     cx: &Context<D>,
--- a/crates/gateway/src/traffic/suspect_turns.rs
+++ b/crates/gateway/src/traffic/suspect_turns.rs
@@ -1,4 +1,4 @@
-//! Turns of requests that were under way at a crash and that their callers repeat.
+//! Turns of requests that were in flight at a crash and that their callers repeat.
 //!
 //! Repetitions may come at many hosts at once. Each of them that is sent before the others are known to
 //! have crashed an endpoint crashes one more. So a host sends one at a time, and not at once, so
@@ -26,7 +26,7 @@
 const MAX_WAIT_FRACTION: f64 = 0.25;
 
 /// Separate crashes from which on a request waits for its turn, even if an answer on it has gone on
-/// lately.
+/// recently.
 const CRASHES_DESPITE_PROOF: usize = 2;
 
 /// The turn of a request, until it is dropped.
@@ -49,7 +49,7 @@
     }
 }
 
-/// Waits for the turn of a request that was under way at a crash, if it was. The turn lasts until it is
+/// Waits for the turn of a request that was in flight at a crash, if it was. The turn lasts until it is
 /// dropped.
 ///
 /// # Errors
