Refuse accused repetitions before they wait for a turn

Callers saw: a request that is refused in any case (crashes_endpoints) waited up to a second for its turn first. Change: a request that is accused does not wait.

--- a/crates/gateway/src/traffic/suspect_turns.rs
+++ b/crates/gateway/src/traffic/suspect_turns.rs
@@ -1,14 +1,14 @@
 //! Turns of requests that were in flight at a crash and that their callers repeat.
 //!
 //! Repetitions may come at many hosts at once. Each of them that is sent before the others are known to
-//! have crashed an endpoint crashes one more. So a host sends one at a time, and not at once, so
-//! that hosts learn of each other's crashes in between.
+//! have crashed an endpoint crashes one more. So a host sends one at a time, each after a random delay,
+//! so that hosts learn of each other's crashes in between.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{quarantine, reason, time};
+use pistachiochute_core::{quarantine, reason};
 use pistachiochute_runtime::clock;
 use tokio::sync::{Mutex, OwnedMutexGuard};
 
@@ -56,26 +56,32 @@
 ///
 /// Returns the refusal if another repetition takes too long.
 pub(super) async fn wait<D>(cx: &Context<D>, plan: &Plan) -> Result<Option<Turn>, reason::Refusal> {
-    let key = plan.keys.own();
-    if !must_wait(cx, key, clock::now()) {
+    if !must_wait(cx, &plan.keys) {
         return Ok(None);
     }
-    let lock = cx.suspect_turns.borrow_mut().of(key);
+    let lock = cx.suspect_turns.borrow_mut().of(plan.keys.own());
     let turn = tokio::time::timeout(longest_wait(plan), lock.lock_owned()).await;
     let turn = turn.map_err(|_| reason::Refusal::CrashSuspect)?;
     // Another repetition may have been answered, or refused, meanwhile.
-    if must_wait(cx, key, clock::now()) {
+    if must_wait(cx, &plan.keys) {
         tokio::time::sleep(delay(cx, plan)).await;
     }
     Ok(Some(turn))
 }
 
-fn must_wait<D>(cx: &Context<D>, key: quarantine::PartKey, now: time::Time) -> bool {
+/// Whether a request waits for its turn: not if it is accused, and is refused or on trial in any case.
+fn must_wait<D>(cx: &Context<D>, keys: &quarantine::RequestKeys) -> bool {
     let verdicts = cx.shared.verdicts();
-    match verdicts.crashes_against(key) {
+    if verdicts.admission(keys.all()) != quarantine::Admission::Admitted {
+        return false;
+    }
+    match verdicts.crashes_against(keys.own()) {
         0 => false,
         crashes if crashes >= CRASHES_DESPITE_PROOF => true,
-        _ => !cx.crash_watch.borrow().are_proven(&[key], now),
+        _ => {
+            let own = [keys.own()];
+            !cx.crash_watch.borrow().are_proven(&own, clock::now())
+        }
     }
 }
 
