Stand-ins: put faults in force before their request is answered

Cause: the handler of /faults answered first and replaced the faults after that.

Change: replace, then answer, and only then close or open the listening socket, which is what the old order was for.

--- a/crates/standins/src/server/switch.rs
+++ b/crates/standins/src/server/switch.rs
@@ -36,22 +36,30 @@
     /// Replaces the faults and waits until connections are refused or accepted accordingly. The
     /// wait is bounded by `LISTEN_TIMEOUT`.
     pub(crate) fn set(&self, control: &server::Control, faults: T) {
-        let refuse = (self.refuses)(&faults);
-        *sync::lock(&self.faults) = faults;
+        let refuse = self.replace(faults);
         control.set_refusing(refuse);
     }
 
-    /// Handles a request to `/faults`, whose body replaces the faults. The answer is sent before
-    /// the change takes effect, since the change may close the listening socket.
+    /// Handles a request to `/faults`, whose body replaces the faults. They are in force when the
+    /// answer is sent, except that connections are refused or accepted only after it: that closes
+    /// the listening socket.
     pub(crate) fn handle_post(&self, exchange: server::Exchange, control: &server::Control) {
         match exchange.json::<T>() {
             Ok(faults) => {
+                let refuse = self.replace(faults);
                 exchange.respond(200, &serde_json::json!({}));
-                self.set(control, faults);
+                control.set_refusing(refuse);
             }
             Err(err) => exchange.refuse(400, "bad_request", &err.to_string()),
         }
     }
+
+    /// Replaces the faults. Returns whether connections are to be refused.
+    fn replace(&self, faults: T) -> bool {
+        let refuse = (self.refuses)(&faults);
+        *sync::lock(&self.faults) = faults;
+        refuse
+    }
 }
 
 /// Decrements the number of times that a fault still applies, and returns whether it applies now.
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -353,6 +353,22 @@
     engine.close();
 }
 
+#[test]
+fn faults_are_in_force_when_their_request_is_answered() {
+    let engine = start(|_| {});
+    let faults = format!("http://{}/faults", engine.addr());
+    for round in 0..200 {
+        let status = [500, 503][round % 2];
+        let set = attohttpc::post(&faults).json(&json!({ "status": status }));
+        assert!(set.unwrap().send().unwrap().is_success());
+        let answer = chat(engine.addr(), "a", &prompt("x", false))
+            .send()
+            .unwrap();
+        assert_eq!(answer.status().as_u16(), status, "round {round}");
+    }
+    engine.close();
+}
+
 #[test]
 fn stall_status_and_slowness() {
     let engine = start(|_| {});
