Make fewer calls to the store: one read, one watch, long leases, one watcher a domain

Cause: each host that starts read catalog, endpoints, hosts and accusations apart, watched three of them apart until its relay's link was open, and registered anew though its last entry was still there; each host renewed a lease of 6 s; both relays of a domain watched. All of it grows with hosts.

Change: - one read and one watch of all entries, since the store prices calls and not what they carry; a host that follows a relay gives the link a second before it watches; - core::membership::registration: a host whose relays notice its loss has a lease of 30 s, the first four of a domain and full meshes 6 s as before; a process takes over the lease that the last one of its host has left, if it lasts; only hosts with short leases end them when they stop; - the second relay of a domain follows the first one, and watches only while that one is silent; - a watch ends after 3 s without a change instead of 10, so a dead connection shows sooner.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -26,6 +26,7 @@
 mod message;
 pub mod overlay;
 mod reachability;
+pub mod registration;
 mod ring;
 pub mod roster;
 
--- a/crates/core/src/membership/overlay.rs
+++ b/crates/core/src/membership/overlay.rs
@@ -2,8 +2,9 @@
 //!
 //! In a small fleet, every host is linked to every other. In a larger one, two relays in each
 //! failure domain are linked to all hosts of their domain and to the relays of the other domains;
-//! every other host is linked to the relays of its domain only. Relays watch the store and forward
-//! changes. The relays follow from the list of hosts alone, so no election is needed.
+//! every other host is linked to the relays of its domain only. The first relay of a domain watches
+//! the store and forwards changes. The relays follow from the list of hosts alone, so no election is
+//! needed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,9 +14,13 @@
 /// Largest number of other hosts with which the fleet is a full mesh.
 pub const FULL_MESH_MAX_PEERS: usize = 12;
 
-/// Relays of a domain. The second one takes over while the first one is down.
+/// Relays of a domain. The first one watches the store; the second one follows it, and takes over
+/// while it is down.
 pub const RELAYS_PER_DOMAIN: usize = 2;
 
+/// Live hosts of a domain, the relays among them, that soon take over from relays that are lost.
+pub const RELAY_CANDIDATES_PER_DOMAIN: usize = 4;
+
 /// Role of a host in the overlay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
@@ -40,7 +45,7 @@
 }
 
 /// Role and links of one host in the overlay.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Overlay {
     /// Role of the host.
     pub role: Role,
@@ -48,10 +53,26 @@
     pub links: Vec<Arc<str>>,
     /// Relays of its domain in order of preference; empty in a full mesh.
     pub relays: SmallVec<[Arc<str>; RELAYS_PER_DOMAIN]>,
+    /// Whether other hosts must notice soon when this one is lost, since it is a relay or among the
+    /// next ones, or since no relay would notice.
+    pub is_relay_candidate: bool,
     /// Relays of the other domains, by domain and in order of preference.
     pub foreign_relays: BTreeMap<Arc<str>, SmallVec<[Arc<str>; RELAYS_PER_DOMAIN]>>,
 }
 
+impl Default for Overlay {
+    /// The overlay of a host that knows no other.
+    fn default() -> Self {
+        Self {
+            role: Role::Mesh,
+            links: Vec::new(),
+            relays: SmallVec::new(),
+            is_relay_candidate: true,
+            foreign_relays: BTreeMap::new(),
+        }
+    }
+}
+
 impl Overlay {
     /// Computes the role and links of the host `me`. `hosts` may or may not contain it.
     #[must_use]
@@ -65,11 +86,13 @@
         }
         let mut foreign_relays = relays_by_domain(hosts);
         let relays = foreign_relays.remove(domain).unwrap_or_default();
+        let is_relay_candidate = ranks_among_candidates(me, domain, hosts);
         if !relays.iter().any(|relay| **relay == *me) {
             return Self {
                 role: Role::Member,
                 links: relays.to_vec(),
                 relays,
+                is_relay_candidate,
                 foreign_relays: BTreeMap::new(),
             };
         }
@@ -80,10 +103,36 @@
             role: Role::Relay,
             links,
             relays,
+            is_relay_candidate,
             foreign_relays,
         }
     }
 
+    /// Relays that supply this host with changes of the store, while they are live: both of its domain
+    /// for a member, the first one for the second one, and none for the first one.
+    #[must_use]
+    pub fn suppliers(&self) -> &[Arc<str>] {
+        match self.role {
+            Role::Mesh => &[],
+            Role::Member => &self.relays,
+            Role::Relay => self.first_relay_link(),
+        }
+    }
+
+    /// Whether a relay should supply this host with changes of the store.
+    #[must_use]
+    pub fn follows_relay(&self) -> bool {
+        !self.suppliers().is_empty()
+    }
+
+    /// The first relay, if this host is the second one.
+    fn first_relay_link(&self) -> &[Arc<str>] {
+        match self.relays.split_first() {
+            Some((first, _)) if self.links.contains(first) => std::slice::from_ref(first),
+            _ => &[],
+        }
+    }
+
     /// Whether a host is a relay of this host's domain.
     #[must_use]
     pub fn is_own_relay(&self, name: &str) -> bool {
@@ -100,6 +149,13 @@
     }
 }
 
+/// Whether a host is, by its name, among the relay candidates of its domain.
+fn ranks_among_candidates(me: &str, domain: &str, hosts: &[OverlayHost]) -> bool {
+    let is_ahead =
+        |host: &&OverlayHost| host.is_live && *host.domain == *domain && *host.name < *me;
+    hosts.iter().filter(is_ahead).count() < RELAY_CANDIDATES_PER_DOMAIN
+}
+
 /// The first live hosts of each domain in the order of their names.
 fn relays_by_domain(
     hosts: &[OverlayHost],
--- a/crates/core/tests/overlay.rs
+++ b/crates/core/tests/overlay.rs
@@ -7,7 +7,7 @@
 use pistachiochute_core::choice::load::{EndpointLoad, Work};
 use pistachiochute_core::membership::load_reports::{LoadReports, REPORT_TTL, WorkByEndpoint};
 use pistachiochute_core::membership::overlay::{
-    FULL_MESH_MAX_PEERS, Overlay, OverlayHost, RELAYS_PER_DOMAIN, Role,
+    FULL_MESH_MAX_PEERS, Overlay, OverlayHost, RELAY_CANDIDATES_PER_DOMAIN, RELAYS_PER_DOMAIN, Role,
 };
 use pistachiochute_core::time;
 
@@ -166,3 +166,52 @@
     reports.tick(NOW + REPORT_TTL + Duration::from_millis(1));
     assert!(reports.total_of_others(&overlay).is_empty());
 }
+
+#[test]
+fn only_the_first_relay_of_each_domain_depends_on_the_store() {
+    let overlays = overlays(&fleet(295, 5));
+    let independent = overlays.values().filter(|o| !o.follows_relay()).count();
+    assert_eq!(independent, 5);
+    for (name, overlay) in &overlays {
+        for supplier in overlay.suppliers() {
+            assert!(
+                overlay.links.contains(supplier),
+                "{name} has no link to {supplier}"
+            );
+            assert_ne!(supplier, name);
+        }
+        if overlay.role == Role::Member {
+            assert_eq!(overlay.suppliers().len(), RELAYS_PER_DOMAIN);
+        }
+    }
+}
+
+#[test]
+fn supplies_never_form_a_cycle() {
+    let overlays = overlays(&fleet(60, 3));
+    for overlay in overlays.values() {
+        for supplier in overlay.suppliers() {
+            for source in overlays[supplier].suppliers() {
+                assert!(!overlays[source].follows_relay());
+            }
+        }
+    }
+}
+
+#[test]
+fn few_hosts_of_a_large_fleet_need_short_leases() {
+    let large = overlays(&fleet(295, 5));
+    let candidates = large.values().filter(|o| o.is_relay_candidate).count();
+    assert_eq!(candidates, 5 * RELAY_CANDIDATES_PER_DOMAIN);
+    assert!(
+        large
+            .values()
+            .all(|o| o.role != Role::Relay || o.is_relay_candidate)
+    );
+    let small = overlays(&fleet(8, 3));
+    assert!(
+        small
+            .values()
+            .all(|o| o.is_relay_candidate && !o.follows_relay())
+    );
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -200,11 +200,11 @@
         ttl: Duration,
     ) -> impl Future<Output = Result<key_value::LeaseId, key_value::Error>>;
 
-    /// Renews a lease. Returns whether it was still valid.
+    /// Renews a lease. Returns its time to live from now on, or `None` if it has ended.
     fn keep_alive(
         &self,
         lease: key_value::LeaseId,
-    ) -> impl Future<Output = Result<bool, key_value::Error>>;
+    ) -> impl Future<Output = Result<Option<Duration>, key_value::Error>>;
 
     /// Ends a lease and removes its entries.
     fn revoke(
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -23,9 +23,6 @@
 /// Interval at which new accusations are written to the store.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay before the accusations in the store are read again after a failed call.
-const RESTORE_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Most records of one kind in one message, which keeps it well below the limit of a frame: a crash
 /// may have as many prompts as the state machine keeps.
 const MAX_RECORDS_PER_MESSAGE: usize = 64;
@@ -86,20 +83,13 @@
     to_messages(&state.quarantine.state(), now)
 }
 
-/// Reads the accusations that hosts have left in the store, once it answers.
-pub(super) async fn restore<D, S>(cx: Rc<Context<D, S>>)
-where
-    D: adapter::Dialect,
-    S: adapter::Store,
-{
-    loop {
-        let consistency = adapter::Consistency::Linearizable;
-        match cx.store.range(ACCUSATIONS_PREFIX, consistency).await {
-            Ok(found) => return adopt_stored(&cx, &found.entries),
-            Err(e) => cx.events.sync_failed(ACCUSATIONS_PREFIX, &e),
-        }
-        tokio::time::sleep(RESTORE_RETRY_DELAY).await;
+/// Adopts the accusations that hosts have left in the store, from the first read of all entries. Later
+/// ones come from other hosts.
+pub(super) fn adopt_stored_once<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    if cx.accusations_adopted.replace(true) {
+        return;
     }
+    adopt_stored(cx, entries);
 }
 
 /// Writes the accusations that are assigned to this host to the store.
@@ -150,7 +140,8 @@
 fn adopt_stored<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
     let now = clock::now();
     let mut update = quarantine::Update::default();
-    for entry in entries {
+    let prefix = ACCUSATIONS_PREFIX.as_bytes();
+    for entry in entries.iter().filter(|e| e.key.starts_with(prefix)) {
         match serde_json::from_slice::<StoredAccusation>(&entry.value) {
             Ok(stored) if !stored.parts.is_empty() => {
                 let accusation = quarantine::Accusation::new(stored.parts, now, now);
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::membership::registration;
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
@@ -12,17 +13,19 @@
 use crate::control::state::HostEntry;
 use crate::control::{Context, HOSTS_PREFIX, sync};
 
-/// Lease renewals per time to live.
-const RENEWALS_PER_TTL: u32 = 3;
+/// Longest time that the registration waits for the first read of the store, which shows whether an
+/// entry of this host's last process is still there.
+const FIRST_READ_WAIT: Duration = Duration::from_millis(600);
+
+/// Interval at which the registration checks whether it is due.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Time that a stopping host waits for the removal of its entry.
 const REVOKE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Delay between two watches of the hosts: when many start at once, one answer carries them all.
-const WATCH_DELAY: Duration = Duration::from_millis(400);
-
-/// Interval at which a host with a live relay reads the list of hosts.
-const RELAYED_REFRESH_INTERVAL: Duration = Duration::from_secs(5);
+/// Interval at which a host with a live relay reads the list of hosts. Such a host only needs to know
+/// its relays, which seldom change.
+const RELAYED_REFRESH_INTERVAL: Duration = Duration::from_secs(8);
 
 /// Keeps this host registered under a lease, which expires if the host stops renewing it.
 pub(super) async fn keep_registered<D, S>(cx: Rc<Context<D, S>>)
@@ -30,111 +33,177 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    // Without an answer in time, the host registers anew.
+    drop(tokio::time::timeout(FIRST_READ_WAIT, cx.first_read.notified()).await);
     loop {
-        if let Err(e) = register_once(&cx).await {
+        let visibility = cx.visibility();
+        let step = cx.registration.borrow().next_step(visibility, clock::now());
+        let Some(step) = step else {
+            tokio::time::sleep(POLL_INTERVAL).await;
+            continue;
+        };
+        if let Err(e) = run_step(&cx, step).await {
             sync::handle_store_failure(&cx, "own host entry", &e).await;
         }
     }
 }
 
-/// Writes the entry and renews its lease until the lease expires or a call fails.
-async fn register_once<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
+/// Makes the calls of one step of the registration.
+async fn run_step<D, S>(
+    cx: &Context<D, S>,
+    step: registration::Step,
+) -> Result<(), key_value::Error>
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    match step {
+        registration::Step::Register { ttl } => register(cx, ttl).await,
+        registration::Step::Renew { lease } => renew(cx, lease).await,
+    }
+}
+
+/// Writes the entry under a new lease.
+async fn register<D, S>(cx: &Context<D, S>, ttl: Duration) -> Result<(), key_value::Error>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let ttl = cx.settings.store.lease;
+    let granted_at = clock::now();
     let lease = cx.store.grant(ttl).await?;
-    cx.lease.set(Some(lease));
-    let entry = HostEntry {
-        links: cx.settings.listen.links,
-        domain: cx.settings.host.domain.clone(),
-    };
-    let value = serde_json::to_vec(&entry).expect("an address and a name are valid JSON");
+    let value = serde_json::to_vec(&own_entry(cx)).expect("an address and a name are valid JSON");
     let key = format!("{HOSTS_PREFIX}{}", cx.settings.host.name);
     cx.store.put(&key, &value, lease).await?;
-    loop {
-        tokio::time::sleep(ttl / RENEWALS_PER_TTL).await;
-        let holds = cx.store.keep_alive(lease).await?;
-        cx.record_store_response();
-        if !holds {
-            cx.events.lease_expired(lease);
-            return Ok(());
+    cx.record_store_response();
+    let lease = registration::LeaseId(lease.0);
+    let mut registration = cx.registration.borrow_mut();
+    registration.record_lease(lease, ttl, granted_at);
+    Ok(())
+}
+
+async fn renew<D, S>(
+    cx: &Context<D, S>,
+    lease: registration::LeaseId,
+) -> Result<(), key_value::Error>
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let sent_at = clock::now();
+    let ttl = cx.store.keep_alive(key_value::LeaseId(lease.0)).await?;
+    cx.record_store_response();
+    let mut registration = cx.registration.borrow_mut();
+    match ttl {
+        Some(ttl) => registration.record_lease(lease, ttl, sent_at),
+        None => {
+            registration.record_end();
+            cx.events.lease_expired(key_value::LeaseId(lease.0));
         }
     }
+    Ok(())
 }
 
-/// Removes the entry of this host when it stops, so that others need not wait for its lease to
-/// expire.
+fn own_entry<D, S>(cx: &Context<D, S>) -> HostEntry {
+    HostEntry {
+        links: cx.settings.listen.links,
+        domain: cx.settings.host.domain.clone(),
+    }
+}
+
+/// Removes the entry of this host when it stops, if others must notice that soon. Other entries stay
+/// until their lease expires, and the next process of the host takes them over.
 pub(super) async fn deregister<D, S>(cx: &Context<D, S>)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let Some(lease) = cx.lease.take() else { return };
+    let visibility = cx.visibility();
+    let lease = cx.registration.borrow_mut().take_lease_to_end(visibility);
+    let Some(lease) = lease else { return };
     // If the call is lost, the lease expires by itself.
+    let lease = key_value::LeaseId(lease.0);
     drop(tokio::time::timeout(REVOKE_TIMEOUT, cx.store.revoke(lease)).await);
 }
 
-/// Keeps the list of hosts in sync with the store.
-pub(super) async fn sync_hosts<D, S>(cx: Rc<Context<D, S>>)
+/// Reads the list of hosts now and then while a relay supplies all other changes.
+pub(super) async fn refresh_hosts<D, S>(cx: Rc<Context<D, S>>)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
     loop {
-        sync::run_until_store_recovers(&cx, HOSTS_PREFIX, sync_hosts_once(&cx)).await;
+        sync::wait_for_live_relay(&cx).await;
+        tokio::time::sleep(RELAYED_REFRESH_INTERVAL).await;
+        if !cx.has_live_relay() {
+            continue;
+        }
+        let consistency = adapter::Consistency::Stale;
+        match cx.store.range(HOSTS_PREFIX, consistency).await {
+            Ok(found) => replace_hosts(&cx, &found.entries),
+            Err(e) => cx.events.sync_failed(HOSTS_PREFIX, &e),
+        }
     }
 }
 
-async fn sync_hosts_once<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
+/// Replaces the listed hosts by those among entries of the store.
+pub(super) fn replace_hosts<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry])
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    loop {
-        // A host with a live relay only needs to know its relays, which seldom change.
-        let consistency = match cx.has_live_relay() {
-            true => adapter::Consistency::Stale,
-            false => adapter::Consistency::Linearizable,
+    let mut listed: BTreeSet<Arc<str>> = BTreeSet::new();
+    for entry in entries {
+        let Some(name) = host_name(&entry.key) else {
+            continue;
         };
-        let found = cx.store.range(HOSTS_PREFIX, consistency).await?;
-        let mut after = found.revision;
-        for entry in &found.entries {
-            apply_host_entry(cx, entry);
-        }
-        let names = found.entries.iter().filter_map(|e| host_name(&e.key));
-        let listed: BTreeSet<_> = names.collect();
-        cx.state
-            .borrow_mut()
-            .hosts
-            .retain_listed(&listed, clock::now());
+        apply_host_entry(cx, entry);
+        listed.insert(name);
+    }
+    let now = clock::now();
+    let mut state = cx.state.borrow_mut();
+    state.hosts.retain_listed(&listed, now);
+    state.update_overlay(now);
+    drop(state);
+    cx.publish();
+}
+
+/// Takes over the lease of an entry that an earlier process of this host has left, if this process
+/// has had none, and lets the registration begin.
+pub(super) fn begin_registration<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    adopt_own_entry(cx, entries);
+    cx.first_read.notify_one();
+}
+
+fn adopt_own_entry<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    let is_own = |name: Arc<str>| *name == *cx.settings.host.name;
+    let mut entries = entries.iter();
+    let Some(entry) = entries.find(|e| host_name(&e.key).is_some_and(is_own)) else {
+        return;
+    };
+    let content = serde_json::from_slice::<HostEntry>(&entry.value).ok();
+    if let (Some(lease), Some(content)) = (entry.lease, content)
+        && content == own_entry(cx)
+    {
+        let lease = registration::LeaseId(lease.0);
+        cx.registration.borrow_mut().adopt(lease);
+    }
+}
+
+/// Applies the changes of hosts among changes of all entries.
+pub(super) fn apply_changes<D, S>(cx: &Context<D, S>, changes: &[key_value::Change])
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let prefix = HOSTS_PREFIX.as_bytes();
+    let of_hosts = |change: &&key_value::Change| change.key().starts_with(prefix);
+    let mut any = false;
+    for change in changes.iter().filter(of_hosts) {
+        apply_change(cx, change);
+        any = true;
+    }
+    if any {
         cx.publish();
-        if consistency == adapter::Consistency::Stale {
-            tokio::time::sleep(RELAYED_REFRESH_INTERVAL).await;
-            continue;
-        }
-        loop {
-            let watched = cx
-                .store
-                .watch(HOSTS_PREFIX, after, sync::WATCH_TIMEOUT)
-                .await?;
-            let adapter::WatchResponse::Changes { revision, changes } = watched else {
-                cx.events.watch_compacted(HOSTS_PREFIX, after);
-                break;
-            };
-            for change in &changes {
-                apply_change(cx, change);
-            }
-            if !changes.is_empty() {
-                cx.publish();
-            }
-            after = after.max(revision);
-            if cx.has_live_relay() {
-                break;
-            }
-            tokio::time::sleep(WATCH_DELAY).await;
-        }
     }
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod endpoint_limits;
 mod host_registry;
 mod links;
+mod metered_store;
 mod origins;
 mod state;
 mod sync;
@@ -27,9 +28,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::membership::registration;
 use pistachiochute_core::{catalog, streams, time};
 use pistachiochute_messages::peer;
-use pistachiochute_runtime::platform::key_value;
 use pistachiochute_runtime::{clock, metrics};
 use tokio::sync::Notify;
 
@@ -52,12 +53,11 @@
     events: events::Events,
     metrics: metrics::Metrics,
     state: RefCell<State>,
-    /// Whether the catalog sync can reach the store.
+    /// Whether the sync can reach the store.
     store_available: Cell<bool>,
     /// Wakes the tasks that wait until the store is reachable again.
     store_recovered: Notify,
-    /// Makes the catalog sync check whether the store is reachable, after a call of another task
-    /// failed.
+    /// Makes the sync check whether the store is reachable, after a call of another task failed.
     store_suspect: Notify,
     /// Since when the store has been reachable without a break; in the far future while it is not.
     steady_since: Cell<time::Time>,
@@ -65,8 +65,12 @@
     last_store_response: Cell<time::Time>,
     /// Consecutive failed calls while the store counted as reachable, for the backoff.
     store_failures: Cell<u32>,
-    /// Lease of this host's store entry.
-    lease: Cell<Option<key_value::LeaseId>>,
+    /// Registration of this host in the store.
+    registration: RefCell<registration::Registration>,
+    /// Wakes the registration when the store has been read for the first time.
+    first_read: Notify,
+    /// Whether the accusations of the store were adopted.
+    accusations_adopted: Cell<bool>,
     /// When this host started.
     started: time::Time,
     /// Longest uptime that another host stated when it opened its link.
@@ -85,6 +89,7 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    let lease = settings.store.lease;
     let cx = Rc::new(Context {
         state: RefCell::new(State::new(
             settings.host.name.as_str().into(),
@@ -92,7 +97,7 @@
             streams::VersionHistory::new(settings.is_first_start, clock::now()),
         )),
         dialect,
-        store,
+        store: metered_store::MeteredStore::new(store, metrics.clone()),
         settings,
         shared,
         events,
@@ -103,20 +108,20 @@
         steady_since: Cell::new(clock::now()),
         last_store_response: Cell::new(time::Time::ZERO),
         store_failures: Cell::new(0),
-        lease: Cell::new(None),
+        registration: RefCell::new(registration::Registration::new(lease)),
+        first_read: Notify::new(),
+        accusations_adopted: Cell::new(false),
         started: clock::now(),
         max_peer_uptime: Cell::new(Duration::ZERO),
     });
-    tokio::task::spawn_local(sync::sync_catalog(cx.clone()));
-    tokio::task::spawn_local(sync::sync_endpoints(cx.clone()));
+    tokio::task::spawn_local(sync::sync_store(cx.clone()));
     tokio::task::spawn_local(host_registry::keep_registered(cx.clone()));
-    tokio::task::spawn_local(host_registry::sync_hosts(cx.clone()));
+    tokio::task::spawn_local(host_registry::refresh_hosts(cx.clone()));
     tokio::task::spawn_local(links::accept(cx.clone(), links));
     tokio::task::spawn_local(links::maintain_links(cx.clone()));
     tokio::task::spawn_local(origins::share_origins(cx.clone()));
     tokio::task::spawn_local(origins::answer_requests(cx.clone()));
     tokio::task::spawn_local(crash_evidence::record_crashes(cx.clone()));
-    tokio::task::spawn_local(crash_evidence::restore(cx.clone()));
     tokio::task::spawn_local(crash_evidence::keep_stored(cx.clone()));
     if !cx.settings.is_first_start {
         tokio::task::spawn_local(cache_recovery::recover(cx.clone()));
@@ -228,6 +233,16 @@
         });
     }
 
+    /// Who notices when this host is lost. A host that knows no other does not know its role yet.
+    fn visibility(&self) -> registration::Visibility {
+        let state = self.state.borrow();
+        let is_alone = state.overlay.links.is_empty();
+        match state.overlay.is_relay_candidate && !is_alone {
+            true => registration::Visibility::Listed,
+            false => registration::Visibility::Relayed,
+        }
+    }
+
     /// Whether a relay supplies changes of the store to this host.
     fn has_live_relay(&self) -> bool {
         self.state.borrow().has_live_relay(clock::now())
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -224,8 +224,8 @@
     /// itself.
     #[must_use]
     pub fn has_live_relay(&self, now: time::Time) -> bool {
-        let mut relays = self.overlay.relays.iter();
-        relays.any(|name| self.supplies_changes(name, now))
+        let mut suppliers = self.overlay.suppliers().iter();
+        suppliers.any(|name| self.supplies_changes(name, now))
     }
 
     /// Whether a host is a relay that supplies this one with changes of the store.
@@ -234,8 +234,8 @@
             let answered = Duration::from_millis(u64::from(peer.store.answered_ms));
             now.since(peer.last_heard) < PEER_TIMEOUT && answered < RELAY_STORE_TIMEOUT
         };
-        self.overlay.role == overlay::Role::Member
-            && self.overlay.is_own_relay(name)
+        let suppliers = self.overlay.suppliers();
+        suppliers.iter().any(|supplier| **supplier == *name)
             && self.peers.get(name).is_some_and(is_current)
     }
 
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -1,5 +1,7 @@
-//! Synchronization of the catalog and the endpoints with the store: a full read, then a watch for
-//! changes after its revision.
+//! Synchronization with the store: one read of all entries, then one watch for all changes after its
+//! revision.
+//!
+//! The store counts and prices calls, whatever they carry. So catalog, endpoints and hosts share them.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,15 +11,22 @@
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
-use crate::control::Context;
+use crate::control::{Context, crash_evidence, host_registry};
 use crate::{adapter, events};
 
-/// Time that a watch waits for a change. Long watches need few calls; the store counts each one.
-pub(super) const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Key prefix of all entries.
+const ALL_ENTRIES: &str = "";
 
-/// Delay between two watches of the endpoints. Each endpoint writes its entry about once a second,
-/// so one answer then carries many changes.
-const ENDPOINTS_WATCH_DELAY: Duration = Duration::from_millis(500);
+/// Time that a watch waits for a change. Each endpoint writes its entry about once a second, so one
+/// that hears nothing for longer shows that its connection is dead.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Delay between two watches, so that one answer carries many changes.
+const WATCH_DELAY: Duration = Duration::from_millis(500);
+
+/// Time that the link to a relay is given to open before a host watches the store itself. Within the
+/// bounds for changes of the catalog and of the endpoints.
+const RELAY_LINK_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Backoff after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
@@ -28,7 +37,7 @@
 /// Most doublings of the initial backoff.
 const MAX_DOUBLINGS: u32 = 4;
 
-/// Longest time that other tasks wait for the catalog sync to reach the store again.
+/// Longest time that other tasks wait for the sync to reach the store again.
 const MAX_STORE_WAIT: Duration = Duration::from_secs(4);
 
 /// Interval at which a waiting sync checks whether a relay is still live.
@@ -42,9 +51,10 @@
     tokio::time::sleep(delay.mul_f64(jitter)).await;
 }
 
-/// Keeps the catalog in sync with the store. Of all tasks, this one retries the store most often,
-/// and it decides whether the store counts as reachable.
-pub(super) async fn sync_catalog<D, S>(cx: Rc<Context<D, S>>)
+/// Keeps catalog, endpoints and hosts in sync with the store while no relay supplies their changes.
+/// Of all tasks, this one retries the store most often, and it decides whether the store counts as
+/// reachable.
+pub(super) async fn sync_store<D, S>(cx: Rc<Context<D, S>>)
 where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -52,7 +62,7 @@
     let mut failures = 0;
     loop {
         wait_while_relay_is_live(&cx).await;
-        if let Err(e) = sync_catalog_once(&cx, &mut failures).await {
+        if let Err(e) = sync_store_once(&cx, &mut failures).await {
             cx.record_store_call(false, &e.to_string());
             back_off(failures).await;
             failures += 1;
@@ -61,7 +71,7 @@
 }
 
 /// Waits until no relay supplies changes of the store.
-pub(super) async fn wait_while_relay_is_live<D, S>(cx: &Context<D, S>)
+async fn wait_while_relay_is_live<D, S>(cx: &Context<D, S>)
 where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -71,8 +81,19 @@
     }
 }
 
-/// Reads and watches the catalog until a read fails or a relay supplies its changes.
-async fn sync_catalog_once<D, S>(
+/// Waits until a relay supplies changes of the store.
+pub(super) async fn wait_for_live_relay<D, S>(cx: &Context<D, S>)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    while !cx.has_live_relay() {
+        tokio::time::sleep(RELAY_POLL_INTERVAL).await;
+    }
+}
+
+/// Reads and watches the store until a read fails or a relay supplies its changes.
+async fn sync_store_once<D, S>(
     cx: &Context<D, S>,
     failures: &mut u32,
 ) -> Result<(), key_value::Error>
@@ -82,15 +103,15 @@
 {
     let mut failed_watches = 0;
     loop {
-        let after = read_catalog(cx).await?;
+        let read = read_store(cx).await?;
         *failures = 0;
-        match watch_catalog(cx, after).await {
+        match watch_store(cx, read).await {
             WatchEnd::RelayLive => return Ok(()),
             WatchEnd::Reread => failed_watches = 0,
             // A watch may be interrupted at any time; only a read shows whether the store is
             // reachable.
             WatchEnd::Failed(e) => {
-                cx.events.sync_failed(cx.dialect.catalog_key(), &e);
+                cx.events.sync_failed(ALL_ENTRIES, &e);
                 if failed_watches > 0 {
                     back_off(failed_watches).await;
                 }
@@ -100,112 +121,112 @@
     }
 }
 
-/// Reads the catalog. Returns the revision after which to watch for changes.
-async fn read_catalog<D, S>(cx: &Context<D, S>) -> Result<revision::Revision, key_value::Error>
+/// Up to where this host knows the state of the store.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    /// Revision after which to watch for changes.
+    after: revision::Revision,
+    /// When the store had no later changes yet.
+    known_at: time::Time,
+}
+
+/// Reads all entries in one call: each kind of its own would be as dear as all of them.
+async fn read_store<D, S>(cx: &Context<D, S>) -> Result<Progress, key_value::Error>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let key = cx.dialect.catalog_key();
     let requested_at = clock::now();
     let found = cx
         .store
-        .range(key, adapter::Consistency::Linearizable)
+        .range(ALL_ENTRIES, adapter::Consistency::Linearizable)
         .await?;
     cx.record_store_call(true, "");
     for entry in &found.entries {
         apply_catalog_entry(cx, entry);
     }
     cx.shared.confirm_catalog(requested_at);
-    Ok(found.revision)
+    replace_endpoints(cx, &found);
+    cx.confirm_endpoints();
+    host_registry::replace_hosts(cx, &found.entries);
+    host_registry::begin_registration(cx, &found.entries);
+    crash_evidence::adopt_stored_once(cx, &found.entries);
+    Ok(Progress {
+        after: found.revision,
+        known_at: requested_at,
+    })
 }
 
-/// Why a watch of the catalog ended.
+/// Why a watch ended.
 enum WatchEnd {
     /// A relay supplies the changes.
     RelayLive,
-    /// The catalog must be read again: the watch history was compacted, or a call of another task
+    /// The entries must be read again: the watch history was compacted, or a call of another task
     /// failed.
     Reread,
     /// The watch failed.
     Failed(key_value::Error),
 }
 
-/// Watches for changes of the catalog after a revision.
-async fn watch_catalog<D, S>(cx: &Context<D, S>, mut after: revision::Revision) -> WatchEnd
+/// Watches for changes of all entries.
+async fn watch_store<D, S>(cx: &Context<D, S>, mut progress: Progress) -> WatchEnd
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let key = cx.dialect.catalog_key();
     loop {
+        if wait_before_watch(cx).await {
+            return WatchEnd::RelayLive;
+        }
+        let requested_at = clock::now();
         let watched = tokio::select! {
-            watched = cx.store.watch(key, after, WATCH_TIMEOUT) => watched,
+            watched = cx.store.watch(ALL_ENTRIES, progress.after, WATCH_TIMEOUT) => watched,
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
             Ok(adapter::WatchResponse::Changes { revision, changes }) => (revision, changes),
             Ok(adapter::WatchResponse::Compacted) => {
                 cx.record_store_call(true, "");
-                cx.events.watch_compacted(key, after);
+                cx.events.watch_compacted(ALL_ENTRIES, progress.after);
                 return WatchEnd::Reread;
             }
             Err(e) => return WatchEnd::Failed(e),
         };
         cx.record_store_call(true, "");
-        for change in &changes {
-            if let key_value::Change::Put(entry) = change {
-                apply_catalog_entry(cx, entry);
-            }
-        }
-        cx.shared.confirm_catalog(clock::now());
-        after = after.max(revision);
-        if cx.has_live_relay() {
-            return WatchEnd::RelayLive;
-        }
+        apply_changes(cx, &changes, revision, progress.known_at);
+        progress = Progress {
+            after: progress.after.max(revision),
+            known_at: requested_at,
+        };
     }
 }
 
-fn apply_catalog_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry)
+/// Pauses before a watch, so that one answer carries many changes. A host that follows a relay gives
+/// its link time to open. Returns whether a relay supplies the changes now.
+async fn wait_before_watch<D, S>(cx: &Context<D, S>) -> bool
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    if entry.key != cx.dialect.catalog_key().as_bytes() {
-        return;
-    }
-    match cx.dialect.decode_catalog(&entry.value) {
-        Ok(content) => cx.apply_catalog(content, events::Source::Store),
-        Err(e) => cx.events.entry_invalid(&entry.key, entry.modified, &e),
+    if cx.state.borrow().overlay.follows_relay() {
+        let wait = tokio::time::timeout(RELAY_LINK_WAIT, wait_for_live_relay(cx));
+        return wait.await.is_ok();
     }
+    tokio::time::sleep(WATCH_DELAY).await;
+    cx.has_live_relay()
 }
 
-/// Keeps the endpoints in sync with the store.
-pub(super) async fn sync_endpoints<D, S>(cx: Rc<Context<D, S>>)
+fn apply_catalog_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    loop {
-        wait_while_relay_is_live(&cx).await;
-        let prefix = cx.dialect.endpoints_prefix();
-        run_until_store_recovers(&cx, prefix, sync_endpoints_once(&cx)).await;
+    if entry.key != cx.dialect.catalog_key().as_bytes() {
+        return;
     }
-}
-
-/// Runs a sync until it fails and the store may be retried, or until the store becomes reachable
-/// again. In the latter case the sync is restarted, since its watch may hang on a dead connection.
-pub(super) async fn run_until_store_recovers<D, S, F>(cx: &Context<D, S>, what: &str, sync: F)
-where
-    F: Future<Output = Result<(), key_value::Error>>,
-{
-    tokio::select! {
-        () = cx.store_recovered.notified() => {}
-        result = sync => {
-            if let Err(e) = result {
-                handle_store_failure(cx, what, &e).await;
-            }
-        }
+    match cx.dialect.decode_catalog(&entry.value) {
+        Ok(content) => cx.apply_catalog(content, events::Source::Store),
+        Err(e) => cx.events.entry_invalid(&entry.key, entry.modified, &e),
     }
 }
 
@@ -224,7 +245,7 @@
 async fn wait_for_store<D, S>(cx: &Context<D, S>) {
     let recovered = cx.store_recovered.notified();
     if cx.store_available.get() {
-        // The store is reachable for the catalog sync, or its outage has not been noticed yet.
+        // The store is reachable for the sync, or its outage has not been noticed yet.
         let failures = cx.store_failures.get();
         cx.store_failures.set(failures + 1);
         back_off(failures).await;
@@ -234,49 +255,17 @@
     drop(tokio::time::timeout(MAX_STORE_WAIT, recovered).await);
 }
 
-async fn sync_endpoints_once<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
-where
-    D: adapter::Dialect,
-    S: adapter::Store,
-{
-    let prefix = cx.dialect.endpoints_prefix();
-    loop {
-        let mut known_at = clock::now();
-        let found = cx
-            .store
-            .range(prefix, adapter::Consistency::Linearizable)
-            .await?;
-        let mut after = found.revision;
-        replace_endpoints(cx, found);
-        cx.confirm_endpoints();
-        loop {
-            let requested_at = clock::now();
-            let watched = cx.store.watch(prefix, after, WATCH_TIMEOUT).await?;
-            let adapter::WatchResponse::Changes { revision, changes } = watched else {
-                cx.events.watch_compacted(prefix, after);
-                break;
-            };
-            cx.record_store_response();
-            apply_changes(cx, &changes, revision, known_at);
-            cx.confirm_endpoints();
-            known_at = requested_at;
-            after = after.max(revision);
-            if cx.has_live_relay() {
-                return Ok(());
-            }
-            tokio::time::sleep(ENDPOINTS_WATCH_DELAY).await;
-        }
-    }
-}
-
-fn replace_endpoints<D, S>(cx: &Context<D, S>, found: key_value::RangeResult)
+/// Replaces the endpoints by those among all entries of the store.
+fn replace_endpoints<D, S>(cx: &Context<D, S>, found: &key_value::RangeResult)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    let prefix = cx.dialect.endpoints_prefix().as_bytes();
     let entries: Vec<_> = found
         .entries
         .iter()
+        .filter(|entry| entry.key.starts_with(prefix))
         .map(|entry| {
             (
                 key_text(&entry.key),
@@ -290,6 +279,7 @@
             .endpoint_changed(key, *revision, endpoint.as_deref());
     }
     let now = clock::now();
+    let count = entries.len();
     let changed = cx
         .state
         .borrow_mut()
@@ -298,12 +288,10 @@
     if changed {
         cx.publish();
     }
-    cx.events
-        .endpoints_listed(found.entries.len(), found.revision);
+    cx.events.endpoints_listed(count, found.revision);
 }
 
-/// Applies changes of the endpoints. They were written at `known_at` or later, since this host
-/// already knows the state of the store at that time.
+/// Applies changes of all entries.
 fn apply_changes<D, S>(
     cx: &Context<D, S>,
     changes: &[key_value::Change],
@@ -313,8 +301,31 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let mut any = false;
     for change in changes {
+        if let key_value::Change::Put(entry) = change {
+            apply_catalog_entry(cx, entry);
+        }
+    }
+    cx.shared.confirm_catalog(clock::now());
+    apply_endpoint_changes(cx, changes, revision, known_at);
+    cx.confirm_endpoints();
+    host_registry::apply_changes(cx, changes);
+}
+
+/// Applies the changes of endpoints among changes of all entries. They were written at `known_at` or
+/// later, since this host already knows the state of the store at that time.
+fn apply_endpoint_changes<D, S>(
+    cx: &Context<D, S>,
+    changes: &[key_value::Change],
+    revision: revision::Revision,
+    known_at: time::Time,
+) where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let prefix = cx.dialect.endpoints_prefix().as_bytes();
+    let mut any = false;
+    for change in changes.iter().filter(|c| c.key().starts_with(prefix)) {
         let (key, endpoint) = match change {
             key_value::Change::Put(entry) => (&entry.key, decode_endpoint(cx, entry)),
             key_value::Change::Deleted { key, .. } => (key, None),
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -132,11 +132,11 @@
         _: adapter::Consistency,
     ) -> Result<key_value::RangeResult, key_value::Error> {
         let peer = serde_json::to_vec(&self.peer).expect("valid JSON");
-        let entries = match prefix {
-            HOSTS_PREFIX => vec![entry(format!("{HOSTS_PREFIX}peer"), peer)],
-            ENDPOINTS_PREFIX => vec![entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new())],
-            _ => Vec::new(),
-        };
+        let mut entries = vec![
+            entry(format!("{HOSTS_PREFIX}peer"), peer),
+            entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new()),
+        ];
+        entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
         Ok(key_value::RangeResult {
             revision: revision::Revision(1),
             entries,
@@ -164,8 +164,11 @@
         Ok(key_value::LeaseId(1))
     }
 
-    async fn keep_alive(&self, _: key_value::LeaseId) -> Result<bool, key_value::Error> {
-        Ok(true)
+    async fn keep_alive(
+        &self,
+        _: key_value::LeaseId,
+    ) -> Result<Option<Duration>, key_value::Error> {
+        Ok(Some(Duration::from_secs(6)))
     }
 
     async fn revoke(&self, _: key_value::LeaseId) -> Result<(), key_value::Error> {
--- a/crates/runtime/src/platform/key_value.rs
+++ b/crates/runtime/src/platform/key_value.rs
@@ -192,6 +192,15 @@
 }
 
 impl Change {
+    /// The key that changed.
+    #[must_use]
+    pub const fn key(&self) -> &Bytes {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
     /// Revision of the change.
     #[must_use]
     pub const fn revision(&self) -> Revision {
