Copy prompts from homes that their limit closes

Cause: an endpoint whose limit left no room for this host was no copy source either.

Change: endpoints that a limit closes are copy sources like leaving ones (ClosedEndpoint); the first home is assumed to hold a prompt only if no closed one ranks before it.

Test: prompts_are_copied_from_homes_that_limits_close.

--- a/crates/core/src/choice/homes.rs
+++ b/crates/core/src/choice/homes.rs
@@ -2,8 +2,9 @@
 //!
 //! Every host computes the same homes. Hosts that do not know of each other's requests still send
 //! a prompt to the same first home, so it is prefilled once; a hot prompt spreads over the same few
-//! endpoints whichever host sends it. Leaving endpoints keep their rank as copy sources, so when
-//! the home of a prompt leaves, the next home copies the prompt instead of prefilling it again.
+//! endpoints whichever host sends it. Endpoints that take no request now keep their rank as copy
+//! sources, so when the home of a prompt leaves or is held back by its limit, the next home copies the
+//! prompt instead of prefilling it again.
 
 use smallvec::SmallVec;
 
@@ -16,9 +17,10 @@
 /// Minimum tokens that are copied from another endpoint instead of prefilled.
 const MIN_COPY_TOKENS: u32 = 256;
 
-/// An endpoint that takes no new requests but still has its cache.
+/// An endpoint that takes no request of this host now, since it leaves or since its limit leaves no
+/// room, but still has its cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LeavingEndpoint {
+pub struct ClosedEndpoint {
     /// The endpoint.
     pub endpoint: entity::EndpointId,
     /// Hash of its identity, the same on every host.
@@ -66,7 +68,7 @@
     ) -> Self {
         let Caches {
             prefixes,
-            leaving,
+            closed,
             is_source,
         } = *caches;
         let shared = prompt.shared_tokens();
@@ -82,8 +84,8 @@
                     insert(&mut sources, entry);
                 }
             }
-            for leaving in leaving.iter().filter(|l| is_source(l.endpoint)) {
-                insert(&mut sources, (score(key, leaving.hash), leaving.endpoint));
+            for closed in closed.iter().filter(|c| is_source(c.endpoint)) {
+                insert(&mut sources, (score(key, closed.hash), closed.endpoint));
             }
         }
         Self {
@@ -118,9 +120,11 @@
                 ..PrefillPlan::default()
             };
         }
-        // The first home is assumed to hold the prompt, unless another endpoint is recorded to.
-        let first = self.homes.first().map(|(_, home)| *home);
-        let is_assumed = self.known_holder.is_none() && first == Some(endpoint);
+        // The first home is assumed to hold the prompt, unless another endpoint is recorded to. If
+        // the first one is closed, the next home copies from it.
+        let first = self.sources.first().or(self.homes.first());
+        let is_first = first.is_some_and(|(_, home)| *home == endpoint);
+        let is_assumed = self.known_holder.is_none() && is_first;
         PrefillPlan {
             read_tokens: self.prompt.tokens.saturating_sub(held + missing),
             copy_tokens: if is_assumed { 0 } else { missing },
--- a/crates/core/src/choice/mod.rs
+++ b/crates/core/src/choice/mod.rs
@@ -53,8 +53,8 @@
 pub struct Caches<'a> {
     /// Endpoints that probably hold each prompt part.
     pub prefixes: &'a prefix::PrefixIndex,
-    /// Endpoints that take no new requests but still have their caches.
-    pub leaving: &'a [homes::LeavingEndpoint],
+    /// Endpoints that take no request of this host now but still have their caches.
+    pub closed: &'a [homes::ClosedEndpoint],
     /// Whether cached parts can be copied from an endpoint, which need not be a candidate.
     pub is_source: &'a dyn Fn(entity::EndpointId) -> bool,
 }
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -1,7 +1,7 @@
 //! Endpoint selection: cached prompts, the load bound, and unhealthy or unreachable endpoints.
 
 use pistachiochute_core::choice::{
-    Caches, Candidate, Choice, Request, choose, cost, load, prefix, prompt,
+    Caches, Candidate, Choice, Request, choose, cost, homes, load, prefix, prompt,
 };
 use pistachiochute_core::{entity, time};
 
@@ -50,7 +50,7 @@
     };
     let caches = Caches {
         prefixes,
-        leaving: &[],
+        closed: &[],
         is_source: &is_source,
     };
     choose(request, candidates, &caches, &params, NOW).expect("there are candidates")
@@ -181,7 +181,7 @@
     let prefixes = prefix::PrefixIndex::default();
     let caches = Caches {
         prefixes: &prefixes,
-        leaving: &[],
+        closed: &[],
         is_source: &|_| true,
     };
     let params = cost::Parameters::default();
@@ -229,3 +229,49 @@
         assert_eq!(choice.endpoint, id(7));
     }
 }
+
+/// Most endpoints name limits, and each of many hosts has room at a few of them only. The prompts stay
+/// where they were read before, and every host copies them from there.
+#[test]
+fn prompts_are_copied_from_homes_that_limits_close() {
+    const LIMITED: u32 = 63;
+    let all: Vec<_> = (0..90).map(|i| candidate(i, 4)).collect();
+    let prefixes = prefix::PrefixIndex::default();
+    for session in 0..40_u32 {
+        let key = session.to_be_bytes();
+        let parts: [(&[u8], u32); 3] = [(b"guide", 2_520), (&key, 6_100), (b"own", 580)];
+        let request = request(prompt::Prompt::new(b"m", parts, 9_200, 50), session.into());
+        let home = pick(&request, &all, &prefixes).endpoint;
+        for host in 0..85_u32 {
+            let is_open = |c: &&Candidate| {
+                let number = c.endpoint.as_u32();
+                number >= LIMITED || number % 85 == host
+            };
+            let open: Vec<_> = all.iter().filter(is_open).cloned().collect();
+            let closed: Vec<_> = all.iter().filter(|c| !is_open(c)).map(closed).collect();
+            if open.iter().any(|c| c.endpoint == home) {
+                continue;
+            }
+            let caches = Caches {
+                prefixes: &prefixes,
+                closed: &closed,
+                is_source: &|_| true,
+            };
+            let params = cost::Parameters::default();
+            let choice = choose(&request, &open, &caches, &params, NOW).expect("some are open");
+            assert_eq!(
+                choice.copy_from,
+                Some(home),
+                "session {session}, host {host}"
+            );
+            assert_eq!(choice.read_tokens, 580);
+        }
+    }
+}
+
+fn closed(candidate: &Candidate) -> homes::ClosedEndpoint {
+    homes::ClosedEndpoint {
+        endpoint: candidate.endpoint,
+        hash: candidate.hash,
+    }
+}
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -111,7 +111,7 @@
     by_service: HashMap<Arc<str>, Vec<entity::EndpointId>>,
     /// Draining endpoints, by service. They take no requests, but other endpoints of their service
     /// can copy from their caches.
-    leaving: HashMap<Arc<str>, Vec<homes::LeavingEndpoint>>,
+    leaving: HashMap<Arc<str>, Vec<homes::ClosedEndpoint>>,
     budgets: HashMap<Arc<str>, retry::Budget>,
     prefixes: prefix::PrefixIndex,
     health: health::Health,
@@ -159,14 +159,14 @@
         }
         self.leaving.clear();
         for endpoint in &view.leaving {
-            let leaving = homes::LeavingEndpoint {
+            let closed = homes::ClosedEndpoint {
                 endpoint: self.id_for(endpoint, true),
                 hash: endpoint.identity.hash(),
             };
             self.leaving
                 .entry(endpoint.service.clone())
                 .or_default()
-                .push(leaving);
+                .push(closed);
         }
         self.remove_unused();
     }
@@ -184,7 +184,8 @@
         let ids = self.by_service.get(service)?;
         let mut ids = ids.to_vec();
         ids.retain(|id| self.is_eligible(*id, eligibility));
-        ids.retain(|id| self.opening(*id, now) == Opening::Now);
+        let mut closed = self.leaving.get(service).cloned().unwrap_or_default();
+        closed.extend(self.take_closed(&mut ids, now));
         if eligibility.version.is_some() {
             self.prefer_steady(&mut ids, now);
         }
@@ -200,10 +201,9 @@
             };
             self.entries.get(id).is_some_and(is_present) && self.health.is_usable(id)
         };
-        let leaving = self.leaving.get(service);
         let caches = choice::Caches {
             prefixes: &self.prefixes,
-            leaving: leaving.map_or(&[], Vec::as_slice),
+            closed: &closed,
             is_source: &is_source,
         };
         let choice = choice::choose(request, &candidates, &caches, &self.cost_parameters, now)?;
@@ -217,6 +217,21 @@
         })
     }
 
+    /// Removes the endpoints whose limit has no room for this host now, and returns them.
+    fn take_closed(
+        &self,
+        ids: &mut Vec<entity::EndpointId>,
+        now: time::Time,
+    ) -> Vec<homes::ClosedEndpoint> {
+        let is_closed = |id: &mut entity::EndpointId| self.opening(*id, now) != Opening::Now;
+        let closed = ids.extract_if(.., is_closed);
+        let with_hash = closed.filter_map(|endpoint| {
+            let hash = self.entries.get(endpoint)?.hash;
+            Some(homes::ClosedEndpoint { endpoint, hash })
+        });
+        with_hash.collect()
+    }
+
     /// Applies the cached prompt parts that other hosts have reported.
     pub(super) fn apply_remote_cached_parts(&mut self, shared: &shared::Shared, now: time::Time) {
         while let Some(part) = shared.remote_cached_parts.pop() {
