Do not count a pause of the process as idle time of callers' connections

Cause: the check for idleness compares times only.

Change: a check that comes more than 5 s after the last one starts the idle time anew.

Result: pause_of_the_process_does_not_make_a_connection_idle, which fails without the change.

--- a/crates/core/src/liveness/caller_connection.rs
+++ b/crates/core/src/liveness/caller_connection.rs
@@ -4,6 +4,10 @@
 
 use crate::time;
 
+/// Time between two checks for idleness above which the process was paused. What callers sent
+/// meanwhile has not been read yet.
+const MAX_CHECK_GAP: Duration = Duration::from_secs(5);
+
 /// What to do with a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionStep {
@@ -24,8 +28,10 @@
     unfinished: u32,
     /// Whether a request has ever arrived.
     has_had_request: bool,
-    /// When the connection was accepted or its last answer ended.
+    /// When the connection was accepted, its last answer ended, or the process went on after a pause.
     last_active: time::Time,
+    /// When the connection was accepted or last checked for idleness.
+    last_checked: time::Time,
     is_shutting_down: bool,
 }
 
@@ -37,6 +43,7 @@
             unfinished: 0,
             has_had_request: false,
             last_active: now,
+            last_checked: now,
             is_shutting_down: false,
         }
     }
@@ -68,8 +75,13 @@
     }
 
     /// Checks whether the connection is idle. An idle connection is shut down, which closes it if
-    /// it has ever had a request; one that never had any is closed at the next check.
+    /// it has ever had a request; one that never had any is closed at the next check. The time in which
+    /// the process was paused does not count.
     pub fn check_idle(&mut self, now: time::Time, idle_timeout: Duration) -> ConnectionStep {
+        let last_checked = std::mem::replace(&mut self.last_checked, now);
+        if now.since(last_checked) > MAX_CHECK_GAP {
+            self.last_active = now;
+        }
         if self.unfinished > 0 || now.since(self.last_active) <= idle_timeout {
             return ConnectionStep::Keep;
         }
--- a/crates/core/tests/caller_connection.rs
+++ b/crates/core/tests/caller_connection.rs
@@ -48,6 +48,28 @@
     assert_eq!(step(6), ConnectionStep::Close);
 }
 
+/// Guards against a process that was paused and closes connections whose requests it has not read.
+#[test]
+fn pause_of_the_process_does_not_make_a_connection_idle() {
+    let mut connection = CallerConnection::new(secs(0));
+    connection.request_arrived();
+    connection.answer_ended(secs(1));
+    assert_eq!(
+        connection.check_idle(secs(2), IDLE_TIMEOUT),
+        ConnectionStep::Keep
+    );
+    let after_pause = connection.check_idle(secs(40), IDLE_TIMEOUT);
+    assert_eq!(after_pause, ConnectionStep::Keep);
+    assert_eq!(
+        connection.check_idle(secs(42), IDLE_TIMEOUT),
+        ConnectionStep::Keep
+    );
+    assert_eq!(
+        connection.check_idle(secs(44), IDLE_TIMEOUT),
+        ConnectionStep::ShutDown
+    );
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Event {
     Request,
