Read what waits in the socket before an idle connection is closed

Change: the connection is polled once more, after the system was asked for what is readable, before it is shut down. The loop moves into drive(), so that a test runs it without a platform.

What is sent after that moment is still lost, as HTTP keep-alive has it, and so is half a head.

--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -1,21 +1,26 @@
 //! Connections of callers, and the graceful stop.
 
 use std::net;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use pistachiochute_core::liveness::ConnectionStep;
 use pistachiochute_core::reason;
 use pistachiochute_runtime::clock;
+use tokio::sync::watch;
 
 use crate::shared::Phase;
 use crate::traffic::{Context, connection, serve};
 use crate::{adapter, sockets};
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Largest request head while there is no catalog, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -53,7 +58,7 @@
         Err(e) => return cx.events.listener_failed("callers", &e),
     };
     loop {
-        let stream = sockets::accept(&listener).await;
+        let stream = sockets::accept(&listener, sockets::Peer::Caller).await;
         tokio::task::spawn_local(track_connection(cx.clone(), stream));
     }
 }
@@ -67,7 +72,6 @@
     cx.connections.remove(number);
 }
 
-/// Serves a connection until it is closed, has been idle for too long, or the host stops.
 async fn serve_connection<D>(
     cx: &Rc<Context<D>>,
     connection: &Rc<connection::Connection>,
@@ -79,17 +83,33 @@
     let serving = http1::Builder::new()
         .max_buf_size(head_limit(cx))
         .serve_connection(TokioIo::new(stream), service);
+    let phases = cx.shared.subscribe_phase();
+    let result = drive(serving, connection, phases, || idle_timeout(cx)).await;
+    // An error is only logged: the caller sees that its connection failed.
+    connection.record_result(result, cx.telemetry());
+}
+
+/// Runs a connection until it is closed, has been idle for too long, or the host stops.
+pub(super) async fn drive<S, B, F>(
+    serving: http1::Connection<TokioIo<tokio::net::TcpStream>, S>,
+    connection: &connection::Connection,
+    mut phases: watch::Receiver<Phase>,
+    idle_timeout: F,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = B>,
+    S::Error: Into<BoxError>,
+    B: Body + 'static,
+    B::Error: Into<BoxError>,
+    F: Fn() -> Duration,
+{
     let mut serving = pin!(serving);
-    let mut phases = cx.shared.subscribe_phase();
     let mut check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     let mut is_stopping = false;
     loop {
         let step = tokio::select! {
-            // An error is only logged: the caller sees that its connection failed.
-            result = serving.as_mut() => {
-                return connection.record_result(result, cx.telemetry());
-            }
-            _ = check.tick() => connection.check_idle(clock::now(), idle_timeout(cx)),
+            result = serving.as_mut() => return result,
+            _ = check.tick() => connection.check_idle(clock::now(), idle_timeout()),
             changed = phases.changed(), if !is_stopping => {
                 is_stopping = changed.is_err() || *phases.borrow() >= Phase::Closing;
                 match is_stopping {
@@ -100,12 +120,31 @@
         };
         match step {
             ConnectionStep::Keep => {}
-            ConnectionStep::ShutDown => serving.as_mut().graceful_shutdown(),
-            ConnectionStep::Close => return,
+            ConnectionStep::ShutDown => {
+                // A request that waits in the socket is read before an idle connection is closed.
+                tokio::task::yield_now().await;
+                if let Some(result) = poll_once(serving.as_mut()).await {
+                    return result;
+                }
+                serving.as_mut().graceful_shutdown();
+            }
+            ConnectionStep::Close => return Ok(()),
         }
     }
 }
 
+/// Polls a future once. Returns its output if it is complete.
+async fn poll_once<F>(mut future: Pin<&mut F>) -> Option<F::Output>
+where
+    F: Future,
+{
+    std::future::poll_fn(|cx| match future.as_mut().poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
 fn head_limit<D>(cx: &Rc<Context<D>>) -> usize {
     let view = cx.shared.view();
     let limits = view.catalog.as_ref().map(|c| c.content().limits);
@@ -147,3 +186,6 @@
     }
     cx.events.stop_step("stopped", cx.active_requests.get());
 }
+
+#[cfg(test)]
+mod tests;
