Wait longer for callers that read slowly

Cause: callers' connections had the kernel's timeout of those to endpoints, 2.5 s. It counts also while a caller reads nothing and its buffers are full, so a slow but sound caller was reset.

Change: 15 s for callers; endpoints, hosts and the store as before. A caller that is gone is noticed by its close, or by the deadline of its request.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -35,7 +35,7 @@
     let listener = tokio::net::TcpListener::from_std(listener).wrap_err("listener")?;
     let reply = Rc::new(reply);
     loop {
-        let stream = sockets::accept(&listener).await;
+        let stream = sockets::accept(&listener, sockets::Peer::Host).await;
         let reply = reply.clone();
         let service = service_fn(move |_| {
             let reply = reply();
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -27,7 +27,7 @@
         Err(e) => return cx.events.listener_failed("links", &e),
     };
     loop {
-        let stream = sockets::accept(&listener).await;
+        let stream = sockets::accept(&listener, sockets::Peer::Host).await;
         let cx = cx.clone();
         // The peer logs a lost link and opens it again.
         tokio::task::spawn_local(async move { drop(receive(cx, stream).await) });
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -241,7 +241,7 @@
     features: Option<&'static str>,
     received: Rc<RefCell<Vec<peer::Message>>>,
 ) {
-    let stream = sockets::accept(&listener).await;
+    let stream = sockets::accept(&listener, sockets::Peer::Host).await;
     let mut connection = h2::server::handshake(stream).await.expect("a handshake");
     while let Some(Ok((req, mut respond))) = connection.accept().await {
         let mut head = http::Response::builder();
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -9,9 +9,32 @@
 /// Established connections that may wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1_024;
 
-/// Time for which sent bytes may stay unacknowledged before the kernel drops the connection.
+/// Time for which bytes sent to an endpoint, a host or the store may stay unacknowledged before the
+/// kernel drops the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The same for a caller, also while it reads nothing and its buffers are full. A phone may be out of
+/// reach for seconds; the deadline of its request ends the work for one that is gone.
+const CALLER_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Who is at the other end of an accepted connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    /// A caller, over any network.
+    Caller,
+    /// Another host, or the platform.
+    Host,
+}
+
+impl Peer {
+    const fn unacknowledged_timeout(self) -> Duration {
+        match self {
+            Self::Caller => CALLER_UNACKNOWLEDGED_TIMEOUT,
+            Self::Host => UNACKNOWLEDGED_TIMEOUT,
+        }
+    }
+}
+
 /// Idle time before the first TCP keepalive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -46,7 +69,7 @@
     let stream = tokio::time::timeout(timeout, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_options(&stream)?;
+    set_options(&stream, Peer::Host)?;
     Ok(stream)
 }
 
@@ -56,10 +79,10 @@
 
 /// Accepts the next connection and sets its options. An error affects only that connection, so the
 /// next one is accepted.
-pub async fn accept(listener: &tokio_net::TcpListener) -> tokio_net::TcpStream {
+pub async fn accept(listener: &tokio_net::TcpListener, peer: Peer) -> tokio_net::TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if set_options(&stream).is_ok() => return stream,
+            Ok((stream, _)) if set_options(&stream, peer).is_ok() => return stream,
             Ok(_) => {}
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
@@ -67,7 +90,7 @@
 }
 
 /// Disables Nagle's algorithm and enables keepalive on a new connection.
-fn set_options(stream: &tokio_net::TcpStream) -> io::Result<()> {
+fn set_options(stream: &tokio_net::TcpStream, peer: Peer) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = socket2::TcpKeepalive::new()
@@ -75,5 +98,5 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(peer.unacknowledged_timeout()))
 }
