Answer calls that a planned stop would cut off

Cause: calls whose endpoint still worked when a stop reached its deadline got a closed connection.

Change: 150 ms before the deadline a request without an answer gets its final one: 502 once it was sent to an endpoint, 503 before.

--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -33,6 +33,12 @@
 /// Time before the deadline of a graceful stop from which on calls are refused.
 const MIN_TIME_FOR_CALL: Duration = Duration::from_millis(1_000);
 
+/// Time before the deadline of a graceful stop at which requests without an answer get a final one.
+const STOP_ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
+/// Interval at which a request looks for the deadline of a stop that has just begun.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Serves a request.
 pub(super) async fn serve<D>(
     cx: Rc<Context<D>>,
@@ -141,7 +147,12 @@
         version,
     });
     let after_event = metadata.after_event;
-    match attempts::attempt_until_answer(&mut state, after_event, Some(&mut report)).await {
+    let answer = tokio::select! {
+        biased;
+        answer = attempts::attempt_until_answer(&mut state, after_event, Some(&mut report)) => answer,
+        () = stop_deadline_is_near(cx) => cut_by_stop(&state),
+    };
+    match answer {
         attempts::FinalAnswer::Complete(answer) => complete(report, answer),
         attempts::FinalAnswer::Stream(parts, opened) => {
             let mut response = Response::from_parts(parts, ());
@@ -154,6 +165,39 @@
     }
 }
 
+/// Waits until a graceful stop is about to cut off what remains.
+async fn stop_deadline_is_near<D>(cx: &Rc<Context<D>>)
+where
+    D: adapter::Dialect,
+{
+    let mut phases = cx.shared.subscribe_phase();
+    // Does not fail: the sender lives as long as the context.
+    drop(phases.wait_for(|phase| *phase >= Phase::Leaving).await);
+    let deadline = loop {
+        match cx.stop_deadline.get() {
+            Some(deadline) => break deadline,
+            None => tokio::time::sleep(STOP_POLL_INTERVAL).await,
+        }
+    };
+    let remaining = deadline.since(clock::now());
+    tokio::time::sleep(remaining.saturating_sub(STOP_ANSWER_RESERVE)).await;
+}
+
+/// Final answer of a request that a graceful stop would cut off.
+fn cut_by_stop<D>(state: &RequestState<D>) -> attempts::FinalAnswer<D>
+where
+    D: adapter::Dialect,
+{
+    let outcome = match state.tried.is_empty() {
+        true => outcome::Outcome::NotRun,
+        false => outcome::Outcome::Unknown,
+    };
+    attempts::FinalAnswer::Refused {
+        reason: reason::Refusal::Draining,
+        outcome,
+    }
+}
+
 /// Key of the stream that a request resumes or begins, or `None` if it resumes a stream without
 /// naming it.
 fn stream_key(metadata: &adapter::RequestMetadata) -> Option<streams::StreamKey> {
