Leave out failure domains that a host cannot reach

Each host finds out about each of 128 endpoints by two failures of its own, with about three requests a second, and prompts are copied from holders behind the cut.

Change: core::health::reachability. Two endpoints of a domain whose connections time out, without an answer from it, stand for the domain; three in several domains, without any answer from another domain, for all of them. Such endpoints rank like ejected ones and are no copy sources; after a second one request tries again. Refused connections are no evidence.

--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -13,9 +13,12 @@
 //! sent. An ejected endpoint is readmitted after an ejection time that doubles with each ejection
 //! up to [`Settings::max_ejection`], and the first failure after that ejects it again. At most
 //! [`Settings::max_slow_share`] of the endpoints is ejected for slowness at once.
+//!
+//! [`reachability`] finds failure domains that a host cannot reach.
 
 pub mod control_chart;
 mod machine;
+pub mod reachability;
 
 pub use machine::{Change, Health, Observation};
 
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -174,7 +174,15 @@
         Err(e @ pool::AcquireError::AtLimit) => {
             return failed(AttemptFailure::AtLimit, e.to_string());
         }
-        Err(e) => return failed(AttemptFailure::NotSent, e.to_string()),
+        Err(e) => {
+            if e.is_timeout() {
+                let id = attempt.selected.choice.endpoint;
+                cx.endpoints
+                    .borrow_mut()
+                    .record_connect_timeout(id, clock::now());
+            }
+            return failed(AttemptFailure::NotSent, e.to_string());
+        }
     };
     let req = match build_request(cx, attempt, remaining) {
         Ok(req) => req,
@@ -275,6 +283,9 @@
     D: adapter::Dialect,
 {
     let (mut parts, body) = answer.into_parts();
+    cx.endpoints
+        .borrow_mut()
+        .record_answer(attempt.selected.choice.endpoint, clock::now());
     let head = cx.dialect.response_metadata(&parts);
     if let Some(load) = head.load {
         let now = clock::now();
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -115,6 +115,7 @@
     budgets: HashMap<Arc<str>, retry::Budget>,
     prefixes: prefix::PrefixIndex,
     health: health::Health,
+    reachability: health::reachability::Reachability,
     cost_parameters: cost::Parameters,
     limits: endpoint_limits::EndpointLimits,
     /// Generation of the view that the table was updated from.
@@ -135,6 +136,7 @@
             budgets: HashMap::new(),
             prefixes: prefix::PrefixIndex::default(),
             health: health::Health::new(HEALTH_SETTINGS, now),
+            reachability: health::reachability::Reachability::default(),
             cost_parameters: cost::Parameters::default(),
             limits: endpoint_limits::EndpointLimits::new(&host.name),
             generation: 0,
@@ -199,7 +201,7 @@
                     && *entry.endpoint.service == *service
                     && eligibility.has_version(entry)
             };
-            self.entries.get(id).is_some_and(is_present) && self.health.is_usable(id)
+            self.entries.get(id).is_some_and(is_present) && self.is_usable(id, now)
         };
         let caches = choice::Caches {
             prefixes: &self.prefixes,
@@ -303,6 +305,34 @@
         }
     }
 
+    /// Whether an endpoint passes its health checks and its domain can be reached.
+    fn is_usable(&self, id: entity::EndpointId, now: time::Time) -> bool {
+        let domain = self.remote_domain(id);
+        let is_unreachable =
+            domain.is_some_and(|domain| self.reachability.is_unreachable(&domain, now));
+        self.health.is_usable(id) && !is_unreachable
+    }
+
+    /// Failure domain of an endpoint, if it is not that of this host.
+    fn remote_domain(&self, id: entity::EndpointId) -> Option<Arc<str>> {
+        let domain = &self.entries.get(id)?.endpoint.domain;
+        (**domain != *self.domain).then(|| domain.clone())
+    }
+
+    /// Records that a connection to an endpoint timed out.
+    pub(super) fn record_connect_timeout(&mut self, id: entity::EndpointId, now: time::Time) {
+        if let Some(domain) = self.remote_domain(id) {
+            self.reachability.record_timeout(id, &domain, now);
+        }
+    }
+
+    /// Records that an endpoint answered, whatever it said.
+    pub(super) fn record_answer(&mut self, id: entity::EndpointId, now: time::Time) {
+        if let Some(domain) = self.remote_domain(id) {
+            self.reachability.record_answer(&domain, now);
+        }
+    }
+
     /// Records that a connection to an endpoint was lost.
     pub(super) fn record_lost_connection(&mut self, id: entity::EndpointId, now: time::Time) {
         if let Some(entry) = self.entries.get_mut(id) {
@@ -466,7 +496,7 @@
             hash: entry.hash,
             slots: entry.endpoint.slots,
             is_local: *entry.endpoint.domain == *self.domain,
-            is_healthy: self.health.is_usable(id),
+            is_healthy: self.is_usable(id, now),
             is_reachable: !entry.is_unreachable,
             is_limited: self.limits.is_limited(entry.hash),
             load: load::Load {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -48,6 +48,13 @@
     Handshake(hyper::Error),
 }
 
+impl AcquireError {
+    /// Whether nothing answered the attempt to connect.
+    pub(super) fn is_timeout(&self) -> bool {
+        matches!(self, Self::Connect(e) if e.kind() == io::ErrorKind::TimedOut)
+    }
+}
+
 impl std::fmt::Display for AcquireError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
