Let requests wait for the first state of a host that starts

Change: in the first 0.8 s of a host a request waits for catalog and endpoints. After that it is refused at once, as before.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -47,6 +47,8 @@
     active_requests: Cell<usize>,
     /// Open connections of callers.
     connections: connection::OpenConnections,
+    /// When the host started.
+    started: time::Time,
     /// When a graceful stop cuts off the remaining requests, once a stop has begun.
     stop_deadline: Cell<Option<time::Time>>,
 }
@@ -87,6 +89,7 @@
         suspect_turns: RefCell::default(),
         active_requests: Cell::new(0),
         connections: connection::OpenConnections::default(),
+        started: clock::now(),
         stop_deadline: Cell::new(None),
     });
     tokio::task::spawn_local(listener::accept(cx.clone(), callers));
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -27,6 +27,13 @@
 /// Time in which the body of a request must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time from the start of a host in which it expects its first state, from the store or other hosts.
+/// Requests that come before wait for it.
+const STARTUP_DURATION: Duration = Duration::from_millis(800);
+
+/// Interval at which a waiting request looks for the first state.
+const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Time before the deadline of a graceful stop from which on streams are refused.
 const MIN_TIME_FOR_STREAM: Duration = Duration::from_millis(4_700);
 
@@ -74,6 +81,7 @@
 where
     D: adapter::Dialect,
 {
+    wait_for_first_state(cx).await;
     let view = cx.shared.view().clone();
     let max = view.catalog.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |c| {
         c.content().limits.max_body_bytes
@@ -101,6 +109,17 @@
     Ok((plan, metadata, body))
 }
 
+/// Waits until a host that has just started can serve, but not beyond [`STARTUP_DURATION`].
+async fn wait_for_first_state<D>(cx: &Rc<Context<D>>)
+where
+    D: adapter::Dialect,
+{
+    let is_starting = || clock::now().since(cx.started) < STARTUP_DURATION;
+    while !cx.shared.view().can_serve() && is_starting() {
+        tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
+    }
+}
+
 /// Whether a request can be expected to end before the deadline of a graceful stop, if one runs.
 fn fits_before_stop<D>(cx: &Rc<Context<D>>, plan: &Plan, now: time::Time) -> bool
 where
