--- a/crates/core/tests/registration.rs
+++ b/crates/core/tests/registration.rs
@@ -76,7 +76,7 @@
             None => missing + TICK,
         };
         longest = longest.max(missing);
-        now = now + TICK;
+        now += TICK;
     }
     longest
 }
