Publish the first state before it is logged, and log many discovered hosts with one line

Change: the lines follow the publication; more than eight hosts found together are one line, hosts discovered, with their number.

--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -1,6 +1,7 @@
 //! Registration of this host in the store, and discovery of the others from their entries.
 
 use std::collections::BTreeSet;
+use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,9 @@
 /// entry of this host's last process is still there.
 const FIRST_READ_WAIT: Duration = Duration::from_millis(600);
 
+/// Most hosts found together that are logged with a line each.
+const MAX_HOST_LINES: usize = 8;
+
 /// Interval at which the registration checks whether it is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -152,13 +156,15 @@
     S: adapter::Store,
 {
     let mut listed: BTreeSet<Arc<str>> = BTreeSet::new();
+    let mut discovered = Vec::new();
     for entry in entries {
         let Some(name) = host_name(&entry.key) else {
             continue;
         };
-        apply_host_entry(cx, entry);
+        discovered.extend(apply_host_entry(cx, entry));
         listed.insert(name);
     }
+    log_discovered(cx, &discovered);
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
     state.hosts.retain_listed(&listed, now);
@@ -198,41 +204,54 @@
     let prefix = HOSTS_PREFIX.as_bytes();
     let of_hosts = |change: &&key_value::Change| change.key().starts_with(prefix);
     let mut any = false;
+    let mut discovered = Vec::new();
     for change in changes.iter().filter(of_hosts) {
-        apply_change(cx, change);
         any = true;
+        match change {
+            key_value::Change::Put(entry) => discovered.extend(apply_host_entry(cx, entry)),
+            key_value::Change::Deleted { key, .. } => remove_host(cx, key),
+        }
     }
+    log_discovered(cx, &discovered);
     if any {
         cx.publish();
     }
 }
 
-fn apply_change<D, S>(cx: &Context<D, S>, change: &key_value::Change) {
-    match change {
-        key_value::Change::Put(entry) => apply_host_entry(cx, entry),
-        key_value::Change::Deleted { key, .. } => {
-            let Some(name) = host_name(key) else { return };
-            cx.state.borrow_mut().hosts.remove(&name, clock::now());
-            cx.events.host_removed(&name);
-        }
-    }
+fn remove_host<D, S>(cx: &Context<D, S>, key: &[u8]) {
+    let Some(name) = host_name(key) else { return };
+    cx.state.borrow_mut().hosts.remove(&name, clock::now());
+    cx.events.host_removed(&name);
 }
 
-fn apply_host_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry) {
-    let Some(name) = host_name(&entry.key) else {
-        return;
-    };
+/// A host that was not known or has another entry, and the address of its links.
+type Discovered = (Arc<str>, net::SocketAddr);
+
+/// Applies the entry of a host. Returns the host if that is news.
+fn apply_host_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry) -> Option<Discovered> {
+    let name = host_name(&entry.key)?;
     match serde_json::from_slice::<HostEntry>(&entry.value) {
         Ok(host) => {
             let links = host.links;
             let is_new = cx.state.borrow_mut().hosts.put(name.clone(), host);
-            if is_new {
-                cx.events.host_discovered(&name, links);
-            }
+            is_new.then_some((name, links))
+        }
+        Err(e) => {
+            cx.events
+                .entry_invalid(&entry.key, entry.modified, &e.into());
+            None
         }
-        Err(e) => cx
-            .events
-            .entry_invalid(&entry.key, entry.modified, &e.into()),
+    }
+}
+
+/// Logs hosts that were found together: a line each if they are few. When a large fleet starts, each
+/// host finds all others at once, and has requests to serve.
+fn log_discovered<D, S>(cx: &Context<D, S>, discovered: &[Discovered]) {
+    if discovered.len() > MAX_HOST_LINES {
+        return cx.events.hosts_discovered(discovered.len());
+    }
+    for (name, links) in discovered {
+        cx.events.host_discovered(name, *links);
     }
 }
 
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -274,12 +274,8 @@
             )
         })
         .collect();
-    for (key, revision, endpoint) in &entries {
-        cx.events
-            .endpoint_changed(key, *revision, endpoint.as_deref());
-    }
     let now = clock::now();
-    let count = entries.len();
+    let listed = entries.clone();
     let changed = cx
         .state
         .borrow_mut()
@@ -288,7 +284,12 @@
     if changed {
         cx.publish();
     }
-    cx.events.endpoints_listed(count, found.revision);
+    // After the state is published: requests may wait for it.
+    for (key, revision, endpoint) in &listed {
+        cx.events
+            .endpoint_changed(key, *revision, endpoint.as_deref());
+    }
+    cx.events.endpoints_listed(listed.len(), found.revision);
 }
 
 /// Applies changes of all entries.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -268,6 +268,11 @@
         slog::info!(self.log, "host discovered"; "peer" => name, "links" => %links);
     }
 
+    /// Many hosts were discovered together.
+    pub fn hosts_discovered(&self, count: usize) {
+        slog::info!(self.log, "hosts discovered"; "hosts" => count);
+    }
+
     /// The entry of a host was removed.
     pub fn host_removed(&self, name: &str) {
         slog::info!(self.log, "host entry removed"; "peer" => name);
