Look at the deadline of a request where it is sent

Cause: the time that was left was taken before the wait for a connection, and handed to the endpoint after it. A process that was paused in between sent a request after its deadline, with the time that had been left before the pause. So a call that may run once could run for a caller who had left.

Change: liveness::Deadline is looked at after the last wait, on the thread that sends. A request whose deadline has passed is not sent (AttemptFailure::Expired, refused as deadline), which says nothing of the endpoint's health.

That attempt::send_request uses it after the last wait is read, not tested: no test pauses the process there.

--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -18,6 +18,8 @@
     Leaving,
     /// No byte of the request was sent to an endpoint.
     NotSent,
+    /// The deadline passed before a byte of the request was sent.
+    Expired,
     /// The endpoint proved that it did not run the request.
     Refused,
     /// Another endpoint now has the address; it did not run the request.
@@ -40,6 +42,7 @@
             Self::AtLimit
             | Self::Leaving
             | Self::NotSent
+            | Self::Expired
             | Self::Refused
             | Self::EndpointReplaced => outcome::Outcome::NotRun,
             Self::InvalidAnswer | Self::ConnectionLost | Self::Stalled => outcome::Outcome::Unknown,
@@ -53,6 +56,7 @@
         match self {
             Self::AtLimit => reason::Refusal::AtBound,
             Self::NotSent => reason::Refusal::ConnectFailed,
+            Self::Expired => reason::Refusal::Deadline,
             Self::Refused => reason::Refusal::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
             Self::Failed => reason::Refusal::EndpointFailed,
@@ -67,7 +71,7 @@
     pub const fn retry(self) -> reason::Retry {
         match self {
             Self::AtLimit => reason::Retry::AtBound,
-            Self::NotSent => reason::Retry::ConnectFailed,
+            Self::NotSent | Self::Expired => reason::Retry::ConnectFailed,
             Self::Refused => reason::Retry::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Retry::EndpointLeaving,
             Self::Failed => reason::Retry::EndpointFailed,
@@ -83,6 +87,7 @@
             Self::AtLimit => "at_limit",
             Self::Leaving => "leaving",
             Self::NotSent => "not_sent",
+            Self::Expired => "expired",
             Self::Refused => "refused",
             Self::EndpointReplaced => "elsewhere",
             Self::Failed => "failed",
@@ -94,7 +99,10 @@
 
     /// Whether no byte of the request was sent.
     const fn is_unsent(self) -> bool {
-        matches!(self, Self::AtLimit | Self::Leaving | Self::NotSent)
+        matches!(
+            self,
+            Self::AtLimit | Self::Leaving | Self::NotSent | Self::Expired
+        )
     }
 
     /// Whether the request may have reached the intended endpoint.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -109,17 +109,11 @@
     D: adapter::Dialect,
 {
     let now = clock::now();
-    let remaining = attempt.plan.deadline.since(now);
+    let remaining = attempt.plan.deadline.remaining(now).unwrap_or_default();
     let stall_timeout = attempt.stall_timeout.unwrap_or(Duration::MAX);
     let result = match stall_timeout < remaining {
-        true => tokio::time::timeout(stall_timeout, send_request(cx, attempt, remaining)).await,
-        false => {
-            tokio::time::timeout(
-                remaining + DEADLINE_GRACE,
-                send_request(cx, attempt, remaining),
-            )
-            .await
-        }
+        true => tokio::time::timeout(stall_timeout, send_request(cx, attempt)).await,
+        false => tokio::time::timeout(remaining + DEADLINE_GRACE, send_request(cx, attempt)).await,
     };
     let result = result.unwrap_or_else(|_| failed(AttemptFailure::Stalled, "no answer in time"));
     observe_health(cx, attempt, &result);
@@ -141,6 +135,7 @@
             }
             AttemptFailure::AtLimit
             | AttemptFailure::Leaving
+            | AttemptFailure::Expired
             | AttemptFailure::Refused
             | AttemptFailure::Failed
             | AttemptFailure::InvalidAnswer => return,
@@ -152,11 +147,7 @@
         .observe_health(attempt.selected.choice.endpoint, observation, now);
 }
 
-async fn send_request<D>(
-    cx: &Rc<Context<D>>,
-    attempt: &Attempt<'_>,
-    remaining: Duration,
-) -> AttemptResult<D>
+async fn send_request<D>(cx: &Rc<Context<D>>, attempt: &Attempt<'_>) -> AttemptResult<D>
 where
     D: adapter::Dialect,
 {
@@ -184,6 +175,13 @@
             return failed(AttemptFailure::NotSent, e.to_string());
         }
     };
+    // Looked at here, after the last wait: the process may have been paused meanwhile.
+    let Some(remaining) = plan.deadline.remaining(clock::now()) else {
+        return failed(
+            AttemptFailure::Expired,
+            "the deadline passed before the request was sent",
+        );
+    };
     let req = match build_request(cx, attempt, remaining) {
         Ok(req) => req,
         Err(e) => return failed(AttemptFailure::NotSent, e.to_string()),
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -93,7 +93,7 @@
     loop {
         let now = clock::now();
         let outcome = state.attempts.outcome();
-        if now >= state.plan.deadline {
+        if state.plan.deadline.remaining(now).is_none() {
             return give_up(state, last_answer, reason::Refusal::Deadline, outcome);
         }
         if crash_watch::is_refused(&cx, state.plan.keys.all()) {
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -109,7 +109,11 @@
         after_event: Option<u64>,
         report: report::Report<D>,
     ) -> Self {
-        let remaining = state.plan.deadline.since(clock::now());
+        let remaining = state
+            .plan
+            .deadline
+            .remaining(clock::now())
+            .unwrap_or_default();
         Self {
             state: Some(state),
             source: Source::Endpoint(opened),
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::request;
-use pistachiochute_core::{catalog, choice, quarantine, reason, time};
+use pistachiochute_core::{catalog, choice, liveness, quarantine, reason, time};
 
 use crate::{adapter, shared};
 
@@ -30,7 +30,7 @@
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Deadline of the request.
-    pub deadline: time::Time,
+    pub deadline: liveness::Deadline,
     /// Input for the selection of an endpoint.
     pub choice_request: choice::Request,
     /// What of the request may crash endpoints.
@@ -79,7 +79,7 @@
         keys: request_keys(head, account_name.as_deref(), metadata, body),
         account: account_name,
         priority: account.and_then(|a| a.priority).unwrap_or(route.priority),
-        deadline: arrived + timeout.min(caller_timeout),
+        deadline: liveness::Deadline::new(arrived, timeout.min(caller_timeout)),
         choice_request: choice::Request {
             prompt: metadata.prompt.clone(),
             seed,
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -90,7 +90,7 @@
         self.route = plan.route.name.clone();
         self.account.clone_from(&plan.account);
         self.catalog = Some(plan.catalog.version());
-        self.deadline = plan.deadline;
+        self.deadline = plan.deadline.at();
     }
 
     /// Records that the request was refused.
--- a/crates/gateway/src/traffic/suspect_turns.rs
+++ b/crates/gateway/src/traffic/suspect_turns.rs
@@ -94,6 +94,6 @@
 
 /// Longest time that a request may wait, so that enough is left to serve it.
 fn longest_wait(plan: &Plan) -> Duration {
-    let remaining = plan.deadline.since(clock::now());
+    let remaining = plan.deadline.remaining(clock::now()).unwrap_or_default();
     remaining.mul_f64(MAX_WAIT_FRACTION).min(MAX_WAIT)
 }
