Demo: show why the booking scene got no answer

Cause: the scene turned an error into status 0 without its text, and failed once in eight runs of the users beside load; nothing tells why.

Change: the text of the error stands beside status 0.

Result: not reproduced. The demo's other output is the same.

--- a/crates/cli/src/demo/scenes.rs
+++ b/crates/cli/src/demo/scenes.rs
@@ -1,5 +1,6 @@
 //! Scenes of the demo, each with its stated outcome.
 
+use std::fmt;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -114,10 +115,7 @@
         name: "booking",
         stated: "one run, both callers get its answer, another body with the key gets 422"
             .to_owned(),
-        seen: format!(
-            "{runs} run, {} then {}, same: {is_same}, other body {}",
-            first.status, second.status, other.status
-        ),
+        seen: format!("{runs} run, {first} then {second}, same: {is_same}, other body {other}"),
         ok: runs == 1 && is_same && other.status == 422,
     }
 }
@@ -144,6 +142,16 @@
     body: String,
 }
 
+impl fmt::Display for Booked {
+    /// Writes the status, and why there is none.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.status {
+            0 => write!(f, "0 ({})", self.body),
+            status => write!(f, "{status}"),
+        }
+    }
+}
+
 fn call_service(fleet: &fleet::Fleet, host: usize, key: &str, body: &str) -> Booked {
     let url = format!(
         "http://{}/v1/services/{}/book",
@@ -156,17 +164,17 @@
         .timeout(TIMEOUT)
         .text(body)
         .send();
-    // A call without an answer has status 0 and comes out of the scene as such.
-    answer.map_or(
-        Booked {
-            status: 0,
-            body: String::new(),
-        },
-        |resp| Booked {
+    match answer {
+        Ok(resp) => Booked {
             status: resp.status().as_u16(),
-            body: resp.text().unwrap_or_default(),
+            body: resp.text().unwrap_or_else(|e| format!("body: {e}")),
         },
-    )
+        // A call without an answer has status 0.
+        Err(e) => Booked {
+            status: 0,
+            body: e.to_string(),
+        },
+    }
 }
 
 /// Asks for a model that the plan does not hold.
