Let both relays of a domain watch the store again

The sync has a name in the log in place of its empty prefix.

Result: the tests of the overlay pass (only_the_relays_of_each_domain_depend_on_the_store).

--- a/crates/core/src/membership/overlay.rs
+++ b/crates/core/src/membership/overlay.rs
@@ -2,9 +2,8 @@
 //!
 //! In a small fleet, every host is linked to every other. In a larger one, two relays in each
 //! failure domain are linked to all hosts of their domain and to the relays of the other domains;
-//! every other host is linked to the relays of its domain only. The first relay of a domain watches
-//! the store and forwards changes. The relays follow from the list of hosts alone, so no election is
-//! needed.
+//! every other host is linked to the relays of its domain only. Relays watch the store and forward
+//! changes. The relays follow from the list of hosts alone, so no election is needed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,8 +13,8 @@
 /// Largest number of other hosts with which the fleet is a full mesh.
 pub const FULL_MESH_MAX_PEERS: usize = 12;
 
-/// Relays of a domain. The first one watches the store; the second one follows it, and takes over
-/// while it is down.
+/// Relays of a domain. Both watch the store, so that a member hears of changes while one of them is
+/// down or cut off.
 pub const RELAYS_PER_DOMAIN: usize = 2;
 
 /// Live hosts of a domain, the relays among them, that soon take over from relays that are lost.
@@ -108,14 +107,13 @@
         }
     }
 
-    /// Relays that supply this host with changes of the store, while they are live: both of its domain
-    /// for a member, the first one for the second one, and none for the first one.
+    /// Relays that supply this host with changes of the store, while they are live: those of its domain
+    /// for a member, and none for the others.
     #[must_use]
     pub fn suppliers(&self) -> &[Arc<str>] {
         match self.role {
-            Role::Mesh => &[],
+            Role::Mesh | Role::Relay => &[],
             Role::Member => &self.relays,
-            Role::Relay => self.first_relay_link(),
         }
     }
 
@@ -125,14 +123,6 @@
         !self.suppliers().is_empty()
     }
 
-    /// The first relay, if this host is the second one.
-    fn first_relay_link(&self) -> &[Arc<str>] {
-        match self.relays.split_first() {
-            Some((first, _)) if self.links.contains(first) => std::slice::from_ref(first),
-            _ => &[],
-        }
-    }
-
     /// Whether a host is a relay of this host's domain.
     #[must_use]
     pub fn is_own_relay(&self, name: &str) -> bool {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -17,6 +17,9 @@
 /// Key prefix of all entries.
 const ALL_ENTRIES: &str = "";
 
+/// Name of the sync in the log.
+const SYNC_NAME: &str = "all entries";
+
 /// Time that a watch waits for a change. Each endpoint writes its entry about once a second, so one
 /// that hears nothing for longer shows that its connection is dead.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
@@ -111,7 +114,7 @@
             // A watch may be interrupted at any time; only a read shows whether the store is
             // reachable.
             WatchEnd::Failed(e) => {
-                cx.events.sync_failed(ALL_ENTRIES, &e);
+                cx.events.sync_failed(SYNC_NAME, &e);
                 if failed_watches > 0 {
                     back_off(failed_watches).await;
                 }
@@ -187,7 +190,7 @@
             Ok(adapter::WatchResponse::Changes { revision, changes }) => (revision, changes),
             Ok(adapter::WatchResponse::Compacted) => {
                 cx.record_store_call(true, "");
-                cx.events.watch_compacted(ALL_ENTRIES, progress.after);
+                cx.events.watch_compacted(SYNC_NAME, progress.after);
                 return WatchEnd::Reread;
             }
             Err(e) => return WatchEnd::Failed(e),
