Count the own host as live when its role is computed

All entries had lapsed in an outage of the store; in the first list after it their own ones were not back yet, so they took themselves for members, followed others, and stopped watching.

Change: Overlay::new counts its own host as live, whatever the list says.

Result: relay_whose_own_entry_has_expired_stays_a_relay fails before and passes after.

--- a/crates/core/src/membership/overlay.rs
+++ b/crates/core/src/membership/overlay.rs
@@ -73,9 +73,12 @@
 }
 
 impl Overlay {
-    /// Computes the role and links of the host `me`. `hosts` may or may not contain it.
+    /// Computes the role and links of the host `me`. It counts as live whether `hosts` says so or not:
+    /// its entry may have expired in an outage of the store and be on its way back. A relay that took
+    /// itself for a member meanwhile would hear nothing, and its domain with it.
     #[must_use]
     pub fn new(me: &str, domain: &str, hosts: &[OverlayHost]) -> Self {
+        let hosts = &with_own_host(me, domain, hosts);
         let others = || hosts.iter().filter(|host| *host.name != *me);
         if others().count() <= FULL_MESH_MAX_PEERS {
             return Self {
@@ -139,6 +142,17 @@
     }
 }
 
+/// The hosts, with `me` among them as live.
+fn with_own_host(me: &str, domain: &str, hosts: &[OverlayHost]) -> Vec<OverlayHost> {
+    let others = hosts.iter().filter(|host| *host.name != *me).cloned();
+    let own = OverlayHost {
+        name: me.into(),
+        domain: domain.into(),
+        is_live: true,
+    };
+    others.chain([own]).collect()
+}
+
 /// Whether a host is, by its name, among the relay candidates of its domain.
 fn ranks_among_candidates(me: &str, domain: &str, hosts: &[OverlayHost]) -> bool {
     let is_ahead =
--- a/crates/core/tests/overlay.rs
+++ b/crates/core/tests/overlay.rs
@@ -215,3 +215,28 @@
             .all(|o| o.is_relay_candidate && !o.follows_relay())
     );
 }
+
+/// All entries expire in an outage of the store, and the first list after it has those that were
+/// written again sooner.
+#[test]
+fn relay_whose_own_entry_has_expired_stays_a_relay() {
+    let fleet_hosts = fleet(85, 3);
+    let unlisted = |names: &[&str]| -> Vec<OverlayHost> {
+        let mut hosts = fleet_hosts.clone();
+        hosts
+            .iter_mut()
+            .for_each(|host| host.is_live &= !names.contains(&&*host.name));
+        hosts
+    };
+    for names in [&["host-000"][..], &["host-000", "host-003"]] {
+        let hosts = unlisted(names);
+        let overlay = Overlay::new("host-000", "dom-0", &hosts);
+        assert_eq!(overlay.role, Role::Relay);
+        assert!(!overlay.follows_relay());
+    }
+    let missing: Vec<_> = fleet_hosts[1..].to_vec();
+    assert_eq!(
+        Overlay::new("host-000", "dom-0", &missing).role,
+        Role::Relay
+    );
+}
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -29,7 +29,7 @@
 
 /// Interval at which a host with a live relay reads the list of hosts. Such a host only needs to know
 /// its relays, which seldom change.
-const RELAYED_REFRESH_INTERVAL: Duration = Duration::from_secs(8);
+const RELAYED_REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Keeps this host registered under a lease, which expires if the host stops renewing it.
 pub(super) async fn keep_registered<D, S>(cx: Rc<Context<D, S>>)
@@ -137,15 +137,12 @@
 {
     loop {
         sync::wait_for_live_relay(&cx).await;
-        tokio::time::sleep(RELAYED_REFRESH_INTERVAL).await;
-        if !cx.has_live_relay() {
-            continue;
-        }
         let consistency = adapter::Consistency::Stale;
         match cx.store.range(HOSTS_PREFIX, consistency).await {
             Ok(found) => replace_hosts(&cx, &found.entries),
             Err(e) => cx.events.sync_failed(HOSTS_PREFIX, &e),
         }
+        tokio::time::sleep(RELAYED_REFRESH_INTERVAL).await;
     }
 }
 
