Read what endpoints ask for with a refusal, and log it

The logs could not tell whether a host reads that an endpoint asks for rest. Nothing else changes: requests are sent as before. Stand-in endpoints can name such a time in their answers.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! `pistachiochute-runtime` and `pistachiochute-gateway` provide the sockets, threads and timers.
 //! Replays, property tests and benchmarks run the same code as the daemon.
 
+pub mod admission;
 pub mod answer;
 pub mod catalog;
 pub mod choice;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, request, response};
 use pistachiochute_core::choice::prompt;
-use pistachiochute_core::{catalog, directory, rate_limits, reason, revision};
+use pistachiochute_core::{admission, catalog, directory, rate_limits, reason, revision};
 use pistachiochute_runtime::platform::key_value;
 
 /// Metadata that a caller sends with its request in headers.
@@ -88,6 +88,9 @@
     pub limit: Option<Result<rate_limits::RequestRate, rate_limits::ParseRateError>>,
     /// Whether the endpoint says that it leaves.
     pub leave_notice: LeaveNotice,
+    /// Time for which the endpoint, which refused the request, wants no other one of this host, if it
+    /// asks for any. An error if what it says is not a time.
+    pub pushback: Option<Result<admission::Pushback, admission::ParsePushbackError>>,
     /// Time after which the endpoint closes an idle connection.
     pub idle_limit: Option<Duration>,
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use pistachiochute_core::{
-    catalog, choice, directory, outcome, quarantine, rate_limits, reason, revision, streams, time,
+    admission, catalog, choice, directory, outcome, quarantine, rate_limits, reason, revision,
+    streams, time,
 };
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
@@ -352,6 +353,29 @@
         );
     }
 
+    /// An endpoint asks this host to send it nothing for a while.
+    pub fn endpoint_pushback(&self, endpoint: &directory::Identity, pushback: admission::Pushback) {
+        slog::info!(
+            self.log, "endpoint pushback";
+            "endpoint" => %endpoint, "ms" => millis(pushback.span()),
+        );
+    }
+
+    /// What an endpoint asks for is not a time.
+    pub fn endpoint_pushback_invalid(
+        &self,
+        endpoint: &directory::Identity,
+        e: admission::ParsePushbackError,
+    ) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::warn!(
+            self.log, "endpoint pushback invalid";
+            "endpoint" => %endpoint, "cause" => %e,
+        );
+    }
+
     /// An endpoint says in an answer that it leaves.
     pub fn endpoint_leaves(&self, endpoint: &directory::Identity, source: &NoticeSource) {
         slog::info!(
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::AttemptFailure;
-use pistachiochute_core::{entity, health, outcome, rate_limits, time};
+use pistachiochute_core::{admission, entity, health, outcome, rate_limits, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::plan::Plan;
@@ -295,6 +295,7 @@
     let is_elsewhere = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if answered != AnsweredRequest::Unknown && !is_elsewhere {
         record_leave_notice(cx, attempt.selected, head.leave_notice);
+        record_pushback(cx, attempt.selected, head.pushback);
     }
     if answered != AnsweredRequest::Own {
         return failed(AttemptFailure::InvalidAnswer, "answer to another request");
@@ -404,6 +405,25 @@
     }
 }
 
+/// Records that an answer asks this host to send its endpoint nothing for a while.
+fn record_pushback<D>(
+    cx: &Rc<Context<D>>,
+    selected: &endpoints::SelectedEndpoint,
+    pushback: Option<Result<admission::Pushback, admission::ParsePushbackError>>,
+) where
+    D: adapter::Dialect,
+{
+    let identity = &selected.endpoint.identity;
+    match pushback {
+        None => {}
+        Some(Ok(pushback)) => {
+            cx.metrics.pushback();
+            cx.events.endpoint_pushback(identity, pushback);
+        }
+        Some(Err(e)) => cx.events.endpoint_pushback_invalid(identity, e),
+    }
+}
+
 /// Records the limit that an answer names, or that it names none.
 fn record_limit<D>(
     cx: &Rc<Context<D>>,
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -155,6 +155,7 @@
     connections_closed: metrics::Counter<u64>,
     answers_broken: metrics::Counter<u64>,
     leave_notices: metrics::Counter<u64>,
+    pushbacks: metrics::Counter<u64>,
     endpoint_crashes: metrics::Counter<u64>,
     accusations: metrics::Counter<u64>,
     in_flight: metrics::UpDownCounter<i64>,
@@ -202,6 +203,11 @@
                 "endpoint_leave_notices",
                 "Endpoints that said in an answer to this host that they leave",
             ),
+            pushbacks: counter(
+                &meter,
+                "endpoint_pushbacks",
+                "Answers in which an endpoint asked this host to send it nothing for a while",
+            ),
             endpoint_crashes: counter(
                 &meter,
                 "endpoint_crashes",
@@ -290,6 +296,11 @@
         self.leave_notices.add(1, &[]);
     }
 
+    /// Counts an answer in which an endpoint asked this host to send it nothing for a while.
+    pub fn pushback(&self) {
+        self.pushbacks.add(1, &[]);
+    }
+
     /// Counts a crash of an endpoint.
     pub fn endpoint_crashed(&self) {
         self.endpoint_crashes.add(1, &[]);
@@ -409,6 +420,7 @@
             self.store_calls.add(0, &[label("kind", call.as_str())]);
         }
         self.leave_notices.add(0, &[]);
+        self.pushbacks.add(0, &[]);
         self.endpoint_crashes.add(0, &[]);
         self.accusations.add(0, &[]);
         for result in OriginResult::ALL {
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -23,6 +23,8 @@
     },
     /// It answers 503 and states that it did not run the request.
     Refuse,
+    /// It does the same for requests that are not meant for it, and for those of a host's own.
+    RefuseAll,
     /// It runs the request and closes the connection without an answer.
     CloseWithoutAnswer,
     /// It runs the request and never answers.
@@ -140,6 +142,9 @@
     limit: Mutex<Option<String>>,
     /// Value of the header in which the endpoint says that it leaves, if it does.
     leave_notice: Mutex<Option<String>>,
+    /// Value of the header in which the endpoint names the seconds after which it wants requests
+    /// again, if it does.
+    retry_after: Mutex<Option<String>>,
     /// When requests came, run or not.
     arrivals: Mutex<Vec<Instant>>,
     /// When the endpoint may send again.
@@ -198,6 +203,7 @@
             crashes: crashes.clone(),
             limit: Mutex::default(),
             leave_notice: Mutex::default(),
+            retry_after: Mutex::default(),
             arrivals: Mutex::default(),
             silent_until: Mutex::new(Instant::now()),
             runs: Mutex::default(),
@@ -270,6 +276,12 @@
         *lock(&self.handler.leave_notice) = notice.map(str::to_owned);
     }
 
+    /// Names in all later answers, whatever their status, the seconds after which it wants requests
+    /// again, or names none.
+    pub fn set_retry_after(&self, seconds: Option<&str>) {
+        *lock(&self.handler.retry_after) = seconds.map(str::to_owned);
+    }
+
     /// Times at which requests came, run or not.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
@@ -372,6 +384,9 @@
         if let Some(notice) = &*lock(&self.leave_notice) {
             reply.headers_mut().insert("server-leaving", value(notice));
         }
+        if let Some(seconds) = &*lock(&self.retry_after) {
+            reply.headers_mut().insert("retry-after", value(seconds));
+        }
         Some(reply)
     }
 }
@@ -386,11 +401,12 @@
         };
         let id = text("x-request-id");
         let incarnation = lock(&self.incarnation).clone();
-        if text("x-expect-instance") != incarnation.id {
+        let behaviour = *lock(&self.behaviour);
+        let is_meant = text("x-expect-instance") == incarnation.id;
+        if !is_meant && behaviour != Behaviour::RefuseAll {
             return Some(incarnation.reply(StatusCode::MISDIRECTED_REQUEST, &id, ""));
         }
-        let behaviour = *lock(&self.behaviour);
-        if behaviour == Behaviour::Refuse {
+        if matches!(behaviour, Behaviour::Refuse | Behaviour::RefuseAll) {
             let mut reply = incarnation.reply(StatusCode::SERVICE_UNAVAILABLE, &id, "");
             reply.headers_mut().insert("x-not-executed", value("1"));
             return Some(reply);
@@ -422,7 +438,7 @@
                 let status = StatusCode::from_u16(status).ok()?;
                 Some(incarnation.sealed(incarnation.reply(status, &id, caller::answer_body(&id))))
             }
-            Behaviour::Refuse | Behaviour::CloseWithoutAnswer => None,
+            Behaviour::Refuse | Behaviour::RefuseAll | Behaviour::CloseWithoutAnswer => None,
             Behaviour::Hang => {
                 let _guard = CancellationGuard {
                     handler: self.clone(),
