Send nothing to endpoints that have asked for rest

core::admission is now the one record of what an incarnation has said of itself: that it leaves, its limit, and the end of its last pause. It takes the place of traffic::endpoint_limits and of the leave notice in the endpoint table. An endpoint that rests is no candidate, and a request that waits for a connection to it goes elsewhere, free of charge. If all rest, callers are refused at once with the time of the first end. A record outlasts its entry, so a pause, and a limit, is not forgotten when the endpoint is missing from one view.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,6 +1,266 @@
 //! What endpoints say of themselves in the heads of their answers, and when each takes another request
 //! of this host.
+//!
+//! An endpoint may say that it leaves, name a limit on the requests of all hosts together, or ask one
+//! host for a pause. [`Admissions`] holds what each incarnation has said in one place: every request is
+//! checked against it when its endpoint is selected, and again when its first byte is sent. Limits and
+//! leave notices also reach it from other hosts; a pause concerns the host that it was asked of.
 
 mod pushback;
 
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::{rate_limits, routing, time};
+
 pub use pushback::{ParsePushbackError, Pushback};
+
+/// Time for which the record of an endpoint is kept that is not in the directory, so that one that is
+/// missing for a moment is not free of what it has said. No pause is longer.
+const ABSENT_RETENTION: Duration = Duration::from_secs(60);
+
+/// What an answer says of whether its endpoint leaves. A later variant is not taken back by an earlier
+/// one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LeaveNotice {
+    /// Nothing.
+    Absent,
+    /// Something that the platform does not define.
+    Invalid,
+    /// The endpoint leaves.
+    Leaving,
+}
+
+/// Why an endpoint takes no request of this host now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closure {
+    /// The share of this host in its limit is used.
+    Limit,
+    /// It has asked this host for a pause.
+    Pushback,
+}
+
+/// When an endpoint takes another request of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// Now.
+    Now,
+    /// Not before a time, or not while it names its limit, which other hosts use.
+    Closed {
+        /// Why.
+        by: Closure,
+        /// The time, if it is known.
+        until: Option<time::Time>,
+    },
+}
+
+/// What one incarnation has said.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    /// Invariant: never goes back.
+    leave_notice: LeaveNotice,
+    /// Pace of this host, `Some(None)` if other hosts use the endpoint, or `None` without a limit.
+    pacer: Option<Option<rate_limits::Pacer>>,
+    /// When the last pause is over. Invariant: never goes back.
+    resting_until: time::Time,
+    /// When it was last in the directory, or said something.
+    last_seen: time::Time,
+}
+
+impl Record {
+    const fn new(now: time::Time) -> Self {
+        Self {
+            leave_notice: LeaveNotice::Absent,
+            pacer: None,
+            resting_until: time::Time::from_micros(0),
+            last_seen: now,
+        }
+    }
+
+    fn opening(&self, now: time::Time) -> Opening {
+        let closed = |by, until| Opening::Closed { by, until };
+        let limit = match self.pacer {
+            Some(None) => return closed(Closure::Limit, None),
+            Some(Some(pacer)) => pacer.opens_at(),
+            None => now,
+        };
+        match self.resting_until {
+            rest if rest > now && rest >= limit => closed(Closure::Pushback, Some(rest)),
+            _ if limit > now => closed(Closure::Limit, Some(limit)),
+            _ => Opening::Now,
+        }
+    }
+}
+
+/// What endpoints have said, by the hash of their identity: another incarnation begins without a record.
+#[derive(Clone, Debug)]
+pub struct Admissions {
+    /// Hash of this host.
+    own: u64,
+    /// Hashes of the live hosts.
+    hosts: Vec<u64>,
+    statements: rate_limits::Statements,
+    records: HashMap<u64, Record>,
+}
+
+impl Admissions {
+    /// Admissions of a host with this hash, before any endpoint has said anything.
+    #[must_use]
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            hosts: Vec::new(),
+            statements: rate_limits::Statements::default(),
+            records: HashMap::new(),
+        }
+    }
+
+    /// Replaces the live hosts, and with them the shares of this host.
+    pub fn set_hosts(&mut self, hosts: &[u64], now: time::Time) {
+        if self.hosts == hosts {
+            return;
+        }
+        self.hosts = hosts.to_vec();
+        let limits: Vec<_> = self.statements.limits().collect();
+        for statement in limits {
+            self.update_pacer(statement, now);
+        }
+    }
+
+    /// Records what an endpoint said of whether it leaves. Returns whether that has changed.
+    ///
+    /// An endpoint that leaves says so in all its answers from then on. An answer that does not say so
+    /// was made before, even if it arrives later.
+    pub fn record_leave_notice(
+        &mut self,
+        endpoint: u64,
+        notice: LeaveNotice,
+        now: time::Time,
+    ) -> bool {
+        if notice <= self.leave_notice(endpoint) {
+            return false;
+        }
+        self.record(endpoint, now).leave_notice = notice;
+        true
+    }
+
+    /// Records what an endpoint said of its limit, to this host or to another one. Returns whether it is
+    /// new.
+    pub fn record_limit(&mut self, statement: rate_limits::Statement, now: time::Time) -> bool {
+        let is_new = self.statements.record(statement);
+        if is_new {
+            self.update_pacer(statement, now);
+        }
+        is_new
+    }
+
+    /// Records a pause that an endpoint asked this host for in an answer that arrived at a time.
+    ///
+    /// Each answer is a promise of its own: a shorter pause, or an answer without one, does not end
+    /// another. Hosts end pauses at different times, up to a part of the pause late.
+    pub fn record_pushback(&mut self, endpoint: u64, pushback: Pushback, at: time::Time) {
+        if pushback.span().is_zero() {
+            return;
+        }
+        let end = at + pushback.span() + self.return_delay(endpoint, pushback);
+        let record = self.record(endpoint, at);
+        record.resting_until = record.resting_until.max(end);
+    }
+
+    /// Whether an endpoint has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, endpoint: u64) -> bool {
+        self.leave_notice(endpoint) == LeaveNotice::Leaving
+    }
+
+    /// Whether an endpoint names a limit.
+    #[must_use]
+    pub fn is_limited(&self, endpoint: u64) -> bool {
+        let record = self.records.get(&endpoint);
+        record.is_some_and(|record| record.pacer.is_some())
+    }
+
+    /// Whether an endpoint has asked this host for a pause that is not over.
+    #[must_use]
+    pub fn is_resting(&self, endpoint: u64, now: time::Time) -> bool {
+        let record = self.records.get(&endpoint);
+        record.is_some_and(|record| record.resting_until > now)
+    }
+
+    /// When an endpoint takes another request of this host.
+    #[must_use]
+    pub fn opening(&self, endpoint: u64, now: time::Time) -> Opening {
+        let record = self.records.get(&endpoint);
+        record.map_or(Opening::Now, |record| record.opening(now))
+    }
+
+    /// Counts a request that is sent to an endpoint now.
+    pub fn record_sent(&mut self, endpoint: u64, now: time::Time) {
+        let record = self.records.get_mut(&endpoint);
+        if let Some(Some(pacer)) = record.and_then(|record| record.pacer.as_mut()) {
+            pacer.record_sent(now);
+        }
+    }
+
+    /// Notes which endpoints are in the directory, and forgets those that have not been for long.
+    pub fn retain_present<F>(&mut self, is_present: F, now: time::Time)
+    where
+        F: Fn(u64) -> bool,
+    {
+        self.records.retain(|endpoint, record| {
+            if is_present(*endpoint) {
+                record.last_seen = now;
+            }
+            now.since(record.last_seen) < ABSENT_RETENTION
+        });
+        let records = &self.records;
+        self.statements
+            .retain(|statement| records.contains_key(&statement.endpoint));
+    }
+
+    fn leave_notice(&self, endpoint: u64) -> LeaveNotice {
+        let record = self.records.get(&endpoint);
+        record.map_or(LeaveNotice::Absent, |record| record.leave_notice)
+    }
+
+    fn record(&mut self, endpoint: u64, now: time::Time) -> &mut Record {
+        let record = self
+            .records
+            .entry(endpoint)
+            .or_insert_with(|| Record::new(now));
+        record.last_seen = record.last_seen.max(now);
+        record
+    }
+
+    /// Time beyond a pause after which this host returns.
+    fn return_delay(&self, endpoint: u64, pushback: Pushback) -> Duration {
+        let spread = pushback.return_spread().as_micros() as u64;
+        let seed = routing::rendezvous::score(self.own, endpoint as u32);
+        Duration::from_micros(seed % (spread + 1))
+    }
+
+    fn update_pacer(&mut self, statement: rate_limits::Statement, now: time::Time) {
+        let endpoint = statement.endpoint;
+        let pacer = statement
+            .limit
+            .map(|limit| self.pacer_of(endpoint, limit, now));
+        self.record(endpoint, now).pacer = pacer;
+    }
+
+    /// Pace of this host at an endpoint with a limit, or `None` if other hosts use it.
+    fn pacer_of(
+        &self,
+        endpoint: u64,
+        limit: rate_limits::RequestRate,
+        now: time::Time,
+    ) -> Option<rate_limits::Pacer> {
+        let rate = rate_limits::share(limit, endpoint, self.own, &self.hosts)?;
+        let current = self.records.get(&endpoint).and_then(|r| r.pacer.flatten());
+        let Some(mut pacer) = current else {
+            let seed = routing::rendezvous::score(self.own, endpoint as u32);
+            return Some(rate_limits::Pacer::new(rate, seed, now));
+        };
+        pacer.set_rate(rate, now);
+        Some(pacer)
+    }
+}
--- a/crates/core/src/admission/pushback.rs
+++ b/crates/core/src/admission/pushback.rs
@@ -8,6 +8,12 @@
 /// use for a day.
 const MAX: Duration = Duration::from_secs(60);
 
+/// Part of a pause over which hosts spread their return, so that its end is no signal for all.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// Longest time over which hosts spread their return.
+const MAX_RETURN_SPREAD: Duration = Duration::from_millis(500);
+
 /// Time for which an endpoint wants no requests of a host that it has refused one.
 ///
 /// Invariant: at most [`MAX`].
@@ -46,6 +52,12 @@
     pub const fn span(self) -> Duration {
         self.0
     }
+
+    /// Time over which hosts spread their return after the end of such a pause.
+    #[must_use]
+    pub fn return_spread(self) -> Duration {
+        self.0.mul_f64(RETURN_SPREAD).min(MAX_RETURN_SPREAD)
+    }
 }
 
 impl fmt::Display for Pushback {
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -133,6 +133,8 @@
         StreamVersionGone => "stream_version_gone",
         /// The limits that the endpoints name have no room for this host at present.
         EndpointLimits => "endpoint_limits",
+        /// All endpoints of the service have asked this host to send them nothing for a while.
+        EndpointPushback => "endpoint_pushback",
         /// The prompt has a part that crashes endpoints.
         CrashesEndpoints => "crashes_endpoints",
         /// The connection was lost, and the prompt may have crashed the endpoint.
@@ -180,6 +182,7 @@
             | Self::StreamVersionUnknown
             | Self::StreamVersionGone
             | Self::EndpointLimits
+            | Self::EndpointPushback
             | Self::CrashSuspect
             | Self::CrashesEndpoints => 503,
         }
@@ -207,6 +210,8 @@
         NotOwner => "not_owner",
         /// The endpoint was leaving.
         EndpointLeaving => "endpoint_leaving",
+        /// The endpoint asked for a pause while the request waited for a connection.
+        EndpointPushback => "endpoint_pushback",
         /// The owner was shutting down.
         Draining => "draining",
         /// No connection to the owner or endpoint could be made.
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -16,6 +16,8 @@
     AtLimit,
     /// The endpoint leaves, or has left, before a byte of the request was sent.
     Leaving,
+    /// The endpoint asked this host for a pause before a byte of the request was sent.
+    PushedBack,
     /// No byte of the request was sent to an endpoint.
     NotSent,
     /// The deadline passed before a byte of the request was sent.
@@ -41,6 +43,7 @@
         match self {
             Self::AtLimit
             | Self::Leaving
+            | Self::PushedBack
             | Self::NotSent
             | Self::Expired
             | Self::Refused
@@ -59,6 +62,7 @@
             Self::Expired => reason::Refusal::Deadline,
             Self::Refused => reason::Refusal::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
+            Self::PushedBack => reason::Refusal::EndpointPushback,
             Self::Failed => reason::Refusal::EndpointFailed,
             Self::InvalidAnswer => reason::Refusal::AnswerIncomplete,
             Self::ConnectionLost => reason::Refusal::ConnectionLost,
@@ -74,6 +78,7 @@
             Self::NotSent | Self::Expired => reason::Retry::ConnectFailed,
             Self::Refused => reason::Retry::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Retry::EndpointLeaving,
+            Self::PushedBack => reason::Retry::EndpointPushback,
             Self::Failed => reason::Retry::EndpointFailed,
             Self::InvalidAnswer | Self::ConnectionLost => reason::Retry::ConnectionLost,
             Self::Stalled => reason::Retry::Stalled,
@@ -86,6 +91,7 @@
         match self {
             Self::AtLimit => "at_limit",
             Self::Leaving => "leaving",
+            Self::PushedBack => "pushed_back",
             Self::NotSent => "not_sent",
             Self::Expired => "expired",
             Self::Refused => "refused",
@@ -101,7 +107,7 @@
     const fn is_unsent(self) -> bool {
         matches!(
             self,
-            Self::AtLimit | Self::Leaving | Self::NotSent | Self::Expired
+            Self::AtLimit | Self::Leaving | Self::PushedBack | Self::NotSent | Self::Expired
         )
     }
 
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -66,6 +66,7 @@
             | reason::Retry::QueueFull
             | reason::Retry::NotOwner
             | reason::Retry::EndpointLeaving
+            | reason::Retry::EndpointPushback
             | reason::Retry::Draining
             | reason::Retry::Resume => Self::Free,
             reason::Retry::ConnectFailed
--- a/crates/core/src/retry/retry_after.rs
+++ b/crates/core/src/retry/retry_after.rs
@@ -15,9 +15,12 @@
 /// present. Callers retry only once or twice, so a retry that comes too early wastes one of them.
 const REMAINING_FRACTION: f64 = 0.25;
 
-/// Longest delay for any reason but a quarantine.
+/// Longest delay for any reason but a quarantine and a pushback.
 const MAX_DELAY: Duration = Duration::from_secs(3);
 
+/// Longest time over which callers are spread that come back after a pause of all endpoints.
+const MAX_SPREAD_AFTER_PAUSE: Duration = Duration::from_secs(1);
+
 /// Delay after which a refused caller should retry, given the time `remaining` until its deadline.
 ///
 /// `seed` spreads callers over the upper half of the range.
@@ -45,3 +48,14 @@
     let spread = room.as_micros() as u64 / 2;
     room + Duration::from_micros(seed % (spread + 1))
 }
+
+/// Delay after which a refused caller should retry, if the first endpoint wants requests again after
+/// `pause`. Nothing can be served before.
+///
+/// `seed` spreads callers over a part of that time after it.
+#[must_use]
+pub fn retry_after_pause(pause: Duration, seed: u64) -> Duration {
+    let pause = pause.max(MIN_LONGEST_DELAY);
+    let spread = (pause / 2).min(MAX_SPREAD_AFTER_PAUSE).as_micros() as u64;
+    pause + Duration::from_micros(seed % (spread + 1))
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, StatusCode, request, response};
 use pistachiochute_core::choice::prompt;
 use pistachiochute_core::{admission, catalog, directory, rate_limits, reason, revision};
 use pistachiochute_runtime::platform::key_value;
@@ -60,18 +60,6 @@
     pub waiting: u32,
 }
 
-/// What an answer says of whether its endpoint leaves. A later variant is not taken back by an earlier
-/// one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum LeaveNotice {
-    /// Nothing.
-    Absent,
-    /// Something that the platform does not define.
-    Invalid,
-    /// The endpoint leaves.
-    Leaving,
-}
-
 /// Metadata in the head of an endpoint's answer.
 #[derive(Clone, Debug)]
 pub struct ResponseMetadata {
@@ -87,10 +75,10 @@
     /// error if what it names is not a rate.
     pub limit: Option<Result<rate_limits::RequestRate, rate_limits::ParseRateError>>,
     /// Whether the endpoint says that it leaves.
-    pub leave_notice: LeaveNotice,
+    pub leave_notice: admission::LeaveNotice,
     /// Time for which the endpoint, which refused the request, wants no other one of this host, if it
     /// asks for any. An error if what it says is not a time.
-    pub pushback: Option<Result<admission::Pushback, admission::ParsePushbackError>>,
+    pub pushback: Result<Option<admission::Pushback>, admission::ParsePushbackError>,
     /// Time after which the endpoint closes an idle connection.
     pub idle_limit: Option<Duration>,
 }
@@ -111,7 +99,19 @@
     fn response_metadata(&self, head: &response::Parts) -> ResponseMetadata;
 
     /// Reads from the headers of any answer of an endpoint whether it says that it leaves.
-    fn leave_notice(&self, headers: &HeaderMap) -> LeaveNotice;
+    fn leave_notice(&self, headers: &HeaderMap) -> admission::LeaveNotice;
+
+    /// Reads from the head of any answer of an endpoint the time for which it wants no requests of this
+    /// host, if it asks for any.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if what it says is not a time.
+    fn pushback(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Option<admission::Pushback>, admission::ParsePushbackError>;
 
     /// Removes headers of an endpoint's answer that callers must not see.
     fn strip_internal_headers(&self, headers: &mut HeaderMap);
--- a/crates/gateway/src/control/cache_recovery.rs
+++ b/crates/gateway/src/control/cache_recovery.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
-use pistachiochute_core::directory;
+use pistachiochute_core::{admission, directory};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::clock;
 
@@ -85,13 +85,14 @@
         Ok(answer) => answer,
         Err(e) => return fail(&e.to_string()),
     };
-    if cx.dialect.leave_notice(&answer.headers) == adapter::LeaveNotice::Leaving {
+    if cx.dialect.leave_notice(&answer.headers) == admission::LeaveNotice::Leaving {
         let source = events::NoticeSource::Answer;
         cx.metrics.leave_notice();
         cx.events.endpoint_leaves(&endpoint.identity, &source);
         cx.shared
             .announce_departure(&endpoint.identity, clock::now());
     }
+    record_pushback(&cx, &endpoint, &answer);
     if answer.status != StatusCode::OK {
         return fail(&format!("status {}", answer.status.as_u16()));
     }
@@ -113,3 +114,27 @@
         cx.shared.local_cached_parts.push(part);
     }
 }
+
+/// Records that an engine's answer asks this host to send it nothing for a while.
+fn record_pushback<D, S>(
+    cx: &Context<D, S>,
+    endpoint: &directory::Endpoint,
+    answer: &http_client::Response,
+) where
+    D: adapter::Dialect,
+{
+    let identity = &endpoint.identity;
+    match cx.dialect.pushback(answer.status, &answer.headers) {
+        Ok(None) => {}
+        Ok(Some(pushback)) => {
+            cx.metrics.pushback();
+            cx.events.endpoint_pushback(identity, pushback);
+            cx.shared.local_pushbacks.push(shared::PushbackNotice {
+                endpoint: identity.hash(),
+                pushback,
+                at: clock::now(),
+            });
+        }
+        Err(e) => cx.events.endpoint_pushback_invalid(identity, e),
+    }
+}
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, StatusCode, request, response};
 use pistachiochute_core::{
-    catalog, directory, quarantine, rate_limits, reason, retry, revision, streams,
+    admission, catalog, directory, quarantine, rate_limits, reason, retry, revision, streams,
 };
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::platform::key_value;
@@ -77,8 +77,16 @@
         unimplemented!("there are no requests")
     }
 
-    fn leave_notice(&self, _: &HeaderMap) -> adapter::LeaveNotice {
-        adapter::LeaveNotice::Absent
+    fn leave_notice(&self, _: &HeaderMap) -> admission::LeaveNotice {
+        admission::LeaveNotice::Absent
+    }
+
+    fn pushback(
+        &self,
+        _: StatusCode,
+        _: &HeaderMap,
+    ) -> Result<Option<admission::Pushback>, admission::ParsePushbackError> {
+        Ok(None)
     }
 
     fn strip_internal_headers(&self, _: &mut HeaderMap) {}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use crossbeam::queue::SegQueue;
 use pistachiochute_core::choice::load;
 use pistachiochute_core::membership::load_reports;
-use pistachiochute_core::{catalog, directory, quarantine, rate_limits, streams, time};
+use pistachiochute_core::{admission, catalog, directory, quarantine, rate_limits, streams, time};
 use pistachiochute_messages::peer;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -75,6 +75,17 @@
     pub(crate) reply: oneshot::Sender<Option<streams::VersionTag>>,
 }
 
+/// A pause that an endpoint has asked this host for.
+#[derive(Clone, Copy, Debug)]
+pub struct PushbackNotice {
+    /// Hash of the endpoint's identity.
+    pub endpoint: u64,
+    /// The pause.
+    pub pushback: admission::Pushback,
+    /// When the answer arrived.
+    pub at: time::Time,
+}
+
 /// A crash of an endpoint that this host has verified.
 #[derive(Debug)]
 pub(crate) struct ObservedCrash {
@@ -100,6 +111,8 @@
     pub local_limits: SegQueue<rate_limits::Statement>,
     /// Limits that endpoints have named to other hosts.
     pub remote_limits: SegQueue<rate_limits::Statement>,
+    /// Pauses that endpoints have asked the control thread for, for the traffic thread.
+    pub local_pushbacks: SegQueue<PushbackNotice>,
     /// Endpoints that have said to this host that they leave, for the control thread.
     pub local_departures: SegQueue<directory::Departure>,
     verdicts: ArcSwap<quarantine::Verdicts>,
@@ -130,6 +143,7 @@
             local_origins: SegQueue::new(),
             local_limits: SegQueue::new(),
             remote_limits: SegQueue::new(),
+            local_pushbacks: SegQueue::new(),
             local_departures: SegQueue::new(),
             verdicts: ArcSwap::default(),
             proven_prompts: SegQueue::new(),
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -135,6 +135,7 @@
             }
             AttemptFailure::AtLimit
             | AttemptFailure::Leaving
+            | AttemptFailure::PushedBack
             | AttemptFailure::Expired
             | AttemptFailure::Refused
             | AttemptFailure::Failed
@@ -186,8 +187,8 @@
         Ok(req) => req,
         Err(e) => return failed(AttemptFailure::NotSent, e.to_string()),
     };
-    if !still_takes_requests(cx, attempt.selected.choice.endpoint) {
-        return failed(AttemptFailure::Leaving, "left while the host connected");
+    if let Some(failure) = withdrawn(cx, attempt.selected.choice.endpoint) {
+        return failed(failure, "withdrawn while the host connected");
     }
     match connection.sender().try_send_request(req).await {
         Ok(answer) => evaluate_answer(cx, attempt, answer, connection, in_flight).await,
@@ -210,14 +211,14 @@
     }
 }
 
-/// Whether an endpoint that was selected before still takes requests.
-fn still_takes_requests<D>(cx: &Rc<Context<D>>, endpoint: entity::EndpointId) -> bool
+/// Why an endpoint that was selected before takes no more requests, if it does not.
+fn withdrawn<D>(cx: &Rc<Context<D>>, endpoint: entity::EndpointId) -> Option<AttemptFailure>
 where
     D: adapter::Dialect,
 {
     let mut endpoints = cx.endpoints.borrow_mut();
-    endpoints.update(&cx.shared.view());
-    endpoints.takes_requests(endpoint)
+    endpoints.update(&cx.shared.view(), clock::now());
+    endpoints.withdrawn(endpoint, clock::now())
 }
 
 /// Reports an answer that is not a stream and that its endpoint broke off.
@@ -383,25 +384,25 @@
 fn record_leave_notice<D>(
     cx: &Rc<Context<D>>,
     selected: &endpoints::SelectedEndpoint,
-    notice: adapter::LeaveNotice,
+    notice: admission::LeaveNotice,
 ) where
     D: adapter::Dialect,
 {
     let mut endpoints = cx.endpoints.borrow_mut();
-    if !endpoints.record_leave_notice(selected.choice.endpoint, notice) {
+    if !endpoints.record_leave_notice(selected.choice.endpoint, notice, clock::now()) {
         return;
     }
     let identity = &selected.endpoint.identity;
     match notice {
-        adapter::LeaveNotice::Absent => {}
-        adapter::LeaveNotice::Leaving => {
+        admission::LeaveNotice::Absent => {}
+        admission::LeaveNotice::Leaving => {
             cx.metrics.leave_notice();
             cx.events
                 .endpoint_leaves(identity, &events::NoticeSource::Answer);
             cx.pool.close_idle(identity);
             cx.shared.announce_departure(identity, clock::now());
         }
-        adapter::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
+        admission::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
     }
 }
 
@@ -409,18 +410,21 @@
 fn record_pushback<D>(
     cx: &Rc<Context<D>>,
     selected: &endpoints::SelectedEndpoint,
-    pushback: Option<Result<admission::Pushback, admission::ParsePushbackError>>,
+    pushback: Result<Option<admission::Pushback>, admission::ParsePushbackError>,
 ) where
     D: adapter::Dialect,
 {
     let identity = &selected.endpoint.identity;
     match pushback {
-        None => {}
-        Some(Ok(pushback)) => {
+        Ok(None) => {}
+        Ok(Some(pushback)) => {
             cx.metrics.pushback();
             cx.events.endpoint_pushback(identity, pushback);
+            let id = selected.choice.endpoint;
+            let mut endpoints = cx.endpoints.borrow_mut();
+            endpoints.record_pushback(id, pushback, clock::now());
         }
-        Some(Err(e)) => cx.events.endpoint_pushback_invalid(identity, e),
+        Err(e) => cx.events.endpoint_pushback_invalid(identity, e),
     }
 }
 
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http::response;
-use pistachiochute_core::{catalog, directory, outcome, reason, retry, streams, time};
+use pistachiochute_core::{admission, catalog, directory, outcome, reason, retry, streams, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer, OpenedStream};
@@ -201,9 +201,10 @@
     D: adapter::Dialect,
 {
     let mut endpoints = cx.endpoints.borrow_mut();
-    endpoints.update(&cx.shared.view());
+    endpoints.update(&cx.shared.view(), now);
     endpoints.apply_remote_cached_parts(&cx.shared, now);
     endpoints.apply_remote_limits(&cx.shared, now);
+    endpoints.apply_pushbacks(&cx.shared);
     let others = cx.shared.remote_loads();
     let service = &state.plan.service().name;
     endpoints.select(
@@ -227,11 +228,14 @@
 {
     let endpoints = cx.endpoints.borrow();
     let service = &state.plan.service().name;
-    if let Some(room) = endpoints.time_to_room(service, &state.eligibility(), now) {
+    if let Some(earliest) = endpoints.earliest_opening(service, &state.eligibility(), now) {
         if let Some(report) = report {
-            report.record_time_to_room(room);
+            report.record_wait(earliest.wait.unwrap_or_default());
         }
-        return reason::Refusal::EndpointLimits;
+        return match earliest.by {
+            admission::Closure::Limit => reason::Refusal::EndpointLimits,
+            admission::Closure::Pushback => reason::Refusal::EndpointPushback,
+        };
     }
     let of_version = endpoints::Eligibility {
         version: state.version,
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -10,13 +10,11 @@
 use pistachiochute_core::choice::{cost, homes, load, prefix, prompt};
 use pistachiochute_core::membership::load_reports;
 use pistachiochute_core::{
-    choice, directory, entity, health, map, rate_limits, retry, streams, time,
+    admission, choice, directory, entity, health, map, rate_limits, retry, streams, time,
 };
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::clock;
 
-use crate::traffic::endpoint_limits;
-use crate::traffic::endpoint_limits::Opening;
 use crate::{adapter, settings, shared};
 
 /// Age up to which the load that an endpoint reported is used.
@@ -50,8 +48,6 @@
     is_unreachable: bool,
     /// When a connection to it was last lost or could not be made.
     lost_at: Option<time::Time>,
-    /// What it has said of whether it leaves. Invariant: never goes back.
-    leave_notice: adapter::LeaveNotice,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
@@ -61,11 +57,6 @@
 }
 
 impl Entry {
-    /// Whether the endpoint has said that it leaves.
-    fn has_announced(&self) -> bool {
-        self.leave_notice == adapter::LeaveNotice::Leaving
-    }
-
     /// Whether the view of a generation has the endpoint among those that take requests.
     fn is_listed_ready(&self, generation: u64) -> bool {
         self.generation == generation && !self.is_listed_leaving
@@ -99,6 +90,15 @@
     }
 }
 
+/// Endpoint that is the first to take another request of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct EarliestOpening {
+    /// Why it takes none now.
+    pub by: admission::Closure,
+    /// Time until it does, or `None` if none of them will while they name their limits.
+    pub wait: Option<Duration>,
+}
+
 /// State of all endpoints. An endpoint stays in the table until it has left the view and the last
 /// request of this host to it has ended.
 #[derive(Debug)]
@@ -117,7 +117,8 @@
     health: health::Health,
     reachability: health::reachability::Reachability,
     cost_parameters: cost::Parameters,
-    limits: endpoint_limits::EndpointLimits,
+    /// What endpoints have said of themselves.
+    admissions: admission::Admissions,
     /// Generation of the view that the table was updated from.
     generation: u64,
     next_id: u32,
@@ -138,19 +139,19 @@
             health: health::Health::new(HEALTH_SETTINGS, now),
             reachability: health::reachability::Reachability::default(),
             cost_parameters: cost::Parameters::default(),
-            limits: endpoint_limits::EndpointLimits::new(&host.name),
+            admissions: admission::Admissions::new(shared::host_hash(&host.name)),
             generation: 0,
             next_id: 0,
         }
     }
 
     /// Updates the table from a view, if its generation has changed.
-    pub(super) fn update(&mut self, view: &shared::View) {
+    pub(super) fn update(&mut self, view: &shared::View, now: time::Time) {
         if self.generation == view.generation {
             return;
         }
         self.generation = view.generation;
-        self.limits.set_hosts(&view.host_hashes, clock::now());
+        self.admissions.set_hosts(&view.host_hashes, now);
         self.by_service.clear();
         for endpoint in &view.endpoints {
             let id = self.id_for(endpoint, false);
@@ -170,11 +171,11 @@
                 .or_default()
                 .push(closed);
         }
-        self.remove_unused();
+        self.remove_unused(now);
     }
 
-    /// Selects an eligible endpoint of a service. Those whose limit has no room for this host now are
-    /// left out.
+    /// Selects an eligible endpoint of a service. Those that take no request of this host now are left
+    /// out.
     pub(super) fn select(
         &self,
         service: &str,
@@ -219,13 +220,14 @@
         })
     }
 
-    /// Removes the endpoints whose limit has no room for this host now, and returns them.
+    /// Removes the endpoints that take no request of this host now, and returns them.
     fn take_closed(
         &self,
         ids: &mut Vec<entity::EndpointId>,
         now: time::Time,
     ) -> Vec<homes::ClosedEndpoint> {
-        let is_closed = |id: &mut entity::EndpointId| self.opening(*id, now) != Opening::Now;
+        let is_closed =
+            |id: &mut entity::EndpointId| self.opening(*id, now) != admission::Opening::Now;
         let closed = ids.extract_if(.., is_closed);
         let with_hash = closed.filter_map(|endpoint| {
             let hash = self.entries.get(endpoint)?.hash;
@@ -246,29 +248,44 @@
     /// Applies the limits that endpoints have named to other hosts.
     pub(super) fn apply_remote_limits(&mut self, shared: &shared::Shared, now: time::Time) {
         while let Some(statement) = shared.remote_limits.pop() {
-            self.limits.record(statement, now);
+            self.admissions.record_limit(statement, now);
         }
     }
 
-    /// Time until an eligible endpoint of a service takes another request of this host, if limits
-    /// alone hold it back. Zero if this host has no share in the limit of any.
-    pub(super) fn time_to_room(
+    /// Applies the pauses that endpoints have asked the control thread for.
+    pub(super) fn apply_pushbacks(&mut self, shared: &shared::Shared) {
+        while let Some(notice) = shared.local_pushbacks.pop() {
+            self.admissions
+                .record_pushback(notice.endpoint, notice.pushback, notice.at);
+        }
+    }
+
+    /// Which eligible endpoint of a service is the first to take another request of this host, if what
+    /// endpoints say of themselves alone holds it back.
+    pub(super) fn earliest_opening(
         &self,
         service: &str,
         eligibility: &Eligibility<'_>,
         now: time::Time,
-    ) -> Option<Duration> {
+    ) -> Option<EarliestOpening> {
         let ids = self.by_service.get(service)?.iter().copied();
         let eligible = ids.filter(|id| self.is_eligible(*id, eligibility));
-        let openings: Vec<Opening> = eligible.map(|id| self.opening(id, now)).collect();
-        if openings.is_empty() || openings.contains(&Opening::Now) {
-            return None;
+        let mut earliest: Option<EarliestOpening> = None;
+        for id in eligible {
+            let admission::Opening::Closed { by, until } = self.opening(id, now) else {
+                return None;
+            };
+            let wait = until.map(|until| until.since(now));
+            let is_earlier = earliest.is_none_or(|e| match (e.wait, wait) {
+                (_, None) => false,
+                (None, Some(_)) => true,
+                (Some(earlier), Some(wait)) => wait < earlier,
+            });
+            if is_earlier {
+                earliest = Some(EarliestOpening { by, wait });
+            }
         }
-        let times = openings.iter().filter_map(|opening| match opening {
-            Opening::At(at) => Some(at.since(now)),
-            Opening::Now | Opening::Never => None,
-        });
-        Some(times.min().unwrap_or_default())
+        earliest
     }
 
     /// Whether a service has an eligible endpoint that takes a request of this host now.
@@ -280,12 +297,14 @@
     ) -> bool {
         let ids = self.by_service.get(service).into_iter().flatten().copied();
         let mut eligible = ids.filter(|id| self.is_eligible(*id, eligibility));
-        eligible.any(|id| self.opening(id, now) == Opening::Now)
+        eligible.any(|id| self.opening(id, now) == admission::Opening::Now)
     }
 
-    fn opening(&self, id: entity::EndpointId, now: time::Time) -> Opening {
+    fn opening(&self, id: entity::EndpointId, now: time::Time) -> admission::Opening {
         let entry = self.entries.get(id);
-        entry.map_or(Opening::Now, |entry| self.limits.opening(entry.hash, now))
+        entry.map_or(admission::Opening::Now, |entry| {
+            self.admissions.opening(entry.hash, now)
+        })
     }
 
     /// Whether a service has an eligible endpoint.
@@ -343,7 +362,9 @@
     fn is_eligible(&self, id: entity::EndpointId, eligibility: &Eligibility<'_>) -> bool {
         let entry = self.entries.get(id);
         !eligibility.tried.contains(&id)
-            && entry.is_some_and(|entry| eligibility.has_version(entry) && !entry.has_announced())
+            && entry.is_some_and(|entry| {
+                eligibility.has_version(entry) && !self.admissions.is_leaving(entry.hash)
+            })
     }
 
     /// Retry budget of a service: the share of one of `hosts` hosts.
@@ -389,26 +410,49 @@
     }
 
     /// Records what an answer says of whether its endpoint leaves. Returns whether that has changed.
-    ///
-    /// An endpoint that leaves says so in all its answers from then on. An answer that does not say so
-    /// was made before, even if it arrives later.
     pub(super) fn record_leave_notice(
         &mut self,
         id: entity::EndpointId,
-        notice: adapter::LeaveNotice,
+        notice: admission::LeaveNotice,
+        now: time::Time,
     ) -> bool {
-        let Some(entry) = self.entries.get_mut(id) else {
-            return false;
-        };
-        let is_change = notice > entry.leave_notice;
-        entry.leave_notice = entry.leave_notice.max(notice);
-        is_change
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| {
+            let admissions = &mut self.admissions;
+            admissions.record_leave_notice(entry.hash, notice, now)
+        })
+    }
+
+    /// Records a pause that an answer of an endpoint asks this host for.
+    pub(super) fn record_pushback(
+        &mut self,
+        id: entity::EndpointId,
+        pushback: admission::Pushback,
+        now: time::Time,
+    ) {
+        if let Some(entry) = self.entries.get(id) {
+            self.admissions.record_pushback(entry.hash, pushback, now);
+        }
     }
 
-    /// Whether an endpoint takes requests, as far as its entry and its answers say.
-    pub(super) fn takes_requests(&self, id: entity::EndpointId) -> bool {
+    /// Why a request that an endpoint was selected for must not be sent to it, as far as its entry and
+    /// its answers say, if there is a reason.
+    pub(super) fn withdrawn(
+        &self,
+        id: entity::EndpointId,
+        now: time::Time,
+    ) -> Option<retry::AttemptFailure> {
         let entry = self.entries.get(id);
-        entry.is_some_and(|entry| entry.is_listed_ready(self.generation) && !entry.has_announced())
+        let Some(entry) = entry.filter(|entry| entry.is_listed_ready(self.generation)) else {
+            return Some(retry::AttemptFailure::Leaving);
+        };
+        match entry.hash {
+            hash if self.admissions.is_leaving(hash) => Some(retry::AttemptFailure::Leaving),
+            hash if self.admissions.is_resting(hash, now) => {
+                Some(retry::AttemptFailure::PushedBack)
+            }
+            _ => None,
+        }
     }
 
     /// Records the limit that an answer of an endpoint names, or that it names none. Returns what
@@ -424,7 +468,7 @@
             limit,
             at,
         };
-        let is_new = self.limits.record(statement, clock::now());
+        let is_new = self.admissions.record_limit(statement, clock::now());
         is_new.then_some(statement)
     }
 
@@ -455,7 +499,7 @@
         let endpoint = entry.hash;
         entry.work.requests += 1;
         entry.work.unread_tokens += choice.read_tokens;
-        self.limits.record_sent(endpoint, now);
+        self.admissions.record_sent(endpoint, now);
         let Some(prompt) = prompt else {
             return Vec::new();
         };
@@ -498,7 +542,7 @@
             is_local: *entry.endpoint.domain == *self.domain,
             is_healthy: self.is_usable(id, now),
             is_reachable: !entry.is_unreachable,
-            is_limited: self.limits.is_limited(entry.hash),
+            is_limited: self.admissions.is_limited(entry.hash),
             load: load::Load {
                 own: entry.work,
                 others: other,
@@ -541,7 +585,6 @@
                 work: load::Work::default(),
                 is_unreachable: false,
                 lost_at: None,
-                leave_notice: adapter::LeaveNotice::Absent,
                 is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
@@ -551,7 +594,7 @@
     }
 
     /// Removes endpoints that have left the view and have no requests of this host.
-    fn remove_unused(&mut self) {
+    fn remove_unused(&mut self, now: time::Time) {
         let unused: Vec<_> = self
             .entries
             .iter()
@@ -562,10 +605,12 @@
             if let Some(entry) = self.entries.remove(id) {
                 self.ids.remove(&entry.endpoint.identity);
                 self.by_hash.remove(&entry.hash);
-                self.limits.remove(entry.hash);
             }
             self.prefixes.remove_endpoint(id);
             self.health.remove(id);
         }
+        let by_hash = &self.by_hash;
+        self.admissions
+            .retain_present(|hash| by_hash.contains_key(&hash), now);
     }
 }
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pistachiochute_core::choice::{self, prompt};
 use pistachiochute_core::membership::load_reports;
-use pistachiochute_core::{directory, retry, streams, time};
+use pistachiochute_core::{admission, directory, entity, retry, streams, time};
 
 use super::{Eligibility, EndpointTable};
-use crate::{adapter, settings, shared};
+use crate::{settings, shared};
 
 const NOW: time::Time = time::Time::from_secs(5);
 
@@ -42,7 +43,7 @@
         extra: 10.0,
     };
     let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(view);
+    table.update(view, NOW);
     let others = load_reports::WorkByEndpoint::new();
     (0..200_u64)
         .filter_map(|seed| {
@@ -116,7 +117,7 @@
         extra: 10.0,
     };
     let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(&view(endpoints, &[], "engines"));
+    table.update(&view(endpoints, &[], "engines"), NOW);
     let ids = table.by_service["engines"].clone();
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], NOW);
@@ -141,7 +142,7 @@
     let mut table = EndpointTable::new(&host(), budget, NOW);
     let same = endpoint("engines", 3, directory::State::Ready);
     let endpoints = vec![Arc::new(other), Arc::new(unknown), same];
-    table.update(&view(endpoints, &[], "engines"));
+    table.update(&view(endpoints, &[], "engines"), NOW);
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([3]));
 }
 
@@ -154,25 +155,51 @@
         extra: 10.0,
     };
     let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(&view(endpoints.clone(), &[], "engines"));
+    table.update(&view(endpoints.clone(), &[], "engines"), NOW);
     (table, endpoints)
 }
 
+/// Whether a request that waits for its connection may be sent to an endpoint.
+fn takes_requests(table: &EndpointTable, id: entity::EndpointId) -> bool {
+    table.withdrawn(id, NOW).is_none()
+}
+
+/// Guards against BUDGET: a request that waits for its connection while the endpoint asks for rest, and
+/// one that selects it, also after a view without the endpoint.
+#[test]
+fn endpoint_that_asked_for_rest_takes_no_requests() {
+    let (mut table, endpoints) = table_of_two();
+    let id = table.by_service["engines"][0];
+    let pause = admission::Pushback::new(Duration::from_secs(10));
+    table.record_pushback(id, pause, NOW);
+    let failure = table.withdrawn(id, NOW);
+    assert_eq!(failure, Some(retry::AttemptFailure::PushedBack));
+    assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
+    for (generation, endpoints) in [(2, endpoints[1..].to_vec()), (3, endpoints)] {
+        let mut later = view(endpoints, &[], "engines");
+        later.generation = generation;
+        table.update(&later, NOW);
+        assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
+    }
+    let after = NOW + Duration::from_secs(11);
+    assert_eq!(resumed_at(&table, after), BTreeSet::from([1, 2]));
+}
+
 /// Guards against an endpoint that is selected, or kept for a request that waits for its connection,
 /// after it has said that it leaves (DRAIN), even by a view that is published later.
 #[test]
 fn endpoint_that_says_it_leaves_takes_no_requests() {
     let (mut table, endpoints) = table_of_two();
     let id = table.by_service["engines"][0];
-    assert!(table.takes_requests(id));
-    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Leaving));
-    assert!(!table.record_leave_notice(id, adapter::LeaveNotice::Absent));
-    assert!(!table.takes_requests(id));
+    assert!(takes_requests(&table, id));
+    assert!(table.record_leave_notice(id, admission::LeaveNotice::Leaving, NOW));
+    assert!(!table.record_leave_notice(id, admission::LeaveNotice::Absent, NOW));
+    assert!(!takes_requests(&table, id));
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
     let mut later = view(endpoints, &[], "engines");
     later.generation += 1;
-    table.update(&later);
-    assert!(!table.takes_requests(id));
+    table.update(&later, NOW);
+    assert!(!takes_requests(&table, id));
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
 }
 
@@ -183,8 +210,8 @@
         let ids = table.by_service["engines"].clone();
         let mut later = view(endpoints[1..].to_vec(), leaving, "engines");
         later.generation += 1;
-        table.update(&later);
-        let taken: Vec<bool> = ids.iter().map(|id| table.takes_requests(*id)).collect();
+        table.update(&later, NOW);
+        let taken: Vec<bool> = ids.iter().map(|id| takes_requests(&table, *id)).collect();
         assert_eq!(taken, [false, true]);
     }
 }
@@ -193,10 +220,13 @@
 fn undefined_notice_is_a_change_of_belief_once() {
     let (mut table, _) = table_of_two();
     let id = table.by_service["engines"][0];
-    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Invalid));
-    for notice in [adapter::LeaveNotice::Absent, adapter::LeaveNotice::Invalid] {
-        assert!(!table.record_leave_notice(id, notice));
+    assert!(table.record_leave_notice(id, admission::LeaveNotice::Invalid, NOW));
+    for notice in [
+        admission::LeaveNotice::Absent,
+        admission::LeaveNotice::Invalid,
+    ] {
+        assert!(!table.record_leave_notice(id, notice, NOW));
     }
-    assert!(table.takes_requests(id));
-    assert!(table.record_leave_notice(id, adapter::LeaveNotice::Leaving));
+    assert!(takes_requests(&table, id));
+    assert!(table.record_leave_notice(id, admission::LeaveNotice::Leaving, NOW));
 }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,7 +7,6 @@
 mod attempts;
 mod connection;
 mod crash_watch;
-mod endpoint_limits;
 mod endpoints;
 mod event_stream;
 mod in_flight;
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -26,8 +26,8 @@
     catalog: Option<catalog::Version>,
     status: u16,
     reason: Option<reason::Refusal>,
-    /// Time until there is room, if the request is refused because there is none now.
-    time_to_room: Option<Duration>,
+    /// Time until an endpoint takes a request, if the request is refused because none does now.
+    wait: Option<Duration>,
     outcome: outcome::Outcome,
     attempts: u32,
     endpoint: String,
@@ -65,7 +65,7 @@
             catalog: None,
             status: 0,
             reason: None,
-            time_to_room: None,
+            wait: None,
             outcome: outcome::Outcome::NotRun,
             attempts: 0,
             endpoint: String::new(),
@@ -106,16 +106,19 @@
         self.cx.metrics.refused(reason);
     }
 
-    /// Records that there is no room for the request now.
-    pub(super) const fn record_time_to_room(&mut self, time_to_room: Duration) {
-        self.time_to_room = Some(time_to_room);
+    /// Records after which time an endpoint takes a request.
+    pub(super) const fn record_wait(&mut self, wait: Duration) {
+        self.wait = Some(wait);
     }
 
     /// Delay after which the caller of a refused request should retry.
     pub(super) fn retry_after(&self, reason: reason::Refusal) -> Duration {
         let seed = self.arrived.as_micros();
-        match (reason, self.time_to_room) {
+        match (reason, self.wait) {
             (reason::Refusal::EndpointLimits, Some(room)) => retry::retry_after_room(room, seed),
+            (reason::Refusal::EndpointPushback, Some(pause)) => {
+                retry::retry_after_pause(pause, seed)
+            }
             _ => {
                 let remaining = self.deadline.since(clock::now());
                 retry::retry_after(reason, remaining, seed)
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -103,7 +103,7 @@
         return Err(reason::Refusal::Draining);
     }
     let mut endpoints = cx.endpoints.borrow_mut();
-    endpoints.update(&view);
+    endpoints.update(&view, report.arrived());
     let service = plan.service().name.clone();
     endpoints.budget(&service, view.hosts).deposit();
     Ok((plan, metadata, body))
--- a/crates/runtime/src/entry/candidates.rs
+++ b/crates/runtime/src/entry/candidates.rs
@@ -30,6 +30,7 @@
         | reason::Retry::EndpointLeaving
         | reason::Retry::EndpointRefused
         | reason::Retry::EndpointFailed
+        | reason::Retry::EndpointPushback
         | reason::Retry::Resume => false,
     }
 }
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -403,12 +403,7 @@
         let incarnation = lock(&self.incarnation).clone();
         let behaviour = *lock(&self.behaviour);
         let is_meant = text("x-expect-instance") == incarnation.id;
-        if !is_meant && behaviour != Behaviour::RefuseAll {
-            return Some(incarnation.reply(StatusCode::MISDIRECTED_REQUEST, &id, ""));
-        }
-        if matches!(behaviour, Behaviour::Refuse | Behaviour::RefuseAll) {
-            let mut reply = incarnation.reply(StatusCode::SERVICE_UNAVAILABLE, &id, "");
-            reply.headers_mut().insert("x-not-executed", value("1"));
+        if let Some(reply) = incarnation.refusal(behaviour, is_meant, &id) {
             return Some(reply);
         }
         let crashing_part = self.crashing_part_of(&text("x-prompt-prefix"));
@@ -504,6 +499,26 @@
         reply
     }
 
+    /// Refusal of a request that is not run, if it is refused.
+    fn refusal(
+        &self,
+        behaviour: Behaviour,
+        is_meant: bool,
+        id: &str,
+    ) -> Option<Response<http::Body>> {
+        let status = match behaviour {
+            Behaviour::RefuseAll => StatusCode::SERVICE_UNAVAILABLE,
+            _ if !is_meant => StatusCode::MISDIRECTED_REQUEST,
+            Behaviour::Refuse => StatusCode::SERVICE_UNAVAILABLE,
+            _ => return None,
+        };
+        let mut reply = self.reply(status, id, "");
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            reply.headers_mut().insert("x-not-executed", value("1"));
+        }
+        Some(reply)
+    }
+
     /// Answer that begins a stream.
     fn stream_head(&self, id: &str) -> Response<http::Body> {
         let mut reply = self.sealed(self.reply(StatusCode::OK, id, ""));
