--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! The promises, held against what callers and endpoints saw.
 
 mod notices;
+mod pushback;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -43,6 +44,15 @@
     pub at: Instant,
 }
 
+/// A request that an endpoint refused.
+#[derive(Clone, Debug)]
+pub(crate) struct Refused {
+    /// The request, which did not run.
+    pub ran: Ran,
+    /// Rest that the endpoint asked for, in seconds.
+    pub rest: Option<f64>,
+}
+
 /// What disturbs a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Disturbance {
@@ -74,6 +84,7 @@
 pub(crate) struct Seen {
     pub records: Vec<Record>,
     pub runs: Vec<Ran>,
+    pub refusals: Vec<Refused>,
     pub disturbed: Vec<Disturbed>,
     /// When keys were taken away, by their numbers.
     pub revoked: HashMap<u64, Instant>,
@@ -150,6 +161,7 @@
             }
         }
         broken.extend(notices::check(self));
+        broken.extend(pushback::check(self));
         broken
     }
 
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -141,6 +141,19 @@
                     endpoint.fall_silent(span);
                 }
             }
+            Fault::EndpointPushesBack {
+                endpoint,
+                rest,
+                span,
+            } => {
+                self.served[endpoint].push_back(rest);
+                let name = self.served[endpoint].calls.id().to_owned();
+                let ending = move |world: &mut Self| {
+                    world.end_pushback(&name);
+                    Ok(())
+                };
+                return Ok(Some((span, Box::new(ending))));
+            }
             Fault::EndpointSaysLeaving {
                 endpoint,
                 bad_kind,
@@ -155,6 +168,14 @@
         Ok(None)
     }
 
+    /// Lets an endpoint serve again that asked for rest, wherever it is now.
+    fn end_pushback(&self, calls: &str) {
+        let mut all = self.served.iter().chain(&self.gone);
+        if let Some(served) = all.find(|served| served.calls.id() == calls) {
+            served.set(Behaviour::Answer { status: 200 }, GOOD);
+        }
+    }
+
     /// Lets an endpoint say in its answers that it leaves, and another one take its place. Returns what
     /// changes its entry.
     fn say_leaving(
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 use pistachiochute_standins::platform::store::{Store, StoreListener};
 use pistachiochute_standins::relay::Relay;
 
-use crate::checks::{EVENTS, Ran, Seen, Verdict};
+use crate::checks::{EVENTS, Ran, Refused, Seen, Verdict};
 use crate::process::Host;
 use crate::schedule::draw;
 use crate::{crashes, load, schedule, versions};
@@ -140,6 +140,31 @@
         self.streams.set_behaviour(streams);
     }
 
+    /// Refuses what comes, and asks for rest.
+    fn push_back(&self, rest: Duration) {
+        let seconds = format!("{:.3}", rest.as_secs_f64());
+        for endpoint in self.both() {
+            endpoint.set_retry_after(Some(&seconds));
+        }
+        self.set(Behaviour::Refuse, Behaviour::Refuse);
+    }
+
+    /// Refusals in which the endpoint asked for rest, and those in which it did not.
+    fn refusals(&self) -> Vec<Refused> {
+        let refusals = self.both().into_iter().flat_map(|endpoint| {
+            let refused = |refusal: pistachiochute_standins::platform::endpoint::Refusal| Refused {
+                ran: Ran {
+                    id: refusal.id,
+                    endpoint: endpoint.id().to_owned(),
+                    at: refusal.at,
+                },
+                rest: refusal.retry_after.and_then(|text| text.parse().ok()),
+            };
+            endpoint.refusals().into_iter().map(refused)
+        });
+        refusals.collect()
+    }
+
     fn runs(&self) -> Vec<Ran> {
         let runs = self.both().into_iter().flat_map(|endpoint| {
             let ran = |run: pistachiochute_standins::platform::endpoint::Run| Ran {
@@ -256,6 +281,7 @@
         seen.records = self.callers.records();
         for served in self.served.iter().chain(&self.gone) {
             seen.runs.extend(served.runs());
+            seen.refusals.extend(served.refusals());
         }
         for relay in self.store_relays {
             relay.close();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -49,6 +49,18 @@
 /// stream without a head is sent elsewhere.
 const SILENCE_MS: Range<u64> = 800..1_100;
 
+/// Distinguishes the endpoints of a seed that ask for rest from its other steps.
+const PUSHBACK_SEED: u64 = 0x7075_7368;
+
+/// Pause between two endpoints that begin to refuse and ask for rest, in milliseconds.
+const PUSHBACK_PAUSE_MS: Range<u64> = 900..2_500;
+
+/// Time for which such an endpoint refuses, in milliseconds.
+const PUSHBACK_MS: Range<u64> = 100..1_500;
+
+/// Rest that it asks for, in milliseconds.
+const REST_MS: Range<u64> = 600..4_000;
+
 /// Number of ways in which an endpoint answers badly.
 const BAD_KINDS: u8 = 6;
 
@@ -117,6 +129,12 @@
     LimitsChanged { idle_timeout_ms: u64 },
     /// The endpoint sends nothing for a while and goes on.
     EndpointPauses { endpoint: usize, span: Duration },
+    /// The endpoint refuses what comes for a while, and asks each host that it refuses for rest.
+    EndpointPushesBack {
+        endpoint: usize,
+        rest: Duration,
+        span: Duration,
+    },
     /// The endpoint says in its answers, which may be bad ones, that it leaves, and another one takes
     /// its place. Its entry changes later.
     EndpointSaysLeaving {
@@ -163,6 +181,7 @@
     });
     steps.extend(planned_work(seed, places, length));
     steps.extend(leave_notices(seed, places, length));
+    steps.extend(pushbacks(seed, places, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -225,6 +244,20 @@
     })
 }
 
+/// Draws the endpoints that ask for rest.
+fn pushbacks(seed: u64, places: &Places, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PUSHBACK_SEED);
+    let mut endpoints = places.pausing_endpoints.clone().cycle();
+    let millis = |rng: &mut ChaCha8Rng, range| Duration::from_millis(rng.random_range(range));
+    series(&mut rng, PUSHBACK_PAUSE_MS, length, |rng| {
+        Fault::EndpointPushesBack {
+            endpoint: endpoints.next().expect("an endpoint that asks for rest"),
+            rest: millis(rng, REST_MS),
+            span: millis(rng, PUSHBACK_MS),
+        }
+    })
+}
+
 /// Draws a planned change of the configuration.
 fn change(rng: &mut ChaCha8Rng) -> Fault {
     let idle_timeout_ms = IDLE_TIMEOUTS_MS[rng.random_range(0..IDLE_TIMEOUTS_MS.len())];
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -61,6 +61,17 @@
     pub started_at: Instant,
 }
 
+/// A request that an endpoint refused.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Id of the request.
+    pub id: String,
+    /// Seconds that the answer named, after which the endpoint wants requests again, if it named any.
+    pub retry_after: Option<String>,
+    /// When the request was refused.
+    pub at: Instant,
+}
+
 /// A part of prompts that ends the process of an endpoint which begins to answer on it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashingPart {
@@ -150,6 +161,7 @@
     /// When the endpoint may send again.
     silent_until: Mutex<Instant>,
     runs: Mutex<Vec<Run>>,
+    refusals: Mutex<Vec<Refusal>>,
     /// Number of streams and hanging requests whose connection closed before their end.
     cancelled: watch::Sender<u64>,
 }
@@ -207,6 +219,7 @@
             arrivals: Mutex::default(),
             silent_until: Mutex::new(Instant::now()),
             runs: Mutex::default(),
+            refusals: Mutex::default(),
             cancelled: watch::Sender::new(0),
         });
         let server = http::Server::start_with_switch(handler.clone(), crashes)?;
@@ -311,6 +324,12 @@
         lock(&self.handler.runs).clone()
     }
 
+    /// Requests that the endpoint refused.
+    #[must_use]
+    pub fn refusals(&self) -> Vec<Refusal> {
+        lock(&self.handler.refusals).clone()
+    }
+
     /// Number of requests whose connection closed while they ran.
     #[must_use]
     pub fn cancelled(&self) -> u64 {
@@ -377,6 +396,9 @@
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
         lock(&self.arrivals).push(Instant::now());
+        let id = req.headers().get("x-request-id").cloned();
+        let id = id.and_then(|id| id.to_str().ok().map(str::to_owned));
+        let id = id.unwrap_or_default();
         let mut reply = self.clone().answer(req).await?;
         if let Some(limit) = &*lock(&self.limit) {
             reply.headers_mut().insert("server-limit", value(limit));
@@ -384,9 +406,17 @@
         if let Some(notice) = &*lock(&self.leave_notice) {
             reply.headers_mut().insert("server-leaving", value(notice));
         }
-        if let Some(seconds) = &*lock(&self.retry_after) {
+        let retry_after = lock(&self.retry_after).clone();
+        if let Some(seconds) = &retry_after {
             reply.headers_mut().insert("retry-after", value(seconds));
         }
+        if reply.headers().contains_key("x-not-executed") {
+            lock(&self.refusals).push(Refusal {
+                id,
+                retry_after,
+                at: Instant::now(),
+            });
+        }
         Some(reply)
     }
 }
