--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,12 +8,12 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::AttemptFailure;
-use pistachiochute_core::{admission, entity, health, outcome, rate_limits, time};
+use pistachiochute_core::{entity, health, outcome, time};
 use pistachiochute_runtime::clock;
 
+use crate::adapter;
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, endpoints, in_flight, pool, reply};
-use crate::{adapter, events};
+use crate::traffic::{Context, endpoints, in_flight, notices, pool, reply};
 
 /// Largest answer that is buffered until it is complete, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -295,13 +295,12 @@
     let answered = answered_request(&head, attempt.outgoing, &connection);
     let is_elsewhere = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if answered != AnsweredRequest::Unknown && !is_elsewhere {
-        record_leave_notice(cx, attempt.selected, head.leave_notice);
-        record_pushback(cx, attempt.selected, head.pushback);
+        notices::record(cx, attempt.selected, &head);
     }
     if answered != AnsweredRequest::Own {
         return failed(AttemptFailure::InvalidAnswer, "answer to another request");
     }
-    record_limit(cx, attempt.selected, head.limit, in_flight.started());
+    notices::record_limit(cx, attempt.selected, head.limit, in_flight.started());
     if is_elsewhere {
         return failed(
             AttemptFailure::EndpointReplaced,
@@ -380,82 +379,6 @@
     }
 }
 
-/// Records what an answer says of whether its endpoint leaves.
-fn record_leave_notice<D>(
-    cx: &Rc<Context<D>>,
-    selected: &endpoints::SelectedEndpoint,
-    notice: admission::LeaveNotice,
-) where
-    D: adapter::Dialect,
-{
-    let mut endpoints = cx.endpoints.borrow_mut();
-    if !endpoints.record_leave_notice(selected.choice.endpoint, notice, clock::now()) {
-        return;
-    }
-    let identity = &selected.endpoint.identity;
-    match notice {
-        admission::LeaveNotice::Absent => {}
-        admission::LeaveNotice::Leaving => {
-            cx.metrics.leave_notice();
-            cx.events
-                .endpoint_leaves(identity, &events::NoticeSource::Answer);
-            cx.pool.close_idle(identity);
-            cx.shared.announce_departure(identity, clock::now());
-        }
-        admission::LeaveNotice::Invalid => cx.events.leave_notice_invalid(identity),
-    }
-}
-
-/// Records that an answer asks this host to send its endpoint nothing for a while.
-fn record_pushback<D>(
-    cx: &Rc<Context<D>>,
-    selected: &endpoints::SelectedEndpoint,
-    pushback: Result<Option<admission::Pushback>, admission::ParsePushbackError>,
-) where
-    D: adapter::Dialect,
-{
-    let identity = &selected.endpoint.identity;
-    match pushback {
-        Ok(None) => {}
-        Ok(Some(pushback)) => {
-            cx.metrics.pushback();
-            cx.events.endpoint_pushback(identity, pushback);
-            let id = selected.choice.endpoint;
-            let mut endpoints = cx.endpoints.borrow_mut();
-            endpoints.record_pushback(id, pushback, clock::now());
-        }
-        Err(e) => cx.events.endpoint_pushback_invalid(identity, e),
-    }
-}
-
-/// Records the limit that an answer names, or that it names none.
-fn record_limit<D>(
-    cx: &Rc<Context<D>>,
-    selected: &endpoints::SelectedEndpoint,
-    limit: Option<Result<rate_limits::RequestRate, rate_limits::ParseRateError>>,
-    sent_at: time::Time,
-) where
-    D: adapter::Dialect,
-{
-    let identity = &selected.endpoint.identity;
-    let limit = match limit.transpose() {
-        Ok(limit) => limit,
-        Err(e) => return cx.events.endpoint_limit_invalid(identity, e),
-    };
-    // An answer without a limit may have been made before the endpoint named one, but not if its
-    // request was sent after that.
-    let at = match limit {
-        Some(_) => clock::now(),
-        None => sent_at,
-    };
-    let mut endpoints = cx.endpoints.borrow_mut();
-    let new = endpoints.record_limit(selected.choice.endpoint, limit, at);
-    if let Some(statement) = new {
-        cx.events.endpoint_limit(identity, limit);
-        cx.shared.local_limits.push(statement);
-    }
-}
-
 /// Reads the body of a complete answer.
 async fn read_answer<D>(
     mut parts: response::Parts,
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod event_stream;
 mod in_flight;
 mod listener;
+mod notices;
 mod plan;
 mod pool;
 mod reply;
