--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -94,13 +94,30 @@
     }
 }
 
-fn item_json(key: &str, item: &Item) -> Value {
+fn item_json(key: &str, item: &Item, shown: &Addresses) -> Value {
     json!({
-        "key": key, "value": BASE64.encode(&item.value), "revision": item.revision,
+        "key": key, "value": BASE64.encode(shown.replace_in(&item.value)), "revision": item.revision,
         "createdRev": item.created, "lease": item.lease,
     })
 }
 
+/// Addresses that a listener shows in place of others.
+#[derive(Debug, Default)]
+struct Addresses(Mutex<Vec<(SocketAddr, SocketAddr)>>);
+
+impl Addresses {
+    fn replace_in(&self, value: &[u8]) -> Vec<u8> {
+        let pairs = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Ok(text) = std::str::from_utf8(value) else {
+            return value.to_vec();
+        };
+        let replace = |text: String, (from, to): &(SocketAddr, SocketAddr)| {
+            text.replace(&format!("\"{from}\""), &format!("\"{to}\""))
+        };
+        pairs.iter().fold(text.to_owned(), replace).into_bytes()
+    }
+}
+
 /// Contents that all listeners serve. Leases do not expire; they end only when revoked.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -172,6 +189,7 @@
             store: self.clone(),
             mode: watch::Sender::new(Mode::Serving),
             cuts: watch::Sender::new(0),
+            shown: Addresses::default(),
         });
         let server = http::Server::start(handler.clone())?;
         Ok(StoreListener { server, handler })
@@ -215,6 +233,16 @@
         self.handler.mode.send_replace(mode);
     }
 
+    /// Shows another address in place of one, in all entries that are read later: a host that uses this
+    /// listener reaches an endpoint by a way of its own.
+    pub fn show_instead(&self, address: SocketAddr, shown: SocketAddr) {
+        let shown_addresses = &self.handler.shown.0;
+        let mut pairs = shown_addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        pairs.push((address, shown));
+    }
+
     /// Closes the listener and its connections, and ends its thread.
     pub fn close(self) {
         self.server.close();
@@ -227,6 +255,7 @@
     mode: watch::Sender<Mode>,
     /// Number of times that the calls in progress were cut.
     cuts: watch::Sender<u64>,
+    shown: Addresses,
 }
 
 impl http::Handler for Handler {
@@ -298,7 +327,7 @@
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix))
-            .map(|(key, item)| item_json(key, item))
+            .map(|(key, item)| item_json(key, item, &self.shown))
             .collect();
         ok(&json!({"items": items, "morePages": false, "asOf": state.revision}))
     }
@@ -337,7 +366,7 @@
             .iter()
             .filter(is_new)
             .map(|change| match &change.item {
-                Some(item) => item_json(&change.key, item),
+                Some(item) => item_json(&change.key, item, &self.shown),
                 None => json!({
                     "key": change.key, "revision": change.revision, "tombstone": true,
                 }),
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! It can partition the two, reset or delay their connections, and blackhole the established
 //! connections: their bytes are discarded while both sockets stay open, so that neither end is
-//! notified. New connections are not affected by a blackhole.
+//! notified. New connections are not affected by a blackhole. [`Relay::set_new`] says what becomes of
+//! these.
 
 use std::io::{Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -18,9 +19,47 @@
 /// Interval at which the listening socket is polled.
 const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Time after which a connection that is not answered shows that the queue of a listener is full.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Size of the buffer for one read, in bytes.
 const BUFFER_LEN: usize = 16 * 1024;
 
+/// What becomes of new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewConnections {
+    /// They are accepted.
+    Accepted,
+    /// They are refused.
+    Refused,
+    /// Nothing answers them.
+    Unanswered,
+}
+
+/// A socket that answers no new connection: its queue holds one that is never accepted.
+#[derive(Debug)]
+struct DeafListener {
+    _socket: socket2::Socket,
+    _queued: Vec<TcpStream>,
+}
+
+impl DeafListener {
+    fn bind(addr: SocketAddr) -> std::io::Result<Self> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(0)?;
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&addr, QUEUE_TIMEOUT) {
+            queued.push(stream);
+        }
+        Ok(Self {
+            _socket: socket,
+            _queued: queued,
+        })
+    }
+}
+
 /// A running relay.
 #[derive(Debug)]
 pub struct Relay {
@@ -34,8 +73,8 @@
 struct Shared {
     target: SocketAddr,
     closing: AtomicBool,
-    /// Whether connections are refused.
-    partitioned: AtomicBool,
+    /// What becomes of new connections, as the relay is to handle them, and as it does.
+    new: Mutex<[NewConnections; 2]>,
     /// Bytes forwarded, in both directions.
     bytes: AtomicU64,
     /// Delay before the bytes of each read are forwarded, in milliseconds.
@@ -72,12 +111,11 @@
     pub fn start(target: SocketAddr) -> eyre::Result<Self> {
         let port = port::ReservedPort::reserve()?;
         let addr = port.addr();
-        let listener = TcpListener::bind(addr).wrap_err("cannot bind the listener of the relay")?;
-        listener.set_nonblocking(true)?;
+        let listener = listen(addr).wrap_err("cannot bind the listener of the relay")?;
         let shared = Arc::new(Shared {
             target,
             closing: AtomicBool::new(false),
-            partitioned: AtomicBool::new(false),
+            new: Mutex::new([NewConnections::Accepted; 2]),
             bytes: AtomicU64::new(0),
             delay_ms: AtomicU64::new(0),
             connections: Mutex::default(),
@@ -109,15 +147,21 @@
 
     /// Closes all connections and refuses new ones.
     pub fn partition(&self) {
-        self.shared.partitioned.store(true, Ordering::Release);
-        self.wait_for_listener(false);
+        self.set_new(NewConnections::Refused);
         self.shared.close_connections();
     }
 
     /// Ends a partition: connections are accepted again.
     pub fn heal(&self) {
-        self.shared.partitioned.store(false, Ordering::Release);
-        self.wait_for_listener(true);
+        self.set_new(NewConnections::Accepted);
+    }
+
+    /// Says what becomes of new connections, and waits until it does. Established ones are not affected.
+    pub fn set_new(&self, new: NewConnections) {
+        sync::lock(&self.shared.new)[0] = new;
+        while sync::lock(&self.shared.new)[1] != new {
+            thread::sleep(ACCEPT_POLL_INTERVAL);
+        }
     }
 
     /// Discards all further bytes of the established connections, and keeps them open.
@@ -148,13 +192,6 @@
         self.shared.delay_ms.store(millis, Ordering::Relaxed);
     }
 
-    /// Waits until connections are accepted (`open`) or refused.
-    fn wait_for_listener(&self, open: bool) {
-        while TcpStream::connect(self.addr()).is_ok() != open {
-            thread::sleep(ACCEPT_POLL_INTERVAL);
-        }
-    }
-
     /// Closes all connections and ends the threads.
     pub fn close(self) {
         self.shared.closing.store(true, Ordering::Release);
@@ -165,21 +202,59 @@
     }
 }
 
+/// How a relay listens.
+#[derive(Debug)]
+enum Listening {
+    Open(TcpListener),
+    Closed,
+    /// Never read: it only holds the port.
+    Deaf {
+        _listener: DeafListener,
+    },
+}
+
+impl Listening {
+    fn start(new: NewConnections, addr: SocketAddr) -> std::io::Result<Self> {
+        Ok(match new {
+            NewConnections::Accepted => Self::Open(listen(addr)?),
+            NewConnections::Refused => Self::Closed,
+            NewConnections::Unanswered => Self::Deaf {
+                _listener: DeafListener::bind(addr)?,
+            },
+        })
+    }
+
+    fn accept(&self) -> Option<TcpStream> {
+        match self {
+            Self::Open(listener) => listener.accept().ok().map(|(socket, _)| socket),
+            Self::Closed | Self::Deaf { .. } => None,
+        }
+    }
+}
+
+/// Binds the listener of a relay.
+fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 impl Shared {
     fn accept(self: Arc<Self>, addr: SocketAddr, first: TcpListener) {
-        let mut listener = Some(first);
+        let mut listening = Listening::Open(first);
         while !self.closing.load(Ordering::Acquire) {
-            if self.partitioned.load(Ordering::Acquire) {
-                listener = None;
-            } else if listener.is_none() {
-                listener = TcpListener::bind(addr).ok();
-                listener
-                    .iter()
-                    .for_each(|listener| drop(listener.set_nonblocking(true)));
+            let [wanted, current] = *sync::lock(&self.new);
+            if wanted != current {
+                // The port is free for the next listener.
+                listening = Listening::Closed;
+                if let Ok(next) = Listening::start(wanted, addr) {
+                    listening = next;
+                    sync::lock(&self.new)[1] = wanted;
+                }
             }
-            match listener.as_ref().map(TcpListener::accept) {
-                Some(Ok((socket, _))) => self.connect(socket),
-                _ => thread::sleep(ACCEPT_POLL_INTERVAL),
+            match listening.accept() {
+                Some(socket) => self.connect(socket),
+                None => thread::sleep(ACCEPT_POLL_INTERVAL),
             }
         }
     }
