--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -14,9 +14,11 @@
 //! up to [`Settings::max_ejection`], and the first failure after that ejects it again. At most
 //! [`Settings::max_slow_share`] of the endpoints is ejected for slowness at once.
 //!
-//! [`reachability`] finds failure domains that a host cannot reach.
+//! [`reachability`] finds failure domains that a host cannot reach, and [`isolation`] services of which it
+//! reaches no endpoint.
 
 pub mod control_chart;
+pub mod isolation;
 mod machine;
 pub mod reachability;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choice;
 pub mod directory;
 pub mod entity;
+pub mod forwarding;
 pub mod health;
 pub mod journal;
 pub mod limits;
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -164,6 +164,12 @@
         self.attempts
     }
 
+    /// Number of attempts that may still reach an endpoint.
+    #[must_use]
+    pub const fn left(&self) -> u32 {
+        self.max_reached.saturating_sub(self.reached)
+    }
+
     /// Whether the request ran, joined over the attempts that have ended.
     #[must_use]
     pub const fn outcome(&self) -> outcome::Outcome {
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -8,12 +8,13 @@
 
 use pistachiochute_core::choice::load;
 use pistachiochute_core::{directory, revision, streams};
-use pistachiochute_messages::{codec, peer};
+use pistachiochute_messages::{codec, forwarded, peer};
 use pistachiochute_runtime::clock;
 
 use crate::control::links::apply_cached_parts;
 use crate::control::state::HostEntry;
 use crate::control::{Context, crash_evidence, departures, endpoint_limits, origins, sync};
+use crate::traffic::forwarding;
 use crate::{adapter, events, sockets};
 
 /// Accepts the links of other hosts.
@@ -42,6 +43,12 @@
     let mut connection = h2::server::handshake(stream).await?;
     while let Some(accepted) = connection.accept().await {
         let (req, mut respond) = accepted?;
+        if req.uri().path() == forwarded::PATH {
+            let body = req.into_body();
+            cx.shared
+                .hand_over(forwarding::IncomingRequest { body, respond });
+            continue;
+        }
         let features = peer::Feature::ALL.map(peer::Feature::as_str).join(",");
         let head = http::Response::builder().header(peer::FEATURES_HEADER, features);
         let answer = respond.send_response(head.body(())?, false)?;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -120,9 +120,24 @@
             leaving: self.directory.leaving().cloned().collect(),
             hosts: (self.hosts.live_count(now) as u32).max(1),
             host_hashes: self.live_host_hashes(now),
+            peers: self.live_peers_to_ask(now),
         }
     }
 
+    /// Live hosts that requests can be passed to.
+    fn live_peers_to_ask(&self, now: time::Time) -> Vec<Arc<shared::Peer>> {
+        let live = self
+            .hosts
+            .hosts()
+            .filter(|(name, _)| ***name != *self.name && self.hosts.is_live(name, now));
+        let peers = live.map(|(name, entry)| shared::Peer {
+            name: name.clone(),
+            hash: shared::host_hash(name),
+            links: entry.links,
+        });
+        peers.map(Arc::new).collect()
+    }
+
     /// Hashes of the names of live hosts, in their order.
     fn live_host_hashes(&self, now: time::Time) -> Vec<u64> {
         let live = self
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::health::isolation;
 use pistachiochute_core::{
     admission, catalog, choice, directory, outcome, quarantine, rate_limits, reason, revision,
     streams, time,
@@ -123,6 +124,8 @@
     pub reason: Option<reason::Refusal>,
     /// Whether an endpoint ran the request.
     pub outcome: outcome::Outcome,
+    /// Whether another host has passed the request on; that host logs it as well.
+    pub is_from_host: bool,
     /// Number of attempts before the answer began.
     pub attempts: u32,
     /// Endpoint of the last of these attempts, or empty if there was none.
@@ -326,6 +329,37 @@
         );
     }
 
+    /// No endpoint of a service can be reached from this host, or one can again.
+    pub fn service_reach_changed(&self, service: &str, change: isolation::Change) {
+        match change {
+            isolation::Change::Isolated => {
+                slog::warn!(self.log, "no endpoint reached"; "service" => service);
+            }
+            isolation::Change::Reached => {
+                slog::info!(self.log, "endpoints reached again"; "service" => service);
+            }
+        }
+    }
+
+    /// A request was passed to another host.
+    pub fn forwarded(&self, request: &[u8], host: &str, result: &str) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::info!(
+            self.log, "passed on";
+            "request" => %String::from_utf8_lossy(request), "to" => host, "result" => result,
+        );
+    }
+
+    /// A request that another host passed on cannot be read.
+    pub fn forwarded_request_invalid(&self, e: &eyre::Report) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::warn!(self.log, "forwarded request invalid"; "cause" => format!("{e:#}"));
+    }
+
     /// An endpoint names a limit, another one than before, or no longer any.
     pub fn endpoint_limit(
         &self,
@@ -424,7 +458,8 @@
             "request" => entry.request, "route" => entry.route, "account" => entry.account,
             "catalog" => entry.catalog.map(|v| v.0), "catalog_age_ms" => millis(entry.catalog_age),
             "status" => entry.status, "reason" => entry.reason.map(reason::Refusal::as_str),
-            "outcome" => entry.outcome.as_str(), "tries" => entry.attempts,
+            "outcome" => entry.outcome.as_str(), "from_host" => entry.is_from_host,
+            "tries" => entry.attempts,
             "endpoint" => entry.endpoint, "cost_ms" => entry.choice.map(|c| c.cost_ms),
             "read_tokens" => entry.choice.map(|c| c.read_tokens),
             "copy_tokens" => entry.choice.map(|c| c.copy_tokens),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by the control and the traffic thread of a host.
 
+use std::net;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use pistachiochute_messages::peer;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::traffic::forwarding;
+
 /// Time in which the control thread answers a query for the origin of a stream.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -19,6 +22,9 @@
 /// answered.
 const MAX_WAITING_QUERIES: usize = 4_096;
 
+/// Requests of other hosts that wait for the traffic thread. Those beyond are refused.
+const MAX_WAITING_FORWARDED: usize = 1_024;
+
 /// Crashes that wait for the control thread. Those beyond are not reported.
 const MAX_WAITING_CRASHES: usize = 1_024;
 
@@ -37,6 +43,19 @@
     pub hosts: u32,
     /// Hashes of the live hosts, sorted.
     pub host_hashes: Vec<u64>,
+    /// The live hosts but this one.
+    pub peers: Vec<Arc<Peer>>,
+}
+
+/// Another host that requests can be passed to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Name.
+    pub name: Arc<str>,
+    /// Hash of the name.
+    pub hash: u64,
+    /// Address that it accepts links on.
+    pub links: net::SocketAddr,
 }
 
 /// Hash of a host's name, the same on every host.
@@ -118,6 +137,9 @@
     verdicts: ArcSwap<quarantine::Verdicts>,
     /// Shared parts of prompts whose answers have gone on for this host.
     pub proven_prompts: SegQueue<quarantine::Parts>,
+    forwarded: mpsc::Sender<forwarding::IncomingRequest>,
+    /// Receiver of `forwarded`, until the traffic thread takes it.
+    forwarded_rx: Mutex<Option<mpsc::Receiver<forwarding::IncomingRequest>>>,
     observed_crashes: mpsc::Sender<ObservedCrash>,
     /// Receiver of `observed_crashes`, until the control thread takes it.
     observed_crashes_rx: Mutex<Option<mpsc::Receiver<ObservedCrash>>>,
@@ -134,6 +156,7 @@
     fn default() -> Self {
         let (origin_requests, origin_requests_rx) = mpsc::channel(MAX_WAITING_QUERIES);
         let (observed_crashes, observed_crashes_rx) = mpsc::channel(MAX_WAITING_CRASHES);
+        let (forwarded, forwarded_rx) = mpsc::channel(MAX_WAITING_FORWARDED);
         Self {
             view: ArcSwap::default(),
             remote_loads: ArcSwap::default(),
@@ -147,6 +170,8 @@
             local_departures: SegQueue::new(),
             verdicts: ArcSwap::default(),
             proven_prompts: SegQueue::new(),
+            forwarded,
+            forwarded_rx: Mutex::new(Some(forwarded_rx)),
             observed_crashes,
             observed_crashes_rx: Mutex::new(Some(observed_crashes_rx)),
             origin_requests,
@@ -211,6 +236,21 @@
         receiver.take()
     }
 
+    /// Hands a request of another host to the traffic thread. One that it cannot take is dropped, which
+    /// resets its stream before anything has run.
+    pub(crate) fn hand_over(&self, request: forwarding::IncomingRequest) {
+        drop(self.forwarded.try_send(request));
+    }
+
+    /// Requests of other hosts, for the traffic thread. `None` after the first call.
+    pub(crate) fn take_forwarded(&self) -> Option<mpsc::Receiver<forwarding::IncomingRequest>> {
+        let mut receiver = self
+            .forwarded_rx
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        receiver.take()
+    }
+
     /// Decisions on prompts with parts that crash endpoints.
     #[must_use]
     pub fn verdicts(&self) -> arc_swap::Guard<Arc<quarantine::Verdicts>> {
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,12 +8,13 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::AttemptFailure;
-use pistachiochute_core::{entity, health, outcome, time};
+use pistachiochute_core::{entity, health, outcome};
 use pistachiochute_runtime::clock;
 
 use crate::adapter;
+use crate::traffic::opened_stream::{EndpointStream, OpenedStream, StreamSource};
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, endpoints, in_flight, notices, pool, reply};
+use crate::traffic::{Context, endpoints, in_flight, isolation, notices, pool, reply};
 
 /// Largest answer that is buffered until it is complete, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -45,23 +46,6 @@
     pub body: Bytes,
 }
 
-/// A stream that an endpoint has started.
-pub(super) struct OpenedStream<D>
-where
-    D: adapter::Dialect,
-{
-    pub body: Incoming,
-    pub in_flight: in_flight::InFlightRequest<D>,
-    pub connection: pool::Connection,
-    pub idle_limit: Option<Duration>,
-    /// Whether the head says where the body ends. Otherwise it ends with the connection.
-    pub is_framed: bool,
-    /// When this endpoint sent the first event that the caller did not have.
-    pub first_event_at: Option<time::Time>,
-    /// Whether the answer has gone on long enough to clear its prompt.
-    pub has_gone_on: bool,
-}
-
 /// Result of an attempt.
 pub(super) enum AttemptResult<D>
 where
@@ -71,6 +55,8 @@
     Complete(CompleteAnswer),
     /// The head of a stream for the caller, and the source of its events.
     Stream(response::Parts, Box<OpenedStream<D>>),
+    /// The answer of another host that refuses the request, which has not run.
+    RefusedByHost(CompleteAnswer),
     /// No answer, or an answer with a server error.
     Failed {
         failure: AttemptFailure,
@@ -80,6 +66,21 @@
     },
 }
 
+impl<D> AttemptResult<D>
+where
+    D: adapter::Dialect,
+{
+    /// Short text for logs.
+    pub(super) fn summary(&self) -> String {
+        match self {
+            Self::Complete(answer) => format!("answer {}", answer.parts.status.as_u16()),
+            Self::Stream(..) => "stream".to_owned(),
+            Self::RefusedByHost(answer) => format!("refusal {}", answer.parts.status.as_u16()),
+            Self::Failed { failure, cause, .. } => format!("{}: {cause}", failure.as_str()),
+        }
+    }
+}
+
 /// Parameters of an attempt.
 pub(super) struct Attempt<'a> {
     pub plan: &'a Plan,
@@ -91,7 +92,7 @@
     pub stall_timeout: Option<Duration>,
 }
 
-fn failed<D, C>(failure: AttemptFailure, cause: C) -> AttemptResult<D>
+pub(super) fn failed<D, C>(failure: AttemptFailure, cause: C) -> AttemptResult<D>
 where
     D: adapter::Dialect,
     C: Into<String>,
@@ -111,22 +112,41 @@
     let now = clock::now();
     let remaining = attempt.plan.deadline.remaining(now).unwrap_or_default();
     let stall_timeout = attempt.stall_timeout.unwrap_or(Duration::MAX);
-    let result = match stall_timeout < remaining {
-        true => tokio::time::timeout(stall_timeout, send_request(cx, attempt)).await,
-        false => tokio::time::timeout(remaining + DEADLINE_GRACE, send_request(cx, attempt)).await,
+    let timeout = match stall_timeout < remaining {
+        true => stall_timeout,
+        false => remaining + DEADLINE_GRACE,
+    };
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout(timeout, send_request(cx, attempt)) => {
+            result.unwrap_or_else(|_| failed(AttemptFailure::Stalled, "no answer in time"))
+        }
+        () = loss_of_service(cx, attempt) => {
+            failed(AttemptFailure::Stalled, "no endpoint of the service is reached")
+        }
+        () = isolation::count_as_unanswered(cx, attempt.selected) => unreachable!("waits for ever"),
     };
-    let result = result.unwrap_or_else(|_| failed(AttemptFailure::Stalled, "no answer in time"));
     observe_health(cx, attempt, &result);
     result
 }
 
+/// Waits until no endpoint of the service can be reached, if the request can then be sent elsewhere.
+async fn loss_of_service<D>(cx: &Context<D>, attempt: &Attempt<'_>) {
+    match attempt.plan.route.kind.is_idempotent() {
+        true => cx.isolations.wait_for(&attempt.plan.service().name).await,
+        false => std::future::pending().await,
+    }
+}
+
 /// Reports the result of an attempt to the health checks.
 fn observe_health<D>(cx: &Rc<Context<D>>, attempt: &Attempt<'_>, result: &AttemptResult<D>)
 where
     D: adapter::Dialect,
 {
     let observation = match result {
-        AttemptResult::Complete(_) | AttemptResult::Stream(..) => health::Observation::Completed,
+        AttemptResult::Complete(_)
+        | AttemptResult::Stream(..)
+        | AttemptResult::RefusedByHost(_) => health::Observation::Completed,
         AttemptResult::Failed { failure, .. } => match failure {
             AttemptFailure::NotSent => health::Observation::ConnectFailed,
             AttemptFailure::EndpointReplaced => health::Observation::Replaced,
@@ -142,6 +162,12 @@
             | AttemptFailure::InvalidAnswer => return,
         },
     };
+    if matches!(
+        observation,
+        health::Observation::ConnectFailed | health::Observation::Stalled
+    ) {
+        isolation::record_failure(cx, attempt.selected);
+    }
     let now = clock::now();
     cx.endpoints
         .borrow_mut()
@@ -176,6 +202,9 @@
             return failed(AttemptFailure::NotSent, e.to_string());
         }
     };
+    if connection.is_new() {
+        isolation::record_connection(cx, &attempt.selected.endpoint.service);
+    }
     // Looked at here, after the last wait: the process may have been paused meanwhile.
     let Some(remaining) = plan.deadline.remaining(clock::now()) else {
         return failed(
@@ -285,6 +314,7 @@
     cx.endpoints
         .borrow_mut()
         .record_answer(attempt.selected.choice.endpoint, clock::now());
+    isolation::record_answer(cx, &attempt.selected.endpoint.service);
     let head = cx.dialect.response_metadata(&parts);
     if let Some(load) = head.load {
         let now = clock::now();
@@ -330,16 +360,14 @@
         head.idle_limit
     };
     if parts.status.is_success() && is_event_stream(&parts.headers) {
-        let opened = OpenedStream {
+        let source = StreamSource::Endpoint(EndpointStream {
             body,
             in_flight,
             connection,
             idle_limit,
             is_framed,
-            first_event_at: None,
-            has_gone_on: false,
-        };
-        return AttemptResult::Stream(parts, Box::new(opened));
+        });
+        return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
     }
     let result = read_answer(parts, body, connection, idle_limit).await;
     if let AttemptResult::Failed {
@@ -439,7 +467,7 @@
     framing.iter().any(|name| headers.contains_key(name))
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
+pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
     headers
         .get(header::CONTENT_TYPE)
         .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -8,11 +8,12 @@
 use pistachiochute_core::{admission, catalog, directory, outcome, reason, retry, streams, time};
 use pistachiochute_runtime::clock;
 
-use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer, OpenedStream};
+use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer};
 use crate::traffic::event_stream::{RequestState, TruncatedStream};
+use crate::traffic::opened_stream::OpenedStream;
 use crate::traffic::plan::Plan;
 use crate::traffic::report::Report;
-use crate::traffic::{Context, attempt, crash_watch, endpoints, reply, suspect_turns};
+use crate::traffic::{Context, attempt, crash_watch, endpoints, forwarding, reply, suspect_turns};
 use crate::{adapter, events, shared};
 
 /// Fraction of the target latency after which an idempotent call without an answer is sent to
@@ -66,6 +67,8 @@
 {
     Complete(CompleteAnswer),
     Stream(response::Parts, Box<OpenedStream<D>>),
+    /// The answer of another host that refuses the request, which has not run.
+    RefusedByHost(CompleteAnswer),
     Refused {
         reason: reason::Refusal,
         outcome: outcome::Outcome,
@@ -104,31 +107,32 @@
                 outcome,
             );
         }
-        let Some(selected) = select_endpoint(&cx, state, now) else {
-            let reason = no_endpoint_reason(&cx, state, report.as_deref_mut(), now);
-            return give_up(state, last_answer, reason, outcome);
-        };
-        state.tried.push(selected.choice.endpoint);
-        if let Some(report) = &mut report {
-            report.record_attempt(&selected);
-        }
-        let stall_timeout = stall_timeout(&cx, state);
-        let attempt = Attempt {
-            plan: &state.plan,
-            outgoing: &state.outgoing,
-            selected: &selected,
-            after_event,
-            stall_timeout,
+        let (result, selected) = match next_target(&cx, state, report.as_deref_mut(), now) {
+            Target::Endpoint(selected) => {
+                let report = report.as_deref_mut();
+                let result = attempt_at(&cx, state, &selected, after_event, report).await;
+                (result, Some(selected))
+            }
+            Target::Host => match forwarding::execute(state, after_event).await {
+                Some(result) => (result, None),
+                None => return give_up(state, last_answer, reason::Refusal::NoEndpoint, outcome),
+            },
+            Target::Nowhere(reason) => return give_up(state, last_answer, reason, outcome),
         };
-        let (failure, cause, answer) = match attempt::execute(&cx, &attempt).await {
+        let (failure, cause, answer) = match result {
             AttemptResult::Complete(answer) => {
-                crash_watch::record_proof(&cx, state.plan.keys.all());
+                if selected.is_some() {
+                    crash_watch::record_proof(&cx, state.plan.keys.all());
+                }
                 return FinalAnswer::Complete(answer);
             }
             AttemptResult::Stream(parts, opened) => {
-                record_origin(&cx, state, &selected);
+                if let Some(selected) = selected {
+                    record_origin(&cx, state, &selected);
+                }
                 return FinalAnswer::Stream(parts, opened);
             }
+            AttemptResult::RefusedByHost(answer) => return FinalAnswer::RefusedByHost(answer),
             AttemptResult::Failed {
                 failure,
                 cause,
@@ -140,15 +144,21 @@
             crash_watch::record_proof(&cx, state.plan.keys.all());
         }
         last_answer = answer.or(last_answer);
-        let next = match failure {
-            retry::AttemptFailure::ConnectionLost => {
+        let next = match (&selected, failure) {
+            (Some(selected), retry::AttemptFailure::ConnectionLost) => {
                 next_step_after_loss(&cx, state, &selected.endpoint.identity).await
             }
             _ => next_step(&cx, state, failure),
         };
-        log_attempt(&cx, state, &selected, (failure, &cause, next));
+        if let Some(selected) = &selected {
+            log_attempt(&cx, state, selected, (failure, &cause, next));
+        }
         match next {
             retry::Next::Retry(reason) => cx.metrics.retried(reason),
+            retry::Next::GiveUp {
+                reason: reason::Refusal::ConnectFailed,
+                outcome: outcome::Outcome::NotRun,
+            } if state.may_be_forwarded() => state.is_out_of_reach = true,
             retry::Next::GiveUp { reason, outcome } => {
                 return give_up(state, last_answer, reason, outcome);
             }
@@ -156,6 +166,65 @@
     }
 }
 
+/// Where the next attempt of a request goes.
+enum Target {
+    /// To an endpoint.
+    Endpoint(endpoints::SelectedEndpoint),
+    /// To another host, since this one reaches no endpoint.
+    Host,
+    /// Nowhere, for this reason.
+    Nowhere(reason::Refusal),
+}
+
+/// Selects where the next attempt goes.
+fn next_target<D>(
+    cx: &Rc<Context<D>>,
+    state: &RequestState<D>,
+    report: Option<&mut Report<D>>,
+    now: time::Time,
+) -> Target
+where
+    D: adapter::Dialect,
+{
+    let is_isolated = cx.isolations.is_isolated(&state.plan.service().name);
+    let reason = match is_isolated || state.is_out_of_reach {
+        true => reason::Refusal::NoEndpoint,
+        false => match select_endpoint(cx, state, now) {
+            Some(selected) => return Target::Endpoint(selected),
+            None => no_endpoint_reason(cx, state, report, now),
+        },
+    };
+    match reason {
+        reason::Refusal::NoEndpoint if state.may_be_forwarded() => Target::Host,
+        _ => Target::Nowhere(reason),
+    }
+}
+
+/// Sends a request to an endpoint.
+async fn attempt_at<D>(
+    cx: &Rc<Context<D>>,
+    state: &mut RequestState<D>,
+    selected: &endpoints::SelectedEndpoint,
+    after_event: Option<u64>,
+    report: Option<&mut Report<D>>,
+) -> AttemptResult<D>
+where
+    D: adapter::Dialect,
+{
+    state.tried.push(selected.choice.endpoint);
+    if let Some(report) = report {
+        report.record_attempt(selected);
+    }
+    let attempt = Attempt {
+        plan: &state.plan,
+        outgoing: &state.outgoing,
+        selected,
+        after_event,
+        stall_timeout: stall_timeout(cx, state),
+    };
+    attempt::execute(cx, &attempt).await
+}
+
 /// Waits for the turn of a request that may crash endpoints, before its first attempt.
 async fn wait_for_turn<D>(
     cx: &Rc<Context<D>>,
@@ -332,8 +401,8 @@
 pub(super) struct BrokenStream {
     /// Id of the last event that the caller has received.
     pub after_event: Option<u64>,
-    /// Endpoint that broke it off.
-    pub endpoint: Arc<directory::Endpoint>,
+    /// Endpoint that broke it off, unless it came through another host.
+    pub endpoint: Option<Arc<directory::Endpoint>>,
     /// Whether it went on for long enough to clear its prompt.
     pub has_gone_on: bool,
     /// Error text.
@@ -353,10 +422,11 @@
 {
     let cx = state.cx.clone();
     let after_event = broken.after_event;
-    let endpoint = &broken.endpoint.identity;
-    let next = match broken.has_gone_on {
-        true => next_step(&cx, &mut state, retry::AttemptFailure::ConnectionLost),
-        false => next_step_after_loss(&cx, &mut state, endpoint).await,
+    let next = match &broken.endpoint {
+        Some(endpoint) if !broken.has_gone_on => {
+            next_step_after_loss(&cx, &mut state, &endpoint.identity).await
+        }
+        _ => next_step(&cx, &mut state, retry::AttemptFailure::ConnectionLost),
     };
     match next {
         retry::Next::Retry(_) => {}
@@ -377,7 +447,7 @@
     cx.metrics.retried(reason::Retry::Resume);
     let result = match attempt_until_answer(&mut state, after_event, None).await {
         FinalAnswer::Stream(_, opened) => Ok(*opened),
-        FinalAnswer::Complete(_) => Err(TruncatedStream::new(
+        FinalAnswer::Complete(_) | FinalAnswer::RefusedByHost(_) => Err(TruncatedStream::new(
             "endpoint did not answer the resumption with a stream",
         )),
         FinalAnswer::Refused { reason, .. } => Err(TruncatedStream::new(reason.as_str())),
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -307,6 +307,11 @@
         })
     }
 
+    /// Number of endpoints of a service that take requests.
+    pub(super) fn service_size(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// Whether a service has an eligible endpoint.
     pub(super) fn has_eligible(&self, service: &str, eligibility: &Eligibility<'_>) -> bool {
         let ids = self.by_service.get(service);
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -3,18 +3,21 @@
 
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context as TaskContext, Poll, ready};
 
 use bytes::Bytes;
-use http_body::{Body as _, Frame};
-use pistachiochute_core::{entity, outcome, quarantine, retry, sse, streams};
+use http_body::Frame;
+use pistachiochute_core::forwarding as forwarding_core;
+use pistachiochute_core::{entity, quarantine, retry, sse, streams};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
 use crate::adapter;
-use crate::traffic::attempt::{OpenedStream, OutgoingRequest};
+use crate::traffic::attempt::OutgoingRequest;
+use crate::traffic::opened_stream::OpenedStream;
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, attempts, crash_watch, endpoints, in_flight, report};
+use crate::traffic::{Context, attempts, crash_watch, endpoints, forwarding, report};
 
 /// Error of a stream that ended early. The connection of the caller is closed, so that the answer
 /// does not look complete.
@@ -46,12 +49,23 @@
     pub stream: streams::StreamKey,
     /// Software version at which the stream goes on, or `None` while it has no event.
     pub version: Option<streams::VersionTag>,
+    /// Who sent the request to this host.
+    pub origin: forwarding::Origin,
+    /// Hosts that the request was passed to.
+    pub asked: SmallVec<[Arc<str>; forwarding_core::MAX_HOSTS_PER_REQUEST]>,
+    /// Whether no connection to any endpoint could be made for the request.
+    pub is_out_of_reach: bool,
 }
 
 impl<D> RequestState<D>
 where
     D: adapter::Dialect,
 {
+    /// Whether the request may be passed to another host. One that comes from another host may not.
+    pub(super) fn may_be_forwarded(&self) -> bool {
+        self.origin == forwarding::Origin::Caller
+    }
+
     /// Endpoints that the next attempt may be sent to.
     pub(super) fn eligibility(&self) -> endpoints::Eligibility<'_> {
         endpoints::Eligibility {
@@ -78,8 +92,8 @@
 where
     D: adapter::Dialect,
 {
-    /// An endpoint that sends events.
-    Endpoint(Box<OpenedStream<D>>),
+    /// An endpoint, or another host, that sends events.
+    Opened(Box<OpenedStream<D>>),
     /// No endpoint yet: the stream is being resumed.
     Resuming(ResumeFuture<D>),
     /// The stream has ended.
@@ -116,7 +130,7 @@
             .unwrap_or_default();
         Self {
             state: Some(state),
-            source: Source::Endpoint(opened),
+            source: Source::Opened(opened),
             splitter: sse::Splitter::resume_after(after_event),
             deadline: Box::pin(tokio::time::sleep(remaining)),
             report,
@@ -132,15 +146,15 @@
         loop {
             match &mut this.source {
                 Source::Done => return Poll::Ready(None),
-                Source::Endpoint(opened) => {
-                    let frame = match Pin::new(&mut opened.body).poll_frame(cx) {
-                        Poll::Ready(frame) => frame,
+                Source::Opened(opened) => {
+                    let data = match opened.poll_data(cx) {
+                        Poll::Ready(data) => data,
                         Poll::Pending => {
                             ready!(this.deadline.as_mut().poll(cx));
                             return Poll::Ready(Some(Err(this.fail("deadline"))));
                         }
                     };
-                    if let Some(result) = this.handle_frame(frame) {
+                    if let Some(result) = this.handle_data(data) {
                         return Poll::Ready(result);
                     }
                 }
@@ -151,7 +165,7 @@
                     };
                     this.state = Some(state);
                     match result {
-                        Ok(opened) => this.source = Source::Endpoint(Box::new(opened)),
+                        Ok(opened) => this.source = Source::Opened(Box::new(opened)),
                         Err(e) => return Poll::Ready(Some(Err(this.fail(&e.cause)))),
                     }
                 }
@@ -159,17 +173,14 @@
         }
     }
 
-    /// Handles a frame from the endpoint. Returns the item for the caller, if there is one.
-    fn handle_frame(
+    /// Handles bytes of the stream, or its end. Returns the item for the caller, if there is one.
+    fn handle_data(
         &mut self,
-        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        data: Option<Result<Bytes, String>>,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        match frame {
-            Some(Ok(frame)) => {
-                let data = frame.into_data().ok()?;
-                self.forward(&data)
-            }
-            Some(Err(e)) => self.resume_or_fail(&e.to_string()),
+        match data {
+            Some(Ok(data)) => self.forward(&data),
+            Some(Err(e)) => self.resume_or_fail(&e),
             None if !self.splitter.at_event_boundary() => {
                 self.resume_or_fail("ended within an event")
             }
@@ -187,7 +198,7 @@
     /// and the stream has no event.
     fn may_have_ended_early(&self) -> bool {
         let is_unframed = match &self.source {
-            Source::Endpoint(opened) => !opened.is_framed,
+            Source::Opened(opened) => opened.is_unframed(),
             Source::Resuming(_) | Source::Done => false,
         };
         is_unframed && self.splitter.last_id().is_none() && self.splitter.events() == 0
@@ -201,8 +212,8 @@
         if events.is_empty() {
             return None;
         }
-        if let Source::Endpoint(opened) = &mut self.source {
-            opened.in_flight.mark_prompt_read();
+        if let Source::Opened(opened) = &mut self.source {
+            opened.mark_prompt_read();
             let now = clock::now();
             let first = *opened.first_event_at.get_or_insert(now);
             if !opened.has_gone_on && now.since(first) >= quarantine::PROOF_AFTER {
@@ -220,17 +231,18 @@
         &mut self,
         cause: &str,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        if let Source::Endpoint(opened) = &self.source {
-            opened.in_flight.record_invalid_answer(clock::now());
+        if let Source::Opened(opened) = &self.source {
+            opened.record_invalid_answer();
         }
         self.resume_or_fail(cause)
     }
 
     /// Handles a complete end of the stream.
     fn finish(&mut self) {
-        if let Source::Endpoint(opened) = std::mem::replace(&mut self.source, Source::Done) {
-            opened.connection.release(opened.idle_limit);
-            if opened.first_event_at.is_some() && !opened.has_gone_on {
+        if let Source::Opened(opened) = std::mem::replace(&mut self.source, Source::Done) {
+            let is_proof = opened.first_event_at.is_some() && !opened.has_gone_on;
+            opened.release();
+            if is_proof {
                 self.clear_prompt();
             }
         }
@@ -268,28 +280,16 @@
         }
     }
 
-    /// Reports that the endpoint broke the stream off.
+    /// Reports that the stream was broken off.
     fn report_broken(&self, cause: &str) -> Option<attempts::BrokenStream> {
-        let (Source::Endpoint(opened), Some(state)) = (&self.source, &self.state) else {
+        let (Source::Opened(opened), Some(state)) = (&self.source, &self.state) else {
             return None;
         };
-        let in_flight = &opened.in_flight;
-        in_flight.record_lost_connection(clock::now());
-        let progress = match opened.first_event_at {
-            Some(_) => outcome::AnswerProgress::Begun,
-            None => outcome::AnswerProgress::NotBegun,
-        };
-        let has_gone_on = opened.has_gone_on;
-        let broken = in_flight::BrokenAnswer {
-            progress,
-            has_gone_on,
-            cause,
-        };
-        in_flight.report_broken_answer(&state.outgoing, state.plan.keys.all(), &broken);
+        opened.report_broken(state, cause);
         Some(attempts::BrokenStream {
             after_event: self.splitter.last_id(),
-            endpoint: in_flight.endpoint().clone(),
-            has_gone_on,
+            endpoint: opened.endpoint().cloned(),
+            has_gone_on: opened.has_gone_on,
             cause: cause.to_owned(),
         })
     }
--- /dev/null
+++ b/crates/gateway/src/traffic/forwarding/server.rs
@@ -0,0 +1,201 @@
+//! Serves requests that other hosts pass on.
+
+use std::future::poll_fn;
+use std::pin::pin;
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use eyre::WrapErr as _;
+use http::{HeaderName, HeaderValue, Request, Response, request};
+use http_body::Body as _;
+use pistachiochute_core::{outcome, reason};
+use pistachiochute_messages::{codec, forwarded};
+use pistachiochute_runtime::clock;
+use tokio::sync::mpsc;
+
+use crate::adapter;
+use crate::traffic::forwarding::{IncomingRequest, Origin, Terms};
+use crate::traffic::reply::{RefusalNote, ReplyBody};
+use crate::traffic::{Context, reply, serve as serving};
+
+/// Serves the requests of other hosts, until the control thread ends.
+pub(in crate::traffic) async fn serve<D>(
+    cx: Rc<Context<D>>,
+    mut requests: mpsc::Receiver<IncomingRequest>,
+) where
+    D: adapter::Dialect,
+{
+    while let Some(request) = requests.recv().await {
+        tokio::task::spawn_local(serve_one(cx.clone(), request));
+    }
+}
+
+async fn serve_one<D>(cx: Rc<Context<D>>, request: IncomingRequest)
+where
+    D: adapter::Dialect,
+{
+    let IncomingRequest { body, mut respond } = request;
+    let answer = tokio::select! {
+        answer = answer(&cx, body) => answer,
+        // The caller has left, or the other host.
+        _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
+    };
+    // The other host sees that the stream ends early, as does the caller.
+    drop(send(answer, respond).await);
+}
+
+/// Answers a request. One whose head cannot be read is answered as one that cannot be served.
+async fn answer<D>(cx: &Rc<Context<D>>, body: h2::RecvStream) -> Response<ReplyBody<D>>
+where
+    D: adapter::Dialect,
+{
+    let (head, body) = match receive(cx, body).await {
+        Ok(received) => received,
+        Err(e) => {
+            cx.events.forwarded_request_invalid(&e);
+            let outcome = outcome::Outcome::NotRun;
+            return reply::refusal(
+                reason::Refusal::NotReady,
+                outcome,
+                std::time::Duration::ZERO,
+            );
+        }
+    };
+    let terms = Terms {
+        deadline: clock::now() + std::time::Duration::from_millis(head.remaining_ms.into()),
+        attempts: head.attempts,
+        catalog: head.catalog,
+        after_event: head.after_event,
+    };
+    match parts(head) {
+        Ok(parts) => serving::serve_forwarded(cx, parts, body, Origin::Host(terms)).await,
+        Err(e) => {
+            cx.events.forwarded_request_invalid(&e);
+            let outcome = outcome::Outcome::NotRun;
+            reply::refusal(
+                reason::Refusal::BadRequest,
+                outcome,
+                std::time::Duration::ZERO,
+            )
+        }
+    }
+}
+
+/// Reads the head and the body of a request.
+async fn receive<D>(
+    cx: &Context<D>,
+    mut body: h2::RecvStream,
+) -> eyre::Result<(forwarded::Head, Bytes)>
+where
+    D: adapter::Dialect,
+{
+    let max = serving::max_body_bytes(&cx.shared.view());
+    let mut decoder = codec::Decoder::new();
+    let mut head: Option<forwarded::Head> = None;
+    let mut bytes = BytesMut::new();
+    while let Some(data) = body.data().await {
+        let data = data.wrap_err("body")?;
+        body.flow_control().release_capacity(data.len())?;
+        if head.is_some() {
+            bytes.extend_from_slice(&data);
+        } else {
+            decoder.extend(&data);
+            head = decoder.take().map_err(eyre::Report::from)?;
+            if head.is_some() {
+                bytes.extend_from_slice(&decoder.take_rest());
+            }
+        }
+        eyre::ensure!(bytes.len() <= max, "body exceeds {max} bytes");
+    }
+    let head = head.ok_or_else(|| eyre::eyre!("no head"))?;
+    Ok((head, bytes.freeze()))
+}
+
+/// Head of the caller's request.
+fn parts(head: forwarded::Head) -> eyre::Result<request::Parts> {
+    let mut req = Request::builder()
+        .method(head.method.as_str())
+        .uri(head.target)
+        .body(())
+        .wrap_err("head")?;
+    for (name, value) in head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).wrap_err("header name")?;
+        let value = HeaderValue::from_maybe_shared(value).wrap_err("header value")?;
+        req.headers_mut().append(name, value);
+    }
+    Ok(req.into_parts().0)
+}
+
+/// What an answer tells the other host.
+fn verdict<D>(answer: &Response<ReplyBody<D>>) -> forwarded::Verdict
+where
+    D: adapter::Dialect,
+{
+    let note = answer.extensions().get::<RefusalNote>();
+    match note {
+        Some(note) if note.outcome == outcome::Outcome::NotRun => match note.reason {
+            reason::Refusal::NoEndpoint
+            | reason::Refusal::ConnectFailed
+            | reason::Refusal::NotReady
+            | reason::Refusal::Draining => forwarded::Verdict::Unable,
+            _ => forwarded::Verdict::Refused,
+        },
+        _ => forwarded::Verdict::Answered,
+    }
+}
+
+/// Sends an answer. The stream ends early if the body does.
+async fn send<D>(
+    answer: Response<ReplyBody<D>>,
+    mut respond: h2::server::SendResponse<Bytes>,
+) -> eyre::Result<()>
+where
+    D: adapter::Dialect,
+{
+    let verdict = HeaderValue::from_static(verdict(&answer).as_str());
+    let (mut parts, body) = answer.into_parts();
+    reply::strip_connection_headers(&mut parts.headers);
+    parts.headers.insert(forwarded::VERDICT_HEADER, verdict);
+    let mut head = Response::builder().status(parts.status).body(())?;
+    *head.headers_mut() = parts.headers;
+    let mut body = pin!(body);
+    let mut tx = respond.send_response(head, body.is_end_stream())?;
+    if body.is_end_stream() {
+        return Ok(());
+    }
+    loop {
+        let frame = tokio::select! {
+            frame = poll_fn(|cx| body.as_mut().poll_frame(cx)) => frame,
+            _ = poll_fn(|cx| tx.poll_reset(cx)) => return Ok(()),
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    send_data(&mut tx, data).await?;
+                }
+            }
+            Some(Err(e)) => {
+                tx.send_reset(h2::Reason::INTERNAL_ERROR);
+                return Err(e.into());
+            }
+            None => {
+                tx.send_data(Bytes::new(), true)?;
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Sends bytes as the other host takes them.
+async fn send_data(tx: &mut h2::SendStream<Bytes>, mut data: Bytes) -> eyre::Result<()> {
+    while !data.is_empty() {
+        tx.reserve_capacity(data.len());
+        let capacity = poll_fn(|cx| tx.poll_capacity(cx)).await;
+        let Some(capacity) = capacity else {
+            eyre::bail!("the other host has closed the stream");
+        };
+        let next = data.split_to(capacity?.min(data.len()));
+        tx.send_data(next, false)?;
+    }
+    Ok(())
+}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,9 +9,12 @@
 mod crash_watch;
 mod endpoints;
 mod event_stream;
+pub(crate) mod forwarding;
 mod in_flight;
+mod isolation;
 mod listener;
 mod notices;
+mod opened_stream;
 mod plan;
 mod pool;
 mod reply;
@@ -36,11 +39,15 @@
 /// Context shared by the tasks of the traffic thread.
 struct Context<D> {
     dialect: D,
+    /// Failure domain of this host.
+    domain: String,
     shared: Arc<shared::Shared>,
     events: events::Events,
     metrics: metrics::Metrics,
     endpoints: RefCell<endpoints::EndpointTable>,
     pool: pool::Pool,
+    isolations: isolation::Isolations,
+    forwarder: forwarding::Forwarder,
     crash_watch: RefCell<crash_watch::CrashWatch>,
     suspect_turns: RefCell<suspect_turns::SuspectTurns>,
     /// Requests in progress.
@@ -76,6 +83,7 @@
     let budget: retry::FleetBudget = settings.retry;
     let cx = Rc::new(Context {
         dialect,
+        domain: settings.host.domain.clone(),
         shared,
         events,
         metrics,
@@ -85,6 +93,8 @@
             clock::now(),
         )),
         pool: pool::Pool::default(),
+        isolations: isolation::Isolations::default(),
+        forwarder: forwarding::Forwarder::default(),
         crash_watch: RefCell::default(),
         suspect_turns: RefCell::default(),
         active_requests: Cell::new(0),
@@ -94,6 +104,10 @@
     });
     tokio::task::spawn_local(listener::accept(cx.clone(), callers));
     tokio::task::spawn_local(publish_loads(cx.clone()));
+    tokio::task::spawn_local(isolation::probe(cx.clone()));
+    if let Some(requests) = cx.shared.take_forwarded() {
+        tokio::task::spawn_local(forwarding::serve(cx.clone(), requests));
+    }
     listener::shut_down(&cx, settings.stop_timeout).await;
     cx.active_requests.get()
 }
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -104,6 +104,13 @@
     outcome: outcome::Outcome,
 }
 
+/// Why an answer is a refusal of this host, kept beside it for a host that has passed the request on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RefusalNote {
+    pub reason: reason::Refusal,
+    pub outcome: outcome::Outcome,
+}
+
 /// Creates the answer to a request that was refused or that failed. `retry_after` is the delay after
 /// which the caller should retry, if it may help.
 pub(super) fn refusal<D>(
@@ -122,6 +129,8 @@
     let mut response = Response::new(full_body(Bytes::from(body)));
     let status = refusal_status(reason, outcome);
     *response.status_mut() = status;
+    let note = RefusalNote { reason, outcome };
+    response.extensions_mut().insert(note);
     let headers = response.headers_mut();
     headers.insert(
         header::CONTENT_TYPE,
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -29,6 +29,8 @@
     /// Time until an endpoint takes a request, if the request is refused because none does now.
     wait: Option<Duration>,
     outcome: outcome::Outcome,
+    /// Whether another host has passed the request on.
+    is_from_host: bool,
     attempts: u32,
     endpoint: String,
     choice: Option<choice::Choice>,
@@ -67,6 +69,7 @@
             reason: None,
             wait: None,
             outcome: outcome::Outcome::NotRun,
+            is_from_host: false,
             attempts: 0,
             endpoint: String::new(),
             choice: None,
@@ -106,6 +109,16 @@
         self.cx.metrics.refused(reason);
     }
 
+    /// Records that another host has passed the request on.
+    pub(super) const fn record_from_host(&mut self) {
+        self.is_from_host = true;
+    }
+
+    /// Records that another host refused the request.
+    pub(super) const fn record_refusal_of_host(&mut self, status: u16) {
+        self.status = status;
+    }
+
     /// Records after which time an endpoint takes a request.
     pub(super) const fn record_wait(&mut self, wait: Duration) {
         self.wait = Some(wait);
@@ -178,6 +191,7 @@
             status: self.status,
             reason: self.reason,
             outcome: self.outcome,
+            is_from_host: self.is_from_host,
             attempts: self.attempts,
             endpoint: &self.endpoint,
             choice: self.choice,
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -12,14 +12,14 @@
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
-use crate::adapter;
 use crate::shared::Phase;
 use crate::traffic::attempt::{CompleteAnswer, OutgoingRequest};
 use crate::traffic::event_stream::{EventStream, RequestState};
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::reply::ReplyBody;
 use crate::traffic::report::Report;
-use crate::traffic::{Context, attempts, connection, reply};
+use crate::traffic::{Context, attempts, connection, forwarding, reply};
+use crate::{adapter, shared};
 
 /// Largest request body while there is no catalog, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
@@ -57,10 +57,9 @@
 {
     let mut report = Report::new(&cx, connection, clock::now());
     let (head, body) = req.into_parts();
+    let origin = forwarding::Origin::Caller;
     let mut response = match receive(&cx, &mut report, &head, body).await {
-        Ok((plan, metadata, body)) => {
-            answer_request(&cx, report, plan, &metadata, head, body).await
-        }
+        Ok((admitted, body)) => answer_request(&cx, report, admitted, origin, head, body).await,
         Err(reason) => refuse(report, reason, outcome::Outcome::NotRun),
     };
     if cx.shared.phase() > Phase::Serving {
@@ -70,6 +69,43 @@
     Ok(response)
 }
 
+/// Serves a request that another host has passed on.
+pub(super) async fn serve_forwarded<D>(
+    cx: &Rc<Context<D>>,
+    head: request::Parts,
+    body: Bytes,
+    origin: forwarding::Origin,
+) -> Response<ReplyBody<D>>
+where
+    D: adapter::Dialect,
+{
+    let (number, connection) = cx.connections.add(clock::now());
+    let mut report = Report::new(cx, connection, clock::now());
+    report.record_from_host();
+    let response = match cx.shared.phase() > Phase::Serving {
+        true => refuse(report, reason::Refusal::Draining, outcome::Outcome::NotRun),
+        false => match admit(cx, &mut report, &head, &body, origin) {
+            Ok(admitted) => answer_request(cx, report, admitted, origin, head, body).await,
+            Err(reason) => refuse(report, reason, outcome::Outcome::NotRun),
+        },
+    };
+    cx.connections.remove(number);
+    response
+}
+
+/// Largest body of a request, in bytes.
+pub(super) fn max_body_bytes(view: &shared::View) -> usize {
+    view.catalog.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |c| {
+        c.content().limits.max_body_bytes
+    })
+}
+
+/// A request that is to be sent to endpoints.
+struct Admitted {
+    plan: Plan,
+    metadata: adapter::RequestMetadata,
+}
+
 /// Reads and routes a request. The body is read in any case, since closing a connection with unread
 /// bytes resets it, which may destroy the answer in transit.
 async fn receive<D>(
@@ -77,16 +113,12 @@
     report: &mut Report<D>,
     head: &request::Parts,
     body: Incoming,
-) -> Result<(Plan, adapter::RequestMetadata, Bytes), reason::Refusal>
+) -> Result<(Admitted, Bytes), reason::Refusal>
 where
     D: adapter::Dialect,
 {
     wait_for_first_state(cx).await;
-    let view = cx.shared.view().clone();
-    let max = view.catalog.as_ref().map_or(DEFAULT_MAX_BODY_BYTES, |c| {
-        c.content().limits.max_body_bytes
-    });
-    let reading = Limited::new(body, max).collect();
+    let reading = Limited::new(body, max_body_bytes(&cx.shared.view())).collect();
     let body = match tokio::time::timeout(BODY_TIMEOUT, reading).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
@@ -94,19 +126,65 @@
         }
         Ok(Err(_)) | Err(_) => return Err(reason::Refusal::BodyTruncated),
     };
-    let metadata = cx.dialect.request_metadata(head)?;
+    let admitted = admit(cx, report, head, &body, forwarding::Origin::Caller)?;
+    Ok((admitted, body))
+}
+
+/// Routes a request and decides whether it is sent to endpoints.
+fn admit<D>(
+    cx: &Rc<Context<D>>,
+    report: &mut Report<D>,
+    head: &request::Parts,
+    body: &[u8],
+    origin: forwarding::Origin,
+) -> Result<Admitted, reason::Refusal>
+where
+    D: adapter::Dialect,
+{
+    let view = cx.shared.view().clone();
+    let mut metadata = cx.dialect.request_metadata(head)?;
     report.set_id(&metadata.id);
-    let age = cx.shared.catalog_age(report.arrived());
-    let plan = plan(&view, age, head, &metadata, &body, report.arrived())?;
+    let arrived = report.arrived();
+    if let forwarding::Origin::Host(terms) = origin {
+        apply_terms(&view, &terms, &mut metadata, arrived)?;
+    }
+    let age = cx.shared.catalog_age(arrived);
+    let mut plan = plan(&view, age, head, &metadata, body, arrived)?;
+    if let forwarding::Origin::Host(terms) = origin {
+        plan.route.max_attempts = plan.route.max_attempts.min(terms.attempts);
+    }
     report.record_plan(&plan);
-    if !fits_before_stop(cx, &plan, report.arrived()) {
+    if !fits_before_stop(cx, &plan, arrived) {
         return Err(reason::Refusal::Draining);
     }
     let mut endpoints = cx.endpoints.borrow_mut();
-    endpoints.update(&view, report.arrived());
-    let service = plan.service().name.clone();
-    endpoints.budget(&service, view.hosts).deposit();
-    Ok((plan, metadata, body))
+    endpoints.update(&view, arrived);
+    // The host that took the request from its caller has counted it.
+    if origin == forwarding::Origin::Caller {
+        let service = plan.service().name.clone();
+        endpoints.budget(&service, view.hosts).deposit();
+    }
+    Ok(Admitted { plan, metadata })
+}
+
+/// Applies the terms of another host to a request.
+fn apply_terms(
+    view: &shared::View,
+    terms: &forwarding::Terms,
+    metadata: &mut adapter::RequestMetadata,
+    now: time::Time,
+) -> Result<(), reason::Refusal> {
+    let version = view.catalog.as_ref().map(|catalog| catalog.version());
+    // With an older catalog, this host would serve what the other one knows to be withdrawn.
+    if version < Some(terms.catalog) {
+        return Err(reason::Refusal::NotReady);
+    }
+    metadata.timeout = Some(terms.deadline.since(now));
+    if terms.after_event.is_some() {
+        metadata.after_event = terms.after_event;
+        metadata.resumes.get_or_insert_with(|| metadata.id.clone());
+    }
+    Ok(())
 }
 
 /// Waits until a host that has just started can serve, but not beyond [`STARTUP_DURATION`].
@@ -138,15 +216,15 @@
 async fn answer_request<D>(
     cx: &Rc<Context<D>>,
     mut report: Report<D>,
-    plan: Plan,
-    metadata: &adapter::RequestMetadata,
+    Admitted { plan, metadata }: Admitted,
+    origin: forwarding::Origin,
     head: request::Parts,
     body: Bytes,
 ) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
-    let stream = stream_key(metadata);
+    let stream = stream_key(&metadata);
     let version = match plan.route.kind.is_stream() && metadata.resumes_stream() {
         true => match attempts::resumed_version(&cx.shared, &plan, stream).await {
             Ok(version) => Some(version),
@@ -154,7 +232,7 @@
         },
         false => None,
     };
-    let outgoing = outgoing_request(head, body, metadata);
+    let outgoing = outgoing_request(head, body, &metadata);
     let attempts = retry::Attempts::new(plan.route.kind, plan.route.max_attempts);
     let mut state = Box::new(RequestState {
         cx: cx.clone(),
@@ -164,6 +242,9 @@
         tried: SmallVec::new(),
         stream: stream.unwrap_or_else(|| streams::StreamKey::of_request(&metadata.id)),
         version,
+        origin,
+        asked: SmallVec::new(),
+        is_out_of_reach: false,
     });
     let after_event = metadata.after_event;
     let answer = tokio::select! {
@@ -180,6 +261,7 @@
             let stream = EventStream::new(state, opened, after_event, report);
             response.map(|()| ReplyBody::Stream(Box::pin(stream)))
         }
+        attempts::FinalAnswer::RefusedByHost(answer) => pass_refusal(report, answer),
         attempts::FinalAnswer::Refused { reason, outcome } => refuse(report, reason, outcome),
     }
 }
@@ -257,6 +339,16 @@
     Response::from_parts(answer.parts, reply::full_body(answer.body))
 }
 
+/// Answer to a request that another host refuses.
+fn pass_refusal<D>(mut report: Report<D>, answer: CompleteAnswer) -> Response<ReplyBody<D>>
+where
+    D: adapter::Dialect,
+{
+    report.record_refusal_of_host(answer.parts.status.as_u16());
+    report.finish("refused by another host");
+    Response::from_parts(answer.parts, reply::full_body(answer.body))
+}
+
 fn refuse<D>(
     mut report: Report<D>,
     reason: reason::Refusal,
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -4,9 +4,10 @@
 //! [`forward::Forward`] frame followed by the caller's body, and the response body is a sequence of
 //! [`answer::Frame`](pistachiochute_core::answer::Frame)s. A [`control::Message`] is one stream
 //! with one frame in each direction. [`peer::Message`]s are frames on one long-lived stream in each
-//! direction.
+//! direction. A request that a host without endpoints passes on is described in [`forwarded`].
 
 pub mod codec;
 pub mod control;
 pub mod forward;
+pub mod forwarded;
 pub mod peer;
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -154,10 +154,8 @@
     requests: metrics::Counter<u64>,
     connections_closed: metrics::Counter<u64>,
     answers_broken: metrics::Counter<u64>,
-    leave_notices: metrics::Counter<u64>,
-    pushbacks: metrics::Counter<u64>,
-    endpoint_crashes: metrics::Counter<u64>,
-    accusations: metrics::Counter<u64>,
+    endpoint_news: EndpointNews,
+    requests_forwarded: metrics::Counter<u64>,
     in_flight: metrics::UpDownCounter<i64>,
     queued: metrics::UpDownCounter<i64>,
     first_token: metrics::Histogram<f64>,
@@ -169,6 +167,53 @@
     host_state: metrics::Gauge<u64>,
 }
 
+/// What this host learns of endpoints.
+#[derive(Clone)]
+struct EndpointNews {
+    leave_notices: metrics::Counter<u64>,
+    pushbacks: metrics::Counter<u64>,
+    crashes: metrics::Counter<u64>,
+    accusations: metrics::Counter<u64>,
+}
+
+impl EndpointNews {
+    fn new(meter: &metrics::Meter) -> Self {
+        Self {
+            leave_notices: counter(
+                meter,
+                "endpoint_leave_notices",
+                "Endpoints that said in an answer to this host that they leave",
+            ),
+            pushbacks: counter(
+                meter,
+                "endpoint_pushbacks",
+                "Answers in which an endpoint asked this host to send it nothing for a while",
+            ),
+            crashes: counter(
+                meter,
+                "endpoint_crashes",
+                "Crashes of endpoints that this host has verified",
+            ),
+            accusations: counter(
+                meter,
+                "prompt_parts_accused",
+                "Accusations of prompt parts that crash endpoints",
+            ),
+        }
+    }
+
+    /// Exports every counter, also one that has counted nothing.
+    fn init_to_zero(&self) {
+        let all = [
+            &self.leave_notices,
+            &self.pushbacks,
+            &self.crashes,
+            &self.accusations,
+        ];
+        all.iter().for_each(|counter| counter.add(0, &[]));
+    }
+}
+
 impl Metrics {
     /// Creates the instruments of one host.
     ///
@@ -198,25 +243,11 @@
                 "answers_broken",
                 "Answers that an endpoint broke off, by their progress",
             ),
-            leave_notices: counter(
+            endpoint_news: EndpointNews::new(&meter),
+            requests_forwarded: counter(
                 &meter,
-                "endpoint_leave_notices",
-                "Endpoints that said in an answer to this host that they leave",
-            ),
-            pushbacks: counter(
-                &meter,
-                "endpoint_pushbacks",
-                "Answers in which an endpoint asked this host to send it nothing for a while",
-            ),
-            endpoint_crashes: counter(
-                &meter,
-                "endpoint_crashes",
-                "Crashes of endpoints that this host has verified",
-            ),
-            accusations: counter(
-                &meter,
-                "prompt_parts_accused",
-                "Accusations of prompt parts that crash endpoints",
+                "requests_forwarded",
+                "Requests that this host passed to another one, since it reached no endpoint",
             ),
             in_flight: up_down_counter(
                 &meter,
@@ -293,22 +324,27 @@
 
     /// Counts an endpoint that said in an answer that it leaves.
     pub fn leave_notice(&self) {
-        self.leave_notices.add(1, &[]);
+        self.endpoint_news.leave_notices.add(1, &[]);
     }
 
     /// Counts an answer in which an endpoint asked this host to send it nothing for a while.
     pub fn pushback(&self) {
-        self.pushbacks.add(1, &[]);
+        self.endpoint_news.pushbacks.add(1, &[]);
+    }
+
+    /// Counts a request that is passed to another host.
+    pub fn request_forwarded(&self) {
+        self.requests_forwarded.add(1, &[]);
     }
 
     /// Counts a crash of an endpoint.
     pub fn endpoint_crashed(&self) {
-        self.endpoint_crashes.add(1, &[]);
+        self.endpoint_news.crashes.add(1, &[]);
     }
 
     /// Counts an accusation of prompt parts that crash endpoints.
     pub fn parts_accused(&self) {
-        self.accusations.add(1, &[]);
+        self.endpoint_news.accusations.add(1, &[]);
     }
 
     /// Counts a request that enters the queue of an endpoint.
@@ -419,10 +455,8 @@
         for call in StoreCall::ALL {
             self.store_calls.add(0, &[label("kind", call.as_str())]);
         }
-        self.leave_notices.add(0, &[]);
-        self.pushbacks.add(0, &[]);
-        self.endpoint_crashes.add(0, &[]);
-        self.accusations.add(0, &[]);
+        self.endpoint_news.init_to_zero();
+        self.requests_forwarded.add(0, &[]);
         for result in OriginResult::ALL {
             self.origin_queries
                 .add(0, &[label("result", result.as_str())]);
