Keep the origins of streams in the store while two versions serve

While a service has several versions, two hosts of a mesh, or the relays of each domain, write the new origins twice a second into a ring of entries under a lease; with one version nothing is written. A host that starts adopts them with its first read. An adopted origin counts if the endpoint's id has that version now, as any record does, or if the hosts before were certain of it and the endpoint is gone. An endpoint that has restarted meanwhile with another version makes it doubtful, and the stream is refused.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -195,6 +195,20 @@
         self.services.get(service).map_or(0, SmallVec::len)
     }
 
+    /// Versions of the services that have more than one. Endpoints whose version is not known count as
+    /// one.
+    #[must_use]
+    pub fn contested(&self) -> SmallVec<[VersionTag; 4]> {
+        let services = self.services.values().filter(|versions| versions.len() > 1);
+        services.flatten().filter_map(|v| v.version).collect()
+    }
+
+    /// Whether an endpoint id has been listed lately.
+    #[must_use]
+    pub fn knows(&self, endpoint: EndpointKey) -> bool {
+        self.incarnations.contains_key(&endpoint)
+    }
+
     /// Whether an origin that was recorded at `recorded_at` names the version that began the
     /// stream. It does if the endpoint's id has had no other version, or if the incarnation that
     /// the record means was alive after the stream began.
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -16,7 +16,7 @@
 
 pub use history::{MAX_GAP, MAX_REPORT_DELAY, VersionHistory};
 pub use keys::{EndpointKey, StreamKey, VersionTag};
-pub use origins::{MAX_STREAMS, Origin, Origins, StreamOrigin};
+pub use origins::{MAX_STREAMS, Origin, OriginRecord, Origins, StoredOrigin, StreamOrigin};
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,7 +40,8 @@
 
 /// Returns the version that began the stream, or `None` if it is not certain.
 ///
-/// The recorded origin counts if [`VersionHistory::is_certain`] confirms it. The only version that
+/// The recorded origin counts if [`VersionHistory::is_certain`] confirms it, or if the hosts before this
+/// one were certain of it and nothing is known of its endpoint since. The only version that
 /// the service has had during the span of the query counts if the stream has no record or the
 /// record names that version.
 #[must_use]
@@ -51,12 +52,14 @@
     now: time::Time,
 ) -> Option<VersionTag> {
     let record = query.stream.and_then(|stream| origins.get(stream));
-    let record = record.filter(|(_, recorded_at)| now.since(*recorded_at) < RETENTION);
+    let record = record.filter(|record| now.since(record.recorded_at) < RETENTION);
     let only_version = || history.only_version(&query.service, query.span, now);
-    let Some((origin, recorded_at)) = record else {
+    let Some(record) = record else {
         return only_version();
     };
-    if history.is_certain(origin, recorded_at) {
+    let origin = record.origin;
+    let was_certain = record.was_certain && !history.knows(origin.endpoint);
+    if was_certain || history.is_certain(origin, record.recorded_at) {
         return Some(origin.version);
     }
     if history.versions(&query.service) != 1 {
--- a/crates/core/src/streams/origins.rs
+++ b/crates/core/src/streams/origins.rs
@@ -26,11 +26,30 @@
     pub origin: Origin,
 }
 
+/// A stream and its origin, as hosts leave it in the store for those that come after them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StoredOrigin {
+    /// The stream.
+    pub stream: StreamOrigin,
+    /// Whether the origin was certain when it was stored.
+    pub was_certain: bool,
+}
+
+/// What is recorded of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OriginRecord {
+    /// Its origin.
+    pub origin: Origin,
+    /// When it was recorded. The stream began at that time or earlier.
+    pub recorded_at: time::Time,
+    /// Whether it comes from the store, and was certain when it was stored.
+    pub was_certain: bool,
+}
+
 /// One record of the table.
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    origin: Origin,
-    recorded_at: time::Time,
+    record: OriginRecord,
     /// Key of the record in [`Origins::order`].
     number: u64,
 }
@@ -54,27 +73,60 @@
     /// Records the origin of a stream that began now, or that another host reports now. Replaces an
     /// earlier record of the stream.
     pub fn record(&mut self, stream: StreamOrigin, now: time::Time) {
-        let number = self.next_number;
-        self.next_number += 1;
-        let record = Record {
+        let record = OriginRecord {
             origin: stream.origin,
             recorded_at: now,
-            number,
+            was_certain: false,
+        };
+        self.insert(stream.stream, record);
+    }
+
+    /// Records the origin of a stream that is read from the store now, unless hosts have recorded it.
+    pub fn record_stored(&mut self, stored: StoredOrigin, now: time::Time) {
+        if self.records.contains_key(&stored.stream.stream) {
+            return;
+        }
+        let record = OriginRecord {
+            origin: stored.stream.origin,
+            recorded_at: now,
+            was_certain: stored.was_certain,
         };
-        if let Some(replaced) = self.records.insert(stream.stream, record) {
+        self.insert(stored.stream.stream, record);
+    }
+
+    fn insert(&mut self, stream: StreamKey, record: OriginRecord) {
+        let number = self.next_number;
+        self.next_number += 1;
+        if let Some(replaced) = self.records.insert(stream, Record { record, number }) {
             self.order.remove(&replaced.number);
         }
-        self.order.insert(number, stream.stream);
+        self.order.insert(number, stream);
         if self.records.len() > MAX_STREAMS {
             self.remove_oldest();
         }
     }
 
-    /// Origin of a stream, and when it was recorded. The stream began at that time or earlier.
+    /// What is recorded of a stream.
     #[must_use]
-    pub fn get(&self, stream: StreamKey) -> Option<(Origin, time::Time)> {
-        let record = self.records.get(&stream)?;
-        Some((record.origin, record.recorded_at))
+    pub fn get(&self, stream: StreamKey) -> Option<OriginRecord> {
+        Some(self.records.get(&stream)?.record)
+    }
+
+    /// Streams from the record with a number on, with the number of each record and when it was made.
+    /// Numbers begin at 0 and grow with each record.
+    pub fn recorded_from(
+        &self,
+        number: u64,
+    ) -> impl Iterator<Item = (u64, StreamOrigin, time::Time)> + '_ {
+        let ordered = self.order.range(number..);
+        ordered.filter_map(|(number, stream)| {
+            let record = self.records.get(stream)?.record;
+            let stream = StreamOrigin {
+                stream: *stream,
+                origin: record.origin,
+            };
+            Some((*number, stream, record.recorded_at))
+        })
     }
 
     /// Drops the records that are older than [`RETENTION`].
@@ -99,7 +151,7 @@
     fn is_oldest_expired(&self, now: time::Time) -> bool {
         let oldest = self.order.first_key_value();
         let record = oldest.and_then(|(_, stream)| self.records.get(stream));
-        record.is_some_and(|r| now.since(r.recorded_at) >= RETENTION)
+        record.is_some_and(|r| now.since(r.record.recorded_at) >= RETENTION)
     }
 
     fn remove_oldest(&mut self) {
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -85,7 +85,8 @@
     host.record("s", origin("a", "1"), 1);
     host.record("s", origin("b", "2"), 2);
     let expected = Some((origin("b", "2"), secs(2)));
-    assert_eq!(host.origins.get(stream("s")), expected);
+    let record = host.origins.get(stream("s"));
+    assert_eq!(record.map(|r| (r.origin, r.recorded_at)), expected);
     assert_eq!(host.origins.len(), 1);
 }
 
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -83,15 +83,6 @@
     to_messages(&state.quarantine.state(), now)
 }
 
-/// Adopts the accusations that hosts have left in the store, from the first read of all entries. Later
-/// ones come from other hosts.
-pub(super) fn adopt_stored_once<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    if cx.accusations_adopted.replace(true) {
-        return;
-    }
-    adopt_stored(cx, entries);
-}
-
 /// Writes the accusations that are assigned to this host to the store.
 pub(super) async fn keep_stored<D, S>(cx: Rc<Context<D, S>>)
 where
@@ -137,7 +128,9 @@
     cx.store.put(&key, &value, lease).await
 }
 
-fn adopt_stored<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+/// Adopts the accusations that hosts have left in the store, from the first read of all entries. Later
+/// ones come from other hosts.
+pub(super) fn adopt_stored<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
     let now = clock::now();
     let mut update = quarantine::Update::default();
     let prefix = ACCUSATIONS_PREFIX.as_bytes();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`sync`] reads and watches the entries of the store, and [`host_registry`] registers this host
 //! there. [`links`] exchanges changes with other hosts, so that a host that cannot reach the store
-//! gets them from those that can. [`origins`] knows which software version began a stream.
+//! gets them from those that can. [`origins`] knows which software version began a stream, and
+//! [`stored_origins`] keeps that in the store while it matters.
 //! [`crash_evidence`] exchanges evidence about prompt parts that crash endpoints,
 //! [`endpoint_limits`] the limits that endpoints name, and [`departures`] which endpoints say that they
 //! leave. [`cache_recovery`] queries the caches of
@@ -18,6 +19,7 @@
 mod metered_store;
 mod origins;
 mod state;
+mod stored_origins;
 mod sync;
 #[cfg(test)]
 mod tests;
@@ -69,8 +71,8 @@
     registration: RefCell<registration::Registration>,
     /// Wakes the registration when the store has been read for the first time.
     first_read: Notify,
-    /// Whether the accusations of the store were adopted.
-    accusations_adopted: Cell<bool>,
+    /// Whether what earlier hosts have left in the store was adopted.
+    legacy_adopted: Cell<bool>,
     /// When this host started.
     started: time::Time,
     /// Longest uptime that another host stated when it opened its link.
@@ -110,7 +112,7 @@
         store_failures: Cell::new(0),
         registration: RefCell::new(registration::Registration::new(lease)),
         first_read: Notify::new(),
-        accusations_adopted: Cell::new(false),
+        legacy_adopted: Cell::new(false),
         started: clock::now(),
         max_peer_uptime: Cell::new(Duration::ZERO),
     });
@@ -121,6 +123,7 @@
     tokio::task::spawn_local(links::maintain_links(cx.clone()));
     tokio::task::spawn_local(origins::share_origins(cx.clone()));
     tokio::task::spawn_local(origins::answer_requests(cx.clone()));
+    tokio::task::spawn_local(stored_origins::keep_stored(cx.clone()));
     tokio::task::spawn_local(crash_evidence::record_crashes(cx.clone()));
     tokio::task::spawn_local(crash_evidence::keep_stored(cx.clone()));
     if !cx.settings.is_first_start {
--- /dev/null
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -0,0 +1,180 @@
+//! Keeps the origins of streams in the store while a service has several software versions, so that
+//! streams go on after all hosts were lost at once.
+//!
+//! Two hosts that have the origins of a whole mesh, or the relays of a domain, write what is new twice a
+//! second. The entries of a host are a ring: the oldest is replaced. With one version nothing is written.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::membership::overlay::Role;
+use pistachiochute_core::{routing, streams, time};
+use pistachiochute_messages::codec;
+use pistachiochute_runtime::clock;
+use pistachiochute_runtime::platform::key_value;
+
+use crate::adapter;
+use crate::control::Context;
+use crate::control::state::State;
+use crate::shared;
+
+/// Key prefix of the entries.
+const ORIGINS_PREFIX: &str = "streams/";
+
+/// Interval at which new origins are written.
+const STORE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Entries of one host. With one in each interval they cover [`streams::RETENTION`].
+const SLOTS: u32 = 128;
+
+/// Most origins in one entry. More are written in the following intervals.
+const MAX_ORIGINS_PER_ENTRY: usize = 4_096;
+
+/// Hosts of a mesh that write, so that one may be cut off from the store.
+const WRITERS: usize = 2;
+
+/// Hash by which the writers of a mesh are chosen.
+const WRITERS_TASK: u64 = 0x7374_7265_616d;
+
+/// Time to live of the lease of the entries.
+const LEASE: Duration = Duration::from_secs(120);
+
+/// Time after which entries get another lease, so that each lives for [`streams::RETENTION`] at least.
+const LEASE_RENEWAL: Duration = Duration::from_secs(60);
+
+/// Lease under which this host writes now.
+#[derive(Clone, Copy)]
+struct Lease {
+    id: key_value::LeaseId,
+    granted_at: time::Time,
+}
+
+/// Writes new origins while they matter, and this host is to write them.
+pub(super) async fn keep_stored<D, S>(cx: Rc<Context<D, S>>)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let mut lease: Option<Lease> = None;
+    let mut written: u64 = 0;
+    let mut slot: u32 = 0;
+    loop {
+        tokio::time::sleep(STORE_INTERVAL).await;
+        let batch = next_batch(&cx.state.borrow(), written, clock::now());
+        if batch.origins.is_empty() {
+            written = batch.next;
+            continue;
+        }
+        // A call that fails is repeated after the next interval.
+        if write(&cx, &mut lease, slot, &batch.origins).await.is_ok() {
+            written = batch.next;
+            slot = (slot + 1) % SLOTS;
+        }
+    }
+}
+
+/// Origins to write, and the number from which on the next ones are new.
+struct Batch {
+    origins: Vec<streams::StoredOrigin>,
+    next: u64,
+}
+
+/// Origins of services with several versions that were recorded after the first `written` ones.
+fn next_batch(state: &State, written: u64, now: time::Time) -> Batch {
+    let contested = state.versions.contested();
+    if contested.is_empty() || !is_writer(state, now) {
+        // What is recorded meanwhile is written once it matters.
+        return Batch {
+            origins: Vec::new(),
+            next: written,
+        };
+    }
+    let mut next = written;
+    let mut origins = Vec::new();
+    for (number, stream, recorded_at) in state.origins.recorded_from(written) {
+        if origins.len() >= MAX_ORIGINS_PER_ENTRY {
+            break;
+        }
+        next = number + 1;
+        if contested.contains(&stream.origin.version) {
+            origins.push(streams::StoredOrigin {
+                stream,
+                was_certain: state.versions.is_certain(stream.origin, recorded_at),
+            });
+        }
+    }
+    Batch { origins, next }
+}
+
+/// Whether this host writes. Members of a domain with relays do not: their relays have all they know.
+fn is_writer(state: &State, now: time::Time) -> bool {
+    match state.overlay.role {
+        Role::Relay => true,
+        Role::Member => false,
+        Role::Mesh => {
+            let score = |name: &str| {
+                routing::rendezvous::score(WRITERS_TASK, shared::host_hash(name) as u32)
+            };
+            let own = score(&state.name);
+            let live = state.hosts.hosts().map(|(name, _)| name);
+            let live = live.filter(|name| state.hosts.is_live(name, now));
+            live.filter(|name: &&Arc<str>| score(name) > own).count() < WRITERS
+        }
+    }
+}
+
+async fn write<D, S>(
+    cx: &Context<D, S>,
+    lease: &mut Option<Lease>,
+    slot: u32,
+    origins: &[streams::StoredOrigin],
+) -> Result<(), key_value::Error>
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let now = clock::now();
+    let current = lease.filter(|lease| now.since(lease.granted_at) < LEASE_RENEWAL);
+    let current = match current {
+        Some(current) => current,
+        None => Lease {
+            id: cx.store.grant(LEASE).await?,
+            granted_at: now,
+        },
+    };
+    *lease = Some(current);
+    let key = format!("{ORIGINS_PREFIX}{}/{slot}", cx.settings.host.name);
+    let value = codec::encode(&origins).expect("a bounded list of numbers");
+    let result = cx.store.put(&key, &value, current.id).await;
+    if result.is_err() {
+        // The store may have lost the lease.
+        *lease = None;
+    }
+    result
+}
+
+/// Adopts the origins that hosts have left in the store, from the first read of all entries. Later ones
+/// come from other hosts.
+pub(super) fn adopt<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    let prefix = ORIGINS_PREFIX.as_bytes();
+    let now = clock::now();
+    let mut count = 0;
+    for entry in entries.iter().filter(|e| e.key.starts_with(prefix)) {
+        match codec::decode_frame::<Vec<streams::StoredOrigin>>(&entry.value) {
+            Ok(origins) => {
+                count += origins.len();
+                let mut state = cx.state.borrow_mut();
+                for origin in origins {
+                    state.origins.record_stored(origin, now);
+                }
+            }
+            Err(e) => cx
+                .events
+                .entry_invalid(&entry.key, entry.modified, &e.into()),
+        }
+    }
+    if count > 0 {
+        cx.events.origins_adopted(count);
+    }
+}
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -11,7 +11,7 @@
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
-use crate::control::{Context, crash_evidence, host_registry};
+use crate::control::{Context, crash_evidence, host_registry, stored_origins};
 use crate::{adapter, events};
 
 /// Key prefix of all entries.
@@ -153,7 +153,10 @@
     cx.confirm_endpoints();
     host_registry::replace_hosts(cx, &found.entries);
     host_registry::begin_registration(cx, &found.entries);
-    crash_evidence::adopt_stored_once(cx, &found.entries);
+    if !cx.legacy_adopted.replace(true) {
+        crash_evidence::adopt_stored(cx, &found.entries);
+        stored_origins::adopt(cx, &found.entries);
+    }
     Ok(Progress {
         after: found.revision,
         known_at: requested_at,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -341,6 +341,11 @@
         }
     }
 
+    /// The origins of streams were read that earlier hosts have left in the store.
+    pub fn origins_adopted(&self, count: usize) {
+        slog::info!(self.log, "stream origins adopted"; "streams" => count);
+    }
+
     /// A request was passed to another host.
     pub fn forwarded(&self, request: &[u8], host: &str, result: &str) {
         if !self.allow_line(clock::now()) {
