Write origins of streams more often, and keep the only version of a service

And a service that has had one version throughout needs no record of its streams, but hosts that started after all were killed did not know that and refused them for the timeout of the route. An entry now says which services have one version; it counts as long as no other is listed.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -1,6 +1,6 @@
 //! Versions that endpoint ids and services have had lately.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,6 +84,9 @@
     last_listed: time::Time,
 }
 
+/// Services with one software version, and the version.
+pub type OnlyVersions = BTreeMap<Arc<str>, VersionTag>;
+
 /// Time that the confirmations of the list of endpoints cover.
 #[derive(Debug)]
 struct Coverage {
@@ -128,6 +131,8 @@
     incarnations: HashMap<EndpointKey, SmallVec<[Incarnation; 1]>>,
     services: HashMap<Arc<str>, SmallVec<[ServiceVersion; 1]>>,
     coverage: Coverage,
+    /// Only versions of services before this host started.
+    adopted: OnlyVersions,
 }
 
 impl VersionHistory {
@@ -139,6 +144,7 @@
             incarnations: HashMap::new(),
             services: HashMap::new(),
             coverage: Coverage::new(is_complete, now),
+            adopted: OnlyVersions::new(),
         }
     }
 
@@ -195,12 +201,32 @@
         self.services.get(service).map_or(0, SmallVec::len)
     }
 
-    /// Versions of the services that have more than one. Endpoints whose version is not known count as
-    /// one.
+    /// Versions of the services that have had more than one in the last `span`. Endpoints whose version
+    /// is not known count as one.
     #[must_use]
-    pub fn contested(&self) -> SmallVec<[VersionTag; 4]> {
-        let services = self.services.values().filter(|versions| versions.len() > 1);
-        services.flatten().filter_map(|v| v.version).collect()
+    pub fn contested(&self, span: Duration, now: time::Time) -> SmallVec<[VersionTag; 4]> {
+        let services = self.services.values();
+        let contested = services.filter(|versions| in_span(versions, span, now).count() > 1);
+        contested.flatten().filter_map(|v| v.version).collect()
+    }
+
+    /// Services that have had one version in the last `span`, with it.
+    #[must_use]
+    pub fn only_versions(&self, span: Duration, now: time::Time) -> OnlyVersions {
+        let only = |(service, versions): (&Arc<str>, &SmallVec<[ServiceVersion; 1]>)| {
+            let mut versions = in_span(versions, span, now);
+            match (versions.next(), versions.next()) {
+                (Some(only), None) => Some((service.clone(), only.version?)),
+                _ => None,
+            }
+        };
+        self.services.iter().filter_map(only).collect()
+    }
+
+    /// Adopts what the hosts before this one knew of services with one version. It holds for a service
+    /// as long as no other version is listed.
+    pub fn adopt(&mut self, only_versions: OnlyVersions) {
+        self.adopted = only_versions;
     }
 
     /// Whether an endpoint id has been listed lately.
@@ -239,16 +265,17 @@
         span: Duration,
         now: time::Time,
     ) -> Option<VersionTag> {
-        if span > RETENTION || !self.coverage.covers(span, now) {
+        if span > RETENTION {
             return None;
         }
-        let is_in_span = |v: &&ServiceVersion| now.since(v.last_listed) <= span + MAX_GAP;
-        let mut versions = self.services.get(service)?.iter().filter(is_in_span);
-        let only = versions.next()?;
-        match versions.next() {
-            None => only.version,
-            Some(_) => None,
+        let versions = self.services.get(service)?;
+        let mut in_span = in_span(versions, span + MAX_GAP, now);
+        let only = in_span.next()?.version?;
+        if in_span.next().is_some() {
+            return None;
         }
+        let was_only = self.adopted.get(service) == Some(&only) && versions.len() == 1;
+        (was_only || self.coverage.covers(span, now)).then_some(only)
     }
 
     fn list(&mut self, endpoint: &directory::Endpoint, now: time::Time) -> &mut Incarnation {
@@ -286,6 +313,17 @@
     }
 }
 
+/// Versions that were listed in the last `span`.
+fn in_span(
+    versions: &[ServiceVersion],
+    span: Duration,
+    now: time::Time,
+) -> impl Iterator<Item = &ServiceVersion> {
+    versions
+        .iter()
+        .filter(move |v| now.since(v.last_listed) <= span)
+}
+
 fn tag(endpoint: &directory::Endpoint) -> Option<VersionTag> {
     let version = endpoint.version.as_ref()?;
     Some(VersionTag::new(&endpoint.service, version))
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -1,8 +1,9 @@
 //! Keeps the origins of streams in the store while a service has several software versions, so that
 //! streams go on after all hosts were lost at once.
 //!
-//! Two hosts that have the origins of a whole mesh, or the relays of a domain, write what is new twice a
-//! second. The entries of a host are a ring: the oldest is replaced. With one version nothing is written.
+//! Two hosts that have the origins of a whole mesh, or the relays of a domain, write what is new several
+//! times a second. The entries of a host are a ring: the oldest is replaced. While each service has one
+//! version, an entry says which, and nothing else is written.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,12 +23,19 @@
 /// Key prefix of the entries.
 const ORIGINS_PREFIX: &str = "streams/";
 
-/// Interval at which new origins are written.
-const STORE_INTERVAL: Duration = Duration::from_millis(500);
+/// Key of the entry with the services that have one version.
+const ONLY_VERSIONS_KEY: &str = "stream-versions";
 
-/// Entries of one host. With one in each interval they cover [`streams::RETENTION`].
+/// Interval at which new origins are written. Streams that began in the last one before all hosts are
+/// lost are not taken up.
+const STORE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Entries of one host. With one in each interval they cover the time that a stream may last.
 const SLOTS: u32 = 128;
 
+/// Time for which a version counts after its last endpoint was listed: longer than most streams last.
+const CONTESTED_SPAN: Duration = Duration::from_secs(20);
+
 /// Most origins in one entry. More are written in the following intervals.
 const MAX_ORIGINS_PER_ENTRY: usize = 4_096;
 
@@ -37,7 +45,10 @@
 /// Hash by which the writers of a mesh are chosen.
 const WRITERS_TASK: u64 = 0x7374_7265_616d;
 
-/// Time to live of the lease of the entries.
+/// Lease of an entry that stays.
+const NO_LEASE: key_value::LeaseId = key_value::LeaseId(0);
+
+/// Time to live of the lease of the entries with origins.
 const LEASE: Duration = Duration::from_secs(120);
 
 /// Time after which entries get another lease, so that each lives for [`streams::RETENTION`] at least.
@@ -59,8 +70,10 @@
     let mut lease: Option<Lease> = None;
     let mut written: u64 = 0;
     let mut slot: u32 = 0;
+    let mut only_versions = None;
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
+        write_only_versions(&cx, &mut only_versions).await;
         let batch = next_batch(&cx.state.borrow(), written, clock::now());
         if batch.origins.is_empty() {
             written = batch.next;
@@ -74,6 +87,29 @@
     }
 }
 
+/// Writes which services have one version, if that has changed.
+async fn write_only_versions<D, S>(cx: &Context<D, S>, written: &mut Option<streams::OnlyVersions>)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let now = clock::now();
+    let current = {
+        let state = cx.state.borrow();
+        if !is_writer(&state, now) {
+            return;
+        }
+        state.versions.only_versions(CONTESTED_SPAN, now)
+    };
+    if current.is_empty() || written.as_ref() == Some(&current) {
+        return;
+    }
+    let value = serde_json::to_vec(&current).expect("names and numbers are valid JSON");
+    let result = cx.store.put(ONLY_VERSIONS_KEY, &value, NO_LEASE).await;
+    // A call that fails is repeated after the next interval.
+    *written = result.is_ok().then_some(current);
+}
+
 /// Origins to write, and the number from which on the next ones are new.
 struct Batch {
     origins: Vec<streams::StoredOrigin>,
@@ -82,7 +118,7 @@
 
 /// Origins of services with several versions that were recorded after the first `written` ones.
 fn next_batch(state: &State, written: u64, now: time::Time) -> Batch {
-    let contested = state.versions.contested();
+    let contested = state.versions.contested(CONTESTED_SPAN, now);
     if contested.is_empty() || !is_writer(state, now) {
         // What is recorded meanwhile is written once it matters.
         return Batch {
@@ -157,6 +193,7 @@
 /// Adopts the origins that hosts have left in the store, from the first read of all entries. Later ones
 /// come from other hosts.
 pub(super) fn adopt<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    adopt_only_versions(cx, entries);
     let prefix = ORIGINS_PREFIX.as_bytes();
     let now = clock::now();
     let mut count = 0;
@@ -178,3 +215,16 @@
         cx.events.origins_adopted(count);
     }
 }
+
+fn adopt_only_versions<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
+    let key = ONLY_VERSIONS_KEY.as_bytes();
+    let Some(entry) = entries.iter().find(|e| e.key == key) else {
+        return;
+    };
+    match serde_json::from_slice::<streams::OnlyVersions>(&entry.value) {
+        Ok(only) => cx.state.borrow_mut().versions.adopt(only),
+        Err(e) => cx
+            .events
+            .entry_invalid(&entry.key, entry.modified, &e.into()),
+    }
+}
