Do not take refused links of a host for crashes of endpoints

Callers of all hosts were refused with crashes_endpoints after one host had lost its links: endpoints that lose a connection and refuse the next one count as crashed, and the prompts that were under way there were accused in the whole fleet, though only the links of that host were refused.

A refusal now counts as a crash only if one of three other endpoints of the service accepts a connection.

--- a/crates/gateway/src/traffic/crash_watch.rs
+++ b/crates/gateway/src/traffic/crash_watch.rs
@@ -15,8 +15,8 @@
 use smallvec::SmallVec;
 use tokio::sync::watch;
 
-use crate::traffic::Context;
 use crate::traffic::plan::Plan;
+use crate::traffic::{Context, isolation};
 use crate::{adapter, shared, sockets};
 
 /// Time from a lost connection to the next one: a process that ends closes its listener and its
@@ -26,6 +26,9 @@
 /// Time in which an endpoint must accept or refuse a connection to tell whether it has crashed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Endpoints that are tried to tell a crash from links that are refused.
+const WITNESSES: usize = 3;
+
 /// Time after a lost connection in which others of the same endpoint belong to the same event.
 const SAME_EVENT: Duration = Duration::from_millis(300);
 
@@ -191,17 +194,15 @@
     tokio::task::spawn_local(probe(cx.clone(), endpoint.clone()));
 }
 
-/// Connects to an endpoint and reports its crash if it refuses.
+/// Connects to an endpoint and reports its crash if it refuses, and others of its service do not.
 async fn probe<D>(cx: Rc<Context<D>>, endpoint: Arc<directory::Endpoint>)
 where
     D: adapter::Dialect,
 {
     tokio::time::sleep(PROBE_DELAY).await;
     let connected = sockets::connect(endpoint.address, PROBE_TIMEOUT).await;
-    let has_crashed = match connected {
-        Ok(_) => false,
-        Err(e) => e.kind() == io::ErrorKind::ConnectionRefused,
-    };
+    let is_refused = connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+    let has_crashed = is_refused && reaches_another(&cx, &endpoint).await;
     let losses = &mut cx.crash_watch.borrow_mut().losses;
     let Some(loss) = losses.get_mut(&endpoint.identity) else {
         return;
@@ -215,6 +216,14 @@
     });
 }
 
+/// Whether this host can connect to another endpoint of the same service. If it cannot, the refusal says
+/// nothing of the endpoint: the links of this host may be refused. The only endpoint of a service counts
+/// as one that has crashed.
+async fn reaches_another<D>(cx: &Context<D>, endpoint: &directory::Endpoint) -> bool {
+    let others = isolation::other_addresses(cx, endpoint, WITNESSES);
+    others.is_empty() || isolation::is_any_reached(&others).await
+}
+
 fn report<D>(cx: &Context<D>, endpoint: &directory::Identity, loss: &mut Loss) {
     let crash = quarantine::Crash {
         incarnation: quarantine::IncarnationKey::of(endpoint),
--- a/crates/gateway/src/traffic/isolation.rs
+++ b/crates/gateway/src/traffic/isolation.rs
@@ -2,12 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use pistachiochute_core::health::isolation::{Change, Isolation};
-use pistachiochute_core::time;
+use pistachiochute_core::{directory, time};
 use pistachiochute_runtime::clock;
 use rand::seq::IndexedRandom as _;
 use tokio::sync::watch;
@@ -134,17 +135,7 @@
     D: adapter::Dialect,
 {
     let view = cx.shared.view().clone();
-    let mut probes = tokio::task::JoinSet::new();
-    for address in probed_addresses(&cx, &view, &service) {
-        probes.spawn_local(sockets::connect(address, PROBE_TIMEOUT));
-    }
-    let mut is_reached = false;
-    while let Some(result) = probes.join_next().await {
-        is_reached |= matches!(result, Ok(Ok(_)));
-        if is_reached {
-            break;
-        }
-    }
+    let is_reached = is_any_reached(&probed_addresses(&cx, &view, &service)).await;
     let now = clock::now();
     let change = cx
         .isolations
@@ -153,12 +144,41 @@
     cx.isolations.retain_services(&view);
 }
 
+/// Whether a connection to any of these addresses can be made.
+pub(super) async fn is_any_reached(addresses: &[net::SocketAddr]) -> bool {
+    let mut probes = tokio::task::JoinSet::new();
+    for address in addresses {
+        probes.spawn_local(sockets::connect(*address, PROBE_TIMEOUT));
+    }
+    while let Some(result) = probes.join_next().await {
+        if matches!(result, Ok(Ok(_))) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Addresses of up to `count` other endpoints of the service of an endpoint.
+pub(super) fn other_addresses<D>(
+    cx: &Context<D>,
+    endpoint: &directory::Endpoint,
+    count: usize,
+) -> Vec<net::SocketAddr> {
+    let view = cx.shared.view();
+    let is_other = |e: &&Arc<directory::Endpoint>| {
+        e.service == endpoint.service && e.identity != endpoint.identity
+    };
+    let others: Vec<_> = view.endpoints.iter().filter(is_other).collect();
+    let chosen = others.choose_multiple(&mut rand::rng(), count);
+    chosen.map(|endpoint| endpoint.address).collect()
+}
+
 /// Addresses of some endpoints of a service, of this failure domain and of others.
 fn probed_addresses<D>(
     cx: &Context<D>,
     view: &shared::View,
     service: &str,
-) -> Vec<std::net::SocketAddr> {
+) -> Vec<net::SocketAddr> {
     let of_service = view.endpoints.iter().filter(|e| *e.service == *service);
     let (local, others): (Vec<_>, Vec<_>) = of_service.partition(|e| *e.domain == *cx.domain);
     let rng = &mut rand::rng();
