--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -153,6 +153,9 @@
     limit: Mutex<Option<String>>,
     /// Value of the header in which the endpoint says that it leaves, if it does.
     leave_notice: Mutex<Option<String>>,
+    /// Value of the header in which the endpoint says how many requests it can turn away in a second, if
+    /// it does.
+    brittle: Mutex<Option<String>>,
     /// Value of the header in which the endpoint names the seconds after which it wants requests
     /// again, if it does.
     retry_after: Mutex<Option<String>>,
@@ -215,6 +218,7 @@
             crashes: crashes.clone(),
             limit: Mutex::default(),
             leave_notice: Mutex::default(),
+            brittle: Mutex::default(),
             retry_after: Mutex::default(),
             arrivals: Mutex::default(),
             silent_until: Mutex::new(Instant::now()),
@@ -289,6 +293,11 @@
         *lock(&self.handler.leave_notice) = notice.map(str::to_owned);
     }
 
+    /// Says in all later answers how many requests it can turn away in a second, or no longer.
+    pub fn set_brittle(&self, requests: Option<&str>) {
+        *lock(&self.handler.brittle) = requests.map(str::to_owned);
+    }
+
     /// Names in all later answers, whatever their status, the seconds after which it wants requests
     /// again, or names none.
     pub fn set_retry_after(&self, seconds: Option<&str>) {
@@ -406,6 +415,11 @@
         if let Some(notice) = &*lock(&self.leave_notice) {
             reply.headers_mut().insert("server-leaving", value(notice));
         }
+        if let Some(requests) = &*lock(&self.brittle) {
+            reply
+                .headers_mut()
+                .insert("server-brittle", value(requests));
+        }
         let retry_after = lock(&self.retry_after).clone();
         if let Some(seconds) = &retry_after {
             reply.headers_mut().insert("retry-after", value(seconds));
