Test: silent endpoints, and when the system gives a silent peer up

An endpoint that is silent for a second, before the head of its streams or within them, keeps them: none is cut or begun again, nothing is passed to another host, and it gets requests afterwards. And the user timeout of a socket, which also ends keepalive, gives endpoints, hosts and the store up after 2.5 to 3 s and callers after 15 s; no library sets one, and the test reads the options of opened and accepted sockets.

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -100,3 +100,6 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(peer.unacknowledged_timeout()))
 }
+
+#[cfg(test)]
+mod tests;
