--- a/crates/core/src/health/isolation.rs
+++ b/crates/core/src/health/isolation.rs
@@ -88,6 +88,12 @@
         matches!(self.state, State::Isolated { .. })
     }
 
+    /// Whether probes are due now or later.
+    #[must_use]
+    pub const fn needs_probes(&self) -> bool {
+        !matches!(self.state, State::Reached { .. })
+    }
+
     /// Records that a connection to an endpoint could not be made or was lost, or that a request to it
     /// has no answer for long. `endpoints` is the number of endpoints of the service.
     pub fn record_failure(
--- a/crates/gateway/src/traffic/isolation.rs
+++ b/crates/gateway/src/traffic/isolation.rs
@@ -11,7 +11,7 @@
 use pistachiochute_core::{directory, time};
 use pistachiochute_runtime::clock;
 use rand::seq::IndexedRandom as _;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::traffic::{Context, endpoints};
 use crate::{adapter, shared, sockets};
@@ -22,7 +22,7 @@
 /// Endpoints that are probed in a round, of the failure domain of this host and of the others.
 const PROBES_PER_PLACE: usize = 2;
 
-/// Interval at which due probes are sent.
+/// Interval at which due probes are sent, while any are.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without an answer after which a request counts as a failure of its endpoint, though it goes on
@@ -35,6 +35,8 @@
     by_service: RefCell<HashMap<Arc<str>, Isolation>>,
     /// Incremented when a service falls out of reach.
     losses: watch::Sender<u64>,
+    /// Wakes the task that sends probes.
+    suspected: Notify,
 }
 
 impl Default for Isolations {
@@ -42,6 +44,7 @@
         Self {
             by_service: RefCell::default(),
             losses: watch::Sender::new(0),
+            suspected: Notify::new(),
         }
     }
 }
@@ -68,6 +71,11 @@
         change(by_service.entry(service.clone()).or_default())
     }
 
+    fn need_probes(&self) -> bool {
+        let by_service = self.by_service.borrow();
+        by_service.values().any(Isolation::needs_probes)
+    }
+
     /// Services whose round of probes is due. The rounds are counted as begun.
     fn begin_probes(&self, now: time::Time) -> Vec<Arc<str>> {
         let mut by_service = self.by_service.borrow_mut();
@@ -88,9 +96,13 @@
     let service = &selected.endpoint.service;
     let endpoints = cx.endpoints.borrow().service_size(service);
     let id = selected.choice.endpoint;
-    cx.isolations.update(service, |isolation| {
+    let needs_probes = cx.isolations.update(service, |isolation| {
         isolation.record_failure(id, endpoints, clock::now());
+        isolation.needs_probes()
     });
+    if needs_probes {
+        cx.isolations.suspected.notify_one();
+    }
 }
 
 /// Records that an endpoint answered, whatever it said.
@@ -123,10 +135,13 @@
     D: adapter::Dialect,
 {
     loop {
-        tokio::time::sleep(PROBE_POLL_INTERVAL).await;
+        if !cx.isolations.need_probes() {
+            cx.isolations.suspected.notified().await;
+        }
         for service in cx.isolations.begin_probes(clock::now()) {
             tokio::task::spawn_local(probe_service(cx.clone(), service));
         }
+        tokio::time::sleep(PROBE_POLL_INTERVAL).await;
     }
 }
 
