Show hosts that end for want of memory through many prompt parts

Cause: the list of cached parts drops only entries older than 30 s beyond its bound, and every host has the parts of all.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod http;
 mod json;
+mod prompt_parts;
 mod refused;
 mod replica;
 mod store;
@@ -46,6 +47,7 @@
     };
     let outcome = match case.as_str() {
         "refused-while-forwarded" => refused::refused_while_forwarded(&setup),
+        "many-prompt-parts" => prompt_parts::many_prompt_parts(&setup),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
     let (text, code) = match outcome {
