Show a part behind 16 others that crashes replicas for ever

Cause: the quarantine looks at the first 16 shared parts of a prompt.

Change: case 3 of the review.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 //! the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod common;
+mod crashing_part;
 mod fleet;
 mod http;
 mod json;
@@ -48,6 +49,7 @@
     let outcome = match case.as_str() {
         "refused-while-forwarded" => refused::refused_while_forwarded(&setup),
         "many-prompt-parts" => prompt_parts::many_prompt_parts(&setup),
+        "crashing-part" => crashing_part::crashing_part_behind_others(&setup),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
     let (text, code) = match outcome {
