Show streams with events of two software versions

Cause: an endpoint that was lost and is back counts as the version of its last entry, however old that is.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod refused;
 mod replica;
 mod store;
+mod two_versions;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -48,6 +49,7 @@
     };
     let outcome = match case.as_str() {
         "refused-while-forwarded" => refused::refused_while_forwarded(&setup),
+        "streams-of-two-versions" => two_versions::streams_of_two_versions(&setup),
         "many-prompt-parts" => prompt_parts::many_prompt_parts(&setup),
         "crashing-part" => crashing_part::crashing_part_behind_others(&setup),
         _ => Outcome::NotRun(format!("no case {case}")),
