Show streams that nobody goes on with after many prompt parts

Cause: the first message on a link lists all cached parts; beyond 1 MiB it cannot be sent, and the link stays closed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod refused;
 mod replica;
 mod store;
+mod take_ups;
 mod two_versions;
 
 use std::path::Path;
@@ -51,6 +52,7 @@
         "refused-while-forwarded" => refused::refused_while_forwarded(&setup),
         "streams-of-two-versions" => two_versions::streams_of_two_versions(&setup),
         "many-prompt-parts" => prompt_parts::many_prompt_parts(&setup),
+        "streams-taken-up" => take_ups::streams_taken_up(&setup),
         "crashing-part" => crashing_part::crashing_part_behind_others(&setup),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
