Work out the outcome of a request from all that was sent of it

What callers saw: at the end of a planned stop of a host that reaches no endpoint, calls that may run once were answered 503 "not_run" while another host ran them.

Cause: cut_by_stop() took an empty list of tried endpoints for proof that nothing had run; requests that were passed on are in another list. The class: an outcome is worked out where not all that was sent is seen. The same class, found by reading: a refusal of another host was passed on as it came, a verdict that this build does not know was taken for "unable", and the log of a request whose caller left said not_run.

Change: retry::Sends, one record for each request, written where bytes are handed to a connection or a link, is the only source of its outcome. A refusal takes the record instead of an outcome, so it cannot be written without it. It works since nothing but a settled answer takes "unknown" back, whoever sent the bytes and whoever answers.

--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -4,6 +4,7 @@
 //! answered. Used by hosts that call endpoints directly; [`super::RetryState`] is the counterpart
 //! for requests that are forwarded between hosts.
 
+use crate::retry::Sends;
 use crate::{catalog, outcome, reason};
 
 /// Maximum number of attempts of one request, including those whose connection was never made.
@@ -141,8 +142,8 @@
     },
 }
 
-/// Counts the attempts of one request and joins their outcomes.
-#[derive(Clone, Copy, Debug)]
+/// Counts the attempts of one request and settles what was sent in each.
+#[derive(Clone, Debug)]
 pub struct Attempts {
     kind: catalog::RequestKind,
     /// Maximum number of attempts that may reach an endpoint.
@@ -151,20 +152,26 @@
     reached: u32,
     /// All attempts, including those whose connection was never made.
     attempts: u32,
-    outcome: outcome::Outcome,
+    sends: Sends,
 }
 
 impl Attempts {
     /// Creates the state of a request of which at most `max_reached` attempts may reach an
     /// endpoint.
     #[must_use]
-    pub const fn new(kind: catalog::RequestKind, max_reached: u32) -> Self {
+    pub fn new(kind: catalog::RequestKind, max_reached: u32) -> Self {
+        Self::of(Sends::new(), kind, max_reached)
+    }
+
+    /// Creates the state of a request whose sends others record as well.
+    #[must_use]
+    pub const fn of(sends: Sends, kind: catalog::RequestKind, max_reached: u32) -> Self {
         Self {
             kind,
             max_reached,
             reached: 0,
             attempts: 0,
-            outcome: outcome::Outcome::NotRun,
+            sends,
         }
     }
 
@@ -180,10 +187,16 @@
         self.max_reached.saturating_sub(self.reached)
     }
 
-    /// Whether the request ran, joined over the attempts that have ended.
+    /// What was sent of the request.
+    #[must_use]
+    pub const fn sends(&self) -> &Sends {
+        &self.sends
+    }
+
+    /// Whether the request ran, joined over all that was sent of it.
     #[must_use]
-    pub const fn outcome(&self) -> outcome::Outcome {
-        self.outcome
+    pub fn outcome(&self) -> outcome::Outcome {
+        self.sends.outcome()
     }
 
     /// Records a failed attempt and decides whether the request is retried.
@@ -214,20 +227,20 @@
     fn record(&mut self, failure: AttemptFailure) {
         self.attempts += 1;
         self.reached += u32::from(failure.reached_endpoint());
-        self.outcome = self.outcome.join(failure.outcome());
+        self.sends.settle(failure.outcome());
     }
 
     /// Reason that rules out a retry regardless of the budget, if there is one.
     fn stop_reason(&self, failure: AttemptFailure) -> Option<reason::Refusal> {
-        let may_repeat = self.kind.is_idempotent() || self.outcome == outcome::Outcome::NotRun;
+        let may_repeat = self.kind.is_idempotent() || self.outcome() == outcome::Outcome::NotRun;
         let exhausted = self.reached >= self.max_reached || self.attempts >= MAX_ATTEMPTS;
         (!may_repeat || exhausted).then(|| failure.refusal())
     }
 
-    const fn give_up(&self, reason: reason::Refusal) -> Next {
+    fn give_up(&self, reason: reason::Refusal) -> Next {
         Next::GiveUp {
             reason,
-            outcome: self.outcome,
+            outcome: self.outcome(),
         }
     }
 }
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -17,9 +17,11 @@
 mod budget;
 mod decision;
 mod retry_after;
+mod sends;
 
 pub use attempts::{AttemptFailure, Attempts, MAX_ATTEMPTS, Next};
 pub use backoff::{Backoff, ceil_secs};
 pub use budget::{Budget, BudgetConfig, Charge, FleetBudget};
 pub use decision::{Config, Decision, Failure, GivenUp, Recovery, RetryState, next_hop};
 pub use retry_after::{retry_after, retry_after_pause, retry_after_room};
+pub use sends::Sends;
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use pistachiochute_core::retry::AttemptFailure;
+use pistachiochute_core::retry::{AttemptFailure, Sends};
 use pistachiochute_core::{entity, health, outcome};
 use pistachiochute_runtime::{clock, metrics};
 
@@ -94,6 +94,8 @@
     pub plan: &'a Plan,
     pub outgoing: &'a OutgoingRequest,
     pub selected: &'a endpoints::SelectedEndpoint,
+    /// Takes note of what is sent.
+    pub sends: &'a Sends,
     /// Id of the last stream event that the caller has received.
     pub after_event: Option<u64>,
     /// Time without an answer after which the attempt fails, if the request can be sent elsewhere.
@@ -235,7 +237,7 @@
             "the permit ran out while the host connected",
         );
     }
-    match connection.sender().try_send_request(req).await {
+    match connection.send(req, attempt.sends).await {
         Ok(answer) => evaluate_answer(cx, attempt, answer, connection, in_flight).await,
         Err(mut e) => {
             let failure = match e.take_message() {
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -75,10 +75,8 @@
     Stream(response::Parts, Box<OpenedStream<D>>),
     /// The answer of another host that refuses the request, which has not run.
     RefusedByHost(CompleteAnswer),
-    Refused {
-        reason: reason::Refusal,
-        outcome: outcome::Outcome,
-    },
+    /// A refusal of this host. Whether the request ran is known from what was sent of it.
+    Refused(reason::Refusal),
 }
 
 /// Sends a request to one endpoint after another until one answers or no retry is allowed. `report`
@@ -97,21 +95,15 @@
     // Held until an endpoint has answered, or it is known why it has not.
     let _turn = match wait_for_turn(&cx, state).await {
         Ok(turn) => turn,
-        Err(reason) => return give_up(state, last_answer, reason, state.attempts.outcome()),
+        Err(reason) => return give_up(state, last_answer, reason),
     };
     loop {
         let now = clock::now();
-        let outcome = state.attempts.outcome();
         if state.plan.deadline.remaining(now).is_none() {
-            return give_up(state, last_answer, reason::Refusal::Deadline, outcome);
+            return give_up(state, last_answer, reason::Refusal::Deadline);
         }
         if crash_watch::is_refused(&cx, state.plan.keys.all()) {
-            return give_up(
-                state,
-                last_answer,
-                reason::Refusal::CrashesEndpoints,
-                outcome,
-            );
+            return give_up(state, last_answer, reason::Refusal::CrashesEndpoints);
         }
         let (result, selected) = match next_target(&cx, state, report.as_deref_mut()).await {
             // The slot is kept until the attempt is over.
@@ -122,24 +114,29 @@
             }
             Target::Host => match forwarding::execute(state, after_event).await {
                 Some(result) => (result, None),
-                None => return give_up(state, last_answer, reason::Refusal::NoEndpoint, outcome),
+                None => return give_up(state, last_answer, reason::Refusal::NoEndpoint),
             },
-            Target::Nowhere(reason) => return give_up(state, last_answer, reason, outcome),
+            Target::Nowhere(reason) => return give_up(state, last_answer, reason),
         };
         let (failure, cause, answer) = match result {
             AttemptResult::Complete(answer) => {
+                state.attempts.sends().settle(outcome::Outcome::Run);
                 if selected.is_some() {
                     crash_watch::record_proof(&cx, state.plan.keys.all());
                 }
                 return FinalAnswer::Complete(answer);
             }
             AttemptResult::Stream(parts, opened) => {
+                state.attempts.sends().settle(outcome::Outcome::Run);
                 if let Some(selected) = selected {
                     record_origin(&cx, state, &selected);
                 }
                 return FinalAnswer::Stream(parts, opened);
             }
-            AttemptResult::RefusedByHost(answer) => return FinalAnswer::RefusedByHost(answer),
+            AttemptResult::RefusedByHost(answer) => {
+                state.attempts.sends().settle(outcome::Outcome::NotRun);
+                return FinalAnswer::RefusedByHost(answer);
+            }
             AttemptResult::Failed {
                 failure,
                 cause,
@@ -166,9 +163,7 @@
                 reason: reason::Refusal::ConnectFailed,
                 outcome: outcome::Outcome::NotRun,
             } if state.may_be_forwarded() => state.is_out_of_reach = true,
-            retry::Next::GiveUp { reason, outcome } => {
-                return give_up(state, last_answer, reason, outcome);
-            }
+            retry::Next::GiveUp { reason, .. } => return give_up(state, last_answer, reason),
         }
     }
 }
@@ -252,6 +247,7 @@
         plan: &state.plan,
         outgoing: &state.outgoing,
         selected,
+        sends: state.attempts.sends(),
         after_event,
         stall_timeout: stall_timeout(cx, state),
     };
@@ -279,16 +275,15 @@
     state: &RequestState<D>,
     last_answer: Option<CompleteAnswer>,
     reason: reason::Refusal,
-    outcome: outcome::Outcome,
 ) -> FinalAnswer<D>
 where
     D: adapter::Dialect,
 {
     let Some(answer) = last_answer else {
-        return FinalAnswer::Refused { reason, outcome };
+        return FinalAnswer::Refused(reason);
     };
     match reply::implies_not_run(answer.parts.status) && !state.plan.route.kind.is_idempotent() {
-        true => FinalAnswer::Refused { reason, outcome },
+        true => FinalAnswer::Refused(reason),
         false => FinalAnswer::Complete(answer),
     }
 }
@@ -516,7 +511,7 @@
         FinalAnswer::Complete(_) | FinalAnswer::RefusedByHost(_) => Err(TruncatedStream::new(
             "endpoint did not answer the resumption with a stream",
         )),
-        FinalAnswer::Refused { reason, .. } => Err(TruncatedStream::new(reason.as_str())),
+        FinalAnswer::Refused(reason) => Err(TruncatedStream::new(reason.as_str())),
     };
     (state, result)
 }
--- a/crates/gateway/src/traffic/forwarding/client.rs
+++ b/crates/gateway/src/traffic/forwarding/client.rs
@@ -249,6 +249,7 @@
     let frame = codec::encode(&head).wrap_err("head")?;
     let uri = format!("http://fleet{}", forwarded::PATH);
     let req = Request::post(uri).body(())?;
+    state.attempts.sends().hand_over();
     let (answer, mut tx) = sender.send_request(req, false).wrap_err("stream")?;
     let has_body = !outgoing.body.is_empty();
     // After the head of the stream, the request counts as sent.
@@ -270,9 +271,12 @@
 {
     let (mut parts, body) = answer.into_parts();
     let verdict = parts.headers.remove(forwarded::VERDICT_HEADER);
-    let verdict = verdict.and_then(|value| value.to_str().ok()?.parse().ok());
-    // A host of an earlier build gives no verdict and runs nothing.
-    let verdict = verdict.unwrap_or(forwarded::Verdict::Unable);
+    let verdict = match verdict.map(|value| value.to_str().unwrap_or_default().parse()) {
+        Some(Ok(verdict)) => verdict,
+        // A host of an earlier build gives no verdict and runs nothing.
+        None => forwarded::Verdict::Unable,
+        Some(Err(forwarded::ParseVerdictError)) => return lost("a verdict that is not known"),
+    };
     if verdict == forwarded::Verdict::Unable {
         permit.record(forwarding::Outcome::Unable);
         return attempt::failed(
--- a/crates/gateway/src/traffic/forwarding/server.rs
+++ b/crates/gateway/src/traffic/forwarding/server.rs
@@ -12,7 +12,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, request};
 use http_body::Body as _;
 use pistachiochute_core::memory::Activity;
-use pistachiochute_core::{outcome, reason};
+use pistachiochute_core::{outcome, reason, retry};
 use pistachiochute_messages::{codec, forwarded};
 use pistachiochute_runtime::clock;
 use tokio::sync::mpsc;
@@ -67,17 +67,13 @@
         Ok(received) => received,
         Err(e) => {
             cx.events.forwarded_request_invalid(&e);
-            let outcome = outcome::Outcome::NotRun;
-            return reply::refusal(
-                reason::Refusal::NotReady,
-                outcome,
-                std::time::Duration::ZERO,
-            );
+            let sends = retry::Sends::new();
+            return reply::refusal(reason::Refusal::NotReady, &sends, Duration::ZERO);
         }
     };
     account.set_activity(Activity::Waiting, clock::now());
     let terms = Terms {
-        deadline: clock::now() + std::time::Duration::from_millis(head.remaining_ms.into()),
+        deadline: clock::now() + Duration::from_millis(head.remaining_ms.into()),
         attempts: head.attempts,
         catalog: head.catalog,
         after_event: head.after_event,
@@ -88,12 +84,8 @@
         }
         Err(e) => {
             cx.events.forwarded_request_invalid(&e);
-            let outcome = outcome::Outcome::NotRun;
-            reply::refusal(
-                reason::Refusal::BadRequest,
-                outcome,
-                std::time::Duration::ZERO,
-            )
+            let sends = retry::Sends::new();
+            reply::refusal(reason::Refusal::BadRequest, &sends, Duration::ZERO)
         }
     }
 }
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
-use pistachiochute_core::{directory, time};
+use pistachiochute_core::{directory, retry, time};
 use pistachiochute_runtime::clock;
 
 use crate::sockets;
@@ -37,6 +39,9 @@
 
 pub(super) type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// Result of sending a request.
+pub(super) type Sent = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
 /// Reason why no connection could be acquired.
 #[derive(Debug)]
 pub(super) enum AcquireError {
@@ -269,8 +274,17 @@
 }
 
 impl Connection {
-    pub(super) fn sender(&mut self) -> &mut Sender {
-        self.sender.as_mut().expect("present until it is kept")
+    /// Sends a request. An error holds the request if no byte of it was written.
+    pub(super) fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        sends: &retry::Sends,
+    ) -> impl Future<Output = Sent> {
+        sends.hand_over();
+        let sender = self.sender.as_mut();
+        sender
+            .expect("present until it is released")
+            .try_send_request(req)
     }
 
     /// Whether the connection was opened for this request.
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
-use pistachiochute_core::{outcome, reason};
+use pistachiochute_core::{outcome, reason, retry};
 
 use crate::adapter;
 use crate::traffic::event_stream;
@@ -111,16 +111,17 @@
     pub outcome: outcome::Outcome,
 }
 
-/// Creates the answer to a request that was refused or that failed. `retry_after` is the delay after
-/// which the caller should retry, if it may help.
+/// Creates the answer to a request that was refused or that failed. What was sent of it decides what
+/// the answer promises. `retry_after` is the delay after which the caller should retry, if it may help.
 pub(super) fn refusal<D>(
     reason: reason::Refusal,
-    outcome: outcome::Outcome,
+    sends: &retry::Sends,
     retry_after: Duration,
 ) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
+    let outcome = sends.outcome();
     let refused = RefusalBody {
         error: reason,
         outcome,
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{catalog, choice, outcome, reason, retry, spill, time};
+use pistachiochute_core::{catalog, choice, reason, retry, spill, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::plan::Plan;
@@ -28,7 +28,8 @@
     reason: Option<reason::Refusal>,
     /// Time until an endpoint takes a request, if the request is refused because none does now.
     wait: Option<Duration>,
-    outcome: outcome::Outcome,
+    /// What was sent of the request, and so whether it ran.
+    sends: retry::Sends,
     /// Whether another host has passed the request on.
     is_from_host: bool,
     attempts: u32,
@@ -69,7 +70,7 @@
             status: 0,
             reason: None,
             wait: None,
-            outcome: outcome::Outcome::NotRun,
+            sends: retry::Sends::new(),
             is_from_host: false,
             attempts: 0,
             endpoint: String::new(),
@@ -83,6 +84,11 @@
         }
     }
 
+    /// What was sent of the request.
+    pub(super) const fn sends(&self) -> &retry::Sends {
+        &self.sends
+    }
+
     /// Connection of the caller.
     pub(super) const fn connection(&self) -> &Rc<connection::Connection> {
         &self.connection
@@ -105,14 +111,8 @@
     }
 
     /// Records that the request was refused.
-    pub(super) fn record_refusal(
-        &mut self,
-        reason: reason::Refusal,
-        outcome: outcome::Outcome,
-        status: u16,
-    ) {
+    pub(super) fn record_refusal(&mut self, reason: reason::Refusal, status: u16) {
         self.reason = Some(reason);
-        self.outcome = outcome;
         self.status = status;
         self.cx.metrics.refused(reason);
     }
@@ -154,9 +154,8 @@
     }
 
     /// Records that an endpoint answered.
-    pub(super) fn record_answer(&mut self, status: u16) {
+    pub(super) const fn record_answer(&mut self, status: u16) {
         self.status = status;
-        self.outcome = outcome::Outcome::Run;
     }
 
     /// Records that events were forwarded. `events` is the number forwarded so far.
@@ -195,7 +194,8 @@
             .active_requests
             .set(self.cx.active_requests.get() - 1);
         self.connection.request_finished(now);
-        self.cx.metrics.finished(self.outcome);
+        let outcome = self.sends.outcome();
+        self.cx.metrics.finished(outcome);
         self.cx.events.request(&events::RequestLogEntry {
             request: &self.id,
             route: &self.route,
@@ -204,7 +204,7 @@
             catalog_age: self.cx.shared.catalog_age(now),
             status: self.status,
             reason: self.reason,
-            outcome: self.outcome,
+            outcome,
             is_from_host: self.is_from_host,
             attempts: self.attempts,
             endpoint: &self.endpoint,
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -69,7 +69,7 @@
     let origin = forwarding::Origin::Caller;
     let mut response = match receive(&cx, &mut report, &head, body).await {
         Ok((admitted, body)) => answer_request(&cx, report, admitted, origin, head, body).await,
-        Err(reason) => refuse(report, reason, outcome::Outcome::NotRun),
+        Err(reason) => refuse(report, reason),
     };
     if cx.shared.phase() > Phase::Serving || must_close {
         let close = HeaderValue::from_static("close");
@@ -92,10 +92,10 @@
     let mut report = Report::new(cx, connection, clock::now());
     report.record_from_host();
     let response = match cx.shared.phase() > Phase::Serving {
-        true => refuse(report, reason::Refusal::Draining, outcome::Outcome::NotRun),
+        true => refuse(report, reason::Refusal::Draining),
         false => match admit(cx, &mut report, &head, &body, origin) {
             Ok(admitted) => answer_request(cx, report, admitted, origin, head, body).await,
-            Err(reason) => refuse(report, reason, outcome::Outcome::NotRun),
+            Err(reason) => refuse(report, reason),
         },
     };
     cx.connections.remove(number);
@@ -276,17 +276,18 @@
     let version = match plan.route.kind.is_stream() && metadata.resumes_stream() {
         true => match attempts::resumed_version(&cx.shared, &plan, stream).await {
             Ok(version) => Some(version),
-            Err(reason) => return refuse(report, reason, outcome::Outcome::NotRun),
+            Err(reason) => return refuse(report, reason),
         },
         false => None,
     };
     let account = report.connection().account().clone();
     let Ok(read_ahead) = account.lease(pool::READ_AHEAD_BYTES).await else {
         let reason = reason::Refusal::MemoryShort;
-        return refuse(report, reason, outcome::Outcome::NotRun);
+        return refuse(report, reason);
     };
     let outgoing = outgoing_request(head, body, (account, read_ahead), &metadata);
-    let attempts = retry::Attempts::new(plan.route.kind, plan.route.max_attempts);
+    let sends = report.sends().clone();
+    let attempts = retry::Attempts::of(sends, plan.route.kind, plan.route.max_attempts);
     let mut state = Box::new(RequestState {
         cx: cx.clone(),
         plan,
@@ -304,7 +305,7 @@
     let answer = tokio::select! {
         biased;
         answer = attempts::attempt_until_answer(&mut state, after_event, Some(&mut report)) => answer,
-        () = stop_deadline_is_near(cx) => cut_by_stop(&state),
+        () = stop_deadline_is_near(cx) => attempts::FinalAnswer::Refused(reason::Refusal::Draining),
     };
     match answer {
         attempts::FinalAnswer::Complete(answer) => complete(report, answer),
@@ -317,7 +318,7 @@
             response.map(|()| ReplyBody::Stream(Box::pin(stream)))
         }
         attempts::FinalAnswer::RefusedByHost(answer) => pass_refusal(report, answer),
-        attempts::FinalAnswer::Refused { reason, outcome } => refuse(report, reason, outcome),
+        attempts::FinalAnswer::Refused(reason) => refuse(report, reason),
     }
 }
 
@@ -339,21 +340,6 @@
     tokio::time::sleep(remaining.saturating_sub(STOP_ANSWER_RESERVE)).await;
 }
 
-/// Final answer of a request that a graceful stop would cut off.
-fn cut_by_stop<D>(state: &RequestState<D>) -> attempts::FinalAnswer<D>
-where
-    D: adapter::Dialect,
-{
-    let outcome = match state.tried.is_empty() {
-        true => outcome::Outcome::NotRun,
-        false => outcome::Outcome::Unknown,
-    };
-    attempts::FinalAnswer::Refused {
-        reason: reason::Refusal::Draining,
-        outcome,
-    }
-}
-
 /// Key of the stream that a request resumes or begins, or `None` if it resumes a stream without
 /// naming it.
 fn stream_key(metadata: &adapter::RequestMetadata) -> Option<streams::StreamKey> {
@@ -397,26 +383,25 @@
     Response::from_parts(answer.parts, reply::full_body(answer.body))
 }
 
-/// Answer to a request that another host refuses.
+/// Answer to a request that another host refuses. That host knows only of what it was sent itself.
 fn pass_refusal<D>(mut report: Report<D>, answer: CompleteAnswer) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
+    if report.sends().outcome() != outcome::Outcome::NotRun {
+        return refuse(report, reason::Refusal::NoEndpoint);
+    }
     report.record_refusal_of_host(answer.parts.status.as_u16());
     report.finish("refused by another host");
     Response::from_parts(answer.parts, reply::full_body(answer.body))
 }
 
-fn refuse<D>(
-    mut report: Report<D>,
-    reason: reason::Refusal,
-    outcome: outcome::Outcome,
-) -> Response<ReplyBody<D>>
+fn refuse<D>(mut report: Report<D>, reason: reason::Refusal) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
-    let response = reply::refusal(reason, outcome, report.retry_after(reason));
-    report.record_refusal(reason, outcome, response.status().as_u16());
+    let response = reply::refusal(reason, report.sends(), report.retry_after(reason));
+    report.record_refusal(reason, response.status().as_u16());
     report.finish("refused");
     response
 }
