Consider every shared part of a prompt that crashes endpoints

Cause: only the first 16 parts of a prompt were considered. Neither a crash nor a proof ever named the part. The class: a bound on what callers send leaves out what a promise needs, without a word. Of the same class: proofs were kept by number, so that answers on nine long prompts pushed out those that speak for sound parts; requests of a crash were left out unseen.

Change: all shared parts are considered, which the head of a request bounds to about 1,750. Evidence is bounded by keys instead (8,192 of a crash, 65,536 of all), what is left out is logged, proofs of parts in kept crashes are kept with them, messages are chunked by keys, and lines list 32 keys.

It costs bytes: a crash under a prompt of 1,750 parts is 16 kB a link, over the budget of the design size while such a part is being found. Crashes under usual prompts cost what they did.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence for and against parts of prompts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -15,7 +15,14 @@
 /// Requests of one crash that are kept.
 const MAX_REQUESTS: usize = 64;
 
-/// Parts whose last proof is kept.
+/// Keys of the requests of one crash that are kept: four of the largest prompts that fit into a head. A
+/// request whose keys do not fit is left out as a whole.
+const MAX_KEYS_PER_CRASH: usize = 8_192;
+
+/// Keys of the requests of all crashes that are kept. The oldest crash makes room for a new one.
+const MAX_KEYS: usize = 65_536;
+
+/// Parts in no crash that is kept whose last proof is kept.
 const MAX_PROOFS: usize = 16_384;
 
 /// Crashes within [`SIMULTANEOUS`] of a crash that are kept with it. More of them would count as one
@@ -72,22 +79,72 @@
         if let Some(known) = known.find(|known| known.keys == request.keys) {
             return known.merge_sent_at(request.sent_at);
         }
-        let has_room = self.requests.len() < MAX_REQUESTS;
+        let has_room = self.has_room_for(request);
         if has_room {
             self.requests.push(request.clone());
         }
         has_room
     }
 
-    /// Whether every request with a part was sent after an earlier crash.
-    fn follows(&self, earlier: time::Time, part: PartKey) -> bool {
+    fn has_room_for(&self, request: &LostRequest) -> bool {
+        self.requests.len() < MAX_REQUESTS && self.keys() + request.keys.len() <= MAX_KEYS_PER_CRASH
+    }
+
+    /// Number of keys of its requests.
+    fn keys(&self) -> usize {
+        self.requests.iter().map(|request| request.keys.len()).sum()
+    }
+
+    /// Leaves out what is beyond the bounds. Returns the number of requests that it leaves out.
+    fn limit(&mut self) -> usize {
+        let before = self.requests.len();
+        let requests = std::mem::take(&mut self.requests);
+        for request in requests {
+            if self.has_room_for(&request) {
+                self.requests.push(request);
+            }
+        }
+        before - self.requests.len()
+    }
+}
+
+/// A crash that counts against a part, with its requests that have the part.
+#[derive(Clone, Debug)]
+pub(super) struct CrashWithPart<'a> {
+    pub number: CrashNumber,
+    pub crash: &'a Crash,
+    /// Invariant: not empty.
+    pub requests: SmallVec<[&'a LostRequest; 2]>,
+}
+
+impl CrashWithPart<'_> {
+    /// Whether every request with the part was sent after an earlier crash.
+    fn follows(&self, earlier: time::Time) -> bool {
         let is_later = |at: time::Time| at >= earlier;
-        let with_part = |request: &&LostRequest| request.keys.contains(&part);
-        let mut requests = self.requests.iter().filter(with_part);
+        let mut requests = self.requests.iter();
         requests.all(|request| request.sent_at.is_some_and(is_later))
     }
 }
 
+/// Number of a crash, in the order in which crashes became known.
+pub(super) type CrashNumber = u32;
+
+/// A request of a crash that is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct RequestRef {
+    pub crash: CrashNumber,
+    /// Position among the requests of the crash.
+    pub position: u16,
+}
+
+/// What is known of a part in a crash that is kept.
+#[derive(Clone, Debug, Default)]
+struct PartEvidence {
+    /// Requests with the part, those of one crash after those of earlier ones. Invariant: not empty.
+    lost: SmallVec<[RequestRef; 2]>,
+    last_proof: Option<time::Time>,
+}
+
 /// An answer on a part went on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Proof {
@@ -101,11 +158,16 @@
 #[derive(Clone, Debug)]
 pub(super) struct Evidence {
     /// By number, in the order in which they became known. Invariant: at most [`MAX_CRASHES`].
-    crashes: BTreeMap<u64, Crash>,
-    /// Numbers of the crashes with a prompt that has a part, in their order.
-    by_part: HashMap<PartKey, SmallVec<[u64; 4]>>,
-    next_number: u64,
-    /// Time of the last proof of each part.
+    crashes: BTreeMap<CrashNumber, Crash>,
+    /// Parts in prompts of these crashes. Their proofs are kept as long as the crashes that they speak
+    /// against, however many other parts are proven.
+    by_part: HashMap<PartKey, PartEvidence>,
+    next_number: CrashNumber,
+    /// Number of keys in `crashes`. Invariant: at most [`MAX_KEYS`].
+    keys: usize,
+    /// Requests of crashes that did not fit into the bounds.
+    left_out: usize,
+    /// Time of the last proof of each part that is not in `by_part`.
     proofs: lru::LruMap<PartKey, time::Time>,
     /// Incarnations that were reported to have crashed, and have not.
     refuted: lru::LruMap<IncarnationKey, ()>,
@@ -117,6 +179,8 @@
             crashes: BTreeMap::new(),
             by_part: HashMap::new(),
             next_number: 0,
+            keys: 0,
+            left_out: 0,
             proofs: lru::LruMap::new(MAX_PROOFS),
             refuted: lru::LruMap::new(MAX_CRASHES),
         }
@@ -134,7 +198,30 @@
 
     /// Time of the last proof of a part.
     pub(super) fn last_proof(&self, part: PartKey) -> Option<time::Time> {
-        self.proofs.get(&part).copied()
+        match self.by_part.get(&part) {
+            Some(known) => known.last_proof,
+            None => self.proofs.get(&part).copied(),
+        }
+    }
+
+    /// Number of requests that were left out since this was last asked, since crashes had too many
+    /// or too large ones.
+    pub(super) fn take_left_out(&mut self) -> usize {
+        std::mem::take(&mut self.left_out)
+    }
+
+    /// All requests of crashes that are kept.
+    pub(super) fn requests(&self) -> impl Iterator<Item = (RequestRef, &Parts)> {
+        self.crashes.iter().flat_map(|(number, crash)| {
+            let requests = crash.requests.iter().enumerate();
+            requests.map(|(position, request)| {
+                let request_ref = RequestRef {
+                    crash: *number,
+                    position: position as u16,
+                };
+                (request_ref, &request.keys)
+            })
+        })
     }
 
     /// Records a crash. Returns what was not known of it.
@@ -142,7 +229,7 @@
     /// An incarnation ends once. If it is reported again later, it has not crashed, and both reports
     /// count for nothing: a network cut may refuse connections, too.
     pub(super) fn record_crash(&mut self, mut crash: Crash) -> Option<Crash> {
-        crash.requests.truncate(MAX_REQUESTS);
+        self.left_out += crash.limit();
         if self.refuted.get(&crash.incarnation).is_some() {
             return None;
         }
@@ -150,16 +237,19 @@
             self.refute(crash.incarnation);
             return Some(crash);
         }
-        let is_same = |(_, known): &(&u64, &mut Crash)| {
+        let is_same = |(_, known): &(&CrashNumber, &mut Crash)| {
             known.incarnation == crash.incarnation && distance(known.at, crash.at) < SAME_CRASH
         };
         let Some((number, known)) = self.crashes.iter_mut().find(is_same) else {
             let is_one_of_many = self.simultaneous(crash.at) >= MAX_SIMULTANEOUS;
             return (!is_one_of_many).then(|| self.insert_crash(crash));
         };
+        let keys_before = known.keys();
         crash.requests.retain(|request| known.add(request));
+        self.keys += known.keys() - keys_before;
         let number = *number;
-        self.index(number, &crash);
+        self.index(number);
+        self.make_room(0);
         (!crash.requests.is_empty()).then_some(crash)
     }
 
@@ -176,6 +266,7 @@
         let mut refuted = Vec::new();
         for (number, crash) in &mut self.crashes {
             if crash.incarnation == incarnation {
+                self.keys -= crash.keys();
                 let requests = std::mem::take(&mut crash.requests);
                 refuted.push((*number, requests));
             }
@@ -195,18 +286,41 @@
         if self.crashes.len() >= MAX_CRASHES {
             self.remove_oldest();
         }
+        self.make_room(crash.keys());
         let number = self.next_number;
-        self.next_number += 1;
-        self.index(number, &crash);
+        self.next_number = self.next_number.wrapping_add(1);
+        self.keys += crash.keys();
         self.crashes.insert(number, crash.clone());
+        self.index(number);
         crash
     }
 
-    fn index(&mut self, number: u64, crash: &Crash) {
-        for part in crash.requests.iter().flat_map(|request| &request.keys) {
-            let numbers = self.by_part.entry(*part).or_default();
-            if !numbers.contains(&number) {
-                numbers.push(number);
+    /// Drops the oldest crashes until as many more keys fit.
+    fn make_room(&mut self, keys: usize) {
+        while self.keys + keys > MAX_KEYS && !self.crashes.is_empty() {
+            self.remove_oldest();
+        }
+    }
+
+    /// Enters a crash into the index, or the requests of it that are not there yet.
+    fn index(&mut self, number: CrashNumber) {
+        let Some(crash) = self.crashes.get(&number) else {
+            return;
+        };
+        for (position, request) in crash.requests.iter().enumerate() {
+            let request_ref = RequestRef {
+                crash: number,
+                position: position as u16,
+            };
+            for part in &request.keys {
+                let proofs = &mut self.proofs;
+                let known = self.by_part.entry(*part).or_insert_with(|| PartEvidence {
+                    lost: SmallVec::new(),
+                    last_proof: proofs.remove(part),
+                });
+                if !known.lost.contains(&request_ref) {
+                    known.lost.push(request_ref);
+                }
             }
         }
     }
@@ -215,18 +329,23 @@
         let Some((number, crash)) = self.crashes.pop_first() else {
             return;
         };
+        self.keys -= crash.keys();
         self.remove_from_index(number, &crash.requests);
     }
 
-    fn remove_from_index(&mut self, number: u64, requests: &[LostRequest]) {
+    fn remove_from_index(&mut self, number: CrashNumber, requests: &[LostRequest]) {
         for part in requests.iter().flat_map(|request| &request.keys) {
-            let Some(numbers) = self.by_part.get_mut(part) else {
+            let Some(known) = self.by_part.get_mut(part) else {
                 continue;
             };
-            numbers.retain(|n| *n != number);
-            if numbers.is_empty() {
-                self.by_part.remove(part);
+            known.lost.retain(|request| request.crash != number);
+            if !known.lost.is_empty() {
+                continue;
+            }
+            if let Some(at) = known.last_proof {
+                self.proofs.insert(*part, at);
             }
+            self.by_part.remove(part);
         }
     }
 
@@ -236,57 +355,69 @@
         if previous.is_some_and(|previous| previous >= proof.at) {
             return false;
         }
-        self.proofs.insert(proof.part, proof.at);
-        self.with_part(proof.part).any(|crash| {
-            let was_open = previous.is_none_or(|previous| crash.at > previous);
-            was_open && crash.at <= proof.at
+        let Some(known) = self.by_part.get_mut(&proof.part) else {
+            self.proofs.insert(proof.part, proof.at);
+            return false;
+        };
+        known.last_proof = Some(proof.at);
+        let mut lost = known.lost.iter();
+        lost.any(|request| {
+            self.crashes.get(&request.crash).is_some_and(|crash| {
+                let was_open = previous.is_none_or(|previous| crash.at > previous);
+                was_open && crash.at <= proof.at
+            })
         })
     }
 
-    /// Drops old crashes.
-    pub(super) fn tick(&mut self, now: time::Time) {
+    /// Drops old crashes. Returns whether there was one.
+    pub(super) fn tick(&mut self, now: time::Time) -> bool {
+        let before = self.crashes.len();
         let is_old = |crash: &Crash| now.since(crash.at) >= RETENTION;
         while self.crashes.values().next().is_some_and(is_old) {
             self.remove_oldest();
         }
-    }
-
-    /// Crashes with a prompt that has a part.
-    fn with_part(&self, part: PartKey) -> impl Iterator<Item = &Crash> {
-        let numbers = self.by_part.get(&part).into_iter().flatten();
-        numbers.filter_map(|number| self.crashes.get(number))
+        self.crashes.len() < before
     }
 
     /// Crashes that count against a part: those with a prompt that has the part and is not
     /// explained by another cause, after the last proof.
-    pub(super) fn against<F>(&self, part: PartKey, is_explained: F) -> Vec<&Crash>
+    pub(super) fn against<F>(&self, part: PartKey, is_explained: F) -> Vec<CrashWithPart<'_>>
     where
-        F: Fn(&Parts) -> bool,
+        F: Fn(RequestRef) -> bool,
     {
-        let last_proof = self.last_proof(part);
-        let counts = |crash: &&Crash| {
-            let is_unproven = last_proof.is_none_or(|proof| crash.at > proof);
-            let mut requests = crash.requests.iter().map(|request| &request.keys);
-            is_unproven && requests.any(|keys| keys.contains(&part) && !is_explained(keys))
+        let Some(known) = self.by_part.get(&part) else {
+            return Vec::new();
         };
-        self.with_part(part).filter(counts).collect()
+        let of_one_crash = known.lost.chunk_by(|a, b| a.crash == b.crash);
+        let counting = of_one_crash.filter_map(|lost| {
+            let crash = self.crashes.get(&lost[0].crash)?;
+            let is_unproven = known.last_proof.is_none_or(|proof| crash.at > proof);
+            let counts = is_unproven && lost.iter().any(|request| !is_explained(*request));
+            let requests = lost.iter();
+            let requests = requests.filter_map(|r| crash.requests.get(usize::from(r.position)));
+            counts.then(|| CrashWithPart {
+                number: lost[0].crash,
+                crash,
+                requests: requests.collect(),
+            })
+        });
+        counting.collect()
     }
 
-    /// Keys that are in every request of these crashes that has `part`, and that no answer has
+    /// Keys that are in every request of these crashes that has their part, and that no answer has
     /// proven since the first of them.
-    pub(super) fn companions(&self, part: PartKey, crashes: &[&Crash]) -> Parts {
-        let requests = crashes.iter().flat_map(|crash| &crash.requests);
-        let mut keys = requests.map(|request| &request.keys);
-        let with_part = |keys: &&Parts| keys.contains(&part);
-        let Some(first) = keys.find(with_part) else {
+    pub(super) fn companions(&self, crashes: &[CrashWithPart<'_>]) -> Parts {
+        let mut requests = crashes.iter().flat_map(|crash| &crash.requests);
+        let Some(first) = requests.next() else {
             return Parts::new();
         };
-        let mut common = first.clone();
+        let mut common = first.keys.clone();
         common.dedup();
-        for keys in keys.filter(with_part) {
+        for request in requests {
+            let keys: HashSet<PartKey> = request.keys.iter().copied().collect();
             common.retain(|part| keys.contains(part));
         }
-        let first_at = crashes.iter().map(|crash| crash.at).min();
+        let first_at = crashes.iter().map(|crash| crash.crash.at).min();
         common.retain(|part| self.last_proof(*part) < first_at);
         common
     }
@@ -298,22 +429,23 @@
 }
 
 /// Number of separate crashes that count against a part.
-pub(super) fn separate(crashes: &[&Crash], part: PartKey) -> usize {
-    separate_times(crashes, part).len()
+pub(super) fn separate(crashes: &[CrashWithPart<'_>]) -> usize {
+    separate_times(crashes).len()
 }
 
 /// Times of the separate crashes that count against a part. One within [`SIMULTANEOUS`] of an earlier
 /// one counts as one with it, unless its requests with the part were sent after that one: then it
 /// has no cause in common with it but the part.
-pub(super) fn separate_times(crashes: &[&Crash], part: PartKey) -> SmallVec<[time::Time; 4]> {
-    let mut crashes: SmallVec<[&Crash; 8]> = crashes.iter().copied().collect();
-    crashes.sort_unstable_by_key(|crash| crash.at);
+pub(super) fn separate_times(crashes: &[CrashWithPart<'_>]) -> SmallVec<[time::Time; 4]> {
+    let mut crashes: SmallVec<[&CrashWithPart<'_>; 8]> = crashes.iter().collect();
+    crashes.sort_unstable_by_key(|with_part| with_part.crash.at);
     let mut separate: SmallVec<[time::Time; 4]> = SmallVec::new();
-    for crash in crashes {
+    for with_part in crashes {
+        let at = with_part.crash.at;
         let is_separate =
-            |last: &time::Time| crash.at.since(*last) > SIMULTANEOUS || crash.follows(*last, part);
+            |last: &time::Time| at.since(*last) > SIMULTANEOUS || with_part.follows(*last);
         if separate.last().is_none_or(is_separate) {
-            separate.push(crash.at);
+            separate.push(at);
         }
     }
     separate
--- a/crates/core/src/quarantine/machine.rs
+++ b/crates/core/src/quarantine/machine.rs
@@ -1,8 +1,15 @@
 //! State machine that accuses parts of prompts.
 
-use std::collections::HashMap;
+use std::cell::OnceCell;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
-use crate::quarantine::evidence::{Evidence, separate, separate_times};
+use smallvec::SmallVec;
+
+use crate::quarantine::evidence::{
+    CrashNumber, CrashWithPart, Evidence, RequestRef, separate, separate_times,
+};
+use crate::quarantine::verdicts::Suspects;
 use crate::quarantine::{
     Accusation, CRASHES_TO_ACCUSE, Crash, PartKey, Parts, Proof, Verdicts, contains_all,
 };
@@ -64,8 +71,14 @@
     pub cleared: Vec<PartKey>,
     /// Whether the verdicts have changed.
     pub verdicts_changed: bool,
+    /// Requests of crashes that were left out of the evidence, since there were too many or they had too
+    /// many parts.
+    pub left_out: usize,
 }
 
+/// For each request of a crash that accusations apply to, the positions of these.
+type Explanations = HashMap<RequestRef, SmallVec<[usize; 2]>>;
+
 /// Evidence and accusations, as far as this host knows.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -73,6 +86,8 @@
     /// In the order in which they became known. Invariant: none contains all parts of another, and
     /// there are at most [`MAX_ACCUSATIONS`].
     accusations: Vec<Accusation>,
+    /// What follows from the evidence and the accusations, once it was asked for.
+    suspects: OnceCell<Arc<Suspects>>,
 }
 
 impl Default for Quarantine {
@@ -88,6 +103,7 @@
         Self {
             evidence: Evidence::new(),
             accusations: Vec::new(),
+            suspects: OnceCell::new(),
         }
     }
 
@@ -104,12 +120,18 @@
         for accusation in update.accusations {
             self.adopt(accusation, &mut effects);
         }
+        effects.left_out = self.evidence.take_left_out();
+        if effects.verdicts_changed {
+            self.suspects.take();
+        }
         effects
     }
 
     /// Drops old evidence.
     pub fn tick(&mut self, now: time::Time) {
-        self.evidence.tick(now);
+        if self.evidence.tick(now) {
+            self.suspects.take();
+        }
     }
 
     /// Everything that this host knows, for a host that may know nothing.
@@ -137,7 +159,8 @@
             let is_on_trial = accusation.is_on_trial(now) && is_trial_host(accusation);
             (accusation.clone(), is_on_trial)
         });
-        Verdicts::new(accusations.collect(), self.suspects())
+        let suspects = self.suspects.get_or_init(|| Arc::new(self.suspects()));
+        Verdicts::new(accusations.collect(), suspects.clone())
     }
 
     /// Accusations in force.
@@ -146,10 +169,11 @@
         &self.accusations
     }
 
-    fn suspects(&self) -> HashMap<PartKey, smallvec::SmallVec<[time::Time; 4]>> {
-        let mut suspects = HashMap::new();
+    fn suspects(&self) -> Suspects {
+        let explanations = self.explanations();
+        let mut suspects = Suspects::new();
         for part in self.evidence.parts() {
-            let times = separate_times(&self.against(part), part);
+            let times = separate_times(&self.against(part, &explanations));
             if !times.is_empty() {
                 suspects.insert(part, times);
             }
@@ -196,9 +220,7 @@
         let mut parts: Vec<PartKey> = requests.flat_map(|r| r.keys.iter().copied()).collect();
         parts.sort_unstable();
         parts.dedup();
-        for part in parts {
-            self.consider(part, now, effects);
-        }
+        self.consider_all(&parts, now, effects);
         effects.forward.crashes.push(new);
     }
 
@@ -226,37 +248,74 @@
         }
     }
 
-    /// Accuses a part if enough crashes count against it.
-    fn consider(&mut self, part: PartKey, now: time::Time, effects: &mut Effects) {
-        let crashes = self.against(part);
-        let count = separate(&crashes, part);
-        if count < CRASHES_TO_ACCUSE && !is_repeated_request(&crashes, part, count) {
-            return;
-        }
-        let companions = self.evidence.companions(part, &crashes);
-        let is_stronger = |other: &PartKey| separate(&self.against(*other), *other) > count;
-        if companions.iter().any(is_stronger) {
-            return;
-        }
-        let since = crashes.iter().map(|crash| crash.at).min();
-        let accusation = Accusation::new(companions, since.unwrap_or(now), now);
-        if self.add(accusation.clone()) {
-            effects.forward.accusations.push(accusation.clone());
-            effects.accused.push((accusation, count));
+    /// Accuses those of the parts against which enough crashes count. Parts of one prompt mostly have
+    /// the same crashes against them, and then the same companions: these are looked at once.
+    fn consider_all(&mut self, parts: &[PartKey], now: time::Time, effects: &mut Effects) {
+        let mut explanations = self.explanations();
+        let mut considered: HashMap<SmallVec<[CrashNumber; 4]>, Parts> = HashMap::new();
+        for part in parts {
+            let crashes = self.against(*part, &explanations);
+            let numbers: SmallVec<[CrashNumber; 4]> = crashes.iter().map(|c| c.number).collect();
+            let same = considered.get(&numbers);
+            if same.is_some_and(|companions| companions.binary_search(part).is_ok()) {
+                continue;
+            }
+            let count = separate(&crashes);
+            if count < CRASHES_TO_ACCUSE && !is_repeated_request(&crashes, *part, count) {
+                continue;
+            }
+            let mut companions = self.evidence.companions(&crashes);
+            companions.sort_unstable();
+            let is_stronger =
+                |other: &PartKey| separate(&self.against(*other, &explanations)) > count;
+            let is_stronger = companions.iter().any(is_stronger);
+            let since = crashes.iter().map(|with_part| with_part.crash.at).min();
+            drop(crashes);
+            considered.insert(numbers, companions.clone());
+            if is_stronger {
+                continue;
+            }
+            let accusation = Accusation::new(companions, since.unwrap_or(now), now);
+            if self.add(accusation.clone()) {
+                effects.forward.accusations.push(accusation.clone());
+                effects.accused.push((accusation, count));
+                explanations = self.explanations();
+            }
         }
     }
 
     /// Crashes that count against a part and are not explained by another accusation.
-    fn against(&self, part: PartKey) -> Vec<&Crash> {
-        let is_explained = |prompt: &Parts| {
-            let mut accusations = self.accusations.iter();
-            accusations.any(|a| !a.parts.contains(&part) && a.applies_to(prompt))
-        };
-        self.evidence.against(part, is_explained)
+    fn against(&self, part: PartKey, explanations: &Explanations) -> Vec<CrashWithPart<'_>> {
+        self.evidence.against(part, |request| {
+            let accusations = explanations.get(&request).into_iter().flatten();
+            let mut accusations =
+                accusations.filter_map(|position| self.accusations.get(*position));
+            accusations.any(|a| a.parts.binary_search(&part).is_err())
+        })
+    }
+
+    /// Which accusations apply to which requests of the crashes.
+    fn explanations(&self) -> Explanations {
+        if self.accusations.is_empty() {
+            return Explanations::new();
+        }
+        let mut explanations = Explanations::new();
+        for (request, prompt) in self.evidence.requests() {
+            let prompt: HashSet<PartKey> = prompt.iter().copied().collect();
+            let accusations = self.accusations.iter().enumerate();
+            let applies = |a: &Accusation| a.parts.iter().all(|part| prompt.contains(part));
+            let applying = accusations.filter(|(_, a)| applies(a));
+            let positions: SmallVec<[usize; 2]> = applying.map(|(i, _)| i).collect();
+            if !positions.is_empty() {
+                explanations.insert(request, positions);
+            }
+        }
+        explanations
     }
 
     /// Takes an accusation of another host over, without the parts that an answer has proven since.
     fn adopt(&mut self, mut accusation: Accusation, effects: &mut Effects) {
+        accusation.parts.sort_unstable();
         let last_proof = |part: PartKey| self.evidence.last_proof(part);
         let mut proven = Parts::new();
         accusation.parts.retain(|part| {
@@ -296,10 +355,10 @@
 /// Whether crashes accuse a request by its own key although fewer of them are separate than accuse a
 /// part: as many endpoints ended, several of them at once under repetitions. A failed rack explains only
 /// one of the separate events, and a sound request that comes as often is answered in between.
-fn is_repeated_request(crashes: &[&Crash], key: PartKey, separate: usize) -> bool {
-    let is_own_key = |crash: &&Crash| {
-        let mut with_key = crash.requests.iter().filter(|r| r.keys.contains(&key));
-        with_key.all(|request| request.is_own_key(key))
+fn is_repeated_request(crashes: &[CrashWithPart<'_>], key: PartKey, separate: usize) -> bool {
+    let is_own_key = |crash: &CrashWithPart<'_>| {
+        let mut requests = crash.requests.iter();
+        requests.all(|request| request.is_own_key(key))
     };
     separate >= EVENTS_OF_REPEATED_REQUEST
         && crashes.len() >= CRASHES_TO_ACCUSE
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -82,16 +82,14 @@
     }
 }
 
-/// Most parts of a prompt that are considered, which bounds what a caller can make hosts keep.
-const MAX_PARTS: usize = 16;
-
 /// Keys of parts that other prompts may have, in prompt order, or of these and a whole request.
 pub type Parts = SmallVec<[PartKey; 4]>;
 
-/// The parts of a prompt that other prompts may have.
+/// The parts of a prompt that other prompts may have: all of them, since any may be the one that
+/// crashes endpoints. Their number is bounded by the head of a request.
 #[must_use]
 pub fn shared_parts(prompt: &prompt::Prompt) -> Parts {
-    let shared = prompt.shared_parts().iter().take(MAX_PARTS);
+    let shared = prompt.shared_parts().iter();
     shared.map(|part| PartKey::new(part.key)).collect()
 }
 
--- a/crates/core/src/quarantine/verdicts.rs
+++ b/crates/core/src/quarantine/verdicts.rs
@@ -1,6 +1,7 @@
 //! Decisions on requests, as an immutable snapshot of a [`Quarantine`](super::Quarantine).
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use smallvec::SmallVec;
 
@@ -18,20 +19,19 @@
     Refused(Parts),
 }
 
+/// Times of the separate crashes that count against each part.
+pub(super) type Suspects = HashMap<PartKey, SmallVec<[time::Time; 4]>>;
+
 /// Decisions that follow from the evidence at one time.
 #[derive(Clone, Debug, Default)]
 pub struct Verdicts {
     /// Accusations, with whether this host tries their parts.
     accusations: Vec<(Accusation, bool)>,
-    /// Times of the separate crashes that count against each part.
-    suspects: HashMap<PartKey, SmallVec<[time::Time; 4]>>,
+    suspects: Arc<Suspects>,
 }
 
 impl Verdicts {
-    pub(super) const fn new(
-        accusations: Vec<(Accusation, bool)>,
-        suspects: HashMap<PartKey, SmallVec<[time::Time; 4]>>,
-    ) -> Self {
+    pub(super) const fn new(accusations: Vec<(Accusation, bool)>, suspects: Arc<Suspects>) -> Self {
         Self {
             accusations,
             suspects,
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -27,6 +27,10 @@
 /// may have as many prompts as the state machine keeps.
 const MAX_RECORDS_PER_MESSAGE: usize = 64;
 
+/// Most keys of requests in the crashes of one message, which has more only for a single crash. A key
+/// takes nine bytes.
+const MAX_KEYS_PER_MESSAGE: usize = 16_384;
+
 /// Store entry of an accusation. Its lease ends with the quarantine.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -193,6 +197,9 @@
     for part in &effects.cleared {
         cx.events.part_cleared(*part);
     }
+    if effects.left_out > 0 {
+        cx.events.crash_evidence_left_out(effects.left_out);
+    }
     if effects.verdicts_changed {
         publish_verdicts(cx, now);
     }
@@ -227,7 +234,7 @@
         let proofs_chunk = take_chunk(&mut proofs);
         // Crashes must not arrive before the proofs that contradict them.
         let crashes_chunk = match proofs.is_empty() {
-            true => take_chunk(&mut crashes),
+            true => take_crashes(&mut crashes),
             false => Vec::new(),
         };
         let update = peer::QuarantineUpdate {
@@ -269,6 +276,22 @@
     records.drain(..count).collect()
 }
 
+/// Takes as many crashes as fit into a message, one at least.
+fn take_crashes(crashes: &mut Vec<quarantine::Crash>) -> Vec<quarantine::Crash> {
+    let mut keys = 0;
+    let fitting = crashes
+        .iter()
+        .take(MAX_RECORDS_PER_MESSAGE)
+        .take_while(|crash| {
+            let is_first = keys == 0;
+            let requests = crash.requests.iter();
+            keys += requests.map(|request| request.keys.len()).sum::<usize>();
+            is_first || keys <= MAX_KEYS_PER_MESSAGE
+        });
+    let count = fitting.count();
+    crashes.drain(..count).collect()
+}
+
 fn from_message(
     update: peer::QuarantineUpdate,
     sent_ages_ms: &[Vec<Option<u32>>],
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -31,6 +31,9 @@
 /// Most findings on a catalog in one line.
 const LISTED_FINDINGS: usize = 8;
 
+/// Parts of a prompt that one line lists.
+const LISTED_PARTS: usize = 32;
+
 /// Event log of one thread.
 #[derive(Clone)]
 pub struct Events {
@@ -430,6 +433,11 @@
         );
     }
 
+    /// Requests that were in flight at crashes are left out of the evidence.
+    pub fn crash_evidence_left_out(&self, requests: usize) {
+        slog::warn!(self.log, "crash evidence left out"; "requests" => requests);
+    }
+
     /// Parts of prompts are accused of crashing endpoints.
     pub fn parts_accused(&self, parts: &[quarantine::PartKey], crashes: usize) {
         slog::warn!(
@@ -523,9 +531,14 @@
     first.join("; ")
 }
 
+/// The first parts, and the number of the others.
 fn part_list(parts: &[quarantine::PartKey]) -> String {
-    let keys: Vec<String> = parts.iter().map(ToString::to_string).collect();
-    keys.join(",")
+    let first = parts.iter().take(LISTED_PARTS);
+    let keys: Vec<String> = first.map(ToString::to_string).collect();
+    match parts.len().checked_sub(LISTED_PARTS) {
+        None | Some(0) => keys.join(","),
+        Some(others) => format!("{},and {others} more", keys.join(",")),
+    }
 }
 
 fn millis(span: Duration) -> f64 {
