Resume streams only where the version of an endpoint is certain

Cause: an endpoint whose connection was lost counted as the version of its last known entry again after 3 s, and at once where no other was left, whatever the age of that entry. While the store is away, or a host is cut off, no later entry comes. The same belief was written into the records of streams that began there. Of the same class: a host that stood still took the version it knew for the only one for up to 5 s after its last list.

Change: time alone makes no entry certain. After a loss, the version is in doubt until a list is confirmed 3 s later than the loss; no stream is resumed there, and none is recorded to have begun at its version. The only version of a service counts while the list is at most 2.5 s old. A request that finds only endpoints in doubt may pass to another host.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -14,6 +14,11 @@
 /// after this host has learned of its end.
 pub const MAX_GAP: Duration = Duration::from_secs(5);
 
+/// Age of the last confirmation from which on the list of endpoints may miss a version that serves now: a
+/// host that stood still, or that hears from nobody, does not know what has joined. Confirmations come
+/// once a second or more often.
+pub const MAX_LIST_AGE: Duration = Duration::from_millis(2_500);
+
 /// Longest time that the report of a stream's origin takes to other hosts.
 pub const MAX_REPORT_DELAY: Duration = Duration::from_secs(1);
 
@@ -118,7 +123,7 @@
 
     /// Whether the last `span` is covered.
     fn covers(&self, span: Duration, now: time::Time) -> bool {
-        let is_current = |at: time::Time| now.since(at) <= MAX_GAP;
+        let is_current = |at: time::Time| now.since(at) <= MAX_LIST_AGE;
         let is_covered = |since: time::Time| now.since(since) >= span;
         self.last_confirmed.is_some_and(is_current) && self.since.is_none_or(is_covered)
     }
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -14,7 +14,7 @@
 mod keys;
 mod origins;
 
-pub use history::{MAX_GAP, MAX_REPORT_DELAY, OnlyVersions, VersionHistory};
+pub use history::{MAX_GAP, MAX_LIST_AGE, MAX_REPORT_DELAY, OnlyVersions, VersionHistory};
 pub use keys::{EndpointKey, StreamKey, VersionTag};
 pub use origins::{MAX_STREAMS, Origin, OriginRecord, Origins, StoredOrigin, StreamOrigin};
 
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -328,6 +328,7 @@
     if state.is_confirmed_by(sender, now) {
         state.observe_versions(now);
         state.versions.confirm(now);
+        cx.shared.confirm_endpoints(now);
     }
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -230,6 +230,7 @@
         let mut state = self.state.borrow_mut();
         state.observe_versions(now);
         state.versions.confirm(now);
+        self.shared.confirm_endpoints(now);
     }
 
     /// Health of this host's connection to the store.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -164,6 +164,8 @@
     /// When the catalog was last confirmed to be the newest one, in microseconds of the host's
     /// clock.
     catalog_confirmed_micros: AtomicU64,
+    /// When the list of endpoints was last confirmed to be current, in microseconds.
+    endpoints_confirmed_micros: AtomicU64,
     phase: watch::Sender<Phase>,
 }
 
@@ -195,6 +197,7 @@
             origin_requests,
             origin_requests_rx: Mutex::new(Some(origin_requests_rx)),
             catalog_confirmed_micros: AtomicU64::new(0),
+            endpoints_confirmed_micros: AtomicU64::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
     }
@@ -344,6 +347,19 @@
         now.since(at)
     }
 
+    /// Records that all changes of the endpoints up to a point in time are in the view.
+    pub fn confirm_endpoints(&self, at: time::Time) {
+        self.endpoints_confirmed_micros
+            .fetch_max(at.as_micros(), Ordering::Relaxed);
+    }
+
+    /// When the list of endpoints was last confirmed to be current. Does not go on while this host hears
+    /// neither from the store nor from a host that does.
+    #[must_use]
+    pub fn endpoints_confirmed_at(&self) -> time::Time {
+        time::Time::from_micros(self.endpoints_confirmed_micros.load(Ordering::Relaxed))
+    }
+
     /// Current phase.
     #[must_use]
     pub fn phase(&self) -> Phase {
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -327,6 +327,7 @@
     endpoints.apply_remote_limits(&cx.shared, now);
     endpoints.apply_cold(&cx.shared, now);
     endpoints.apply_pushbacks(&cx.shared);
+    endpoints.confirm_list(cx.shared.endpoints_confirmed_at());
     let others = cx.shared.remote_loads();
     let service = &state.plan.service().name;
     endpoints.select(
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -38,8 +38,8 @@
     max_slow_share: 0.2,
 };
 
-/// Time after a lost connection in which other endpoints are preferred for resumed streams. The
-/// endpoint may have restarted under its id with another software version, and its new entry comes
+/// Time from a lost connection to a confirmation of the list of endpoints that shows that the endpoint
+/// has its version still. It may have restarted under its id with another one, and its new entry comes
 /// after up to one heartbeat and one delay of the watch.
 const RESTART_NOTICE: Duration = Duration::from_secs(3);
 
@@ -78,7 +78,7 @@
     pub choice: choice::Choice,
     /// Address of the endpoint that cached prompt tokens are copied from.
     pub copy_from: Option<std::net::SocketAddr>,
-    /// Software version of the endpoint, if it is known.
+    /// Software version of the endpoint, if it is certain.
     pub version: Option<streams::VersionTag>,
     /// Permit for a request to it.
     pub permit: Permit,
@@ -136,6 +136,8 @@
     evacuated: HashMap<Arc<str>, u32>,
     /// Endpoints of services whose slots are scheduled, by their group.
     slot_groups: call_slots::Groups,
+    /// When the list of endpoints was last confirmed to be current.
+    list_confirmed_at: time::Time,
     /// Generation of the view that the table was updated from.
     generation: u64,
     next_id: u32,
@@ -162,6 +164,7 @@
             returned: Vec::new(),
             evacuated: HashMap::new(),
             slot_groups: call_slots::Groups::default(),
+            list_confirmed_at: now,
             generation: 0,
             next_id: 0,
         }
@@ -220,7 +223,7 @@
         let mut closed = self.leaving.get(service).cloned().unwrap_or_default();
         closed.extend(self.take_closed(&mut ids, eligibility, now));
         if eligibility.version.is_some() {
-            self.prefer_steady(&mut ids, now);
+            ids.retain(|id| self.has_certain_version(*id));
         }
         self.hold_back_returning(&mut ids, request.seed, now);
         let mut candidates: Vec<_> = ids
@@ -248,7 +251,7 @@
         Some(SelectedEndpoint {
             endpoint: entry.endpoint.clone(),
             copy_from: source.map(|entry| entry.endpoint.address),
-            version: entry.version,
+            version: entry.version.filter(|_| self.is_version_certain(entry)),
             permit: self.permit_for(entry, now),
             departure: (*entry.endpoint.domain != *self.domain)
                 .then(|| quote.departure(&entry.endpoint.domain, choice.is_cached)),
@@ -314,15 +317,22 @@
         ids.is_some_and(|ids| ids.iter().any(|id| self.is_eligible(*id, eligibility)))
     }
 
-    /// Removes endpoints that may have restarted lately, unless all may.
-    fn prefer_steady(&self, ids: &mut Vec<entity::EndpointId>, now: time::Time) {
-        let lost_at = |id: &entity::EndpointId| self.entries.get(*id)?.lost_at;
-        let is_steady = |id: &entity::EndpointId| {
-            lost_at(id).is_none_or(|lost_at| now.since(lost_at) >= RESTART_NOTICE)
-        };
-        if ids.iter().any(is_steady) {
-            ids.retain(is_steady);
-        }
+    /// Records that the list of endpoints was current at a point in time.
+    pub(super) fn confirm_list(&mut self, at: time::Time) {
+        self.list_confirmed_at = self.list_confirmed_at.max(at);
+    }
+
+    /// Whether the endpoint has the version of its entry for certain.
+    fn has_certain_version(&self, id: entity::EndpointId) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| self.is_version_certain(entry))
+    }
+
+    /// Whether an endpoint has the version of its entry for certain. A connection that this host has lost
+    /// leaves it in doubt until a list has come that would show its next version.
+    fn is_version_certain(&self, entry: &Entry) -> bool {
+        let is_explained = |lost_at: time::Time| lost_at + RESTART_NOTICE <= self.list_confirmed_at;
+        entry.lost_at.is_none_or(is_explained)
     }
 
     /// Whether an endpoint passes its health checks and its domain can be reached.
--- a/crates/gateway/src/traffic/slots.rs
+++ b/crates/gateway/src/traffic/slots.rs
@@ -257,6 +257,7 @@
 {
     let mut endpoints = cx.endpoints.borrow_mut();
     endpoints.update(&cx.shared.view(), now);
+    endpoints.confirm_list(cx.shared.endpoints_confirmed_at());
     let eligibility = endpoints::Eligibility {
         only: Some(endpoints.id_of_hash(endpoint)?),
         // Nobody is asked twice for one call.
