Count a crash once that is reported late by a second host

A host of an earlier build, which names 16 parts only, may report so.

Change: they are kept sorted. Numbers of crashes have 64 bits again, so that their order lasts.

Test: a_late_report_on_a_crash_counts_with_the_first_one failed on the code before (with this test alone added) and passes now.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -127,10 +127,10 @@
 }
 
 /// Number of a crash, in the order in which crashes became known.
-pub(super) type CrashNumber = u32;
+pub(super) type CrashNumber = u64;
 
 /// A request of a crash that is kept.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct RequestRef {
     pub crash: CrashNumber,
     /// Position among the requests of the crash.
@@ -140,7 +140,7 @@
 /// What is known of a part in a crash that is kept.
 #[derive(Clone, Debug, Default)]
 struct PartEvidence {
-    /// Requests with the part, those of one crash after those of earlier ones. Invariant: not empty.
+    /// Requests with the part. Invariant: sorted, so that those of one crash are together, and not empty.
     lost: SmallVec<[RequestRef; 2]>,
     last_proof: Option<time::Time>,
 }
@@ -288,7 +288,7 @@
         }
         self.make_room(crash.keys());
         let number = self.next_number;
-        self.next_number = self.next_number.wrapping_add(1);
+        self.next_number += 1;
         self.keys += crash.keys();
         self.crashes.insert(number, crash.clone());
         self.index(number);
@@ -318,8 +318,8 @@
                     lost: SmallVec::new(),
                     last_proof: proofs.remove(part),
                 });
-                if !known.lost.contains(&request_ref) {
-                    known.lost.push(request_ref);
+                if let Err(place) = known.lost.binary_search(&request_ref) {
+                    known.lost.insert(place, request_ref);
                 }
             }
         }
--- a/crates/core/tests/quarantine_many_parts.rs
+++ b/crates/core/tests/quarantine_many_parts.rs
@@ -187,6 +187,29 @@
     assert!(accused(&quarantine).is_empty());
 }
 
+/// Guards against a crash that counts twice since a second host reports it after another crash, with other
+/// parts of the same request: hosts of earlier builds name the first 16 only.
+#[test]
+fn a_late_report_on_a_crash_counts_with_the_first_one() {
+    let mut quarantine = Quarantine::new();
+    let own = PartKey::new(7);
+    let report = |number, ms, keys: &[PartKey]| {
+        let request = LostRequest {
+            keys: keys.iter().copied().collect(),
+            sent_at: Some(at(ms - 15)),
+        };
+        Update::crash(Crash {
+            incarnation: IncarnationKey::new(number),
+            at: at(ms),
+            requests: [request].into_iter().collect(),
+        })
+    };
+    let _ = quarantine.apply(report(1, 1_000, &[CRASHING, own]), at(1_000));
+    let _ = quarantine.apply(report(2, 2_000, &[CRASHING, own]), at(2_000));
+    let _ = quarantine.apply(report(1, 1_000, &[own]), at(2_100));
+    assert!(accused(&quarantine).is_empty());
+}
+
 /// What is kept stays bounded, and what is left out is counted.
 #[test]
 fn evidence_is_bounded_by_its_keys() {
