Say once what the change wrote twice

From reading the change as a newcomer: references of requests of a crash are made in one place, tests use the table and the callers that were there, and a constant's comment says what it bounds. No change of what runs.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -90,6 +90,18 @@
         self.requests.len() < MAX_REQUESTS && self.keys() + request.keys.len() <= MAX_KEYS_PER_CRASH
     }
 
+    /// Its requests, with their references if the crash is kept under a number.
+    fn requests(&self, number: CrashNumber) -> impl Iterator<Item = (RequestRef, &Parts)> {
+        let requests = self.requests.iter().enumerate();
+        requests.map(move |(position, request)| {
+            let reference = RequestRef {
+                crash: number,
+                position: position as u16,
+            };
+            (reference, &request.keys)
+        })
+    }
+
     /// Number of keys of its requests.
     fn keys(&self) -> usize {
         self.requests.iter().map(|request| request.keys.len()).sum()
@@ -212,16 +224,8 @@
 
     /// All requests of crashes that are kept.
     pub(super) fn requests(&self) -> impl Iterator<Item = (RequestRef, &Parts)> {
-        self.crashes.iter().flat_map(|(number, crash)| {
-            let requests = crash.requests.iter().enumerate();
-            requests.map(|(position, request)| {
-                let request_ref = RequestRef {
-                    crash: *number,
-                    position: position as u16,
-                };
-                (request_ref, &request.keys)
-            })
-        })
+        let crashes = self.crashes.iter();
+        crashes.flat_map(|(number, crash)| crash.requests(*number))
     }
 
     /// Records a crash. Returns what was not known of it.
@@ -307,19 +311,15 @@
         let Some(crash) = self.crashes.get(&number) else {
             return;
         };
-        for (position, request) in crash.requests.iter().enumerate() {
-            let request_ref = RequestRef {
-                crash: number,
-                position: position as u16,
-            };
-            for part in &request.keys {
+        for (request, keys) in crash.requests(number) {
+            for part in keys {
                 let proofs = &mut self.proofs;
                 let known = self.by_part.entry(*part).or_insert_with(|| PartEvidence {
                     lost: SmallVec::new(),
                     last_proof: proofs.remove(part),
                 });
-                if let Err(place) = known.lost.binary_search(&request_ref) {
-                    known.lost.insert(place, request_ref);
+                if let Err(place) = known.lost.binary_search(&request) {
+                    known.lost.insert(place, request);
                 }
             }
         }
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -27,8 +27,8 @@
 /// may have as many prompts as the state machine keeps.
 const MAX_RECORDS_PER_MESSAGE: usize = 64;
 
-/// Most keys of requests in the crashes of one message, which has more only for a single crash. A key
-/// takes nine bytes.
+/// Most keys of requests in the crashes of one message: two crashes of the largest kind that is kept. A
+/// key takes nine bytes, so that it is well below the limit of a frame, too.
 const MAX_KEYS_PER_MESSAGE: usize = 16_384;
 
 /// Store entry of an accusation. Its lease ends with the quarantine.
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -110,15 +110,7 @@
 /// Guards against a resumed stream at an endpoint that has just restarted with another version.
 #[test]
 fn a_lost_endpoint_is_avoided_for_resumed_streams_until_its_entry_can_be_known() {
-    let endpoints: Vec<_> = (1..=2)
-        .map(|number| endpoint("engines", number, directory::State::Ready))
-        .collect();
-    let budget = retry::FleetBudget {
-        ratio: 0.1,
-        extra: 10.0,
-    };
-    let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(&view(endpoints, &[], "engines"), NOW);
+    let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], NOW);
@@ -135,15 +127,7 @@
 /// id with another version: no time that passes makes its last entry certain.
 #[test]
 fn a_lost_endpoint_is_avoided_for_resumed_streams_as_long_as_no_list_is_confirmed() {
-    let endpoints: Vec<_> = (1..=2)
-        .map(|number| endpoint("engines", number, directory::State::Ready))
-        .collect();
-    let budget = retry::FleetBudget {
-        ratio: 0.1,
-        extra: 10.0,
-    };
-    let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(&view(endpoints, &[], "engines"), NOW);
+    let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
     table.record_lost_connection(ids[0], NOW);
     table.confirm_list(NOW + super::RESTART_NOTICE - Duration::from_millis(1));
@@ -155,13 +139,7 @@
 /// have restarted with another one.
 #[test]
 fn a_stream_begins_at_no_certain_version_while_its_endpoint_may_have_restarted() {
-    let endpoints = vec![endpoint("engines", 1, directory::State::Ready)];
-    let budget = retry::FleetBudget {
-        ratio: 0.1,
-        extra: 10.0,
-    };
-    let mut table = EndpointTable::new(&host(), budget, NOW);
-    table.update(&view(endpoints, &[], "engines"), NOW);
+    let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
     let version = |table: &EndpointTable, now| {
         let request = choice::Request {
@@ -169,8 +147,11 @@
             seed: 1,
         };
         let others = load_reports::WorkByEndpoint::new();
-        let any = Eligibility::default();
-        let selected = table.select("engines", &request, &others, &any, now);
+        let first = Eligibility {
+            only: Some(ids[0]),
+            ..Eligibility::default()
+        };
+        let selected = table.select("engines", &request, &others, &first, now);
         selected.expect("an endpoint").version
     };
     assert!(version(&table, NOW).is_some());
