Let a run go on only at the event after the caller's last

What callers could see: an endpoint that is to go on after an event and begins anew, or numbers its events anew, had its first events dropped as ones that the caller has, and the rest of that other run joined to the events before: pieces of two runs in one answer that looks whole. Within one run, an id that went back was dropped the same way, so that the answer looked whole without pieces that its endpoint had sent. An event without an id was passed on wherever it came, also as the first one of a run that goes on: it may come twice.

Cause: the splitter took every id up to the last one for an event that the caller has, and every event without an id for the next one. Nothing but the id after the last one shows that a run goes on where the caller is.

Change: an id that is not the next one breaks the stream, whether it is lower or higher; so does an event with data and without an id before the run has shown its place. The host then asks another endpoint, or cuts the answer. The last line with an id counts, as for callers, and an event after a byte order mark has data. What is not checked: which id is the first one of a stream, since endpoints may begin with any.

The test that asked for events up to the last one to be dropped is replaced by a stricter one: a run that begins before the last event has not gone on after it, and its later pieces need not fit.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -7,18 +7,26 @@
 /// Longest event that is buffered until it is complete, in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Bytes with which a stream may begin, and which belong to no event.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// Why a stream cannot be continued.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamError {
     /// An event is longer than [`MAX_EVENT_BYTES`].
     TooLong,
-    /// The id of an event does not follow the id of the previous event.
+    /// The id of an event is not the one after that of the previous event, which may be of an earlier run.
     Gap {
         /// Id of the previous event.
         after: u64,
         /// Id of the event itself.
         found: u64,
     },
+    /// A run goes on with an event without an id, so that its place is not known.
+    Unnumbered {
+        /// Id of the last event of the run before.
+        after: u64,
+    },
 }
 
 impl fmt::Display for StreamError {
@@ -26,12 +34,32 @@
         match self {
             Self::TooLong => write!(f, "event exceeds {MAX_EVENT_BYTES} bytes"),
             Self::Gap { after, found } => write!(f, "event {found} follows event {after}"),
+            Self::Unnumbered { after } => {
+                write!(f, "event without an id goes on after event {after}")
+            }
         }
     }
 }
 
 impl std::error::Error for StreamError {}
 
+/// Place of a run of an endpoint in the stream of the caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Place {
+    /// It begins the stream, with any id, or its events have been shown to go on where the caller is.
+    #[default]
+    Known,
+    /// The caller has events of an earlier run. The first event must be the one after its last.
+    After(u64),
+}
+
+impl Place {
+    /// Place of the next run.
+    fn of_next(last_id: Option<u64>) -> Self {
+        last_id.map_or(Self::Known, Self::After)
+    }
+}
+
 /// Forwards complete events, each event once.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
@@ -41,6 +69,8 @@
     has_more: bool,
     /// Id of the last forwarded event.
     last_id: Option<u64>,
+    /// Place of the present run.
+    place: Place,
     /// Number of forwarded events.
     events: u64,
     /// Whether an event with data and without an id was forwarded.
@@ -55,6 +85,7 @@
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Self {
             last_id,
+            place: Place::of_next(last_id),
             ..Self::default()
         }
     }
@@ -98,9 +129,8 @@
                 break;
             };
             let event = self.partial.split_to(end);
-            match self.is_new(&event) {
-                Ok(true) => passed.unsplit(event),
-                Ok(false) => {}
+            match self.record(&event) {
+                Ok(()) => passed.unsplit(event),
                 Err(e) => return self.fail(passed, e),
             }
         }
@@ -120,11 +150,12 @@
         }
     }
 
-    /// Discards an incomplete event, since the endpoint that resumes the stream sends it again from
-    /// its start.
+    /// Ends the present run. An incomplete event of it is discarded, since the endpoint that resumes the
+    /// stream sends it again from its start.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
         self.has_more = false;
+        self.place = Place::of_next(self.last_id);
         self.failed = None;
     }
 
@@ -153,21 +184,32 @@
         !self.has_unnumbered
     }
 
-    /// Whether the caller does not have the event yet. Records it as forwarded if so.
-    fn is_new(&mut self, event: &[u8]) -> Result<bool, StreamError> {
-        let Some(id) = event_id(event) else {
-            self.events += 1;
-            self.has_unnumbered |= has_data(event);
-            return Ok(true);
-        };
-        match self.last_id {
-            Some(last) if id <= last => return Ok(false),
-            Some(after) if id > after + 1 => return Err(StreamError::Gap { after, found: id }),
-            Some(_) | None => {}
+    /// Records an event as forwarded, if it goes on where the caller is.
+    fn record(&mut self, event: &[u8]) -> Result<(), StreamError> {
+        match (event_id(event), self.last_id) {
+            (Some(found), Some(after)) if after.checked_add(1) != Some(found) => {
+                return Err(StreamError::Gap { after, found });
+            }
+            (Some(id), _) => {
+                self.last_id = Some(id);
+                self.place = Place::Known;
+            }
+            (None, _) if has_data(event) => self.record_unnumbered()?,
+            (None, _) => {}
         }
-        self.last_id = Some(id);
         self.events += 1;
-        Ok(true)
+        Ok(())
+    }
+
+    /// Records an event with data and without an id.
+    fn record_unnumbered(&mut self) -> Result<(), StreamError> {
+        match self.place {
+            Place::Known => {
+                self.has_unnumbered = true;
+                Ok(())
+            }
+            Place::After(after) => Err(StreamError::Unnumbered { after }),
+        }
     }
 }
 
@@ -189,13 +231,22 @@
 
 /// Whether an event has data. One without is a comment, which may be sent again.
 fn has_data(event: &[u8]) -> bool {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
     let mut lines = event.split(|b| *b == b'\n');
     lines.any(|line| line.starts_with(b"data"))
 }
 
-/// Numeric id of an event, if it has one.
+/// Numeric id of an event, if it has one. The last line with an id counts.
 fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|b| *b == b'\n');
-    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+    let lines = event.split(|b| *b == b'\n');
+    let value = lines.filter_map(id_value).next_back()?;
+    std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
+}
+
+/// Value of a line that sets the id.
+fn id_value(line: &[u8]) -> Option<&[u8]> {
+    match line.strip_prefix(b"id")? {
+        b"" | b"\r" => Some(b""),
+        rest => rest.strip_prefix(b":"),
+    }
 }
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -40,11 +40,104 @@
     assert!(!splitter.is_resumable());
 }
 
+/// Guards against pieces of two runs in one answer: a run that does not go on after the last event of the
+/// caller begins anew, and its pieces do not fit those of the run before.
 #[test]
-fn events_that_the_caller_already_has_are_dropped() {
-    let mut splitter = Splitter::resume_after(Some(4));
-    let passed = splitter.push(events(3..7).as_bytes()).expect("no error");
-    assert_eq!(passed, events(5..7));
+fn a_run_that_begins_before_the_last_event_is_an_error() {
+    for first in 0..=4 {
+        let mut splitter = Splitter::resume_after(Some(4));
+        let gap = StreamError::Gap {
+            after: 4,
+            found: first,
+        };
+        let passed = splitter.push(events(first..7).as_bytes());
+        assert_eq!(passed, Err(gap), "from {first}");
+        assert!(!splitter.at_event_boundary());
+        splitter.discard_partial();
+        let passed = splitter.push(events(5..7).as_bytes()).expect("no error");
+        assert_eq!(passed, events(5..7));
+    }
+}
+
+/// Guards against pieces that are missing from an answer that looks whole: an id that goes back within a
+/// run is not that of an event that the caller has.
+#[test]
+fn an_id_that_goes_back_within_a_run_is_an_error() {
+    for found in 0..=2 {
+        let mut splitter = Splitter::default();
+        splitter.push(events(0..3).as_bytes()).expect("no error");
+        let gap = StreamError::Gap { after: 2, found };
+        let passed = splitter.push(events(found..9).as_bytes());
+        assert_eq!(passed, Err(gap));
+        assert!(!splitter.at_event_boundary());
+    }
+}
+
+/// Guards against a piece that comes twice: without an id, nothing says that the caller does not have it.
+#[test]
+fn a_run_that_goes_on_with_an_event_without_an_id_is_an_error() {
+    let unnumbered = StreamError::Unnumbered { after: 4 };
+    for event in [
+        "data: piece 5\n\n",
+        "id\ndata: x\n\n",
+        "id: five\ndata: x\n\n",
+    ] {
+        let mut splitter = Splitter::resume_after(Some(4));
+        assert_eq!(splitter.push(event.as_bytes()), Err(unnumbered), "{event}");
+        assert!(!splitter.at_event_boundary());
+    }
+    let mut splitter = Splitter::default();
+    splitter.push(events(0..5).as_bytes()).expect("no error");
+    splitter.discard_partial();
+    let comment = splitter.push(b": still there\n\n");
+    assert_eq!(comment, Ok(Bytes::from_static(b": still there\n\n")));
+    assert_eq!(splitter.push(b"data: piece 5\n\n"), Err(unnumbered));
+}
+
+/// Guards against a piece that comes twice: a caller goes by the last id of an event, and so does the
+/// endpoint that goes on after it.
+#[test]
+fn the_last_id_of_an_event_counts() {
+    let mut splitter = Splitter::default();
+    splitter
+        .push(b"id: 3\nid: 4\ndata: x\n\n")
+        .expect("no error");
+    assert_eq!(splitter.last_id(), Some(4));
+    splitter.push(b"id: 5\nid\ndata: x\n\n").expect("no error");
+    assert_eq!(splitter.last_id(), Some(4));
+    assert!(!splitter.is_resumable());
+}
+
+/// Guards against a first piece that comes twice: the byte order mark hid that the event has data.
+#[test]
+fn an_event_after_a_byte_order_mark_is_a_piece() {
+    let mut splitter = Splitter::default();
+    let event = "\u{feff}data: piece\n\n";
+    assert_eq!(splitter.push(event.as_bytes()), Ok(Bytes::from(event)));
+    assert!(!splitter.is_resumable());
+}
+
+/// The pages of endpoints do not say which id is the first one.
+#[test]
+fn a_stream_may_begin_with_any_id() {
+    for first in [0, 1, 5, u64::MAX - 2] {
+        let mut splitter = Splitter::default();
+        let both = events(first..first + 1);
+        assert_eq!(splitter.push(both.as_bytes()), Ok(Bytes::from(both)));
+        assert_eq!(splitter.last_id(), Some(first));
+        splitter.discard_partial();
+        let next = splitter.push(events(first + 1..first + 2).as_bytes());
+        assert!(next.is_ok(), "{next:?}");
+    }
+}
+
+/// Guards against an end that looks complete: lines that end with a carriage return alone are not read.
+#[test]
+fn lines_that_end_with_carriage_returns_alone_are_no_event() {
+    let mut splitter = Splitter::default();
+    let passed = splitter.push(b"id: 0\rdata: x\r\r").expect("no error");
+    assert!(passed.is_empty());
+    assert!(!splitter.at_event_boundary());
 }
 
 #[test]
