Join to a cut stream only what goes on from its last piece

What callers saw (older interface): a stream broke off between two events, was resumed, and held the endpoint's error, or pieces that were missing, sent twice or of another run, and ended as whole.

Cause: whatever a resumption was answered with was joined. A 200 with another content type was forwarded as a body; ids were only compared at the entry, only to be greater, and not at all for services; after an event without an id the stream was resumed behind the event before it.

Change: `Place` says how far a stream has come and whether an event goes on from there. A resumption is joined only if it is a 200 event stream that begins with the next id or the end marker. Nothing is resumed after an event without an id. Ids count up by one, as in the path on the platform.

--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -9,7 +9,7 @@
 use pistachiochute_core::{outcome, reason, request, units};
 use pistachiochute_messages::forward;
 
-use crate::endpoint::{answer_sender, events};
+use crate::endpoint::{answer_sender, events, place};
 use crate::{endpoint, http_client};
 
 /// Number of times that a truncated stream is resumed before the call fails.
@@ -55,11 +55,11 @@
     /// Sends the request and forwards the answer to `sender`. Does not send the end of the answer,
     /// which is up to the caller of this function.
     pub fn run(&self, sender: &mut answer_sender::AnswerSender) -> endpoint::CallResult {
-        let mut last_event_id = self.head.resume_after;
+        let mut resume_after = self.head.resume_after;
         let mut resumes = 0;
         loop {
             let mut progress = Progress {
-                last_event_id,
+                place: place::Place::resumed_after(resume_after),
                 used: None,
             };
             match self.attempt(sender, &mut progress) {
@@ -72,21 +72,22 @@
                 Err(AttemptError::Failed(failure)) => return endpoint::CallResult::Failed(failure),
                 Err(AttemptError::Truncated(reason)) => {
                     resumes += 1;
-                    if !self.may_resume(&progress) || resumes > MAX_RESUMES {
+                    resume_after = self.resumable_after(&progress);
+                    if resume_after.is_none() || resumes > MAX_RESUMES {
                         let failure = endpoint::Failure::new(reason, outcome::Outcome::Run);
                         return endpoint::CallResult::Failed(failure);
                     }
-                    last_event_id = progress.last_event_id;
                 }
             }
         }
     }
 
-    /// Whether a truncated stream may be resumed by sending the request again. An endpoint that
-    /// does not support resumption would run it a second time, so the request must be idempotent.
-    fn may_resume(&self, progress: &Progress) -> bool {
-        progress.last_event_id.is_some()
-            && self.head.idempotency == request::Idempotency::Idempotent
+    /// Piece after which a truncated stream may be resumed by sending the request again. An endpoint
+    /// that does not support resumption would run it a second time, so the request must be
+    /// idempotent.
+    fn resumable_after(&self, progress: &Progress) -> Option<u32> {
+        let is_idempotent = self.head.idempotency == request::Idempotency::Idempotent;
+        progress.place.resumable_after().filter(|_| is_idempotent)
     }
 
     fn attempt(
@@ -94,15 +95,16 @@
         sender: &mut answer_sender::AnswerSender,
         progress: &mut Progress,
     ) -> Result<(), AttemptError> {
-        let response = self.send(sender, progress.last_event_id)?;
-        let status = response.head.status.as_u16();
+        let resume_after = progress.place.resumable_after();
+        let response = self.send(sender, resume_after)?;
         endpoint_refusal(&response).map_or(Ok(()), Err)?;
-        if progress.last_event_id.is_some() && status != http::StatusCode::OK {
+        let is_stream = is_event_stream(&response);
+        if resume_after.is_some() && !is_stream {
             return Err(AttemptError::Truncated(reason::Refusal::ConnectionLost));
         }
         let content_type = response.header(http::header::CONTENT_TYPE.as_str());
-        sender.send_head(status, content_type.clone())?;
-        if content_type.starts_with(b"text/event-stream") {
+        sender.send_head(response.head.status.as_u16(), content_type)?;
+        if is_stream {
             return read_events(response, sender, progress);
         }
         read_body(response, sender)
@@ -166,8 +168,8 @@
 
 /// Progress of the answer.
 struct Progress {
-    /// Id of the last complete event.
-    last_event_id: Option<u32>,
+    /// Place after the last complete event.
+    place: place::Place,
     /// Number of tokens used, as reported by the endpoint.
     used: Option<units::Tokens>,
 }
@@ -205,6 +207,13 @@
     }))
 }
 
+/// Whether the answer is a stream of events that the endpoint runs. Any other status answers the
+/// request as a whole.
+fn is_event_stream(response: &http_client::Response) -> bool {
+    let content_type = response.header(http::header::CONTENT_TYPE.as_str());
+    response.head.status == http::StatusCode::OK && content_type.starts_with(b"text/event-stream")
+}
+
 fn read_events(
     response: http_client::Response,
     sender: &mut answer_sender::AnswerSender,
@@ -217,10 +226,13 @@
             Ok(None) => return Err(AttemptError::Truncated(reason::Refusal::ConnectionLost)),
             Err(e) => return Err(truncation_error(&e)),
         };
+        let Some(place) = progress.place.advance(event.kind) else {
+            return Err(AttemptError::Truncated(reason::Refusal::AnswerIncomplete));
+        };
+        progress.place = place;
         progress.used = progress.used.max(event.data().and_then(used_tokens));
-        progress.last_event_id = event.id.or(progress.last_event_id);
-        sender.send_chunk(event.bytes.clone(), event.id)?;
-        if event.done {
+        sender.send_chunk(event.bytes.clone(), event.id())?;
+        if event.kind == events::Kind::End {
             return Ok(());
         }
     }
--- a/crates/runtime/src/endpoint/events.rs
+++ b/crates/runtime/src/endpoint/events.rs
@@ -11,18 +11,37 @@
 /// Data of the event that ends an OpenAI-compatible stream.
 const END_OF_STREAM_DATA: &[u8] = b"[DONE]";
 
+/// What an event is to its stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It has no data, so it is no piece of the stream.
+    Comment,
+    /// It is the piece with this number.
+    Numbered(u32),
+    /// It is a piece without a number.
+    Unnumbered,
+    /// It ends the stream.
+    End,
+}
+
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// Raw bytes of the event, including the blank line that ends it.
     pub bytes: Bytes,
-    /// Numeric value of the `id` field.
-    pub id: Option<u32>,
-    /// Whether the event ends the stream.
-    pub done: bool,
+    /// What the event is to its stream.
+    pub kind: Kind,
 }
 
 impl Event {
+    /// Returns the number of the piece.
+    pub const fn id(&self) -> Option<u32> {
+        match self.kind {
+            Kind::Numbered(id) => Some(id),
+            Kind::Comment | Kind::Unnumbered | Kind::End => None,
+        }
+    }
+
     /// Returns the value of the `data` field.
     pub fn data(&self) -> Option<&[u8]> {
         field(&self.bytes, b"data")
@@ -76,15 +95,23 @@
 }
 
 fn event(bytes: Vec<u8>) -> Event {
-    let id = field(&bytes, b"id").and_then(|id| std::str::from_utf8(id).ok()?.parse().ok());
-    let done = field(&bytes, b"data") == Some(END_OF_STREAM_DATA);
+    let kind = match field(&bytes, b"data") {
+        None => Kind::Comment,
+        Some(END_OF_STREAM_DATA) => Kind::End,
+        Some(_) => number(&bytes).map_or(Kind::Unnumbered, Kind::Numbered),
+    };
     Event {
         bytes: bytes.into(),
-        id,
-        done,
+        kind,
     }
 }
 
+/// Numeric value of the `id` field.
+fn number(bytes: &[u8]) -> Option<u32> {
+    let id = field(bytes, b"id")?;
+    std::str::from_utf8(id).ok()?.parse().ok()
+}
+
 fn field<'a>(bytes: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     bytes.split(|&b| b == b'\n').find_map(|line| {
         let value = line.strip_prefix(name)?.strip_prefix(b":")?;
--- a/crates/runtime/src/endpoint/mod.rs
+++ b/crates/runtime/src/endpoint/mod.rs
@@ -7,6 +7,7 @@
 mod answer_sender;
 mod call;
 mod events;
+mod place;
 
 use std::time::Duration;
 
