Pass on an answer without framing only if its text shows that it is whole

What callers saw (older interface): an endpoint that stopped half-way closed its connection in order, and callers got 200 with an empty or short body, framed as whole. Such an answer to an action was recorded as its result.

Cause: a body with neither a length nor chunks ends with its connection, and the HTTP library reports its end as that of a complete body. Nothing told the two ends apart.

Change: `http_client::Body` says whether the head told where the body ends. An unframed answer of an endpoint is passed on only as a whole JSON object or array; otherwise the attempt fails as answer_incomplete, with the outcome run. A service that answers with unframed text gets its callers a 502 now: it has to frame its answers. Answers of the platform are JSON, and were safe by that.

Tests with real sockets; before the change:

- an_answer_without_framing_is_whole_only_if_its_text_shows_it: 200 instead of 502, empty body (cut after 0 bytes)
- a_cut_answer_without_framing_is_not_recorded_as_the_result_of_an_action: 200 "booked teach" instead of 502

--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -254,13 +254,21 @@
 ) -> Result<(), AttemptError> {
     let truncated =
         |reason| AttemptError::from(endpoint::Failure::new(reason, outcome::Outcome::Run));
-    let mut body = response.read_to_end(u64::MAX).map_err(|e| match e {
+    let content_type = response.header(http::header::CONTENT_TYPE.as_str());
+    let body = response.read_to_end(u64::MAX).map_err(|e| match e {
         http_client::Error::Cancelled => AttemptError::ReceiverClosed,
         http_client::Error::TimedOut => truncated(reason::Refusal::Stalled),
         http_client::Error::NotSent(_)
         | http_client::Error::ConnectionLost(_)
         | http_client::Error::TooLong(_) => truncated(reason::Refusal::AnswerIncomplete),
     })?;
+    let mut body = match body {
+        http_client::Body::Whole(body) => body,
+        http_client::Body::Unframed(body) if is_whole_json(&content_type, &body) => body,
+        http_client::Body::Unframed(_) => {
+            return Err(truncated(reason::Refusal::AnswerIncomplete));
+        }
+    };
     while !body.is_empty() {
         let chunk = body.split_to(body.len().min(MAX_CHUNK_BYTES));
         sender.send_chunk(chunk, None)?;
@@ -268,6 +276,13 @@
     Ok(())
 }
 
+/// Whether the body is a JSON object or array. No proper prefix of one is valid JSON.
+fn is_whole_json(content_type: &[u8], body: &[u8]) -> bool {
+    content_type.starts_with(b"application/json")
+        && matches!(body.trim_ascii_start(), [b'{' | b'[', ..])
+        && serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+}
+
 /// Parses the number of used tokens in an OpenAI-compatible event or answer.
 fn used_tokens(data: &[u8]) -> Option<units::Tokens> {
     #[derive(serde::Deserialize)]
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -9,7 +9,7 @@
 use std::{fmt, io};
 
 use bytes::{Buf as _, Bytes, BytesMut};
-use http::{HeaderValue, Request, header, response};
+use http::{HeaderValue, Request, StatusCode, header, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -179,6 +179,15 @@
     Ok(sender)
 }
 
+/// A body that was read to its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// The server declared the length of the body, or sent its last chunk.
+    Whole(Bytes),
+    /// The body ended with its connection, as it also does at a server that stops half-way.
+    Unframed(Bytes),
+}
+
 /// An answer whose body is read as a stream.
 pub struct Response {
     /// Status and headers.
@@ -211,7 +220,7 @@
     ///
     /// Returns an error if the body is truncated, stalls or exceeds `max` bytes, or if the call is
     /// cancelled.
-    pub fn read_to_end(mut self, max: u64) -> Result<Bytes, Error> {
+    pub fn read_to_end(mut self, max: u64) -> Result<Body, Error> {
         let mut buf = BytesMut::new();
         while let Some(chunk) = self.next_chunk()? {
             if (buf.len() + chunk.len()) as u64 > max {
@@ -219,10 +228,14 @@
             }
             buf.extend_from_slice(&chunk);
         }
-        Ok(buf.freeze())
+        let body = buf.freeze();
+        match is_framed(&self.head) {
+            true => Ok(Body::Whole(body)),
+            false => Ok(Body::Unframed(body)),
+        }
     }
 
-    /// Returns the next chunk of the body, or `None` at the end of a complete body.
+    /// Returns the next chunk of the body, or `None` at its end.
     fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             let frame = self.call.wait(self.body.frame())?;
@@ -236,6 +249,21 @@
     }
 }
 
+/// Whether the head tells where the body ends (RFC 9112, section 6.3).
+fn is_framed(head: &response::Parts) -> bool {
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+    match (head.status, codings.iter().next_back()) {
+        (StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED, _) => true,
+        (_, Some(coding)) => ends_with_chunked(coding),
+        (_, None) => head.headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
+fn ends_with_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.as_bytes().rsplit(|&b| b == b',').next();
+    last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 impl io::Read for Response {
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
         while self.buffered.is_empty() {
--- a/crates/runtime/src/platform/http.rs
+++ b/crates/runtime/src/platform/http.rs
@@ -108,5 +108,9 @@
         http_client::Error::TooLong(_) => Failure::Sent(e.to_string()),
         e => Failure::Sent(format!("the answer was cut: {e}")),
     })?;
-    Ok(Answer { status, body })
+    match body {
+        http_client::Body::Whole(body) | http_client::Body::Unframed(body) => {
+            Ok(Answer { status, body })
+        }
+    }
 }
--- a/crates/runtime/tests/answer_ends.rs
+++ b/crates/runtime/tests/answer_ends.rs
@@ -7,6 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use pistachiochute_core::topology;
 use serde_json::json;
@@ -347,6 +348,52 @@
     }
 }
 
+/// Guards against an answer without framing that was cut and is passed on as a whole one.
+#[test]
+fn an_answer_without_framing_is_whole_only_if_its_text_shows_it() {
+    let body = json!({ "choices": [{ "message": { "content": "piece" } }] }).to_string();
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+    for len in (0..body.len()).step_by(9) {
+        let fleet = ScriptedFleet::start(&[format!("{head}{}", &body[..len])]);
+        let (status, outcome, text) = fleet.chat(len % 2);
+        assert_eq!(status, 502, "{len}: {text}");
+        assert_eq!(outcome, "run", "{len}: {text}");
+        fleet.close();
+    }
+    let fleet = ScriptedFleet::start(&[format!("{head}{body}")]);
+    assert_eq!(fleet.chat(0), (200, "run".to_owned(), body));
+    fleet.close();
+}
+
+/// Guards against an action whose answer was cut and is recorded as its result.
+#[test]
+fn a_cut_answer_without_framing_is_not_recorded_as_the_result_of_an_action() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nbooked teach",
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"booked\":\"teach",
+        "HTTP/1.1 200 OK\r\n\r\n",
+    ];
+    for answer in answers {
+        let fleet = ScriptedFleet::start(&[answer]);
+        let key = uuid::Uuid::now_v7().to_string();
+        for host in [0, 1, 0] {
+            let resp = attohttpc::post(fleet.service(host))
+                .header("authorization", format!("Bearer {}", support::API_KEY))
+                .header("idempotency-key", &key)
+                .timeout(Duration::from_secs(20))
+                .text("{}")
+                .send()
+                .unwrap();
+            let (status, outcome, body) = whole(resp);
+            // Until the result is recorded, a repeat is told that the action is in progress.
+            assert!(matches!(status, 409 | 502), "{answer:?}: {status} {body}");
+            assert_ne!(outcome, "not_run", "{answer:?}: {body}");
+        }
+        assert_eq!(fleet.endpoint.requests().len(), 1, "{answer:?}");
+        fleet.close();
+    }
+}
+
 /// A stream that declares a length keeps none of it once it is resumed.
 #[test]
 fn a_resumed_stream_has_no_length_of_its_first_run() {
