Take no interim answer of an endpoint for its final one

What callers saw (older interface): an endpoint that answered 101 Switching Protocols, which no host asks for, gave callers a 101 with an empty body and the outcome run.

Cause: the HTTP library skips all interim answers but 101, which it returns as an answer without a body.

Change: the client reports it as an error of its own, so that the request counts as unknown and may be made again elsewhere.

Test: an_interim_answer_is_no_answer; before the change: left: (101, "run"), right: (502, "unknown").

--- a/crates/runtime/src/endpoint/call.rs
+++ b/crates/runtime/src/endpoint/call.rs
@@ -185,6 +185,9 @@
         http_client::Error::ConnectionLost(_) | http_client::Error::TooLong(_) => {
             (reason::Refusal::ConnectionLost, outcome::Outcome::Unknown)
         }
+        http_client::Error::NoFinalAnswer(_) => {
+            (reason::Refusal::AnswerIncomplete, outcome::Outcome::Unknown)
+        }
         http_client::Error::Cancelled => return AttemptError::ReceiverClosed,
     };
     endpoint::Failure::new(reason, outcome).into()
@@ -260,6 +263,7 @@
         http_client::Error::TimedOut => truncated(reason::Refusal::Stalled),
         http_client::Error::NotSent(_)
         | http_client::Error::ConnectionLost(_)
+        | http_client::Error::NoFinalAnswer(_)
         | http_client::Error::TooLong(_) => truncated(reason::Refusal::AnswerIncomplete),
     })?;
     let mut body = match body {
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -58,6 +58,8 @@
     TimedOut,
     /// The connection was lost before the answer was complete.
     ConnectionLost(hyper::Error),
+    /// The server ended HTTP on the connection with this interim status, so no answer follows.
+    NoFinalAnswer(StatusCode),
     /// The answer exceeds this number of bytes.
     TooLong(u64),
     /// The call was cancelled.
@@ -70,6 +72,7 @@
             Self::NotSent(e) => write!(f, "connect: {e}"),
             Self::TimedOut => f.write_str("no answer in time"),
             Self::ConnectionLost(e) => write!(f, "connection lost: {e}"),
+            Self::NoFinalAnswer(status) => write!(f, "no answer after status {status}"),
             Self::TooLong(max) => write!(f, "the answer is longer than {max} bytes"),
             Self::Cancelled => f.write_str("the answer is no longer wanted"),
         }
@@ -84,7 +87,7 @@
             Error::NotSent(e) => e.kind(),
             Error::TimedOut => io::ErrorKind::TimedOut,
             Error::ConnectionLost(_) => io::ErrorKind::ConnectionReset,
-            Error::TooLong(_) => io::ErrorKind::InvalidData,
+            Error::NoFinalAnswer(_) | Error::TooLong(_) => io::ErrorKind::InvalidData,
             Error::Cancelled => io::ErrorKind::BrokenPipe,
         };
         Self::new(kind, e)
@@ -155,6 +158,9 @@
     };
     let answer = call.wait(sender.send_request(req))?;
     let (head, body) = answer.map_err(Error::ConnectionLost)?.into_parts();
+    if head.status.is_informational() {
+        return Err(Error::NoFinalAnswer(head.status));
+    }
     Ok(Response {
         head,
         body,
--- a/crates/runtime/tests/answer_ends.rs
+++ b/crates/runtime/tests/answer_ends.rs
@@ -348,6 +348,19 @@
     }
 }
 
+/// Guards against an interim answer that callers get as the final one, with an empty body.
+#[test]
+fn an_interim_answer_is_no_answer() {
+    let fleet = ScriptedFleet::start(&[SWITCHING]);
+    for host in 0..2 {
+        let (status, outcome, body) = fleet.chat(host);
+        assert_eq!((status, outcome.as_str()), (502, "unknown"), "{body}");
+        let streamed = fleet.stream(host);
+        assert_eq!(streamed.status, 502, "{streamed:?}");
+    }
+    fleet.close();
+}
+
 /// Guards against an answer without framing that was cut and is passed on as a whole one.
 #[test]
 fn an_answer_without_framing_is_whole_only_if_its_text_shows_it() {
