Keep the text of an error out of answers that are no event streams

What callers saw (older interface): a long answer that is no stream is passed on before it is complete. When the link to the owner broke, an error event was written into the middle of its body.

Cause: every answer that had begun was ended with an error event, whatever its content type.

Change: `Streamed` says whether events may stand in the body; any other answer only ends early, which its framing shows.

Test: a_long_answer_that_breaks_off_holds_no_text_of_an_error (48 MiB of JSON, the owner's host closes).

--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -10,6 +10,9 @@
 use crate::listener::{Answer, Disconnected, Stream};
 use crate::{control, endpoint, entry};
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A refusal, or the error that ends an incomplete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -201,20 +204,54 @@
     response.headers_mut().insert(name, value);
 }
 
+/// A streamed answer of an endpoint, by what may stand in its body.
+#[derive(Debug)]
+pub enum Streamed {
+    /// Events, between which an error event may stand.
+    Events(Stream),
+    /// A body in which any other text would be taken for a part of it.
+    Opaque(Stream),
+}
+
+impl Streamed {
+    /// Sends a chunk of the answer.
+    pub fn send_chunk(&self, data: Bytes) -> Result<(), Disconnected> {
+        match self {
+            Self::Events(stream) | Self::Opaque(stream) => stream.send_chunk(data),
+        }
+    }
+
+    /// Ends a complete answer.
+    pub fn finish(self) -> Result<(), Disconnected> {
+        match self {
+            Self::Events(stream) | Self::Opaque(stream) => stream.finish(),
+        }
+    }
+
+    /// Closes the connection of an incomplete answer, after an error event if there may be one.
+    pub fn abort(self, refused: &Refused) {
+        match self {
+            Self::Events(stream) => {
+                let event = format!("event: error\ndata: {}\n\n", refused.body());
+                // The caller may have disconnected, in which case there is nothing left to do.
+                let _ = stream.send_chunk(Bytes::from(event));
+            }
+            Self::Opaque(stream) => drop(stream),
+        }
+    }
+}
+
 /// Starts a streamed answer of an endpoint.
 pub fn stream(
     answer: Answer,
     request: request::RequestId,
     head: &answer::Head,
-) -> Result<Stream, Disconnected> {
+) -> Result<Streamed, Disconnected> {
     let mut response = endpoint_head(request, head);
     set(&mut response, header::CACHE_CONTROL.as_str(), "no-store");
-    answer.start_stream(response)
-}
-
-/// Aborts an incomplete streamed answer: sends an error event and closes the connection.
-pub fn abort(stream: Stream, refused: &Refused) {
-    let event = format!("event: error\ndata: {}\n\n", refused.body());
-    // The caller may have disconnected, in which case there is nothing left to do.
-    let _ = stream.send_chunk(Bytes::from(event));
+    let stream = answer.start_stream(response)?;
+    match head.content_type.starts_with(EVENT_STREAM) {
+        true => Ok(Streamed::Events(stream)),
+        false => Ok(Streamed::Opaque(stream)),
+    }
 }
--- a/crates/runtime/src/entry/serve.rs
+++ b/crates/runtime/src/entry/serve.rs
@@ -255,7 +255,7 @@
     /// Nothing yet.
     Waiting(listener::Answer),
     /// The head of a streamed answer has been sent.
-    Streaming(listener::Stream),
+    Streaming(respond::Streamed),
     /// Nothing more will be sent.
     Done,
 }
@@ -331,7 +331,7 @@
             State::Waiting(answer) => respond::refuse(self.cx, answer, refused),
             State::Streaming(stream) => {
                 respond::record_refusal(self.cx, refused);
-                respond::abort(stream, refused);
+                stream.abort(refused);
             }
             State::Done => respond::record_refusal(self.cx, refused),
         }
@@ -339,7 +339,7 @@
     }
 }
 
-fn write_all(stream: &listener::Stream, data: &[Bytes]) -> Result<(), listener::Disconnected> {
+fn write_all(stream: &respond::Streamed, data: &[Bytes]) -> Result<(), listener::Disconnected> {
     data.iter()
         .try_for_each(|chunk| stream.send_chunk(chunk.clone()))
 }
--- a/crates/runtime/tests/answer_ends.rs
+++ b/crates/runtime/tests/answer_ends.rs
@@ -407,6 +407,35 @@
     }
 }
 
+/// Guards against the text of an error that stands inside an answer that is no event stream.
+#[test]
+fn a_long_answer_that_breaks_off_holds_no_text_of_an_error() {
+    const BODY_BYTES: usize = 48 << 20;
+    let body = json!({ "text": "x".repeat(BODY_BYTES) }).to_string();
+    let mut cut = 0;
+    for host in 0..2 {
+        let scripted = ScriptedFleet::start(&[framed("200 OK", "application/json", &body)]);
+        let mut fleet = scripted.fleet;
+        let callers = fleet.members[host].callers;
+        let resp = support::chat(callers, &support::chat_body("x", false, 5)).unwrap();
+        // The answer has begun. If the other host passes it on, it stops in the middle.
+        fleet.members.remove(1 - host).host.close();
+        let mut text = Vec::new();
+        let end = { resp }.read_to_end(&mut text);
+        let whole = body.as_bytes();
+        assert!(whole.starts_with(&text), "{:?}", tail(&text));
+        assert_eq!(end.is_ok(), text == whole, "{} bytes", text.len());
+        cut += u32::from(end.is_err());
+        fleet.close();
+    }
+    assert_eq!(cut, 1, "the owner of the endpoint was closed once");
+}
+
+fn tail(text: &[u8]) -> String {
+    let start = text.len().saturating_sub(200);
+    String::from_utf8_lossy(&text[start..]).into_owned()
+}
+
 /// A stream that declares a length keeps none of it once it is resumed.
 #[test]
 fn a_resumed_stream_has_no_length_of_its_first_run() {
