Keep the port of a stand-in that refuses connections

Cause: a stand-in that refuses connections closed its listening socket, and its port was free. Another listener of the tests that run beside it could be given the port; it answered in the engine's place, so the host could not say that nothing was run. The host was right.

Change: the server of the stand-ins holds its port with a socket that is bound and does not listen.

Test: a_stand_in_that_refuses_connections_keeps_its_port; before: "the port is not free: ()".

--- a/crates/standins/src/port.rs
+++ b/crates/standins/src/port.rs
@@ -5,7 +5,7 @@
 use eyre::WrapErr as _;
 use tokio::net::TcpSocket;
 
-/// A loopback port that is reserved until the value is closed.
+/// A port that is reserved until the value is closed.
 ///
 /// The port is held by a socket that is bound and does not listen. A listener that sets
 /// `SO_REUSEADDR`, as those of the standard library do, can still bind the port. Neither a bind to
@@ -24,11 +24,24 @@
     ///
     /// No port can be bound.
     pub fn reserve() -> eyre::Result<Self> {
-        let socket = TcpSocket::new_v4().wrap_err("cannot open a socket")?;
+        Self::reserve_at((Ipv4Addr::LOCALHOST, 0).into())
+    }
+
+    /// Reserves the port of `addr`, or a free one if it is 0.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound, for instance because another socket listens on it.
+    pub fn reserve_at(addr: SocketAddr) -> eyre::Result<Self> {
+        let socket = match addr {
+            SocketAddr::V4(_) => TcpSocket::new_v4(),
+            SocketAddr::V6(_) => TcpSocket::new_v6(),
+        };
+        let socket = socket.wrap_err("cannot open a socket")?;
         socket.set_reuseaddr(true)?;
         socket
-            .bind((Ipv4Addr::LOCALHOST, 0).into())
-            .wrap_err("cannot reserve a loopback port")?;
+            .bind(addr)
+            .wrap_err_with(|| format!("cannot reserve {addr}"))?;
         let addr = socket.local_addr()?;
         Ok(Self { socket, addr })
     }
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! One thread accepts requests from `tiny_http` and starts a thread for each, up to
 //! [`MAX_ACTIVE`]. The listening socket can be closed and reopened on the same address, so that a
-//! stand-in refuses connections without losing its state.
+//! stand-in refuses connections without losing its state. The port stays reserved meanwhile: another
+//! listener that was given it would answer in place of the refusing one.
 
 mod exchange;
 mod switch;
@@ -15,7 +16,7 @@
 
 use eyre::WrapErr as _;
 
-use crate::sync;
+use crate::{port, sync};
 
 pub(crate) use exchange::{Body, Exchange};
 pub(crate) use switch::{FaultSwitch, take_fault};
@@ -164,6 +165,8 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     control: Arc<Control>,
+    /// Holds the address while nothing listens on it.
+    port: port::ReservedPort,
     thread: thread::JoinHandle<()>,
 }
 
@@ -178,9 +181,11 @@
         S: Send + Sync + 'static,
         M: FnOnce(Arc<Control>) -> S,
     {
-        let listener = TcpListener::bind(addr).wrap_err_with(|| format!("cannot bind {addr}"))?;
+        let port = port::ReservedPort::reserve_at(addr)?;
+        let listener =
+            TcpListener::bind(port.addr()).wrap_err_with(|| format!("cannot bind {addr}"))?;
         let control = Arc::new(Control {
-            addr: listener.local_addr()?,
+            addr: port.addr(),
             state: Mutex::default(),
             changed: Condvar::new(),
             http: Mutex::default(),
@@ -198,7 +203,12 @@
                 .name("standin".to_owned())
                 .spawn(move || run(&control, http, &handler))?
         };
-        Ok((shared, Self { control, thread }))
+        let server = Self {
+            control,
+            port,
+            thread,
+        };
+        Ok((shared, server))
     }
 
     /// Address that the server is bound to.
@@ -217,6 +227,7 @@
         self.control.wake();
         let joined = self.thread.join();
         drop(joined);
+        self.port.close();
         self.control.wait_idle();
     }
 }
--- a/crates/standins/tests/port.rs
+++ b/crates/standins/tests/port.rs
@@ -3,6 +3,7 @@
 use std::net::{TcpListener, TcpStream};
 
 use pistachiochute_standins::port::ReservedPort;
+use pistachiochute_standins::service;
 
 #[test]
 fn listener_binds_a_reserved_port_again_and_again() {
@@ -38,3 +39,22 @@
     }
     reserved.into_iter().for_each(ReservedPort::close);
 }
+
+/// Guards against another listener that is given the port of a stand-in that refuses connections,
+/// and answers its callers.
+#[test]
+fn a_stand_in_that_refuses_connections_keeps_its_port() {
+    let service = service::Service::start(service::Settings::default()).unwrap();
+    service.set_faults(service::Faults {
+        refuse_connections: true,
+        ..service::Faults::default()
+    });
+    assert!(TcpStream::connect(service.addr()).is_err());
+    let other = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let bound = other.bind(&service.addr().into());
+    let error = bound.expect_err("the port is not free");
+    assert_eq!(error.kind(), std::io::ErrorKind::AddrInUse);
+    service.set_faults(service::Faults::default());
+    assert!(TcpStream::connect(service.addr()).is_ok());
+    service.close();
+}
