Resume a stream only where the process of the entry is proven

What callers saw: events of two software versions in one stream (ORDER), while endpoints restart in place under their ids.

Cause: time and a list proved who an endpoint is. A host without a connection to an endpoint had never lost one, so the entry counted as certain, whatever its age; with the store up the list is still behind by up to the interval of the watch. The same belief went into the record of where a stream began.

Change: traffic::proofs clears the connection of each attempt. A resumption is sent only on a connection on which the process has reported the start of its entry, before this request or an earlier one. An endpoint without a report is taken by the list if that is at most 1.5 s old and no loss has put the entry in doubt; else the attempt fails as unproven, with no byte sent. A stream that begins is recorded with the version that is certain on its own connection: that of a current list, else that of a report. Endpoints in doubt may now go on with streams if no others are left, since their report decides. Each proof, and each lack of one, is a line of the log with the age of the list.

The check in a_lost_endpoint_is_avoided_for_resumed_streams_until_its_entry_can_be_known that no endpoint is selected when all are in doubt was on the selection.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -256,6 +256,8 @@
         EndpointRefused => "endpoint_refused",
         /// The endpoint ran an idempotent request and failed.
         EndpointFailed => "endpoint_failed",
+        /// The endpoint did not show that it has the software version of the stream.
+        VersionUnproven => "version_unproven",
         /// An interrupted stream is resumed at the engine.
         Resume => "resume",
     }
--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -25,6 +25,9 @@
     NotSent,
     /// The deadline passed before a byte of the request was sent.
     Expired,
+    /// Nothing showed that the endpoint has the software version of the stream that the request resumes.
+    /// No byte of it was sent.
+    Unproven,
     /// The endpoint proved that it did not run the request.
     Refused,
     /// Another endpoint now has the address; it did not run the request.
@@ -50,6 +53,7 @@
             | Self::PermitExpired
             | Self::NotSent
             | Self::Expired
+            | Self::Unproven
             | Self::Refused
             | Self::EndpointReplaced => outcome::Outcome::NotRun,
             Self::InvalidAnswer | Self::ConnectionLost | Self::Stalled => outcome::Outcome::Unknown,
@@ -64,6 +68,7 @@
             Self::AtLimit => reason::Refusal::AtBound,
             Self::NotSent => reason::Refusal::ConnectFailed,
             Self::Expired => reason::Refusal::Deadline,
+            Self::Unproven => reason::Refusal::StreamVersionUnknown,
             Self::Refused => reason::Refusal::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
             Self::PushedBack => reason::Refusal::EndpointPushback,
@@ -81,6 +86,7 @@
         match self {
             Self::AtLimit | Self::PermitExpired => reason::Retry::AtBound,
             Self::NotSent | Self::Expired => reason::Retry::ConnectFailed,
+            Self::Unproven => reason::Retry::VersionUnproven,
             Self::Refused => reason::Retry::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Retry::EndpointLeaving,
             Self::PushedBack => reason::Retry::EndpointPushback,
@@ -100,6 +106,7 @@
             Self::PermitExpired => "permit_expired",
             Self::NotSent => "not_sent",
             Self::Expired => "expired",
+            Self::Unproven => "unproven",
             Self::Refused => "refused",
             Self::EndpointReplaced => "elsewhere",
             Self::Failed => "failed",
@@ -119,6 +126,7 @@
                 | Self::PermitExpired
                 | Self::NotSent
                 | Self::Expired
+                | Self::Unproven
         )
     }
 
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -67,6 +67,7 @@
             | reason::Retry::NotOwner
             | reason::Retry::EndpointLeaving
             | reason::Retry::EndpointPushback
+            | reason::Retry::VersionUnproven
             | reason::Retry::Draining
             | reason::Retry::Resume => Self::Free,
             reason::Retry::ConnectFailed
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,7 +22,7 @@
 
 pub use entry::{
     AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, Lender, NoticeSource,
-    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source,
+    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source, StreamVersionLogEntry,
 };
 
 /// Most lines about requests that a host logs per second.
@@ -486,6 +486,23 @@
         );
     }
 
+    /// What proved the version of an endpoint at which a stream is to go on, or why nothing did.
+    pub fn stream_version(&self, entry: &StreamVersionLogEntry<'_>) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        let (message, by) = match entry.proof {
+            Ok(proof) => ("stream version proven", proof),
+            Err(report) => ("stream version unproven", report),
+        };
+        slog::info!(
+            self.log, "{}", message;
+            "request" => entry.request, "endpoint" => %entry.endpoint,
+            "version" => entry.version.map(|version| version.to_string()), "by" => by,
+            "list_age_ms" => millis(entry.list_age),
+        );
+    }
+
     /// The host closes a caller's connection that has unfinished requests. `error` is the error of
     /// the connection, if that is the cause.
     pub fn connection_closed(&self, cause: reason::Close, requests: u32, error: Option<&str>) {
--- a/crates/gateway/src/events/entry.rs
+++ b/crates/gateway/src/events/entry.rs
@@ -203,3 +203,18 @@
     /// Time for which other hosts were asked.
     pub waited: Duration,
 }
+
+/// Proof of the version of an endpoint at which a stream is to go on.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamVersionLogEntry<'a> {
+    /// Id of the request that resumes the stream.
+    pub request: &'a str,
+    /// Endpoint that was selected.
+    pub endpoint: &'a directory::Identity,
+    /// Version of the stream.
+    pub version: Option<streams::VersionTag>,
+    /// What proved it, or what the endpoint's report said instead.
+    pub proof: Result<&'static str, &'a str>,
+    /// Time since the list of endpoints was last confirmed.
+    pub list_age: Duration,
+}
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::{AttemptFailure, Sends};
-use pistachiochute_core::{entity, health, outcome};
+use pistachiochute_core::{entity, health, outcome, streams};
 use pistachiochute_runtime::{clock, metrics};
 
 use crate::adapter;
@@ -17,7 +17,7 @@
 use crate::traffic::opened_stream::{EndpointStream, OpenedStream, StreamSource};
 use crate::traffic::plan::Plan;
 use crate::traffic::{
-    Context, collect, endpoints, in_flight, isolation, memory, notices, pool, reply,
+    Context, collect, endpoints, in_flight, isolation, memory, notices, pool, proofs, reply,
 };
 
 /// Largest answer that is buffered until it is complete, in bytes.
@@ -98,6 +98,8 @@
     pub sends: &'a Sends,
     /// Id of the last stream event that the caller has received.
     pub after_event: Option<u64>,
+    /// Software version that the endpoint must be proven to have, if the request resumes a stream.
+    pub version: Option<streams::VersionTag>,
     /// Time without an answer after which the attempt fails, if the request can be sent elsewhere.
     pub stall_timeout: Option<Duration>,
 }
@@ -168,6 +170,7 @@
             | AttemptFailure::PushedBack
             | AttemptFailure::PermitExpired
             | AttemptFailure::Expired
+            | AttemptFailure::Unproven
             | AttemptFailure::Refused
             | AttemptFailure::Failed
             | AttemptFailure::InvalidAnswer => return,
@@ -198,7 +201,7 @@
     let acquired = cx
         .pool
         .acquire(&attempt.selected.endpoint, at_most_once, max, hosts);
-    let mut connection = match acquired.await {
+    let connection = match acquired.await {
         Ok(connection) => connection,
         Err(e @ pool::AcquireError::AtLimit) => {
             return failed(AttemptFailure::AtLimit, e.to_string());
@@ -216,6 +219,10 @@
     if connection.is_new() {
         isolation::record_connection(cx, &attempt.selected.endpoint.service);
     }
+    let mut cleared = match proofs::clear(cx, attempt, connection).await {
+        Ok(cleared) => cleared,
+        Err(unusable) => return failed(unusable.failure, unusable.cause),
+    };
     // Looked at here, after the last wait: the process may have been paused meanwhile.
     let Some(remaining) = plan.deadline.remaining(clock::now()) else {
         return failed(
@@ -237,8 +244,8 @@
             "the permit ran out while the host connected",
         );
     }
-    match connection.send(req, attempt.sends).await {
-        Ok(answer) => evaluate_answer(cx, attempt, answer, connection, in_flight).await,
+    match cleared.connection.send(req, attempt.sends).await {
+        Ok(answer) => evaluate_answer(cx, attempt, answer, cleared, in_flight).await,
         Err(mut e) => {
             let failure = match e.take_message() {
                 Some(_) => AttemptFailure::NotSent,
@@ -322,12 +329,16 @@
     cx: &Rc<Context<D>>,
     attempt: &Attempt<'_>,
     answer: Response<Incoming>,
-    connection: pool::Connection,
+    cleared: proofs::ClearedConnection,
     in_flight: in_flight::InFlightRequest<D>,
 ) -> AttemptResult<D>
 where
     D: adapter::Dialect,
 {
+    let proofs::ClearedConnection {
+        connection,
+        version,
+    } = cleared;
     let (mut parts, body) = answer.into_parts();
     cx.endpoints
         .borrow_mut()
@@ -385,6 +396,7 @@
             connection,
             idle_limit,
             is_framed,
+            version,
         });
         return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
     }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -50,11 +50,12 @@
     cx: &Rc<Context<D>>,
     state: &mut RequestState<D>,
     selected: &endpoints::SelectedEndpoint,
+    opened: &OpenedStream<D>,
 ) where
     D: adapter::Dialect,
 {
     let begins = state.version.is_none() && state.plan.route.kind.is_stream();
-    let Some(version) = selected.version.filter(|_| begins) else {
+    let Some(version) = opened.version().filter(|_| begins) else {
         return;
     };
     cx.shared.local_origins.push(streams::StreamOrigin {
@@ -129,7 +130,7 @@
             AttemptResult::Stream(parts, opened) => {
                 state.attempts.sends().settle(outcome::Outcome::Run);
                 if let Some(selected) = selected {
-                    record_origin(&cx, state, &selected);
+                    record_origin(&cx, state, &selected, &opened);
                 }
                 return FinalAnswer::Stream(parts, opened);
             }
@@ -249,6 +250,7 @@
         selected,
         sends: state.attempts.sends(),
         after_event,
+        version: state.version,
         stall_timeout: stall_timeout(cx, state),
     };
     attempt::execute(cx, &attempt).await
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -43,6 +43,10 @@
 /// after up to one heartbeat and one delay of the watch.
 const RESTART_NOTICE: Duration = Duration::from_secs(3);
 
+/// Age up to which the list of endpoints shows the versions of those that do not report. Confirmations come
+/// once a second or more often.
+const CURRENT_LIST_AGE: Duration = Duration::from_millis(1_500);
+
 /// State of one endpoint.
 #[derive(Debug)]
 struct Entry {
@@ -56,6 +60,8 @@
     is_unreachable: bool,
     /// When a connection to it was last lost or could not be made.
     lost_at: Option<time::Time>,
+    /// When the process that its entry describes was last asked for the report that it gave.
+    reported_alive_at: Option<time::Time>,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
@@ -78,7 +84,7 @@
     pub choice: choice::Choice,
     /// Address of the endpoint that cached prompt tokens are copied from.
     pub copy_from: Option<std::net::SocketAddr>,
-    /// Software version of the endpoint, if it is certain.
+    /// Software version of the endpoint, if its entry is current and not in doubt.
     pub version: Option<streams::VersionTag>,
     /// Permit for a request to it.
     pub permit: Permit,
@@ -223,7 +229,7 @@
         let mut closed = self.leaving.get(service).cloned().unwrap_or_default();
         closed.extend(self.take_closed(&mut ids, eligibility, now));
         if eligibility.version.is_some() {
-            ids.retain(|id| self.has_certain_version(*id));
+            self.prefer_certain(&mut ids);
         }
         self.hold_back_returning(&mut ids, request.seed, now);
         let mut candidates: Vec<_> = ids
@@ -251,7 +257,7 @@
         Some(SelectedEndpoint {
             endpoint: entry.endpoint.clone(),
             copy_from: source.map(|entry| entry.endpoint.address),
-            version: entry.version.filter(|_| self.is_version_certain(entry)),
+            version: entry.version.filter(|_| self.is_current(entry, now)),
             permit: self.permit_for(entry, now),
             departure: (*entry.endpoint.domain != *self.domain)
                 .then(|| quote.departure(&entry.endpoint.domain, choice.is_cached)),
@@ -322,6 +328,34 @@
         self.list_confirmed_at = self.list_confirmed_at.max(at);
     }
 
+    /// Whether the entry of an endpoint is current, and nothing has put it in doubt.
+    pub(super) fn is_listed(&self, id: entity::EndpointId, now: time::Time) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| self.is_current(entry, now))
+    }
+
+    /// Records that the process that an endpoint's entry describes gave the report for which it was asked
+    /// at a point in time.
+    pub(super) fn record_report(&mut self, id: entity::EndpointId, asked_at: time::Time) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.reported_alive_at = entry.reported_alive_at.max(Some(asked_at));
+        }
+    }
+
+    /// Removes the endpoints whose versions are in doubt if there are others. Those that are left have to
+    /// report before a stream goes on there.
+    fn prefer_certain(&self, ids: &mut Vec<entity::EndpointId>) {
+        let is_certain = |id: &entity::EndpointId| self.has_certain_version(*id);
+        if ids.iter().any(is_certain) {
+            ids.retain(is_certain);
+        }
+    }
+
+    /// Whether the list of endpoints is current, and nothing has put an entry in doubt.
+    fn is_current(&self, entry: &Entry, now: time::Time) -> bool {
+        now.since(self.list_confirmed_at) <= CURRENT_LIST_AGE && self.is_version_certain(entry)
+    }
+
     /// Whether the endpoint has the version of its entry for certain.
     fn has_certain_version(&self, id: entity::EndpointId) -> bool {
         let entry = self.entries.get(id);
@@ -329,9 +363,12 @@
     }
 
     /// Whether an endpoint has the version of its entry for certain. A connection that this host has lost
-    /// leaves it in doubt until a list has come that would show its next version.
+    /// leaves it in doubt until a list has come that would show its next version, or it has reported since.
     fn is_version_certain(&self, entry: &Entry) -> bool {
-        let is_explained = |lost_at: time::Time| lost_at + RESTART_NOTICE <= self.list_confirmed_at;
+        let is_explained = |lost_at: time::Time| {
+            let has_reported = entry.reported_alive_at.is_some_and(|at| lost_at < at);
+            has_reported || lost_at + RESTART_NOTICE <= self.list_confirmed_at
+        };
         entry.lost_at.is_none_or(is_explained)
     }
 
@@ -548,6 +585,7 @@
                 work: load::Work::default(),
                 is_unreachable: false,
                 lost_at: None,
+                reported_alive_at: None,
                 is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -120,7 +120,35 @@
     assert_eq!(resumed_at(&table, later), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], later);
     table.record_lost_connection(ids[1], later);
-    assert_eq!(resumed_at(&table, later), BTreeSet::new());
+    assert!(!ids.iter().any(|id| table.is_listed(*id, later)));
+}
+
+/// Guards against LOST: streams that are refused though an endpoint whose connection was lost has reported
+/// since that it is the process of its entry; and against ORDER: a report from before the loss that counts.
+#[test]
+fn a_report_after_the_loss_ends_the_doubt() {
+    let (mut table, _) = table_of_two();
+    let ids = table.by_service["engines"].clone();
+    table.record_report(ids[0], NOW);
+    let lost_at = NOW + Duration::from_millis(1);
+    table.record_lost_connection(ids[0], lost_at);
+    assert_eq!(resumed_at(&table, lost_at), BTreeSet::from([2]));
+    let reported_at = lost_at + Duration::from_millis(1);
+    table.record_report(ids[0], reported_at);
+    assert_eq!(resumed_at(&table, reported_at), BTreeSet::from([1, 2]));
+}
+
+/// Guards against ORDER: a stream that goes on at an endpoint without a report, by a list that a host that
+/// stood still or was cut off took for current.
+#[test]
+fn an_old_list_shows_no_version() {
+    let (mut table, _) = table_of_two();
+    let ids = table.by_service["engines"].clone();
+    let old = NOW + super::CURRENT_LIST_AGE + Duration::from_millis(1);
+    assert!(table.is_listed(ids[0], NOW));
+    assert!(!table.is_listed(ids[0], old));
+    table.confirm_list(old);
+    assert!(table.is_listed(ids[0], old));
 }
 
 /// Guards against streams that go on, while the store is down, at an endpoint that has restarted under its
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,7 +10,6 @@
 mod connection;
 mod crash_watch;
 mod datagrams;
-#[expect(dead_code, reason = "no caller yet")]
 mod endpoint_report;
 mod endpoints;
 mod event_stream;
@@ -26,6 +25,7 @@
 mod permits;
 mod plan;
 mod pool;
+mod proofs;
 mod questions;
 mod reply;
 mod report;
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body::Body as _;
 use hyper::body::Incoming;
-use pistachiochute_core::{directory, outcome, time};
+use pistachiochute_core::{directory, outcome, streams, time};
 use pistachiochute_runtime::clock;
 
 use crate::adapter;
@@ -25,6 +25,8 @@
     pub idle_limit: Option<Duration>,
     /// Whether the head says where the body ends. Otherwise it ends with the connection.
     pub is_framed: bool,
+    /// Software version of the process that sends it, if it is certain.
+    pub version: Option<streams::VersionTag>,
 }
 
 /// Who sends a stream.
@@ -89,6 +91,15 @@
         }
     }
 
+    /// Software version of the process that sends the stream, if it is certain. Another host records the
+    /// streams that come through it.
+    pub(super) const fn version(&self) -> Option<streams::VersionTag> {
+        match &self.source {
+            StreamSource::Endpoint(endpoint) => endpoint.version,
+            StreamSource::Host(_) => None,
+        }
+    }
+
     /// Records that the endpoint has read the prompt.
     pub(super) fn mark_prompt_read(&mut self) {
         if let StreamSource::Endpoint(endpoint) = &mut self.source {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -75,6 +75,7 @@
     sender: Sender,
     since: time::Time,
     max_idle: Duration,
+    is_proven: bool,
 }
 
 /// Largest buffer for reading from an endpoint with `machine` in the settings, in bytes, and so the largest
@@ -128,8 +129,8 @@
             true => AT_MOST_ONCE_MAX_IDLE,
             false => Duration::MAX,
         };
-        if let Some(sender) = self.pop_idle(&endpoint.identity, max_idle) {
-            return Ok(self.reuse(endpoint, sender, false));
+        if let Some(idle) = self.pop_idle(&endpoint.identity, max_idle) {
+            return Ok(self.reuse(endpoint, idle));
         }
         self.open(endpoint, max_connections, hosts).await
     }
@@ -171,23 +172,29 @@
             sender: Some(sender),
             is_new: true,
             is_free: true,
+            is_proven: false,
         })
     }
 
-    fn reuse(&self, endpoint: &directory::Endpoint, sender: Sender, is_new: bool) -> Connection {
+    fn reuse(&self, endpoint: &directory::Endpoint, idle: IdleConnection) -> Connection {
         Connection {
             permit: Permit {
                 pool: self.clone(),
                 identity: endpoint.identity.clone(),
             },
-            sender: Some(sender),
-            is_new,
+            sender: Some(idle.sender),
+            is_new: false,
             is_free: true,
+            is_proven: idle.is_proven,
         }
     }
 
     /// Removes the most recently used idle connection, and closes expired ones.
-    fn pop_idle(&self, identity: &directory::Identity, max_idle: Duration) -> Option<Sender> {
+    fn pop_idle(
+        &self,
+        identity: &directory::Identity,
+        max_idle: Duration,
+    ) -> Option<IdleConnection> {
         let now = clock::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(identity)?;
@@ -195,7 +202,7 @@
             let age = now.since(idle.since);
             if idle.sender.is_ready() && age < idle.max_idle {
                 if age < max_idle {
-                    return Some(idle.sender);
+                    return Some(idle);
                 }
                 // Too old for this request, but not for others. All remaining ones are older.
                 endpoint.idle.push(idle);
@@ -257,7 +264,7 @@
 
 impl Permit {
     /// Returns a connection to the pool. It stays counted as open, although the permit is released.
-    fn return_idle(self, sender: Sender, max_idle: Duration) {
+    fn return_idle(self, sender: Sender, max_idle: Duration, is_proven: bool) {
         let mut endpoints = self.pool.endpoints.borrow_mut();
         if let Some(endpoint) = endpoints.get_mut(&self.identity) {
             endpoint.open += 1;
@@ -265,6 +272,7 @@
                 sender,
                 since: clock::now(),
                 max_idle,
+                is_proven,
             });
         }
     }
@@ -284,6 +292,9 @@
     sender: Option<Sender>,
     is_new: bool,
     is_free: bool,
+    /// Whether a report on this connection has shown that the process at its other end is the one of the
+    /// endpoint's entry. It stays that process for as long as the connection lives.
+    is_proven: bool,
 }
 
 impl Connection {
@@ -323,6 +334,16 @@
         self.is_free
     }
 
+    /// Whether the process at the other end is known to be the one of the endpoint's entry.
+    pub(super) const fn is_proven(&self) -> bool {
+        self.is_proven
+    }
+
+    /// Records that the process at the other end is the one of the endpoint's entry.
+    pub(super) const fn set_proven(&mut self) {
+        self.is_proven = true;
+    }
+
     /// Whether the connection was opened for this request, and nothing was sent on it before.
     pub(super) const fn is_new(&self) -> bool {
         self.is_new
@@ -338,9 +359,10 @@
             return;
         };
         let permit = self.permit;
+        let is_proven = self.is_proven;
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_ok() {
-                permit.return_idle(sender, max_idle);
+                permit.return_idle(sender, max_idle, is_proven);
             }
         });
     }
--- a/crates/runtime/src/entry/candidates.rs
+++ b/crates/runtime/src/entry/candidates.rs
@@ -31,6 +31,7 @@
         | reason::Retry::EndpointRefused
         | reason::Retry::EndpointFailed
         | reason::Retry::EndpointPushback
+        | reason::Retry::VersionUnproven
         | reason::Retry::Resume => false,
     }
 }
