Date the list of endpoints by when it was current

Cause: an answer of the store or a status of another host confirmed the list as of the moment in which it was read. A host that stood still reads at first what came meanwhile; and a host that supplies changes may itself have had no answer of the store for 3.5 s. What earlier hosts left in the store of the only version of a service counted without a bound on the age of the list, and a late confirmation made the list look older than it was.

Change: streams::Pulse, the last beat but one of the control thread, bounds from when received news can be; an answer of the store is no older than its call, and the word of another host no newer than the store's last answer to it. An adopted only version needs a current list. Confirmations never go back.

Evidence: an_adopted_only_version_counts_while_the_list_is_current ("left: Some(VersionTag), right: None") and the_list_is_as_old_as_its_last_confirmation ("left: None") failed before. The pulse has a test of its own; a host that is stopped as a process was not run.

Result: library tests of the gateway 39 of 39, software_versions 27 of 27, once each.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -118,14 +118,18 @@
         if now.since(previous) > MAX_GAP && !is_complete_so_far {
             self.since = Some(now);
         }
-        self.last_confirmed = Some(now);
+        self.last_confirmed = self.last_confirmed.max(Some(now));
+    }
+
+    /// Whether the list of endpoints shows what serves now.
+    fn is_current(&self, now: time::Time) -> bool {
+        let is_recent = |at: time::Time| now.since(at) <= MAX_LIST_AGE;
+        self.last_confirmed.is_some_and(is_recent)
     }
 
     /// Whether the last `span` is covered.
     fn covers(&self, span: Duration, now: time::Time) -> bool {
-        let is_current = |at: time::Time| now.since(at) <= MAX_LIST_AGE;
-        let is_covered = |since: time::Time| now.since(since) >= span;
-        self.last_confirmed.is_some_and(is_current) && self.since.is_none_or(is_covered)
+        self.since.is_none_or(|since| now.since(since) >= span)
     }
 }
 
@@ -181,9 +185,9 @@
         }
     }
 
-    /// Records that the list of endpoints was confirmed to be current.
-    pub fn confirm(&mut self, now: time::Time) {
-        self.coverage.confirm(now);
+    /// Records that the list of endpoints was confirmed to have been current at a point in time.
+    pub fn confirm(&mut self, at: time::Time) {
+        self.coverage.confirm(at);
     }
 
     /// Drops what was not listed for longer than a query can ask about.
@@ -270,7 +274,7 @@
         span: Duration,
         now: time::Time,
     ) -> Option<VersionTag> {
-        if span > RETENTION {
+        if span > RETENTION || !self.coverage.is_current(now) {
             return None;
         }
         let versions = self.services.get(service)?;
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -13,10 +13,12 @@
 mod history;
 mod keys;
 mod origins;
+mod pulse;
 
 pub use history::{MAX_GAP, MAX_LIST_AGE, MAX_REPORT_DELAY, OnlyVersions, VersionHistory};
 pub use keys::{EndpointKey, StreamKey, VersionTag};
 pub use origins::{MAX_STREAMS, Origin, OriginRecord, Origins, StoredOrigin, StreamOrigin};
+pub use pulse::Pulse;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -6,8 +6,8 @@
 
 use pistachiochute_core::directory::{Endpoint, SoftwareVersion};
 use pistachiochute_core::streams::{
-    self, EndpointKey, MAX_GAP, MAX_LIST_AGE, MAX_STREAMS, Origin, OriginQuery, Origins, RETENTION,
-    StreamKey, StreamOrigin, VersionHistory, VersionTag,
+    self, EndpointKey, MAX_GAP, MAX_LIST_AGE, MAX_STREAMS, OnlyVersions, Origin, OriginQuery,
+    Origins, Pulse, RETENTION, StreamKey, StreamOrigin, VersionHistory, VersionTag,
 };
 use pistachiochute_core::time;
 use streams_support::{SERVICE, endpoint, origin, tag};
@@ -323,3 +323,41 @@
         assert_eq!(host.determine(Some("s"), 10, 12), expected);
     }
 }
+
+/// Guards against ORDER: a host that stood still or was cut off, and believes without end what the hosts
+/// before it left in the store.
+#[test]
+fn an_adopted_only_version_counts_while_the_list_is_current() {
+    let age = MAX_LIST_AGE.as_secs();
+    let mut host = Host::new(false);
+    host.history
+        .adopt(OnlyVersions::from([(SERVICE.into(), tag("1"))]));
+    host.run(&[endpoint("a", 1, Some("1"))], 0, 1);
+    assert_eq!(host.determine(None, 0, 1 + age), Some(tag("1")));
+    assert_eq!(host.determine(None, 0, 1 + age + 1), None);
+}
+
+/// Guards against ORDER: a late message that makes the list of endpoints look older, or newer, than it is.
+#[test]
+fn the_list_is_as_old_as_its_last_confirmation() {
+    let age = MAX_LIST_AGE.as_secs();
+    let mut host = Host::new(true);
+    host.run(&[endpoint("a", 1, Some("1"))], 0, 10);
+    host.history.confirm(secs(9));
+    assert_eq!(host.determine(None, 10, 10 + age), Some(tag("1")));
+    assert_eq!(host.determine(None, 10, 10 + age + 1), None);
+}
+
+/// Guards against ORDER: a host that stood still, and takes what came meanwhile for the news of now.
+#[test]
+fn what_is_received_after_standing_still_may_have_come_before() {
+    let mut pulse = Pulse::new(secs(1));
+    pulse.beat(secs(2));
+    pulse.beat(secs(3));
+    assert_eq!(pulse.came_after(), secs(2));
+    // It stands still for a minute, and reads what has come in the turn of its first beat.
+    pulse.beat(secs(63));
+    assert_eq!(pulse.came_after(), secs(3));
+    pulse.beat(secs(64));
+    assert_eq!(pulse.came_after(), secs(63));
+}
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -325,10 +325,12 @@
     if version.catalog == state.state_version().catalog {
         cx.shared.confirm_catalog(before(store.catalog_age_ms));
     }
-    if state.is_confirmed_by(sender, now) {
-        state.observe_versions(now);
-        state.versions.confirm(now);
-        cx.shared.confirm_endpoints(now);
+    let is_confirmed = state.is_confirmed_by(sender, now);
+    drop(state);
+    if is_confirmed {
+        // The other host knows no more than the store's last answer to it.
+        let came_after = cx.pulse.get().came_after();
+        cx.confirm_endpoints_at(came_after.min(before(store.answered_ms)));
     }
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -68,6 +68,8 @@
     steady_since: Cell<time::Time>,
     /// When the store last answered a call.
     last_store_response: Cell<time::Time>,
+    /// Tells what is new from what waited while this host stood still.
+    pulse: Cell<streams::Pulse>,
     /// Consecutive failed calls while the store counted as reachable, for the backoff.
     store_failures: Cell<u32>,
     /// Registration of this host in the store.
@@ -112,6 +114,7 @@
         store_suspect: Notify::new(),
         steady_since: Cell::new(clock::now()),
         last_store_response: Cell::new(time::Time::ZERO),
+        pulse: Cell::new(streams::Pulse::new(clock::now())),
         store_failures: Cell::new(0),
         registration: RefCell::new(registration::Registration::new(lease)),
         first_read: Notify::new(),
@@ -148,6 +151,16 @@
     host_registry::deregister(&cx).await;
 }
 
+impl<D, S> Context<D, S> {
+    /// Records that all changes of the endpoints up to a point in time are known.
+    fn confirm_endpoints_at(&self, at: time::Time) {
+        let mut state = self.state.borrow_mut();
+        state.observe_versions(clock::now());
+        state.versions.confirm(at);
+        self.shared.confirm_endpoints(at);
+    }
+}
+
 impl<D, S> Context<D, S>
 where
     D: adapter::Dialect,
@@ -224,13 +237,10 @@
         self.store_failures.set(0);
     }
 
-    /// Records that all changes of the endpoints up to now are known.
-    fn confirm_endpoints(&self) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        state.observe_versions(now);
-        state.versions.confirm(now);
-        self.shared.confirm_endpoints(now);
+    /// Records that the answer to a call of the store has shown all changes of the endpoints. The answer
+    /// may have waited while this host stood still, but not since before the call.
+    fn confirm_endpoints(&self, requested_at: time::Time) {
+        self.confirm_endpoints_at(requested_at.max(self.pulse.get().came_after()));
     }
 
     /// Health of this host's connection to the store.
@@ -279,6 +289,9 @@
     /// and publishes loads, metrics and cached prompt parts.
     fn tick(&self) {
         let now = clock::now();
+        let mut pulse = self.pulse.get();
+        pulse.beat(now);
+        self.pulse.set(pulse);
         let expired = self.state.borrow_mut().directory.tick(now);
         self.state.borrow_mut().hosts.tick(now);
         for (key, revision) in &expired {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -153,7 +153,7 @@
     cx.shared.confirm_catalog(requested_at);
     evacuations::apply_listed(cx, &found);
     replace_endpoints(cx, &found);
-    cx.confirm_endpoints();
+    cx.confirm_endpoints(requested_at);
     host_registry::replace_hosts(cx, &found.entries);
     host_registry::begin_registration(cx, &found.entries);
     if !cx.legacy_adopted.replace(true) {
@@ -202,7 +202,7 @@
             Err(e) => return WatchEnd::Failed(e),
         };
         cx.record_store_call(true, "");
-        apply_changes(cx, &changes, revision, progress.known_at);
+        apply_changes(cx, &changes, revision, (progress.known_at, requested_at));
         progress = Progress {
             after: progress.after.max(revision),
             known_at: requested_at,
@@ -309,7 +309,7 @@
     cx: &Context<D, S>,
     changes: &[key_value::Change],
     revision: revision::Revision,
-    known_at: time::Time,
+    (known_at, requested_at): (time::Time, time::Time),
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -322,7 +322,7 @@
     cx.shared.confirm_catalog(clock::now());
     evacuations::apply_changes(cx, changes);
     apply_endpoint_changes(cx, changes, revision, known_at);
-    cx.confirm_endpoints();
+    cx.confirm_endpoints(requested_at);
     host_registry::apply_changes(cx, changes);
 }
 
