--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -75,6 +75,7 @@
     sender: Sender,
     since: time::Time,
     max_idle: Duration,
+    is_proven: bool,
 }
 
 /// Largest buffer for reading from an endpoint with `machine` in the settings, in bytes, and so the largest
@@ -128,14 +129,24 @@
             true => AT_MOST_ONCE_MAX_IDLE,
             false => Duration::MAX,
         };
-        if let Some(sender) = self.pop_idle(&endpoint.identity, max_idle) {
-            return Ok(self.reuse(endpoint, sender, false));
+        if let Some(idle) = self.pop_idle(&endpoint.identity, max_idle) {
+            return Ok(self.reuse(endpoint, idle));
         }
-        self.open(endpoint, connection_limit(max_connections, hosts))
-            .await
+        self.open(endpoint, max_connections, hosts).await
     }
 
-    async fn open(
+    /// Opens a connection, whether there are idle ones or not.
+    pub(super) async fn open(
+        &self,
+        endpoint: &directory::Endpoint,
+        max_connections: u32,
+        hosts: u32,
+    ) -> Result<Connection, AcquireError> {
+        let limit = connection_limit(max_connections, hosts);
+        self.open_within(endpoint, limit).await
+    }
+
+    async fn open_within(
         &self,
         endpoint: &directory::Endpoint,
         limit: u32,
@@ -160,22 +171,30 @@
             permit,
             sender: Some(sender),
             is_new: true,
+            is_free: true,
+            is_proven: false,
         })
     }
 
-    fn reuse(&self, endpoint: &directory::Endpoint, sender: Sender, is_new: bool) -> Connection {
+    fn reuse(&self, endpoint: &directory::Endpoint, idle: IdleConnection) -> Connection {
         Connection {
             permit: Permit {
                 pool: self.clone(),
                 identity: endpoint.identity.clone(),
             },
-            sender: Some(sender),
-            is_new,
+            sender: Some(idle.sender),
+            is_new: false,
+            is_free: true,
+            is_proven: idle.is_proven,
         }
     }
 
     /// Removes the most recently used idle connection, and closes expired ones.
-    fn pop_idle(&self, identity: &directory::Identity, max_idle: Duration) -> Option<Sender> {
+    fn pop_idle(
+        &self,
+        identity: &directory::Identity,
+        max_idle: Duration,
+    ) -> Option<IdleConnection> {
         let now = clock::now();
         let mut endpoints = self.endpoints.borrow_mut();
         let endpoint = endpoints.get_mut(identity)?;
@@ -183,7 +202,7 @@
             let age = now.since(idle.since);
             if idle.sender.is_ready() && age < idle.max_idle {
                 if age < max_idle {
-                    return Some(idle.sender);
+                    return Some(idle);
                 }
                 // Too old for this request, but not for others. All remaining ones are older.
                 endpoint.idle.push(idle);
@@ -245,7 +264,7 @@
 
 impl Permit {
     /// Returns a connection to the pool. It stays counted as open, although the permit is released.
-    fn return_idle(self, sender: Sender, max_idle: Duration) {
+    fn return_idle(self, sender: Sender, max_idle: Duration, is_proven: bool) {
         let mut endpoints = self.pool.endpoints.borrow_mut();
         if let Some(endpoint) = endpoints.get_mut(&self.identity) {
             endpoint.open += 1;
@@ -253,6 +272,7 @@
                 sender,
                 since: clock::now(),
                 max_idle,
+                is_proven,
             });
         }
     }
@@ -271,6 +291,10 @@
     permit: Permit,
     sender: Option<Sender>,
     is_new: bool,
+    is_free: bool,
+    /// Whether a report on this connection has shown that the process at its other end is the one of the
+    /// endpoint's entry. It stays that process for as long as the connection lives.
+    is_proven: bool,
 }
 
 impl Connection {
@@ -287,7 +311,40 @@
             .try_send_request(req)
     }
 
-    /// Whether the connection was opened for this request.
+    /// Asks the process at the other end something on the host's own account. Until
+    /// [`Connection::wait_until_free`] has returned, the connection takes no other request.
+    pub(super) fn probe(&mut self, req: Request<Full<Bytes>>) -> impl Future<Output = Sent> {
+        self.is_new = false;
+        self.is_free = false;
+        let sender = self.sender.as_mut();
+        sender
+            .expect("present until it is released")
+            .try_send_request(req)
+    }
+
+    /// Waits after a probe until the connection takes another request, or is known to take none.
+    pub(super) async fn wait_until_free(&mut self) {
+        if let Some(sender) = &mut self.sender {
+            self.is_free = sender.ready().await.is_ok();
+        }
+    }
+
+    /// Whether the connection takes a request: it has not been probed, or the probe is over.
+    pub(super) const fn is_free(&self) -> bool {
+        self.is_free
+    }
+
+    /// Whether the process at the other end is known to be the one of the endpoint's entry.
+    pub(super) const fn is_proven(&self) -> bool {
+        self.is_proven
+    }
+
+    /// Records that the process at the other end is the one of the endpoint's entry.
+    pub(super) const fn set_proven(&mut self) {
+        self.is_proven = true;
+    }
+
+    /// Whether the connection was opened for this request, and nothing was sent on it before.
     pub(super) const fn is_new(&self) -> bool {
         self.is_new
     }
@@ -302,9 +359,10 @@
             return;
         };
         let permit = self.permit;
+        let is_proven = self.is_proven;
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_ok() {
-                permit.return_idle(sender, max_idle);
+                permit.return_idle(sender, max_idle, is_proven);
             }
         });
     }
