Cut answers of the key-value service at every position in a test

The class "ends of answers" was looked for in the answers of the platform: half a head, and a body that ends with its connection. The host list was tested so; reads of the key-value service are now. Every cut is an error of unknown effect, as before: no fault was found. The test's server reads the whole request, so that its connection is closed in order and not reset.

--- a/crates/runtime/tests/platform_answers.rs
+++ b/crates/runtime/tests/platform_answers.rs
@@ -6,17 +6,24 @@
 use std::time::Duration;
 
 use pistachiochute_core::topology;
-use pistachiochute_runtime::platform::host_list;
+use pistachiochute_runtime::platform::key_value::KeyValue as _;
+use pistachiochute_runtime::platform::{etcd, host_list, key_value};
 use pistachiochute_standins::host_list_server;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-fn read_head(socket: &mut TcpStream) {
+/// Reads a whole request, so that the connection is not reset when it is closed.
+fn read_request(socket: &mut TcpStream) {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") && socket.read(&mut byte).is_ok_and(|read| read == 1) {
         head.push(byte[0]);
     }
+    let head = String::from_utf8(head).unwrap().to_lowercase();
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+    socket.read_exact(&mut body).unwrap();
 }
 
 /// Starts a server that answers one connection with `raw` and closes it.
@@ -25,7 +32,7 @@
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
         let (mut socket, _) = listener.accept().unwrap();
-        read_head(&mut socket);
+        read_request(&mut socket);
         // The client may close the connection before the answer is written.
         let written = socket.write_all(&raw);
         drop(written);
@@ -104,6 +111,31 @@
     assert_eq!(read(raw(body.len())).unwrap().version, 7);
 }
 
+/// Guards against a read of the store that was cut and is taken for all that it holds. The answer,
+/// which ends with its connection, is cut at every position of its head and of its body.
+#[test]
+fn cut_answers_of_the_key_value_service_say_nothing() {
+    let body = r#"{"header":{"revision":"7"},"kvs":[{"key":"YQ==","value":"Yg==","create_revision":"3","mod_revision":"7","version":"1"}]}"#;
+    let raw = format!("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{body}");
+    let read = |len: usize| {
+        let client = etcd::Etcd::new(etcd::Settings {
+            addrs: vec![serve(raw.as_bytes()[..len].to_vec())],
+            call_timeout: TIMEOUT,
+            watch_idle: TIMEOUT,
+            watch_retry: TIMEOUT,
+        });
+        client.range(&key_value::Keys::One("a".into()))
+    };
+    for len in 0..raw.len() {
+        let err = read(len).expect_err(&format!("cut after {len} bytes"));
+        assert!(
+            matches!(err, key_value::Error::Unknown { .. }),
+            "{len}: {err}"
+        );
+    }
+    assert_eq!(read(raw.len()).unwrap().entries.len(), 1);
+}
+
 #[test]
 fn oversized_and_malformed_answers_are_refused() {
     let large = vec![b' '; 5 << 20];
