Hold an answer without events until it is complete for callers of HTTP/1.0

What callers saw (older interface): an answer of HTTP/1.0 that is passed on before it is complete ends with its connection. When it broke off, the connection was closed in order, so 200 with a short body looked complete (983,221 bytes of a body of 48 MiB, in a trial whose owner's host closed).

Cause: only the last chunk says that an answer is complete, and HTTP/1.0 has no chunks.

Change: the listener holds such an answer and sends it with its length; one that breaks off closes the connection without a beginning. Streams of events are passed on as they come, since they say by themselves whether they are complete.

--- a/crates/runtime/src/entry/respond.rs
+++ b/crates/runtime/src/entry/respond.rs
@@ -7,12 +7,9 @@
 use pistachiochute_core::{answer, name, outcome, reason, request, retry};
 
 use crate::entry::parse;
-use crate::listener::{Answer, Disconnected, Stream};
+use crate::listener::{Answer, Disconnected, EVENT_STREAM, Stream};
 use crate::{control, endpoint, entry};
 
-/// Content type of a stream of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// A refusal, or the error that ends an incomplete answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
--- a/crates/runtime/src/listener/answer.rs
+++ b/crates/runtime/src/listener/answer.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body::Frame;
 use tokio::sync::{mpsc, oneshot};
 
@@ -130,6 +130,22 @@
     fn complete(bytes: Bytes) -> Self {
         Self::Complete((!bytes.is_empty()).then_some(bytes))
     }
+
+    /// Holds the body until it is complete, for a caller that could not tell where a body without a
+    /// length ends.
+    pub(super) async fn hold(self) -> Result<Self, Truncated> {
+        let Self::Chunks { mut rx, .. } = self else {
+            return Ok(self);
+        };
+        let mut body = BytesMut::new();
+        loop {
+            match rx.recv().await {
+                Some(Chunk::Data(data)) => body.extend_from_slice(&data),
+                Some(Chunk::End) => return Ok(Self::complete(body.freeze())),
+                None => return Err(Truncated),
+            }
+        }
+    }
 }
 
 impl http_body::Body for Body {
--- a/crates/runtime/src/listener/mod.rs
+++ b/crates/runtime/src/listener/mod.rs
@@ -41,6 +41,9 @@
 /// Longest time that closing waits for answers in progress.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Content type of a stream of events.
+pub const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Serves the requests of a listener.
 pub trait Service: Send + Sync + 'static {
     /// Serves one request to its end. Runs on a thread of the pool.
@@ -234,10 +237,15 @@
             max_bytes: self.cfg.max_body_bytes,
             timeout: self.cfg.body_timeout,
         };
+        let version = req.version();
         let req = Request::read(req, limits).await;
         let (answer, answered) = Answer::new();
         self.dispatch(req, answer);
-        answered.await.map_err(|_| Disconnected)
+        let response = answered.await.map_err(|_| Disconnected)?;
+        match version {
+            http::Version::HTTP_10 => hold_unless_events(response).await,
+            _ => Ok(response),
+        }
     }
 
     fn dispatch(&self, req: Request, answer: Answer) {
@@ -258,6 +266,20 @@
     }
 }
 
+/// Holds an answer of HTTP/1.0 until it is complete, since it would otherwise end with its connection
+/// whether it is complete or not. A stream of events says by itself whether it is.
+async fn hold_unless_events(
+    response: http::Response<answer::Body>,
+) -> Result<http::Response<answer::Body>, Disconnected> {
+    let content_type = response.headers().get(http::header::CONTENT_TYPE);
+    if content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM)) {
+        return Ok(response);
+    }
+    let (head, body) = response.into_parts();
+    let body = body.hold().await.map_err(|_| Disconnected)?;
+    Ok(http::Response::from_parts(head, body))
+}
+
 /// Waits until the listener is closed.
 async fn wait_closed(closed: &mut watch::Receiver<bool>) {
     // An error means that the listener was dropped, which also closes it.
