Log and count the parts of streams whose end or order is in doubt

A stream that was cut, joined from the wrong parts or ended too early left one line that says how it ended for its caller. It named neither the endpoints and software versions of its parts, nor what delimited them, nor how their connections ended, so that an end judged by bytes alone and a wrong version could not be told apart.

One line is logged at the end of each stream that was broken off, resumed or delimited by its connection, within the bound of lines about requests, and the counter `stream_parts` counts the parts by their end. The first event of a part is passed on by itself, so that its id is known.

The stand-in that sends raw bytes writes answers as a test states them, for a first request and for a resumption; it can end in order, with its listener, or as another process, and reports on itself.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -146,3 +146,52 @@
         }
     }
 }
+
+/// What delimits the body of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length, its last chunk, or a head that allows no body.
+    Explicit,
+    /// The end of its connection.
+    Connection,
+}
+
+impl Framing {
+    /// Name in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Explicit => "explicit",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// How the part of a stream that one endpoint sent has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartEnd {
+    /// Where its framing says.
+    Framed,
+    /// With its connection, which the endpoint closed in order and which delimits it.
+    Closed,
+    /// Before its end.
+    Broken,
+    /// The caller left before its end, or the host cut it off.
+    Abandoned,
+}
+
+impl PartEnd {
+    /// Every end.
+    pub const ALL: [Self; 4] = [Self::Framed, Self::Closed, Self::Broken, Self::Abandoned];
+
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Framed => "framed",
+            Self::Closed => "closed",
+            Self::Broken => "broken",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,7 +22,8 @@
 
 pub use entry::{
     AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, Lender, NoticeSource,
-    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source,
+    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source, StreamPart,
+    StreamPartsLogEntry,
 };
 
 /// Most lines about requests that a host logs per second.
@@ -226,6 +227,18 @@
         );
     }
 
+    /// A stream ended that was broken off, resumed or delimited by its connection.
+    pub fn stream_parts(&self, entry: &StreamPartsLogEntry<'_>) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        let parts: Vec<String> = entry.parts.iter().map(ToString::to_string).collect();
+        slog::info!(
+            self.log, "stream ended in doubt";
+            "request" => entry.request, "parts" => parts.join("; "), "end" => entry.end,
+        );
+    }
+
     /// Requests of a service leave the failure domain in another way or share than before.
     pub fn departures_changed(&self, change: &spill::Change) {
         slog::info!(
--- a/crates/gateway/src/events/entry.rs
+++ b/crates/gateway/src/events/entry.rs
@@ -148,6 +148,58 @@
     pub cause: &'a str,
 }
 
+/// One part of a stream, from one endpoint or through another host.
+#[derive(Clone, Debug)]
+pub struct StreamPart {
+    /// Endpoint that sent it, unless it came through another host.
+    pub endpoint: Option<Arc<directory::Endpoint>>,
+    /// What delimits it.
+    pub framing: outcome::Framing,
+    /// Id of the first event that the caller got of it, if it is known.
+    pub first_event: Option<u64>,
+    /// Id of the last one.
+    pub last_event: Option<u64>,
+    /// How it ended.
+    pub end: outcome::PartEnd,
+    /// Why it was broken off, or what shows that its end is the end of the stream.
+    pub cause: String,
+}
+
+impl fmt::Display for StreamPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.endpoint {
+            Some(endpoint) => {
+                write!(f, "{}", endpoint.identity)?;
+                let version = endpoint.version.as_ref();
+                write!(f, " version {}", version.map_or("unknown", |v| v.as_str()))?;
+            }
+            None => f.write_str("another host")?,
+        }
+        match (self.first_event, self.last_event) {
+            (Some(first), Some(last)) => write!(f, " events {first} to {last}")?,
+            (None, Some(last)) => write!(f, " events to {last}")?,
+            (_, None) => f.write_str(" no numbered event")?,
+        }
+        let (framing, end) = (self.framing.as_str(), self.end.as_str());
+        write!(f, " delimited by {framing} {end}")?;
+        match self.cause.is_empty() {
+            true => Ok(()),
+            false => write!(f, " ({})", self.cause),
+        }
+    }
+}
+
+/// Log entry of a stream that was broken off, resumed or delimited by its connection.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamPartsLogEntry<'a> {
+    /// Id of the request.
+    pub request: &'a str,
+    /// Its parts, in order.
+    pub parts: &'a [StreamPart],
+    /// How the request ended.
+    pub end: &'a str,
+}
+
 /// Log entry of a finished request.
 #[derive(Clone, Debug)]
 pub struct RequestLogEntry<'a> {
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -371,7 +371,7 @@
     }
     cx.dialect.strip_internal_headers(&mut parts.headers);
     let is_closing = closes_connection(&parts.headers);
-    let is_framed = is_framed(&parts.headers);
+    let framing = framing(&parts.headers);
     reply::strip_connection_headers(&mut parts.headers);
     let idle_limit = if is_closing {
         Some(Duration::ZERO)
@@ -384,7 +384,7 @@
             in_flight,
             connection,
             idle_limit,
-            is_framed,
+            framing,
         });
         return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
     }
@@ -490,10 +490,13 @@
     reply::connection_tokens(headers).any(|token| token.eq_ignore_ascii_case("close"))
 }
 
-/// Whether a head states where its body ends.
-fn is_framed(headers: &HeaderMap) -> bool {
+/// What delimits the body of an answer with these headers.
+fn framing(headers: &HeaderMap) -> outcome::Framing {
     let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    framing.iter().any(|name| headers.contains_key(name))
+    match framing.iter().any(|name| headers.contains_key(name)) {
+        true => outcome::Framing::Explicit,
+        false => outcome::Framing::Connection,
+    }
 }
 
 pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -12,7 +12,7 @@
 use pistachiochute_core::forwarding as forwarding_core;
 use pistachiochute_core::pacing::{Pace, Share};
 use pistachiochute_core::units::WorkUnits;
-use pistachiochute_core::{entity, quarantine, retry, sse, streams, time};
+use pistachiochute_core::{entity, outcome, quarantine, retry, sse, streams, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
@@ -143,8 +143,9 @@
         state: Box<RequestState<D>>,
         opened: Box<OpenedStream<D>>,
         after_event: Option<u64>,
-        report: report::Report<D>,
+        mut report: report::Report<D>,
     ) -> Self {
+        report.begin_part(opened.endpoint().cloned(), opened.framing());
         let remaining = state
             .plan
             .deadline
@@ -198,7 +199,7 @@
                     };
                     this.state = Some(state);
                     match result {
-                        Ok(opened) => this.source = Source::Opened(Box::new(opened)),
+                        Ok(opened) => this.go_on_with(opened),
                         Err(e) => return Poll::Ready(Some(Err(this.fail(&e.cause)))),
                     }
                 }
@@ -222,6 +223,13 @@
         self.pause = (!wait.is_zero()).then(|| Box::pin(tokio::time::sleep(wait)));
     }
 
+    /// Goes on with the stream of the endpoint that resumes it.
+    fn go_on_with(&mut self, opened: OpenedStream<D>) {
+        self.report
+            .begin_part(opened.endpoint().cloned(), opened.framing());
+        self.source = Source::Opened(Box::new(opened));
+    }
+
     /// Handles bytes of the stream, or its end. Returns the item for the caller, if there is one.
     fn handle_data(
         &mut self,
@@ -249,23 +257,33 @@
     /// Whether the end of the body may be the end of its endpoint: nothing says where the body ends,
     /// and the stream has no event.
     fn may_have_ended_early(&self) -> bool {
-        let is_unframed = match &self.source {
-            Source::Opened(opened) => opened.is_unframed(),
-            Source::Resuming(_) | Source::Done => false,
-        };
+        let is_unframed = self.framing() == outcome::Framing::Connection;
         is_unframed && self.splitter.last_id().is_none() && self.splitter.events() == 0
     }
 
+    /// What delimits the part of the stream that is read.
+    fn framing(&self) -> outcome::Framing {
+        match &self.source {
+            Source::Opened(opened) => opened.framing(),
+            Source::Resuming(_) | Source::Done => outcome::Framing::Explicit,
+        }
+    }
+
     /// Passes on the next complete events, if there are any.
     fn forward(&mut self) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
         let before = self.splitter.events();
-        let events = match self.splitter.pass_on(EVENTS_AT_ONCE) {
+        let last_id = self.splitter.last_id();
+        let events = match self.splitter.pass_on(self.events_at_once()) {
             Ok(events) => events,
             Err(e) => return self.handle_invalid(&e.to_string()),
         };
         if events.is_empty() {
             return None;
         }
+        if let Some(last) = self.splitter.last_id().filter(|id| Some(*id) != last_id) {
+            let count = self.splitter.events() - before;
+            self.report.record_part_events(count, last);
+        }
         let now = clock::now();
         self.count_work(FRAME_WORK + WorkUnits(self.splitter.events() - before), now);
         if let Source::Opened(opened) = &mut self.source {
@@ -280,6 +298,15 @@
         Some(Some(Ok(Frame::data(events))))
     }
 
+    /// Events that are passed on at once. The first one of a part is passed on alone, so that its id is
+    /// known.
+    fn events_at_once(&self) -> usize {
+        match &self.source {
+            Source::Opened(opened) if opened.first_event_at.is_none() => 1,
+            Source::Opened(_) | Source::Resuming(_) | Source::Done => EVENTS_AT_ONCE,
+        }
+    }
+
     /// Handles bytes that do not continue the stream: the endpoint has failed, and another one may go
     /// on.
     fn handle_invalid(
@@ -294,6 +321,11 @@
 
     /// Handles a complete end of the stream.
     fn finish(&mut self) {
+        let end = match self.framing() {
+            outcome::Framing::Explicit => outcome::PartEnd::Framed,
+            outcome::Framing::Connection => outcome::PartEnd::Closed,
+        };
+        self.report.end_part(end, "");
         if let Source::Opened(opened) = std::mem::replace(&mut self.source, Source::Done) {
             let is_proof = opened.first_event_at.is_some() && !opened.has_gone_on;
             opened.release();
@@ -318,6 +350,7 @@
         cause: &str,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
         self.splitter.discard_partial();
+        self.report.end_part(outcome::PartEnd::Broken, cause);
         let broken = self.report_broken(cause);
         // Closes the connection and ends the count of the request at the endpoint.
         self.source = Source::Done;
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -23,8 +23,7 @@
     pub in_flight: in_flight::InFlightRequest<D>,
     pub connection: pool::Connection,
     pub idle_limit: Option<Duration>,
-    /// Whether the head says where the body ends. Otherwise it ends with the connection.
-    pub is_framed: bool,
+    pub framing: outcome::Framing,
 }
 
 /// Who sends a stream.
@@ -73,11 +72,11 @@
         }
     }
 
-    /// Whether the end of the body may be the end of the endpoint: nothing says where the body ends.
-    pub(super) const fn is_unframed(&self) -> bool {
+    /// What delimits the body. Another host resets a stream whose end it does not know.
+    pub(super) const fn framing(&self) -> outcome::Framing {
         match &self.source {
-            StreamSource::Endpoint(endpoint) => !endpoint.is_framed,
-            StreamSource::Host(_) => false,
+            StreamSource::Endpoint(endpoint) => endpoint.framing,
+            StreamSource::Host(_) => outcome::Framing::Explicit,
         }
     }
 
--- a/crates/gateway/src/traffic/report.rs
+++ b/crates/gateway/src/traffic/report.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::{catalog, choice, reason, retry, spill, time};
+use pistachiochute_core::{catalog, choice, directory, outcome, reason, retry, spill, time};
 use pistachiochute_runtime::clock;
+use smallvec::SmallVec;
 
 use crate::traffic::plan::Plan;
 use crate::traffic::{Context, connection, endpoints};
@@ -40,6 +41,8 @@
     events: u64,
     last_event_at: time::Time,
     longest_gap: Duration,
+    /// Parts of the stream, if it is one. The last may not have ended.
+    parts: SmallVec<[events::StreamPart; 1]>,
     /// Whether the log line was written. If the report is dropped before, the connection of the
     /// caller was closed.
     is_finished: bool,
@@ -80,6 +83,7 @@
             events: 0,
             last_event_at: arrived,
             longest_gap: Duration::ZERO,
+            parts: SmallVec::new(),
             is_finished: false,
         }
     }
@@ -174,6 +178,61 @@
         self.last_event_at = now;
     }
 
+    /// Records that an endpoint, or another host if there is none, sends the next part of the stream.
+    pub(super) fn begin_part(
+        &mut self,
+        endpoint: Option<Arc<directory::Endpoint>>,
+        framing: outcome::Framing,
+    ) {
+        self.parts.push(events::StreamPart {
+            endpoint,
+            framing,
+            first_event: None,
+            last_event: None,
+            end: outcome::PartEnd::Abandoned,
+            cause: String::new(),
+        });
+    }
+
+    /// Records that so many events of the part were forwarded, and the id of the last one.
+    pub(super) fn record_part_events(&mut self, count: u64, last: u64) {
+        if let Some(part) = self.parts.last_mut() {
+            let is_first = part.last_event.is_none() && count == 1;
+            part.first_event = part.first_event.or_else(|| is_first.then_some(last));
+            part.last_event = Some(last);
+        }
+    }
+
+    /// Records how the part ended.
+    pub(super) fn end_part(&mut self, end: outcome::PartEnd, cause: &str) {
+        if let Some(part) = self.parts.last_mut() {
+            part.end = end;
+            cause.clone_into(&mut part.cause);
+        }
+    }
+
+    /// Logs and counts the parts of a stream whose end or order is not plain.
+    fn report_parts(&self, end: &str) {
+        let is_plain = |part: &events::StreamPart| {
+            let ends_plainly = matches!(
+                part.end,
+                outcome::PartEnd::Framed | outcome::PartEnd::Abandoned
+            );
+            part.framing == outcome::Framing::Explicit && ends_plainly
+        };
+        if self.parts.len() <= 1 && self.parts.iter().all(is_plain) {
+            return;
+        }
+        for part in &self.parts {
+            self.cx.metrics.stream_part_ended(part.end);
+        }
+        self.cx.events.stream_parts(&events::StreamPartsLogEntry {
+            request: &self.id,
+            parts: &self.parts,
+            end,
+        });
+    }
+
     /// Sets the id of the request, once its head is parsed.
     pub(super) fn set_id(&mut self, id: &[u8]) {
         self.id = String::from_utf8_lossy(id).into_owned();
@@ -194,6 +253,7 @@
             .active_requests
             .set(self.cx.active_requests.get() - 1);
         self.connection.request_finished(now);
+        self.report_parts(end);
         let outcome = self.sends.outcome();
         self.cx.metrics.finished(outcome);
         self.cx.events.request(&events::RequestLogEntry {
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -159,6 +159,7 @@
     requests: metrics::Counter<u64>,
     connections_closed: metrics::Counter<u64>,
     answers_broken: metrics::Counter<u64>,
+    stream_parts: metrics::Counter<u64>,
     endpoint_news: EndpointNews,
     requests_forwarded: metrics::Counter<u64>,
     decisions: metrics::Counter<u64>,
@@ -250,6 +251,11 @@
                 "answers_broken",
                 "Answers that an endpoint broke off, by their progress",
             ),
+            stream_parts: counter(
+                &meter,
+                "stream_parts",
+                "Parts of streams that were broken off, resumed or delimited by their connection, by their end",
+            ),
             endpoint_news: EndpointNews::new(&meter),
             requests_forwarded: counter(
                 &meter,
@@ -331,6 +337,11 @@
             .add(1, &[label("progress", progress.as_str())]);
     }
 
+    /// Counts a part of a stream that was broken off, resumed or delimited by its connection.
+    pub fn stream_part_ended(&self, end: outcome::PartEnd) {
+        self.stream_parts.add(1, &[label("end", end.as_str())]);
+    }
+
     /// Counts an endpoint that said in an answer that it leaves.
     pub fn leave_notice(&self) {
         self.endpoint_news.leave_notices.add(1, &[]);
@@ -461,6 +472,9 @@
             self.answers_broken
                 .add(0, &[label("progress", progress.as_str())]);
         }
+        for end in outcome::PartEnd::ALL {
+            self.stream_parts.add(0, &[label("end", end.as_str())]);
+        }
         for outcome in [
             outcome::Outcome::NotRun,
             outcome::Outcome::Unknown,
--- a/crates/standins/src/platform/raw_endpoint.rs
+++ b/crates/standins/src/platform/raw_endpoint.rs
@@ -1,7 +1,7 @@
 //! Stand-in for an endpoint in trouble: its answers are not what HTTP frames, or never end.
 
 use std::io::{self, BufRead as _, BufReader, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -10,6 +10,7 @@
 use eyre::WrapErr as _;
 
 use crate::platform::endpoint::seal_of;
+use crate::platform::records;
 use crate::sync;
 
 /// What the endpoint sends for every request.
@@ -46,6 +47,53 @@
         /// Whether the connection is reset instead of closed.
         is_reset: bool,
     },
+    /// Bytes as a test writes them.
+    Written(WrittenAnswers),
+}
+
+/// What an endpoint writes, and how it ends it. `{id}` stands for the id of the request, and `{seal}` for
+/// the seal of the endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WrittenAnswers {
+    /// Answer to a request.
+    pub first: WrittenAnswer,
+    /// Answer to a request that resumes a stream.
+    pub resumed: WrittenAnswer,
+    /// Whether the endpoint reports on itself.
+    pub reports: Reports,
+}
+
+/// One answer, as its bytes and its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WrittenAnswer {
+    /// Head and body, or a part of them.
+    pub bytes: String,
+    /// What follows the bytes.
+    pub end: RawEnd,
+}
+
+/// How an endpoint ends what it writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RawEnd {
+    /// It closes the connection in order, and goes on.
+    Close,
+    /// Its process ends: the connection is closed in order, and no other one is accepted.
+    Death,
+    /// Its process ends, and another one accepts connections at its address.
+    Replacement,
+}
+
+/// What an endpoint says when it is asked for a report on itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// The start of its process.
+    Start,
+    /// A report without the start of its process.
+    WithoutStart,
+    /// That it has no report.
+    None,
+    /// Nothing: it keeps the connection open.
+    Silence,
 }
 
 /// When and how an endpoint writes a refusal once more.
@@ -75,6 +123,10 @@
     id: String,
     answer: RawAnswer,
     is_closed: AtomicBool,
+    /// Whether it accepts no more connections.
+    is_gone: AtomicBool,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    started_at_ms: AtomicU64,
     requests: AtomicU64,
     bytes: AtomicU64,
     /// Ids of the requests that it ran, after a refusal on the same connection.
@@ -90,6 +142,9 @@
 /// Pause between two pieces of an answer that goes on slowly.
 const SLOW_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time in which the host closes its side of a connection that the endpoint has closed.
+const END_TIMEOUT: Duration = Duration::from_secs(1);
+
 impl RawEndpoint {
     /// Starts an endpoint.
     ///
@@ -103,6 +158,8 @@
             id: id.to_owned(),
             answer,
             is_closed: AtomicBool::new(false),
+            is_gone: AtomicBool::new(false),
+            started_at_ms: AtomicU64::new(records::STARTED_AT_MS),
             requests: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             runs: Mutex::default(),
@@ -110,7 +167,7 @@
         let accepting = shared.clone();
         let thread = thread::Builder::new()
             .name("raw stand-in".to_owned())
-            .spawn(move || accepting.accept(&listener))?;
+            .spawn(move || accepting.accept(listener))?;
         Ok(Self {
             id: id.to_owned(),
             addr,
@@ -151,32 +208,41 @@
 
     /// Ends the endpoint.
     pub fn close(self) {
-        self.shared.is_closed.store(true, Ordering::Relaxed);
-        // Wakes the thread. A panic of it has already been printed.
-        drop(TcpStream::connect(self.addr));
+        self.shared.stop_accepting(self.addr);
+        // A panic of the thread has already been printed.
         drop(self.thread.join());
     }
 }
 
 impl Shared {
-    fn accept(self: &Arc<Self>, listener: &TcpListener) {
+    fn accept(self: &Arc<Self>, listener: TcpListener) {
         for stream in listener.incoming() {
             if self.is_closed.load(Ordering::Relaxed) {
-                return;
+                break;
             }
             let Ok(stream) = stream else { continue };
             let shared = self.clone();
             // The host closing the connection is the expected end.
             thread::spawn(move || drop(shared.serve(stream)));
         }
+        drop(listener);
+        self.is_gone.store(true, Ordering::Relaxed);
+    }
+
+    /// Has the endpoint accept no more connections.
+    fn stop_accepting(&self, addr: SocketAddr) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        // Wakes the thread.
+        drop(TcpStream::connect(addr));
     }
 
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         // What waits in the system's buffer counts as sent.
         socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER)?;
-        let Some(id) = read_request(&stream)? else {
+        let Some(request) = self.read_call(&mut stream)? else {
             return Ok(());
         };
+        let id = &request.id;
         self.requests.fetch_add(1, Ordering::Relaxed);
         let seal = seal_of(&self.id);
         let head = |status: &str, more: &str| {
@@ -205,7 +271,7 @@
                 self.send(&mut stream, head("503 Busy", more).as_bytes())?;
                 self.send_on(&mut stream, &chunk(b"no"), Some(SLOW_PAUSE))
             }
-            RawAnswer::RepeatedRefusal(copy) => self.refuse_and_repeat(&mut stream, &id, *copy),
+            RawAnswer::RepeatedRefusal(copy) => self.refuse_and_repeat(&mut stream, id, *copy),
             RawAnswer::Large(bytes) => {
                 let more = format!("{sealed}Content-Length: {bytes}\r\nConnection: close\r\n");
                 self.send(&mut stream, head("200 OK", &more).as_bytes())?;
@@ -236,7 +302,67 @@
                     false => Ok(()),
                 }
             }
+            RawAnswer::Written(answers) => {
+                let answer = match request.is_resumption {
+                    true => &answers.resumed,
+                    false => &answers.first,
+                };
+                let bytes = answer.bytes.replace("{id}", id).replace("{seal}", &seal);
+                self.send(&mut stream, bytes.as_bytes())?;
+                self.end(&stream, answer.end)
+            }
+        }
+    }
+
+    /// Reads the next request that is not a question for a report, which is answered.
+    fn read_call(&self, stream: &mut TcpStream) -> io::Result<Option<RawRequest>> {
+        while let Some(request) = read_request(stream)? {
+            if request.path == records::REPORT_PATH {
+                self.report(stream)?;
+            } else {
+                return Ok((!request.id.is_empty()).then_some(request));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Answers a question for a report.
+    fn report(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let reports = match &self.answer {
+            RawAnswer::Written(answers) => answers.reports,
+            _ => Reports::Start,
+        };
+        let born = self.started_at_ms.load(Ordering::Relaxed);
+        let (status, body) = match reports {
+            Reports::Start => ("200 OK", format!("{{\"stage\":\"both\",\"born\":{born}}}")),
+            Reports::WithoutStart => ("200 OK", "{\"stage\":\"both\"}".to_owned()),
+            Reports::None => ("404 Not Found", String::new()),
+            Reports::Silence => return Ok(()),
+        };
+        let length = body.len();
+        let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
+        stream.write_all(answer.as_bytes())
+    }
+
+    /// Ends an answer. The connection is closed in order afterwards.
+    fn end(&self, stream: &TcpStream, end: RawEnd) -> io::Result<()> {
+        match end {
+            RawEnd::Close => {}
+            RawEnd::Death => {
+                self.stop_accepting(stream.local_addr()?);
+                while !self.is_gone.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+            }
+            RawEnd::Replacement => {
+                self.started_at_ms.fetch_add(1, Ordering::Relaxed);
+            }
         }
+        stream.shutdown(Shutdown::Write)?;
+        // Bytes that wait to be read would have the system reset the connection.
+        stream.set_read_timeout(Some(END_TIMEOUT))?;
+        io::copy(&mut &*stream, &mut io::sink())?;
+        Ok(())
     }
 
     /// Refuses a request, runs the later ones, and writes the refusal once more in between.
@@ -257,7 +383,7 @@
             self.send(stream, as_it_was.as_bytes())?;
         }
         let seal = seal_of(&self.id);
-        while let Some(id) = read_request(stream)? {
+        while let Some(RawRequest { id, .. }) = self.read_call(stream)? {
             self.requests.fetch_add(1, Ordering::Relaxed);
             sync::lock(&self.runs).push(id.clone());
             match copy {
@@ -301,18 +427,34 @@
     }
 }
 
-/// Reads the head of a request. Returns its id, or `None` if the connection ends.
-fn read_request(stream: &TcpStream) -> io::Result<Option<String>> {
-    let mut id = None;
+/// What the endpoint reads of a request.
+#[derive(Debug, Default)]
+struct RawRequest {
+    /// Path and query.
+    path: String,
+    /// Id, or empty if it has none.
+    id: String,
+    /// Whether it resumes a stream.
+    is_resumption: bool,
+}
+
+/// Reads the head of a request. Returns `None` if the connection ends.
+fn read_request(stream: &TcpStream) -> io::Result<Option<RawRequest>> {
+    let mut request = RawRequest::default();
     for line in BufReader::new(stream.try_clone()?).lines() {
         let line = line?;
         if line.is_empty() {
-            return Ok(id);
+            return Ok(Some(request));
         }
-        if let Some((name, value)) = line.split_once(": ")
-            && name.eq_ignore_ascii_case("x-request-id")
-        {
-            id = Some(value.to_owned());
+        match line.split_once(": ") {
+            Some((name, value)) if name.eq_ignore_ascii_case("x-request-id") => {
+                value.clone_into(&mut request.id);
+            }
+            Some((name, _)) if name.eq_ignore_ascii_case("last-event-id") => {
+                request.is_resumption = true;
+            }
+            Some(_) => {}
+            None => request.path = line.split(' ').nth(1).unwrap_or_default().to_owned(),
         }
     }
     Ok(None)
--- a/crates/standins/src/platform/records.rs
+++ b/crates/standins/src/platform/records.rs
@@ -10,6 +10,9 @@
 /// Path at which the platform asks a host whether it is ready.
 pub const READY_PATH: &str = "/pistachiochute/ready";
 
+/// Path at which a host asks an endpoint for a report on itself.
+pub const REPORT_PATH: &str = "/pistachiochute/report";
+
 /// A route of the configuration. Its prefix is its name between slashes.
 #[derive(Clone, Copy, Debug)]
 pub struct Route<'a> {
