Ask the process behind a connection for its report

An endpoint's report says when its process started, and a connection keeps the process at its other end for as long as it lives. So a report on a connection tells whether that is the process of the endpoint's entry, whatever the age of the list of endpoints.

Path and decoding belong to the dialect. Connection::probe sends what is no caller's request; a connection that was probed counts as reused. Pool::open opens a fresh one. The stand-in of an endpoint reports, unless it is told not to.

No caller yet.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -87,6 +87,13 @@
     pub idle_limit: Option<Duration>,
 }
 
+/// What an endpoint says of itself when it is asked for its report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointReport {
+    /// Start of its process, in milliseconds since the Unix epoch, if it says so.
+    pub started_at_ms: Option<u64>,
+}
+
 /// Headers and store entries of a platform.
 pub trait Dialect: Clone + Send + 'static {
     /// Reads the metadata of a caller's request.
@@ -130,6 +137,16 @@
     /// Returns an error if the list is malformed.
     fn decode_cached_parts(&self, body: &[u8]) -> eyre::Result<Vec<u64>>;
 
+    /// Path at which an endpoint reports on itself.
+    fn report_path(&self) -> &'static str;
+
+    /// Decodes an endpoint's report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is no report.
+    fn decode_report(&self, body: &[u8]) -> eyre::Result<EndpointReport>;
+
     /// Key of the store entry that holds the catalog.
     fn catalog_key(&self) -> &'static str;
 
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -100,6 +100,16 @@
         Ok(Vec::new())
     }
 
+    fn report_path(&self) -> &'static str {
+        "/report"
+    }
+
+    fn decode_report(&self, _: &[u8]) -> eyre::Result<adapter::EndpointReport> {
+        Ok(adapter::EndpointReport {
+            started_at_ms: None,
+        })
+    }
+
     fn catalog_key(&self) -> &'static str {
         "catalog"
     }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,8 @@
 mod connection;
 mod crash_watch;
 mod datagrams;
+#[expect(dead_code, reason = "no caller yet")]
+mod endpoint_report;
 mod endpoints;
 mod event_stream;
 pub(crate) mod forwarding;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -131,11 +131,21 @@
         if let Some(sender) = self.pop_idle(&endpoint.identity, max_idle) {
             return Ok(self.reuse(endpoint, sender, false));
         }
-        self.open(endpoint, connection_limit(max_connections, hosts))
-            .await
+        self.open(endpoint, max_connections, hosts).await
+    }
+
+    /// Opens a connection, whether there are idle ones or not.
+    pub(super) async fn open(
+        &self,
+        endpoint: &directory::Endpoint,
+        max_connections: u32,
+        hosts: u32,
+    ) -> Result<Connection, AcquireError> {
+        let limit = connection_limit(max_connections, hosts);
+        self.open_within(endpoint, limit).await
     }
 
-    async fn open(
+    async fn open_within(
         &self,
         endpoint: &directory::Endpoint,
         limit: u32,
@@ -160,6 +170,7 @@
             permit,
             sender: Some(sender),
             is_new: true,
+            is_free: true,
         })
     }
 
@@ -171,6 +182,7 @@
             },
             sender: Some(sender),
             is_new,
+            is_free: true,
         }
     }
 
@@ -271,6 +283,7 @@
     permit: Permit,
     sender: Option<Sender>,
     is_new: bool,
+    is_free: bool,
 }
 
 impl Connection {
@@ -287,7 +300,30 @@
             .try_send_request(req)
     }
 
-    /// Whether the connection was opened for this request.
+    /// Asks the process at the other end something on the host's own account. Until
+    /// [`Connection::wait_until_free`] has returned, the connection takes no other request.
+    pub(super) fn probe(&mut self, req: Request<Full<Bytes>>) -> impl Future<Output = Sent> {
+        self.is_new = false;
+        self.is_free = false;
+        let sender = self.sender.as_mut();
+        sender
+            .expect("present until it is released")
+            .try_send_request(req)
+    }
+
+    /// Waits after a probe until the connection takes another request, or is known to take none.
+    pub(super) async fn wait_until_free(&mut self) {
+        if let Some(sender) = &mut self.sender {
+            self.is_free = sender.ready().await.is_ok();
+        }
+    }
+
+    /// Whether the connection takes a request: it has not been probed, or the probe is over.
+    pub(super) const fn is_free(&self) -> bool {
+        self.is_free
+    }
+
+    /// Whether the connection was opened for this request, and nothing was sent on it before.
     pub(super) const fn is_new(&self) -> bool {
         self.is_new
     }
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -13,7 +13,10 @@
 use tokio::sync::watch;
 
 use crate::platform::endpoint::event_source::Receiver;
-use crate::platform::{caller, http};
+use crate::platform::{caller, http, records};
+
+/// Path at which an endpoint reports on itself.
+const REPORT_PATH: &str = "/pistachiochute/report";
 
 /// How an endpoint handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,6 +154,10 @@
     crashing_parts: Mutex<Vec<CrashingPart>>,
     crashing_call: Mutex<Option<CrashingCall>>,
     crashes: http::CrashSwitch,
+    /// Whether the endpoint answers requests for its report.
+    is_reporting: Mutex<bool>,
+    /// Number of requests for its report.
+    report_requests: Mutex<u64>,
     /// Value of the header in which the endpoint names its limit, if it does.
     limit: Mutex<Option<String>>,
     /// Value of the header in which the endpoint says that it leaves, if it does.
@@ -218,6 +225,8 @@
             crashing_parts: Mutex::default(),
             crashing_call: Mutex::default(),
             crashes: crashes.clone(),
+            is_reporting: Mutex::new(true),
+            report_requests: Mutex::default(),
             limit: Mutex::default(),
             leave_notice: Mutex::default(),
             brittle: Mutex::default(),
@@ -285,6 +294,17 @@
         *lock(&self.handler.crashing_call) = call;
     }
 
+    /// Sets whether the endpoint answers requests for its report. It has no such path otherwise.
+    pub fn set_reporting(&self, is_reporting: bool) {
+        *lock(&self.handler.is_reporting) = is_reporting;
+    }
+
+    /// Number of requests for its report.
+    #[must_use]
+    pub fn report_requests(&self) -> u64 {
+        *lock(&self.handler.report_requests)
+    }
+
     /// Names a limit in all later answers, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         *lock(&self.handler.limit) = limit.map(str::to_owned);
@@ -406,6 +426,9 @@
 
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        if req.uri().path() == REPORT_PATH {
+            return Some(self.report().await);
+        }
         lock(&self.arrivals).push(Instant::now());
         let id = req.headers().get("x-request-id").cloned();
         let id = id.and_then(|id| id.to_str().ok().map(str::to_owned));
@@ -438,6 +461,18 @@
 }
 
 impl Handler {
+    /// What the endpoint says of itself.
+    async fn report(&self) -> Response<http::Body> {
+        *lock(&self.report_requests) += 1;
+        let is_reporting = *lock(&self.is_reporting);
+        let incarnation = lock(&self.incarnation).clone();
+        self.wait_while_silent().await;
+        match is_reporting {
+            true => http::answer(StatusCode::OK, incarnation.report().to_string()),
+            false => http::answer(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
     async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
         let (head, body) = req.into_parts();
         let body = body.collect().await.ok()?.to_bytes();
@@ -533,6 +568,15 @@
 }
 
 impl Incarnation {
+    fn report(&self) -> serde_json::Value {
+        let software = self.software.as_ref();
+        let started_at_ms = software.map_or(records::STARTED_AT_MS, |s| s.started_at_ms);
+        serde_json::json!({
+            "stage": "both", "models": [], "busy": false, "sequence": 1, "queued": 0, "running": 1,
+            "kvUsed": 0, "kvTotal": 1, "handles": 0, "born": started_at_ms,
+        })
+    }
+
     fn reply<B>(&self, status: StatusCode, id: &str, body: B) -> Response<http::Body>
     where
         B: Into<Bytes>,
