Tell the end of an answer without a length from the end of its endpoint

What callers saw: an answer that its connection delimits looked whole when its endpoint had ended half-way: a stream with pieces missing, a call with a short body. A stream that was cut inside an event looked whole when the resumption brought nothing.

Cause: the end of an answer was judged by its bytes alone. A process that ends closes its connections in order, like one that has written all. Any transfer coding counted as framing, though only chunks say where a body ends.

Change: how an answer ended is a value (framed, closed by the endpoint, broken), for streams and calls. Only the first is whole by itself, and not before the event that was cut inside has come. Without an event of this part, or a byte of the body, it is never whole. What is not whole goes on elsewhere where that is allowed, is cut otherwise, or is a call with an unknown outcome. Events are passed on before the check; the connection of the check goes to the pool.

--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -13,11 +13,12 @@
 use pistachiochute_runtime::{clock, metrics};
 
 use crate::adapter;
+use crate::traffic::answer_end::AnswerEnd;
 use crate::traffic::collect::{CollectError, Pace};
 use crate::traffic::opened_stream::{EndpointStream, OpenedStream, StreamSource};
 use crate::traffic::plan::Plan;
 use crate::traffic::{
-    Context, collect, endpoints, in_flight, isolation, memory, notices, pool, reply,
+    Context, answer_end, collect, endpoints, in_flight, isolation, memory, notices, pool, reply,
 };
 
 /// Largest answer that is buffered until it is complete, in bytes.
@@ -371,7 +372,7 @@
     }
     cx.dialect.strip_internal_headers(&mut parts.headers);
     let is_closing = closes_connection(&parts.headers);
-    let framing = framing(&parts.headers);
+    let framing = answer_end::framing(&attempt.outgoing.method, &parts);
     reply::strip_connection_headers(&mut parts.headers);
     let idle_limit = if is_closing {
         Some(Duration::ZERO)
@@ -382,14 +383,19 @@
         let source = StreamSource::Endpoint(EndpointStream {
             body,
             in_flight,
-            connection,
+            connection: Some(connection),
             idle_limit,
             framing,
         });
         return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
     }
-    let account = &attempt.outgoing.account;
-    let result = read_answer(parts, body, account, connection, idle_limit).await;
+    let body = AnswerBody {
+        body,
+        framing,
+        connection,
+        idle_limit,
+    };
+    let result = read_answer(cx, attempt, parts, body).await;
     if let AttemptResult::Failed {
         failure: AttemptFailure::ConnectionLost,
         cause,
@@ -427,18 +433,26 @@
     }
 }
 
-/// Reads the body of a complete answer.
-async fn read_answer<D>(
-    mut parts: response::Parts,
+/// Body of an answer that is read as a whole.
+struct AnswerBody {
     body: Incoming,
-    account: &Arc<memory::Account>,
+    framing: outcome::Framing,
     connection: pool::Connection,
     idle_limit: Option<Duration>,
+}
+
+/// Reads the body of a complete answer.
+async fn read_answer<D>(
+    cx: &Rc<Context<D>>,
+    attempt: &Attempt<'_>,
+    mut parts: response::Parts,
+    answer: AnswerBody,
 ) -> AttemptResult<D>
 where
     D: adapter::Dialect,
 {
-    let reading = collect::collect(body, account, MAX_ANSWER_BYTES, Pace::Unbounded);
+    let account = &attempt.outgoing.account;
+    let reading = collect::collect(answer.body, account, MAX_ANSWER_BYTES, Pace::Unbounded);
     let body = match reading.await {
         Ok(body) => body,
         Err(CollectError::Body(e)) => {
@@ -450,7 +464,23 @@
             return failed(AttemptFailure::ConnectionLost, "body: too long");
         }
     };
-    connection.release(idle_limit);
+    match AnswerEnd::of(answer.framing) {
+        AnswerEnd::Framed => answer.connection.release(answer.idle_limit),
+        AnswerEnd::ClosedByEndpoint if body.is_empty() => {
+            return failed(AttemptFailure::ConnectionLost, "closed before its body");
+        }
+        AnswerEnd::ClosedByEndpoint => {
+            // Makes room for the connection of the check.
+            drop(answer.connection);
+            let endpoint = &attempt.selected.endpoint;
+            let max_connections = attempt.plan.service().max_connections;
+            let proof = answer_end::check_life(cx, endpoint, max_connections).await;
+            if let Err(e) = proof {
+                return failed(AttemptFailure::ConnectionLost, e.to_string());
+            }
+        }
+        AnswerEnd::Broken(cause) => return failed(AttemptFailure::ConnectionLost, cause),
+    }
     // Hyper sets the length of the body that it sends.
     parts.headers.remove(header::CONTENT_LENGTH);
     let answer = CompleteAnswer { parts, body };
@@ -490,15 +520,6 @@
     reply::connection_tokens(headers).any(|token| token.eq_ignore_ascii_case("close"))
 }
 
-/// What delimits the body of an answer with these headers.
-fn framing(headers: &HeaderMap) -> outcome::Framing {
-    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-    match framing.iter().any(|name| headers.contains_key(name)) {
-        true => outcome::Framing::Explicit,
-        false => outcome::Framing::Connection,
-    }
-}
-
 pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
     headers
         .get(header::CONTENT_TYPE)
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -17,8 +17,9 @@
 use smallvec::SmallVec;
 
 use crate::adapter;
+use crate::traffic::answer_end::{AnswerEnd, NoProofOfLife, ProofOfLife};
 use crate::traffic::attempt::OutgoingRequest;
-use crate::traffic::opened_stream::OpenedStream;
+use crate::traffic::opened_stream::{LifeCheck, OpenedStream, Piece};
 use crate::traffic::plan::Plan;
 use crate::traffic::{Context, attempts, crash_watch, endpoints, forwarding, overload, report};
 
@@ -113,6 +114,9 @@
 {
     /// An endpoint, or another host, that sends events.
     Opened(Box<OpenedStream<D>>),
+    /// An endpoint that has closed the connection which delimits the stream, while it is found out
+    /// whether it lives on.
+    Ending(Box<OpenedStream<D>>, LifeCheck),
     /// No endpoint yet: the stream is being resumed.
     Resuming(ResumeFuture<D>),
     /// The stream has ended.
@@ -127,6 +131,8 @@
     state: Option<Box<RequestState<D>>>,
     source: Source<D>,
     splitter: sse::Splitter,
+    /// Whether an event is known to follow: the stream broke inside it.
+    owes_event: bool,
     share: Share,
     /// Time for which the stream waits for the work of others, if it does.
     pause: Option<Pin<Box<tokio::time::Sleep>>>,
@@ -155,6 +161,7 @@
             state: Some(state),
             source: Source::Opened(opened),
             splitter: sse::Splitter::resume_after(after_event),
+            owes_event: false,
             share: Share::new(FREE_WORK),
             pause: None,
             deadline: Box::pin(tokio::time::sleep(remaining)),
@@ -181,14 +188,23 @@
                     }
                 }
                 Source::Opened(opened) => {
-                    let data = match opened.poll_data(cx) {
-                        Poll::Ready(data) => data,
+                    let piece = match opened.poll_piece(cx) {
+                        Poll::Ready(piece) => piece,
                         Poll::Pending => {
                             ready!(this.deadline.as_mut().poll(cx));
                             return Poll::Ready(Some(Err(this.fail("deadline"))));
                         }
                     };
-                    if let Some(result) = this.handle_data(data) {
+                    if let Some(result) = this.handle_piece(piece) {
+                        return Poll::Ready(result);
+                    }
+                }
+                Source::Ending(_, check) => {
+                    let Poll::Ready(proof) = check.as_mut().poll(cx) else {
+                        ready!(this.deadline.as_mut().poll(cx));
+                        return Poll::Ready(Some(Err(this.fail("deadline"))));
+                    };
+                    if let Some(result) = this.handle_proof(proof) {
                         return Poll::Ready(result);
                     }
                 }
@@ -231,41 +247,69 @@
     }
 
     /// Handles bytes of the stream, or its end. Returns the item for the caller, if there is one.
-    fn handle_data(
+    fn handle_piece(
         &mut self,
-        data: Option<Result<Bytes, String>>,
+        piece: Piece,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        match data {
-            Some(Ok(data)) => {
+        let end = match piece {
+            Piece::Data(data) => {
                 self.splitter.add(&data);
-                None
+                return None;
             }
-            Some(Err(e)) => self.resume_or_fail(&e),
-            None if !self.splitter.at_event_boundary() => {
+            Piece::End(end) => end,
+        };
+        match end {
+            AnswerEnd::Broken(cause) => self.resume_or_fail(&cause),
+            AnswerEnd::Framed | AnswerEnd::ClosedByEndpoint
+                if !self.splitter.at_event_boundary() =>
+            {
                 self.resume_or_fail("ended within an event")
             }
-            None if self.may_have_ended_early() => {
-                self.resume_or_fail("ended before its first event")
+            AnswerEnd::Framed if self.owes_event => {
+                self.handle_invalid("ended before the event that was cut")
             }
-            None => {
-                self.finish();
+            AnswerEnd::Framed => {
+                self.finish(outcome::PartEnd::Framed, "");
                 Some(None)
             }
+            AnswerEnd::ClosedByEndpoint if !self.has_event() => {
+                self.resume_or_fail("closed before an event")
+            }
+            AnswerEnd::ClosedByEndpoint => self.check_life(),
         }
     }
 
-    /// Whether the end of the body may be the end of its endpoint: nothing says where the body ends,
-    /// and the stream has no event.
-    fn may_have_ended_early(&self) -> bool {
-        let is_unframed = self.framing() == outcome::Framing::Connection;
-        is_unframed && self.splitter.last_id().is_none() && self.splitter.events() == 0
+    /// Whether the part of the stream that is read has brought an event.
+    fn has_event(&self) -> bool {
+        matches!(&self.source, Source::Opened(opened) if opened.has_event)
     }
 
-    /// What delimits the part of the stream that is read.
-    fn framing(&self) -> outcome::Framing {
-        match &self.source {
-            Source::Opened(opened) => opened.framing(),
-            Source::Resuming(_) | Source::Done => outcome::Framing::Explicit,
+    /// Begins to find out whether the endpoint that has closed its connection lives on.
+    fn check_life(&mut self) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        let source = std::mem::replace(&mut self.source, Source::Done);
+        if let (Source::Opened(mut opened), Some(state)) = (source, &self.state)
+            && let Some(check) = opened.check_life(state)
+        {
+            self.source = Source::Ending(opened, check);
+            return None;
+        }
+        Some(Some(Err(self.fail("closed by another host"))))
+    }
+
+    /// Handles what is known of the endpoint that has closed its connection.
+    fn handle_proof(
+        &mut self,
+        proof: Result<ProofOfLife, NoProofOfLife>,
+    ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        if let Source::Ending(opened, _) = std::mem::replace(&mut self.source, Source::Done) {
+            self.source = Source::Opened(opened);
+        }
+        match proof {
+            Ok(proof) => {
+                self.finish(outcome::PartEnd::Closed, &proof.to_string());
+                Some(None)
+            }
+            Err(e) => self.resume_or_fail(&e.to_string()),
         }
     }
 
@@ -280,14 +324,18 @@
         if events.is_empty() {
             return None;
         }
-        if let Some(last) = self.splitter.last_id().filter(|id| Some(*id) != last_id) {
+        let new_id = self.splitter.last_id().filter(|id| Some(*id) != last_id);
+        let has_event = new_id.is_some() || !self.splitter.is_resumable();
+        if let Some(last) = new_id {
             let count = self.splitter.events() - before;
             self.report.record_part_events(count, last);
+            self.owes_event = false;
         }
         let now = clock::now();
         self.count_work(FRAME_WORK + WorkUnits(self.splitter.events() - before), now);
         if let Source::Opened(opened) = &mut self.source {
             opened.mark_prompt_read();
+            opened.has_event |= has_event;
             let first = *opened.first_event_at.get_or_insert(now);
             if !opened.has_gone_on && now.since(first) >= quarantine::PROOF_AFTER {
                 opened.has_gone_on = true;
@@ -303,7 +351,7 @@
     fn events_at_once(&self) -> usize {
         match &self.source {
             Source::Opened(opened) if opened.first_event_at.is_none() => 1,
-            Source::Opened(_) | Source::Resuming(_) | Source::Done => EVENTS_AT_ONCE,
+            _ => EVENTS_AT_ONCE,
         }
     }
 
@@ -320,12 +368,8 @@
     }
 
     /// Handles a complete end of the stream.
-    fn finish(&mut self) {
-        let end = match self.framing() {
-            outcome::Framing::Explicit => outcome::PartEnd::Framed,
-            outcome::Framing::Connection => outcome::PartEnd::Closed,
-        };
-        self.report.end_part(end, "");
+    fn finish(&mut self, end: outcome::PartEnd, proof: &str) {
+        self.report.end_part(end, proof);
         if let Source::Opened(opened) = std::mem::replace(&mut self.source, Source::Done) {
             let is_proof = opened.first_event_at.is_some() && !opened.has_gone_on;
             opened.release();
@@ -349,6 +393,7 @@
         &mut self,
         cause: &str,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        self.owes_event |= !self.splitter.at_event_boundary();
         self.splitter.discard_partial();
         self.report.end_part(outcome::PartEnd::Broken, cause);
         let broken = self.report_broken(cause);
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 //! A single-threaded executor runs the whole request path, so that a request needs no lock and no
 //! hand-over between threads. The routing decisions are made by `pistachiochute-core`.
 
+mod answer_end;
 mod attempt;
 mod attempts;
 mod cached_parts;
@@ -10,7 +11,6 @@
 mod connection;
 mod crash_watch;
 mod datagrams;
-#[expect(dead_code, reason = "no caller yet")]
 mod endpoint_report;
 mod endpoints;
 mod event_stream;
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -12,7 +12,8 @@
 use pistachiochute_runtime::clock;
 
 use crate::adapter;
-use crate::traffic::{event_stream, forwarding, in_flight, pool};
+use crate::traffic::answer_end::{AnswerEnd, NoProofOfLife, ProofOfLife};
+use crate::traffic::{answer_end, event_stream, forwarding, in_flight, pool};
 
 /// A stream that an endpoint sends.
 pub(super) struct EndpointStream<D>
@@ -21,7 +22,8 @@
 {
     pub body: Incoming,
     pub in_flight: in_flight::InFlightRequest<D>,
-    pub connection: pool::Connection,
+    /// Its connection, until it is closed because it delimits the body.
+    pub connection: Option<pool::Connection>,
     pub idle_limit: Option<Duration>,
     pub framing: outcome::Framing,
 }
@@ -37,6 +39,17 @@
     Host(forwarding::HostStream<D>),
 }
 
+/// What comes next of a stream.
+pub(super) enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// Its end.
+    End(AnswerEnd),
+}
+
+/// Finds out whether an endpoint lives on.
+pub(super) type LifeCheck = Pin<Box<dyn Future<Output = Result<ProofOfLife, NoProofOfLife>>>>;
+
 /// A stream that has been started.
 pub(super) struct OpenedStream<D>
 where
@@ -45,6 +58,8 @@
     source: StreamSource<D>,
     /// When the first event came that the caller did not have.
     pub first_event_at: Option<time::Time>,
+    /// Whether it has brought an event that is more than a comment.
+    pub has_event: bool,
     /// Whether the answer has gone on long enough to clear its prompt.
     pub has_gone_on: bool,
 }
@@ -57,19 +72,41 @@
         Self {
             source,
             first_event_at: None,
+            has_event: false,
             has_gone_on: false,
         }
     }
 
-    /// Polls for the next bytes. An error says why the stream has broken.
-    pub(super) fn poll_data(
+    /// Polls for the next bytes, or the end.
+    pub(super) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
+        let data = match &mut self.source {
+            StreamSource::Endpoint(endpoint) => ready!(poll_endpoint(&mut endpoint.body, cx)),
+            StreamSource::Host(host) => ready!(host.poll_data(cx)),
+        };
+        Poll::Ready(match data {
+            Some(Ok(data)) => Piece::Data(data),
+            Some(Err(cause)) => Piece::End(AnswerEnd::Broken(cause)),
+            None => Piece::End(AnswerEnd::of(self.framing())),
+        })
+    }
+
+    /// Begins to find out whether the endpoint lives on that has closed the connection of the stream.
+    /// Another host has done so itself.
+    pub(super) fn check_life(
         &mut self,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, String>>> {
-        match &mut self.source {
-            StreamSource::Endpoint(endpoint) => poll_endpoint(&mut endpoint.body, cx),
-            StreamSource::Host(host) => host.poll_data(cx),
-        }
+        state: &event_stream::RequestState<D>,
+    ) -> Option<LifeCheck> {
+        let StreamSource::Endpoint(endpoint) = &mut self.source else {
+            return None;
+        };
+        // Makes room for the connection of the check.
+        endpoint.connection = None;
+        let cx = state.cx.clone();
+        let endpoint = endpoint.in_flight.endpoint().clone();
+        let max_connections = state.plan.service().max_connections;
+        Some(Box::pin(async move {
+            answer_end::check_life(&cx, &endpoint, max_connections).await
+        }))
     }
 
     /// What delimits the body. Another host resets a stream whose end it does not know.
@@ -122,8 +159,10 @@
 
     /// Returns the connection of a stream that has ended to the pool.
     pub(super) fn release(self) {
-        if let StreamSource::Endpoint(endpoint) = self.source {
-            endpoint.connection.release(endpoint.idle_limit);
+        if let StreamSource::Endpoint(endpoint) = self.source
+            && let Some(connection) = endpoint.connection
+        {
+            connection.release(endpoint.idle_limit);
         }
     }
 }
--- a/crates/runtime/src/metrics/decisions.rs
+++ b/crates/runtime/src/metrics/decisions.rs
@@ -55,11 +55,15 @@
     PromptWaited,
     /// A prompt was refused, since no place at an overloaded service is free in time.
     PromptRefused,
+    /// The endpoint of an answer that its connection delimits lives on: the answer is whole.
+    AnswerEndProven,
+    /// It may have ended with the connection.
+    AnswerEndUnproven,
 }
 
 impl Decision {
     /// Every decision.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 28] = [
         Self::DatagramDropped,
         Self::PermitAsked,
         Self::PermitGranted,
@@ -86,6 +90,8 @@
         Self::ServiceOverloaded,
         Self::PromptWaited,
         Self::PromptRefused,
+        Self::AnswerEndProven,
+        Self::AnswerEndUnproven,
     ];
 
     /// Label in the metrics.
@@ -118,6 +124,8 @@
             Self::ServiceOverloaded => "service_overloaded",
             Self::PromptWaited => "prompt_waited",
             Self::PromptRefused => "prompt_refused",
+            Self::AnswerEndProven => "answer_end_proven",
+            Self::AnswerEndUnproven => "answer_end_unproven",
         }
     }
 }
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -15,9 +15,6 @@
 use crate::platform::endpoint::event_source::Receiver;
 use crate::platform::{caller, http, records};
 
-/// Path at which an endpoint reports on itself.
-const REPORT_PATH: &str = "/pistachiochute/report";
-
 /// How an endpoint handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -426,7 +423,7 @@
 
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
-        if req.uri().path() == REPORT_PATH {
+        if req.uri().path() == records::REPORT_PATH {
             return Some(self.report().await);
         }
         lock(&self.arrivals).push(Instant::now());
--- a/crates/standins/src/platform/raw_endpoint.rs
+++ b/crates/standins/src/platform/raw_endpoint.rs
@@ -51,8 +51,8 @@
     Written(WrittenAnswers),
 }
 
-/// What an endpoint writes, and how it ends it. `{id}` stands for the id of the request, and `{seal}` for
-/// the seal of the endpoint.
+/// What an endpoint writes, and how it ends it. `{id}` stands for the id of the request, `{seal}` for the
+/// seal of the endpoint, and `{pause}` for a pause of [`WRITTEN_PAUSE`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WrittenAnswers {
     /// Answer to a request.
@@ -142,6 +142,9 @@
 /// Pause between two pieces of an answer that goes on slowly.
 const SLOW_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause within an answer that a test writes.
+pub const WRITTEN_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time in which the host closes its side of a connection that the endpoint has closed.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -308,7 +311,12 @@
                     false => &answers.first,
                 };
                 let bytes = answer.bytes.replace("{id}", id).replace("{seal}", &seal);
-                self.send(&mut stream, bytes.as_bytes())?;
+                for (i, piece) in bytes.split("{pause}").enumerate() {
+                    if i > 0 {
+                        thread::sleep(WRITTEN_PAUSE);
+                    }
+                    self.send(&mut stream, piece.as_bytes())?;
+                }
                 self.end(&stream, answer.end)
             }
         }
