--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -12,13 +12,14 @@
 use pistachiochute_core::forwarding as forwarding_core;
 use pistachiochute_core::pacing::{Pace, Share};
 use pistachiochute_core::units::WorkUnits;
-use pistachiochute_core::{entity, quarantine, retry, sse, streams, time};
+use pistachiochute_core::{entity, outcome, quarantine, retry, sse, streams, time};
 use pistachiochute_runtime::clock;
 use smallvec::SmallVec;
 
 use crate::adapter;
+use crate::traffic::answer_end::{AnswerEnd, NoProofOfLife, ProofOfLife};
 use crate::traffic::attempt::OutgoingRequest;
-use crate::traffic::opened_stream::OpenedStream;
+use crate::traffic::opened_stream::{LifeCheck, OpenedStream, Piece};
 use crate::traffic::plan::Plan;
 use crate::traffic::{Context, attempts, crash_watch, endpoints, forwarding, overload, report};
 
@@ -113,6 +114,9 @@
 {
     /// An endpoint, or another host, that sends events.
     Opened(Box<OpenedStream<D>>),
+    /// An endpoint that has closed the connection which delimits the stream, while it is found out
+    /// whether it lives on.
+    Ending(Box<OpenedStream<D>>, LifeCheck),
     /// No endpoint yet: the stream is being resumed.
     Resuming(ResumeFuture<D>),
     /// The stream has ended.
@@ -127,6 +131,8 @@
     state: Option<Box<RequestState<D>>>,
     source: Source<D>,
     splitter: sse::Splitter,
+    /// Whether an event is known to follow: the stream broke inside it.
+    owes_event: bool,
     share: Share,
     /// Time for which the stream waits for the work of others, if it does.
     pause: Option<Pin<Box<tokio::time::Sleep>>>,
@@ -143,8 +149,9 @@
         state: Box<RequestState<D>>,
         opened: Box<OpenedStream<D>>,
         after_event: Option<u64>,
-        report: report::Report<D>,
+        mut report: report::Report<D>,
     ) -> Self {
+        report.begin_part(opened.endpoint().cloned(), opened.framing());
         let remaining = state
             .plan
             .deadline
@@ -154,6 +161,7 @@
             state: Some(state),
             source: Source::Opened(opened),
             splitter: sse::Splitter::resume_after(after_event),
+            owes_event: false,
             share: Share::new(FREE_WORK),
             pause: None,
             deadline: Box::pin(tokio::time::sleep(remaining)),
@@ -180,14 +188,23 @@
                     }
                 }
                 Source::Opened(opened) => {
-                    let data = match opened.poll_data(cx) {
-                        Poll::Ready(data) => data,
+                    let piece = match opened.poll_piece(cx) {
+                        Poll::Ready(piece) => piece,
                         Poll::Pending => {
                             ready!(this.deadline.as_mut().poll(cx));
                             return Poll::Ready(Some(Err(this.fail("deadline"))));
                         }
                     };
-                    if let Some(result) = this.handle_data(data) {
+                    if let Some(result) = this.handle_piece(piece) {
+                        return Poll::Ready(result);
+                    }
+                }
+                Source::Ending(_, check) => {
+                    let Poll::Ready(proof) = check.as_mut().poll(cx) else {
+                        ready!(this.deadline.as_mut().poll(cx));
+                        return Poll::Ready(Some(Err(this.fail("deadline"))));
+                    };
+                    if let Some(result) = this.handle_proof(proof) {
                         return Poll::Ready(result);
                     }
                 }
@@ -198,7 +215,7 @@
                     };
                     this.state = Some(state);
                     match result {
-                        Ok(opened) => this.source = Source::Opened(Box::new(opened)),
+                        Ok(opened) => this.go_on_with(opened),
                         Err(e) => return Poll::Ready(Some(Err(this.fail(&e.cause)))),
                     }
                 }
@@ -222,54 +239,103 @@
         self.pause = (!wait.is_zero()).then(|| Box::pin(tokio::time::sleep(wait)));
     }
 
+    /// Goes on with the stream of the endpoint that resumes it.
+    fn go_on_with(&mut self, opened: OpenedStream<D>) {
+        self.report
+            .begin_part(opened.endpoint().cloned(), opened.framing());
+        self.source = Source::Opened(Box::new(opened));
+    }
+
     /// Handles bytes of the stream, or its end. Returns the item for the caller, if there is one.
-    fn handle_data(
+    fn handle_piece(
         &mut self,
-        data: Option<Result<Bytes, String>>,
+        piece: Piece,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        match data {
-            Some(Ok(data)) => {
+        let end = match piece {
+            Piece::Data(data) => {
                 self.splitter.add(&data);
-                None
+                return None;
             }
-            Some(Err(e)) => self.resume_or_fail(&e),
-            None if !self.splitter.at_event_boundary() => {
+            Piece::End(end) => end,
+        };
+        match end {
+            AnswerEnd::Broken(cause) => self.resume_or_fail(&cause),
+            AnswerEnd::Framed | AnswerEnd::ClosedByEndpoint
+                if !self.splitter.at_event_boundary() =>
+            {
                 self.resume_or_fail("ended within an event")
             }
-            None if self.may_have_ended_early() => {
-                self.resume_or_fail("ended before its first event")
+            AnswerEnd::Framed if self.owes_event => {
+                self.handle_invalid("ended before the event that was cut")
             }
-            None => {
-                self.finish();
+            AnswerEnd::Framed => {
+                self.finish(outcome::PartEnd::Framed, "");
                 Some(None)
             }
+            AnswerEnd::ClosedByEndpoint if !self.has_event() => {
+                self.resume_or_fail("closed before an event")
+            }
+            AnswerEnd::ClosedByEndpoint => self.check_life(),
         }
     }
 
-    /// Whether the end of the body may be the end of its endpoint: nothing says where the body ends,
-    /// and the stream has no event.
-    fn may_have_ended_early(&self) -> bool {
-        let is_unframed = match &self.source {
-            Source::Opened(opened) => opened.is_unframed(),
-            Source::Resuming(_) | Source::Done => false,
-        };
-        is_unframed && self.splitter.last_id().is_none() && self.splitter.events() == 0
+    /// Whether the part of the stream that is read has brought an event.
+    fn has_event(&self) -> bool {
+        matches!(&self.source, Source::Opened(opened) if opened.has_event)
+    }
+
+    /// Begins to find out whether the endpoint that has closed its connection lives on.
+    fn check_life(&mut self) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        let source = std::mem::replace(&mut self.source, Source::Done);
+        if let (Source::Opened(mut opened), Some(state)) = (source, &self.state)
+            && let Some(check) = opened.check_life(state)
+        {
+            self.source = Source::Ending(opened, check);
+            return None;
+        }
+        Some(Some(Err(self.fail("closed by another host"))))
+    }
+
+    /// Handles what is known of the endpoint that has closed its connection.
+    fn handle_proof(
+        &mut self,
+        proof: Result<ProofOfLife, NoProofOfLife>,
+    ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        if let Source::Ending(opened, _) = std::mem::replace(&mut self.source, Source::Done) {
+            self.source = Source::Opened(opened);
+        }
+        match proof {
+            Ok(proof) => {
+                self.finish(outcome::PartEnd::Closed, &proof.to_string());
+                Some(None)
+            }
+            Err(e) => self.resume_or_fail(&e.to_string()),
+        }
     }
 
     /// Passes on the next complete events, if there are any.
     fn forward(&mut self) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
         let before = self.splitter.events();
-        let events = match self.splitter.pass_on(EVENTS_AT_ONCE) {
+        let last_id = self.splitter.last_id();
+        let events = match self.splitter.pass_on(self.events_at_once()) {
             Ok(events) => events,
             Err(e) => return self.handle_invalid(&e.to_string()),
         };
         if events.is_empty() {
             return None;
         }
+        let new_id = self.splitter.last_id().filter(|id| Some(*id) != last_id);
+        let has_event = new_id.is_some() || !self.splitter.is_resumable();
+        if let Some(last) = new_id {
+            let count = self.splitter.events() - before;
+            self.report.record_part_events(count, last);
+            self.owes_event = false;
+        }
         let now = clock::now();
         self.count_work(FRAME_WORK + WorkUnits(self.splitter.events() - before), now);
         if let Source::Opened(opened) = &mut self.source {
             opened.mark_prompt_read();
+            opened.has_event |= has_event;
             let first = *opened.first_event_at.get_or_insert(now);
             if !opened.has_gone_on && now.since(first) >= quarantine::PROOF_AFTER {
                 opened.has_gone_on = true;
@@ -280,6 +346,15 @@
         Some(Some(Ok(Frame::data(events))))
     }
 
+    /// Events that are passed on at once. The first one of a part is passed on alone, so that its id is
+    /// known.
+    fn events_at_once(&self) -> usize {
+        match &self.source {
+            Source::Opened(opened) if opened.first_event_at.is_none() => 1,
+            _ => EVENTS_AT_ONCE,
+        }
+    }
+
     /// Handles bytes that do not continue the stream: the endpoint has failed, and another one may go
     /// on.
     fn handle_invalid(
@@ -293,7 +368,8 @@
     }
 
     /// Handles a complete end of the stream.
-    fn finish(&mut self) {
+    fn finish(&mut self, end: outcome::PartEnd, proof: &str) {
+        self.report.end_part(end, proof);
         if let Source::Opened(opened) = std::mem::replace(&mut self.source, Source::Done) {
             let is_proof = opened.first_event_at.is_some() && !opened.has_gone_on;
             opened.release();
@@ -317,7 +393,9 @@
         &mut self,
         cause: &str,
     ) -> Option<Option<Result<Frame<Bytes>, TruncatedStream>>> {
+        self.owes_event |= !self.splitter.at_event_boundary();
         self.splitter.discard_partial();
+        self.report.end_part(outcome::PartEnd::Broken, cause);
         let broken = self.report_broken(cause);
         // Closes the connection and ends the count of the request at the endpoint.
         self.source = Source::Done;
