Let endpoints of the soak be processes that end within unframed answers

Change: eight endpoints are processes of their own (a hidden subcommand of the soak). They are killed, end inside a head, before the first piece, between two pieces or inside one, leave in order, and start again under their id at their address, half of them as the other version, with an entry that comes late. 15 in 100 of their answers are unframed; a quarter of the resumptions get an error, nothing or half a head. Each piece names its number, run, first piece of the run and version. Callers stop at an answer that looks complete, as real ones do; the callers of the releases do so too now, and a stream that ends early there is a finding of its own. Bytes that are no event are a finding and no longer a panic. A stream is excused from the check of its end if an endpoint that lived on ended it falsely, by the endpoint's own record; such streams are counted.

--- a/crates/soak/src/fleet/configuration.rs
+++ b/crates/soak/src/fleet/configuration.rs
@@ -2,7 +2,7 @@
 
 use pistachiochute_standins::platform::records;
 
-use crate::{crashes, evacuations, versions};
+use crate::{crashes, evacuations, processes, versions};
 
 /// Timeout of the routes with short answers, in milliseconds.
 const TIMEOUT_MS: u64 = 4_000;
@@ -49,6 +49,9 @@
             route(versions::ROUTE, "streaming", versions::SERVICE, 3),
             route(crashes::ROUTE, "streaming", crashes::SERVICE, 3),
             route(evacuations::ROUTE, "safe", evacuations::SERVICE, 3),
+            route(processes::STREAM_ROUTE, "streaming", processes::SERVICE, 3),
+            route(processes::SAFE_ROUTE, "safe", processes::SERVICE, 3),
+            route(processes::ONCE_ROUTE, "unsafe", processes::SERVICE, 2),
         ];
         for i in 0..self.unused_routes() {
             routes.push(route(&format!("more-{i}"), "safe", "calls", 1));
@@ -62,6 +65,7 @@
                 versions::SERVICE,
                 crashes::SERVICE,
                 evacuations::SERVICE,
+                processes::SERVICE,
             ],
             keys: &[key],
             idle_timeout_ms: self.idle_timeout_ms,
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 use crate::checks::{EVENTS, Ran, Refused, Seen, Verdict};
 use crate::process::Host;
 use crate::schedule::draw;
-use crate::{crashes, crowds, evacuations, load, schedule, versions};
+use crate::{crashes, crowds, evacuations, load, processes, schedule, versions};
 
 /// Endpoints with faults of all kinds.
 const FAULTY_ENDPOINTS: usize = 4;
@@ -311,6 +311,7 @@
         let replicas = versions::Replicas::start(&world.store, self.seed)?;
         let crashing = crashes::Fleet::start(&world.store)?;
         let evacuated = evacuations::Fleet::start(&world.store)?;
+        let processes = processes::Fleet::start(&world.store, self.seed, &dir)?;
         let unready = world.unready(START);
         eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
         let mut callers = self.start_callers(&world);
@@ -320,6 +321,7 @@
         let versions = replicas.serve(&addresses, &world.callers, self.seed);
         let crashing = crashing.serve(&addresses, &world.callers, self.seed);
         let evacuated = evacuated.serve(&addresses, &world.callers, self.seed);
+        let processes = processes.serve(&addresses, &world.callers, self.seed);
         let steps = draw(self.seed, &self.places(), self.length);
         play_steps(&mut world, &steps)?;
         let unready = world.unready(RECOVERY);
@@ -333,6 +335,9 @@
                 .join()
                 .map_err(|_| eyre::eyre!("a caller panicked"))?;
         }
+        let findings = processes.finish()?;
+        println!("seed {}: {}", self.seed, findings.summary);
+        world.seen.found.extend(findings.broken);
         let findings = versions.finish()?;
         println!("seed {}: {}", self.seed, findings.summary);
         world.seen.found.extend(findings.broken);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod load;
 mod process;
+mod processes;
 mod schedule;
 mod versions;
 
@@ -29,6 +30,9 @@
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
+    if let Some((processes::server::SUBCOMMAND, matches)) = matches.subcommand() {
+        return serve_as_endpoint(matches);
+    }
     let seed: u64 = *matches.get_one("seed").expect("it has a default");
     let seeds: u64 = *matches.get_one("seeds").expect("it has a default");
     let seconds: u64 = *matches.get_one("seconds").expect("it has a default");
@@ -60,6 +64,16 @@
     }
 }
 
+fn serve_as_endpoint(matches: &clap::ArgMatches) -> ExitCode {
+    match processes::server::run(matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("endpoint: {e:#}");
+            ExitCode::from(NOT_RUN)
+        }
+    }
+}
+
 fn command() -> clap::Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         clap::Arg::new(name)
@@ -72,6 +86,7 @@
         .version(clap::crate_version!())
         .about("Injects faults into real hosts and checks what callers and endpoints see")
         .after_help("Example:\n  pistachiochute-soak --seed 100 --seeds 50 --seconds 20")
+        .subcommand(processes::server::command())
         .arg(number("seed", "1", "First seed"))
         .arg(number(
             "seeds",
--- /dev/null
+++ b/crates/soak/src/processes/answers.rs
@@ -0,0 +1,238 @@
+//! What an endpoint's process sends for a request: a list of pieces, which the end of the process may
+//! cut anywhere.
+
+use std::fmt;
+use std::str::FromStr;
+
+use pistachiochute_standins::platform::caller;
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+
+/// Probability with which an answer has neither length nor chunks.
+const UNFRAMED_PROBABILITY: f64 = 0.15;
+
+/// Probability with which a resumption is not answered with the rest of the stream.
+const BAD_RESUMPTION_PROBABILITY: f64 = 0.25;
+
+/// Probability with which the head of the answer to a call stops half-way.
+const HALF_HEAD_PROBABILITY: f64 = 0.04;
+
+/// Statuses of errors. None of them says that the request has not run.
+const ERRORS: [u16; 6] = [400, 404, 409, 500, 502, 504];
+
+/// Text of an error.
+const ERROR_TEXT: &str = "error: no such stream here\n";
+
+/// Place in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Point {
+    /// Inside the head.
+    Head,
+    /// After the head, before the first piece.
+    Start,
+    /// Between two pieces.
+    Between,
+    /// Inside a piece.
+    Inside,
+}
+
+impl Point {
+    /// All places.
+    pub(crate) const ALL: [Self; 4] = [Self::Head, Self::Start, Self::Between, Self::Inside];
+}
+
+impl fmt::Display for Point {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Head => "head",
+            Self::Start => "start",
+            Self::Between => "between",
+            Self::Inside => "inside",
+        })
+    }
+}
+
+impl FromStr for Point {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL.into_iter();
+        let found = all.find(|point| point.to_string() == text);
+        found.ok_or_else(|| eyre::eyre!("no place in an answer: {text}"))
+    }
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunked,
+    /// By the end of the connection.
+    Unframed,
+}
+
+impl Framing {
+    fn draw(rng: &mut ChaCha8Rng) -> Self {
+        match rng.random_bool(UNFRAMED_PROBABILITY) {
+            true => Self::Unframed,
+            false => Self::Chunked,
+        }
+    }
+
+    const fn fields(self) -> &'static str {
+        match self {
+            Self::Chunked => "Transfer-Encoding: chunked\r\n",
+            Self::Unframed => "Connection: close\r\n",
+        }
+    }
+
+    fn piece(self, text: &str) -> Vec<u8> {
+        match self {
+            Self::Chunked => format!("{:x}\r\n{text}\r\n", text.len()).into_bytes(),
+            Self::Unframed => text.as_bytes().to_vec(),
+        }
+    }
+
+    fn end(self) -> Vec<u8> {
+        match self {
+            Self::Chunked => b"0\r\n\r\n".to_vec(),
+            Self::Unframed => Vec::new(),
+        }
+    }
+}
+
+/// A request, and the run that answers it.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    pub is_stream: bool,
+    /// Last event that the caller has, if the request resumes a stream.
+    pub last_event: Option<u64>,
+    /// Pieces of the complete answer.
+    pub pieces: u64,
+    /// Id of the run.
+    pub run: &'a str,
+    /// Software version of the process.
+    pub version: &'a str,
+    /// Seal of the endpoint.
+    pub seal: &'a str,
+}
+
+impl Asked<'_> {
+    /// A piece, with its number, the request, the software version and the run in it.
+    fn piece(&self, id: u64) -> String {
+        let first = self.first();
+        let maker = format!("{} run {} from {first}", self.version, self.run);
+        caller::event_of_version(self.id, id, &maker)
+    }
+
+    fn first(&self) -> u64 {
+        self.last_event.map_or(0, |last| last + 1)
+    }
+
+    fn head(&self, status: u16, is_sealed: bool, fields: &str) -> Vec<u8> {
+        let seal = match is_sealed {
+            true => format!("X-Response-Seal: {}\r\n", self.seal),
+            false => String::new(),
+        };
+        let kind = match self.is_stream && status == 200 {
+            true => "text/event-stream",
+            false => "text/plain",
+        };
+        let id = self.id;
+        let head = format!(
+            "HTTP/1.1 {status} Status\r\nX-Request-Id: {id}\r\n{seal}Content-Type: {kind}\r\n{fields}\r\n"
+        );
+        head.into_bytes()
+    }
+}
+
+/// Bytes of an answer, in the order in which they are sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Script {
+    pub head: Vec<u8>,
+    pub pieces: Vec<Vec<u8>>,
+    /// What follows the last piece.
+    pub end: Vec<u8>,
+    /// Whether the connection is closed after the answer.
+    pub closes: bool,
+    /// Whether the answer is shorter than what the run owes, and does not show it.
+    pub is_falsely_whole: bool,
+}
+
+impl Script {
+    /// Draws the answer to a request.
+    pub(crate) fn draw(rng: &mut ChaCha8Rng, asked: &Asked<'_>) -> Self {
+        let framing = Framing::draw(rng);
+        if asked.last_event.is_some() && rng.random_bool(BAD_RESUMPTION_PROBABILITY) {
+            return Self::bad_resumption(rng, asked, framing);
+        }
+        let whole = Self::whole(asked, framing);
+        match !asked.is_stream && rng.random_bool(HALF_HEAD_PROBABILITY) {
+            true => whole.half_head(),
+            false => whole,
+        }
+    }
+
+    fn whole(asked: &Asked<'_>, framing: Framing) -> Self {
+        let pieces = (asked.first()..asked.pieces).map(|id| framing.piece(&asked.piece(id)));
+        Self {
+            head: asked.head(200, true, framing.fields()),
+            pieces: pieces.collect(),
+            end: framing.end(),
+            closes: framing == Framing::Unframed,
+            is_falsely_whole: false,
+        }
+    }
+
+    /// An answer to a resumption that is not the rest of the stream: an error, nothing, or half a head.
+    fn bad_resumption(rng: &mut ChaCha8Rng, asked: &Asked<'_>, framing: Framing) -> Self {
+        let mut script = Self::whole(asked, framing);
+        match rng.random_range(0..6) {
+            0 => script.half_head(),
+            1 | 2 => {
+                script.is_falsely_whole = !script.pieces.is_empty();
+                script.pieces.clear();
+                script
+            }
+            _ => {
+                let status = ERRORS[rng.random_range(0..ERRORS.len())];
+                let is_sealed = rng.random_bool(0.5);
+                script.head = asked.head(status, is_sealed, framing.fields());
+                script.pieces = vec![framing.piece(ERROR_TEXT)];
+                script
+            }
+        }
+    }
+
+    /// The first half of the head.
+    fn half_head(mut self) -> Self {
+        self.cut_at(Point::Head, 0);
+        self.closes = true;
+        self
+    }
+
+    /// Leaves out what follows a place, which is drawn among those of the kind.
+    pub(crate) fn cut(&mut self, rng: &mut ChaCha8Rng, point: Point) {
+        let piece = rng.random_range(0..self.pieces.len().max(1));
+        self.cut_at(point, piece);
+    }
+
+    /// Leaves out what follows a place. `piece` is the one that is cut, or the last one before the place.
+    fn cut_at(&mut self, point: Point, piece: usize) {
+        self.end.clear();
+        match point {
+            Point::Head => {
+                self.head.truncate(self.head.len() / 2);
+                self.pieces.clear();
+            }
+            Point::Start => self.pieces.clear(),
+            Point::Between | Point::Inside => self.pieces.truncate(piece + 1),
+        }
+        if point == Point::Inside
+            && let Some(last) = self.pieces.last_mut()
+        {
+            last.truncate(last.len() / 2);
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/processes/restarts.rs
@@ -0,0 +1,296 @@
+//! Ends the processes of endpoints and starts them again, under their ids and at their addresses.
+
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use eyre::WrapErr as _;
+use pistachiochute_standins::platform::records;
+use pistachiochute_standins::platform::store::Store;
+use pistachiochute_standins::port::ReservedPort;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use crate::processes::SERVICE;
+use crate::processes::answers::Point;
+use crate::processes::server::Settings;
+use crate::versions::VERSIONS;
+
+/// Endpoints of each version at the start.
+const OF_EACH_VERSION: usize = 4;
+
+/// Endpoints that go on serving when one of them ends.
+const MIN_SERVING: usize = 4;
+
+/// Pause between two ends, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 150..700;
+
+/// Time from the end of a process to the start of the next one, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 30..1_500;
+
+/// Time from the start of a process to its first entry, in milliseconds. Until then the entry of the
+/// process before it stands, if that one did not leave in order.
+const REGISTRATION_MS: std::ops::Range<u64> = 0..300;
+
+/// The same time for a process that does not reach the store at first. With [`DOWN_MS`], the earlier
+/// entry stands no longer than one that is not renewed.
+const LATE_REGISTRATION_MS: std::ops::Range<u64> = 300..2_500;
+
+/// Probability with which a process does not reach the store at first.
+const LATE_PROBABILITY: f64 = 0.25;
+
+/// Time for which a process serves after its entry says that it leaves.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+/// Time in which a process gets an answer to send at whose place it ends.
+const CUT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Interval at which the state of the processes is advanced.
+const TICK: Duration = Duration::from_millis(5);
+
+/// Distinguishes the ends of a seed from its faults.
+const END_SEED: u64 = 0x656e_6473;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// The process runs and has not written its entry.
+    Starting {
+        until: Instant,
+    },
+    Serving,
+    /// The process ends within an answer, or is killed in the end.
+    Ending {
+        until: Instant,
+    },
+    /// The entry says that the endpoint leaves.
+    Leaving {
+        until: Instant,
+    },
+    Down {
+        until: Instant,
+    },
+}
+
+/// An endpoint and its process.
+struct Member {
+    settings: Settings,
+    state: State,
+    /// `None` while no process runs.
+    child: Option<Child>,
+    /// Holds the port while no process runs.
+    port: ReservedPort,
+}
+
+impl Member {
+    fn start_process(&mut self, version: &str) -> eyre::Result<()> {
+        version.clone_into(&mut self.settings.version);
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH)?;
+        self.settings.born = since_epoch.as_millis() as u64;
+        self.child = Some(self.settings.spawn()?);
+        Ok(())
+    }
+
+    fn register(&self, store: &Store, state: &str, sequence: u64) {
+        let entry = records::Entry {
+            service: SERVICE,
+            address: self.settings.address,
+            state,
+            version: &self.settings.version,
+            started_at_ms: self.settings.born,
+            sequence,
+        };
+        store.put(&records::entry_key(&self.settings.id), &entry.record());
+    }
+
+    /// Whether the process has ended.
+    fn has_ended(&mut self) -> eyre::Result<bool> {
+        let Some(child) = &mut self.child else {
+            return Ok(true);
+        };
+        Ok(child.try_wait()?.is_some())
+    }
+
+    /// Lets the process end within the next answer that it sends.
+    fn end_within_answer(&mut self, point: Point) -> eyre::Result<()> {
+        let input = self.child.as_mut().and_then(|child| child.stdin.as_mut());
+        let input = input.ok_or_else(|| eyre::eyre!("an endpoint without input"))?;
+        writeln!(input, "{point}").wrap_err("input of an endpoint")
+    }
+
+    fn kill(&mut self) -> eyre::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+}
+
+/// How many processes ended, by the way.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Ends {
+    pub killed: usize,
+    pub within_answer: usize,
+    pub in_order: usize,
+}
+
+/// Endpoints, and the processes that are ended and started again.
+pub(crate) struct Restarts {
+    store: Store,
+    rng: ChaCha8Rng,
+    members: Vec<Member>,
+    ends: Ends,
+    falsely_whole: PathBuf,
+}
+
+impl Restarts {
+    /// Starts the endpoints and writes their entries.
+    pub(crate) fn start(store: Store, seed: u64, dir: &Path) -> eyre::Result<Self> {
+        let mut restarts = Self {
+            store,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ END_SEED),
+            members: Vec::new(),
+            ends: Ends::default(),
+            falsely_whole: dir.join("falsely-whole"),
+        };
+        for i in 0..OF_EACH_VERSION * VERSIONS.len() {
+            let version = VERSIONS[i % VERSIONS.len()];
+            restarts.add(&format!("process-{i}"), version)?;
+        }
+        Ok(restarts)
+    }
+
+    fn add(&mut self, id: &str, version: &str) -> eyre::Result<()> {
+        let port = ReservedPort::reserve()?;
+        let mut member = Member {
+            settings: Settings {
+                id: id.to_owned(),
+                address: port.addr(),
+                version: String::new(),
+                born: 0,
+                falsely_whole: self.falsely_whole.clone(),
+            },
+            state: State::Serving,
+            child: None,
+            port,
+        };
+        member.start_process(version)?;
+        member.register(&self.store, "ready", 1);
+        self.members.push(member);
+        Ok(())
+    }
+
+    /// Plays ends and starts until the soak is over, and ends the processes. Returns the ends, and the
+    /// ids of the requests with answers that a living endpoint ended falsely.
+    pub(crate) fn play(
+        mut self,
+        is_over: Arc<AtomicBool>,
+    ) -> thread::JoinHandle<eyre::Result<(Ends, Vec<String>)>> {
+        thread::spawn(move || {
+            let mut next = Instant::now();
+            while !is_over.load(Ordering::Relaxed) {
+                for i in 0..self.members.len() {
+                    self.advance(i)?;
+                }
+                if Instant::now() >= next {
+                    self.end_one()?;
+                    next += Duration::from_millis(self.rng.random_range(PAUSE_MS));
+                }
+                thread::sleep(TICK);
+            }
+            self.close()
+        })
+    }
+
+    fn draw_millis(&mut self, range: std::ops::Range<u64>) -> Instant {
+        Instant::now() + Duration::from_millis(self.rng.random_range(range))
+    }
+
+    /// Draws a process and how it ends.
+    fn end_one(&mut self) -> eyre::Result<()> {
+        let is_serving = |i: &usize| self.members[*i].state == State::Serving;
+        let serving: Vec<_> = (0..self.members.len()).filter(is_serving).collect();
+        let draw = self.rng.random_range(0..serving.len().max(1));
+        let way = self.rng.random_range(0..6);
+        let point = Point::ALL[self.rng.random_range(0..Point::ALL.len())];
+        if serving.len() <= MIN_SERVING {
+            return Ok(());
+        }
+        let member = &mut self.members[serving[draw]];
+        match way {
+            0 | 1 => {
+                self.ends.killed += 1;
+                member.kill()?;
+                self.go_down(serving[draw])?;
+            }
+            2..=4 => {
+                self.ends.within_answer += 1;
+                member.end_within_answer(point)?;
+                let until = Instant::now() + CUT_TIMEOUT;
+                member.state = State::Ending { until };
+            }
+            _ => {
+                self.ends.in_order += 1;
+                member.register(&self.store, "draining", 2);
+                let until = Instant::now() + DRAIN;
+                member.state = State::Leaving { until };
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends what is left of a process, and sets when the next one starts.
+    fn go_down(&mut self, i: usize) -> eyre::Result<()> {
+        self.members[i].kill()?;
+        let until = self.draw_millis(DOWN_MS);
+        self.members[i].state = State::Down { until };
+        Ok(())
+    }
+
+    /// Ends and starts the process of an endpoint whose time has come.
+    fn advance(&mut self, i: usize) -> eyre::Result<()> {
+        let now = Instant::now();
+        let member = &mut self.members[i];
+        let has_ended = member.has_ended()?;
+        match member.state {
+            State::Serving if has_ended => {
+                eyre::bail!("{} ended by itself", member.settings.id);
+            }
+            State::Starting { until } if until <= now => {
+                member.register(&self.store, "ready", 1);
+                member.state = State::Serving;
+            }
+            State::Ending { until } if until <= now || has_ended => self.go_down(i)?,
+            State::Leaving { until } if until <= now => {
+                let key = records::entry_key(&member.settings.id);
+                self.store.remove(&key);
+                self.go_down(i)?;
+            }
+            State::Down { until } if until <= now => {
+                let version = VERSIONS[self.rng.random_range(0..VERSIONS.len())];
+                member.start_process(version)?;
+                let registration_ms = match self.rng.random_bool(LATE_PROBABILITY) {
+                    true => LATE_REGISTRATION_MS,
+                    false => REGISTRATION_MS,
+                };
+                let until = self.draw_millis(registration_ms);
+                self.members[i].state = State::Starting { until };
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn close(self) -> eyre::Result<(Ends, Vec<String>)> {
+        for mut member in self.members {
+            member.kill()?;
+            member.port.close();
+        }
+        let text = std::fs::read_to_string(&self.falsely_whole).unwrap_or_default();
+        Ok((self.ends, text.lines().map(str::to_owned).collect()))
+    }
+}
--- a/crates/soak/src/versions/callers.rs
+++ b/crates/soak/src/versions/callers.rs
@@ -6,12 +6,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use pistachiochute_standins::platform::stream_caller::StreamCaller;
+use pistachiochute_standins::platform::stream_caller::{StreamCaller, Try, bytes_of_no_event};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
 use crate::load;
-use crate::versions::ROUTE;
 use crate::versions::releases::EVENTS;
 
 /// Most tries of a stream.
@@ -35,6 +34,9 @@
     pub caller: StreamCaller,
     /// One entry for each try of the caller.
     pub sent: Vec<Sent>,
+    /// What the last try got that is no event of a stream, if it got such bytes. That try is not among
+    /// those of `caller`.
+    pub foreign: Option<String>,
 }
 
 /// Where and when a try was sent.
@@ -45,22 +47,40 @@
 }
 
 /// A caller that sends one stream after another until the soak is over.
+#[derive(Clone)]
 pub(crate) struct Caller {
     pub number: usize,
+    /// Start of the ids of its requests.
+    pub prefix: &'static str,
+    /// Route of its requests.
+    pub route: &'static str,
     pub hosts: Vec<SocketAddr>,
     pub shared: Arc<load::Shared>,
     pub is_over: Arc<AtomicBool>,
 }
 
 impl Caller {
+    /// Starts a number of callers like this one.
+    pub(crate) fn start_many(
+        &self,
+        count: usize,
+        seed: u64,
+    ) -> Vec<thread::JoinHandle<Vec<StreamRecord>>> {
+        let numbered = |number| Self {
+            number,
+            ..self.clone()
+        };
+        (0..count).map(|i| numbered(i).start(seed)).collect()
+    }
+
     /// Starts the caller. Returns its streams.
-    pub(crate) fn start(self, seed: u64) -> thread::JoinHandle<Vec<StreamRecord>> {
+    fn start(self, seed: u64) -> thread::JoinHandle<Vec<StreamRecord>> {
         let number = self.number as u64 + 1;
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (number << 32) ^ CALLER_SEED);
         thread::spawn(move || {
             let mut streams = Vec::new();
             while !self.is_over.load(Ordering::Relaxed) {
-                let id = format!("v{}-{}", self.number, streams.len());
+                let id = format!("{}{}-{}", self.prefix, self.number, streams.len());
                 streams.push(self.drive(&mut rng, &id));
                 let pause = rng.random_range(0..LONGEST_PAUSE_MS);
                 thread::sleep(Duration::from_millis(pause));
@@ -69,29 +89,46 @@
         })
     }
 
-    /// Takes a stream up until it is complete or the tries are used up.
+    /// Takes a stream up until an answer looks complete or the tries are used up.
     fn drive(&self, rng: &mut ChaCha8Rng, id: &str) -> StreamRecord {
-        let mut caller = StreamCaller::new(id, &format!("/{ROUTE}/"), "");
-        let mut sent = Vec::new();
-        while sent.len() < MAX_TRIES && !caller.is_complete(EVENTS) {
-            if !sent.is_empty() {
+        let mut record = StreamRecord {
+            caller: StreamCaller::new(id, &format!("/{}/", self.route), ""),
+            sent: Vec::new(),
+            foreign: None,
+        };
+        while record.sent.len() < MAX_TRIES && !record.has_end() {
+            if !record.sent.is_empty() {
                 let pause = rng.random_range(TAKE_UP_PAUSE_MS);
                 thread::sleep(Duration::from_millis(pause));
             }
-            caller.set_key(&load::key(self.shared.key.load(Ordering::Relaxed)));
+            let key = load::key(self.shared.key.load(Ordering::Relaxed));
+            record.caller.set_key(&key);
             let host = rng.random_range(0..self.hosts.len());
             let at = Instant::now();
-            sent.push(Sent { host, at });
-            match rng.random_bool(DISCONNECT_PROBABILITY) {
-                true => {
-                    let events = rng.random_range(1..EVENTS) as usize;
-                    caller.attempt_events(self.hosts[host], events);
-                }
-                false => {
-                    caller.attempt(self.hosts[host]);
-                }
-            }
+            record.sent.push(Sent { host, at });
+            let events = match rng.random_bool(DISCONNECT_PROBABILITY) {
+                true => rng.random_range(1..EVENTS) as usize,
+                false => usize::MAX,
+            };
+            record.attempt(self.hosts[host], events);
         }
-        StreamRecord { caller, sent }
+        record
+    }
+}
+
+impl StreamRecord {
+    /// Sends the next try to a host, and disconnects once `events` events have arrived.
+    fn attempt(&mut self, host: SocketAddr, events: usize) {
+        let (request, answer) = self.caller.ask_events(host, events);
+        self.foreign = bytes_of_no_event(&answer).map(str::to_owned);
+        if self.foreign.is_none() {
+            self.caller.record(&request, answer);
+        }
+    }
+
+    /// Whether its caller has no reason to go on: an answer looked complete, or was no stream.
+    fn has_end(&self) -> bool {
+        let last = self.caller.tries().last();
+        self.foreign.is_some() || last.is_some_and(Try::is_end)
     }
 }
--- a/crates/soak/src/versions/checks.rs
+++ b/crates/soak/src/versions/checks.rs
@@ -5,7 +5,7 @@
 use pistachiochute_standins::platform::stream_caller::Try;
 
 use crate::versions::callers::{Sent, StreamRecord};
-use crate::versions::releases::ReplicaSpan;
+use crate::versions::releases::{EVENTS, ReplicaSpan};
 
 /// Fewest take-ups whose share is compared.
 const MIN_TAKE_UPS: usize = 12;
@@ -35,8 +35,7 @@
 impl Share {
     fn add(&mut self, tried: &Try) {
         self.tries += 1;
-        let is_end = tried.answer.status == 200 && tried.answer.is_complete;
-        self.served += usize::from(is_end || !tried.events.is_empty());
+        self.served += usize::from(tried.is_end() || !tried.events.is_empty());
     }
 
     fn ratio(self) -> f64 {
@@ -55,6 +54,8 @@
     let mut broken: Vec<_> = streams.iter().filter_map(check_version).collect();
     let mixed = broken.len();
     broken.extend(streams.iter().filter_map(check_events));
+    broken.extend(streams.iter().filter_map(check_end));
+    broken.extend(streams.iter().filter_map(check_bytes));
     let (new, taken_up) = shares(streams, replicas);
     broken.extend(check_shares(new, taken_up));
     let summary = format!(
@@ -65,7 +66,7 @@
 }
 
 /// A stream goes on only at the version that began it.
-fn check_version(stream: &StreamRecord) -> Option<String> {
+pub(crate) fn check_version(stream: &StreamRecord) -> Option<String> {
     let versions = stream.caller.versions();
     if versions.len() <= 1 {
         return None;
@@ -87,7 +88,7 @@
 
 /// The events of a stream are in order, none twice and none missing, and each answer is that to its
 /// own request.
-fn check_events(stream: &StreamRecord) -> Option<String> {
+pub(crate) fn check_events(stream: &StreamRecord) -> Option<String> {
     let is_in_order = stream
         .caller
         .events()
@@ -98,6 +99,27 @@
     (!is_right).then(|| format!("a stream got wrong events: {}", describe(stream)))
 }
 
+/// A stream that looks complete to its caller has its last event.
+pub(crate) fn check_end(stream: &StreamRecord) -> Option<String> {
+    let has_end = stream.caller.tries().last().is_some_and(Try::is_end);
+    let last = stream.caller.events().last().map(|event| event.id);
+    (has_end && last != Some(EVENTS - 1)).then(|| {
+        format!(
+            "a stream ends as complete before its last event: {}",
+            describe(stream)
+        )
+    })
+}
+
+/// A stream holds nothing but events.
+pub(crate) fn check_bytes(stream: &StreamRecord) -> Option<String> {
+    let bytes = stream.foreign.as_ref()?;
+    let described = describe(stream);
+    Some(format!(
+        "a stream holds what is no event: {bytes:?}, after {described}"
+    ))
+}
+
 /// Take-ups go on nearly as often as new streams begin.
 fn check_shares(new: Share, taken_up: Share) -> Option<String> {
     let is_counted = taken_up.tries >= MIN_TAKE_UPS;
@@ -147,7 +169,7 @@
 }
 
 /// Lists the tries of a stream, with what is needed to find them in the logs.
-fn describe(stream: &StreamRecord) -> String {
+pub(crate) fn describe(stream: &StreamRecord) -> String {
     let tries = stream.caller.tries().iter().zip(&stream.sent);
     let described: Vec<_> = tries.map(describe_try).collect();
     described.join("; ")
@@ -159,8 +181,12 @@
         _ => "no event".to_owned(),
     };
     let versions = versions_of(tried).join(" then ");
+    let end = match tried.is_end() {
+        true => ", which looks complete",
+        false => "",
+    };
     format!(
-        "{} at host-{}: status {}, {ids} {versions}",
+        "{} at host-{}: status {}, {ids} {versions}{end}",
         tried.request, sent.host, tried.answer.status,
     )
 }
--- a/crates/soak/src/versions/mod.rs
+++ b/crates/soak/src/versions/mod.rs
@@ -4,8 +4,8 @@
 //! The endpoints form a service of their own. A seed gives the releases, which overlap the faults
 //! of the hosts and of the store.
 
-mod callers;
-mod checks;
+pub(crate) mod callers;
+pub(crate) mod checks;
 mod releases;
 #[cfg(test)]
 mod tests;
@@ -20,6 +20,7 @@
 use crate::load;
 use crate::versions::callers::StreamRecord;
 pub(crate) use crate::versions::checks::Findings;
+pub(crate) use crate::versions::releases::{EVENTS, VERSIONS};
 use crate::versions::releases::{Releases, ReplicaSpan};
 
 /// Service of the endpoints with software versions.
@@ -52,17 +53,16 @@
     ) -> Scenario {
         let are_callers_over = Arc::new(AtomicBool::new(false));
         let are_releases_over = Arc::new(AtomicBool::new(false));
-        let callers = (0..CALLERS).map(|number| {
-            let caller = callers::Caller {
-                number,
-                hosts: hosts.to_vec(),
-                shared: shared.clone(),
-                is_over: are_callers_over.clone(),
-            };
-            caller.start(seed)
-        });
+        let caller = callers::Caller {
+            number: 0,
+            prefix: "v",
+            route: ROUTE,
+            hosts: hosts.to_vec(),
+            shared: shared.clone(),
+            is_over: are_callers_over.clone(),
+        };
         Scenario {
-            callers: callers.collect(),
+            callers: caller.start_many(CALLERS, seed),
             releases: self.releases.play(are_releases_over.clone()),
             are_callers_over,
             are_releases_over,
--- a/crates/soak/src/versions/releases.rs
+++ b/crates/soak/src/versions/releases.rs
@@ -25,7 +25,8 @@
     cut_at: None,
 };
 
-const VERSIONS: [&str; 2] = ["v1", "v2"];
+/// Software versions that serve side by side.
+pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 /// Endpoints of each version at the start.
 const REPLICAS: usize = 3;
--- a/crates/soak/src/versions/tests.rs
+++ b/crates/soak/src/versions/tests.rs
@@ -32,7 +32,11 @@
         let at = start + Duration::from_secs(1);
         sent.push(Sent { host: 0, at });
     }
-    StreamRecord { caller, sent }
+    StreamRecord {
+        caller,
+        sent,
+        foreign: None,
+    }
 }
 
 /// Endpoints of a version that serve from a time on.
--- a/crates/standins/src/platform/stream_caller.rs
+++ b/crates/standins/src/platform/stream_caller.rs
@@ -14,6 +14,35 @@
     pub request: String,
     /// Software version that made the event, if it bears one.
     pub version: Option<String>,
+    /// Run that made the event, if it bears one.
+    pub run: Option<Run>,
+}
+
+/// A run of a request at an endpoint, as its events name it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Id of the run.
+    pub id: String,
+    /// Id of the event with which the run began.
+    pub first: u64,
+}
+
+/// What an answer holds that is neither an event nor, in an incomplete answer, the start of one. Only
+/// success is a stream.
+#[must_use]
+pub fn bytes_of_no_event(answer: &Answer) -> Option<&str> {
+    const START: &str = "id: ";
+    if answer.status != 200 {
+        return None;
+    }
+    if parse_events(&answer.body).is_none() {
+        return Some(&answer.body);
+    }
+    let tail = answer.body.rsplit_once("\n\n");
+    let tail = tail.map_or(&*answer.body, |(_, tail)| tail);
+    let is_start = tail.starts_with(START) || START.starts_with(tail);
+    let is_right = tail.is_empty() || (is_start && !answer.is_complete);
+    (!is_right).then_some(tail)
 }
 
 /// Parses the complete events of a body. Returns `None` if one is not of the stand-in's format.
@@ -24,21 +53,39 @@
     events.map(parse_event).collect()
 }
 
+/// Whether a number of events has arrived.
+fn has_events(events: usize) -> impl Fn(&Answer) -> bool {
+    move |answer| answer.body.matches("\n\n").count() >= events
+}
+
 fn parse_event(text: &str) -> Option<Event> {
     let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: piece ")?;
     let (piece, rest) = data.split_once(" of ")?;
-    let (request, version) = match rest.split_once(" by ") {
-        Some((request, version)) => (request, Some(version.to_owned())),
+    let (request, maker) = match rest.split_once(" by ") {
+        Some((request, maker)) => (request, Some(maker)),
         None => (rest, None),
     };
+    let (version, run) = match maker.and_then(|maker| maker.split_once(" run ")) {
+        Some((version, run)) => (Some(version), Some(parse_run(run)?)),
+        None => (maker, None),
+    };
     let event = Event {
         id: id.parse().ok()?,
         request: request.to_owned(),
-        version,
+        version: version.map(str::to_owned),
+        run,
     };
     (piece == id).then_some(event)
 }
 
+fn parse_run(text: &str) -> Option<Run> {
+    let (id, first) = text.split_once(" from ")?;
+    Some(Run {
+        id: id.to_owned(),
+        first: first.parse().ok()?,
+    })
+}
+
 /// One request of a stream's caller.
 #[derive(Clone, Debug)]
 pub struct Try {
@@ -52,6 +99,14 @@
     pub events: Vec<Event>,
 }
 
+impl Try {
+    /// Whether the answer looks like the rest of the stream up to its end.
+    #[must_use]
+    pub const fn is_end(&self) -> bool {
+        self.answer.status == 200 && self.answer.is_complete
+    }
+}
+
 /// A stream that its caller takes up until it is complete. Each try is a request with an id of its
 /// own. Once a try has brought an event, later ones name the last event and that first try.
 #[derive(Clone, Debug)]
@@ -102,10 +157,25 @@
 
     /// Sends the next try to a host, and disconnects once `events` events have arrived.
     pub fn attempt_events(&mut self, addr: SocketAddr, events: usize) -> &Try {
-        self.attempt_until(addr, |answer| answer.body.matches("\n\n").count() >= events)
+        self.attempt_until(addr, has_events(events))
     }
 
     fn attempt_until<F>(&mut self, addr: SocketAddr, is_enough: F) -> &Try
+    where
+        F: Fn(&Answer) -> bool,
+    {
+        let (request, answer) = self.ask_until(addr, is_enough);
+        self.record(&request, answer)
+    }
+
+    /// Sends the next try to a host, and disconnects once `events` events have arrived. The try is to
+    /// be recorded with [`StreamCaller::record`].
+    #[must_use]
+    pub fn ask_events(&self, addr: SocketAddr, events: usize) -> (CallerRequest, Answer) {
+        self.ask_until(addr, has_events(events))
+    }
+
+    fn ask_until<F>(&self, addr: SocketAddr, is_enough: F) -> (CallerRequest, Answer)
     where
         F: Fn(&Answer) -> bool,
     {
@@ -114,7 +184,7 @@
             Ok(mut stream) => caller::read_until(&mut stream, is_enough),
             Err(_) => Answer::default(),
         };
-        self.record(&request, answer)
+        (request, answer)
     }
 
     /// Adds a try that was sent as [`StreamCaller::next_request`].
@@ -167,7 +237,7 @@
     #[must_use]
     pub fn is_complete(&self, events: u64) -> bool {
         let last = self.tries.last();
-        let has_end = last.is_some_and(|t| t.answer.status == 200 && t.answer.is_complete);
+        let has_end = last.is_some_and(Try::is_end);
         has_end && self.events().map(|event| event.id).eq(0..events)
     }
 }
