--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,7 +1,10 @@
 //! The promises, held against what callers and endpoints saw.
 
+mod drain;
 mod notices;
 mod pushback;
+#[cfg(test)]
+mod tests;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -160,6 +163,7 @@
                 ));
             }
         }
+        broken.extend(drain::check(self));
         broken.extend(notices::check(self));
         broken.extend(pushback::check(self));
         broken
