--- a/crates/soak/src/processes/checks.rs
+++ b/crates/soak/src/processes/checks.rs
@@ -49,11 +49,22 @@
         }
     }
 
+    fn is_broken(&self) -> bool {
+        self.cases.len() > self.allowed
+    }
+
+    /// The cases that the bound allows.
+    fn allowed(&self) -> &[String] {
+        match self.is_broken() {
+            true => &[],
+            false => &self.cases,
+        }
+    }
+
     fn broken(&self) -> Option<String> {
         let cases = &self.cases;
         let listed = &cases[..cases.len().min(LISTED)];
-        let is_broken = cases.len() > self.allowed;
-        is_broken.then(|| {
+        self.is_broken().then(|| {
             format!(
                 "{}: {} times: {}",
                 self.name,
@@ -103,7 +114,7 @@
     ];
     let counts: Vec<_> = checks.iter().map(|c| c.cases.len().to_string()).collect();
     let served = seen.calls.iter().filter(|call| is_served(call)).count();
-    let summary = format!(
+    let mut summary = format!(
         "processes: {} killed, {} ended within an answer, {} in order; {} streams, {} of {} calls \
          served; short {} ({} more excused), events {}, joined {}, bytes {}, versions {}, calls {}",
         ends.killed,
@@ -120,6 +131,9 @@
         counts[4],
         counts[5],
     );
+    for case in checks.iter().flat_map(Check::allowed) {
+        summary.push_str(&format!("\n  allowed: {case}"));
+    }
     Findings {
         broken: checks.iter().filter_map(Check::broken).collect(),
         summary,
