Record where a stream began with its first event

What callers saw: events of two software versions over their tries. A run began to answer and ended before its first event, the host began the stream again where the version was not certain, and a take-up at another host went on at the version of the run that had made none of its events.

Cause: the version was recorded with the head of an answer, and a later run whose version is not certain left that record as it was.

Change: it is recorded when the first event with an id is passed on.

--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -45,24 +45,22 @@
     version.ok_or(reason::Refusal::StreamVersionUnknown)
 }
 
-/// Records at which software version a stream has begun, so that any host can resume it there.
-fn record_origin<D>(
-    cx: &Rc<Context<D>>,
-    state: &mut RequestState<D>,
-    selected: &endpoints::SelectedEndpoint,
-    opened: &OpenedStream<D>,
-) where
+/// Records at which software version a stream has begun, so that any host can resume it there. The stream
+/// begins with its first event: a run that brought none leaves nothing that another has to fit.
+pub(super) fn record_origin<D>(state: &RequestState<D>, opened: &OpenedStream<D>)
+where
     D: adapter::Dialect,
 {
-    let begins = state.version.is_none() && state.plan.route.kind.is_stream();
-    let Some(version) = opened.version().filter(|_| begins) else {
+    let (None, Some(version), Some(endpoint)) =
+        (state.version, opened.version(), opened.endpoint())
+    else {
         return;
     };
-    cx.shared.local_origins.push(streams::StreamOrigin {
+    state.cx.shared.local_origins.push(streams::StreamOrigin {
         stream: state.stream,
         origin: streams::Origin {
             version,
-            endpoint: streams::EndpointKey::of_id(&selected.endpoint.identity.id),
+            endpoint: streams::EndpointKey::of_id(&endpoint.identity.id),
         },
     });
 }
@@ -129,9 +127,6 @@
             }
             AttemptResult::Stream(parts, opened) => {
                 state.attempts.sends().settle(outcome::Outcome::Run);
-                if let Some(selected) = selected {
-                    record_origin(&cx, state, &selected, &opened);
-                }
                 return FinalAnswer::Stream(parts, opened);
             }
             AttemptResult::RefusedByHost(answer) => {
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -330,6 +330,9 @@
             let count = self.splitter.events() - before;
             self.report.record_part_events(count, last);
             self.owes_event = false;
+            if last_id.is_none() {
+                self.record_origin();
+            }
         }
         let now = clock::now();
         self.count_work(FRAME_WORK + WorkUnits(self.splitter.events() - before), now);
@@ -346,6 +349,13 @@
         Some(Some(Ok(Frame::data(events))))
     }
 
+    /// Records the version at which the stream begins.
+    fn record_origin(&self) {
+        if let (Source::Opened(opened), Some(state)) = (&self.source, &self.state) {
+            attempts::record_origin(state, opened);
+        }
+    }
+
     /// Events that are passed on at once. The first one of a part is passed on alone, so that its id is
     /// known.
     fn events_at_once(&self) -> usize {
