Take text that is no event for no part of a stream

Cause: whatever had neither an id nor data counted as a comment and was passed on.

Change: without an id and data, only comments, blank lines and the fields event and retry are passed on.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -22,6 +22,8 @@
         /// Id of the event itself.
         found: u64,
     },
+    /// Text that is neither an event nor a comment.
+    NoEvent,
     /// A run goes on with an event without an id, so that its place is not known.
     Unnumbered {
         /// Id of the last event of the run before.
@@ -34,6 +36,7 @@
         match self {
             Self::TooLong => write!(f, "event exceeds {MAX_EVENT_BYTES} bytes"),
             Self::Gap { after, found } => write!(f, "event {found} follows event {after}"),
+            Self::NoEvent => f.write_str("text that is no event"),
             Self::Unnumbered { after } => {
                 write!(f, "event without an id goes on after event {after}")
             }
@@ -195,6 +198,7 @@
                 self.place = Place::Known;
             }
             (None, _) if has_data(event) => self.record_unnumbered()?,
+            (None, _) if !is_comment(event) => return Err(StreamError::NoEvent),
             (None, _) => {}
         }
         self.events += 1;
@@ -236,6 +240,22 @@
     lines.any(|line| line.starts_with(b"data"))
 }
 
+/// Fields that an event without data may have. They do nothing at the caller.
+const FIELDS_WITHOUT_DATA: [&[u8]; 2] = [b"event", b"retry"];
+
+/// Whether an event without an id and data has only comments and fields.
+fn is_comment(event: &[u8]) -> bool {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    let mut lines = event.split(|b| matches!(b, b'\n' | b'\r'));
+    lines.all(|line| line.is_empty() || line.starts_with(b":") || has_field(line))
+}
+
+/// Whether a line sets one of [`FIELDS_WITHOUT_DATA`].
+fn has_field(line: &[u8]) -> bool {
+    let name = line.split(|b| *b == b':').next();
+    name.is_some_and(|name| FIELDS_WITHOUT_DATA.contains(&name))
+}
+
 /// Numeric id of an event, if it has one. The last line with an id counts.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -206,3 +206,28 @@
     assert_eq!(passed, events(0..1_000).into_bytes());
     assert!(!splitter.at_event_boundary());
 }
+
+/// Guards against the text of an error, or the head of another answer, in the middle of a stream.
+#[test]
+fn text_that_is_no_event_is_no_part_of_a_stream() {
+    let head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 8\r\n\r\n";
+    for text in [head, "an error\n\n", "<p>no</p>\n\n", "events: 3\n\n"] {
+        let mut splitter = Splitter::resume_after(Some(0));
+        let passed = splitter.push(text.as_bytes());
+        assert_eq!(passed, Err(StreamError::NoEvent), "{text}");
+        assert!(!splitter.at_event_boundary());
+    }
+}
+
+#[test]
+fn events_without_data_are_passed_on() {
+    for text in [
+        ": still here\n\n",
+        "event: still-here\r\n\r\n",
+        "retry: 100\n\n",
+        "\n",
+    ] {
+        let mut splitter = Splitter::resume_after(Some(0));
+        assert_eq!(splitter.push(text.as_bytes()), Ok(Bytes::from(text)));
+    }
+}
