Record where a stream began only by the process that began it

What callers saw: events of two software versions in one stream, with the store up.

Cause: the version at which a stream began was taken from the list while that was at most 1.5 s old; and a process whose report named another start was forgotten, so that the only version of the list answered.

Change: a resumable stream begins on a connection whose process has reported, once for each connection. One that is not the process of the entry is recorded with a tag that no version has (UNLISTED), so that nothing goes on by it; hosts of the build before read it the same way. The check of an unframed end proves the connection that it opens. A proof asks once more on a new connection if an idle one was closed.

--- a/crates/core/src/streams/keys.rs
+++ b/crates/core/src/streams/keys.rs
@@ -31,12 +31,16 @@
 pub struct VersionTag(u32);
 
 impl VersionTag {
+    /// Tag of a process that is not the one of its endpoint's entry, so that nothing says its version. No
+    /// version has it, and no stream goes on by it.
+    pub const UNLISTED: Self = Self(0);
+
     /// Tag of a version of a service.
     #[must_use]
     pub fn new(service: &str, version: &directory::SoftwareVersion) -> Self {
         let seed = xxh3::xxh3_64(service.as_bytes());
         let hash = xxh3::xxh3_64_with_seed(version.as_str().as_bytes(), seed);
-        Self(truncate(hash))
+        Self(truncate(hash).max(Self::UNLISTED.0 + 1))
     }
 }
 
--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -108,6 +108,9 @@
     let opened = cx.pool.open(endpoint, max_connections, hosts).await;
     let mut connection = opened.map_err(NoProofOfLife::Unconnected)?;
     let process = endpoint_report::ask(cx, &mut connection, endpoint).await;
+    if process == ReportedProcess::Same {
+        connection.set_proven();
+    }
     if connection.is_free() {
         connection.release(None);
     }
--- a/crates/gateway/src/traffic/proofs.rs
+++ b/crates/gateway/src/traffic/proofs.rs
@@ -59,7 +59,7 @@
 /// A connection on which the request of an attempt may be sent.
 pub(super) struct ClearedConnection {
     pub connection: pool::Connection,
-    /// Software version of the process at its other end, if it is certain.
+    /// Software version of the process at its other end, if it is certain, or [`streams::VersionTag::UNLISTED`].
     pub version: Option<streams::VersionTag>,
 }
 
@@ -99,7 +99,6 @@
 where
     D: adapter::Dialect,
 {
-    let listed = attempt.selected.version;
     match Purpose::of(attempt) {
         Purpose::GoOn(version) => {
             let connection = prove(cx, attempt, version, connection).await?;
@@ -108,10 +107,10 @@
                 version: Some(version),
             })
         }
-        Purpose::Begin if listed.is_none() => learn(cx, attempt, connection).await,
-        Purpose::Begin | Purpose::Other => Ok(ClearedConnection {
+        Purpose::Begin => learn(cx, attempt, connection).await,
+        Purpose::Other => Ok(ClearedConnection {
             connection,
-            version: listed,
+            version: attempt.selected.version,
         }),
     }
 }
@@ -133,13 +132,7 @@
         log(cx, attempt, Ok(Proof::EarlierReport));
         return Ok(connection);
     }
-    let is_reused = !connection.is_new();
-    let mut reported = ask(cx, attempt, &mut connection).await;
-    if reported == ReportedProcess::NoAnswer && is_reused {
-        // The endpoint may have closed the idle connection.
-        connection = open(cx, attempt).await?;
-        reported = ask(cx, attempt, &mut connection).await;
-    }
+    let reported = ask_at_an_open_one(cx, attempt, &mut connection).await?;
     match reported {
         ReportedProcess::Same if connection.is_free() => {
             log(cx, attempt, Ok(Proof::Report));
@@ -156,8 +149,8 @@
     }
 }
 
-/// Asks the process at the other end of a connection for its version, which the list does not make
-/// certain. The request is sent whatever it says.
+/// Learns the version of the process at the other end of a connection. The request is sent whatever the
+/// process says of itself. One that says nothing has the version of a current list.
 async fn learn<D>(
     cx: &Context<D>,
     attempt: &Attempt<'_>,
@@ -166,16 +159,43 @@
 where
     D: adapter::Dialect,
 {
-    let is_same =
-        connection.is_proven() || ask(cx, attempt, &mut connection).await == ReportedProcess::Same;
-    // What was said on a connection that has closed holds for no other one.
-    let is_proven = is_same && connection.is_free();
+    let reported = match connection.is_proven() {
+        true => ReportedProcess::Same,
+        false => ask_at_an_open_one(cx, attempt, &mut connection).await?,
+    };
+    let version = match reported {
+        // What was said on a connection that has closed holds for no other one.
+        ReportedProcess::Same if connection.is_free() => entry_version(attempt),
+        ReportedProcess::Other => Some(streams::VersionTag::UNLISTED),
+        ReportedProcess::Same | ReportedProcess::Unknown | ReportedProcess::NoAnswer => {
+            attempt.selected.version
+        }
+    };
     Ok(ClearedConnection {
         connection: free(cx, attempt, connection).await?,
-        version: entry_version(attempt).filter(|_| is_proven),
+        version,
     })
 }
 
+/// Asks on a connection. One that was idle, and that the endpoint may have closed, gives way to a new one
+/// if nothing answers.
+async fn ask_at_an_open_one<D>(
+    cx: &Context<D>,
+    attempt: &Attempt<'_>,
+    connection: &mut pool::Connection,
+) -> Result<ReportedProcess, Unusable>
+where
+    D: adapter::Dialect,
+{
+    let is_reused = !connection.is_new();
+    let reported = ask(cx, attempt, connection).await;
+    if reported != ReportedProcess::NoAnswer || !is_reused {
+        return Ok(reported);
+    }
+    *connection = open(cx, attempt).await?;
+    Ok(ask(cx, attempt, connection).await)
+}
+
 /// Asks the process at the other end of a connection for its report, and takes note of what it says.
 async fn ask<D>(
     cx: &Context<D>,
