Ask the process that began a stream by the list when the stream breaks off

When it breaks off, its endpoint is asked on a new connection: if another process has the address, nothing shows which of the two sent the stream, so it is not resumed, and other hosts are told with the tag that no version has. What is known of a version, and by what, is a type (ProcessVersion).

--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -96,7 +96,8 @@
     proof
 }
 
-async fn prove_life<D>(
+/// As [`check_life`], for what is no end of an answer.
+pub(super) async fn prove_life<D>(
     cx: &Context<D>,
     endpoint: &directory::Endpoint,
     max_connections: u32,
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -84,7 +84,7 @@
     pub choice: choice::Choice,
     /// Address of the endpoint that cached prompt tokens are copied from.
     pub copy_from: Option<std::net::SocketAddr>,
-    /// Software version of the endpoint, if its entry is current and not in doubt.
+    /// Software version of the endpoint, if its entry is recent and not in doubt.
     pub version: Option<streams::VersionTag>,
     /// Permit for a request to it.
     pub permit: Permit,
@@ -257,7 +257,7 @@
         Some(SelectedEndpoint {
             endpoint: entry.endpoint.clone(),
             copy_from: source.map(|entry| entry.endpoint.address),
-            version: entry.version.filter(|_| self.is_current(entry, now)),
+            version: entry.version.filter(|_| self.may_begin_by_list(entry, now)),
             permit: self.permit_for(entry, now),
             departure: (*entry.endpoint.domain != *self.domain)
                 .then(|| quote.departure(&entry.endpoint.domain, choice.is_cached)),
@@ -351,6 +351,12 @@
         }
     }
 
+    /// Whether the list shows the version at which a stream begins at an endpoint. Its process is asked if
+    /// the stream breaks off.
+    fn may_begin_by_list(&self, entry: &Entry, now: time::Time) -> bool {
+        now.since(self.list_confirmed_at) <= streams::MAX_LIST_AGE && self.is_version_certain(entry)
+    }
+
     /// Whether the list of endpoints is current, and nothing has put an entry in doubt.
     fn is_current(&self, entry: &Entry, now: time::Time) -> bool {
         now.since(self.list_confirmed_at) <= CURRENT_LIST_AGE && self.is_version_certain(entry)
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -432,6 +432,7 @@
         Some(attempts::BrokenStream {
             after_event: self.splitter.last_id(),
             endpoint: opened.endpoint().cloned(),
+            version: opened.version(),
             has_gone_on: opened.has_gone_on,
             cause: cause.to_owned(),
         })
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use http_body::Body as _;
 use hyper::body::Incoming;
-use pistachiochute_core::{directory, outcome, streams, time};
+use pistachiochute_core::{directory, outcome, time};
 use pistachiochute_runtime::clock;
 
 use crate::adapter;
 use crate::traffic::answer_end::{AnswerEnd, NoProofOfLife, ProofOfLife};
-use crate::traffic::{answer_end, event_stream, forwarding, in_flight, pool};
+use crate::traffic::{answer_end, event_stream, forwarding, in_flight, pool, proofs};
 
 /// A stream that an endpoint sends.
 pub(super) struct EndpointStream<D>
@@ -26,8 +26,8 @@
     pub connection: Option<pool::Connection>,
     pub idle_limit: Option<Duration>,
     pub framing: outcome::Framing,
-    /// Software version of the process that sends it, if it is certain.
-    pub version: Option<streams::VersionTag>,
+    /// Software version of the process that sends it.
+    pub version: proofs::ProcessVersion,
 }
 
 /// Who sends a stream.
@@ -127,12 +127,12 @@
         }
     }
 
-    /// Software version of the process that sends the stream, if it is certain. Another host records the
-    /// streams that come through it.
-    pub(super) const fn version(&self) -> Option<streams::VersionTag> {
+    /// Software version of the process that sends the stream. Another host records the streams that come
+    /// through it.
+    pub(super) const fn version(&self) -> proofs::ProcessVersion {
         match &self.source {
             StreamSource::Endpoint(endpoint) => endpoint.version,
-            StreamSource::Host(_) => None,
+            StreamSource::Host(_) => proofs::ProcessVersion::Unknown,
         }
     }
 
