--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -6,7 +6,9 @@
 
 use smallvec::SmallVec;
 
-use crate::streams::{EndpointKey, Origin, RETENTION, VersionTag};
+use crate::streams::{
+    Connected, EndpointKey, IncarnationTag, OriginRecord, Proof, RETENTION, VersionTag,
+};
 use crate::{directory, time};
 
 /// Longest time between two confirmations of the list of endpoints that leaves no gap. A version
@@ -34,8 +36,10 @@
     version: Option<VersionTag>,
     first_listed: time::Time,
     last_listed: time::Time,
-    /// Latest time at which it is known to have been alive, from a write of its entry.
+    /// Latest time at which it is known to have been alive, from a write of its entry or from its report.
     alive_at: Option<time::Time>,
+    /// Whether another process is known to have its address, so that no later write shows that it lives.
+    has_ended: bool,
 }
 
 impl Incarnation {
@@ -47,6 +51,14 @@
             first_listed: now,
             last_listed: now,
             alive_at: None,
+            has_ended: false,
+        }
+    }
+
+    /// Records that it was alive at a point in time.
+    fn record_alive(&mut self, at: time::Time) {
+        if !self.has_ended {
+            self.alive_at = self.alive_at.max(Some(at));
         }
     }
 
@@ -67,13 +79,14 @@
         self.version.is_none_or(|own| own == version)
     }
 
-    /// Whether it is known to have been alive when a stream began that was recorded at
-    /// `recorded_at`, or later.
-    fn was_alive_after(&self, recorded_at: time::Time) -> bool {
-        self.identity.is_distinct()
-            && self
-                .alive_at
-                .is_some_and(|alive_at| recorded_at <= alive_at)
+    /// Whether it is known to have been alive at a point in time, or later.
+    fn was_alive_after(&self, at: time::Time) -> bool {
+        self.identity.is_distinct() && self.alive_at.is_some_and(|alive_at| at <= alive_at)
+    }
+
+    /// Whether a connection that was made by its entry is its own.
+    fn has(&self, connected: Connected) -> bool {
+        IncarnationTag::of(&self.identity) == connected.to && self.was_alive_after(connected.by)
     }
 
     /// Whether this host knew it before a stream began that was recorded at `recorded_at`.
@@ -82,6 +95,15 @@
     }
 }
 
+/// What the report of a process shows of the incarnation whose entry named its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeSign {
+    /// It was alive at this time.
+    Alive(time::Time),
+    /// It has ended: another process has its address.
+    Ended,
+}
+
 /// A version of a service, or `None` for endpoints whose version is not known.
 #[derive(Debug)]
 struct ServiceVersion {
@@ -168,20 +190,37 @@
     }
 
     /// Records that an incarnation wrote its entry at `alive_at` or later. The write of an
-    /// incarnation that has been replaced was delayed and does not show that it is alive.
+    /// incarnation that has been replaced was delayed and does not show that it is alive. Returns whether
+    /// this one shows it.
     pub fn record_write(
         &mut self,
         endpoint: &directory::Endpoint,
         alive_at: time::Time,
         now: time::Time,
-    ) {
+    ) -> bool {
         let key = EndpointKey::of_id(&endpoint.identity.id);
         let known = self.incarnations.get(&key);
         let is_replaced =
             known.is_some_and(|known| known.iter().any(|i| i.replaces(&endpoint.identity)));
         let incarnation = self.list(endpoint, now);
-        if !is_replaced {
-            incarnation.alive_at = incarnation.alive_at.max(Some(alive_at));
+        let is_sign = !is_replaced && !incarnation.has_ended;
+        if is_sign {
+            incarnation.record_alive(alive_at);
+        }
+        is_sign
+    }
+
+    /// Records what a report has shown of an incarnation.
+    pub fn record_sign(&mut self, identity: &directory::Identity, sign: LifeSign) {
+        let key = EndpointKey::of_id(&identity.id);
+        let Some(known) = self.incarnations.get_mut(&key) else {
+            return;
+        };
+        for incarnation in known.iter_mut().filter(|i| i.identity == *identity) {
+            match sign {
+                LifeSign::Alive(at) => incarnation.record_alive(at),
+                LifeSign::Ended => incarnation.has_ended = true,
+            }
         }
     }
 
@@ -244,25 +283,34 @@
         self.incarnations.contains_key(&endpoint)
     }
 
-    /// Whether an origin that was recorded at `recorded_at` names the version that began the
-    /// stream. It does if the endpoint's id has had no other version, or if the incarnation that
-    /// the record means was alive after the stream began.
+    /// Whether a record names the version that began the stream: the process was shown to be the one of
+    /// the entry by which it was reached, or that incarnation was alive after its connection was made.
     #[must_use]
-    pub fn is_certain(&self, origin: Origin, recorded_at: time::Time) -> bool {
-        let Some(incarnations) = self.incarnations.get(&origin.endpoint) else {
-            return false;
-        };
+    pub fn is_certain(&self, record: &OriginRecord) -> bool {
+        let OriginRecord {
+            origin,
+            recorded_at,
+            proof,
+        } = *record;
+        let known = self.incarnations.get(&origin.endpoint);
+        let incarnations = known.map_or(&[][..], SmallVec::as_slice);
         let has_version = |i: &Incarnation| i.version == Some(origin.version);
-        if incarnations.iter().all(has_version) {
-            return true;
+        match proof {
+            Proof::Shown => true,
+            Proof::ShownBefore if known.is_none() => true,
+            Proof::Open(Some(connected)) => incarnations
+                .iter()
+                .any(|i| has_version(i) && i.has(connected)),
+            Proof::ShownBefore | Proof::Open(None) => {
+                let candidates = incarnations.iter().filter(|i| i.may_have(origin.version));
+                let is_only_candidate = candidates.count() == 1;
+                incarnations.iter().any(|i| {
+                    has_version(i)
+                        && i.was_alive_after(recorded_at)
+                        && (is_only_candidate || i.was_known_before(recorded_at))
+                })
+            }
         }
-        let candidates = incarnations.iter().filter(|i| i.may_have(origin.version));
-        let is_only_candidate = candidates.count() == 1;
-        incarnations.iter().any(|i| {
-            has_version(i)
-                && i.was_alive_after(recorded_at)
-                && (is_only_candidate || i.was_known_before(recorded_at))
-        })
     }
 
     /// The only version that a service has had in the last `span`, or `None` if it had several,
--- a/crates/core/src/streams/keys.rs
+++ b/crates/core/src/streams/keys.rs
@@ -69,6 +69,25 @@
     }
 }
 
+/// Hash of the identity of one incarnation of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct IncarnationTag(u32);
+
+impl IncarnationTag {
+    /// Tag of an incarnation.
+    #[must_use]
+    pub fn of(identity: &directory::Identity) -> Self {
+        Self(truncate(identity.hash()))
+    }
+}
+
+impl fmt::Display for IncarnationTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// The upper half of a hash.
 const fn truncate(hash: u64) -> u32 {
     (hash >> u32::BITS) as u32
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -6,18 +6,23 @@
 //! certain.
 //!
 //! A host may learn of a restart only after a stream has begun, and then records the version of the
-//! endpoint's earlier incarnation. [`determine`] assumes that a host that is asked about a stream
-//! has learned of the incarnation that began it, and that an endpoint id has one live incarnation
-//! at a time.
+//! endpoint's earlier incarnation. So a record proves nothing by itself: the process has to be shown to be
+//! the one of the entry ([`Proof`]), by its report or by a sign of life that is later than its connection.
+//! That an endpoint id has one live incarnation at a time is assumed.
 
 mod history;
 mod keys;
 mod origins;
 mod pulse;
 
-pub use history::{MAX_GAP, MAX_LIST_AGE, MAX_REPORT_DELAY, OnlyVersions, VersionHistory};
-pub use keys::{EndpointKey, StreamKey, VersionTag};
-pub use origins::{MAX_STREAMS, Origin, OriginRecord, Origins, StoredOrigin, StreamOrigin};
+pub use history::{
+    LifeSign, MAX_GAP, MAX_LIST_AGE, MAX_REPORT_DELAY, OnlyVersions, VersionHistory,
+};
+pub use keys::{EndpointKey, IncarnationTag, StreamKey, VersionTag};
+pub use origins::{
+    Beginning, Connected, MAX_STREAMS, Origin, OriginRecord, Origins, Proof, StoredOrigin,
+    StreamOrigin,
+};
 pub use pulse::Pulse;
 
 use std::sync::Arc;
@@ -42,10 +47,9 @@
 
 /// Returns the version that began the stream, or `None` if it is not certain.
 ///
-/// The recorded origin counts if [`VersionHistory::is_certain`] confirms it, or if the hosts before this
-/// one were certain of it and nothing is known of its endpoint since. The only version that
-/// the service has had during the span of the query counts if the stream has no record or the
-/// record names that version.
+/// The recorded origin counts if [`VersionHistory::is_certain`] confirms it. The only version that the
+/// service has had during the span of the query counts if the stream has no record, or one of an earlier
+/// build or from the store that names that version.
 #[must_use]
 pub fn determine(
     origins: &Origins,
@@ -60,12 +64,46 @@
         return only_version();
     };
     let origin = record.origin;
-    let was_certain = record.was_certain && !history.knows(origin.endpoint);
-    if was_certain || history.is_certain(origin, record.recorded_at) {
+    if history.is_certain(&record) {
         return Some(origin.version);
     }
-    if history.versions(&query.service) != 1 {
-        return None;
+    match record.proof {
+        // The process may have had any version until it is shown to be the one of the entry.
+        Proof::Open(Some(_)) => None,
+        Proof::Shown | Proof::ShownBefore | Proof::Open(None) => {
+            let is_only = history.versions(&query.service) == 1;
+            let version = is_only.then(only_version).flatten();
+            version.filter(|version| *version == origin.version)
+        }
     }
-    only_version().filter(|version| *version == origin.version)
+}
+
+/// What is recorded of a stream and not proven, though a sign of life of its endpoint could prove it.
+#[must_use]
+pub fn claim(origins: &Origins, query: &OriginQuery, now: time::Time) -> Option<Beginning> {
+    let stream = query.stream?;
+    let record = origins.get(stream)?;
+    let is_recent = now.since(record.recorded_at) < RETENTION;
+    match record.proof {
+        Proof::Open(Some(connected)) if is_recent => Some(Beginning {
+            stream: StreamOrigin {
+                stream,
+                origin: record.origin,
+            },
+            connected,
+            is_shown: false,
+        }),
+        Proof::Shown | Proof::ShownBefore | Proof::Open(_) => None,
+    }
+}
+
+/// What hosts know of the version that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is this one.
+    Version(VersionTag),
+    /// It is that of the beginning, if its endpoint gives a sign of life.
+    Claim(Beginning),
+    /// They do not know it.
+    Unknown,
 }
--- a/crates/core/src/streams/origins.rs
+++ b/crates/core/src/streams/origins.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::streams::{EndpointKey, RETENTION, StreamKey, VersionTag};
+use crate::streams::{EndpointKey, IncarnationTag, RETENTION, StreamKey, VersionTag};
 use crate::time;
 
 /// Most streams in the table. The oldest record makes room for a new one.
@@ -11,7 +11,7 @@
 /// Where a stream began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Origin {
-    /// Version of the endpoint, as far as the host that sent the request knew.
+    /// Version in the entry of the endpoint by which the host connected that sent the request.
     pub version: VersionTag,
     /// The endpoint that answered.
     pub endpoint: EndpointKey,
@@ -26,6 +26,51 @@
     pub origin: Origin,
 }
 
+/// Connection over which a stream began.
+///
+/// The host connected by the entry of an incarnation, so that one had started before. If it is alive at
+/// a moment after the connection was made, it had its address all along, and the connection is its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connected {
+    /// Incarnation whose entry the host connected by.
+    pub to: IncarnationTag,
+    /// Time by which the connection was made, on the clock of the host that has the record.
+    pub by: time::Time,
+}
+
+/// What shows that a stream began at the version of its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// The host that sent the request knew that the process was the one of the entry.
+    Shown,
+    /// The record comes from the store, and the host that wrote it was certain.
+    ShownBefore,
+    /// Nothing yet. A sign of life of the incarnation may show it.
+    Open(Option<Connected>),
+}
+
+/// The beginning of a stream, as the host that sent its request tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Beginning {
+    /// The stream and where it began.
+    pub stream: StreamOrigin,
+    /// Connection over which it began.
+    pub connected: Connected,
+    /// Whether the process at the other end is known to be the one of the entry.
+    pub is_shown: bool,
+}
+
+impl Beginning {
+    /// What shows the version.
+    #[must_use]
+    pub const fn proof(&self) -> Proof {
+        match self.is_shown {
+            true => Proof::Shown,
+            false => Proof::Open(Some(self.connected)),
+        }
+    }
+}
+
 /// A stream and its origin, as hosts leave it in the store for those that come after them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StoredOrigin {
@@ -42,8 +87,8 @@
     pub origin: Origin,
     /// When it was recorded. The stream began at that time or earlier.
     pub recorded_at: time::Time,
-    /// Whether it comes from the store, and was certain when it was stored.
-    pub was_certain: bool,
+    /// What shows that the origin has the version at which the stream began.
+    pub proof: Proof,
 }
 
 /// One record of the table.
@@ -70,13 +115,24 @@
         Self::default()
     }
 
-    /// Records the origin of a stream that began now, or that another host reports now. Replaces an
-    /// earlier record of the stream.
+    /// Records the beginning of a stream that this host or another one tells now. Replaces an earlier
+    /// record of the stream.
+    pub fn record_beginning(&mut self, beginning: &Beginning, now: time::Time) {
+        let record = OriginRecord {
+            origin: beginning.stream.origin,
+            recorded_at: now,
+            proof: beginning.proof(),
+        };
+        self.insert(beginning.stream.stream, record);
+    }
+
+    /// Records the origin of a stream that a host of an earlier build reports now. Replaces an earlier
+    /// record of the stream.
     pub fn record(&mut self, stream: StreamOrigin, now: time::Time) {
         let record = OriginRecord {
             origin: stream.origin,
             recorded_at: now,
-            was_certain: false,
+            proof: Proof::Open(None),
         };
         self.insert(stream.stream, record);
     }
@@ -86,10 +142,14 @@
         if self.records.contains_key(&stored.stream.stream) {
             return;
         }
+        let proof = match stored.was_certain {
+            true => Proof::ShownBefore,
+            false => Proof::Open(None),
+        };
         let record = OriginRecord {
             origin: stored.stream.origin,
             recorded_at: now,
-            was_certain: stored.was_certain,
+            proof,
         };
         self.insert(stored.stream.stream, record);
     }
@@ -112,20 +172,16 @@
         Some(self.records.get(&stream)?.record)
     }
 
-    /// Streams from the record with a number on, with the number of each record and when it was made.
-    /// Numbers begin at 0 and grow with each record.
+    /// Streams from the record with a number on, with the number of each record. Numbers begin at 0 and
+    /// grow with each record.
     pub fn recorded_from(
         &self,
         number: u64,
-    ) -> impl Iterator<Item = (u64, StreamOrigin, time::Time)> + '_ {
+    ) -> impl Iterator<Item = (u64, StreamKey, OriginRecord)> + '_ {
         let ordered = self.order.range(number..);
         ordered.filter_map(|(number, stream)| {
             let record = self.records.get(stream)?.record;
-            let stream = StreamOrigin {
-                stream: *stream,
-                origin: record.origin,
-            };
-            Some((*number, stream, record.recorded_at))
+            Some((*number, *stream, record))
         })
     }
 
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -6,8 +6,9 @@
 
 use pistachiochute_core::directory::{Endpoint, SoftwareVersion};
 use pistachiochute_core::streams::{
-    self, EndpointKey, MAX_GAP, MAX_LIST_AGE, MAX_STREAMS, OnlyVersions, Origin, OriginQuery,
-    Origins, Pulse, RETENTION, StreamKey, StreamOrigin, VersionHistory, VersionTag,
+    self, Beginning, Connected, EndpointKey, IncarnationTag, LifeSign, MAX_GAP, MAX_LIST_AGE,
+    MAX_STREAMS, OnlyVersions, Origin, OriginQuery, Origins, Pulse, RETENTION, StreamKey,
+    StreamOrigin, VersionHistory, VersionTag,
 };
 use pistachiochute_core::time;
 use streams_support::{SERVICE, endpoint, origin, tag};
@@ -217,15 +218,128 @@
     }
 }
 
+/// Guards against ORDER: a record at an id that never changed, as far as the list shows. Its entry may be that
+/// of a process whose place another one has taken, so that only a write after the stream began proves it.
 #[test]
-fn a_record_at_an_id_that_never_changed_gives_its_version() {
+fn a_record_at_an_id_that_never_changed_gives_its_version_once_the_entry_was_renewed() {
     let mut host = Host::new(true);
     let endpoints = [endpoint("a", 1, Some("1")), endpoint("b", 1, Some("2"))];
     host.run(&endpoints, 0, 10);
-    host.record("s", origin("a", "1"), 10);
-    assert_eq!(host.determine(Some("s"), 10, 11), Some(tag("1")));
-    host.record("s", origin("b", "2"), 11);
-    assert_eq!(host.determine(Some("s"), 10, 11), Some(tag("2")));
+    for (name, version) in [("a", "1"), ("b", "2")] {
+        host.record("s", origin(name, version), 10);
+        assert_eq!(host.determine(Some("s"), 10, 11), None);
+    }
+    for (endpoint, version) in endpoints.iter().zip(["1", "2"]) {
+        host.history.record_write(endpoint, secs(10), secs(11));
+        host.record("s", origin(&endpoint.identity.id, version), 10);
+        assert_eq!(host.determine(Some("s"), 10, 11), Some(tag(version)));
+    }
+}
+
+/// Beginning of a stream at an endpoint, over a connection that was made at a point in time.
+fn beginning(name: &str, endpoint: &Endpoint, version: &str, connected_at: u64) -> Beginning {
+    Beginning {
+        stream: StreamOrigin {
+            stream: stream(name),
+            origin: origin(&endpoint.identity.id, version),
+        },
+        connected: Connected {
+            to: IncarnationTag::of(&endpoint.identity),
+            by: secs(connected_at),
+        },
+        is_shown: false,
+    }
+}
+
+/// Guards against ORDER: a stream recorded at the version of an entry whose process was gone when the
+/// connection was made. No write after the connection shows that it lived, whatever the list says.
+#[test]
+fn a_record_counts_once_its_incarnation_was_alive_after_the_connection_was_made() {
+    let mut host = Host::new(true);
+    let listed = endpoint("a", 1, Some("1"));
+    host.run(std::slice::from_ref(&listed), 0, 10);
+    host.history.record_write(&listed, secs(8), secs(9));
+    let began = beginning("s", &listed, "1", 9);
+    host.origins.record_beginning(&began, secs(10));
+    assert_eq!(host.determine(Some("s"), 10, 10), None);
+    host.run(std::slice::from_ref(&listed), 11, 12);
+    assert_eq!(host.determine(Some("s"), 12, 12), None);
+    host.history.record_write(&listed, secs(9), secs(12));
+    assert_eq!(host.determine(Some("s"), 12, 12), Some(tag("1")));
+}
+
+/// Guards against LOST: a stream over a connection that is older than the last write of the entry needs no
+/// other write, and none is to come if the endpoint crashes.
+#[test]
+fn a_connection_from_before_the_last_write_is_proven_at_once() {
+    let mut host = Host::new(true);
+    let listed = endpoint("a", 1, Some("1"));
+    host.run(std::slice::from_ref(&listed), 0, 10);
+    host.history.record_write(&listed, secs(9), secs(10));
+    let began = beginning("s", &listed, "1", 5);
+    host.origins.record_beginning(&began, secs(10));
+    assert_eq!(host.determine(Some("s"), 10, 10), Some(tag("1")));
+    host.run(&[endpoint("a", 2, Some("2"))], 11, 12);
+    assert_eq!(host.determine(Some("s"), 12, 12), Some(tag("1")));
+}
+
+/// Guards against ORDER: a later incarnation of the same version that proves a stream which began at the one
+/// between them.
+#[test]
+fn a_sign_of_life_of_another_incarnation_proves_nothing() {
+    let mut host = Host::new(true);
+    let [first, third] = [1, 3].map(|start| endpoint("a", start, Some("1")));
+    host.run(std::slice::from_ref(&first), 0, 10);
+    let began = beginning("s", &first, "1", 10);
+    host.origins.record_beginning(&began, secs(10));
+    host.run(std::slice::from_ref(&third), 11, 12);
+    host.history.record_write(&third, secs(12), secs(12));
+    assert_eq!(host.determine(Some("s"), 12, 12), None);
+}
+
+/// Guards against ORDER: a delayed write of an incarnation whose address another process is known to have.
+#[test]
+fn a_report_proves_a_record_and_an_end_stops_later_writes_from_it() {
+    let mut host = Host::new(true);
+    let listed = endpoint("a", 1, Some("1"));
+    host.run(std::slice::from_ref(&listed), 0, 10);
+    let first = beginning("first", &listed, "1", 9);
+    host.origins.record_beginning(&first, secs(10));
+    let alive = LifeSign::Alive(secs(9));
+    host.history.record_sign(&listed.identity, alive);
+    assert_eq!(host.determine(Some("first"), 10, 10), Some(tag("1")));
+    let second = beginning("second", &listed, "1", 10);
+    host.origins.record_beginning(&second, secs(10));
+    host.history.record_sign(&listed.identity, LifeSign::Ended);
+    host.history.record_write(&listed, secs(11), secs(12));
+    assert_eq!(host.determine(Some("second"), 12, 12), None);
+    assert_eq!(host.determine(Some("first"), 12, 12), Some(tag("1")));
+}
+
+/// Guards against ORDER: what an earlier process of an address showed counts for a record of a service with
+/// one version, before the next process is listed.
+#[test]
+fn an_unproven_record_is_not_replaced_by_the_only_version_that_is_listed() {
+    let mut host = Host::new(true);
+    let listed = endpoint("a", 1, Some("1"));
+    host.run(std::slice::from_ref(&listed), 0, 10);
+    let began = beginning("s", &listed, "1", 10);
+    host.origins.record_beginning(&began, secs(10));
+    assert_eq!(host.determine(None, 5, 10), Some(tag("1")));
+    assert_eq!(host.determine(Some("s"), 5, 10), None);
+    let query = OriginQuery {
+        stream: Some(stream("s")),
+        service: SERVICE.into(),
+        span: Duration::from_secs(5),
+    };
+    assert_eq!(streams::claim(&host.origins, &query, secs(10)), Some(began));
+    let shown = Beginning {
+        is_shown: true,
+        ..began
+    };
+    host.origins.record_beginning(&shown, secs(10));
+    assert_eq!(host.determine(Some("s"), 5, 10), Some(tag("1")));
+    assert_eq!(streams::claim(&host.origins, &query, secs(10)), None);
 }
 
 #[test]
@@ -318,8 +432,10 @@
     for (start, expected) in [(1, Some(tag("1"))), (0, None)] {
         let mut host = Host::new(true);
         host.run(&[endpoint("a", start, None)], 0, 10);
-        host.run(&[endpoint("a", start, Some("1"))], 11, 12);
+        let known = endpoint("a", start, Some("1"));
+        host.run(std::slice::from_ref(&known), 11, 12);
         host.record("s", origin("a", "1"), 12);
+        host.history.record_write(&known, secs(12), secs(12));
         assert_eq!(host.determine(Some("s"), 10, 12), expected);
     }
 }
--- a/crates/core/tests/streams_model.rs
+++ b/crates/core/tests/streams_model.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pistachiochute_core::directory::Endpoint;
+use pistachiochute_core::directory::{Endpoint, Identity};
 use pistachiochute_core::streams::{
-    self, MAX_GAP, MAX_REPORT_DELAY, Origin, OriginQuery, Origins, StreamKey, StreamOrigin,
-    VersionHistory, VersionTag,
+    self, Beginning, Connected, IncarnationTag, MAX_GAP, MAX_REPORT_DELAY, Origin, OriginQuery,
+    Origins, StreamKey, StreamOrigin, VersionHistory, VersionTag,
 };
 use pistachiochute_core::time;
 use proptest::prelude::{Strategy, any, proptest};
-use proptest::test_runner::{Config, RngSeed};
+use proptest::test_runner::{Config, RngSeed, TestCaseError};
 use proptest::{collection, option, prop_assert, prop_assert_eq};
 use streams_support::{SERVICE, endpoint, origin, tag};
 
@@ -143,13 +143,25 @@
     /// Index of the incarnation that began it.
     life: usize,
     truth: VersionTag,
+    /// Incarnation whose entry the host connected by.
+    connected_to: Identity,
     record: Option<Origin>,
     recorded_ms: Option<u64>,
     query_ms: u64,
     span: Duration,
 }
 
+/// Build of the hosts that record streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Build {
+    /// They record the version in the list.
+    Earlier,
+    /// They record the connection, too.
+    Current,
+}
+
 struct Model {
+    build: Build,
     ids: Vec<Vec<Life>>,
     streams: Vec<Stream>,
     gaps: Vec<(u64, u64)>,
@@ -157,8 +169,9 @@
 }
 
 impl Model {
-    fn new(drawn: &Drawn) -> Self {
+    fn new(drawn: &Drawn, build: Build) -> Self {
         let mut model = Self {
+            build,
             ids: Vec::new(),
             streams: Vec::new(),
             gaps: drawn.gaps.clone(),
@@ -263,6 +276,7 @@
             id: drawn.id,
             life,
             truth: tag(lives[life].version),
+            connected_to: listed.entry.identity.clone(),
             record: known.map(|version| origin(&drawn.id.to_string(), version)),
             recorded_ms,
             query_ms,
@@ -281,8 +295,8 @@
         was_listed || (is_late && !is_recorded)
     }
 
-    /// Whether the record is right and no more can be asked of the history: the id had one version
-    /// only, or the incarnation wrote its entry long enough after the stream began.
+    /// Whether the record is right and no more can be asked of the history: the incarnation wrote its entry
+    /// long enough after the stream began.
     fn must_answer(&self, stream: &Stream) -> bool {
         let lives = &self.ids[stream.id];
         let life = &lives[stream.life];
@@ -294,13 +308,14 @@
         if !is_known || stream.record.is_none_or(|o| o.version != stream.truth) {
             return false;
         }
-        let never_changed = lives.len() == 1;
+        if self.build == Build::Current && stream.connected_to != life.entry.identity {
+            return false;
+        }
         let margin_ms = 2 * MAX_LEARNING_MS + HEARTBEAT_MS + STEP_MS;
-        let wrote_later = life.entry.identity.started_at_ms > 0
+        life.entry.identity.started_at_ms > 0
             && recorded_ms + margin_ms <= stream.query_ms
             && recorded_ms + margin_ms <= life.ended_ms
-            && !(recorded_ms..=stream.query_ms).any(|ms| self.is_in_gap(ms));
-        never_changed || wrote_later
+            && !(recorded_ms..=stream.query_ms).any(|ms| self.is_in_gap(ms))
     }
 
     /// Writes of which the host learns between the last step and this one.
@@ -319,6 +334,31 @@
         }
     }
 
+    /// Records a stream as the hosts of a build do.
+    fn record(&self, stream: &Stream, origins: &mut Origins, now: time::Time) {
+        let Some(origin) = stream.record else {
+            return;
+        };
+        let recorded = StreamOrigin {
+            stream: stream.key,
+            origin,
+        };
+        match self.build {
+            Build::Earlier => origins.record(recorded, now),
+            Build::Current => {
+                let beginning = Beginning {
+                    stream: recorded,
+                    connected: Connected {
+                        to: IncarnationTag::of(&stream.connected_to),
+                        by: time::Time::from_millis(stream.began_ms),
+                    },
+                    is_shown: false,
+                };
+                origins.record_beginning(&beginning, now);
+            }
+        }
+    }
+
     /// Runs the host under test and returns its answer to each query that may be asked.
     fn run(&self) -> Vec<(&Stream, Option<VersionTag>)> {
         let start = time::Time::from_millis(self.host_start_ms);
@@ -342,14 +382,15 @@
                 .iter()
                 .filter(|s| s.recorded_ms == Some(now_ms))
             {
-                if let Some(origin) = stream.record {
-                    let stream = stream.key;
-                    origins.record(StreamOrigin { stream, origin }, now);
-                }
+                self.record(stream, &mut origins, now);
             }
             history.tick(now);
             origins.tick(now);
-            let is_asked = |s: &&Stream| s.query_ms == now_ms && self.may_ask(s);
+            let is_asked = |s: &&Stream| {
+                let is_recorded = s.recorded_ms.is_some_and(|ms| ms <= now_ms);
+                let is_claimed = self.build == Build::Current && is_recorded;
+                s.query_ms == now_ms && (is_claimed || self.may_ask(s))
+            };
             for stream in self.streams.iter().filter(is_asked) {
                 let query = OriginQuery {
                     stream: Some(stream.key),
@@ -376,17 +417,17 @@
     /// if the record is right and the history shows it.
     #[test]
     fn an_answer_is_the_version_that_began_the_stream(drawn in drawn()) {
-        let model = Model::new(&drawn);
-        for (stream, answer) in model.run() {
-            if let Some(version) = answer {
-                prop_assert_eq!(version, stream.truth, "{:?} {:?}", stream, &model.ids[stream.id]);
-            }
-            let is_missing = answer.is_none() && model.must_answer(stream);
-            prop_assert!(!is_missing, "{:?} {:?}", stream, &model.ids[stream.id]);
-        }
+        check(&Model::new(&drawn, Build::Earlier))?;
+    }
+
+    /// The same for hosts that record connections, whether the host that is asked has learned of the
+    /// incarnation that began the stream or not.
+    #[test]
+    fn an_answer_by_a_connection_is_the_version_that_began_the_stream(drawn in drawn()) {
+        check(&Model::new(&drawn, Build::Current))?;
     }
 
-    /// A service with one version throughout always gets its answer.
+    /// A service with one version throughout always gives its answer.
     #[test]
     fn one_version_throughout_always_gives_it(
         drawn in drawn(),
@@ -399,9 +440,27 @@
             life.version = version.index(VERSIONS.len());
             life.is_version_stated = true;
         }
-        let model = Model::new(&drawn);
+        let model = Model::new(&drawn, Build::Earlier);
         for (stream, answer) in model.run() {
             prop_assert_eq!(answer, Some(stream.truth), "{:?}", stream);
         }
     }
 }
+
+/// Checks that no answer differs from the truth, and that none is missing that must be given.
+fn check(model: &Model) -> Result<(), TestCaseError> {
+    for (stream, answer) in model.run() {
+        if let Some(version) = answer {
+            prop_assert_eq!(
+                version,
+                stream.truth,
+                "{:?} {:?}",
+                stream,
+                &model.ids[stream.id]
+            );
+        }
+        let is_missing = answer.is_none() && model.must_answer(stream);
+        prop_assert!(!is_missing, "{:?} {:?}", stream, &model.ids[stream.id]);
+    }
+    Ok(())
+}
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -264,6 +264,10 @@
             sender.versions = pairs.collect();
         }
         peer::Message::StreamOrigins(origins) => origins::apply_origins(cx, &origins),
+        peer::Message::StreamBeginnings(records) => origins::apply_beginnings(cx, &records),
+        peer::Message::OriginClaim { id, beginning } => {
+            origins::apply_claim(cx, name, id, &beginning);
+        }
         peer::Message::OriginQuery {
             id,
             stream,
--- a/crates/gateway/src/control/origins.rs
+++ b/crates/gateway/src/control/origins.rs
@@ -14,14 +14,14 @@
 use std::time::Duration;
 
 use pistachiochute_core::membership::overlay::Role;
-use pistachiochute_core::streams;
+use pistachiochute_core::{streams, time};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::{clock, metrics};
 use tokio::sync::mpsc;
 
 use crate::adapter;
-use crate::control::Context;
 use crate::control::state::State;
+use crate::control::{Context, links};
 use crate::{events, shared};
 
 /// Interval at which new origins are sent.
@@ -45,7 +45,7 @@
 struct OpenQuery {
     /// Hosts that have not answered.
     waiting_for: Vec<Arc<str>>,
-    answers: mpsc::UnboundedSender<Option<streams::VersionTag>>,
+    answers: mpsc::UnboundedSender<streams::Answer>,
 }
 
 /// Queries that other hosts were sent.
@@ -68,7 +68,7 @@
 impl OpenQueries {
     /// Records an answer. Answers that nobody waits for are ignored. After the last one, the
     /// channel of the query is closed.
-    fn answer(&mut self, id: u32, host: &str, version: Option<streams::VersionTag>) {
+    fn answer(&mut self, id: u32, host: &str, answer: streams::Answer) {
         let Some(query) = self.queries.get_mut(&id) else {
             return;
         };
@@ -77,7 +77,7 @@
         };
         query.waiting_for.swap_remove(position);
         // The receiver is gone if an earlier answer was enough.
-        query.answers.send(version).ok();
+        query.answers.send(answer).ok();
         if query.waiting_for.is_empty() {
             self.queries.remove(&id);
         }
@@ -87,10 +87,9 @@
 /// Which answers of other hosts decide a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Agreement {
-    /// The first that states a version.
+    /// The first that states a version: the hosts that are asked state only what is proven.
     First,
-    /// All must state the same version. This host has a record of the stream that may be wrong, and
-    /// another host may not know yet why.
+    /// All must state the same version. They are of an earlier build and go by what they have recorded.
     All,
 }
 
@@ -104,18 +103,57 @@
         tokio::time::sleep(SHARE_INTERVAL).await;
         record_local_origins(&cx);
         let state = &mut *cx.state.borrow_mut();
-        let unsent = std::mem::take(&mut state.unsent_origins);
-        for origins in unsent.chunks(MAX_ORIGINS_PER_MESSAGE) {
+        let unsent = std::mem::take(&mut state.unsent_beginnings);
+        let now = clock::now();
+        for beginnings in unsent.chunks(MAX_ORIGINS_PER_MESSAGE) {
             for host in share_targets(state) {
-                let message = peer::Message::StreamOrigins(origins.to_vec());
                 // A host that misses a message asks this one.
                 let outbox = state.outboxes.get(host);
-                outbox.map(|outbox| outbox.try_send(message));
+                outbox.map(|outbox| send_beginnings(outbox, beginnings, now));
             }
         }
     }
 }
 
+/// Sends a host the beginnings of streams, in the message that it reads.
+fn send_beginnings(outbox: &links::Outbox, beginnings: &[streams::Beginning], now: time::Time) {
+    let message = match outbox.has_feature(peer::Feature::StreamBeginnings) {
+        true => {
+            let records = beginnings.iter().map(|beginning| encode(beginning, now));
+            peer::Message::StreamBeginnings(records.collect())
+        }
+        false => {
+            let origins = beginnings.iter().map(|beginning| beginning.stream);
+            peer::Message::StreamOrigins(origins.collect())
+        }
+    };
+    outbox.try_send(message);
+}
+
+/// Beginning of a stream as other hosts are told of it now.
+fn encode(beginning: &streams::Beginning, now: time::Time) -> peer::BeginningRecord {
+    let age = now.since(beginning.connected.by);
+    peer::BeginningRecord {
+        stream: beginning.stream,
+        incarnation: beginning.connected.to,
+        connected_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        is_shown: beginning.is_shown,
+    }
+}
+
+/// Beginning of a stream of which another host tells now.
+fn decode(record: &peer::BeginningRecord, now: time::Time) -> streams::Beginning {
+    let age = Duration::from_millis(u64::from(record.connected_ms));
+    streams::Beginning {
+        stream: record.stream,
+        connected: streams::Connected {
+            to: record.incarnation,
+            by: now - age,
+        },
+        is_shown: record.is_shown,
+    }
+}
+
 /// Hosts that are sent the origins of this host's streams.
 fn share_targets(state: &State) -> &[Arc<str>] {
     match state.overlay.role {
@@ -124,17 +162,31 @@
     }
 }
 
-/// Records the streams that began for this host's traffic thread.
+/// Records the streams that began for this host's traffic thread, and what it has seen of endpoints.
 fn record_local_origins<D, S>(cx: &Context<D, S>) {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
-    while let Some(origin) = cx.shared.local_origins.pop() {
-        state.origins.record(origin, now);
-        state.unsent_origins.push(origin);
+    while let Some(beginning) = cx.shared.local_beginnings.pop() {
+        state.origins.record_beginning(&beginning, now);
+        state.unsent_beginnings.push(beginning);
+    }
+    while let Some(observed) = cx.shared.observed_signs.pop() {
+        state
+            .versions
+            .record_sign(&observed.endpoint, observed.sign);
     }
 }
 
 /// Records streams that began for another host.
+pub(super) fn apply_beginnings<D, S>(cx: &Context<D, S>, records: &[peer::BeginningRecord]) {
+    let now = clock::now();
+    let mut state = cx.state.borrow_mut();
+    for record in records {
+        state.origins.record_beginning(&decode(record, now), now);
+    }
+}
+
+/// Records streams that began for a host of an earlier build.
 pub(super) fn apply_origins<D, S>(cx: &Context<D, S>, origins: &[streams::StreamOrigin]) {
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
@@ -164,19 +216,28 @@
 {
     let started = clock::now();
     let query = &request.query;
-    let (version, result) = match determine(&cx, query) {
-        Some(version) => (Some(version), metrics::OriginResult::Local),
-        None => match ask(&cx, query, None).await {
-            Some(version) => (Some(version), metrics::OriginResult::Peer),
-            None => (None, metrics::OriginResult::Unknown),
-        },
+    let (answer, result) = match determine(&cx, query) {
+        known @ streams::Answer::Version(_) => (known, metrics::OriginResult::Local),
+        own => {
+            let answer = ask(&cx, query, None, own).await;
+            (answer, result_of(answer))
+        }
     };
     cx.metrics.origin_queried(result);
-    if version.is_none() {
+    if answer == streams::Answer::Unknown {
         log_unknown(&cx, query, clock::now().since(started));
     }
     // The caller may have left.
-    request.reply.send(version).ok();
+    request.reply.send(answer).ok();
+}
+
+/// Result of a query that other hosts were asked.
+const fn result_of(answer: streams::Answer) -> metrics::OriginResult {
+    match answer {
+        streams::Answer::Version(_) => metrics::OriginResult::Peer,
+        streams::Answer::Claim(_) => metrics::OriginResult::Claim,
+        streams::Answer::Unknown => metrics::OriginResult::Unknown,
+    }
 }
 
 fn log_unknown<D, S>(cx: &Context<D, S>, query: &streams::OriginQuery, waited: Duration) {
@@ -200,17 +261,32 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let version = match determine(&cx, &query) {
-        Some(version) => Some(version),
-        None => ask(&cx, &query, Some(&host)).await,
+    let answer = match determine(&cx, &query) {
+        known @ streams::Answer::Version(_) => known,
+        own => ask(&cx, &query, Some(&host), own).await,
     };
     let state = cx.state.borrow();
     if let Some(outbox) = state.outboxes.get(&host) {
         // Without an answer, the other host stops waiting after its timeout.
-        outbox.try_send(peer::Message::OriginAnswer { id, version });
+        send_answer(outbox, id, answer);
     }
 }
 
+fn send_answer(outbox: &links::Outbox, id: u32, answer: streams::Answer) {
+    let version = match answer {
+        streams::Answer::Version(version) => Some(version),
+        streams::Answer::Claim(beginning) => {
+            let beginning = encode(&beginning, clock::now());
+            if outbox.try_send(peer::Message::OriginClaim { id, beginning }) {
+                return;
+            }
+            None
+        }
+        streams::Answer::Unknown => None,
+    };
+    outbox.try_send(peer::Message::OriginAnswer { id, version });
+}
+
 /// Applies another host's answer to a query.
 pub(super) fn apply_answer<D, S>(
     cx: &Context<D, S>,
@@ -218,18 +294,33 @@
     id: u32,
     version: Option<streams::VersionTag>,
 ) {
+    let answer = version.map_or(streams::Answer::Unknown, streams::Answer::Version);
     let mut state = cx.state.borrow_mut();
-    state.origin_queries.answer(id, host, version);
+    state.origin_queries.answer(id, host, answer);
 }
 
-/// Version that began a stream as far as this host knows.
-fn determine<D, S>(
+/// Applies another host's answer to a query, which proves nothing by itself.
+pub(super) fn apply_claim<D, S>(
     cx: &Context<D, S>,
-    query: &streams::OriginQuery,
-) -> Option<streams::VersionTag> {
+    host: &str,
+    id: u32,
+    record: &peer::BeginningRecord,
+) {
+    let answer = streams::Answer::Claim(decode(record, clock::now()));
+    let mut state = cx.state.borrow_mut();
+    state.origin_queries.answer(id, host, answer);
+}
+
+/// What this host knows of the version that began a stream.
+fn determine<D, S>(cx: &Context<D, S>, query: &streams::OriginQuery) -> streams::Answer {
     record_local_origins(cx);
+    let now = clock::now();
     let state = cx.state.borrow();
-    streams::determine(&state.origins, &state.versions, query, clock::now())
+    if let Some(version) = streams::determine(&state.origins, &state.versions, query, now) {
+        return streams::Answer::Version(version);
+    }
+    let claim = streams::claim(&state.origins, query, now);
+    claim.map_or(streams::Answer::Unknown, streams::Answer::Claim)
 }
 
 fn has_record(state: &State, query: &streams::OriginQuery) -> bool {
@@ -238,24 +329,49 @@
 }
 
 /// Asks other hosts for the version that began a stream. `asker` is the host whose query this one
-/// forwards, if any.
+/// forwards, if any, and `own` what this host knows, which proves nothing.
 async fn ask<D, S>(
     cx: &Context<D, S>,
     query: &streams::OriginQuery,
     asker: Option<&Arc<str>>,
-) -> Option<streams::VersionTag> {
-    let (id, answers) = send_query(cx, query, asker)?;
-    let agreement = match has_record(&cx.state.borrow(), query) {
-        true => Agreement::All,
-        false => Agreement::First,
+    own: streams::Answer,
+) -> streams::Answer {
+    let targets = query_targets(cx, asker);
+    let (targets, agreement) = narrow_targets(&cx.state.borrow(), targets, query);
+    let Some((id, mut answers)) = send_query(cx, query, targets) else {
+        return own;
     };
     let timeout = match asker {
         Some(_) => FORWARD_TIMEOUT,
         None => QUERY_TIMEOUT,
     };
-    let decision = tokio::time::timeout(timeout, decide(answers, agreement)).await;
+    let mut best = own;
+    let deciding = decide(&mut answers, agreement, &mut best);
+    // What has been answered in time counts.
+    drop(tokio::time::timeout(timeout, deciding).await);
     cx.state.borrow_mut().origin_queries.queries.remove(&id);
-    decision.ok()?
+    best
+}
+
+/// Leaves only the hosts that state what is proven, if there are any, and says how the answers decide.
+fn narrow_targets(
+    state: &State,
+    mut targets: Vec<Arc<str>>,
+    query: &streams::OriginQuery,
+) -> (Vec<Arc<str>>, Agreement) {
+    let feature = peer::Feature::StreamBeginnings;
+    let states_proven = |host: &Arc<str>| {
+        let outbox = state.outboxes.get(host);
+        outbox.is_some_and(|outbox| outbox.has_feature(feature))
+    };
+    if targets.iter().any(states_proven) {
+        targets.retain(states_proven);
+        return (targets, Agreement::First);
+    }
+    match has_record(state, query) {
+        true => (targets, Agreement::All),
+        false => (targets, Agreement::First),
+    }
 }
 
 /// Sends a query to other hosts. Returns its id and the channel of the answers, or `None` if there
@@ -263,9 +379,8 @@
 fn send_query<D, S>(
     cx: &Context<D, S>,
     query: &streams::OriginQuery,
-    asker: Option<&Arc<str>>,
-) -> Option<(u32, mpsc::UnboundedReceiver<Option<streams::VersionTag>>)> {
-    let targets = query_targets(cx, asker);
+    targets: Vec<Arc<str>>,
+) -> Option<(u32, mpsc::UnboundedReceiver<streams::Answer>)> {
     let state = &mut *cx.state.borrow_mut();
     if state.origin_queries.queries.len() >= MAX_OPEN_QUERIES {
         return None;
@@ -322,20 +437,49 @@
     is_in_domain && !state.overlay.is_own_relay(host)
 }
 
-/// Decides a query from the answers. Waits for those that are needed.
+/// Decides a query from the answers. Waits for those that are needed. `best` is the best answer so far.
 async fn decide(
-    mut answers: mpsc::UnboundedReceiver<Option<streams::VersionTag>>,
+    answers: &mut mpsc::UnboundedReceiver<streams::Answer>,
     agreement: Agreement,
-) -> Option<streams::VersionTag> {
+    best: &mut streams::Answer,
+) {
+    match agreement {
+        Agreement::First => decide_by_first(answers, best).await,
+        Agreement::All => decide_by_all(answers, best).await,
+    }
+}
+
+async fn decide_by_first(
+    answers: &mut mpsc::UnboundedReceiver<streams::Answer>,
+    best: &mut streams::Answer,
+) {
+    while let Some(answer) = answers.recv().await {
+        match (answer, *best) {
+            (streams::Answer::Version(_), _) => {
+                *best = answer;
+                return;
+            }
+            (streams::Answer::Claim(_), streams::Answer::Unknown) => *best = answer,
+            (streams::Answer::Claim(_) | streams::Answer::Unknown, _) => {}
+        }
+    }
+}
+
+async fn decide_by_all(
+    answers: &mut mpsc::UnboundedReceiver<streams::Answer>,
+    best: &mut streams::Answer,
+) {
     let mut agreed = None;
     while let Some(answer) = answers.recv().await {
-        match (agreement, answer) {
-            (Agreement::First, Some(version)) => return Some(version),
-            (Agreement::First, None) => {}
-            (Agreement::All, None) => return None,
-            (Agreement::All, Some(version)) if agreed.is_some_and(|a| a != version) => return None,
-            (Agreement::All, Some(version)) => agreed = Some(version),
+        let streams::Answer::Version(version) = answer else {
+            return;
+        };
+        if agreed.is_some_and(|agreed| agreed != version) {
+            return;
         }
+        agreed = Some(version);
+    }
+    if let Some(version) = agreed {
+        *best = streams::Answer::Version(version);
     }
-    agreed
 }
--- a/crates/gateway/src/control/origins/tests.rs
+++ b/crates/gateway/src/control/origins/tests.rs
@@ -2,21 +2,49 @@
 
 use std::sync::Arc;
 
-use pistachiochute_core::streams;
+use pistachiochute_core::{directory, streams, time};
+use pistachiochute_runtime::clock;
 use tokio::sync::mpsc;
 
-use super::{Agreement, OpenQueries, OpenQuery, decide};
+use super::{Agreement, OpenQueries, OpenQuery, decide, decode, encode};
+use streams::Answer;
 
-type Answer = Option<streams::VersionTag>;
+const UNKNOWN: Answer = Answer::Unknown;
 
 fn tag(version: &str) -> Answer {
-    Some(streams::VersionTag::new("reader", &version.into()))
+    Answer::Version(streams::VersionTag::new("reader", &version.into()))
+}
+
+/// A record of the stream that is not proven.
+fn beginning(connected_at: time::Time) -> streams::Beginning {
+    let identity = directory::Identity {
+        id: "i".into(),
+        started_at_ms: 1,
+    };
+    streams::Beginning {
+        stream: streams::StreamOrigin {
+            stream: streams::StreamKey::of_request(b"r"),
+            origin: streams::Origin {
+                version: streams::VersionTag::new("reader", &"v1".into()),
+                endpoint: streams::EndpointKey::of_id("i"),
+            },
+        },
+        connected: streams::Connected {
+            to: streams::IncarnationTag::of(&identity),
+            by: connected_at,
+        },
+        is_shown: false,
+    }
+}
+
+fn claim() -> Answer {
+    Answer::Claim(beginning(time::Time::from_secs(1)))
 }
 
 /// Decides a query that two hosts were sent. The channel closes after the last answer.
-fn decide_from(answers: &[(&str, Answer)], agreement: Agreement) -> Answer {
+fn decide_from(answers: &[(&str, Answer)], agreement: Agreement, own: Answer) -> Answer {
     let mut open = OpenQueries::default();
-    let (tx, rx) = mpsc::unbounded_channel();
+    let (tx, mut rx) = mpsc::unbounded_channel();
     let query = OpenQuery {
         waiting_for: ["a", "b"].map(Arc::from).to_vec(),
         answers: tx,
@@ -29,34 +57,66 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .build()
         .expect("a runtime");
-    runtime.block_on(decide(rx, agreement))
+    let mut best = own;
+    runtime.block_on(decide(&mut rx, agreement, &mut best));
+    best
 }
 
 #[test]
 fn first_answer_with_a_version_decides() {
-    let decide = |answers: &[_]| decide_from(answers, Agreement::First);
-    assert_eq!(decide(&[("a", None), ("b", tag("v1"))]), tag("v1"));
-    assert_eq!(decide(&[("b", tag("v1")), ("a", None)]), tag("v1"));
-    assert_eq!(decide(&[("a", None), ("b", None)]), None);
+    let decide = |answers: &[_]| decide_from(answers, Agreement::First, UNKNOWN);
+    assert_eq!(decide(&[("a", UNKNOWN), ("b", tag("v1"))]), tag("v1"));
+    assert_eq!(decide(&[("b", tag("v1")), ("a", UNKNOWN)]), tag("v1"));
+    assert_eq!(decide(&[("a", UNKNOWN), ("b", UNKNOWN)]), UNKNOWN);
 }
 
-/// One of the hosts may not know yet that an endpoint has restarted with another version.
+/// Hosts of an earlier build state what they have recorded, and one of them may not know yet that an
+/// endpoint has restarted with another version.
 #[test]
 fn uncertain_record_needs_the_agreement_of_all() {
-    let decide = |answers: &[_]| decide_from(answers, Agreement::All);
+    let decide = |answers: &[_]| decide_from(answers, Agreement::All, UNKNOWN);
     assert_eq!(decide(&[("a", tag("v1")), ("b", tag("v1"))]), tag("v1"));
-    assert_eq!(decide(&[("a", tag("v1")), ("b", None)]), None);
-    assert_eq!(decide(&[("a", None), ("b", tag("v1"))]), None);
-    assert_eq!(decide(&[("a", tag("v1")), ("b", tag("v2"))]), None);
+    assert_eq!(decide(&[("a", tag("v1")), ("b", UNKNOWN)]), UNKNOWN);
+    assert_eq!(decide(&[("a", UNKNOWN), ("b", tag("v1"))]), UNKNOWN);
+    assert_eq!(decide(&[("a", tag("v1")), ("b", tag("v2"))]), UNKNOWN);
 }
 
 #[test]
 fn second_answer_and_answers_of_others_do_not_count() {
     let answers = [
         ("c", tag("v2")),
-        ("a", None),
+        ("a", UNKNOWN),
         ("a", tag("v2")),
         ("b", tag("v1")),
     ];
-    assert_eq!(decide_from(&answers, Agreement::First), tag("v1"));
+    assert_eq!(decide_from(&answers, Agreement::First, UNKNOWN), tag("v1"));
+}
+
+/// Guards against LOST: a record that its endpoint could prove, and that is lost among answers of hosts that
+/// know nothing; and against ORDER: one that counts as a version.
+#[test]
+fn a_claim_counts_for_less_than_a_version_and_more_than_nothing() {
+    let decide = |answers: &[_], own| decide_from(answers, Agreement::First, own);
+    assert_eq!(decide(&[("a", claim()), ("b", UNKNOWN)], UNKNOWN), claim());
+    assert_eq!(
+        decide(&[("a", claim()), ("b", tag("v1"))], UNKNOWN),
+        tag("v1")
+    );
+    assert_eq!(decide(&[("a", UNKNOWN), ("b", UNKNOWN)], claim()), claim());
+    let all = decide_from(&[("a", UNKNOWN), ("b", UNKNOWN)], Agreement::All, claim());
+    assert_eq!(all, claim());
+}
+
+/// Guards against ORDER: a connection that counts as older on another host than it is, so that a sign of life
+/// from before it proves whose it is.
+#[test]
+fn a_connection_is_no_older_on_another_host() {
+    let connected_at = clock::now();
+    let sent_at = connected_at + std::time::Duration::from_micros(12_900);
+    let record = encode(&beginning(connected_at), sent_at);
+    assert_eq!(record.connected_ms, 12);
+    let on_the_way = std::time::Duration::from_millis(40);
+    let decoded = decode(&record, sent_at + on_the_way);
+    assert!(decoded.connected.by >= connected_at);
+    assert_eq!(decoded.stream, beginning(connected_at).stream);
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -67,8 +67,8 @@
     pub overlay: overlay::Overlay,
     /// Origins of the streams that began lately, as far as this host knows them.
     pub origins: streams::Origins,
-    /// Origins of this host's streams that other hosts have not been sent.
-    pub unsent_origins: Vec<streams::StreamOrigin>,
+    /// Beginnings of this host's streams that other hosts have not been sent.
+    pub unsent_beginnings: Vec<streams::Beginning>,
     /// Queries for the origins of streams that other hosts were sent.
     pub origin_queries: origins::OpenQueries,
     /// Software versions that endpoints have had lately.
@@ -101,7 +101,7 @@
             load_reports: load_reports::LoadReports::default(),
             overlay: overlay::Overlay::default(),
             origins: streams::Origins::new(),
-            unsent_origins: Vec::new(),
+            unsent_beginnings: Vec::new(),
             origin_queries: origins::OpenQueries::default(),
             versions,
             quarantine: quarantine::Quarantine::new(),
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -128,15 +128,18 @@
     }
     let mut next = written;
     let mut origins = Vec::new();
-    for (number, stream, recorded_at) in state.origins.recorded_from(written) {
+    for (number, stream, record) in state.origins.recorded_from(written) {
         if origins.len() >= MAX_ORIGINS_PER_ENTRY {
             break;
         }
         next = number + 1;
-        if contested.contains(&stream.origin.version) {
+        if contested.contains(&record.origin.version) {
             origins.push(streams::StoredOrigin {
-                stream,
-                was_certain: state.versions.is_certain(stream.origin, recorded_at),
+                stream: streams::StreamOrigin {
+                    stream,
+                    origin: record.origin,
+                },
+                was_certain: state.versions.is_certain(&record),
             });
         }
     }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -14,7 +14,7 @@
 use crate::control::{
     Context, cold_endpoints, crash_evidence, evacuations, host_registry, stored_origins,
 };
-use crate::{adapter, events};
+use crate::{adapter, events, shared};
 
 /// Key prefix of all entries.
 const ALL_ENTRIES: &str = "";
@@ -345,8 +345,7 @@
             key_value::Change::Deleted { key, .. } => (key, None),
         };
         if let Some(endpoint) = &endpoint {
-            let versions = &mut cx.state.borrow_mut().versions;
-            versions.record_write(endpoint, known_at, clock::now());
+            record_write(cx, endpoint, known_at);
         }
         if let Some(endpoint) = &endpoint {
             cold_endpoints::apply_entries(cx, [(&**endpoint, change.revision())]);
@@ -360,6 +359,17 @@
     }
 }
 
+/// Records that an endpoint has written its entry at a point in time or later.
+fn record_write<D, S>(cx: &Context<D, S>, endpoint: &directory::Endpoint, alive_at: time::Time) {
+    let versions = &mut cx.state.borrow_mut().versions;
+    if versions.record_write(endpoint, alive_at, clock::now()) {
+        cx.shared.entry_writes.push(shared::EntryWrite {
+            endpoint: endpoint.identity.hash(),
+            alive_at,
+        });
+    }
+}
+
 /// Applies the entry of one endpoint. Returns whether the endpoints in use changed.
 pub(super) fn apply_endpoint<D, S>(
     cx: &Context<D, S>,
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -13,7 +13,7 @@
     run_within, stream_origin, version,
 };
 use pistachiochute_core::memory::Limits;
-use pistachiochute_core::{directory, quarantine, rate_limits, revision};
+use pistachiochute_core::{directory, quarantine, rate_limits, revision, streams};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::clock;
 
@@ -26,7 +26,7 @@
         run(features, async |shared, mut peer| {
             provoke(&shared, &mut peer);
             let version = shared.query_origin(query(UNKNOWN_SERVICE)).await;
-            assert_eq!(version, None);
+            assert_eq!(version, streams::Answer::Unknown);
             let endpoints = peer.wait_for("endpoints", is_endpoints).await;
             // A heartbeat later, every new message would have been sent.
             let statuses = |messages: &[peer::Message]| {
@@ -236,7 +236,8 @@
         // On a busy machine, an answer may come too late for its query.
         let ask = async {
             loop {
-                if let Some(version) = shared.query_origin(query(UNKNOWN_SERVICE)).await {
+                let answer = shared.query_origin(query(UNKNOWN_SERVICE)).await;
+                if let streams::Answer::Version(version) = answer {
                     return version;
                 }
             }
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -12,8 +12,8 @@
 use pistachiochute_core::memory::Limits;
 use pistachiochute_core::{admission, directory, reason, retry, revision, streams};
 use pistachiochute_messages::{codec, peer};
-use pistachiochute_runtime::metrics;
 use pistachiochute_runtime::platform::key_value;
+use pistachiochute_runtime::{clock, metrics};
 
 use crate::control::HOSTS_PREFIX;
 use crate::control::state::HostEntry;
@@ -394,9 +394,25 @@
     }
 }
 
+/// Beginning of the stream of [`stream_origin`], proven.
+pub fn beginning() -> streams::Beginning {
+    let identity = directory::Identity {
+        id: "i-1".into(),
+        started_at_ms: 1,
+    };
+    streams::Beginning {
+        stream: stream_origin(),
+        connected: streams::Connected {
+            to: streams::IncarnationTag::of(&identity),
+            by: clock::now(),
+        },
+        is_shown: true,
+    }
+}
+
 /// Gives the host a cause for each of the new messages.
 pub fn provoke(shared: &shared::Shared, peer: &mut Peer) {
-    shared.local_origins.push(stream_origin());
+    shared.local_beginnings.push(beginning());
     peer.send(&peer::Message::Want(peer::StateVersion::default()));
     let query = query(SERVICE);
     peer.send(&peer::Message::OriginQuery {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,8 +22,8 @@
 
 pub use entry::{
     AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, Lender, NoticeSource,
-    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source, StreamPart,
-    StreamPartsLogEntry, StreamVersionLogEntry,
+    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source, StreamClaimLogEntry,
+    StreamPart, StreamPartsLogEntry, StreamVersionLogEntry,
 };
 
 /// Most lines about requests that a host logs per second.
@@ -516,6 +516,23 @@
         );
     }
 
+    /// A stream was taken up whose record was not proven, and its endpoint was asked.
+    pub fn stream_claim(&self, entry: &StreamClaimLogEntry) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        let (message, by) = match entry.proof {
+            Ok(proof) => ("stream record proven", proof),
+            Err(reason) => ("stream record unproven", reason),
+        };
+        slog::info!(
+            self.log, "{}", message;
+            "stream" => %entry.stream, "version" => %entry.version,
+            "incarnation" => %entry.incarnation, "by" => by,
+            "connected_for_ms" => millis(entry.connected_for),
+        );
+    }
+
     /// The host closes a caller's connection that has unfinished requests. `error` is the error of
     /// the connection, if that is the cause.
     pub fn connection_closed(&self, cause: reason::Close, requests: u32, error: Option<&str>) {
--- a/crates/gateway/src/events/entry.rs
+++ b/crates/gateway/src/events/entry.rs
@@ -270,3 +270,18 @@
     /// Time since the list of endpoints was last confirmed.
     pub list_age: Duration,
 }
+
+/// Data of the line about the record of a stream that is taken up and that was not proven.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamClaimLogEntry {
+    /// The stream.
+    pub stream: streams::StreamKey,
+    /// Version of the record.
+    pub version: streams::VersionTag,
+    /// Incarnation by whose entry the host connected that recorded it.
+    pub incarnation: streams::IncarnationTag,
+    /// Time since the connection was made, at least.
+    pub connected_for: Duration,
+    /// What proved it, or why nothing did.
+    pub proof: Result<&'static str, &'static str>,
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,7 +100,25 @@
     /// The query.
     pub(crate) query: streams::OriginQuery,
     /// Takes the answer.
-    pub(crate) reply: oneshot::Sender<Option<streams::VersionTag>>,
+    pub(crate) reply: oneshot::Sender<streams::Answer>,
+}
+
+/// What a report has shown of the incarnation of an endpoint.
+#[derive(Clone, Debug)]
+pub struct ObservedSign {
+    /// The incarnation whose entry named the address.
+    pub endpoint: directory::Identity,
+    /// What was shown.
+    pub sign: streams::LifeSign,
+}
+
+/// A write of an endpoint's entry, which shows that the endpoint was alive.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryWrite {
+    /// Hash of the endpoint's identity.
+    pub endpoint: u64,
+    /// The store executed the write at this time or later.
+    pub alive_at: time::Time,
 }
 
 /// A pause that an endpoint has asked this host for.
@@ -138,7 +156,11 @@
     /// Prompt parts that endpoints cached for other hosts.
     pub remote_cached_parts: SegQueue<peer::CachedPart>,
     /// Streams that endpoints began for this host, to be sent to other hosts.
-    pub local_origins: SegQueue<streams::StreamOrigin>,
+    pub local_beginnings: SegQueue<streams::Beginning>,
+    /// What reports to this host have shown of endpoints, for the control thread.
+    pub observed_signs: SegQueue<ObservedSign>,
+    /// Writes of the entries of endpoints, for the traffic thread.
+    pub entry_writes: SegQueue<EntryWrite>,
     /// Limits that endpoints have named to this host, to be sent to other hosts.
     pub local_limits: SegQueue<rate_limits::Statement>,
     /// Limits that endpoints have named to other hosts.
@@ -182,7 +204,9 @@
             local_loads: ArcSwap::default(),
             local_cached_parts: SegQueue::new(),
             remote_cached_parts: SegQueue::new(),
-            local_origins: SegQueue::new(),
+            local_beginnings: SegQueue::new(),
+            observed_signs: SegQueue::new(),
+            entry_writes: SegQueue::new(),
             local_limits: SegQueue::new(),
             remote_limits: SegQueue::new(),
             cold_endpoints: SegQueue::new(),
@@ -264,15 +288,18 @@
         self.local_loads.store(Arc::new(loads));
     }
 
-    /// Version that began a stream, or `None` if it is not certain or the control thread does not
-    /// answer in time.
-    pub async fn query_origin(&self, query: streams::OriginQuery) -> Option<streams::VersionTag> {
+    /// What is known of the version that began a stream. Nothing if the control thread does not answer in
+    /// time.
+    pub async fn query_origin(&self, query: streams::OriginQuery) -> streams::Answer {
         let (reply, answer) = oneshot::channel();
-        self.origin_requests
-            .try_send(OriginRequest { query, reply })
-            .ok()?;
-        let answer = tokio::time::timeout(QUERY_TIMEOUT, answer).await.ok()?;
-        answer.ok()?
+        let request = OriginRequest { query, reply };
+        if self.origin_requests.try_send(request).is_err() {
+            return streams::Answer::Unknown;
+        }
+        match tokio::time::timeout(QUERY_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => streams::Answer::Unknown,
+        }
     }
 
     /// Queries of the traffic thread, for the control thread. `None` after the first call.
--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -11,7 +11,7 @@
 
 use crate::adapter;
 use crate::traffic::endpoint_report::ReportedProcess;
-use crate::traffic::{Context, endpoint_report, pool};
+use crate::traffic::{Context, life, pool};
 
 /// How the body of an answer ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -96,8 +96,7 @@
     proof
 }
 
-/// As [`check_life`], for what is no end of an answer.
-pub(super) async fn prove_life<D>(
+async fn prove_life<D>(
     cx: &Context<D>,
     endpoint: &directory::Endpoint,
     max_connections: u32,
@@ -108,10 +107,7 @@
     let hosts = cx.shared.view().hosts;
     let opened = cx.pool.open(endpoint, max_connections, hosts).await;
     let mut connection = opened.map_err(NoProofOfLife::Unconnected)?;
-    let process = endpoint_report::ask(cx, &mut connection, endpoint).await;
-    if process == ReportedProcess::Same {
-        connection.set_proven();
-    }
+    let process = life::ask_and_record(cx, &mut connection, endpoint).await;
     if connection.is_free() {
         connection.release(None);
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -341,6 +341,7 @@
         connection,
         version,
     } = cleared;
+    let connected_at = connection.connected_at();
     let (mut parts, body) = answer.into_parts();
     cx.endpoints
         .borrow_mut()
@@ -394,6 +395,7 @@
             connection: Some(connection),
             idle_limit,
             framing,
+            connected_at,
             version,
         });
         return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -5,19 +5,18 @@
 use std::time::Duration;
 
 use http::response;
-use pistachiochute_core::{admission, catalog, directory, outcome, reason, retry, streams, time};
+use pistachiochute_core::{admission, catalog, directory, outcome, reason, retry, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer};
 use crate::traffic::event_stream::{RequestState, TruncatedStream};
 use crate::traffic::opened_stream::OpenedStream;
-use crate::traffic::plan::Plan;
 use crate::traffic::report::Report;
 use crate::traffic::{
-    Context, answer_end, attempt, cached_parts, crash_watch, endpoints, forwarding, overload,
-    permits, proofs, reply, slots, suspect_turns,
+    Context, attempt, beginnings, cached_parts, crash_watch, endpoints, forwarding, overload,
+    permits, reply, slots, suspect_turns,
 };
-use crate::{adapter, events, shared};
+use crate::{adapter, events};
 
 /// Fraction of the target latency after which an idempotent call without an answer is sent to
 /// another endpoint.
@@ -30,75 +29,6 @@
 /// Hosts that are asked for a permit before an attempt.
 const MAX_QUESTIONS: u32 = 6;
 
-/// Software version at which a stream goes on that has events.
-pub(super) async fn resumed_version(
-    shared: &shared::Shared,
-    plan: &Plan,
-    stream: Option<streams::StreamKey>,
-) -> Result<streams::VersionTag, reason::Refusal> {
-    let query = streams::OriginQuery {
-        stream,
-        service: plan.service().name.clone(),
-        span: plan.longest_span(),
-    };
-    let version = shared.query_origin(query).await;
-    version.ok_or(reason::Refusal::StreamVersionUnknown)
-}
-
-/// Records at which software version a stream has begun, so that any host can resume it there. The stream
-/// begins with its first event: a run that brought none leaves nothing that another has to fit.
-pub(super) fn record_origin<D>(state: &RequestState<D>, opened: &OpenedStream<D>)
-where
-    D: adapter::Dialect,
-{
-    if let (None, Some(endpoint)) = (state.version, opened.endpoint()) {
-        push_origin(state, endpoint, opened.version());
-    }
-}
-
-/// Tells all hosts at which version a stream has begun, if something shows it.
-fn push_origin<D>(
-    state: &RequestState<D>,
-    endpoint: &directory::Endpoint,
-    version: proofs::ProcessVersion,
-) where
-    D: adapter::Dialect,
-{
-    let Some(version) = version.tag() else {
-        return;
-    };
-    state.cx.shared.local_origins.push(streams::StreamOrigin {
-        stream: state.stream,
-        origin: streams::Origin {
-            version,
-            endpoint: streams::EndpointKey::of_id(&endpoint.identity.id),
-        },
-    });
-}
-
-/// Whether a stream that broke off is known to have begun at a process that is not the one of its
-/// endpoint's entry. One that began by the list is asked for, and the hosts are told if it is not.
-async fn began_unlisted<D>(state: &RequestState<D>, broken: &BrokenStream) -> bool
-where
-    D: adapter::Dialect,
-{
-    let Some(endpoint) = &broken.endpoint else {
-        return false;
-    };
-    match broken.version {
-        proofs::ProcessVersion::Unlisted => return true,
-        proofs::ProcessVersion::Reported(_) | proofs::ProcessVersion::Unknown => return false,
-        proofs::ProcessVersion::Listed(_) => {}
-    }
-    let max_connections = state.plan.service().max_connections;
-    let life = answer_end::prove_life(&state.cx, endpoint, max_connections).await;
-    let is_replaced = matches!(life, Err(answer_end::NoProofOfLife::Replaced));
-    if is_replaced {
-        push_origin(state, endpoint, proofs::ProcessVersion::Unlisted);
-    }
-    is_replaced
-}
-
 /// Result of all attempts of a request.
 pub(super) enum FinalAnswer<D>
 where
@@ -496,8 +426,6 @@
     pub after_event: Option<u64>,
     /// Endpoint that broke it off, unless it came through another host.
     pub endpoint: Option<Arc<directory::Endpoint>>,
-    /// Software version of the process that broke it off.
-    pub version: proofs::ProcessVersion,
     /// Whether it went on for long enough to clear its prompt.
     pub has_gone_on: bool,
     /// Error text.
@@ -534,11 +462,7 @@
         }
     }
     if after_event.is_some() && state.version.is_none() {
-        if began_unlisted(&state, &broken).await {
-            let reason = reason::Refusal::StreamVersionUnknown;
-            return (state, Err(TruncatedStream::new(reason.as_str())));
-        }
-        match resumed_version(&cx.shared, &state.plan, Some(state.stream)).await {
+        match beginnings::resumed_version(&cx, &state.plan, Some(state.stream)).await {
             Ok(version) => state.version = Some(version),
             Err(reason) => return (state, Err(TruncatedStream::new(reason.as_str()))),
         }
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -38,15 +38,11 @@
     max_slow_share: 0.2,
 };
 
-/// Time from a lost connection to a confirmation of the list of endpoints that shows that the endpoint
-/// has its version still. It may have restarted under its id with another one, and its new entry comes
-/// after up to one heartbeat and one delay of the watch.
+/// Time from a lost connection to a confirmation of the list of endpoints after which the endpoint is no
+/// longer avoided for streams that go on. It may have restarted under its id with another version, and its
+/// new entry comes after up to one heartbeat and one delay of the watch. Proves nothing.
 const RESTART_NOTICE: Duration = Duration::from_secs(3);
 
-/// Age up to which the list of endpoints shows the versions of those that do not report. Confirmations come
-/// once a second or more often.
-const CURRENT_LIST_AGE: Duration = Duration::from_millis(1_500);
-
 /// State of one endpoint.
 #[derive(Debug)]
 struct Entry {
@@ -60,8 +56,10 @@
     is_unreachable: bool,
     /// When a connection to it was last lost or could not be made.
     lost_at: Option<time::Time>,
-    /// When the process that its entry describes was last asked for the report that it gave.
-    reported_alive_at: Option<time::Time>,
+    /// Latest time at which the process that its entry describes is known to have been alive.
+    alive_at: Option<time::Time>,
+    /// Whether another process is known to have its address.
+    has_ended: bool,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
@@ -71,6 +69,13 @@
 }
 
 impl Entry {
+    /// Records that its process was alive at a point in time.
+    fn record_alive(&mut self, at: time::Time) {
+        if !self.has_ended {
+            self.alive_at = self.alive_at.max(Some(at));
+        }
+    }
+
     /// Whether the view of a generation has the endpoint among those that take requests.
     fn is_listed_ready(&self, generation: u64) -> bool {
         self.generation == generation && !self.is_listed_leaving
@@ -84,7 +89,7 @@
     pub choice: choice::Choice,
     /// Address of the endpoint that cached prompt tokens are copied from.
     pub copy_from: Option<std::net::SocketAddr>,
-    /// Software version of the endpoint, if its entry is recent and not in doubt.
+    /// Software version of the endpoint, if its entry is recent and not in doubt. It is a claim.
     pub version: Option<streams::VersionTag>,
     /// Permit for a request to it.
     pub permit: Permit,
@@ -229,7 +234,7 @@
         let mut closed = self.leaving.get(service).cloned().unwrap_or_default();
         closed.extend(self.take_closed(&mut ids, eligibility, now));
         if eligibility.version.is_some() {
-            self.prefer_certain(&mut ids);
+            self.prefer_likely(&mut ids);
         }
         self.hold_back_returning(&mut ids, request.seed, now);
         let mut candidates: Vec<_> = ids
@@ -328,52 +333,84 @@
         self.list_confirmed_at = self.list_confirmed_at.max(at);
     }
 
-    /// Whether the entry of an endpoint is current, and nothing has put it in doubt.
-    pub(super) fn is_listed(&self, id: entity::EndpointId, now: time::Time) -> bool {
-        let entry = self.entries.get(id);
-        entry.is_some_and(|entry| self.is_current(entry, now))
+    /// Records what a report has shown of the process that an endpoint's entry describes.
+    pub(super) fn record_sign(
+        &mut self,
+        identity: &directory::Identity,
+        sign: streams::LifeSign,
+        now: time::Time,
+    ) {
+        let id = self.ids.get(identity);
+        let Some(entry) = id.and_then(|id| self.entries.get_mut(*id)) else {
+            return;
+        };
+        match sign {
+            streams::LifeSign::Alive(at) => entry.record_alive(at),
+            streams::LifeSign::Ended => {
+                entry.has_ended = true;
+                entry.lost_at = Some(now);
+            }
+        }
     }
 
-    /// Records that the process that an endpoint's entry describes gave the report for which it was asked
-    /// at a point in time.
-    pub(super) fn record_report(&mut self, id: entity::EndpointId, asked_at: time::Time) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.reported_alive_at = entry.reported_alive_at.max(Some(asked_at));
+    /// Applies the writes of entries that the control thread has read.
+    pub(super) fn apply_entry_writes(&mut self, shared: &shared::Shared) {
+        while let Some(write) = shared.entry_writes.pop() {
+            let id = self.by_hash.get(&write.endpoint);
+            if let Some(entry) = id.and_then(|id| self.entries.get_mut(*id)) {
+                entry.record_alive(write.alive_at);
+            }
         }
     }
 
-    /// Removes the endpoints whose versions are in doubt if there are others. Those that are left have to
-    /// report before a stream goes on there.
-    fn prefer_certain(&self, ids: &mut Vec<entity::EndpointId>) {
-        let is_certain = |id: &entity::EndpointId| self.has_certain_version(*id);
-        if ids.iter().any(is_certain) {
-            ids.retain(is_certain);
-        }
+    /// Whether an incarnation is known to have been alive at a point in time, or later. A connection that
+    /// was made to its address by then is its own.
+    pub(super) fn was_alive_after(&self, identity: &directory::Identity, at: time::Time) -> bool {
+        let id = self.ids.get(identity);
+        let entry = id.and_then(|id| self.entries.get(*id));
+        identity.is_distinct()
+            && entry.is_some_and(|entry| entry.alive_at.is_some_and(|alive_at| at <= alive_at))
     }
 
-    /// Whether the list shows the version at which a stream begins at an endpoint. Its process is asked if
-    /// the stream breaks off.
-    fn may_begin_by_list(&self, entry: &Entry, now: time::Time) -> bool {
-        now.since(self.list_confirmed_at) <= streams::MAX_LIST_AGE && self.is_version_certain(entry)
+    /// The incarnation with a tag.
+    pub(super) fn incarnation(
+        &self,
+        tag: streams::IncarnationTag,
+    ) -> Option<Arc<directory::Endpoint>> {
+        let mut endpoints = self.entries.values().map(|entry| &entry.endpoint);
+        let is_meant = |endpoint: &&Arc<directory::Endpoint>| {
+            streams::IncarnationTag::of(&endpoint.identity) == tag
+        };
+        endpoints.find(is_meant).cloned()
     }
 
-    /// Whether the list of endpoints is current, and nothing has put an entry in doubt.
-    fn is_current(&self, entry: &Entry, now: time::Time) -> bool {
-        now.since(self.list_confirmed_at) <= CURRENT_LIST_AGE && self.is_version_certain(entry)
+    /// Removes the endpoints whose versions are in doubt if there are others. A stream goes on at those that
+    /// are left only if they prove their version.
+    fn prefer_likely(&self, ids: &mut Vec<entity::EndpointId>) {
+        let is_likely = |id: &entity::EndpointId| self.has_likely_version(*id);
+        if ids.iter().any(is_likely) {
+            ids.retain(is_likely);
+        }
+    }
+
+    /// Whether a stream begins at an endpoint without a question to its process: writes of its entry are
+    /// read, and soon show whether it was the one of its entry.
+    fn may_begin_by_list(&self, entry: &Entry, now: time::Time) -> bool {
+        now.since(self.list_confirmed_at) <= streams::MAX_LIST_AGE && self.is_version_likely(entry)
     }
 
-    /// Whether the endpoint has the version of its entry for certain.
-    fn has_certain_version(&self, id: entity::EndpointId) -> bool {
+    /// Whether nothing puts the version in the entry of an endpoint in doubt.
+    fn has_likely_version(&self, id: entity::EndpointId) -> bool {
         let entry = self.entries.get(id);
-        entry.is_some_and(|entry| self.is_version_certain(entry))
+        entry.is_some_and(|entry| self.is_version_likely(entry))
     }
 
-    /// Whether an endpoint has the version of its entry for certain. A connection that this host has lost
-    /// leaves it in doubt until a list has come that would show its next version, or it has reported since.
-    fn is_version_certain(&self, entry: &Entry) -> bool {
+    /// Whether nothing puts the version in an entry in doubt. A connection that this host has lost does so
+    /// until a list has come that would show the next version, or the process has given a sign of life.
+    fn is_version_likely(&self, entry: &Entry) -> bool {
         let is_explained = |lost_at: time::Time| {
-            let has_reported = entry.reported_alive_at.is_some_and(|at| lost_at < at);
-            has_reported || lost_at + RESTART_NOTICE <= self.list_confirmed_at
+            let is_alive = entry.alive_at.is_some_and(|at| lost_at < at);
+            is_alive || lost_at + RESTART_NOTICE <= self.list_confirmed_at
         };
         entry.lost_at.is_none_or(is_explained)
     }
@@ -591,7 +628,8 @@
                 work: load::Work::default(),
                 is_unreachable: false,
                 lost_at: None,
-                reported_alive_at: None,
+                alive_at: None,
+                has_ended: false,
                 is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -120,7 +120,7 @@
     assert_eq!(resumed_at(&table, later), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], later);
     table.record_lost_connection(ids[1], later);
-    assert!(!ids.iter().any(|id| table.is_listed(*id, later)));
+    assert!(!ids.iter().any(|id| table.has_likely_version(*id)));
 }
 
 /// Guards against LOST: streams that are refused though an endpoint whose connection was lost has reported
@@ -129,26 +129,77 @@
 fn a_report_after_the_loss_ends_the_doubt() {
     let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
-    table.record_report(ids[0], NOW);
+    let identity = table
+        .entries
+        .get(ids[0])
+        .expect("an endpoint")
+        .endpoint
+        .identity
+        .clone();
+    table.record_sign(&identity, streams::LifeSign::Alive(NOW), NOW);
     let lost_at = NOW + Duration::from_millis(1);
     table.record_lost_connection(ids[0], lost_at);
     assert_eq!(resumed_at(&table, lost_at), BTreeSet::from([2]));
     let reported_at = lost_at + Duration::from_millis(1);
-    table.record_report(ids[0], reported_at);
+    table.record_sign(
+        &identity,
+        streams::LifeSign::Alive(reported_at),
+        reported_at,
+    );
     assert_eq!(resumed_at(&table, reported_at), BTreeSet::from([1, 2]));
 }
 
-/// Guards against ORDER: a stream that goes on at an endpoint without a report, by a list that a host that
-/// stood still or was cut off took for current.
+/// Guards against ORDER: a stream that goes on over a connection, or is recorded by one, that may belong to a
+/// process which took the place of the entry's, by a list of any age.
 #[test]
-fn an_old_list_shows_no_version() {
+fn no_list_shows_whose_a_connection_is() {
     let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
-    let old = NOW + super::CURRENT_LIST_AGE + Duration::from_millis(1);
-    assert!(table.is_listed(ids[0], NOW));
-    assert!(!table.is_listed(ids[0], old));
-    table.confirm_list(old);
-    assert!(table.is_listed(ids[0], old));
+    let identity = table
+        .entries
+        .get(ids[0])
+        .expect("an endpoint")
+        .endpoint
+        .identity
+        .clone();
+    let connected_at = NOW + Duration::from_millis(10);
+    table.confirm_list(connected_at);
+    assert!(!table.was_alive_after(&identity, connected_at));
+    let earlier = NOW + Duration::from_millis(9);
+    table.record_sign(&identity, streams::LifeSign::Alive(earlier), earlier);
+    assert!(!table.was_alive_after(&identity, connected_at));
+    table.record_sign(
+        &identity,
+        streams::LifeSign::Alive(connected_at),
+        connected_at,
+    );
+    assert!(table.was_alive_after(&identity, connected_at));
+}
+
+/// Guards against ORDER: a delayed write of an entry that counts as a sign of life, though another process is
+/// known to have the address.
+#[test]
+fn an_endpoint_that_has_ended_gives_no_sign_of_life() {
+    let (mut table, _) = table_of_two();
+    let ids = table.by_service["engines"].clone();
+    let endpoint = table
+        .entries
+        .get(ids[0])
+        .expect("an endpoint")
+        .endpoint
+        .clone();
+    let identity = &endpoint.identity;
+    table.record_sign(identity, streams::LifeSign::Alive(NOW), NOW);
+    table.record_sign(identity, streams::LifeSign::Ended, NOW);
+    let shared = shared::Shared::default();
+    let late = NOW + Duration::from_secs(1);
+    shared.entry_writes.push(shared::EntryWrite {
+        endpoint: identity.hash(),
+        alive_at: late,
+    });
+    table.apply_entry_writes(&shared);
+    assert!(table.was_alive_after(identity, NOW));
+    assert!(!table.was_alive_after(identity, late));
 }
 
 /// Guards against streams that go on, while the store is down, at an endpoint that has restarted under its
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -21,7 +21,9 @@
 use crate::traffic::attempt::OutgoingRequest;
 use crate::traffic::opened_stream::{LifeCheck, OpenedStream, Piece};
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, attempts, crash_watch, endpoints, forwarding, overload, report};
+use crate::traffic::{
+    Context, attempts, beginnings, crash_watch, endpoints, forwarding, overload, report,
+};
 
 /// Events of a stream that are passed on at once.
 const EVENTS_AT_ONCE: usize = 32;
@@ -352,7 +354,7 @@
     /// Records the version at which the stream begins.
     fn record_origin(&self) {
         if let (Source::Opened(opened), Some(state)) = (&self.source, &self.state) {
-            attempts::record_origin(state, opened);
+            beginnings::record(state, opened);
         }
     }
 
@@ -432,7 +434,6 @@
         Some(attempts::BrokenStream {
             after_event: self.splitter.last_id(),
             endpoint: opened.endpoint().cloned(),
-            version: opened.version(),
             has_gone_on: opened.has_gone_on,
             cause: cause.to_owned(),
         })
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod answer_end;
 mod attempt;
 mod attempts;
+mod beginnings;
 mod cached_parts;
 mod collect;
 mod connection;
@@ -17,6 +18,7 @@
 pub(crate) mod forwarding;
 mod in_flight;
 mod isolation;
+mod life;
 mod listener;
 pub(crate) mod memory;
 mod metered;
@@ -59,6 +61,7 @@
     endpoints: RefCell<endpoints::EndpointTable>,
     pool: pool::Pool,
     isolations: isolation::Isolations,
+    life_questions: life::Questions,
     forwarder: forwarding::Forwarder,
     datagrams: datagrams::Datagrams,
     permit_questions: questions::Questions<permits::Reply>,
@@ -124,6 +127,7 @@
         )),
         pool: pool::Pool::new(memory.is_bounded()),
         isolations: isolation::Isolations::default(),
+        life_questions: life::Questions::default(),
         forwarder: forwarding::Forwarder::default(),
         datagrams,
         permit_questions: questions::Questions::default(),
@@ -159,6 +163,8 @@
     loop {
         tokio::time::sleep(LOAD_PUBLISH_INTERVAL).await;
         cx.pool.prune();
+        cx.life_questions.prune();
+        cx.endpoints.borrow_mut().apply_entry_writes(&cx.shared);
         cx.crash_watch.borrow_mut().prune(clock::now());
         cx.suspect_turns.borrow_mut().prune();
         update_spill(&cx);
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -13,7 +13,7 @@
 
 use crate::adapter;
 use crate::traffic::answer_end::{AnswerEnd, NoProofOfLife, ProofOfLife};
-use crate::traffic::{answer_end, event_stream, forwarding, in_flight, pool, proofs};
+use crate::traffic::{answer_end, beginnings, event_stream, forwarding, in_flight, pool, proofs};
 
 /// A stream that an endpoint sends.
 pub(super) struct EndpointStream<D>
@@ -26,6 +26,8 @@
     pub connection: Option<pool::Connection>,
     pub idle_limit: Option<Duration>,
     pub framing: outcome::Framing,
+    /// When its connection was made.
+    pub connected_at: time::Time,
     /// Software version of the process that sends it.
     pub version: proofs::ProcessVersion,
 }
@@ -127,12 +129,15 @@
         }
     }
 
-    /// Software version of the process that sends the stream. Another host records the streams that come
-    /// through it.
-    pub(super) const fn version(&self) -> proofs::ProcessVersion {
+    /// How the stream began, unless it comes through another host, which records it.
+    pub(super) fn began(&self) -> Option<beginnings::Began<'_>> {
         match &self.source {
-            StreamSource::Endpoint(endpoint) => endpoint.version,
-            StreamSource::Host(_) => proofs::ProcessVersion::Unknown,
+            StreamSource::Endpoint(endpoint) => Some(beginnings::Began {
+                endpoint: endpoint.in_flight.endpoint(),
+                connected_at: endpoint.connected_at,
+                version: endpoint.version,
+            }),
+            StreamSource::Host(_) => None,
         }
     }
 
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -75,6 +75,15 @@
     sender: Sender,
     since: time::Time,
     max_idle: Duration,
+    process: Process,
+}
+
+/// The process at the other end of a connection, which stays the same for as long as the connection lives.
+#[derive(Clone, Copy, Debug)]
+struct Process {
+    /// When the connection had been made.
+    connected_at: time::Time,
+    /// Whether a report on this connection has shown that it is the one of the endpoint's entry.
     is_proven: bool,
 }
 
@@ -157,6 +166,7 @@
         let stream = sockets::connect(endpoint.address, CONNECT_TIMEOUT)
             .await
             .map_err(AcquireError::Connect)?;
+        let connected_at = clock::now();
         let mut builder = http1::Builder::new();
         if self.is_bounded {
             builder.max_buf_size(MAX_BUFFER_BYTES);
@@ -172,7 +182,10 @@
             sender: Some(sender),
             is_new: true,
             is_free: true,
-            is_proven: false,
+            process: Process {
+                connected_at,
+                is_proven: false,
+            },
         })
     }
 
@@ -185,7 +198,7 @@
             sender: Some(idle.sender),
             is_new: false,
             is_free: true,
-            is_proven: idle.is_proven,
+            process: idle.process,
         }
     }
 
@@ -264,7 +277,7 @@
 
 impl Permit {
     /// Returns a connection to the pool. It stays counted as open, although the permit is released.
-    fn return_idle(self, sender: Sender, max_idle: Duration, is_proven: bool) {
+    fn return_idle(self, sender: Sender, max_idle: Duration, process: Process) {
         let mut endpoints = self.pool.endpoints.borrow_mut();
         if let Some(endpoint) = endpoints.get_mut(&self.identity) {
             endpoint.open += 1;
@@ -272,7 +285,7 @@
                 sender,
                 since: clock::now(),
                 max_idle,
-                is_proven,
+                process,
             });
         }
     }
@@ -292,9 +305,7 @@
     sender: Option<Sender>,
     is_new: bool,
     is_free: bool,
-    /// Whether a report on this connection has shown that the process at its other end is the one of the
-    /// endpoint's entry. It stays that process for as long as the connection lives.
-    is_proven: bool,
+    process: Process,
 }
 
 impl Connection {
@@ -334,14 +345,21 @@
         self.is_free
     }
 
-    /// Whether the process at the other end is known to be the one of the endpoint's entry.
+    /// Whether a report on the connection has shown that the process at the other end is the one of the
+    /// endpoint's entry.
     pub(super) const fn is_proven(&self) -> bool {
-        self.is_proven
+        self.process.is_proven
     }
 
-    /// Records that the process at the other end is the one of the endpoint's entry.
+    /// Records that a report on the connection has shown that the process at the other end is the one of
+    /// the endpoint's entry.
     pub(super) const fn set_proven(&mut self) {
-        self.is_proven = true;
+        self.process.is_proven = true;
+    }
+
+    /// When the connection had been made.
+    pub(super) const fn connected_at(&self) -> time::Time {
+        self.process.connected_at
     }
 
     /// Whether the connection was opened for this request, and nothing was sent on it before.
@@ -359,10 +377,10 @@
             return;
         };
         let permit = self.permit;
-        let is_proven = self.is_proven;
+        let process = self.process;
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_ok() {
-                permit.return_idle(sender, max_idle, is_proven);
+                permit.return_idle(sender, max_idle, process);
             }
         });
     }
--- a/crates/gateway/src/traffic/proofs.rs
+++ b/crates/gateway/src/traffic/proofs.rs
@@ -1,8 +1,9 @@
 //! Proof of the process behind a connection, without which no stream goes on there.
 //!
 //! The other end of a connection stays the same process for as long as the connection lives. So a report
-//! on a connection proves its version for good, whatever the age of the list of endpoints. Endpoints that
-//! do not report are taken by the list, while it is current and nothing has put their entry in doubt.
+//! on a connection proves its version for good. So does a sign of life of the entry's incarnation that is
+//! later than the connection: the host connected by its entry, so it had started before, and it had its
+//! address all along. The list of endpoints by itself proves nothing, however new it is.
 
 use std::time::Duration;
 
@@ -11,9 +12,19 @@
 
 use crate::traffic::attempt::Attempt;
 use crate::traffic::endpoint_report::ReportedProcess;
-use crate::traffic::{Context, endpoint_report, pool};
+use crate::traffic::{Context, beginnings, life, pool};
 use crate::{adapter, events};
 
+/// Longest time for which a resumption waits for a sign of life of an endpoint that does not report. Longer
+/// than the interval at which endpoints write their entries and the delay of a watch.
+const SIGN_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Share of the time after which an attempt counts as stalled that it may wait for a sign of life.
+const SIGN_WAIT_SHARE: f64 = 0.8;
+
+/// Interval at which a waiting resumption looks for a sign of life.
+const SIGN_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What shows that a process has the version of its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Proof {
@@ -21,8 +32,8 @@
     Report,
     /// Its report on the connection, before an earlier request.
     EarlierReport,
-    /// The list of endpoints, since it does not report.
-    List,
+    /// A sign of life of the entry's incarnation after the connection was made.
+    SignOfLife,
 }
 
 impl Proof {
@@ -30,7 +41,7 @@
         match self {
             Self::Report => "report",
             Self::EarlierReport => "earlier_report",
-            Self::List => "list",
+            Self::SignOfLife => "sign_of_life",
         }
     }
 }
@@ -63,34 +74,39 @@
     pub version: ProcessVersion,
 }
 
-/// Software version of the process at the other end of a connection, and what shows it.
+/// Software version of the process at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ProcessVersion {
-    /// The process has reported the start of its endpoint's entry.
-    Reported(streams::VersionTag),
-    /// The entry has it, in a list that is current. The process was not asked, or does not say.
-    Listed(streams::VersionTag),
+    /// The process is the one of its endpoint's entry, which has this version.
+    Shown(streams::VersionTag),
+    /// The entry by which the host connected has it. Nothing shows that the process is the one of the entry.
+    Claimed(streams::VersionTag),
     /// The process has reported another start than that of the entry, so that nothing shows its version.
     Unlisted,
-    /// Nothing shows it.
+    /// The entry does not say.
     Unknown,
 }
 
 impl ProcessVersion {
-    /// The version in a list, if the list is current.
-    fn listed(version: Option<streams::VersionTag>) -> Self {
-        version.map_or(Self::Unknown, Self::Listed)
+    /// The version in an entry by which the host connected.
+    fn claimed(version: Option<streams::VersionTag>) -> Self {
+        version.map_or(Self::Unknown, Self::Claimed)
     }
 
-    /// The version in an entry whose process has reported its start.
-    fn reported(version: Option<streams::VersionTag>) -> Self {
-        version.map_or(Self::Unknown, Self::Reported)
+    /// The version in an entry whose process is at the other end.
+    fn shown(version: Option<streams::VersionTag>) -> Self {
+        version.map_or(Self::Unknown, Self::Shown)
+    }
+
+    /// Whether the process is known to be the one of the entry.
+    pub(super) const fn is_shown(self) -> bool {
+        matches!(self, Self::Shown(_))
     }
 
     /// Tag under which the beginning of a stream is recorded, if it is.
     pub(super) const fn tag(self) -> Option<streams::VersionTag> {
         match self {
-            Self::Reported(version) | Self::Listed(version) => Some(version),
+            Self::Shown(version) | Self::Claimed(version) => Some(version),
             Self::Unlisted => Some(streams::VersionTag::UNLISTED),
             Self::Unknown => None,
         }
@@ -133,25 +149,43 @@
 where
     D: adapter::Dialect,
 {
-    let listed = attempt.selected.version;
+    let version = entry_version(attempt);
     match Purpose::of(attempt) {
         Purpose::GoOn(version) => {
             let connection = prove(cx, attempt, version, connection).await?;
             Ok(ClearedConnection {
                 connection,
-                version: ProcessVersion::Reported(version),
+                version: ProcessVersion::Shown(version),
             })
         }
-        Purpose::Begin if connection.is_proven() || listed.is_none() => {
+        Purpose::Begin if shown_by(cx, attempt, &connection).is_some() => Ok(ClearedConnection {
+            connection,
+            version: ProcessVersion::shown(version),
+        }),
+        Purpose::Begin if attempt.selected.version.is_none() => {
             learn(cx, attempt, connection).await
         }
         Purpose::Begin | Purpose::Other => Ok(ClearedConnection {
             connection,
-            version: ProcessVersion::listed(listed),
+            version: ProcessVersion::claimed(version),
         }),
     }
 }
 
+/// What is known by now to show that the process at the other end is the one of the entry.
+fn shown_by<D>(
+    cx: &Context<D>,
+    attempt: &Attempt<'_>,
+    connection: &pool::Connection,
+) -> Option<Proof> {
+    if connection.is_proven() {
+        return Some(Proof::EarlierReport);
+    }
+    let identity = &attempt.selected.endpoint.identity;
+    let is_alive = beginnings::is_alive_after(cx, identity, connection.connected_at());
+    is_alive.then_some(Proof::SignOfLife)
+}
+
 /// Proves that the process at the other end of a connection has a version.
 async fn prove<D>(
     cx: &Context<D>,
@@ -165,8 +199,8 @@
     if entry_version(attempt) != Some(version) {
         return Err(refuse(cx, attempt, "entry"));
     }
-    if connection.is_proven() {
-        log(cx, attempt, Ok(Proof::EarlierReport));
+    if let Some(proof) = shown_by(cx, attempt, &connection) {
+        log(cx, attempt, Ok(proof));
         return Ok(connection);
     }
     let reported = ask_at_an_open_one(cx, attempt, &mut connection).await?;
@@ -175,19 +209,45 @@
             log(cx, attempt, Ok(Proof::Report));
             Ok(connection)
         }
-        ReportedProcess::Unknown if is_listed(cx, attempt) => {
-            log(cx, attempt, Ok(Proof::List));
-            free(cx, attempt, connection).await
+        ReportedProcess::Unknown => {
+            let connection = free(cx, attempt, connection).await?;
+            wait_for_sign(cx, attempt, connection).await
+        }
+        ReportedProcess::Same | ReportedProcess::Other | ReportedProcess::NoAnswer => {
+            Err(refuse(cx, attempt, reported.as_str()))
         }
-        ReportedProcess::Same
-        | ReportedProcess::Unknown
-        | ReportedProcess::Other
-        | ReportedProcess::NoAnswer => Err(refuse(cx, attempt, reported.as_str())),
     }
 }
 
+/// Waits until a write of the entry shows that the process at the other end, which does not report, is the
+/// one of the entry.
+async fn wait_for_sign<D>(
+    cx: &Context<D>,
+    attempt: &Attempt<'_>,
+    connection: pool::Connection,
+) -> Result<pool::Connection, Unusable> {
+    let end = clock::now() + sign_wait(attempt);
+    loop {
+        if let Some(proof) = shown_by(cx, attempt, &connection) {
+            log(cx, attempt, Ok(proof));
+            return Ok(connection);
+        }
+        if clock::now() >= end {
+            return Err(refuse(cx, attempt, ReportedProcess::Unknown.as_str()));
+        }
+        tokio::time::sleep(SIGN_POLL_INTERVAL).await;
+    }
+}
+
+/// Time for which an attempt waits for a sign of life. It ends before the endpoint counts as stalled.
+fn sign_wait(attempt: &Attempt<'_>) -> Duration {
+    let stall = attempt.stall_timeout;
+    let longest = stall.map_or(SIGN_WAIT, |stall| stall.mul_f64(SIGN_WAIT_SHARE));
+    longest.min(SIGN_WAIT)
+}
+
 /// Learns the version of the process at the other end of a connection. The request is sent whatever the
-/// process says of itself. One that says nothing has the version of a current list.
+/// process says of itself.
 async fn learn<D>(
     cx: &Context<D>,
     attempt: &Attempt<'_>,
@@ -196,18 +256,15 @@
 where
     D: adapter::Dialect,
 {
-    let reported = match connection.is_proven() {
-        true => ReportedProcess::Same,
-        false => ask_at_an_open_one(cx, attempt, &mut connection).await?,
-    };
+    let reported = ask_at_an_open_one(cx, attempt, &mut connection).await?;
     let version = match reported {
         // What was said on a connection that has closed holds for no other one.
         ReportedProcess::Same if connection.is_free() => {
-            ProcessVersion::reported(entry_version(attempt))
+            ProcessVersion::shown(entry_version(attempt))
         }
         ReportedProcess::Other => ProcessVersion::Unlisted,
         ReportedProcess::Same | ReportedProcess::Unknown | ReportedProcess::NoAnswer => {
-            ProcessVersion::listed(attempt.selected.version)
+            ProcessVersion::claimed(entry_version(attempt))
         }
     };
     Ok(ClearedConnection {
@@ -226,37 +283,14 @@
 where
     D: adapter::Dialect,
 {
+    let endpoint = &attempt.selected.endpoint;
     let is_reused = !connection.is_new();
-    let reported = ask(cx, attempt, connection).await;
+    let reported = life::ask_and_record(cx, connection, endpoint).await;
     if reported != ReportedProcess::NoAnswer || !is_reused {
         return Ok(reported);
     }
     *connection = open(cx, attempt).await?;
-    Ok(ask(cx, attempt, connection).await)
-}
-
-/// Asks the process at the other end of a connection for its report, and takes note of what it says.
-async fn ask<D>(
-    cx: &Context<D>,
-    attempt: &Attempt<'_>,
-    connection: &mut pool::Connection,
-) -> ReportedProcess
-where
-    D: adapter::Dialect,
-{
-    let asked_at = clock::now();
-    let id = attempt.selected.choice.endpoint;
-    let reported = endpoint_report::ask(cx, connection, &attempt.selected.endpoint).await;
-    let mut endpoints = cx.endpoints.borrow_mut();
-    match reported {
-        ReportedProcess::Same => {
-            connection.set_proven();
-            endpoints.record_report(id, asked_at);
-        }
-        ReportedProcess::Other => endpoints.record_lost_connection(id, clock::now()),
-        ReportedProcess::Unknown | ReportedProcess::NoAnswer => {}
-    }
-    reported
+    Ok(life::ask_and_record(cx, connection, endpoint).await)
 }
 
 /// A connection that takes a request: this one, or a new one if a probe has used it up.
@@ -294,13 +328,6 @@
     Some(streams::VersionTag::new(&endpoint.service, version))
 }
 
-/// Whether the list of endpoints is current now, and nothing has put the entry in doubt.
-fn is_listed<D>(cx: &Context<D>, attempt: &Attempt<'_>) -> bool {
-    let mut endpoints = cx.endpoints.borrow_mut();
-    endpoints.confirm_list(cx.shared.endpoints_confirmed_at());
-    endpoints.is_listed(attempt.selected.choice.endpoint, clock::now())
-}
-
 fn refuse<D>(cx: &Context<D>, attempt: &Attempt<'_>, reported: &'static str) -> Unusable {
     log(cx, attempt, Err(reported));
     Unusable {
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -19,7 +19,9 @@
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::reply::ReplyBody;
 use crate::traffic::report::Report;
-use crate::traffic::{Context, attempts, collect, connection, forwarding, memory, pool, reply};
+use crate::traffic::{
+    Context, attempts, beginnings, collect, connection, forwarding, memory, pool, reply,
+};
 use crate::{adapter, shared};
 
 /// Largest request body while there is no catalog, in bytes.
@@ -274,7 +276,7 @@
 {
     let stream = stream_key(&metadata);
     let version = match plan.route.kind.is_stream() && metadata.resumes_stream() {
-        true => match attempts::resumed_version(&cx.shared, &plan, stream).await {
+        true => match beginnings::resumed_version(cx, &plan, stream).await {
             Ok(version) => Some(version),
             Err(reason) => return refuse(report, reason),
         },
--- a/crates/measure/src/streams.rs
+++ b/crates/measure/src/streams.rs
@@ -169,9 +169,11 @@
             if count == 0 {
                 continue;
             }
-            let origins: Vec<_> = (0..count).map(|_| origin(rng.random())).collect();
-            origins.iter().for_each(|origin| table.record(*origin, now));
-            bytes += wire_bytes(&peer::Message::StreamOrigins(origins))?;
+            let records: Vec<_> = (0..count).map(|_| record(rng.random())).collect();
+            for record in &records {
+                table.record_beginning(&beginning(record, now), now);
+            }
+            bytes += wire_bytes(&peer::Message::StreamBeginnings(records))?;
             messages += 1;
         }
         most_records = most_records.max(table.len());
@@ -217,6 +219,36 @@
     }
 }
 
+/// Time since a connection was made over which a stream begins, in milliseconds. Of four bytes in a message,
+/// the most that it takes.
+const CONNECTED_MS: u32 = 70_000;
+
+/// What hosts tell of the beginning of a stream.
+fn record(id: u128) -> peer::BeginningRecord {
+    let identity = directory::Identity {
+        id: format!("endpoint-{}", id % 930).into(),
+        started_at_ms: 1,
+    };
+    peer::BeginningRecord {
+        stream: origin(id),
+        incarnation: streams::IncarnationTag::of(&identity),
+        connected_ms: CONNECTED_MS,
+        is_shown: false,
+    }
+}
+
+/// Beginning of a stream that a host learns of now.
+fn beginning(record: &peer::BeginningRecord, now: time::Time) -> streams::Beginning {
+    streams::Beginning {
+        stream: record.stream,
+        connected: streams::Connected {
+            to: record.incarnation,
+            by: now,
+        },
+        is_shown: record.is_shown,
+    }
+}
+
 fn query() -> peer::Message {
     peer::Message::OriginQuery {
         id: u32::MAX,
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -92,11 +92,13 @@
     Evacuations,
     /// The messages about endpoints that are cold.
     ColdEndpoints,
+    /// The messages about the connections over which streams began.
+    StreamBeginnings,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::StreamVersions,
         Self::Quarantine,
         Self::EndpointLimits,
@@ -104,6 +106,7 @@
         Self::CrashTimes,
         Self::Evacuations,
         Self::ColdEndpoints,
+        Self::StreamBeginnings,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -117,6 +120,7 @@
             Self::CrashTimes => "crash-times",
             Self::Evacuations => "evacuations",
             Self::ColdEndpoints => "cold-endpoints",
+            Self::StreamBeginnings => "stream-beginnings",
         }
     }
 
@@ -127,6 +131,20 @@
     }
 }
 
+/// Beginning of a stream, as in [`streams::Beginning`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct BeginningRecord {
+    /// The stream and where it began.
+    pub stream: streams::StreamOrigin,
+    /// Incarnation whose entry the sender connected by.
+    pub incarnation: streams::IncarnationTag,
+    /// Time since the connection was made when the message is sent, in milliseconds, rounded down. The
+    /// time on the way makes the connection older, so that it was made before this time is over.
+    pub connected_ms: u32,
+    /// Whether the process at the other end is known to be the one of the entry.
+    pub is_shown: bool,
+}
+
 /// Crash of an endpoint, as in [`quarantine::Crash`].
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CrashRecord {
@@ -297,6 +315,15 @@
     Evacuations(Vec<EvacuationRecord>),
     /// Endpoints that are cold, or no longer are. On a new stream, all that are cold.
     ColdEndpoints(Vec<ColdRecord>),
+    /// What [`Message::StreamOrigins`] says, with the connections over which the streams began.
+    StreamBeginnings(Vec<BeginningRecord>),
+    /// Answers [`Message::OriginQuery`] with what is not proven.
+    OriginClaim {
+        /// Number of the query.
+        id: u32,
+        /// What is recorded of the stream.
+        beginning: BeginningRecord,
+    },
 }
 
 impl Message {
@@ -321,6 +348,7 @@
             Self::TimedQuarantine { .. } => Some(Feature::CrashTimes),
             Self::Evacuations(_) => Some(Feature::Evacuations),
             Self::ColdEndpoints(_) => Some(Feature::ColdEndpoints),
+            Self::StreamBeginnings(_) | Self::OriginClaim { .. } => Some(Feature::StreamBeginnings),
         }
     }
 
@@ -330,6 +358,7 @@
     pub const fn replaced_by(&self) -> Option<Feature> {
         match self {
             Self::Quarantine(_) => Some(Feature::CrashTimes),
+            Self::StreamOrigins(_) => Some(Feature::StreamBeginnings),
             _ => None,
         }
     }
--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -141,6 +141,12 @@
             endpoint: streams::EndpointKey::of_id("i"),
         },
     };
+    let beginning = peer::BeginningRecord {
+        stream: origin,
+        incarnation: streams::IncarnationTag::of(&identity()),
+        connected_ms: 40,
+        is_shown: false,
+    };
     let query = |stream| Message::OriginQuery {
         id: 1,
         stream,
@@ -196,6 +202,8 @@
                 1, 2, 1, 25, 0, // ages of the requests
             ],
         ),
+        (Message::StreamBeginnings(vec![beginning]), vec![17, 1]),
+        (Message::OriginClaim { id: 1, beginning }, vec![18, 1]),
     ]
 }
 
@@ -235,12 +243,16 @@
             11 => peer::Feature::Quarantine,
             12 => peer::Feature::EndpointLimits,
             13 => peer::Feature::EndpointDepartures,
-            _ => peer::Feature::CrashTimes,
+            14 => peer::Feature::CrashTimes,
+            _ => peer::Feature::StreamBeginnings,
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
     }
     let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
-    assert_eq!(variants, HashSet::from([7, 8, 9, 10, 11, 12, 13, 14]));
+    assert_eq!(
+        variants,
+        HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18])
+    );
 }
 
 #[test]
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -116,18 +116,21 @@
     Local,
     /// Another host knew it.
     Peer,
+    /// A host had a record of the stream that was not proven yet.
+    Claim,
     /// It is not known for certain.
     Unknown,
 }
 
 impl OriginResult {
     /// All results.
-    pub const ALL: [Self; 3] = [Self::Local, Self::Peer, Self::Unknown];
+    pub const ALL: [Self; 4] = [Self::Local, Self::Peer, Self::Claim, Self::Unknown];
 
     const fn as_str(self) -> &'static str {
         match self {
             Self::Local => "local",
             Self::Peer => "peer",
+            Self::Claim => "claim",
             Self::Unknown => "unknown",
         }
     }
