Leave in the store by which entry a host connected, so that those after it can ask

Cause: what hosts leave in the store named an endpoint id and a version, and no incarnation that a later host could ask. Change: `StoredBeginning` names the incarnation, and says whether the version was proven. A host that adopts it takes its connection for made by then: a report or a write after that proves it. The entries have a key prefix of their own; those of the build before are still read.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -20,8 +20,8 @@
 };
 pub use keys::{EndpointKey, IncarnationTag, StreamKey, VersionTag};
 pub use origins::{
-    Beginning, Connected, MAX_STREAMS, Origin, OriginRecord, Origins, Proof, StoredOrigin,
-    StreamOrigin,
+    Beginning, Connected, MAX_STREAMS, Origin, OriginRecord, Origins, Proof, StoredBeginning,
+    StoredOrigin, StreamOrigin,
 };
 pub use pulse::Pulse;
 
--- a/crates/core/src/streams/origins.rs
+++ b/crates/core/src/streams/origins.rs
@@ -60,6 +60,17 @@
     pub is_shown: bool,
 }
 
+impl OriginRecord {
+    /// Incarnation by whose entry the host connected, while nothing shows that the connection is its own.
+    #[must_use]
+    pub const fn incarnation(&self) -> Option<IncarnationTag> {
+        match self.proof {
+            Proof::Open(Some(connected)) => Some(connected.to),
+            Proof::Shown | Proof::ShownBefore | Proof::Open(None) => None,
+        }
+    }
+}
+
 impl Beginning {
     /// What shows the version.
     #[must_use]
@@ -71,7 +82,29 @@
     }
 }
 
-/// A stream and its origin, as hosts leave it in the store for those that come after them.
+/// Beginning of a stream, as hosts leave it in the store for those that come after them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct StoredBeginning {
+    /// The stream and where it began.
+    pub stream: StreamOrigin,
+    /// Incarnation whose entry the host connected by, if it is known.
+    pub incarnation: Option<IncarnationTag>,
+    /// Whether the version was proven when it was stored.
+    pub was_shown: bool,
+}
+
+impl StoredBeginning {
+    /// What shows the version to a host that reads the record at a point in time. The connection had been
+    /// made by then.
+    fn proof(&self, now: time::Time) -> Proof {
+        match self.was_shown {
+            true => Proof::Shown,
+            false => Proof::Open(self.incarnation.map(|to| Connected { to, by: now })),
+        }
+    }
+}
+
+/// A stream and its origin, as hosts of an earlier build leave it in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct StoredOrigin {
     /// The stream.
@@ -137,21 +170,31 @@
         self.insert(stream.stream, record);
     }
 
-    /// Records the origin of a stream that is read from the store now, unless hosts have recorded it.
-    pub fn record_stored(&mut self, stored: StoredOrigin, now: time::Time) {
-        if self.records.contains_key(&stored.stream.stream) {
-            return;
-        }
+    /// Records the beginning of a stream that is read from the store now, unless hosts have recorded it.
+    pub fn record_stored(&mut self, stored: &StoredBeginning, now: time::Time) {
+        self.adopt(stored.stream, stored.proof(now), now);
+    }
+
+    /// Records the origin of a stream that hosts of an earlier build have stored, unless hosts have recorded
+    /// it.
+    pub fn record_stored_origin(&mut self, stored: &StoredOrigin, now: time::Time) {
         let proof = match stored.was_certain {
             true => Proof::ShownBefore,
             false => Proof::Open(None),
         };
+        self.adopt(stored.stream, proof, now);
+    }
+
+    fn adopt(&mut self, stream: StreamOrigin, proof: Proof, now: time::Time) {
+        if self.records.contains_key(&stream.stream) {
+            return;
+        }
         let record = OriginRecord {
-            origin: stored.stream.origin,
+            origin: stream.origin,
             recorded_at: now,
             proof,
         };
-        self.insert(stored.stream.stream, record);
+        self.insert(stream.stream, record);
     }
 
     fn insert(&mut self, stream: StreamKey, record: OriginRecord) {
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -21,6 +21,9 @@
 use crate::shared;
 
 /// Key prefix of the entries.
+const BEGINNINGS_PREFIX: &str = "beginnings/";
+
+/// Key prefix of the entries of an earlier build, which do not name incarnations.
 const ORIGINS_PREFIX: &str = "streams/";
 
 /// Key of the entry with the services that have one version.
@@ -112,7 +115,7 @@
 
 /// Origins to write, and the number from which on the next ones are new.
 struct Batch {
-    origins: Vec<streams::StoredOrigin>,
+    origins: Vec<streams::StoredBeginning>,
     next: u64,
 }
 
@@ -134,12 +137,13 @@
         }
         next = number + 1;
         if contested.contains(&record.origin.version) {
-            origins.push(streams::StoredOrigin {
+            origins.push(streams::StoredBeginning {
                 stream: streams::StreamOrigin {
                     stream,
                     origin: record.origin,
                 },
-                was_certain: state.versions.is_certain(&record),
+                incarnation: record.incarnation(),
+                was_shown: state.versions.is_certain(&record),
             });
         }
     }
@@ -167,7 +171,7 @@
     cx: &Context<D, S>,
     lease: &mut Option<Lease>,
     slot: u32,
-    origins: &[streams::StoredOrigin],
+    origins: &[streams::StoredBeginning],
 ) -> Result<(), key_value::Error>
 where
     D: adapter::Dialect,
@@ -183,7 +187,7 @@
         },
     };
     *lease = Some(current);
-    let key = format!("{ORIGINS_PREFIX}{}/{slot}", cx.settings.host.name);
+    let key = format!("{BEGINNINGS_PREFIX}{}/{slot}", cx.settings.host.name);
     let value = codec::encode(&origins).expect("a bounded list of numbers");
     let result = cx.store.put(&key, &value, current.id).await;
     if result.is_err() {
@@ -197,26 +201,43 @@
 /// come from other hosts.
 pub(super) fn adopt<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
     adopt_only_versions(cx, entries);
-    let prefix = ORIGINS_PREFIX.as_bytes();
     let now = clock::now();
-    let mut count = 0;
-    for entry in entries.iter().filter(|e| e.key.starts_with(prefix)) {
-        match codec::decode_frame::<Vec<streams::StoredOrigin>>(&entry.value) {
-            Ok(origins) => {
-                count += origins.len();
-                let mut state = cx.state.borrow_mut();
-                for origin in origins {
-                    state.origins.record_stored(origin, now);
-                }
-            }
+    let beginnings = decode_all::<_, _, streams::StoredBeginning>(cx, entries, BEGINNINGS_PREFIX);
+    let origins = decode_all::<_, _, streams::StoredOrigin>(cx, entries, ORIGINS_PREFIX);
+    let mut state = cx.state.borrow_mut();
+    for beginning in &beginnings {
+        state.origins.record_stored(beginning, now);
+    }
+    for origin in &origins {
+        state.origins.record_stored_origin(origin, now);
+    }
+    drop(state);
+    let count = beginnings.len() + origins.len();
+    if count > 0 {
+        cx.events.origins_adopted(count);
+    }
+}
+
+/// Decodes the records of all entries under a prefix. Entries that cannot be read are logged.
+fn decode_all<D, S, Record>(
+    cx: &Context<D, S>,
+    entries: &[key_value::Entry],
+    prefix: &str,
+) -> Vec<Record>
+where
+    Record: serde::de::DeserializeOwned,
+{
+    let mut records = Vec::new();
+    let is_meant = |entry: &&key_value::Entry| entry.key.starts_with(prefix.as_bytes());
+    for entry in entries.iter().filter(is_meant) {
+        match codec::decode_frame::<Vec<Record>>(&entry.value) {
+            Ok(decoded) => records.extend(decoded),
             Err(e) => cx
                 .events
                 .entry_invalid(&entry.key, entry.modified, &e.into()),
         }
     }
-    if count > 0 {
-        cx.events.origins_adopted(count);
-    }
+    records
 }
 
 fn adopt_only_versions<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
