Ask the endpoint of a stream that begins while its service has several versions

Change: while a service has had several versions within 20 s, the endpoint of a stream whose record is a claim is asked with the first event, beside the stream, so that the answer does not delay it; questions to one endpoint are shared. When nothing is released, no question is asked.

Ruled out: taking a later incarnation of the same version for a proof. The model finds a wrong version where the host that is asked has missed an incarnation between the two.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -258,6 +258,15 @@
         contested.flatten().filter_map(|v| v.version).collect()
     }
 
+    /// Services that have had more than one version in the last `span`. Endpoints whose version is not known
+    /// count as one.
+    #[must_use]
+    pub fn contested_services(&self, span: Duration, now: time::Time) -> Vec<Arc<str>> {
+        let services = self.services.iter();
+        let contested = services.filter(|(_, versions)| in_span(versions, span, now).count() > 1);
+        contested.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Services that have had one version in the last `span`, with it.
     #[must_use]
     pub fn only_versions(&self, span: Duration, now: time::Time) -> OnlyVersions {
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -283,8 +283,8 @@
     assert_eq!(host.determine(Some("s"), 12, 12), Some(tag("1")));
 }
 
-/// Guards against ORDER: a later incarnation of the same version that proves a stream which began at the one
-/// between them.
+/// Guards against ORDER: a later incarnation of the same version that proves a stream which began at one
+/// between the two, of which this host has not heard.
 #[test]
 fn a_sign_of_life_of_another_incarnation_proves_nothing() {
     let mut host = Host::new(true);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -11,7 +11,7 @@
 use pistachiochute_messages::peer;
 
 use crate::control::links::Outbox;
-use crate::control::origins;
+use crate::control::{origins, stored_origins};
 use crate::shared;
 
 /// Silence after which a peer counts as gone, so that a relay no longer supplies changes.
@@ -123,6 +123,9 @@
             leaving: self.directory.leaving().cloned().collect(),
             evacuated: self.evacuated_domains(),
             returned: self.directory.evacuations().returned().collect(),
+            contested: self
+                .versions
+                .contested_services(stored_origins::CONTESTED_SPAN, now),
             hosts: (self.hosts.live_count(now) as u32).max(1),
             host_hashes: self.live_host_hashes(now),
             known_host_hashes: self.known_host_hashes(),
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -37,7 +37,7 @@
 const SLOTS: u32 = 128;
 
 /// Time for which a version counts after its last endpoint was listed: longer than most streams last.
-const CONTESTED_SPAN: Duration = Duration::from_secs(20);
+pub(super) const CONTESTED_SPAN: Duration = Duration::from_secs(20);
 
 /// Most origins in one entry. More are written in the following intervals.
 const MAX_ORIGINS_PER_ENTRY: usize = 4_096;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -45,6 +45,8 @@
     pub evacuated: Vec<Arc<str>>,
     /// Failure domains that operators have taken back lately.
     pub returned: Vec<directory::ReturnedDomain>,
+    /// Services that have had several software versions lately.
+    pub contested: Vec<Arc<str>>,
     /// Number of live hosts of the fleet, including this one.
     pub hosts: u32,
     /// Hashes of the live hosts, sorted.
--- a/crates/gateway/src/traffic/beginnings.rs
+++ b/crates/gateway/src/traffic/beginnings.rs
@@ -5,6 +5,7 @@
 //! proves it. A stream goes on only by a proven record.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use pistachiochute_core::{directory, reason, streams, time};
@@ -14,7 +15,8 @@
 use crate::traffic::event_stream::RequestState;
 use crate::traffic::opened_stream::OpenedStream;
 use crate::traffic::plan::Plan;
-use crate::traffic::{Context, life, proofs};
+use crate::traffic::proofs::ProcessVersion;
+use crate::traffic::{Context, life};
 use crate::{adapter, events};
 
 /// Time for which a take-up waits for a sign of life of an endpoint that does not report. Longer than the
@@ -33,13 +35,16 @@
     let (None, Some(began)) = (state.version, opened.began()) else {
         return;
     };
-    let identity = &began.endpoint.identity;
-    let is_shown =
-        began.version.is_shown() || is_alive_after(&state.cx, identity, began.connected_at);
     let Some(version) = began.version.tag() else {
         return;
     };
-    state.cx.shared.local_beginnings.push(streams::Beginning {
+    let identity = &began.endpoint.identity;
+    let is_shown = match began.version {
+        ProcessVersion::Shown(_) => true,
+        ProcessVersion::Claimed(_) => is_alive_after(&state.cx, identity, began.connected_at),
+        ProcessVersion::Unlisted | ProcessVersion::Unknown => false,
+    };
+    let beginning = streams::Beginning {
         stream: streams::StreamOrigin {
             stream: state.stream,
             origin: streams::Origin {
@@ -52,17 +57,57 @@
             by: began.connected_at,
         },
         is_shown,
-    });
+    };
+    state.cx.shared.local_beginnings.push(beginning);
+    let is_claim = matches!(began.version, ProcessVersion::Claimed(_)) && !is_shown;
+    if is_claim && is_contested(&state.cx, &began.endpoint.service) {
+        let max_connections = state.plan.service().max_connections;
+        let proving = prove(
+            state.cx.clone(),
+            began.endpoint.clone(),
+            max_connections,
+            beginning,
+        );
+        tokio::task::spawn_local(proving);
+    }
+}
+
+/// Whether a service has had several versions lately, so that an endpoint that ends has probably been replaced
+/// by one of another version.
+fn is_contested<D>(cx: &Context<D>, service: &str) -> bool {
+    let view = cx.shared.view();
+    view.contested
+        .iter()
+        .any(|contested| **contested == *service)
+}
+
+/// Asks the endpoint of a stream that has just begun for a sign of life, which is not to be had any more once
+/// the endpoint has ended.
+async fn prove<D>(
+    cx: Rc<Context<D>>,
+    endpoint: Arc<directory::Endpoint>,
+    max_connections: u32,
+    beginning: streams::Beginning,
+) where
+    D: adapter::Dialect,
+{
+    let reported = life::ask(&cx, &endpoint, max_connections).await;
+    if reported == ReportedProcess::Same {
+        cx.shared.local_beginnings.push(streams::Beginning {
+            is_shown: true,
+            ..beginning
+        });
+    }
 }
 
 /// How a stream began.
 pub(super) struct Began<'a> {
     /// Endpoint whose entry the host connected by.
-    pub endpoint: &'a directory::Endpoint,
+    pub endpoint: &'a Arc<directory::Endpoint>,
     /// When the connection was made.
     pub connected_at: time::Time,
     /// Software version of the process.
-    pub version: proofs::ProcessVersion,
+    pub version: ProcessVersion,
 }
 
 /// Software version at which a stream goes on that has events.
--- a/crates/gateway/src/traffic/proofs.rs
+++ b/crates/gateway/src/traffic/proofs.rs
@@ -98,11 +98,6 @@
         version.map_or(Self::Unknown, Self::Shown)
     }
 
-    /// Whether the process is known to be the one of the entry.
-    pub(super) const fn is_shown(self) -> bool {
-        matches!(self, Self::Shown(_))
-    }
-
     /// Tag under which the beginning of a stream is recorded, if it is.
     pub(super) const fn tag(self) -> Option<streams::VersionTag> {
         match self {
