Pass on only events whose lines are all fields of events

Cause: text was looked at only if its event had neither an id nor data. An event with a right id was passed on whatever its other lines were, and any line that began with "data", such as "database failed", counted as data.

Change: a line of an event is a field (data, id, event, retry) or a comment; else the run has failed, and the stream goes on elsewhere or is cut. Names of fields are compared as a whole. Text that stands in the same line as the data before it cannot be told from data.

The older interface reads events with code of its own (`runtime::endpoint::events`) and is not changed.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -189,6 +189,9 @@
 
     /// Records an event as forwarded, if it goes on where the caller is.
     fn record(&mut self, event: &[u8]) -> Result<(), StreamError> {
+        if !has_only_fields(event) {
+            return Err(StreamError::NoEvent);
+        }
         match (event_id(event), self.last_id) {
             (Some(found), Some(after)) if after.checked_add(1) != Some(found) => {
                 return Err(StreamError::Gap { after, found });
@@ -233,27 +236,46 @@
     None
 }
 
-/// Whether an event has data. One without is a comment, which may be sent again.
-fn has_data(event: &[u8]) -> bool {
-    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
-    let mut lines = event.split(|b| *b == b'\n');
-    lines.any(|line| line.starts_with(b"data"))
-}
+/// Field with the data of an event.
+const DATA: &[u8] = b"data";
 
 /// Fields that an event without data may have. They do nothing at the caller.
 const FIELDS_WITHOUT_DATA: [&[u8]; 2] = [b"event", b"retry"];
 
+/// Fields of events.
+const FIELDS: [&[u8]; 4] = [DATA, b"id", b"event", b"retry"];
+
+/// Lines of an event without what ends them.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+    let lines = event.split(|b| *b == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+/// Name of the field that a line sets. Empty for a comment.
+fn field_name(line: &[u8]) -> &[u8] {
+    line.split(|b| *b == b':').next().unwrap_or_default()
+}
+
+/// Whether all lines of an event are fields of events or comments. Other text is none of the endpoint's
+/// stream, though it follows a line of an event.
+fn has_only_fields(event: &[u8]) -> bool {
+    lines(event).all(|line| field_name(line).is_empty() || FIELDS.contains(&field_name(line)))
+}
+
+/// Whether an event has data. One without is a comment, which may be sent again.
+fn has_data(event: &[u8]) -> bool {
+    lines(event).any(|line| field_name(line) == DATA)
+}
+
 /// Whether an event without an id and data has only comments and fields.
 fn is_comment(event: &[u8]) -> bool {
     let event = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
     let mut lines = event.split(|b| matches!(b, b'\n' | b'\r'));
-    lines.all(|line| line.is_empty() || line.starts_with(b":") || has_field(line))
-}
-
-/// Whether a line sets one of [`FIELDS_WITHOUT_DATA`].
-fn has_field(line: &[u8]) -> bool {
-    let name = line.split(|b| *b == b':').next();
-    name.is_some_and(|name| FIELDS_WITHOUT_DATA.contains(&name))
+    lines.all(|line| {
+        let name = field_name(line);
+        name.is_empty() || FIELDS_WITHOUT_DATA.contains(&name)
+    })
 }
 
 /// Numeric id of an event, if it has one. The last line with an id counts.
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -219,6 +219,42 @@
     }
 }
 
+/// Guards against the text of an error, or the head of another answer, within an event that broke off, or with
+/// the first letters of a field.
+#[test]
+fn text_after_a_line_of_an_event_is_no_part_of_a_stream() {
+    let head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 8\r\n\r\n";
+    for text in [
+        format!("id: 1\ndata: par{head}"),
+        format!("id: 1\ndata: part\n{head}"),
+        "id: 1\ndata: part\nan error\n\n".to_owned(),
+        "data: part\nan error\n\n".to_owned(),
+        "database is locked\n\n".to_owned(),
+        "id: 1\nidle: 3\ndata: part\n\n".to_owned(),
+    ] {
+        let mut splitter = Splitter::default();
+        splitter.push(events(0..1).as_bytes()).expect("no error");
+        let passed = splitter.push(text.as_bytes());
+        assert_eq!(passed, Err(StreamError::NoEvent), "{text}");
+        assert!(!splitter.at_event_boundary());
+        assert_eq!(splitter.last_id(), Some(0));
+    }
+}
+
+/// Every field of an event, with each kind of line end, and without a value.
+#[test]
+fn events_with_every_field_are_passed_on() {
+    for text in [
+        "id: 1\nevent: piece\nretry: 100\n: a comment\ndata: a\ndata\ndata:b\n\n",
+        "id:1\r\nevent\r\ndata: HTTP/1.1 500\r\n\r\n",
+        "id: 1\ndata: a\rb\n\n",
+    ] {
+        let mut splitter = Splitter::resume_after(Some(0));
+        assert_eq!(splitter.push(text.as_bytes()), Ok(Bytes::from(text)));
+        assert_eq!(splitter.last_id(), Some(1));
+    }
+}
+
 #[test]
 fn events_without_data_are_passed_on() {
     for text in [
