Do not take a stream for whole that may have been cut since it stayed unread

Cause: an endpoint that cuts off what stays unread closes the connection in order and lives on. The system still delivers what it holds, and then the end. The check after such an end asks whether the endpoint lives, which it does. That is a proof only if the host had read all along.

Change: the socket to an endpoint notes when all that had arrived was last known to be read. If more bytes than its buffers always hold (16 KiB) are read a second or more after that, the sender may have had to wait, and an unframed stream is not whole at the end of its connection: it goes on elsewhere after its last event, or is cut. It does not matter why the host did not read: its caller, its own pauses, or a process that stood still.

For sound slow callers: a short unframed stream whose caller begins to read after 4 s is whole, and so is one whose endpoint pauses for 1.2 s between events. One of 20,000 events (82 MB) whose caller begins after 4 s has all of them and is whole where another endpoint shows with its framing that nothing follows; where it may not be resumed all its events arrive, and nothing shows that it is whole. Unframed calls, and a host stopped by SIGSTOP, were not played.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod time;
 pub mod topology;
 pub mod units;
+pub mod unread;
--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Why an endpoint may have ended when it closed the connection of an answer.
+/// Why an answer may not be whole whose connection its endpoint closed.
 #[derive(Debug)]
 pub(super) enum NoProofOfLife {
     /// No connection to it could be made.
@@ -64,6 +64,8 @@
     Unanswered,
     /// Another process has its address.
     Replaced,
+    /// The answer stayed unread for so long that the endpoint, which may live on, may have cut it off.
+    LeftUnread,
 }
 
 impl fmt::Display for NoProofOfLife {
@@ -72,6 +74,7 @@
             Self::Unconnected(e) => write!(f, "closed by its endpoint, then {e}"),
             Self::Unanswered => f.write_str("closed by its endpoint, which does not answer"),
             Self::Replaced => f.write_str("closed by its endpoint, which was replaced"),
+            Self::LeftUnread => f.write_str("closed by its endpoint after it had stayed unread"),
         }
     }
 }
@@ -119,6 +122,15 @@
     }
 }
 
+/// Why a stream is not whole that its endpoint has closed after it had stayed unread.
+pub(super) fn left_unread<D>(cx: &Context<D>) -> NoProofOfLife
+where
+    D: adapter::Dialect,
+{
+    cx.metrics.decided(metrics::Decision::AnswerEndUnproven);
+    NoProofOfLife::LeftUnread
+}
+
 /// What delimits the body of the answer to a request with this method.
 pub(super) fn framing(method: &Method, head: &response::Parts) -> outcome::Framing {
     let is_explicit = has_no_body(method, head.status)
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -35,6 +35,7 @@
 mod serve;
 mod slots;
 mod suspect_turns;
+mod watched;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -16,6 +16,7 @@
 use pistachiochute_runtime::clock;
 
 use crate::sockets;
+use crate::traffic::watched;
 
 /// Time in which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -76,6 +77,7 @@
     since: time::Time,
     max_idle: Duration,
     process: Process,
+    watch: watched::Watch,
 }
 
 /// The process at the other end of a connection, which stays the same for as long as the connection lives.
@@ -167,6 +169,8 @@
             .await
             .map_err(AcquireError::Connect)?;
         let connected_at = clock::now();
+        let watch = watched::Watch::new();
+        let stream = watched::Watched::new(stream, watch.clone());
         let mut builder = http1::Builder::new();
         if self.is_bounded {
             builder.max_buf_size(MAX_BUFFER_BYTES);
@@ -186,6 +190,7 @@
                 connected_at,
                 is_proven: false,
             },
+            watch,
         })
     }
 
@@ -199,6 +204,7 @@
             is_new: false,
             is_free: true,
             process: idle.process,
+            watch: idle.watch,
         }
     }
 
@@ -277,16 +283,11 @@
 
 impl Permit {
     /// Returns a connection to the pool. It stays counted as open, although the permit is released.
-    fn return_idle(self, sender: Sender, max_idle: Duration, process: Process) {
+    fn return_idle(self, idle: IdleConnection) {
         let mut endpoints = self.pool.endpoints.borrow_mut();
         if let Some(endpoint) = endpoints.get_mut(&self.identity) {
             endpoint.open += 1;
-            endpoint.idle.push(IdleConnection {
-                sender,
-                since: clock::now(),
-                max_idle,
-                process,
-            });
+            endpoint.idle.push(idle);
         }
     }
 }
@@ -306,6 +307,8 @@
     is_new: bool,
     is_free: bool,
     process: Process,
+    /// How the present answer is read.
+    watch: watched::Watch,
 }
 
 impl Connection {
@@ -316,6 +319,7 @@
         sends: &retry::Sends,
     ) -> impl Future<Output = Sent> {
         sends.hand_over();
+        self.watch.begin();
         let sender = self.sender.as_mut();
         sender
             .expect("present until it is released")
@@ -362,6 +366,11 @@
         self.process.connected_at
     }
 
+    /// Whether the present answer stayed unread for so long that the endpoint may have cut it off.
+    pub(super) fn may_be_cut(&self) -> bool {
+        self.watch.may_be_cut()
+    }
+
     /// Whether the connection was opened for this request, and nothing was sent on it before.
     pub(super) const fn is_new(&self) -> bool {
         self.is_new
@@ -376,11 +385,16 @@
         let Some(mut sender) = self.sender.take() else {
             return;
         };
-        let permit = self.permit;
-        let process = self.process;
+        let (permit, process, watch) = (self.permit, self.process, self.watch);
         tokio::task::spawn_local(async move {
             if sender.ready().await.is_ok() {
-                permit.return_idle(sender, max_idle, process);
+                permit.return_idle(IdleConnection {
+                    sender,
+                    since: clock::now(),
+                    max_idle,
+                    process,
+                    watch,
+                });
             }
         });
     }
