Let the only version of a service count by signs of life, not by the age of a list

What callers saw: streams with events of two software versions (ORDER). A stream began at a process that had taken the place of the entry's as another version. Its caller went to another host before that had a record of the stream, and it went on at the only version in the list there.

Cause: elapsed time as a proof. `VersionHistory::only_version` counted while the list was confirmed 2.5 s ago or less (`MAX_LIST_AGE`). A version that joined since, or a process that had not written its entry yet, is not in it.

Change: a stream without a record began by the time at which a host is first asked about it (`streams::TakeUps`). The only version counts if the list is confirmed as of that time, and each incarnation in it has given a sign of life since. A take-up waits 3 s for that while the listed endpoints have one version. One that is refused leaves its time behind, so that the next one need not wait anew.

What it costs: such a take-up waits for a write of each endpoint. An entry that names no start hides the only version, and so does an endpoint that was killed, until its entry lapses. While the store is away, nothing goes on by the only version unless reports have shown all endpoints.

Not closed: incarnations that are listed no more are not asked for. One whose place another version took, unseen until its entry lapsed, is not told apart. Asking for them would refuse the streams of a lost domain.

--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -14,6 +14,7 @@
 mod keys;
 mod origins;
 mod pulse;
+mod take_ups;
 
 pub use history::{
     LifeSign, MAX_GAP, MAX_LIST_AGE, MAX_REPORT_DELAY, OnlyVersions, VersionHistory,
@@ -24,6 +25,7 @@
     StreamOrigin,
 };
 pub use pulse::Pulse;
+pub use take_ups::TakeUps;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,17 +51,18 @@
 ///
 /// The recorded origin counts if [`VersionHistory::is_certain`] confirms it. The only version that the
 /// service has had during the span of the query counts if the stream has no record, or one of an earlier
-/// build or from the store that names that version.
+/// build or from the store that names that version. The stream began before `began_by`.
 #[must_use]
 pub fn determine(
     origins: &Origins,
     history: &VersionHistory,
     query: &OriginQuery,
+    began_by: time::Time,
     now: time::Time,
 ) -> Option<VersionTag> {
     let record = query.stream.and_then(|stream| origins.get(stream));
     let record = record.filter(|record| now.since(record.recorded_at) < RETENTION);
-    let only_version = || history.only_version(&query.service, query.span, now);
+    let only_version = || history.only_version(&query.service, query.span, began_by, now);
     let Some(record) = record else {
         return only_version();
     };
--- a/crates/gateway/src/control/origins.rs
+++ b/crates/gateway/src/control/origins.rs
@@ -315,8 +315,11 @@
 fn determine<D, S>(cx: &Context<D, S>, query: &streams::OriginQuery) -> streams::Answer {
     record_local_origins(cx);
     let now = clock::now();
-    let state = cx.state.borrow();
-    if let Some(version) = streams::determine(&state.origins, &state.versions, query, now) {
+    let mut state = cx.state.borrow_mut();
+    let began_by = query.stream.map(|stream| state.take_ups.note(stream, now));
+    let began_by = began_by.unwrap_or(now);
+    let version = streams::determine(&state.origins, &state.versions, query, began_by, now);
+    if let Some(version) = version {
         return streams::Answer::Version(version);
     }
     let claim = streams::claim(&state.origins, query, now);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -67,6 +67,8 @@
     pub overlay: overlay::Overlay,
     /// Origins of the streams that began lately, as far as this host knows them.
     pub origins: streams::Origins,
+    /// Streams that this host was asked about.
+    pub take_ups: streams::TakeUps,
     /// Beginnings of this host's streams that other hosts have not been sent.
     pub unsent_beginnings: Vec<streams::Beginning>,
     /// Queries for the origins of streams that other hosts were sent.
@@ -101,6 +103,7 @@
             load_reports: load_reports::LoadReports::default(),
             overlay: overlay::Overlay::default(),
             origins: streams::Origins::new(),
+            take_ups: streams::TakeUps::new(),
             unsent_beginnings: Vec::new(),
             origin_queries: origins::OpenQueries::default(),
             versions,
@@ -181,6 +184,7 @@
         self.observe_versions(now);
         self.versions.tick(now);
         self.origins.tick(now);
+        self.take_ups.tick(now);
     }
 
     /// Version of this host's catalog and endpoints, as its peers are sent it.
--- a/crates/gateway/src/traffic/beginnings.rs
+++ b/crates/gateway/src/traffic/beginnings.rs
@@ -15,7 +15,7 @@
 use crate::traffic::opened_stream::OpenedStream;
 use crate::traffic::plan::Plan;
 use crate::traffic::{Context, life, proofs};
-use crate::{adapter, events};
+use crate::{adapter, events, shared};
 
 /// Time for which a take-up waits for a sign of life of an endpoint that does not report. Longer than the
 /// interval at which endpoints write their entries and the delay of a watch.
@@ -24,6 +24,13 @@
 /// Interval at which a waiting take-up looks for a sign of life.
 const SIGN_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time for which a take-up without a record waits until all endpoints of its service have written their
+/// entries. Longer than the interval at which they do and the delays of two watches.
+const ONLY_VERSION_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Interval at which such a take-up asks again.
+const ONLY_VERSION_POLL_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Records at which software version a stream has begun, so that any host can resume it there. The stream
 /// begins with its first event: a run that brought none leaves nothing that another has to fit.
 pub(super) fn record<D>(state: &RequestState<D>, opened: &OpenedStream<D>)
@@ -87,6 +94,10 @@
     loop {
         let verdict = match cx.shared.query_origin(query.clone()).await {
             streams::Answer::Version(version) => return Ok(version),
+            streams::Answer::Unknown if may_become_known(cx, plan, &query, started) => {
+                tokio::time::sleep(ONLY_VERSION_POLL_INTERVAL).await;
+                continue;
+            }
             streams::Answer::Unknown => return Err(reason::Refusal::StreamVersionUnknown),
             streams::Answer::Claim(claim) => examine(cx, plan, &claim).await,
         };
@@ -102,6 +113,33 @@
     }
 }
 
+/// Whether a stream without a record may turn out to have begun at the only version of its service.
+fn may_become_known<D>(
+    cx: &Context<D>,
+    plan: &Plan,
+    query: &streams::OriginQuery,
+    started: time::Time,
+) -> bool {
+    let now = clock::now();
+    let has_time = plan.deadline.remaining(now).is_some();
+    query.stream.is_some()
+        && has_time
+        && now.since(started) < ONLY_VERSION_WAIT
+        && has_one_version(&cx.shared.view(), &query.service)
+}
+
+/// Whether all listed endpoints of a service have the same version, and it is known.
+fn has_one_version(view: &shared::View, service: &str) -> bool {
+    let listed = view.endpoints.iter().chain(&view.leaving);
+    let mut versions = listed
+        .filter(|endpoint| *endpoint.service == *service)
+        .map(|endpoint| endpoint.version.as_ref());
+    match versions.next() {
+        Some(Some(first)) => versions.all(|version| version == Some(first)),
+        Some(None) | None => false,
+    }
+}
+
 /// What is known of a claim after its endpoint was asked.
 enum Verdict {
     /// The stream began at this version.
