Name the version at which a stream goes on when its resumption is passed to another host

The serving host determined it anew, by what it knew itself: it could refuse a stream whose version the asking host had proven, or go on at another one, the only one in its own list.

Cause: two hosts decide one fact, each by its own knowledge. Read in the code; a stream of two versions by it was not reproduced, since the serving host has to be behind the asking one by a whole version.

Change: a resumption goes to a path of its own, with the version beside the head (`forwarded::Resumption`), and the serving host sends it to endpoints of that version alone. A host of the build before takes the path for that of a link, gives no verdict and runs nothing, so another host is asked. Heads without a version are read as before.

Hosts of two builds side by side were not run: there, resumptions are passed on to hosts of the new build only.

--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -10,7 +10,7 @@
 use pistachiochute_core::choice::load;
 use pistachiochute_core::memory::Activity;
 use pistachiochute_core::{directory, revision, streams};
-use pistachiochute_messages::{codec, forwarded, peer};
+use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::{clock, metrics};
 
 use crate::control::links::apply_cached_parts;
@@ -110,10 +110,13 @@
     account.set_activity(Activity::Waiting, clock::now());
     while let Some(accepted) = next {
         let (req, mut respond) = accepted?;
-        if req.uri().path() == forwarded::PATH {
+        if let Some(form) = forwarding::Form::of_path(req.uri().path()) {
             let body = req.into_body();
-            cx.shared
-                .hand_over(forwarding::IncomingRequest { body, respond });
+            cx.shared.hand_over(forwarding::IncomingRequest {
+                form,
+                body,
+                respond,
+            });
             next = connection.accept().await;
             continue;
         }
--- a/crates/gateway/src/traffic/forwarding/client.rs
+++ b/crates/gateway/src/traffic/forwarding/client.rs
@@ -246,8 +246,15 @@
         catalog: state.plan.catalog.version(),
         after_event,
     };
-    let frame = codec::encode(&head).wrap_err("head")?;
-    let uri = format!("http://fleet{}", forwarded::PATH);
+    let (path, frame) = match state.version {
+        Some(version) => {
+            let resumption = forwarded::Resumption { head, version };
+            (forwarded::RESUMPTION_PATH, codec::encode(&resumption))
+        }
+        None => (forwarded::PATH, codec::encode(&head)),
+    };
+    let frame = frame.wrap_err("head")?;
+    let uri = format!("http://fleet{path}");
     let req = Request::post(uri).body(())?;
     state.attempts.sends().hand_over();
     let (answer, mut tx) = sender.send_request(req, false).wrap_err("stream")?;
--- a/crates/gateway/src/traffic/forwarding/mod.rs
+++ b/crates/gateway/src/traffic/forwarding/mod.rs
@@ -10,12 +10,35 @@
 pub(super) use server::serve;
 
 use bytes::Bytes;
-use pistachiochute_core::catalog;
-use pistachiochute_core::time;
+use pistachiochute_core::{catalog, streams, time};
+use pistachiochute_messages::forwarded;
+
+/// Form of the head of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// A [`forwarded::Head`].
+    Head,
+    /// A [`forwarded::Resumption`].
+    Resumption,
+}
+
+impl Form {
+    /// Form of the requests that come on a path, or `None` if the path is that of a link.
+    #[must_use]
+    pub fn of_path(path: &str) -> Option<Self> {
+        match path {
+            forwarded::PATH => Some(Self::Head),
+            forwarded::RESUMPTION_PATH => Some(Self::Resumption),
+            _ => None,
+        }
+    }
+}
 
 /// A request that another host has passed on, as it arrives at the links of this one.
 #[derive(Debug)]
 pub struct IncomingRequest {
+    /// Form of the head.
+    pub form: Form,
     /// Head and frames of the request.
     pub body: h2::RecvStream,
     /// Takes the answer.
@@ -31,6 +54,16 @@
     Host(Terms),
 }
 
+impl Origin {
+    /// Software version at which the stream goes on, if the host that passes the request on has determined it.
+    pub(super) const fn version(self) -> Option<streams::VersionTag> {
+        match self {
+            Self::Caller => None,
+            Self::Host(terms) => terms.version,
+        }
+    }
+}
+
 /// Terms on which another host passes a request on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Terms {
@@ -43,4 +76,6 @@
     /// Id of the last event that the caller has received, if the other host resumes a stream that the
     /// request began.
     pub after_event: Option<u64>,
+    /// Software version at which the stream goes on, if the other host has determined it.
+    pub version: Option<streams::VersionTag>,
 }
--- a/crates/gateway/src/traffic/forwarding/server.rs
+++ b/crates/gateway/src/traffic/forwarding/server.rs
@@ -12,13 +12,13 @@
 use http::{HeaderName, HeaderValue, Request, Response, request};
 use http_body::Body as _;
 use pistachiochute_core::memory::Activity;
-use pistachiochute_core::{outcome, reason, retry};
+use pistachiochute_core::{outcome, reason, retry, streams};
 use pistachiochute_messages::{codec, forwarded};
 use pistachiochute_runtime::clock;
 use tokio::sync::mpsc;
 
 use crate::adapter;
-use crate::traffic::forwarding::{IncomingRequest, Origin, Terms};
+use crate::traffic::forwarding::{Form, IncomingRequest, Origin, Terms};
 use crate::traffic::reply::{RefusalNote, ReplyBody};
 use crate::traffic::{Context, collect, memory, reply, serve as serving};
 
@@ -41,9 +41,13 @@
 where
     D: adapter::Dialect,
 {
-    let IncomingRequest { body, mut respond } = request;
+    let IncomingRequest {
+        form,
+        body,
+        mut respond,
+    } = request;
     let answer = tokio::select! {
-        answer = answer(&cx, body) => answer,
+        answer = answer(&cx, form, body) => answer,
         // The caller has left, or the other host.
         _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
     };
@@ -52,18 +56,18 @@
 }
 
 /// Answers a request. One whose head cannot be read is answered as one that cannot be served.
-async fn answer<D>(cx: &Rc<Context<D>>, body: h2::RecvStream) -> Response<ReplyBody<D>>
+async fn answer<D>(cx: &Rc<Context<D>>, form: Form, body: h2::RecvStream) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
     let account = cx.memory.open_on_link(clock::now());
     let received = tokio::select! {
-        received = tokio::time::timeout(RECEIVE_TIMEOUT, receive(cx, body, &account)) => {
+        received = tokio::time::timeout(RECEIVE_TIMEOUT, receive(cx, form, body, &account)) => {
             received.unwrap_or_else(|_| Err(eyre::eyre!("it did not arrive in time")))
         }
         cause = account.closing() => Err(eyre::eyre!("{cause}")),
     };
-    let (head, body) = match received {
+    let (ReceivedHead { head, version }, body) = match received {
         Ok(received) => received,
         Err(e) => {
             cx.events.forwarded_request_invalid(&e);
@@ -77,6 +81,7 @@
         attempts: head.attempts,
         catalog: head.catalog,
         after_event: head.after_event,
+        version,
     };
     match parts(head) {
         Ok(parts) => {
@@ -90,18 +95,48 @@
     }
 }
 
+/// Head of a request.
+struct ReceivedHead {
+    head: forwarded::Head,
+    /// Software version at which the stream goes on, if the other host has determined it.
+    version: Option<streams::VersionTag>,
+}
+
+impl ReceivedHead {
+    /// Decodes a head, once all of it is there.
+    fn take(decoder: &mut codec::Decoder, form: Form) -> Result<Option<Self>, codec::Error> {
+        match form {
+            Form::Head => {
+                let head = decoder.take()?;
+                Ok(head.map(|head| Self {
+                    head,
+                    version: None,
+                }))
+            }
+            Form::Resumption => {
+                let resumption: Option<forwarded::Resumption> = decoder.take()?;
+                Ok(resumption.map(|resumption| Self {
+                    head: resumption.head,
+                    version: Some(resumption.version),
+                }))
+            }
+        }
+    }
+}
+
 /// Reads the head and the body of a request.
 async fn receive<D>(
     cx: &Context<D>,
+    form: Form,
     mut body: h2::RecvStream,
     account: &Arc<memory::Account>,
-) -> eyre::Result<(forwarded::Head, Bytes)>
+) -> eyre::Result<(ReceivedHead, Bytes)>
 where
     D: adapter::Dialect,
 {
     let max = serving::max_body_bytes(&cx.shared.view());
     let mut decoder = codec::Decoder::new();
-    let mut head: Option<forwarded::Head> = None;
+    let mut head: Option<ReceivedHead> = None;
     let mut buffer = collect::Buffer::new(account.clone());
     let mut undecoded = memory::GrowingLease::new(account.clone());
     account.set_activity(Activity::Sending, clock::now());
@@ -115,7 +150,7 @@
             let room = undecoded.reserve(needed).await;
             room.map_err(|_| eyre::eyre!("no memory for the head"))?;
             decoder.extend(&data);
-            head = decoder.take().map_err(eyre::Report::from)?;
+            head = ReceivedHead::take(&mut decoder, form).map_err(eyre::Report::from)?;
             match head {
                 Some(_) => {
                     let pushed = buffer.push(&decoder.take_rest(), max).await;
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -275,12 +275,14 @@
     D: adapter::Dialect,
 {
     let stream = stream_key(&metadata);
-    let version = match plan.route.kind.is_stream() && metadata.resumes_stream() {
-        true => match beginnings::resumed_version(cx, &plan, stream).await {
+    let resumes = plan.route.kind.is_stream() && metadata.resumes_stream();
+    let version = match origin.version() {
+        Some(version) => Some(version),
+        None if resumes => match beginnings::resumed_version(cx, &plan, stream).await {
             Ok(version) => Some(version),
             Err(reason) => return refuse(report, reason),
         },
-        false => None,
+        None => None,
     };
     let account = report.connection().account().clone();
     let Ok(read_ahead) = account.lease(pool::READ_AHEAD_BYTES).await else {
--- a/crates/messages/src/forwarded.rs
+++ b/crates/messages/src/forwarded.rs
@@ -5,16 +5,23 @@
 //! the caller's body. The answer is that for the caller, with a [`Verdict`] in [`VERDICT_HEADER`]. A
 //! host that does not know such requests takes the stream for a link: it answers without a verdict, and
 //! has not run anything.
+//!
+//! A stream that goes on at another host does so at the version that the asking host has determined: such a
+//! request is a stream to [`RESUMPTION_PATH`], with a [`Resumption`] in place of the head. A host of an earlier
+//! build, which would determine the version by itself, does not know the path.
 
 use std::fmt;
 use std::str::FromStr;
 
 use bytes::Bytes;
-use pistachiochute_core::catalog;
+use pistachiochute_core::{catalog, streams};
 
 /// Path of the stream.
 pub const PATH: &str = "/forwarded";
 
+/// Path of the stream of a request that goes on with an event stream.
+pub const RESUMPTION_PATH: &str = "/forwarded-resumption";
+
 /// Header of the answer that holds the [`Verdict`].
 pub const VERDICT_HEADER: &str = "forwarded-verdict";
 
@@ -38,6 +45,15 @@
     pub after_event: Option<u64>,
 }
 
+/// Head of a request that goes on with an event stream. Encoded by position: the order of fields is fixed.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Resumption {
+    /// The request.
+    pub head: Head,
+    /// Version at which the stream began, and the only one at which it may go on.
+    pub version: streams::VersionTag,
+}
+
 /// What a host says of a request that was passed to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
