Leave as the only version in the store what a host has seen for the whole span

What callers could see: streams with events of two software versions after a loss of all hosts (ORDER). A host that started during a release listed the later version alone, and wrote it to the store as the only one that its service had had in 20 s. Hosts that start after a loss believe that for the streams of the earlier version, too.

Cause: `VersionHistory::only_versions` counted the versions of a span that the host had not seen.

Evidence, before the change: `a_host_that_started_lately_leaves_no_only_version_that_it_has_not_seen_throughout` in crates/core/tests/streams_only_version.rs fails. On real sockets it was not run.

Change: the version counts if the host covers the span without a gap, or has adopted the same from hosts before it.

The tests of platform/ were not run with this commit.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -261,15 +261,19 @@
         contested.flatten().filter_map(|v| v.version).collect()
     }
 
-    /// Services that have had one version in the last `span`, with it.
+    /// Services that are known to have had one version in the last `span`, with it: this host has seen the
+    /// whole span, or the hosts before it have left the same.
     #[must_use]
     pub fn only_versions(&self, span: Duration, now: time::Time) -> OnlyVersions {
+        let is_covered = self.coverage.covers(span, now);
         let only = |(service, versions): (&Arc<str>, &SmallVec<[ServiceVersion; 1]>)| {
             let mut versions = in_span(versions, span, now);
-            match (versions.next(), versions.next()) {
-                (Some(only), None) => Some((service.clone(), only.version?)),
-                _ => None,
-            }
+            let (Some(only), None) = (versions.next(), versions.next()) else {
+                return None;
+            };
+            let version = only.version?;
+            let is_known = is_covered || self.adopted.get(service) == Some(&version);
+            is_known.then(|| (service.clone(), version))
         };
         self.services.iter().filter_map(only).collect()
     }
--- a/crates/core/tests/streams_only_version.rs
+++ b/crates/core/tests/streams_only_version.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use pistachiochute_core::directory::Endpoint;
-use pistachiochute_core::streams::{LifeSign, RETENTION, StreamKey, TakeUps, VersionHistory};
+use pistachiochute_core::streams::{
+    LifeSign, OnlyVersions, RETENTION, StreamKey, TakeUps, VersionHistory,
+};
 use pistachiochute_core::time;
 use streams_support::{SERVICE, endpoint, tag};
 
@@ -134,3 +136,29 @@
     take_ups.tick(secs(1) + RETENTION);
     assert_eq!(take_ups.note(stream, secs(100)), secs(100));
 }
+
+/// Guards against ORDER: a host that has started during a release, leaves the later version in the store as the
+/// only one, and after a loss of all hosts the streams of the earlier one go on at it.
+#[test]
+fn a_host_that_started_lately_leaves_no_only_version_that_it_has_not_seen_throughout() {
+    let span = Duration::from_secs(20);
+    let endpoints = [endpoint("a", 2, Some("2"))];
+    let mut history = VersionHistory::new(false, time::Time::ZERO);
+    keep_listing(&mut history, &endpoints, 0, 19);
+    assert!(history.only_versions(span, secs(19)).is_empty());
+    keep_listing(&mut history, &endpoints, 20, 20);
+    let expected = OnlyVersions::from([(SERVICE.into(), tag("2"))]);
+    assert_eq!(history.only_versions(span, secs(20)), expected);
+}
+
+/// Guards against LOST: hosts that are replaced more often than the span, each of which would leave less.
+#[test]
+fn a_host_that_started_lately_leaves_the_only_version_that_it_has_adopted() {
+    let endpoints = [endpoint("a", 2, Some("2"))];
+    let mut history = VersionHistory::new(false, time::Time::ZERO);
+    let adopted = OnlyVersions::from([(SERVICE.into(), tag("2"))]);
+    history.adopt(adopted.clone());
+    keep_listing(&mut history, &endpoints, 0, 1);
+    let span = Duration::from_secs(20);
+    assert_eq!(history.only_versions(span, secs(1)), adopted);
+}
