Renew the entries of the soak's endpoint processes, and let them lapse

What callers saw: nothing by itself; the soak was kinder than the store. Its endpoint processes wrote their entry once, and the entry of a process that was killed stood for as long as the soak chose.

Cause: the soak had no notion of an entry's life. Hosts may read a renewal as a sign that a process lives, so a soak without renewals cannot tell whether they read it rightly.

Change: `Registration` says when an entry is written and removed. A process renews it every 1.2 s, one sequence number higher and with the same start, while it runs and the store is not away. Nothing is renewed after an end; what stands then lapses after three intervals of silence, which do not count while the whole store is away, unless the next process has written its own. An endpoint that leaves waits for the store to accept that.

The tests of the soak pass.

--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -56,10 +56,12 @@
                 Ok(self.shut(host, Mode::LosingAnswers, span))
             }
             Fault::StoreDown { span } => {
+                self.is_store_away.store(true, Ordering::Relaxed);
                 for host in 0..self.store_listeners.len() {
                     self.shut(host, Mode::Unavailable, span);
                 }
                 let open = |world: &mut Self| {
+                    world.is_store_away.store(false, Ordering::Relaxed);
                     world
                         .store_listeners
                         .iter()
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use eyre::WrapErr as _;
@@ -184,6 +184,8 @@
 /// Everything that a seed plays with.
 struct World {
     store: Store,
+    /// Whether the whole store is out of reach.
+    is_store_away: Arc<AtomicBool>,
     store_listeners: Vec<StoreListener>,
     store_relays: Vec<Relay>,
     hosts: Vec<Host>,
@@ -200,6 +202,7 @@
         let store = Store::new();
         let mut world = Self {
             store,
+            is_store_away: Arc::default(),
             store_listeners: Vec::new(),
             store_relays: Vec::new(),
             hosts: Vec::new(),
@@ -311,7 +314,8 @@
         let replicas = versions::Replicas::start(&world.store, self.seed)?;
         let crashing = crashes::Fleet::start(&world.store)?;
         let evacuated = evacuations::Fleet::start(&world.store)?;
-        let processes = processes::Fleet::start(&world.store, self.seed, &dir)?;
+        let is_store_away = world.is_store_away.clone();
+        let processes = processes::Fleet::start(&world.store, is_store_away, self.seed, &dir)?;
         let unready = world.unready(START);
         eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
         let mut callers = self.start_callers(&world);
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod callers;
 mod checks;
+mod registration;
 mod restarts;
 pub(crate) mod server;
 #[cfg(test)]
@@ -54,9 +55,14 @@
 }
 
 impl Fleet {
-    /// Starts the endpoints and writes their entries.
-    pub(crate) fn start(store: &Store, seed: u64, dir: &Path) -> eyre::Result<Self> {
-        let restarts = Restarts::start(store.clone(), seed, dir)?;
+    /// Starts the endpoints and writes their entries. They write none while the store is away.
+    pub(crate) fn start(
+        store: &Store,
+        is_store_away: Arc<AtomicBool>,
+        seed: u64,
+        dir: &Path,
+    ) -> eyre::Result<Self> {
+        let restarts = Restarts::start(store.clone(), is_store_away, seed, dir)?;
         Ok(Self { restarts })
     }
 
--- a/crates/soak/src/processes/restarts.rs
+++ b/crates/soak/src/processes/restarts.rs
@@ -17,6 +17,7 @@
 
 use crate::processes::SERVICE;
 use crate::processes::answers::Point;
+use crate::processes::registration::{Registration, Step};
 use crate::processes::server::Settings;
 use crate::versions::VERSIONS;
 
@@ -58,52 +59,83 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// The process runs and has not written its entry.
-    Starting {
-        until: Instant,
-    },
+    Starting,
     Serving,
     /// The process ends within an answer, or is killed in the end.
     Ending {
         until: Instant,
     },
-    /// The entry says that the endpoint leaves.
+    /// The entry says that the endpoint leaves, once the store has accepted it.
     Leaving {
-        until: Instant,
+        until: Option<Instant>,
     },
     Down {
         until: Instant,
     },
 }
 
+impl State {
+    /// The state once the process has written its entry.
+    fn after_write(self, now: Instant) -> Self {
+        match self {
+            Self::Starting => Self::Serving,
+            Self::Leaving { until: None } => Self::Leaving {
+                until: Some(now + DRAIN),
+            },
+            other => other,
+        }
+    }
+}
+
 /// An endpoint and its process.
 struct Member {
     settings: Settings,
     state: State,
     /// `None` while no process runs.
     child: Option<Child>,
+    registration: Registration,
     /// Holds the port while no process runs.
     port: ReservedPort,
 }
 
 impl Member {
-    fn start_process(&mut self, version: &str) -> eyre::Result<()> {
+    /// Starts a process, which writes its first entry at a time.
+    fn start_process(&mut self, version: &str, first_write: Instant) -> eyre::Result<()> {
         version.clone_into(&mut self.settings.version);
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH)?;
         self.settings.born = since_epoch.as_millis() as u64;
         self.child = Some(self.settings.spawn()?);
+        self.registration.start(first_write);
+        self.state = State::Starting;
         Ok(())
     }
 
-    fn register(&self, store: &Store, state: &str, sequence: u64) {
+    /// Does what is due to the entry.
+    fn register(&mut self, store: &Store, now: Instant, is_store_away: bool) {
+        let key = records::entry_key(&self.settings.id);
+        match self.registration.advance(now, is_store_away) {
+            Some(Step::Write { sequence }) => {
+                store.put(&key, &self.entry(sequence));
+                self.state = self.state.after_write(now);
+            }
+            Some(Step::Remove) => store.remove(&key),
+            None => {}
+        }
+    }
+
+    fn entry(&self, sequence: u64) -> serde_json::Value {
         let entry = records::Entry {
             service: SERVICE,
             address: self.settings.address,
-            state,
+            state: match self.state {
+                State::Leaving { .. } => "draining",
+                _ => "ready",
+            },
             version: &self.settings.version,
             started_at_ms: self.settings.born,
             sequence,
         };
-        store.put(&records::entry_key(&self.settings.id), &entry.record());
+        entry.record()
     }
 
     /// Whether the process has ended.
@@ -122,6 +154,7 @@
     }
 
     fn kill(&mut self) -> eyre::Result<()> {
+        self.registration.end();
         if let Some(mut child) = self.child.take() {
             child.kill()?;
             child.wait()?;
@@ -141,6 +174,7 @@
 /// Endpoints, and the processes that are ended and started again.
 pub(crate) struct Restarts {
     store: Store,
+    is_store_away: Arc<AtomicBool>,
     rng: ChaCha8Rng,
     members: Vec<Member>,
     ends: Ends,
@@ -149,9 +183,15 @@
 
 impl Restarts {
     /// Starts the endpoints and writes their entries.
-    pub(crate) fn start(store: Store, seed: u64, dir: &Path) -> eyre::Result<Self> {
+    pub(crate) fn start(
+        store: Store,
+        is_store_away: Arc<AtomicBool>,
+        seed: u64,
+        dir: &Path,
+    ) -> eyre::Result<Self> {
         let mut restarts = Self {
             store,
+            is_store_away,
             rng: ChaCha8Rng::seed_from_u64(seed ^ END_SEED),
             members: Vec::new(),
             ends: Ends::default(),
@@ -166,6 +206,7 @@
 
     fn add(&mut self, id: &str, version: &str) -> eyre::Result<()> {
         let port = ReservedPort::reserve()?;
+        let now = Instant::now();
         let mut member = Member {
             settings: Settings {
                 id: id.to_owned(),
@@ -174,12 +215,13 @@
                 born: 0,
                 falsely_whole: self.falsely_whole.clone(),
             },
-            state: State::Serving,
+            state: State::Starting,
             child: None,
+            registration: Registration::new(now),
             port,
         };
-        member.start_process(version)?;
-        member.register(&self.store, "ready", 1);
+        member.start_process(version, now)?;
+        member.register(&self.store, now, false);
         self.members.push(member);
         Ok(())
     }
@@ -235,9 +277,8 @@
             }
             _ => {
                 self.ends.in_order += 1;
-                member.register(&self.store, "draining", 2);
-                let until = Instant::now() + DRAIN;
-                member.state = State::Leaving { until };
+                member.state = State::Leaving { until: None };
+                member.registration.write_now(Instant::now());
             }
         }
         Ok(())
@@ -254,31 +295,32 @@
     /// Ends and starts the process of an endpoint whose time has come.
     fn advance(&mut self, i: usize) -> eyre::Result<()> {
         let now = Instant::now();
+        let is_store_away = self.is_store_away.load(Ordering::Relaxed);
         let member = &mut self.members[i];
         let has_ended = member.has_ended()?;
+        if has_ended {
+            member.registration.end();
+        }
+        member.register(&self.store, now, is_store_away);
         match member.state {
             State::Serving if has_ended => {
                 eyre::bail!("{} ended by itself", member.settings.id);
             }
-            State::Starting { until } if until <= now => {
-                member.register(&self.store, "ready", 1);
-                member.state = State::Serving;
-            }
             State::Ending { until } if until <= now || has_ended => self.go_down(i)?,
-            State::Leaving { until } if until <= now => {
+            State::Leaving { until: Some(until) } if until <= now && !is_store_away => {
                 let key = records::entry_key(&member.settings.id);
                 self.store.remove(&key);
+                member.registration.leave();
                 self.go_down(i)?;
             }
             State::Down { until } if until <= now => {
                 let version = VERSIONS[self.rng.random_range(0..VERSIONS.len())];
-                member.start_process(version)?;
                 let registration_ms = match self.rng.random_bool(LATE_PROBABILITY) {
                     true => LATE_REGISTRATION_MS,
                     false => REGISTRATION_MS,
                 };
-                let until = self.draw_millis(registration_ms);
-                self.members[i].state = State::Starting { until };
+                let first_write = self.draw_millis(registration_ms);
+                self.members[i].start_process(version, first_write)?;
             }
             _ => {}
         }
--- a/crates/soak/src/processes/tests.rs
+++ b/crates/soak/src/processes/tests.rs
@@ -1,5 +1,7 @@
 //! The checks find what they are for, and allow what is allowed.
 
+mod registration;
+
 use pistachiochute_standins::platform::caller::{Answer, event_of_version};
 use pistachiochute_standins::platform::stream_caller::{StreamCaller, bytes_of_no_event};
 use rand::SeedableRng as _;
