Let entries of the soak's processes come late, up to the lapse of the earlier one and beyond it

What callers saw: streams of two versions.

Cause: a process that started again wrote its entry 2.5 s after that at the latest, which is below the 3 s after which hosts take a list for proof that nothing has started again (`RESTART_NOTICE`). The oracle was kept under a constant of the code that it judges. An entry may stand for three intervals of silence, 3.6 s, or longer while the store is away.

Change, as classes that are drawn beside one another in each seed: - one half of the processes start again after 30 to 200 ms, the others after up to 1.5 s as before; - six in ten write their first entry only 0.3 to 3.4 s after that, so before and after the earlier one lapses; - endpoints are cut off from the store for 2 to 8 s, killed within the first half of that, and start again behind the cut. Nothing is renewed behind it. Twelve endpoints in place of eight, since more of them are away at a time; four go on serving as before.

The tests of the soak pass.

--- a/crates/soak/src/processes/checks.rs
+++ b/crates/soak/src/processes/checks.rs
@@ -115,9 +115,10 @@
     let counts: Vec<_> = checks.iter().map(|c| c.cases.len().to_string()).collect();
     let served = seen.calls.iter().filter(|call| is_served(call)).count();
     let mut summary = format!(
-        "processes: {} killed, {} ended within an answer, {} in order; {} streams, {} of {} calls \
-         served; short {} ({} more excused), events {}, joined {}, bytes {}, versions {}, calls {}",
-        ends.killed,
+        "processes: {} killed, {} of them cut off from the store, {} ended within an answer, {} in order; {} \
+         streams, {} of {} calls served; short {} ({} more excused), events {}, joined {}, bytes {}, versions {}, calls {}",
+        ends.killed + ends.cut_off,
+        ends.cut_off,
         ends.within_answer,
         ends.in_order,
         seen.streams.len(),
--- a/crates/soak/src/processes/registration.rs
+++ b/crates/soak/src/processes/registration.rs
@@ -1,7 +1,7 @@
 //! When the entry of an endpoint is written and when the store removes it.
 //!
 //! A process writes its entry some time after its start, and renews it as long as it runs and reaches the
-//! store. What a process leaves behind when it ends without notice stands until its silence has lasted
+//! store, also if it is cut off from it for a while. What a process leaves behind when it ends without notice stands until its silence has lasted
 //! for [`LAPSE`], unless the next process writes its own entry before.
 
 use std::time::{Duration, Instant};
@@ -33,6 +33,8 @@
     next_write: Option<Instant>,
     /// Silence of the entry that stands. `None` while none does.
     silence: Option<Duration>,
+    /// End of the time in which the endpoint does not reach the store.
+    cut_until: Option<Instant>,
     last_advance: Instant,
 }
 
@@ -43,6 +45,7 @@
             sequence: 0,
             next_write: None,
             silence: None,
+            cut_until: None,
             last_advance: now,
         }
     }
@@ -53,6 +56,11 @@
         self.next_write = Some(first_write);
     }
 
+    /// The endpoint does not reach the store until a time, whichever of its processes runs.
+    pub(crate) const fn cut(&mut self, until: Instant) {
+        self.cut_until = Some(until);
+    }
+
     /// The process has something new to write.
     pub(crate) fn write_now(&mut self, now: Instant) {
         self.next_write = self.next_write.map(|_| now);
@@ -77,7 +85,7 @@
             return None;
         }
         self.silence = self.silence.map(|silence| silence + elapsed);
-        if self.next_write.is_some_and(|at| at <= now) {
+        if self.reaches_store(now) && self.next_write.is_some_and(|at| at <= now) {
             self.sequence += 1;
             self.next_write = Some(now + HEARTBEAT);
             self.silence = Some(Duration::ZERO);
@@ -90,4 +98,8 @@
             Step::Remove
         })
     }
+
+    fn reaches_store(&self, now: Instant) -> bool {
+        self.cut_until.is_none_or(|until| until <= now)
+    }
 }
--- a/crates/soak/src/processes/restarts.rs
+++ b/crates/soak/src/processes/restarts.rs
@@ -22,7 +22,7 @@
 use crate::versions::VERSIONS;
 
 /// Endpoints of each version at the start.
-const OF_EACH_VERSION: usize = 4;
+const OF_EACH_VERSION: usize = 6;
 
 /// Endpoints that go on serving when one of them ends.
 const MIN_SERVING: usize = 4;
@@ -33,16 +33,26 @@
 /// Time from the end of a process to the start of the next one, in milliseconds.
 const DOWN_MS: std::ops::Range<u64> = 30..1_500;
 
+/// The same time for a process that starts again at once.
+const SHORT_DOWN_MS: std::ops::Range<u64> = 30..200;
+
+/// Probability with which a process starts again at once.
+const SHORT_DOWN_PROBABILITY: f64 = 0.5;
+
 /// Time from the start of a process to its first entry, in milliseconds. Until then the entry of the
-/// process before it stands, if that one did not leave in order.
+/// process before it stands, if that one did not leave in order and the entry has not lapsed.
 const REGISTRATION_MS: std::ops::Range<u64> = 0..300;
 
-/// The same time for a process that does not reach the store at first. With [`DOWN_MS`], the earlier
-/// entry stands no longer than one that is not renewed.
-const LATE_REGISTRATION_MS: std::ops::Range<u64> = 300..2_500;
+/// The same time for a process that does not reach the store at first. With [`DOWN_MS`], it ends both
+/// before and after the earlier entry lapses.
+const LATE_REGISTRATION_MS: std::ops::Range<u64> = 300..3_400;
 
 /// Probability with which a process does not reach the store at first.
-const LATE_PROBABILITY: f64 = 0.25;
+const LATE_PROBABILITY: f64 = 0.6;
+
+/// Time for which an endpoint is cut off from the store, in milliseconds. Its process ends, and the
+/// next one starts, within the time.
+const CUT_OFF_MS: std::ops::Range<u64> = 2_000..8_000;
 
 /// Time for which a process serves after its entry says that it leaves.
 const DRAIN: Duration = Duration::from_millis(2_500);
@@ -50,6 +60,9 @@
 /// Time in which a process gets an answer to send at whose place it ends.
 const CUT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Ways in which a process ends, of which some are likelier.
+const WAYS: u8 = 7;
+
 /// Interval at which the state of the processes is advanced.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -65,6 +78,10 @@
     Ending {
         until: Instant,
     },
+    /// The process serves without reaching the store, and is killed in the end.
+    CutOff {
+        until: Instant,
+    },
     /// The entry says that the endpoint leaves, once the store has accepted it.
     Leaving {
         until: Option<Instant>,
@@ -169,6 +186,8 @@
     pub killed: usize,
     pub within_answer: usize,
     pub in_order: usize,
+    /// Killed while the endpoint was cut off from the store.
+    pub cut_off: usize,
 }
 
 /// Endpoints, and the processes that are ended and started again.
@@ -257,7 +276,9 @@
         let is_serving = |i: &usize| self.members[*i].state == State::Serving;
         let serving: Vec<_> = (0..self.members.len()).filter(is_serving).collect();
         let draw = self.rng.random_range(0..serving.len().max(1));
-        let way = self.rng.random_range(0..6);
+        let way = self.rng.random_range(0..WAYS);
+        let cut_ms = self.rng.random_range(CUT_OFF_MS);
+        let killed_ms = self.rng.random_range(0..cut_ms / 2);
         let point = Point::ALL[self.rng.random_range(0..Point::ALL.len())];
         if serving.len() <= MIN_SERVING {
             return Ok(());
@@ -275,6 +296,13 @@
                 let until = Instant::now() + CUT_TIMEOUT;
                 member.state = State::Ending { until };
             }
+            5 => {
+                self.ends.cut_off += 1;
+                let now = Instant::now();
+                let until = now + Duration::from_millis(killed_ms);
+                member.registration.cut(now + Duration::from_millis(cut_ms));
+                member.state = State::CutOff { until };
+            }
             _ => {
                 self.ends.in_order += 1;
                 member.state = State::Leaving { until: None };
@@ -287,7 +315,11 @@
     /// Ends what is left of a process, and sets when the next one starts.
     fn go_down(&mut self, i: usize) -> eyre::Result<()> {
         self.members[i].kill()?;
-        let until = self.draw_millis(DOWN_MS);
+        let down_ms = match self.rng.random_bool(SHORT_DOWN_PROBABILITY) {
+            true => SHORT_DOWN_MS,
+            false => DOWN_MS,
+        };
+        let until = self.draw_millis(down_ms);
         self.members[i].state = State::Down { until };
         Ok(())
     }
@@ -303,10 +335,11 @@
         }
         member.register(&self.store, now, is_store_away);
         match member.state {
-            State::Serving if has_ended => {
+            State::Serving | State::CutOff { .. } if has_ended => {
                 eyre::bail!("{} ended by itself", member.settings.id);
             }
             State::Ending { until } if until <= now || has_ended => self.go_down(i)?,
+            State::CutOff { until } if until <= now => self.go_down(i)?,
             State::Leaving { until: Some(until) } if until <= now && !is_store_away => {
                 let key = records::entry_key(&member.settings.id);
                 self.store.remove(&key);
--- a/crates/soak/src/processes/tests/registration.rs
+++ b/crates/soak/src/processes/tests/registration.rs
@@ -98,3 +98,19 @@
     played.registration.leave();
     assert_eq!(played.after(2 * LAPSE), None);
 }
+
+/// Guards against a soak in which an endpoint that is cut off from the store is renewed all the same.
+#[test]
+fn endpoints_that_are_cut_off_are_not_renewed_and_come_back() {
+    let mut played = Played::new();
+    played.start();
+    let end_of_cut = played.now + 2 * LAPSE;
+    played.registration.cut(end_of_cut);
+    assert_eq!(played.after(HEARTBEAT), None);
+    // A process that starts behind the cut writes no sooner.
+    played.registration.start(played.now);
+    assert_eq!(played.after(LAPSE - HEARTBEAT), Some(Step::Remove));
+    assert_eq!(played.after(LAPSE - HEARTBEAT), None);
+    let written = played.after(HEARTBEAT);
+    assert_eq!(written, Some(Step::Write { sequence: 1 }));
+}
