Let every fourth endpoint of the soak's processes report without its start

What callers saw: streams of two versions, more of them than where each report names the start.

Cause: all reports of the soak's processes named the start, so nothing played what hosts do with one that does not (`ReportedProcess::Unknown`): they go by a list, whatever process has the address by now.

Change: the endpoint whose number is 3, 7 or 11 of 12 leaves the start out of its reports. The others name it.

The tests of the soak pass.

--- a/crates/soak/src/processes/restarts.rs
+++ b/crates/soak/src/processes/restarts.rs
@@ -24,6 +24,9 @@
 /// Endpoints of each version at the start.
 const OF_EACH_VERSION: usize = 6;
 
+/// Among so many endpoints, the reports of one do not name the start of its process.
+const WITHOUT_START_OF: usize = 4;
+
 /// Endpoints that go on serving when one of them ends.
 const MIN_SERVING: usize = 4;
 
@@ -217,21 +220,23 @@
             falsely_whole: dir.join("falsely-whole"),
         };
         for i in 0..OF_EACH_VERSION * VERSIONS.len() {
-            let version = VERSIONS[i % VERSIONS.len()];
-            restarts.add(&format!("process-{i}"), version)?;
+            restarts.add(i)?;
         }
         Ok(restarts)
     }
 
-    fn add(&mut self, id: &str, version: &str) -> eyre::Result<()> {
+    /// Adds an endpoint, whose number gives its version and its kind.
+    fn add(&mut self, number: usize) -> eyre::Result<()> {
+        let version = VERSIONS[number % VERSIONS.len()];
         let port = ReservedPort::reserve()?;
         let now = Instant::now();
         let mut member = Member {
             settings: Settings {
-                id: id.to_owned(),
+                id: format!("process-{number}"),
                 address: port.addr(),
                 version: String::new(),
                 born: 0,
+                names_start: number % WITHOUT_START_OF != WITHOUT_START_OF - 1,
                 falsely_whole: self.falsely_whole.clone(),
             },
             state: State::Starting,
--- a/crates/soak/src/processes/server.rs
+++ b/crates/soak/src/processes/server.rs
@@ -45,6 +45,8 @@
     pub version: String,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub born: u64,
+    /// Whether the report names the start.
+    pub names_start: bool,
     /// File with the ids of requests to which an endpoint that lived on sent less than it owed, in an
     /// answer that does not show it.
     pub falsely_whole: PathBuf,
@@ -61,11 +63,20 @@
             .arg(self.address.to_string())
             .arg(&self.version)
             .arg(self.born.to_string())
+            .arg(self.names_start.to_string())
             .arg(&self.falsely_whole)
             .stdin(Stdio::piped());
         command.spawn().wrap_err("start an endpoint")
     }
 
+    /// What the process says of itself.
+    pub(crate) fn report(&self) -> serde_json::Value {
+        match self.names_start {
+            true => json!({"busy": false, "born": self.born}),
+            false => json!({"busy": false}),
+        }
+    }
+
     fn from_matches(matches: &clap::ArgMatches) -> Self {
         let text = |name: &str| {
             let value: &String = matches.get_one(name).expect("it is required");
@@ -76,6 +87,7 @@
             address: *matches.get_one("address").expect("it is required"),
             version: text("version"),
             born: *matches.get_one("born").expect("it is required"),
+            names_start: *matches.get_one("names-start").expect("it is required"),
             falsely_whole: Path::new(&text("falsely-whole")).to_owned(),
         }
     }
@@ -90,6 +102,7 @@
         .arg(argument("address").value_parser(clap::value_parser!(SocketAddr)))
         .arg(argument("version"))
         .arg(argument("born").value_parser(clap::value_parser!(u64)))
+        .arg(argument("names-start").value_parser(clap::value_parser!(bool)))
         .arg(argument("falsely-whole"))
 }
 
@@ -165,9 +178,7 @@
     fn answer_outside_runs(&self, request: &Request) -> Option<String> {
         let own = &self.settings.id;
         let (status, body) = match request.method.as_str() {
-            "GET" if request.path == REPORT_PATH => {
-                (200, json!({"born": self.settings.born}).to_string())
-            }
+            "GET" if request.path == REPORT_PATH => (200, self.settings.report().to_string()),
             "GET" => (200, String::new()),
             _ if request.header("x-expect-instance") == own => return None,
             _ => (421, String::new()),
