Name the host, endpoint, run and time of each part in the soak's findings

What an engineer on call saw: `p1-1-try-2 at host-12: status 200, events 5 to 24 v2`, for three cases at most. Which process made the events, and when, had to be guessed from logs that name times only.

Change: each try says from when and for how long it was sent, in the time of day of the hosts' logs, and each part of it names its run, which begins with the endpoint's id and the start of its process. Every case is listed.

The tests of the soak pass.

--- a/crates/soak/src/processes/checks.rs
+++ b/crates/soak/src/processes/checks.rs
@@ -13,9 +13,6 @@
 use crate::versions::callers::StreamRecord;
 use crate::versions::checks::{check_bytes, check_end, check_events, check_version, describe};
 
-/// Cases of a broken promise that are listed.
-const LISTED: usize = 3;
-
 /// What callers and endpoints saw.
 #[derive(Default)]
 pub(crate) struct Seen {
@@ -45,14 +42,9 @@
 
     fn broken(&self) -> Option<String> {
         let cases = &self.cases;
-        let listed = &cases[..cases.len().min(LISTED)];
         (!cases.is_empty()).then(|| {
-            format!(
-                "{}: {} times: {}",
-                self.name,
-                cases.len(),
-                listed.join("\n    ")
-            )
+            let listed = cases.join("\n    ");
+            format!("{}: {} times: {listed}", self.name, cases.len())
         })
     }
 }
--- a/crates/soak/src/versions/callers.rs
+++ b/crates/soak/src/versions/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use pistachiochute_standins::platform::stream_caller::{StreamCaller, Try, bytes_of_no_event};
 use rand::{Rng as _, SeedableRng as _};
@@ -44,6 +44,10 @@
 pub(crate) struct Sent {
     pub host: usize,
     pub at: Instant,
+    /// Time of day, as in the logs of the hosts.
+    pub time: SystemTime,
+    /// Time until its answer ended or its caller left.
+    pub lasted: Duration,
 }
 
 /// A caller that sends one stream after another until the soak is over.
@@ -104,13 +108,18 @@
             let key = load::key(self.shared.key.load(Ordering::Relaxed));
             record.caller.set_key(&key);
             let host = rng.random_range(0..self.hosts.len());
-            let at = Instant::now();
-            record.sent.push(Sent { host, at });
             let events = match rng.random_bool(DISCONNECT_PROBABILITY) {
                 true => rng.random_range(1..EVENTS) as usize,
                 false => usize::MAX,
             };
+            let (at, time) = (Instant::now(), SystemTime::now());
             record.attempt(self.hosts[host], events);
+            record.sent.push(Sent {
+                host,
+                at,
+                time,
+                lasted: at.elapsed(),
+            });
         }
         record
     }
--- a/crates/soak/src/versions/checks.rs
+++ b/crates/soak/src/versions/checks.rs
@@ -1,8 +1,8 @@
 //! What is promised of streams while several software versions serve.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use pistachiochute_standins::platform::stream_caller::Try;
+use pistachiochute_standins::platform::stream_caller::{Event, Try};
 
 use crate::versions::callers::{Sent, StreamRecord};
 use crate::versions::releases::{EVENTS, ReplicaSpan};
@@ -176,17 +176,45 @@
 }
 
 fn describe_try((tried, sent): (&Try, &Sent)) -> String {
-    let ids = match (tried.events.first(), tried.events.last()) {
-        (Some(first), Some(last)) => format!("events {} to {}", first.id, last.id),
-        _ => "no event".to_owned(),
+    let parts: Vec<_> = tried
+        .events
+        .chunk_by(|a, b| a.version == b.version && a.run == b.run)
+        .map(describe_part)
+        .collect();
+    let parts = match parts.is_empty() {
+        true => "no event".to_owned(),
+        false => parts.join(" then "),
     };
-    let versions = versions_of(tried).join(" then ");
     let end = match tried.is_end() {
         true => ", which looks complete",
         false => "",
     };
     format!(
-        "{} at host-{}: status {}, {ids} {versions}{end}",
-        tried.request, sent.host, tried.answer.status,
+        "{} at host-{}, from {} for {} ms: status {}, {parts}{end}",
+        tried.request,
+        sent.host,
+        time_of_day(sent.time),
+        sent.lasted.as_millis(),
+        tried.answer.status,
     )
 }
+
+/// Events that one run made. The id of a run names its endpoint and the start of its process.
+fn describe_part(events: &[Event]) -> String {
+    let (first, last) = (&events[0], &events[events.len() - 1]);
+    let version = first.version.as_deref().unwrap_or("an unknown version");
+    let run = match &first.run {
+        Some(run) => format!(", run {}", run.id),
+        None => String::new(),
+    };
+    format!("events {} to {} of {version}{run}", first.id, last.id)
+}
+
+/// Time of day in UTC, as in the logs of the hosts.
+fn time_of_day(time: SystemTime) -> String {
+    let since_epoch = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    let seconds = since_epoch.as_secs() % (24 * 60 * 60);
+    let (hours, minutes) = (seconds / 3_600, seconds / 60 % 60);
+    let millis = since_epoch.subsec_millis();
+    format!("{hours:02}:{minutes:02}:{:02}.{millis:03}", seconds % 60)
+}
--- a/crates/soak/src/versions/tests.rs
+++ b/crates/soak/src/versions/tests.rs
@@ -1,6 +1,6 @@
 //! The checks find what they are for.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use pistachiochute_standins::platform::caller::{Answer, event_of_version};
 use pistachiochute_standins::platform::stream_caller::StreamCaller;
@@ -30,7 +30,12 @@
         };
         caller.record(&request, answer);
         let at = start + Duration::from_secs(1);
-        sent.push(Sent { host: 0, at });
+        sent.push(Sent {
+            host: 0,
+            at,
+            time: SystemTime::UNIX_EPOCH + Duration::from_millis(45_296_789),
+            lasted: Duration::from_millis(250),
+        });
     }
     StreamRecord {
         caller,
@@ -116,3 +121,20 @@
     let findings = check(&streams, &replicas("v1", 2, start));
     assert!(findings.broken.is_empty(), "{:?}", findings.broken);
 }
+
+/// Guards against findings that do not say where and when each part of a stream came.
+#[test]
+fn findings_name_the_tries_with_hosts_runs_and_times() {
+    let start = Instant::now();
+    let first = "v1 run process-3.17.0 from 0";
+    let second = "v2 run process-5.19.4 from 3";
+    let mixed = stream(start, &[&[(0..3, first), (3..5, second)], &[]]);
+    let findings = check(&[mixed], &[]);
+    let tries = [
+        "s at host-0, from 12:34:56.789 for 250 ms: status 200, events 0 to 2 of v1, run process-3.17.0 \
+         then events 3 to 4 of v2, run process-5.19.4",
+        "s-try-2 at host-0, from 12:34:56.789 for 250 ms: status 503, no event",
+    ];
+    let described = &findings.broken[0];
+    assert!(described.ends_with(&tries.join("; ")), "{described}");
+}
