Give each stream and call of the soak a path of its own

Cause: all of them sent one and the same request, while processes ended beside it. Users' requests differ, so the soak hid what it looks for behind a refusal of its own making.

Change: the path of a stream or call ends with its id. Tries of one stream stay equal.

The tests of the soak pass.

--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -56,7 +56,7 @@
         let route = [SAFE_ROUTE, ONCE_ROUTE][rng.random_range(0..2)];
         let host = rng.random_range(0..self.hosts.len());
         let key = load::key(self.shared.key.load(Ordering::Relaxed));
-        let request = CallerRequest::new(&id, &format!("/{route}/"), &key);
+        let request = CallerRequest::new(&id, &format!("/{route}/{id}"), &key);
         CallRecord {
             answer: request.send(self.hosts[host]),
             id,
--- a/crates/soak/src/versions/callers.rs
+++ b/crates/soak/src/versions/callers.rs
@@ -95,8 +95,10 @@
 
     /// Takes a stream up until an answer looks complete or the tries are used up.
     fn drive(&self, rng: &mut ChaCha8Rng, id: &str) -> StreamRecord {
+        // Equal requests beside ends of processes would be taken for one that crashes endpoints.
+        let path = format!("/{}/{id}", self.route);
         let mut record = StreamRecord {
-            caller: StreamCaller::new(id, &format!("/{}/", self.route), ""),
+            caller: StreamCaller::new(id, &path, ""),
             sent: Vec::new(),
             foreign: None,
         };
