Count take-ups at the soak's processes too

What callers saw: streams that could not be taken up, which no check of the soak's processes counted.

Cause: the share of take-ups that go on was checked at another service only. A fix that refuses what it cannot prove would have looked sound here.

Change: the same check holds for the processes: of 12 take-ups or more, made while two endpoints of the stream's version serve, at least half the share of new streams that begin go on. A process serves, for this check, from the first write of its own entry until it is ended, leaves or is cut off from the store. The summary has the figures.

--- a/crates/soak/src/processes/checks.rs
+++ b/crates/soak/src/processes/checks.rs
@@ -9,15 +9,19 @@
 use crate::processes::CALL_PIECES;
 use crate::processes::callers::CallRecord;
 use crate::processes::restarts::Ends;
-use crate::versions::Findings;
 use crate::versions::callers::StreamRecord;
-use crate::versions::checks::{check_bytes, check_end, check_events, check_version, describe};
+use crate::versions::checks::{
+    check_bytes, check_end, check_events, check_shares, check_version, describe, shares,
+};
+use crate::versions::{Findings, ReplicaSpan};
 
 /// What callers and endpoints saw.
 #[derive(Default)]
 pub(crate) struct Seen {
     pub streams: Vec<StreamRecord>,
     pub calls: Vec<CallRecord>,
+    /// When processes served, with an entry of their own.
+    pub served: Vec<ReplicaSpan>,
     /// Ids of requests with an answer that a living endpoint ended before its last piece, as if it
     /// were whole.
     pub falsely_whole: HashSet<String>,
@@ -40,11 +44,16 @@
         }
     }
 
+    /// Number of cases, for the reader.
+    fn count(&self) -> String {
+        format!("{}: {}", self.name, self.cases.len())
+    }
+
     fn broken(&self) -> Option<String> {
         let cases = &self.cases;
         (!cases.is_empty()).then(|| {
             let listed = cases.join("\n    ");
-            format!("{}: {} times: {listed}", self.name, cases.len())
+            format!("processes, {}: {} times: {listed}", self.name, cases.len())
         })
     }
 }
@@ -61,52 +70,43 @@
         counted.filter_map(check_end)
     };
     let checks = [
-        Check::new("processes, short streams that look whole", short(true)),
+        Check::new("short streams that look whole", short(true)),
         Check::new(
-            "processes, events missing, twice or of another request",
+            "events missing, twice or of another request",
             streams().filter_map(check_events),
         ),
         Check::new(
-            "processes, runs joined elsewhere than at the last event",
+            "runs joined elsewhere than at the last event",
             streams().filter_map(check_runs),
         ),
         Check::new(
-            "processes, streams with other bytes",
+            "streams with other bytes",
             streams().filter_map(check_bytes),
         ),
         Check::new(
-            "processes, streams of two versions",
+            "streams of two versions",
             streams().filter_map(check_version),
         ),
         Check::new(
-            "processes, calls with a wrong whole body",
+            "calls with a wrong whole body",
             seen.calls.iter().filter_map(check_call),
         ),
     ];
-    let counts: Vec<_> = checks.iter().map(|c| c.cases.len().to_string()).collect();
     let served = seen.calls.iter().filter(|call| is_served(call)).count();
+    let (new, taken_up) = shares(&seen.streams, &seen.served);
+    let mut broken: Vec<_> = checks.iter().filter_map(Check::broken).collect();
+    let too_seldom = check_shares(new, taken_up);
+    broken.extend(too_seldom.map(|found| format!("processes, {found}")));
+    let streams = seen.streams.len();
+    let calls = seen.calls.len();
+    let excused = short(false).count();
+    let counts: Vec<_> = checks.iter().map(Check::count).collect();
+    let counts = counts.join(", ");
     let summary = format!(
-        "processes: {} killed, {} of them cut off from the store, {} ended within an answer, {} in order; {} \
-         streams, {} of {} calls served; short {} ({} more excused), events {}, joined {}, bytes {}, versions {}, calls {}",
-        ends.killed + ends.cut_off,
-        ends.cut_off,
-        ends.within_answer,
-        ends.in_order,
-        seen.streams.len(),
-        served,
-        seen.calls.len(),
-        counts[0],
-        short(false).count(),
-        counts[1],
-        counts[2],
-        counts[3],
-        counts[4],
-        counts[5],
+        "processes: {ends}; {streams} streams, {new} began, {taken_up} take-ups went on; \
+         {served} of {calls} calls served; {counts}; short streams that are excused: {excused}"
     );
-    Findings {
-        broken: checks.iter().filter_map(Check::broken).collect(),
-        summary,
-    }
+    Findings { broken, summary }
 }
 
 fn is_served(call: &CallRecord) -> bool {
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::load;
 use crate::processes::callers::CallRecord;
-use crate::processes::restarts::{Ends, Restarts};
+use crate::processes::restarts::{Played, Restarts};
 use crate::versions::callers::StreamRecord;
 use crate::versions::{self, Findings};
 
@@ -106,7 +106,7 @@
 pub(crate) struct Scenario {
     streams: Vec<thread::JoinHandle<Vec<StreamRecord>>>,
     calls: Vec<thread::JoinHandle<Vec<CallRecord>>>,
-    restarts: thread::JoinHandle<eyre::Result<(Ends, Vec<String>)>>,
+    restarts: thread::JoinHandle<eyre::Result<Played>>,
     are_callers_over: Arc<AtomicBool>,
     are_ends_over: Arc<AtomicBool>,
 }
@@ -124,9 +124,9 @@
             seen.calls.extend(caller.join().map_err(panicked)?);
         }
         self.are_ends_over.store(true, Ordering::Relaxed);
-        let restarts = self.restarts.join().map_err(panicked)?;
-        let (ends, falsely_whole) = restarts?;
-        seen.falsely_whole.extend(falsely_whole);
-        Ok(checks::check(&seen, &ends))
+        let played = self.restarts.join().map_err(panicked)??;
+        seen.served = played.served;
+        seen.falsely_whole.extend(played.falsely_whole);
+        Ok(checks::check(&seen, &played.ends))
     }
 }
--- a/crates/soak/src/processes/registration.rs
+++ b/crates/soak/src/processes/registration.rs
@@ -1,8 +1,8 @@
 //! When the entry of an endpoint is written and when the store removes it.
 //!
-//! A process writes its entry some time after its start, and renews it as long as it runs and reaches the
-//! store, also if it is cut off from it for a while. What a process leaves behind when it ends without notice stands until its silence has lasted
-//! for [`LAPSE`], unless the next process writes its own entry before.
+//! A process writes its entry some time after its start, and renews it as long as it runs and reaches
+//! the store. What a process leaves behind that ends without notice, or that is cut off from the store,
+//! stands until its silence has lasted for [`LAPSE`], unless the next process writes its own before.
 
 use std::time::{Duration, Instant};
 
--- a/crates/soak/src/processes/restarts.rs
+++ b/crates/soak/src/processes/restarts.rs
@@ -1,5 +1,6 @@
 //! Ends the processes of endpoints and starts them again, under their ids and at their addresses.
 
+use std::fmt;
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::Child;
@@ -19,7 +20,7 @@
 use crate::processes::answers::Point;
 use crate::processes::registration::{Registration, Step};
 use crate::processes::server::Settings;
-use crate::versions::VERSIONS;
+use crate::versions::{ReplicaSpan, VERSIONS};
 
 /// Endpoints of each version at the start.
 const OF_EACH_VERSION: usize = 6;
@@ -114,6 +115,8 @@
     /// `None` while no process runs.
     child: Option<Child>,
     registration: Registration,
+    /// When its processes served, with an entry of their own.
+    served: Vec<ReplicaSpan>,
     /// Holds the port while no process runs.
     port: ReservedPort,
 }
@@ -136,6 +139,9 @@
         match self.registration.advance(now, is_store_away) {
             Some(Step::Write { sequence }) => {
                 store.put(&key, &self.entry(sequence));
+                if self.state == State::Starting {
+                    self.begin_span(now);
+                }
                 self.state = self.state.after_write(now);
             }
             Some(Step::Remove) => store.remove(&key),
@@ -158,6 +164,22 @@
         entry.record()
     }
 
+    /// The process serves from now on.
+    fn begin_span(&mut self, now: Instant) {
+        self.served.push(ReplicaSpan {
+            version: self.settings.version.clone(),
+            from: now,
+            until: None,
+        });
+    }
+
+    /// The process is about to end.
+    fn end_span(&mut self) {
+        if let Some(span) = self.served.last_mut() {
+            span.until.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Whether the process has ended.
     fn has_ended(&mut self) -> eyre::Result<bool> {
         let Some(child) = &mut self.child else {
@@ -193,6 +215,31 @@
     pub cut_off: usize,
 }
 
+impl fmt::Display for Ends {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            killed,
+            within_answer,
+            in_order,
+            cut_off,
+        } = self;
+        write!(
+            f,
+            "{killed} killed, {cut_off} killed while cut off from the store, {within_answer} ended \
+             within an answer, {in_order} in order"
+        )
+    }
+}
+
+/// What was played.
+pub(crate) struct Played {
+    pub ends: Ends,
+    /// When processes served, with an entry of their own.
+    pub served: Vec<ReplicaSpan>,
+    /// Ids of the requests with answers that a living endpoint ended falsely.
+    pub falsely_whole: Vec<String>,
+}
+
 /// Endpoints, and the processes that are ended and started again.
 pub(crate) struct Restarts {
     store: Store,
@@ -242,6 +289,7 @@
             state: State::Starting,
             child: None,
             registration: Registration::new(now),
+            served: Vec::new(),
             port,
         };
         member.start_process(version, now)?;
@@ -250,12 +298,11 @@
         Ok(())
     }
 
-    /// Plays ends and starts until the soak is over, and ends the processes. Returns the ends, and the
-    /// ids of the requests with answers that a living endpoint ended falsely.
+    /// Plays ends and starts until the soak is over, and ends the processes.
     pub(crate) fn play(
         mut self,
         is_over: Arc<AtomicBool>,
-    ) -> thread::JoinHandle<eyre::Result<(Ends, Vec<String>)>> {
+    ) -> thread::JoinHandle<eyre::Result<Played>> {
         thread::spawn(move || {
             let mut next = Instant::now();
             while !is_over.load(Ordering::Relaxed) {
@@ -289,6 +336,7 @@
             return Ok(());
         }
         let member = &mut self.members[serving[draw]];
+        member.end_span();
         match way {
             0 | 1 => {
                 self.ends.killed += 1;
@@ -365,12 +413,18 @@
         Ok(())
     }
 
-    fn close(self) -> eyre::Result<(Ends, Vec<String>)> {
+    fn close(self) -> eyre::Result<Played> {
+        let mut served = Vec::new();
         for mut member in self.members {
             member.kill()?;
             member.port.close();
+            served.extend(member.served);
         }
         let text = std::fs::read_to_string(&self.falsely_whole).unwrap_or_default();
-        Ok((self.ends, text.lines().map(str::to_owned).collect()))
+        Ok(Played {
+            ends: self.ends,
+            served,
+            falsely_whole: text.lines().map(str::to_owned).collect(),
+        })
     }
 }
--- a/crates/soak/src/processes/tests.rs
+++ b/crates/soak/src/processes/tests.rs
@@ -2,6 +2,8 @@
 
 mod registration;
 
+use std::time::{Duration, Instant, SystemTime};
+
 use pistachiochute_standins::platform::caller::{Answer, event_of_version};
 use pistachiochute_standins::platform::stream_caller::{StreamCaller, bytes_of_no_event};
 use rand::SeedableRng as _;
@@ -12,8 +14,8 @@
 use crate::processes::checks::{Seen, check};
 use crate::processes::restarts::Ends;
 use crate::processes::{CALL_PIECES, STREAM_ROUTE};
-use crate::versions::EVENTS;
-use crate::versions::callers::StreamRecord;
+use crate::versions::callers::{Sent, StreamRecord};
+use crate::versions::{EVENTS, ReplicaSpan};
 
 /// Pieces as ranges of numbers, with the version, the run and its first piece.
 type Pieces<'a> = &'a [(std::ops::Range<u64>, &'a str)];
@@ -198,3 +200,46 @@
         }
     }
 }
+
+/// Guards against take-ups at processes that are refused in place of being proven.
+#[test]
+fn take_ups_that_seldom_go_on_are_broken_while_two_processes_serve() {
+    let start = Instant::now();
+    let first: Pieces<'_> = &[(0..3, "v1 run a from 0")];
+    let rest: Pieces<'_> = &[(3..6, "v1 run b from 3")];
+    let taken_up = |is_refused: bool| {
+        let mut record = match is_refused {
+            true => stream(&[first, &[]], false).streams.remove(0),
+            false => stream(&[first, rest], false).streams.remove(0),
+        };
+        record.sent = vec![sent_at(start + Duration::from_secs(1)); 2];
+        record
+    };
+    let seen = |gone_on: usize, refused: usize, processes: usize| {
+        let span = ReplicaSpan {
+            version: "v1".to_owned(),
+            from: start,
+            until: None,
+        };
+        Seen {
+            streams: (0..gone_on + refused)
+                .map(|i| taken_up(i < refused))
+                .collect(),
+            served: vec![span; processes],
+            ..Seen::default()
+        }
+    };
+    assert_breaks(&seen(5, 7, 2), "streams go on too seldom");
+    assert_keeps(&seen(6, 6, 2));
+    assert_keeps(&seen(5, 7, 1));
+    assert_keeps(&seen(4, 7, 2));
+}
+
+fn sent_at(at: Instant) -> Sent {
+    Sent {
+        host: 0,
+        at,
+        time: SystemTime::UNIX_EPOCH,
+        lasted: Duration::ZERO,
+    }
+}
--- a/crates/soak/src/versions/checks.rs
+++ b/crates/soak/src/versions/checks.rs
@@ -27,7 +27,7 @@
 
 /// Tries, and those of them that brought an event or the end of the stream.
 #[derive(Clone, Copy, Debug, Default)]
-struct Share {
+pub(crate) struct Share {
     tries: usize,
     served: usize,
 }
@@ -121,7 +121,7 @@
 }
 
 /// Take-ups go on nearly as often as new streams begin.
-fn check_shares(new: Share, taken_up: Share) -> Option<String> {
+pub(crate) fn check_shares(new: Share, taken_up: Share) -> Option<String> {
     let is_counted = taken_up.tries >= MIN_TAKE_UPS;
     let is_low = taken_up.ratio() < MIN_SHARE_RATIO * new.ratio();
     (is_counted && is_low)
@@ -130,7 +130,7 @@
 
 /// Shares of new streams that begin, and of take-ups that go on while enough endpoints of their
 /// version serve.
-fn shares(streams: &[StreamRecord], replicas: &[ReplicaSpan]) -> (Share, Share) {
+pub(crate) fn shares(streams: &[StreamRecord], replicas: &[ReplicaSpan]) -> (Share, Share) {
     let (mut new, mut taken_up) = (Share::default(), Share::default());
     for stream in streams {
         let mut version: Option<String> = None;
--- a/crates/soak/src/versions/mod.rs
+++ b/crates/soak/src/versions/mod.rs
@@ -20,8 +20,8 @@
 use crate::load;
 use crate::versions::callers::StreamRecord;
 pub(crate) use crate::versions::checks::Findings;
-pub(crate) use crate::versions::releases::{EVENTS, VERSIONS};
-use crate::versions::releases::{Releases, ReplicaSpan};
+use crate::versions::releases::Releases;
+pub(crate) use crate::versions::releases::{EVENTS, ReplicaSpan, VERSIONS};
 
 /// Service of the endpoints with software versions.
 pub(crate) const SERVICE: &str = "versions";
