Play releases by new endpoints of a service that has one software version

What callers saw: a stream that began at the next version and went on at the one before, in the first seconds of a release in which every endpoint has an id and an address of its own.

The links between hosts were never cut, so a host that did not reach the store heard from others.

Change: a sixth service. Four endpoints of the next version join, the earlier four drain and leave, and there is one version again. Their entries are renewed as those of the processes. As a release begins, some hosts do not hear from the store, and host 0, whose links lead over relays now, may reach neither the store nor the other hosts. New streams have their host killed 40 to 190 ms after the request, more often while a release is under way. Parts of the soak ask for such faults through a queue (`asked`), since only they know the moment. The checks are those of the service with two versions.

--- a/crates/soak/src/fleet/configuration.rs
+++ b/crates/soak/src/fleet/configuration.rs
@@ -2,7 +2,7 @@
 
 use pistachiochute_standins::platform::records;
 
-use crate::{crashes, evacuations, processes, versions};
+use crate::{crashes, evacuations, processes, rollouts, versions};
 
 /// Timeout of the routes with short answers, in milliseconds.
 const TIMEOUT_MS: u64 = 4_000;
@@ -47,6 +47,7 @@
             route("long", "streaming", "streams", 1),
             route("long-resumable", "streaming", "streams", 3),
             route(versions::ROUTE, "streaming", versions::SERVICE, 3),
+            route(rollouts::ROUTE, "streaming", rollouts::SERVICE, 3),
             route(crashes::ROUTE, "streaming", crashes::SERVICE, 3),
             route(evacuations::ROUTE, "safe", evacuations::SERVICE, 3),
             route(processes::STREAM_ROUTE, "streaming", processes::SERVICE, 3),
@@ -63,6 +64,7 @@
                 "calls",
                 "streams",
                 versions::SERVICE,
+                rollouts::SERVICE,
                 crashes::SERVICE,
                 evacuations::SERVICE,
                 processes::SERVICE,
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -8,7 +8,7 @@
 use pistachiochute_standins::relay::Relay;
 use rustix::process::Signal;
 
-use super::{Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
+use super::{CUT_OFF_HOST, Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
 use crate::checks::{Disturbance, Disturbed, EVENTS, RESTART};
 use crate::schedule::{EntryOfLeaving, Fault};
 
@@ -70,6 +70,16 @@
                 };
                 lasting(span, Box::new(open))
             }
+            Fault::HostCutOff { span } => {
+                self.shut(CUT_OFF_HOST, Mode::Unresponsive, span);
+                self.link_relays.iter().for_each(Relay::partition);
+                let heal = |world: &mut Self| {
+                    world.store_listeners[CUT_OFF_HOST].set_mode(Mode::Serving);
+                    world.link_relays.iter().for_each(Relay::heal);
+                    Ok(())
+                };
+                lasting(span, Box::new(heal))
+            }
             Fault::StoreForgets => {
                 self.store.compact_history();
                 Ok(None)
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 use crate::checks::{EVENTS, Ran, Refused, Seen, Verdict};
 use crate::process::Host;
 use crate::schedule::draw;
-use crate::{crashes, crowds, evacuations, load, processes, schedule, versions};
+use crate::{asked, crashes, crowds, evacuations, load, processes, rollouts, schedule, versions};
 
 /// Endpoints with faults of all kinds.
 const FAULTY_ENDPOINTS: usize = 4;
@@ -47,6 +47,9 @@
 /// Those of them that are not stopped.
 const UNSTOPPED_HOSTS: usize = 1;
 
+/// The host whose links lead over relays, so that it can be cut off from all others.
+const CUT_OFF_HOST: usize = 0;
+
 /// Callers of each host that open a connection for each request.
 const FRESH_CALLERS: usize = 3;
 
@@ -188,6 +191,8 @@
     is_store_away: Arc<AtomicBool>,
     store_listeners: Vec<StoreListener>,
     store_relays: Vec<Relay>,
+    /// Lead to the host that may be cut off, and from it to each other one.
+    link_relays: Vec<Relay>,
     hosts: Vec<Host>,
     served: Vec<Served>,
     /// Endpoints that have left, kept for what they ran.
@@ -205,6 +210,7 @@
             is_store_away: Arc::default(),
             store_listeners: Vec::new(),
             store_relays: Vec::new(),
+            link_relays: Vec::new(),
             hosts: Vec::new(),
             served: Vec::new(),
             gone: Vec::new(),
@@ -230,14 +236,29 @@
                 true => SHORT_STOP,
                 false => LONG_STOP,
             };
+            if let Some(host) = world.hosts.get(CUT_OFF_HOST) {
+                store_listener.show_instead(host.links, world.link_relays[0].addr());
+            }
             let host = Host::start(i, domain, relay.addr(), stop, &run.daemon, dir)?;
+            let link_relay = Relay::start(host.links)?;
             world.hosts.push(host);
             world.store_listeners.push(store_listener);
             world.store_relays.push(relay);
+            world.relay_link(i, link_relay);
         }
         Ok(world)
     }
 
+    /// Lets the host that may be cut off reach another one over the relay. The relay to itself comes
+    /// first.
+    fn relay_link(&mut self, host: usize, relay: Relay) {
+        if host != CUT_OFF_HOST {
+            let listener = &self.store_listeners[CUT_OFF_HOST];
+            listener.show_instead(self.hosts[host].links, relay.addr());
+        }
+        self.link_relays.push(relay);
+    }
+
     /// Writes the next version of the configuration.
     fn configure(&mut self) {
         let key = load::key(self.callers.key.load(Ordering::Relaxed));
@@ -286,7 +307,7 @@
             seen.runs.extend(served.runs());
             seen.refusals.extend(served.refusals());
         }
-        for relay in self.store_relays {
+        for relay in self.store_relays.into_iter().chain(self.link_relays) {
             relay.close();
         }
         for store_listener in self.store_listeners {
@@ -316,6 +337,8 @@
         let evacuated = evacuations::Fleet::start(&world.store)?;
         let is_store_away = world.is_store_away.clone();
         let processes = processes::Fleet::start(&world.store, is_store_away, self.seed, &dir)?;
+        let is_store_away = world.is_store_away.clone();
+        let rollouts = rollouts::Fleet::start(&world.store, is_store_away, self.seed)?;
         let unready = world.unready(START);
         eyre::ensure!(unready.is_empty(), "hosts that do not start: {unready:?}");
         let mut callers = self.start_callers(&world);
@@ -326,8 +349,10 @@
         let crashing = crashing.serve(&addresses, &world.callers, self.seed);
         let evacuated = evacuated.serve(&addresses, &world.callers, self.seed);
         let processes = processes.serve(&addresses, &world.callers, self.seed);
+        let (asker, mut asked) = asked::Queue::new();
+        let rollouts = rollouts.serve(&addresses[..self.hosts], &world.callers, &asker, self.seed);
         let steps = draw(self.seed, &self.places(), self.length);
-        play_steps(&mut world, &steps)?;
+        play_steps(&mut world, &steps, &mut asked)?;
         let unready = world.unready(RECOVERY);
         if !unready.is_empty() {
             let found = format!("hosts that do not recover: {unready:?}");
@@ -345,6 +370,9 @@
         let findings = versions.finish()?;
         println!("seed {}: {}", self.seed, findings.summary);
         world.seen.found.extend(findings.broken);
+        let findings = rollouts.finish()?;
+        println!("seed {}: {}", self.seed, findings.summary);
+        world.seen.found.extend(findings.broken);
         let findings = evacuated.finish(&world.seen.disturbed)?;
         println!("seed {}: {}", self.seed, findings.summary);
         world.seen.found.extend(findings.broken);
@@ -414,7 +442,11 @@
 }
 
 /// Plays the faults of a schedule, and ends all that are still under way.
-fn play_steps(world: &mut World, steps: &[schedule::Step]) -> eyre::Result<()> {
+fn play_steps(
+    world: &mut World,
+    steps: &[schedule::Step],
+    asked: &mut asked::Queue,
+) -> eyre::Result<()> {
     let began = Instant::now();
     let mut steps = steps.iter().peekable();
     let mut under_way: Vec<(Instant, Option<usize>, Ending)> = Vec::new();
@@ -425,15 +457,27 @@
         for (_, _, end) in due {
             end(world)?;
         }
-        let busy: Vec<_> = under_way.iter().filter_map(|(_, host, _)| *host).collect();
+        let mut busy: Vec<_> = under_way.iter().filter_map(|(_, host, _)| *host).collect();
         world.watch(&busy)?;
-        if let Some(step) = steps.next_if(|step| began + step.at <= now) {
+        let mut beginning = match steps.peek() {
+            Some(_) => asked.due(now),
+            None => Vec::new(),
+        };
+        beginning.extend(
+            steps
+                .next_if(|step| began + step.at <= now)
+                .map(|step| step.fault),
+        );
+        for fault in beginning {
             // A host that is being stopped is left alone until it has ended.
-            let touches = faults::host_of(step.fault);
-            if !touches.is_some_and(|host| busy.contains(&host))
-                && let Some((span, end)) = world.begin(step.fault)?
-            {
-                under_way.push((Instant::now() + span, faults::stopping(step.fault), end));
+            let touches = faults::host_of(fault);
+            if touches.is_some_and(|host| busy.contains(&host)) {
+                continue;
+            }
+            if let Some((span, end)) = world.begin(fault)? {
+                let stopping = faults::stopping(fault);
+                busy.extend(stopping);
+                under_way.push((Instant::now() + span, stopping, end));
             }
         }
         std::thread::sleep(Duration::from_millis(10));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 //! callers send requests, and what they and the endpoints see is held against the promises of the
 //! product. See `docs/SOAK.md`.
 
+mod asked;
 mod checks;
 mod crashes;
 mod crowds;
@@ -15,6 +16,7 @@
 mod load;
 mod process;
 mod processes;
+mod rollouts;
 mod schedule;
 mod versions;
 
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -18,6 +18,8 @@
 pub(crate) struct Host {
     pub name: String,
     pub callers: SocketAddr,
+    /// Where other hosts reach it.
+    pub links: SocketAddr,
     /// Time of a planned stop.
     pub stop: Duration,
     daemon: PathBuf,
@@ -62,6 +64,7 @@
             log: dir.join(format!("{name}.log")),
             name,
             callers,
+            links,
             stop,
             daemon: daemon.to_owned(),
             settings: path,
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -8,7 +8,7 @@
 mod answers;
 mod callers;
 mod checks;
-mod registration;
+pub(crate) mod registration;
 mod restarts;
 pub(crate) mod server;
 #[cfg(test)]
@@ -82,6 +82,7 @@
             hosts: hosts.to_vec(),
             shared: shared.clone(),
             is_over: are_callers_over.clone(),
+            kills: None,
         };
         let calls = (0..CALL_CALLERS).map(|number| {
             let caller = callers::Caller {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -99,6 +99,8 @@
     StoreDown { span: Duration },
     /// The store forgets its history.
     StoreForgets,
+    /// The host that may be cut off reaches neither the store nor other hosts, nor do they reach it.
+    HostCutOff { span: Duration },
     /// Connections of the host to the store are reset.
     StoreReset { host: usize },
     /// Connections of the host to the store go silent, and new ones work.
--- a/crates/soak/src/versions/callers.rs
+++ b/crates/soak/src/versions/callers.rs
@@ -10,7 +10,9 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use crate::asked::Asker;
 use crate::load;
+use crate::schedule::Fault;
 use crate::versions::releases::EVENTS;
 
 /// Most tries of a stream.
@@ -19,6 +21,18 @@
 /// Probability with which a caller disconnects within a try.
 const DISCONNECT_PROBABILITY: f64 = 0.5;
 
+/// Probability with which a caller that may do so has the host of a new stream killed.
+const KILL_PROBABILITY: f64 = 0.05;
+
+/// The same probability while kills are to be frequent.
+const FREQUENT_KILL_PROBABILITY: f64 = 0.35;
+
+/// Time from a request to the end of its host, in milliseconds: within 150 ms of the first event.
+const KILL_AFTER_MS: std::ops::Range<u64> = 40..190;
+
+/// Time for which a host that was killed is down, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 200..1_000;
+
 /// Pause before a stream is taken up, in milliseconds.
 const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 200..800;
 
@@ -61,6 +75,33 @@
     pub hosts: Vec<SocketAddr>,
     pub shared: Arc<load::Shared>,
     pub is_over: Arc<AtomicBool>,
+    /// Which hosts are killed on which a stream has just begun, if any.
+    pub kills: Option<Kills>,
+}
+
+/// Kills of hosts on which a stream has just begun.
+#[derive(Clone)]
+pub(crate) struct Kills {
+    pub is_frequent: Arc<AtomicBool>,
+    pub asker: Asker,
+}
+
+impl Kills {
+    /// Has the host of a new stream killed, now and then. Returns whether it is.
+    fn draw(&self, rng: &mut ChaCha8Rng, host: usize) -> bool {
+        let probability = match self.is_frequent.load(Ordering::Relaxed) {
+            true => FREQUENT_KILL_PROBABILITY,
+            false => KILL_PROBABILITY,
+        };
+        let is_killed = rng.random_bool(probability);
+        if is_killed {
+            let after = Duration::from_millis(rng.random_range(KILL_AFTER_MS));
+            let down = Duration::from_millis(rng.random_range(DOWN_MS));
+            let at = Instant::now() + after;
+            self.asker.ask(at, Fault::Kill { host, down });
+        }
+        is_killed
+    }
 }
 
 impl Caller {
@@ -110,7 +151,10 @@
             let key = load::key(self.shared.key.load(Ordering::Relaxed));
             record.caller.set_key(&key);
             let host = rng.random_range(0..self.hosts.len());
-            let events = match rng.random_bool(DISCONNECT_PROBABILITY) {
+            let is_first = record.sent.is_empty();
+            let kills = self.kills.as_ref().filter(|_| is_first);
+            let is_killed = kills.is_some_and(|kills| kills.draw(rng, host));
+            let events = match !is_killed && rng.random_bool(DISCONNECT_PROBABILITY) {
                 true => rng.random_range(1..EVENTS) as usize,
                 false => usize::MAX,
             };
--- a/crates/soak/src/versions/checks.rs
+++ b/crates/soak/src/versions/checks.rs
@@ -25,6 +25,17 @@
     pub summary: String,
 }
 
+impl Findings {
+    /// The findings with the name of their service.
+    pub(crate) fn named(self, name: &str) -> Self {
+        let prefixed = |text: String| format!("{name}, {text}");
+        Self {
+            broken: self.broken.into_iter().map(prefixed).collect(),
+            summary: prefixed(self.summary),
+        }
+    }
+}
+
 /// Tries, and those of them that brought an event or the end of the stream.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Share {
--- a/crates/soak/src/versions/mod.rs
+++ b/crates/soak/src/versions/mod.rs
@@ -60,6 +60,7 @@
             hosts: hosts.to_vec(),
             shared: shared.clone(),
             is_over: are_callers_over.clone(),
+            kills: None,
         };
         Scenario {
             callers: caller.start_many(CALLERS, seed),
