--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod callers;
 mod checks;
+mod member;
 pub(crate) mod registration;
 mod restarts;
 pub(crate) mod server;
