Cut a host off for most of each release by new endpoints

What callers saw: streams that began at the next version and went on at the one before.

A release matters from its begin until the cut-off host's list is 2.5 s old, and a stream has to be taken up there within that time.

Change: host 0 is cut off in nine of ten releases, for 1.5 to 3 s in place of 0.2 to 3 s, and callers use four hosts in place of five.

--- a/crates/soak/src/rollouts/mod.rs
+++ b/crates/soak/src/rollouts/mod.rs
@@ -32,7 +32,7 @@
 
 /// Hosts that are called, among them the one that may be cut off. They are few, so that streams often
 /// meet it.
-const CALLED_HOSTS: usize = 5;
+const CALLED_HOSTS: usize = 4;
 
 /// Endpoints, which are registered and not yet called.
 pub(crate) struct Fleet {
--- a/crates/soak/src/rollouts/releases.rs
+++ b/crates/soak/src/rollouts/releases.rs
@@ -43,7 +43,10 @@
 const LATE_MS: std::ops::Range<u64> = 200..schedule::LONGEST.as_millis() as u64;
 
 /// Probability with which the host that may be cut off is so when a release begins.
-const CUT_OFF_PROBABILITY: f64 = 0.7;
+const CUT_OFF_PROBABILITY: f64 = 0.9;
+
+/// Time for which it is cut off, in milliseconds.
+const CUT_OFF_MS: std::ops::Range<u64> = 1_500..schedule::LONGEST.as_millis() as u64;
 
 /// Time from such a fault to the release.
 const HOLD_BACK_LEAD: Duration = Duration::from_millis(60);
@@ -230,7 +233,7 @@
                 around.asker.ask(now, Fault::StoreSilent { host, span });
             }
         }
-        let span = Duration::from_millis(self.rng.random_range(LATE_MS));
+        let span = Duration::from_millis(self.rng.random_range(CUT_OFF_MS));
         if self.rng.random_bool(CUT_OFF_PROBABILITY) {
             around.asker.ask(now, Fault::HostCutOff { span });
         }
