Test, failing, that no text of an error stands in a stream of the older interface

Cause (read): `runtime::endpoint::events` takes any text without data for a comment, which is passed on, and looks at no other line of an event.

The other texts were not reached.

--- a/crates/runtime/tests/answer_ends.rs
+++ b/crates/runtime/tests/answer_ends.rs
@@ -250,6 +250,34 @@
     }
 }
 
+/// Guards against the text or the head of an error in the middle of a run, between two events or within
+/// one, which stays there when the stream goes on.
+#[test]
+fn text_of_an_error_in_a_run_is_no_part_of_the_stream() {
+    let head = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 18\r\n\r\n";
+    let error = format!("{head}{ENDPOINT_ERROR}\n\n");
+    let rest = unframed(&(events([3]) + "data: [DONE]\n\n"));
+    for text in [
+        error.clone(),
+        format!("{ENDPOINT_ERROR}\n\n"),
+        format!("id: 3\ndata: {{\"te{error}"),
+        format!("id: 3\ndata: {{}}\n{ENDPOINT_ERROR}\n\n"),
+    ] {
+        let begun = unframed(&(events([1, 2]) + &text));
+        let fleet = ScriptedFleet::start(&[&begun, &rest]);
+        for host in 0..2 {
+            fleet.endpoint.requests.lock().unwrap().clear();
+            let streamed = fleet.stream(host);
+            assert!(
+                !streamed.text.contains("HTTP/1.1"),
+                "{text:?}: {streamed:?}"
+            );
+            streamed.assert_one_run(3);
+        }
+        fleet.close();
+    }
+}
+
 /// Guards against a stream without framing that looks complete because its connection was closed
 /// in order.
 #[test]
