Ask for as much longer as a take-up has waited, and count no time before the first list

The same class: elapsed time in a statement on a version. Beside it, a host took the time from its start to its first list for time that it had seen.

Change: the question grows by the wait (`OriginQuery::after_waiting`); what a host covers begins with its first list.

--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -121,7 +121,6 @@
     /// fleet started.
     since: Option<time::Time>,
     last_confirmed: Option<time::Time>,
-    started_at: time::Time,
 }
 
 impl Coverage {
@@ -129,15 +128,16 @@
         Self {
             since: if is_complete { None } else { Some(now) },
             last_confirmed: None,
-            started_at: now,
         }
     }
 
     fn confirm(&mut self, now: time::Time) {
-        let is_first = self.last_confirmed.is_none();
-        let previous = self.last_confirmed.unwrap_or(self.started_at);
-        let is_complete_so_far = is_first && self.since.is_none();
-        if now.since(previous) > MAX_GAP && !is_complete_so_far {
+        let has_gap = match self.last_confirmed {
+            Some(previous) => now.since(previous) > MAX_GAP,
+            // What came and went before the first list is not known, unless nothing served then.
+            None => self.since.is_some(),
+        };
+        if has_gap {
             self.since = Some(now);
         }
         self.last_confirmed = self.last_confirmed.max(Some(now));
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -47,6 +47,17 @@
     pub span: Duration,
 }
 
+impl OriginQuery {
+    /// The question after it has waited for an answer. The stream began no later than before.
+    #[must_use]
+    pub fn after_waiting(&self, waited: Duration) -> Self {
+        Self {
+            span: self.span.saturating_add(waited),
+            ..self.clone()
+        }
+    }
+}
+
 /// Returns the version that began the stream, or `None` if it is not certain.
 ///
 /// The recorded origin counts if [`VersionHistory::is_certain`] confirms it. The only version that the
--- a/crates/core/tests/streams_only_version.rs
+++ b/crates/core/tests/streams_only_version.rs
@@ -6,7 +6,7 @@
 
 use pistachiochute_core::directory::Endpoint;
 use pistachiochute_core::streams::{
-    LifeSign, OnlyVersions, RETENTION, StreamKey, TakeUps, VersionHistory,
+    LifeSign, OnlyVersions, OriginQuery, RETENTION, StreamKey, TakeUps, VersionHistory,
 };
 use pistachiochute_core::time;
 use streams_support::{SERVICE, endpoint, tag};
@@ -162,3 +162,37 @@
     let span = Duration::from_secs(20);
     assert_eq!(history.only_versions(span, secs(1)), adopted);
 }
+
+/// Guards against ORDER: a take-up that waits for signs of life until the version at which its stream began has
+/// left the span (soak seed 9002, `r6-3`).
+#[test]
+fn a_take_up_that_has_waited_asks_for_as_much_longer() {
+    let earlier = endpoint("a", 1, Some("1"));
+    let later = endpoint("b", 1, Some("2"));
+    let mut history = host_with(&[earlier, later.clone()], secs(20));
+    keep_listing(&mut history, std::slice::from_ref(&later), 21, 40);
+    history.record_write(&later, secs(40), secs(40));
+    let query = OriginQuery {
+        stream: None,
+        service: SERVICE.into(),
+        span: SPAN,
+    };
+    let version =
+        |query: &OriginQuery| history.only_version(SERVICE, query.span, secs(26), secs(40));
+    assert_eq!(version(&query), Some(tag("2")));
+    let waited = secs(40).since(secs(26));
+    assert_eq!(version(&query.after_waiting(waited)), None);
+}
+
+/// Guards against ORDER: a host that takes the time from its start to its first list for time in which it knows
+/// what served.
+#[test]
+fn a_host_that_started_knows_nothing_of_the_time_before_its_first_list() {
+    let listed = endpoint("a", 1, Some("2"));
+    let mut history = VersionHistory::new(false, secs(10));
+    keep_listing(&mut history, std::slice::from_ref(&listed), 14, 20);
+    history.record_write(&listed, secs(20), secs(20));
+    let version = |span| history.only_version(SERVICE, span, secs(20), secs(20));
+    assert_eq!(version(Duration::from_secs(6)), Some(tag("2")));
+    assert_eq!(version(Duration::from_secs(7)), None);
+}
--- a/crates/gateway/src/traffic/beginnings.rs
+++ b/crates/gateway/src/traffic/beginnings.rs
@@ -148,7 +148,8 @@
     };
     let started = clock::now();
     loop {
-        let verdict = match cx.shared.query_origin(query.clone()).await {
+        let waited = clock::now().since(started);
+        let verdict = match cx.shared.query_origin(query.after_waiting(waited)).await {
             streams::Answer::Version(version) => return Ok(version),
             streams::Answer::Unknown if may_become_known(cx, plan, &query, started) => {
                 tokio::time::sleep(ONLY_VERSION_POLL_INTERVAL).await;
