End the doubt about a removal by what is certain, and by nothing else

Cause: Directory::apply compared revisions alone. The revision of a removal in doubt is that of the list, later than the removal itself, so whatever is certain looked old; a late write made a record without the doubt. Change: an earlier change is read against the last revision at which the entry is known to have existed; a late write keeps the doubt.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -77,8 +77,9 @@
             self.outage.record_call(true, now);
         }
         let known = self.records.get(key);
-        if known.is_some_and(|r| r.revision >= revision) {
-            return false;
+        if let Some(known) = known.filter(|r| r.revision >= revision) {
+            let shown = known.with_earlier_change(revision, endpoint, source, now);
+            return shown.is_some_and(|record| self.set_record(key, record));
         }
         let last = known.and_then(|r| r.last_endpoint.clone());
         let is_late = |endpoint: &Arc<Endpoint>| {
@@ -86,10 +87,10 @@
                 .is_some_and(|last| endpoint.is_older_than(last))
         };
         let record = match endpoint {
-            Some(endpoint) if is_late(&endpoint) => {
-                let kept = known.and_then(|r| r.endpoint.clone());
-                Record::new(revision, kept, last, now)
-            }
+            Some(endpoint) if is_late(&endpoint) => known.map_or_else(
+                || Record::new(revision, None, None, now),
+                |known| known.with_late_write(revision, now),
+            ),
             Some(endpoint) => {
                 let endpoint = with_known_version(endpoint, last.as_deref());
                 Record::new(revision, Some(endpoint.clone()), Some(endpoint), now)
@@ -103,9 +104,14 @@
                 _ => Record::new(revision, None, last, now),
             },
         };
-        let changed = !record.has_same_usable_endpoint(known);
+        self.set_record(key, record)
+    }
+
+    /// Replaces the record of an entry. Returns whether the endpoints in use changed.
+    fn set_record(&mut self, key: &Arc<str>, record: Record) -> bool {
+        let changed = !record.has_same_usable_endpoint(self.records.get(key));
         if changed {
-            self.last_change = self.last_change.max(revision);
+            self.last_change = self.last_change.max(record.revision);
         }
         self.records.insert(key.clone(), record);
         changed
@@ -158,6 +164,13 @@
         unconfirmed.fold(self.complete_revision, revision::Revision::min)
     }
 
+    /// Whether endpoints stay in use whose entries were removed, so that this host does not know for certain
+    /// which ones are in use.
+    #[must_use]
+    pub fn is_in_doubt(&self) -> bool {
+        self.records.values().any(Record::is_removal_unconfirmed)
+    }
+
     /// Revision of the last known change of the endpoints in use.
     #[must_use]
     pub const fn last_change(&self) -> revision::Revision {
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::directory::{Endpoint, State};
+use crate::directory::{Endpoint, Source, State};
 use crate::{revision, time};
 
 /// One entry at its latest known revision.
@@ -56,6 +56,52 @@
         })
     }
 
+    /// Returns the record after a write that was sent before the last known one. It shows nothing of the
+    /// endpoint, so that a removal in doubt stays in doubt.
+    pub(super) fn with_late_write(
+        &self,
+        revision: revision::Revision,
+        learned_at: time::Time,
+    ) -> Self {
+        Self {
+            revision,
+            learned_at,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the record after a change that came before the one of this record, or `None` if it shows
+    /// nothing new. It does if the entry was removed later, at an unknown revision, and the removal is in
+    /// doubt: another host has confirmed the removal, or the endpoint had said that it leaves.
+    pub(super) fn with_earlier_change(
+        &self,
+        revision: revision::Revision,
+        endpoint: Option<Arc<Endpoint>>,
+        source: Source,
+        learned_at: time::Time,
+    ) -> Option<Self> {
+        let last_seen = self.unconfirmed_after?;
+        if revision <= last_seen {
+            return None;
+        }
+        let last = self.last_endpoint.as_deref();
+        match (endpoint, source) {
+            (None, Source::Store) => None,
+            (None, Source::Host) => {
+                let last = self.last_endpoint.clone();
+                Some(Self::new(self.revision, None, last, learned_at))
+            }
+            (Some(endpoint), _) if last.is_some_and(|last| endpoint.is_older_than(last)) => None,
+            (Some(endpoint), _) => Some(Self {
+                revision: self.revision,
+                last_endpoint: Some(endpoint.clone()),
+                endpoint: Some(endpoint),
+                unconfirmed_after: Some(revision),
+                learned_at,
+            }),
+        }
+    }
+
     /// Whether the entry's removal is unconfirmed, so that the endpoint stays in use.
     #[must_use]
     pub const fn is_removal_unconfirmed(&self) -> bool {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -458,3 +458,81 @@
         prop_assert!(usable(&in_order) == usable(&shuffled));
     }
 }
+
+/// Requests kept going to an endpoint whose removal another host had confirmed: a host that had inferred the
+/// removal from a list, around a failed call of its own, took the confirmation for old news.
+#[test]
+fn removal_that_another_host_confirms_ends_the_doubt_that_a_later_list_has_left() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.record_store_call(false, world.now);
+    // The list shows no more than that the entry was removed by revision 9.
+    world.directory.replace(Vec::new(), at(9), world.now);
+    assert!(world.is_usable(), "the endpoint may be alive");
+    assert!(world.remove(5, Source::Host));
+    assert!(!world.is_usable());
+}
+
+/// What was known of the entry when it was removed does not end the doubt.
+#[test]
+fn removal_before_the_last_known_entry_does_not_end_the_doubt() {
+    let mut world = World::new();
+    world.put(6, 1, State::Ready);
+    world.directory.record_store_call(false, world.now);
+    world.directory.replace(Vec::new(), at(9), world.now);
+    assert!(!world.remove(5, Source::Host));
+    assert!(world.is_usable());
+}
+
+/// Requests kept going to an endpoint that had reported that it leaves, and had gone since: a host that had
+/// only seen that the entry was missing, around a failed call of its own, took the report for old news.
+#[test]
+fn entry_that_says_that_the_endpoint_leaves_ends_its_use_while_its_removal_is_in_doubt() {
+    for source in [Source::Host, Source::Store] {
+        let mut world = World::new();
+        world.put(1, 1, State::Ready);
+        world.directory.record_store_call(false, world.now);
+        world.directory.replace(Vec::new(), at(9), world.now);
+        let leaving = endpoint("ep", 1, 2, State::Leaving);
+        let key = world.key.clone();
+        let changed = world
+            .directory
+            .apply(&key, at(5), Some(leaving), source, world.now);
+        assert!(changed, "{source:?}");
+        assert!(!world.is_usable(), "{source:?}");
+        // Still gone when the doubt ends.
+        world.directory.record_store_call(true, world.now);
+        world.pass(2_300);
+        assert!(!world.is_usable(), "{source:?}");
+        assert_eq!(world.directory.leaving().count(), 0, "{source:?}");
+    }
+}
+
+/// Requests kept going to an endpoint that had gone: a write of its entry that arrived late, while the removal
+/// was in doubt, ended the doubt and left the endpoint in use until that entry expired.
+#[test]
+fn write_that_arrives_late_leaves_the_removal_in_doubt() {
+    let mut world = World::new();
+    world.put(1, 5, State::Ready);
+    world.directory.record_store_call(false, world.now);
+    world.directory.replace(Vec::new(), at(9), world.now);
+    assert!(!world.put(10, 4, State::Ready));
+    assert!(world.is_usable(), "the endpoint may be alive");
+    world.directory.record_store_call(true, world.now);
+    world.pass(2_300);
+    assert!(!world.is_usable());
+}
+
+/// An entry that names no start after one of the same id that did is no new incarnation.
+#[test]
+fn entry_without_a_start_does_not_bring_back_an_endpoint_that_leaves() {
+    let mut world = World::new();
+    world.put(1, 1, State::Leaving);
+    let unnamed = endpoint("ep", 0, 2, State::Ready);
+    let key = world.key.clone();
+    let source = Source::Store;
+    world
+        .directory
+        .apply(&key, at(2), Some(unnamed), source, world.now);
+    assert!(!world.is_usable());
+}
