Log where each change of an endpoint comes from, doubts about removals, and changes of the role

Change: endpoint changed has source and known_age_ms; endpoint in doubt and endpoint doubt ended; role changed; the gauge endpoints_age_ms. Result: no decision is changed.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -15,6 +15,7 @@
 mod departures;
 mod endpoint;
 mod evacuations;
+
 mod record;
 mod software;
 mod store_outage;
@@ -45,6 +46,17 @@
     Host,
 }
 
+/// The removal of an entry that was in doubt and is certain now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfirmedRemoval {
+    /// Key of the entry.
+    pub key: Arc<str>,
+    /// Revision up to which it was removed.
+    pub revision: revision::Revision,
+    /// Time for which its endpoint stayed in use since the last news of it.
+    pub doubted_for: std::time::Duration,
+}
+
 /// Endpoints by the key of their entry.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -168,7 +180,7 @@
     /// which ones are in use.
     #[must_use]
     pub fn is_in_doubt(&self) -> bool {
-        self.records.values().any(Record::is_removal_unconfirmed)
+        self.doubted().next().is_some()
     }
 
     /// Revision of the last known change of the endpoints in use.
@@ -187,15 +199,36 @@
         self.outage.apply_observation(observation);
     }
 
+    /// Entries whose endpoints stay in use although the entries were removed, with the revisions up to which
+    /// they were.
+    pub fn doubted(&self) -> impl Iterator<Item = (&Arc<str>, revision::Revision)> {
+        let doubted = self.records.iter();
+        let doubted = doubted.filter(|(_, r)| r.is_removal_unconfirmed());
+        doubted.map(|(key, r)| (key, r.revision))
+    }
+
+    /// Whether the endpoint of an entry stays in use although the entry was removed.
+    #[must_use]
+    pub fn is_removal_in_doubt(&self, key: &str) -> bool {
+        self.records
+            .get(key)
+            .is_some_and(Record::is_removal_unconfirmed)
+    }
+
     /// Confirms removals that are no longer uncertain, and drops the records of old ones. Returns
-    /// the keys of the entries whose removal was confirmed, with the revisions of the removal.
-    pub fn tick(&mut self, now: time::Time) -> Vec<(Arc<str>, revision::Revision)> {
+    /// the removals that were confirmed.
+    pub fn tick(&mut self, now: time::Time) -> Vec<ConfirmedRemoval> {
         let mut confirmed = Vec::new();
         if !self.outage.is_removal_uncertain(now) {
             for (key, record) in &mut self.records {
+                let doubted_for = now.since(record.learned_at);
                 if record.confirm_removal(now) {
                     self.last_change = self.last_change.max(record.revision);
-                    confirmed.push((key.clone(), record.revision));
+                    confirmed.push(ConfirmedRemoval {
+                        key: key.clone(),
+                        revision: record.revision,
+                        doubted_for,
+                    });
                 }
             }
         }
--- a/crates/core/src/membership/overlay.rs
+++ b/crates/core/src/membership/overlay.rs
@@ -32,6 +32,18 @@
     Member,
 }
 
+impl Role {
+    /// Name in the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Mesh => "mesh",
+            Self::Relay => "relay",
+            Self::Member => "member",
+        }
+    }
+}
+
 /// Properties of a host that determine the overlay.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OverlayHost {
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -165,8 +165,8 @@
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
     state.hosts.retain_listed(&listed, now);
-    state.update_overlay(now);
     drop(state);
+    cx.update_overlay(now);
     cx.publish();
 }
 
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -260,7 +260,8 @@
         }
         peer::Message::Endpoints { complete, records } => {
             let versions = std::mem::take(&mut sender.versions);
-            apply_endpoints(cx, complete, records, &versions);
+            let source = events::Source::Host(name.clone());
+            apply_endpoints(cx, complete, records, (&versions, &source));
         }
         peer::Message::EndpointVersions(versions) => {
             let pairs = versions.into_iter().map(|v| (v.identity, v.version));
@@ -346,7 +347,10 @@
     cx: &Context<D, S>,
     complete: revision::Revision,
     records: Vec<peer::EndpointRecord>,
-    versions: &HashMap<directory::Identity, directory::SoftwareVersion>,
+    (versions, source): (
+        &HashMap<directory::Identity, directory::SoftwareVersion>,
+        &events::Source,
+    ),
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -357,13 +361,7 @@
             endpoint.version = versions.get(&endpoint.identity).cloned();
             Arc::new(endpoint)
         });
-        any |= sync::apply_endpoint(
-            cx,
-            &record.key,
-            record.revision,
-            endpoint,
-            directory::Source::Host,
-        );
+        any |= sync::apply_endpoint(cx, &record.key, record.revision, endpoint, source);
     }
     cx.state.borrow_mut().directory.mark_complete(complete);
     if any {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -34,7 +34,7 @@
 
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::membership::registration;
-use pistachiochute_core::{catalog, streams, time};
+use pistachiochute_core::{catalog, directory, revision, streams, time};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::{clock, metrics};
 use tokio::sync::Notify;
@@ -262,6 +262,7 @@
             live_hosts: state.hosts.live_count(now) as u64,
             live_peers: state.live_peers(now) as u64,
             store_answers: self.store_available.get(),
+            endpoints_age_ms: now.since(self.shared.endpoints_confirmed_at()).as_millis() as u64,
         });
     }
 
@@ -285,6 +286,32 @@
         self.state.borrow().state_version()
     }
 
+    /// Recomputes the links and the role of this host.
+    fn update_overlay(&self, now: time::Time) {
+        let mut state = self.state.borrow_mut();
+        if state.update_overlay(now) {
+            self.events.role_changed(&state.overlay);
+        }
+    }
+
+    /// Logs a change of the endpoints in use.
+    fn log_endpoint(
+        &self,
+        key: &str,
+        revision: revision::Revision,
+        endpoint: Option<&directory::Endpoint>,
+        source: &events::Source,
+    ) {
+        let known_at = self.shared.endpoints_confirmed_at();
+        self.events.endpoint_changed(&events::EndpointLogEntry {
+            key,
+            revision,
+            endpoint,
+            source,
+            known_age: clock::now().since(known_at),
+        });
+    }
+
     /// Runs the periodic work: expires endpoints, hosts and load reports, recomputes the overlay,
     /// and publishes loads, metrics and cached prompt parts.
     fn tick(&self) {
@@ -294,15 +321,15 @@
         self.pulse.set(pulse);
         let expired = self.state.borrow_mut().directory.tick(now);
         self.state.borrow_mut().hosts.tick(now);
-        for (key, revision) in &expired {
-            self.events.endpoint_changed(key, *revision, None);
+        for removal in &expired {
+            self.events.endpoint_doubt_ended(removal);
         }
         let any_departed = departures::apply_local(self, now);
         if any_departed || !expired.is_empty() {
             self.publish();
         }
+        self.update_overlay(now);
         let mut state = self.state.borrow_mut();
-        state.update_overlay(now);
         state.load_reports.tick(now);
         state.tick_streams(now);
         let others = state.load_reports.total_of_others(&state.overlay);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -236,8 +236,9 @@
         self.peers.values().filter(is_live).count()
     }
 
-    /// Recomputes the links and the role of this host from the live hosts.
-    pub fn update_overlay(&mut self, now: time::Time) {
+    /// Recomputes the links and the role of this host from the live hosts. Returns whether its role or
+    /// its relays have changed.
+    pub fn update_overlay(&mut self, now: time::Time) -> bool {
         let hosts: Vec<_> = self
             .hosts
             .hosts()
@@ -247,7 +248,9 @@
                 is_live: self.hosts.is_live(name, now),
             })
             .collect();
-        self.overlay = overlay::Overlay::new(&self.name, &self.domain, &hosts);
+        let overlay = overlay::Overlay::new(&self.name, &self.domain, &hosts);
+        let before = std::mem::replace(&mut self.overlay, overlay);
+        before.role != self.overlay.role || before.relays != self.overlay.relays
     }
 
     /// Whether a task is assigned to this host among the candidates, by rendezvous hashing. This
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -297,9 +297,12 @@
         cx.publish();
     }
     // After the state is published: requests may wait for it.
+    let source = events::Source::Store;
     for (key, revision, endpoint) in &listed {
-        cx.events
-            .endpoint_changed(key, *revision, endpoint.as_deref());
+        cx.log_endpoint(key, *revision, endpoint.as_deref(), &source);
+    }
+    for (key, revision) in cx.state.borrow().directory.doubted() {
+        cx.events.endpoint_in_doubt(key, revision);
     }
     cx.events.endpoints_listed(listed.len(), found.revision);
 }
@@ -350,8 +353,8 @@
         if let Some(endpoint) = &endpoint {
             cold_endpoints::apply_entries(cx, [(&**endpoint, change.revision())]);
         }
-        let source = directory::Source::Store;
-        any |= apply_endpoint(cx, &key_text(key), change.revision(), endpoint, source);
+        let source = events::Source::Store;
+        any |= apply_endpoint(cx, &key_text(key), change.revision(), endpoint, &source);
     }
     cx.state.borrow_mut().directory.mark_complete(revision);
     if any {
@@ -376,18 +379,24 @@
     key: &Arc<str>,
     revision: revision::Revision,
     endpoint: Option<Arc<directory::Endpoint>>,
-    source: directory::Source,
-) -> bool {
+    source: &events::Source,
+) -> bool
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
     let changed = cx.state.borrow_mut().directory.apply(
         key,
         revision,
         endpoint.clone(),
-        source,
+        source.kind(),
         clock::now(),
     );
     if changed {
-        cx.events
-            .endpoint_changed(key, revision, endpoint.as_deref());
+        cx.log_endpoint(key, revision, endpoint.as_deref(), source);
+    }
+    if endpoint.is_none() && cx.state.borrow().directory.is_removal_in_doubt(key) {
+        cx.events.endpoint_in_doubt(key, revision);
     }
     changed
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -14,6 +14,7 @@
 
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::health::isolation;
+use pistachiochute_core::membership::overlay;
 use pistachiochute_core::{
     admission, catalog, directory, overload, quarantine, rate_limits, reason, revision, spill, time,
 };
@@ -21,9 +22,9 @@
 use pistachiochute_runtime::platform::key_value;
 
 pub use entry::{
-    AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, Lender, NoticeSource,
-    OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source, StreamClaimLogEntry,
-    StreamPart, StreamPartsLogEntry, StreamVersionLogEntry,
+    AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, EndpointLogEntry,
+    Lender, NoticeSource, OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source,
+    StreamClaimLogEntry, StreamPart, StreamPartsLogEntry, StreamVersionLogEntry,
 };
 
 /// Most lines about requests that a host logs per second.
@@ -133,22 +134,42 @@
     }
 
     /// An endpoint was added, changed, or removed.
-    pub fn endpoint_changed(
-        &self,
-        key: &str,
-        revision: revision::Revision,
-        endpoint: Option<&directory::Endpoint>,
-    ) {
-        let state = match endpoint.map(|e| e.state) {
+    pub fn endpoint_changed(&self, entry: &EndpointLogEntry<'_>) {
+        let state = match entry.endpoint.map(|e| e.state) {
             Some(directory::State::Ready) => "ready",
             Some(directory::State::Leaving) => "leaving",
             None => "gone",
         };
         slog::info!(
             self.log, "endpoint changed";
-            "key" => key, "revision" => %revision, "state" => state,
-            "at" => endpoint.map(|e| e.address.to_string()),
-            "endpoint_domain" => endpoint.map(|e| &*e.domain),
+            "key" => entry.key, "revision" => %entry.revision, "state" => state,
+            "at" => entry.endpoint.map(|e| e.address.to_string()),
+            "endpoint_domain" => entry.endpoint.map(|e| &*e.domain),
+            "source" => %entry.source, "known_age_ms" => millis(entry.known_age),
+        );
+    }
+
+    /// The entry of an endpoint was removed, perhaps by an outage of the store, and the endpoint stays in
+    /// use.
+    pub fn endpoint_in_doubt(&self, key: &str, revision: revision::Revision) {
+        slog::info!(self.log, "endpoint in doubt"; "key" => key, "revision" => %revision);
+    }
+
+    /// The doubt about the removal of an entry is over, and its endpoint no longer in use.
+    pub fn endpoint_doubt_ended(&self, removal: &directory::ConfirmedRemoval) {
+        slog::info!(
+            self.log, "endpoint doubt ended";
+            "key" => &*removal.key, "revision" => %removal.revision,
+            "doubted_ms" => millis(removal.doubted_for),
+        );
+    }
+
+    /// This host has another role in the overlay, or other relays.
+    pub fn role_changed(&self, overlay: &overlay::Overlay) {
+        slog::info!(
+            self.log, "role changed";
+            "role" => overlay.role.as_str(), "relays" => overlay.relays.join(","),
+            "links" => overlay.links.len(),
         );
     }
 
--- a/crates/gateway/src/events/entry.rs
+++ b/crates/gateway/src/events/entry.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use pistachiochute_core::{
-    catalog, choice, directory, outcome, quarantine, reason, spill, streams,
+    catalog, choice, directory, outcome, quarantine, reason, revision, spill, streams,
 };
 
-/// Where a catalog came from.
+/// Where a catalog or the entry of an endpoint came from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// The store.
@@ -26,6 +26,32 @@
     }
 }
 
+impl Source {
+    /// What changes from here prove.
+    #[must_use]
+    pub const fn kind(&self) -> directory::Source {
+        match self {
+            Self::Store => directory::Source::Store,
+            Self::Host(_) => directory::Source::Host,
+        }
+    }
+}
+
+/// A change of the endpoints that a host uses.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointLogEntry<'a> {
+    /// Key of the entry.
+    pub key: &'a str,
+    /// Revision at which the store changed it.
+    pub revision: revision::Revision,
+    /// The endpoint, or `None` if the entry was removed or cannot be used.
+    pub endpoint: Option<&'a directory::Endpoint>,
+    /// Where the change came from.
+    pub source: &'a Source,
+    /// Time since up to when the host knew all changes, when this one came.
+    pub known_age: Duration,
+}
+
 /// Host that lends the permits of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lender<'a> {
--- a/crates/runtime/src/metrics/mod.rs
+++ b/crates/runtime/src/metrics/mod.rs
@@ -149,6 +149,8 @@
     pub live_peers: u64,
     /// Whether the store answered the last call.
     pub store_answers: bool,
+    /// Time since up to when all changes of the endpoints are known, in milliseconds.
+    pub endpoints_age_ms: u64,
 }
 
 /// Instruments of one host. Clones share the instruments and may be used from any thread.
@@ -433,6 +435,7 @@
             ("hosts_serving", state.live_hosts),
             ("hosts_heard", state.live_peers),
             ("store_answers", u64::from(state.store_answers)),
+            ("endpoints_age_ms", state.endpoints_age_ms),
         ];
         for (subject, value) in rows {
             self.host_state.record(value, &[label("subject", subject)]);
