Bound how old what a host knows of the endpoints may be, by what was stated and not by who answers

Cause: a host that follows a relay took it for a source of news as long as the store answered any of its calls, by an age that may be a second old, and up to 3.5 s; and took its own list for complete up to that time. No part of the way of a change was held against the bound that the settings give. Change: KnownUpTo, made only from an answer of the store or of a host and never later than the question; a host asks its relays up to when they know the endpoints (all hosts, if its own watch is silent), and reads the endpoints itself from half of the bound on.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -15,6 +15,7 @@
 mod departures;
 mod endpoint;
 mod evacuations;
+mod knowledge;
 
 mod record;
 mod software;
@@ -24,6 +25,7 @@
 pub use departures::{DEPARTURE_RETENTION, Departure, Departures};
 pub use endpoint::{Endpoint, Identity, IncarnationKey, State};
 pub use evacuations::{Evacuation, Evacuations, ReturnedDomain};
+pub use knowledge::{DrainBudget, KnownUpTo};
 pub use record::Record;
 pub use software::SoftwareVersion;
 pub use store_outage::{RENEWAL_GRACE, StoreObservation, StoreOutage};
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -9,12 +9,13 @@
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::choice::load;
 use pistachiochute_core::memory::Activity;
-use pistachiochute_core::{directory, revision, streams};
+use pistachiochute_core::{directory, revision, streams, time};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::{clock, metrics};
+use smallvec::SmallVec;
 
-use crate::control::links::apply_cached_parts;
-use crate::control::state::HostEntry;
+use crate::control::links::{Outbox, apply_cached_parts};
+use crate::control::state::{HostEntry, State};
 use crate::control::{
     Context, cold_endpoints, crash_evidence, departures, endpoint_limits, evacuations, origins,
     sync,
@@ -302,6 +303,14 @@
         peer::Message::EndpointDepartures(records) => {
             departures::apply_records(cx, name, &records);
         }
+        peer::Message::KnowledgeQuery { asked_at_us, after } => {
+            answer_knowledge(cx, name, asked_at_us, after);
+        }
+        peer::Message::KnowledgeAnswer {
+            asked_at_us,
+            age_ms,
+            last_change,
+        } => apply_knowledge(cx, asked_at_us, age_ms, last_change),
         peer::Message::Evacuations(records) => evacuations::apply_records(cx, name, records),
         peer::Message::ColdEndpoints(records) => {
             cold_endpoints::apply_records(cx, name, &records);
@@ -333,13 +342,6 @@
     if version.catalog == state.state_version().catalog {
         cx.shared.confirm_catalog(before(store.catalog_age_ms));
     }
-    let is_confirmed = state.is_confirmed_by(sender, now);
-    drop(state);
-    if is_confirmed {
-        // The other host knows no more than the store's last answer to it.
-        let came_after = cx.pulse.get().came_after();
-        cx.confirm_endpoints_at(came_after.min(before(store.answered_ms)));
-    }
 }
 
 /// Applies endpoint records of another host, with the software versions that it stated.
@@ -369,6 +371,43 @@
     }
 }
 
+/// Tells a host up to when this one knows the endpoints, after the changes that it lacks.
+fn answer_knowledge<D, S>(
+    cx: &Context<D, S>,
+    host: &Arc<str>,
+    asked_at_us: u64,
+    after: revision::Revision,
+) {
+    let state = cx.state.borrow();
+    let Some(outbox) = state.outboxes.get(host) else {
+        return;
+    };
+    let Some(answer) = state.knowledge_answer(asked_at_us, clock::now()) else {
+        return;
+    };
+    let mut messages = Vec::new();
+    if state.directory.last_change() > after {
+        messages.extend(newer_endpoints(&state, outbox, after));
+    }
+    messages.push(answer);
+    send_in_order(outbox, messages);
+}
+
+/// Applies what another host knows of the endpoints, if this host has all changes that it knows.
+fn apply_knowledge<D, S>(
+    cx: &Context<D, S>,
+    asked_at_us: u64,
+    age_ms: u32,
+    last_change: revision::Revision,
+) {
+    if cx.state.borrow().directory.complete_revision() < last_change {
+        return;
+    }
+    let asked_at = time::Time::from_micros(asked_at_us).min(clock::now());
+    let age = Duration::from_millis(u64::from(age_ms));
+    cx.confirm_endpoints(directory::KnownUpTo::by_host(asked_at, age));
+}
+
 /// Sends a host the catalog and the endpoints that are newer than its own.
 fn send_updates<D, S>(cx: &Rc<Context<D, S>>, host: &Arc<str>, theirs: peer::StateVersion) {
     let state = cx.state.borrow();
@@ -381,7 +420,18 @@
     {
         messages.push(peer::Message::Catalog(Box::new(catalog.content().clone())));
     }
-    let newer = state.directory.newer_than(theirs.endpoints);
+    messages.extend(newer_endpoints(&state, outbox, theirs.endpoints));
+    send_in_order(outbox, messages);
+}
+
+/// Messages with the endpoints that are newer than a revision.
+fn newer_endpoints(
+    state: &State,
+    outbox: &Outbox,
+    after: revision::Revision,
+) -> SmallVec<[peer::Message; 2]> {
+    let mut messages = SmallVec::new();
+    let newer = state.directory.newer_than(after);
     let records: Vec<_> = newer
         .map(|(key, record)| peer::EndpointRecord {
             key: key.clone(),
@@ -397,6 +447,14 @@
         complete: state.directory.complete_revision_for_peers(),
         records,
     });
+    messages
+}
+
+/// Queues messages up to the first that finds no room.
+fn send_in_order<I>(outbox: &Outbox, messages: I)
+where
+    I: IntoIterator<Item = peer::Message>,
+{
     for message in messages {
         // If the outbox is full, the link is stalled, and the host repeats its request later.
         // Endpoints must not arrive without their versions.
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -25,7 +25,7 @@
 use crate::{adapter, sockets};
 
 use outbox::Features;
-use outgoing::{CatchUp, SentState};
+use outgoing::{CatchUp, KnowledgeQueries, SentState};
 
 pub(super) use cached_parts::{apply_cached_parts, broadcast_cached_parts};
 pub(super) use flood::{flood, resend_to_behind};
@@ -36,7 +36,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Interval at which due messages are sent and the set of links is updated.
-const SEND_INTERVAL: Duration = Duration::from_millis(150);
+pub(super) const SEND_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Delay before a lost link is opened again, before jitter.
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
@@ -168,6 +168,7 @@
     }
     let mut sent = SentState::default();
     let mut catch_up = CatchUp::default();
+    let mut queries = KnowledgeQueries::default();
     let mut ticks = tokio::time::interval(SEND_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -188,6 +189,11 @@
         if let Some(want) = catch_up.due_request(cx, name) {
             send(tx, &peer::Message::Want(want))?;
         }
+        if features.contains(&peer::Feature::EndpointKnowledge)
+            && let Some(query) = queries.due(cx, name)
+        {
+            send(tx, &query)?;
+        }
         // Detects a reset stream even if there was nothing to send.
         if is_reset(tx) {
             eyre::bail!("stream was reset");
--- a/crates/gateway/src/control/links/outgoing.rs
+++ b/crates/gateway/src/control/links/outgoing.rs
@@ -91,6 +91,32 @@
     }
 }
 
+/// Questions for what the host at the other end of a link knows of the endpoints.
+#[derive(Default)]
+pub(super) struct KnowledgeQueries {
+    last: time::Time,
+}
+
+impl KnowledgeQueries {
+    /// The question that is due: to a relay that this host follows, or to any other host if its own knowledge
+    /// is old.
+    pub(super) fn due<D, S>(&mut self, cx: &Context<D, S>, name: &str) -> Option<peer::Message> {
+        let now = clock::now();
+        let budget = cx.settings.drain;
+        let state = cx.state.borrow();
+        let is_old = state.known_up_to.age(now) >= budget.ask_all_after();
+        let is_supplier = state.overlay.suppliers().iter().any(|s| **s == *name);
+        if !(is_supplier || is_old) || now.since(self.last) < budget.ask_interval() {
+            return None;
+        }
+        self.last = now;
+        Some(peer::Message::KnowledgeQuery {
+            asked_at_us: now.as_micros(),
+            after: state.known_revision(),
+        })
+    }
+}
+
 /// Requests for newer state from the host at the other end of a link.
 #[derive(Default)]
 pub(super) struct CatchUp {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -123,6 +123,7 @@
         max_peer_uptime: Cell::new(Duration::ZERO),
     });
     tokio::task::spawn_local(sync::sync_store(cx.clone()));
+    tokio::task::spawn_local(sync::keep_endpoints_known(cx.clone()));
     tokio::task::spawn_local(host_registry::keep_registered(cx.clone()));
     tokio::task::spawn_local(host_registry::refresh_hosts(cx.clone()));
     tokio::task::spawn_local(links::accept(cx.clone(), links));
@@ -152,12 +153,13 @@
 }
 
 impl<D, S> Context<D, S> {
-    /// Records that all changes of the endpoints up to a point in time are known.
-    fn confirm_endpoints_at(&self, at: time::Time) {
+    /// Records up to when all changes of the endpoints are known.
+    fn confirm_endpoints(&self, known: directory::KnownUpTo) {
         let mut state = self.state.borrow_mut();
+        state.known_up_to = state.known_up_to.max(known);
         state.observe_versions(clock::now());
-        state.versions.confirm(at);
-        self.shared.confirm_endpoints(at);
+        state.versions.confirm(known.at());
+        self.shared.confirm_endpoints(known.at());
     }
 }
 
@@ -237,12 +239,6 @@
         self.store_failures.set(0);
     }
 
-    /// Records that the answer to a call of the store has shown all changes of the endpoints. The answer
-    /// may have waited while this host stood still, but not since before the call.
-    fn confirm_endpoints(&self, requested_at: time::Time) {
-        self.confirm_endpoints_at(requested_at.max(self.pulse.get().came_after()));
-    }
-
     /// Health of this host's connection to the store.
     fn store_health(&self, now: time::Time) -> peer::StoreHealth {
         let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,7 +7,9 @@
 
 use pistachiochute_core::choice::prefix;
 use pistachiochute_core::membership::{load_reports, overlay, roster};
-use pistachiochute_core::{catalog, directory, quarantine, rate_limits, routing, streams, time};
+use pistachiochute_core::{
+    catalog, directory, quarantine, rate_limits, revision, routing, streams, time,
+};
 use pistachiochute_messages::peer;
 
 use crate::control::links::Outbox;
@@ -53,6 +55,8 @@
     pub catalog: catalog::CurrentCatalog,
     /// Endpoints.
     pub directory: directory::Directory,
+    /// Up to when all changes of the endpoints are known.
+    pub known_up_to: directory::KnownUpTo,
     /// Hosts of the fleet.
     pub hosts: roster::Roster<HostEntry>,
     /// Last status of each host that has sent one.
@@ -96,6 +100,7 @@
             name,
             catalog: catalog::CurrentCatalog::default(),
             directory: directory::Directory::default(),
+            known_up_to: directory::KnownUpTo::default(),
             hosts: roster::Roster::default(),
             peers: HashMap::new(),
             outboxes: HashMap::new(),
@@ -285,12 +290,29 @@
             && self.peers.get(name).is_some_and(is_current)
     }
 
-    /// Whether the last status of a host shows that this host has all changes of the endpoints.
+    /// What another host is told that asks up to when this one knows the endpoints, or `None` if this host is
+    /// in doubt itself.
     #[must_use]
-    pub fn is_confirmed_by(&self, name: &str, now: time::Time) -> bool {
-        let is_behind =
-            |peer: &PeerStatus| peer.version.endpoints > self.directory.complete_revision();
-        self.supplies_changes(name, now) && !self.peers.get(name).is_some_and(is_behind)
+    pub fn knowledge_answer(&self, asked_at_us: u64, now: time::Time) -> Option<peer::Message> {
+        if self.directory.is_in_doubt() {
+            return None;
+        }
+        let age = self.known_up_to.age(now).as_millis().saturating_add(1);
+        Some(peer::Message::KnowledgeAnswer {
+            asked_at_us,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            last_change: self.directory.last_change(),
+        })
+    }
+
+    /// Revision after which another host is asked for changes of the endpoints. A host in doubt asks for
+    /// what may end the doubt.
+    #[must_use]
+    pub fn known_revision(&self) -> revision::Revision {
+        match self.overlay.follows_relay() {
+            true => self.directory.complete_revision_for_peers(),
+            false => self.directory.complete_revision(),
+        }
     }
 
     /// Records prompt parts that endpoints have cached, to be sent to hosts that join later.
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -22,12 +22,8 @@
 /// Name of the sync in the log.
 const SYNC_NAME: &str = "all entries";
 
-/// Time that a watch waits for a change. Each endpoint writes its entry about once a second, so one
-/// that hears nothing for longer shows that its connection is dead.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Delay between two watches, so that one answer carries many changes.
-const WATCH_DELAY: Duration = Duration::from_millis(500);
+pub(super) const WATCH_DELAY: Duration = Duration::from_millis(500);
 
 /// Time that the link to a relay is given to open before a host watches the store itself. Within the
 /// bounds for changes of the catalog and of the endpoints.
@@ -45,6 +41,9 @@
 /// Longest time that other tasks wait for the sync to reach the store again.
 const MAX_STORE_WAIT: Duration = Duration::from_secs(4);
 
+/// Interval at which a host that follows a relay checks whether what it knows of the endpoints is old.
+pub(super) const KNOWLEDGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval at which a waiting sync checks whether a relay is still live.
 const RELAY_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -153,7 +152,7 @@
     cx.shared.confirm_catalog(requested_at);
     evacuations::apply_listed(cx, &found);
     replace_endpoints(cx, &found);
-    cx.confirm_endpoints(requested_at);
+    cx.confirm_endpoints(directory::KnownUpTo::by_store(requested_at));
     host_registry::replace_hosts(cx, &found.entries);
     host_registry::begin_registration(cx, &found.entries);
     if !cx.legacy_adopted.replace(true) {
@@ -189,7 +188,7 @@
         }
         let requested_at = clock::now();
         let watched = tokio::select! {
-            watched = cx.store.watch(ALL_ENTRIES, progress.after, WATCH_TIMEOUT) => watched,
+            watched = watch_once(cx, progress.after) => watched,
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
@@ -210,6 +209,65 @@
     }
 }
 
+/// One watch. Endpoints write their entries about once a second, and the store answers one without a change
+/// too, so that one that hears nothing for longer has lost its connection.
+async fn watch_once<D, S>(
+    cx: &Context<D, S>,
+    after: revision::Revision,
+) -> Result<adapter::WatchResponse, key_value::Error>
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let budget = cx.settings.drain;
+    let watch = cx.store.watch(ALL_ENTRIES, after, budget.watch_wait());
+    let watched = tokio::time::timeout(budget.watch_silence(), watch).await;
+    watched.unwrap_or_else(|_| Err(key_value::Error::unknown("a silent watch".to_owned())))
+}
+
+/// Reads the endpoints while what relays say of them is old, or none of them says anything. A relay may be
+/// cut off from the store, busy with something else, or not take itself for one.
+pub(super) async fn keep_endpoints_known<D, S>(cx: Rc<Context<D, S>>)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let mut failures = 0;
+    loop {
+        tokio::time::sleep(KNOWLEDGE_POLL_INTERVAL).await;
+        let age = cx.state.borrow().known_up_to.age(clock::now());
+        if age < cx.settings.drain.read_after() || !cx.has_live_relay() {
+            continue;
+        }
+        cx.events.endpoints_not_known(age);
+        match read_endpoints(&cx).await {
+            Ok(()) => failures = 0,
+            Err(e) => {
+                cx.events.sync_failed(cx.dialect.endpoints_prefix(), &e);
+                back_off(failures).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Reads the entries of all endpoints.
+async fn read_endpoints<D, S>(cx: &Context<D, S>) -> Result<(), key_value::Error>
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let asked_at = clock::now();
+    let consistency = adapter::Consistency::Linearizable;
+    let read = cx.store.range(cx.dialect.endpoints_prefix(), consistency);
+    let found = tokio::time::timeout(cx.settings.drain.read_timeout(), read).await;
+    let found = found.map_err(|_| key_value::Error::unknown("a late answer".to_owned()))??;
+    cx.record_store_response();
+    replace_endpoints(cx, &found);
+    cx.confirm_endpoints(directory::KnownUpTo::by_store(asked_at));
+    Ok(())
+}
+
 /// Pauses before a watch, so that one answer carries many changes. A host that follows a relay gives
 /// its link time to open. Returns whether a relay supplies the changes now.
 async fn wait_before_watch<D, S>(cx: &Context<D, S>) -> bool
@@ -218,7 +276,8 @@
     S: adapter::Store,
 {
     if cx.state.borrow().overlay.follows_relay() {
-        let wait = tokio::time::timeout(RELAY_LINK_WAIT, wait_for_live_relay(cx));
+        let wait = RELAY_LINK_WAIT.min(cx.settings.drain.watch_wait());
+        let wait = tokio::time::timeout(wait, wait_for_live_relay(cx));
         return wait.await.is_ok();
     }
     tokio::time::sleep(WATCH_DELAY).await;
@@ -325,7 +384,7 @@
     cx.shared.confirm_catalog(clock::now());
     evacuations::apply_changes(cx, changes);
     apply_endpoint_changes(cx, changes, revision, known_at);
-    cx.confirm_endpoints(requested_at);
+    cx.confirm_endpoints(directory::KnownUpTo::by_store(requested_at));
     host_registry::apply_changes(cx, changes);
 }
 
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -1,6 +1,7 @@
 //! Messages about the versions that began streams, between a host and a peer that may not know them, and
 //! what links may make a host hold.
 
+mod followed_relay;
 mod linked_host;
 
 use std::net;
@@ -50,7 +51,7 @@
             peer.features.as_deref(),
             Some(
                 "stream-versions,quarantine,endpoint-limits,endpoint-departures,crash-times,\
-                 evacuations,cold-endpoints,stream-beginnings"
+                 evacuations,cold-endpoints,stream-beginnings,endpoint-knowledge"
             )
         );
         provoke(&shared, &mut peer);
--- /dev/null
+++ b/crates/gateway/src/control/tests/followed_relay.rs
@@ -0,0 +1,278 @@
+//! A host that follows a relay, which gives it no news in one way or another. The store always answers.
+
+use std::cell::{Cell, RefCell};
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::memory::Limits;
+use pistachiochute_core::{catalog, directory, revision};
+use pistachiochute_messages::peer;
+use pistachiochute_runtime::platform::key_value;
+use pistachiochute_runtime::{clock, metrics};
+
+use super::linked_host::{self, Dialect, ENDPOINTS_PREFIX, Peer, test_settings};
+use crate::control::state::HostEntry;
+use crate::control::{HOSTS_PREFIX, TICK_INTERVAL, links, sync};
+use crate::{adapter, events, shared, sockets};
+
+/// Name of the relay, before the name of the host in the order of names.
+const RELAY: &str = "a";
+
+/// Other hosts, so many that the fleet has relays.
+const OTHER_HOSTS: usize = 14;
+
+/// Interval at which the relay states what it knows.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time after which the host follows the relay.
+const SETTLING_TIME: Duration = Duration::from_millis(1_500);
+
+/// What the store has.
+struct World {
+    relay_links: net::SocketAddr,
+    has_endpoint: Cell<bool>,
+    /// Reads of the endpoints alone.
+    endpoint_reads: Cell<usize>,
+}
+
+/// A store that shows one endpoint while there is one.
+#[derive(Clone)]
+struct Store(Rc<World>);
+
+impl Store {
+    fn revision(&self) -> revision::Revision {
+        match self.0.has_endpoint.get() {
+            true => revision::Revision(1),
+            false => revision::Revision(9),
+        }
+    }
+
+    fn host_entry(&self, number: usize) -> key_value::Entry {
+        // Nothing listens on this port.
+        let nowhere = ([127, 0, 0, 1], 9).into();
+        let (name, links) = match number {
+            0 => (RELAY.to_owned(), self.0.relay_links),
+            1 => ("b".to_owned(), nowhere),
+            _ => (format!("x{number}"), nowhere),
+        };
+        let domain = "dom-a".to_owned();
+        let value = serde_json::to_vec(&HostEntry { links, domain }).expect("valid JSON");
+        linked_host::entry(format!("{HOSTS_PREFIX}{name}"), value)
+    }
+}
+
+impl adapter::Store for Store {
+    async fn range(
+        &self,
+        prefix: &str,
+        _: adapter::Consistency,
+    ) -> Result<key_value::RangeResult, key_value::Error> {
+        if prefix == ENDPOINTS_PREFIX {
+            self.0.endpoint_reads.set(self.0.endpoint_reads.get() + 1);
+        }
+        let mut entries: Vec<_> = (0..OTHER_HOSTS).map(|i| self.host_entry(i)).collect();
+        if self.0.has_endpoint.get() {
+            let key = format!("{ENDPOINTS_PREFIX}i-1");
+            entries.push(linked_host::entry(key, Vec::new()));
+        }
+        entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
+        Ok(key_value::RangeResult {
+            revision: self.revision(),
+            entries,
+        })
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        _: revision::Revision,
+        _: Duration,
+    ) -> Result<adapter::WatchResponse, key_value::Error> {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        Ok(adapter::WatchResponse::Changes {
+            revision: self.revision(),
+            changes: Vec::new(),
+        })
+    }
+
+    async fn put(&self, _: &str, _: &[u8], _: key_value::LeaseId) -> Result<(), key_value::Error> {
+        Ok(())
+    }
+
+    async fn grant(&self, _: Duration) -> Result<key_value::LeaseId, key_value::Error> {
+        Ok(key_value::LeaseId(1))
+    }
+
+    async fn keep_alive(
+        &self,
+        _: key_value::LeaseId,
+    ) -> Result<Option<Duration>, key_value::Error> {
+        Ok(Some(Duration::from_secs(6)))
+    }
+
+    async fn revoke(&self, _: key_value::LeaseId) -> Result<(), key_value::Error> {
+        Ok(())
+    }
+}
+
+/// What a relay says of itself once the endpoint has left.
+#[derive(Clone, Copy, Debug)]
+struct Statement {
+    /// Revision of the last change of the endpoints that it knows.
+    endpoints: u64,
+    /// Whether the store goes on answering it.
+    has_store: bool,
+}
+
+/// Sends the statuses of the relay: what is usual until `changed` is set, then what `statement` says.
+async fn send_statuses(peer: Rc<RefCell<Peer>>, statement: Statement, changed: Rc<Cell<bool>>) {
+    let mut lost_at = None;
+    loop {
+        if changed.get() && !statement.has_store {
+            lost_at.get_or_insert(clock::now());
+        }
+        let answered = lost_at.map_or(Duration::ZERO, |at| clock::now().since(at));
+        let endpoints = match changed.get() {
+            true => statement.endpoints,
+            false => 1,
+        };
+        peer.borrow_mut().send(&peer::Message::Status {
+            known: peer::StateVersion {
+                catalog: Some(catalog::Version(0)),
+                endpoints: revision::Revision(endpoints),
+            },
+            store: peer::StoreHealth {
+                catalog_age_ms: 0,
+                steady_ms: 60_000,
+                answered_ms: answered.as_millis() as u32,
+            },
+            loads: None,
+        });
+        tokio::time::sleep(STATUS_INTERVAL).await;
+    }
+}
+
+/// Lets the endpoint leave beside a relay that states this and answers no question. Returns how long the host
+/// goes on using the endpoint, or `None` if it uses it longer than the settings allow.
+fn time_in_use(statement: Statement) -> Option<Duration> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, async {
+        let any: net::SocketAddr = ([127, 0, 0, 1], 0).into();
+        let links = sockets::listen(any).expect("a listener");
+        let address = links.local_addr().expect("an address");
+        let listener = tokio::net::TcpListener::bind(any).await;
+        let listener = listener.expect("a listener");
+        let relay_links = listener.local_addr().expect("an address");
+        let received = Rc::default();
+        tokio::task::spawn_local(linked_host::receive(
+            listener,
+            Some("endpoint-knowledge"),
+            Rc::clone(&received),
+        ));
+        let world = Rc::new(World {
+            relay_links,
+            has_endpoint: Cell::new(true),
+            endpoint_reads: Cell::new(0),
+        });
+        let shared = Arc::new(shared::Shared::with_limits(Limits::NONE));
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let telemetry = (
+            events::Events::new(log),
+            metrics::Metrics::new().expect("metrics"),
+        );
+        let settings = test_settings(address);
+        let drain = settings.drain.whole();
+        let host = tokio::task::spawn_local(crate::control::run(
+            Dialect,
+            Store(Rc::clone(&world)),
+            settings,
+            shared.clone(),
+            telemetry,
+            links,
+        ));
+        let peer = linked_host::connect(RELAY, address, relay_links, received).await;
+        let changed = Rc::new(Cell::new(false));
+        let peer = Rc::new(RefCell::new(peer));
+        let statuses = send_statuses(peer, statement, changed.clone());
+        let statuses = tokio::task::spawn_local(statuses);
+        tokio::time::sleep(SETTLING_TIME).await;
+        let is_used = || !shared.view().endpoints.is_empty();
+        assert!(is_used(), "the endpoint is in use before it leaves");
+        world.has_endpoint.set(false);
+        changed.set(true);
+        let left_at = clock::now();
+        while is_used() && clock::now().since(left_at) < drain {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let in_use = (!is_used()).then(|| clock::now().since(left_at));
+        statuses.abort();
+        shared.enter_phase(shared::Phase::Stopped);
+        host.await.expect("the host stops");
+        in_use
+    })
+}
+
+/// Requests reached endpoints that had left since a relay whose watch hears nothing, and whose other calls the
+/// store answers, counted as a source of news.
+#[test]
+fn host_that_follows_a_relay_whose_watch_hears_nothing_learns_what_leaves() {
+    let in_use = time_in_use(Statement {
+        endpoints: 1,
+        has_store: true,
+    });
+    assert!(in_use.is_some(), "in use for longer than the bound");
+}
+
+/// Requests reached endpoints that had left since a relay that the store turns away counted as a source of news
+/// for longer than the bound.
+#[test]
+fn host_that_follows_a_relay_without_the_store_learns_what_leaves() {
+    let in_use = time_in_use(Statement {
+        endpoints: 1,
+        has_store: false,
+    });
+    assert!(in_use.is_some(), "in use for longer than the bound");
+}
+
+/// Requests reached endpoints that had left since a host waited for the answer of a relay that holds news and
+/// has no link to answer on, or a catalog on the way before it.
+#[test]
+fn host_whose_relay_holds_news_and_does_not_answer_learns_what_leaves() {
+    let in_use = time_in_use(Statement {
+        endpoints: 9,
+        has_store: true,
+    });
+    assert!(in_use.is_some(), "in use for longer than the bound");
+}
+
+/// Bounds of the users' sites: the shares of all parts stay within each, and news that comes as usual is never
+/// so old that every host reads the store.
+#[test]
+fn parts_of_the_way_of_a_change_stay_within_the_bound_of_each_site() {
+    for drain_ms in [directory::DrainBudget::MIN_MS, 2_000, 3_000, 4_000] {
+        let budget = directory::DrainBudget::new(Duration::from_millis(drain_ms));
+        let by_watch = sync::WATCH_DELAY + budget.watch_silence() + budget.read_timeout();
+        assert!(by_watch <= budget.whole(), "{drain_ms}: {by_watch:?}");
+        let by_relay = budget.read_after()
+            + sync::KNOWLEDGE_POLL_INTERVAL
+            + budget.read_timeout()
+            + TICK_INTERVAL;
+        assert!(by_relay <= budget.whole(), "{drain_ms}: {by_relay:?}");
+        assert!(budget.watch_wait() < budget.watch_silence(), "{drain_ms}");
+    }
+    for drain_ms in [2_000, 3_000, 4_000] {
+        let budget = directory::DrainBudget::new(Duration::from_millis(drain_ms));
+        let ticks = budget
+            .ask_interval()
+            .as_millis()
+            .div_ceil(links::SEND_INTERVAL.as_millis()) as u32;
+        let usual = sync::WATCH_DELAY + links::SEND_INTERVAL * ticks;
+        assert!(usual < budget.read_after(), "{drain_ms}: {usual:?}");
+    }
+}
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -220,6 +220,7 @@
             ratio: 1.0,
             extra: 1.0,
         },
+        drain: directory::DrainBudget::new(Duration::from_secs(3)),
         stop_timeout: Duration::from_secs(1),
         is_first_start: true,
     }
@@ -294,8 +295,9 @@
     }
 }
 
-/// Opens the link of the peer to the host.
+/// Opens the link of a peer with this name to the host.
 pub async fn connect(
+    name: &str,
     links: net::SocketAddr,
     own_links: net::SocketAddr,
     received: Rc<RefCell<Vec<peer::Message>>>,
@@ -317,7 +319,7 @@
         features,
     };
     peer.send(&peer::Message::Hello {
-        host: "peer".into(),
+        host: name.into(),
         links: own_links,
         domain: "dom-a".into(),
         up_ms: 0,
@@ -375,7 +377,7 @@
             telemetry,
             links,
         ));
-        let peer = connect(address, peer_links, received).await;
+        let peer = connect("peer", address, peer_links, received).await;
         peer.wait_for("status", |m| matches!(m, peer::Message::Status { .. }))
             .await;
         test(shared.clone(), peer).await;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -133,6 +133,11 @@
         slog::info!(self.log, "endpoints listed"; "entries" => entries, "revision" => %revision);
     }
 
+    /// No relay has said for this time what it knows of the endpoints, so that this host reads them.
+    pub fn endpoints_not_known(&self, age: Duration) {
+        slog::info!(self.log, "endpoints not known"; "known_age_ms" => millis(age));
+    }
+
     /// An endpoint was added, changed, or removed.
     pub fn endpoint_changed(&self, entry: &EndpointLogEntry<'_>) {
         let state = match entry.endpoint.map(|e| e.state) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use std::{fs, net, path};
 
-use pistachiochute_core::{memory, retry};
+use pistachiochute_core::{directory, memory, retry};
 use pistachiochute_runtime::settings::{Finding, reader};
 
 /// Identity of the host in the fleet.
@@ -60,6 +60,9 @@
     pub store: Store,
     /// Retry budget of the whole fleet.
     pub retry: retry::FleetBudget,
+    /// Time from the store's acknowledgement that an endpoint leaves to the last request that any host sends
+    /// to it.
+    pub drain: directory::DrainBudget,
     /// Longest duration of a graceful stop. Requests that have not ended by then are cut off.
     pub stop_timeout: Duration,
     /// Whether the whole fleet starts for the first time, so that the caches of all engines are
@@ -73,6 +76,9 @@
 /// Upper bound of the lease of a host's entry, in milliseconds.
 const MAX_LEASE_MS: u64 = 600_000;
 
+/// Upper bound of the time in which endpoints that leave go out of use, in milliseconds.
+const MAX_DRAIN_MS: u64 = 60_000;
+
 /// Upper bound of the duration of a graceful stop, in seconds.
 const MAX_STOP_TIMEOUT_S: u64 = 3_600;
 
@@ -132,6 +138,11 @@
         Some(_) => Some(reader.section("machine").and_then(read_machine)?),
         None => None,
     };
+    let drain = reader.scalar(
+        "drain_ms",
+        2_000,
+        directory::DrainBudget::MIN_MS..=MAX_DRAIN_MS,
+    );
     let stop_timeout = reader.scalar("stop_s", 8, 1..=MAX_STOP_TIMEOUT_S);
     let is_first_start = match reader.optional("first_start") {
         Some(_) => reader.typed("first_start"),
@@ -144,6 +155,7 @@
         listen: listen?,
         store: store?,
         retry: retry?,
+        drain: directory::DrainBudget::new(Duration::from_millis(drain?)),
         stop_timeout: Duration::from_secs(stop_timeout?),
         is_first_start: is_first_start?,
     })
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -94,11 +94,13 @@
     ColdEndpoints,
     /// The messages about the connections over which streams began.
     StreamBeginnings,
+    /// Questions for what a host knows of the endpoints, and their answers.
+    EndpointKnowledge,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::StreamVersions,
         Self::Quarantine,
         Self::EndpointLimits,
@@ -107,6 +109,7 @@
         Self::Evacuations,
         Self::ColdEndpoints,
         Self::StreamBeginnings,
+        Self::EndpointKnowledge,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -121,6 +124,7 @@
             Self::Evacuations => "evacuations",
             Self::ColdEndpoints => "cold-endpoints",
             Self::StreamBeginnings => "stream-beginnings",
+            Self::EndpointKnowledge => "endpoint-knowledge",
         }
     }
 
@@ -324,6 +328,23 @@
         /// What is recorded of the stream.
         beginning: BeginningRecord,
     },
+    /// Asks up to when the receiver knows the endpoints.
+    KnowledgeQuery {
+        /// When the sender asked, by its own clock, in microseconds. The answer repeats it.
+        asked_at_us: u64,
+        /// Revision up to which the sender has all changes of the endpoints.
+        after: revision::Revision,
+    },
+    /// Answers [`Message::KnowledgeQuery`]. Changes that the asker lacks have been sent before. A host that
+    /// is in doubt itself does not answer.
+    KnowledgeAnswer {
+        /// The time of the query.
+        asked_at_us: u64,
+        /// Age of what the sender knew of the endpoints when the query arrived, in milliseconds, rounded up.
+        age_ms: u32,
+        /// Revision of the last change of the endpoints in use that the sender knew then.
+        last_change: revision::Revision,
+    },
 }
 
 impl Message {
@@ -349,6 +370,9 @@
             Self::Evacuations(_) => Some(Feature::Evacuations),
             Self::ColdEndpoints(_) => Some(Feature::ColdEndpoints),
             Self::StreamBeginnings(_) | Self::OriginClaim { .. } => Some(Feature::StreamBeginnings),
+            Self::KnowledgeQuery { .. } | Self::KnowledgeAnswer { .. } => {
+                Some(Feature::EndpointKnowledge)
+            }
         }
     }
 
--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -204,6 +204,21 @@
         ),
         (Message::StreamBeginnings(vec![beginning]), vec![17, 1]),
         (Message::OriginClaim { id: 1, beginning }, vec![18, 1]),
+        (
+            Message::KnowledgeQuery {
+                asked_at_us: 5,
+                after: revision::Revision(9),
+            },
+            vec![19, 5, 9],
+        ),
+        (
+            Message::KnowledgeAnswer {
+                asked_at_us: 5,
+                age_ms: 6,
+                last_change: revision::Revision(9),
+            },
+            vec![20, 5, 6, 9],
+        ),
     ]
 }
 
@@ -244,6 +259,7 @@
             12 => peer::Feature::EndpointLimits,
             13 => peer::Feature::EndpointDepartures,
             14 => peer::Feature::CrashTimes,
+            19 | 20 => peer::Feature::EndpointKnowledge,
             _ => peer::Feature::StreamBeginnings,
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
@@ -251,7 +267,7 @@
     let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
     assert_eq!(
         variants,
-        HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18])
+        HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18, 19, 20])
     );
 }
 
