Give hosts of tests and of the soak the bound for endpoints that leave, and check by the same one

Change: the soak writes its bound into the settings and checks by it, both for the store's word and for the notice in an answer; the new messages have a function of their own in the encoding test.

--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -204,24 +204,24 @@
         ),
         (Message::StreamBeginnings(vec![beginning]), vec![17, 1]),
         (Message::OriginClaim { id: 1, beginning }, vec![18, 1]),
-        (
-            Message::KnowledgeQuery {
-                asked_at_us: 5,
-                after: revision::Revision(9),
-            },
-            vec![19, 5, 9],
-        ),
-        (
-            Message::KnowledgeAnswer {
-                asked_at_us: 5,
-                age_ms: 6,
-                last_change: revision::Revision(9),
-            },
-            vec![20, 5, 6, 9],
-        ),
     ]
 }
 
+/// The messages about what hosts know of the endpoints, likewise.
+fn knowledge() -> Vec<(Message, Vec<u8>)> {
+    let last_change = revision::Revision(9);
+    let query = Message::KnowledgeQuery {
+        asked_at_us: 5,
+        after: last_change,
+    };
+    let answer = Message::KnowledgeAnswer {
+        asked_at_us: 5,
+        age_ms: 6,
+        last_change,
+    };
+    vec![(query, vec![19, 5, 9]), (answer, vec![20, 5, 6, 9])]
+}
+
 fn encode(message: &Message) -> Vec<u8> {
     let frame = codec::encode(message).expect("a small message");
     frame[4..].to_vec()
@@ -242,7 +242,7 @@
 
 #[test]
 fn new_messages_follow_the_old_ones() {
-    for (message, start) in optional() {
+    for (message, start) in optional().into_iter().chain(knowledge()) {
         let encoding = encode(&message);
         assert!(encoding.starts_with(&start), "{message:?}: {encoding:?}");
         assert_eq!(codec::decode::<Message>(&encoding), Ok(message));
@@ -252,7 +252,7 @@
 #[test]
 fn only_new_messages_need_a_feature() {
     assert!(fixed().iter().all(|(m, _)| m.feature().is_none()));
-    for (message, start) in optional() {
+    for (message, start) in optional().into_iter().chain(knowledge()) {
         let feature = match start[0] {
             7..=10 => peer::Feature::StreamVersions,
             11 => peer::Feature::Quarantine,
@@ -264,7 +264,8 @@
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
     }
-    let variants: HashSet<_> = optional().iter().map(|(_, start)| start[0]).collect();
+    let messages = optional().into_iter().chain(knowledge());
+    let variants: HashSet<_> = messages.map(|(_, start)| start[0]).collect();
     assert_eq!(
         variants,
         HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18, 19, 20])
--- a/crates/soak/src/checks/drain.rs
+++ b/crates/soak/src/checks/drain.rs
@@ -1,14 +1,10 @@
 //! An endpoint that says to the store that it leaves gets nothing new from hosts in touch.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use super::{Ran, Seen};
 use crate::load::Record;
-
-/// Time after the store has accepted that an endpoint leaves after which no host without a fault since
-/// 3 s before sends to it: the bound of the pages.
-const DRAIN_BOUND: Duration = Duration::from_secs(2);
+use crate::process;
 
 /// Checks all requests that reached endpoints which leave.
 pub(super) fn check(seen: &Seen) -> Vec<String> {
@@ -24,7 +20,7 @@
     let left = seen.left.get(&ran.endpoint)?;
     let after = ran.at.saturating_duration_since(*left);
     let is_in_touch = !seen.is_disturbed(record.host, record.sent, ran.at, true);
-    (after > DRAIN_BOUND && is_in_touch).then(|| {
+    (after > process::DRAIN && is_in_touch).then(|| {
         format!(
             "{} reached {} from host-{} {:.2} s after it left, sent {:.2} s before",
             record.id,
--- a/crates/soak/src/checks/notices.rs
+++ b/crates/soak/src/checks/notices.rs
@@ -7,10 +7,11 @@
 
 use super::{Disturbance, Ran, Seen};
 use crate::load::Record;
+use crate::process;
 
 /// Time after an answer in which an endpoint says that it leaves, after which neither the host that
 /// passed it on nor another undisturbed one sends it what callers ask: the bound of the pages.
-const NOTICE_BOUND: Duration = Duration::from_secs(2);
+const NOTICE_BOUND: Duration = process::DRAIN;
 
 /// A request that reached an endpoint after it began to say that it leaves.
 struct Late<'a> {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -14,6 +14,9 @@
 /// Time beyond that of a planned stop after which a process counts as hanging.
 const STOP_SLACK: Duration = Duration::from_secs(10);
 
+/// Time after the store has accepted that an endpoint leaves after which no host sends to it.
+pub(crate) const DRAIN: Duration = Duration::from_secs(2);
+
 /// A host, running or not.
 pub(crate) struct Host {
     pub name: String,
@@ -54,7 +57,8 @@
                 "callers": callers, "health": health, "links": links, "metrics": metrics,
             },
             "store": {"address": store, "lease_ms": 3_000},
-            "machine": {"memory_mb": 112, "max_fds": 2_870},
+            "machine": {"memory_mb": 112, "max_fds": 2_870, "link_mbps": 10},
+            "drain_ms": DRAIN.as_millis() as u64,
             "retry": {"ratio": 0.2, "extra": 40},
             "stop_s": stop.as_secs(),
         });
