Ask one host at a time for the catalog, and send it to as many as the link carries

Cause: each host asked both relays of its domain for each version, again every 0.3 s until it came, and a relay queued the whole catalog for each of these requests on every link at once. On 10 Mbit/s that is seconds of bytes, and its own calls to the store and to endpoints wait behind them. Change: a host asks one host at a time, its relays in their order, the next after 0.6 s; a link sends each version once, when its turn comes; as many turns as the machine's link (link_mbps of the settings) carries in 150 ms; the message is encoded once for all links.

--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -9,7 +9,7 @@
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::choice::load;
 use pistachiochute_core::memory::Activity;
-use pistachiochute_core::{directory, revision, streams, time};
+use pistachiochute_core::{catalog, directory, revision, streams, time};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::{clock, metrics};
 use smallvec::SmallVec;
@@ -252,13 +252,7 @@
             apply_cached_parts(cx, &parts);
         }
         peer::Message::Want(version) => send_updates(cx, name, version),
-        peer::Message::Catalog(content) => {
-            let decoded = verify::Decoded {
-                content: *content,
-                findings: Vec::new(),
-            };
-            cx.apply_catalog(decoded, events::Source::Host(name.clone()));
-        }
+        peer::Message::Catalog(content) => apply_catalog(cx, name, *content),
         peer::Message::Endpoints { complete, records } => {
             let versions = std::mem::take(&mut sender.versions);
             let source = events::Source::Host(name.clone());
@@ -279,10 +273,11 @@
             service,
             span_ms,
         } => {
+            let span = Duration::from_millis(u64::from(span_ms));
             let query = streams::OriginQuery {
                 stream,
                 service,
-                span: Duration::from_millis(u64::from(span_ms)),
+                span,
             };
             let answer = origins::answer_host(cx.clone(), name.clone(), id, query);
             tokio::task::spawn_local(answer);
@@ -318,6 +313,18 @@
     }
 }
 
+fn apply_catalog<D, S>(cx: &Context<D, S>, sender: &Arc<str>, content: catalog::Content)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let decoded = verify::Decoded {
+        content,
+        findings: Vec::new(),
+    };
+    cx.apply_catalog(decoded, events::Source::Host(sender.clone()));
+}
+
 /// Applies the status of another host.
 fn apply_status<D, S>(
     cx: &Context<D, S>,
@@ -414,14 +421,10 @@
     let Some(outbox) = state.outboxes.get(host) else {
         return;
     };
-    let mut messages: Vec<peer::Message> = Vec::new();
-    if let Some(catalog) = state.catalog.get()
-        && Some(catalog.version()) > theirs.catalog
-    {
-        messages.push(peer::Message::Catalog(Box::new(catalog.content().clone())));
+    if state.catalog.version() > theirs.catalog {
+        outbox.request_catalog();
     }
-    messages.extend(newer_endpoints(&state, outbox, theirs.endpoints));
-    send_in_order(outbox, messages);
+    send_in_order(outbox, newer_endpoints(&state, outbox, theirs.endpoints));
 }
 
 /// Messages with the endpoints that are newer than a revision.
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -1,9 +1,10 @@
 //! Links to other hosts. Each host sends its messages on an HTTP/2 stream that it opens itself.
 //!
 //! [`outgoing`] decides what to send, [`outbox`] queues messages of other tasks, [`incoming`] handles
-//! received messages, [`flood`] sends messages to all hosts, and [`cached_parts`] distributes the prompt parts in the caches of engines.
+//! received messages, [`catalogs`] sends the catalog to some hosts at a time, [`flood`] sends messages to all hosts, and [`cached_parts`] distributes the prompt parts in the caches of engines.
 
 mod cached_parts;
+mod catalogs;
 mod flood;
 mod incoming;
 mod outbox;
@@ -24,10 +25,12 @@
 use crate::control::Context;
 use crate::{adapter, sockets};
 
+use catalogs::CatalogSender;
 use outbox::Features;
 use outgoing::{CatchUp, KnowledgeQueries, SentState};
 
 pub(super) use cached_parts::{apply_cached_parts, broadcast_cached_parts};
+pub(super) use catalogs::{CatalogFrame, turns as catalog_turns};
 pub(super) use flood::{flood, resend_to_behind};
 pub(super) use incoming::accept;
 pub use outbox::Outbox;
@@ -156,6 +159,7 @@
     S: adapter::Store,
 {
     let (sender, mut outbox) = Outbox::new(features.clone());
+    let mut catalogs = CatalogSender::new(sender.catalog_wanted(), cx.catalog_turns.clone());
     cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
     let parts = cx.state.borrow().cached_parts(clock::now());
     if !parts.is_empty() {
@@ -178,6 +182,10 @@
                 send(tx, &message)?;
                 continue;
             }
+            turn = catalogs.turn() => {
+                catalogs.send(cx, (name, tx), turn).await?;
+                continue;
+            }
             _ = ticks.tick() => {}
         }
         if let Some(status) = sent.due_status(cx) {
--- a/crates/gateway/src/control/links/outbox.rs
+++ b/crates/gateway/src/control/links/outbox.rs
@@ -1,8 +1,10 @@
 //! Queue of messages for the host at the other end of a link.
 
+use std::rc::Rc;
+
 use pistachiochute_messages::peer;
 use smallvec::SmallVec;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// Queued messages per link.
 const CAPACITY: usize = 16;
@@ -22,6 +24,8 @@
 pub struct Outbox {
     tx: mpsc::Sender<peer::Message>,
     features: Features,
+    /// Wakes the task of the link when the other host has asked for the catalog.
+    catalog_wanted: Rc<Notify>,
 }
 
 impl Outbox {
@@ -29,7 +33,23 @@
     #[must_use]
     pub fn new(features: Features) -> (Self, mpsc::Receiver<peer::Message>) {
         let (tx, rx) = mpsc::channel(CAPACITY);
-        (Self { tx, features }, rx)
+        let outbox = Self {
+            tx,
+            features,
+            catalog_wanted: Rc::default(),
+        };
+        (outbox, rx)
+    }
+
+    /// Lets the link send the catalog when its turn comes. What is asked for again before then is sent once.
+    pub fn request_catalog(&self) {
+        self.catalog_wanted.notify_one();
+    }
+
+    /// Wakes when the catalog is to be sent.
+    #[must_use]
+    pub fn catalog_wanted(&self) -> Rc<Notify> {
+        self.catalog_wanted.clone()
     }
 
     /// Whether the other host is sent a message.
@@ -38,6 +58,12 @@
         is_sent(message, &self.features)
     }
 
+    /// Whether the link is open, as far as this host knows.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.tx.is_closed()
+    }
+
     /// Whether the other host announced a feature.
     #[must_use]
     pub fn has_feature(&self, feature: peer::Feature) -> bool {
--- a/crates/gateway/src/control/links/outgoing.rs
+++ b/crates/gateway/src/control/links/outgoing.rs
@@ -134,7 +134,7 @@
         let now = clock::now();
         let state = cx.state.borrow();
         let theirs = state.peers.get(name)?.version;
-        let Some(want) = state.catch_up_request(theirs) else {
+        let Some(mut want) = state.catch_up_request(theirs) else {
             self.behind_since = None;
             return None;
         };
@@ -147,6 +147,15 @@
         if now.since(since) < delay || now.since(self.last_request) < MIN_REQUEST_INTERVAL {
             return None;
         }
+        drop(state);
+        let state = &mut *cx.state.borrow_mut();
+        if theirs.catalog > want.catalog && !state.record_catalog_request(name, now) {
+            // Another host was asked for the catalog, or is to be.
+            want.catalog = theirs.catalog;
+            if theirs.endpoints <= want.endpoints {
+                return None;
+            }
+        }
         self.last_request = now;
         Some(want)
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -37,7 +37,7 @@
 use pistachiochute_core::{catalog, directory, revision, streams, time};
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::{clock, metrics};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::{adapter, events, settings, shared};
 
@@ -76,6 +76,10 @@
     registration: RefCell<registration::Registration>,
     /// Wakes the registration when the store has been read for the first time.
     first_read: Notify,
+    /// Turns to send the catalog to another host.
+    catalog_turns: Arc<Semaphore>,
+    /// The catalog as it was last sent.
+    catalog_frame: RefCell<Option<links::CatalogFrame>>,
     /// Whether what earlier hosts have left in the store was adopted.
     legacy_adopted: Cell<bool>,
     /// When this host started.
@@ -97,6 +101,7 @@
     S: adapter::Store,
 {
     let lease = settings.store.lease;
+    let catalog_turns = links::catalog_turns(settings.machine.as_ref());
     let cx = Rc::new(Context {
         state: RefCell::new(State::new(
             settings.host.name.as_str().into(),
@@ -118,6 +123,8 @@
         store_failures: Cell::new(0),
         registration: RefCell::new(registration::Registration::new(lease)),
         first_read: Notify::new(),
+        catalog_turns: Arc::new(Semaphore::new(catalog_turns)),
+        catalog_frame: RefCell::new(None),
         legacy_adopted: Cell::new(false),
         started: clock::now(),
         max_peer_uptime: Cell::new(Duration::ZERO),
@@ -182,7 +189,10 @@
             source,
         };
         let findings = decoded.verify();
-        self.state.borrow_mut().catalog.update(decoded.content);
+        let mut state = self.state.borrow_mut();
+        state.catalog.update(decoded.content);
+        state.catalog_requests.clear();
+        drop(state);
         cold_endpoints::apply_kept(self);
         self.events.catalog_applied(&entry);
         self.publish();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -22,6 +22,9 @@
 /// Time since the store last answered a relay, after which the relay no longer supplies changes.
 const RELAY_STORE_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// Time in which a host sends a newer catalog, before another one is asked.
+const CATALOG_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Number of cached prompt parts above which old ones are evicted.
 const MAX_CACHED_PARTS: usize = 8_192;
 
@@ -85,6 +88,8 @@
     pub limits: rate_limits::Statements,
     /// Endpoints that are cold.
     pub cold: directory::ColdEndpoints,
+    /// Hosts that were asked for a newer catalog since the last one came, and when.
+    pub catalog_requests: HashMap<Arc<str>, time::Time>,
     /// Hosts that missed a flooded message, since their queue was full.
     pub behind: BTreeSet<Arc<str>>,
     domain: String,
@@ -115,6 +120,7 @@
             quarantine: quarantine::Quarantine::new(),
             limits: rate_limits::Statements::default(),
             cold: directory::ColdEndpoints::default(),
+            catalog_requests: HashMap::new(),
             behind: BTreeSet::new(),
             domain,
             generation: 0,
@@ -216,6 +222,36 @@
         is_behind.then_some(own)
     }
 
+    /// Records that a host is asked for a newer catalog, if it is its turn: one host at a time, the relays
+    /// that this host follows in their order, and another one only if the last has not sent it in time.
+    pub fn record_catalog_request(&mut self, name: &Arc<str>, now: time::Time) -> bool {
+        let is_open = |at: &time::Time| now.since(*at) < CATALOG_PATIENCE;
+        if self.catalog_requests.values().any(is_open) {
+            return false;
+        }
+        let own = self.catalog.version();
+        let suppliers = self.overlay.suppliers();
+        let rank = |host: &Arc<str>| {
+            let asked_at = self.catalog_requests.get(host).copied();
+            let place = suppliers.iter().position(|s| s == host);
+            (asked_at, place.unwrap_or(suppliers.len()))
+        };
+        let is_ahead = |host: &Arc<str>| {
+            let peer = self.peers.get(host);
+            peer.is_some_and(|peer| {
+                peer.version.catalog > own && now.since(peer.last_heard) < PEER_TIMEOUT
+            })
+        };
+        let open = self.outboxes.iter().filter(|(_, outbox)| outbox.is_open());
+        let ahead = open.map(|(host, _)| host).filter(|host| is_ahead(host));
+        let next = ahead.map(rank).min();
+        if next.is_some_and(|next| next < rank(name)) {
+            return false;
+        }
+        self.catalog_requests.insert(name.clone(), now);
+        true
+    }
+
     /// Records the status of another host.
     pub fn record_status(
         &mut self,
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -1,6 +1,7 @@
 //! Messages about the versions that began streams, between a host and a peer that may not know them, and
 //! what links may make a host hold.
 
+mod catalogs;
 mod followed_relay;
 mod linked_host;
 
--- /dev/null
+++ b/crates/gateway/src/control/tests/catalogs.rs
@@ -0,0 +1,200 @@
+//! The way of a large catalog: whom a host asks for it, and how many others it sends it to at a time.
+
+use std::cell::RefCell;
+use std::net;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pistachiochute_core::membership::overlay;
+use pistachiochute_core::{catalog, revision, streams, time};
+use pistachiochute_messages::peer;
+
+use super::linked_host::{self, Peer, run};
+use crate::control::links::{Outbox, catalog_turns};
+use crate::control::state::State;
+use crate::settings;
+
+const NOW: time::Time = time::Time::from_secs(100);
+
+/// Routes of a large catalog.
+const ROUTES: usize = 2_000;
+
+fn large_catalog() -> catalog::Content {
+    let route = |i: usize| catalog::Route {
+        name: format!("route-{i}").into(),
+        authority: format!("host-{i}.example").into(),
+        prefix: format!("/a-long-prefix-of-route-{i}/").into(),
+        kind: catalog::RequestKind::Idempotent,
+        timeout: Some(Duration::from_secs(1)),
+        target_latency: Some(Duration::from_millis(100)),
+        priority: 1,
+        targets: [catalog::Target {
+            service: catalog::ServiceIndex(0),
+            weight: 1,
+        }]
+        .into_iter()
+        .collect(),
+        max_attempts: 1,
+        is_public: false,
+    };
+    catalog::Content {
+        version: catalog::Version(7),
+        routes: (0..ROUTES).map(route).collect(),
+        services: vec![catalog::Service {
+            name: linked_host::SERVICE.into(),
+            max_connections: 1,
+            memory_tokens: None,
+            cold_rate: None,
+        }],
+        accounts: Vec::new(),
+        limits: catalog::CallerLimits {
+            max_head_bytes: 1 << 14,
+            max_body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }
+}
+
+/// A host that follows two relays, and its relays' links.
+fn member() -> (State, Vec<tokio::sync::mpsc::Receiver<peer::Message>>) {
+    let history = streams::VersionHistory::new(true, NOW);
+    let mut state = State::new("m".into(), "dom-a".to_owned(), history);
+    state.overlay.role = overlay::Role::Member;
+    state.overlay.relays = ["a".into(), "b".into()].into_iter().collect();
+    let mut links = Vec::new();
+    for relay in ["b", "a"] {
+        let (outbox, rx) = Outbox::new([].into_iter().collect());
+        state.outboxes.insert(relay.into(), outbox);
+        links.push(rx);
+    }
+    (state, links)
+}
+
+/// Lets the relays state that they have the catalog of a version.
+fn state_version(state: &mut State, relays: &[&str], version: u64, now: time::Time) {
+    for relay in relays {
+        let known = peer::StateVersion {
+            catalog: Some(catalog::Version(version)),
+            endpoints: revision::Revision(1),
+        };
+        state.record_status(&Arc::from(*relay), known, peer::StoreHealth::default(), now);
+    }
+}
+
+/// Both relays sent each version to every host of their domain, and the slower one's link was full for seconds.
+#[test]
+fn host_asks_one_relay_for_the_catalog_and_the_next_if_it_does_not_come() {
+    let (mut state, _links) = member();
+    let (a, b): (Arc<str>, Arc<str>) = ("a".into(), "b".into());
+    state_version(&mut state, &["a", "b"], 7, NOW);
+    assert!(!state.record_catalog_request(&b, NOW), "a comes first");
+    assert!(state.record_catalog_request(&a, NOW));
+    assert!(!state.record_catalog_request(&b, NOW));
+    assert!(!state.record_catalog_request(&a, NOW), "not twice");
+    let later = NOW + Duration::from_millis(700);
+    state_version(&mut state, &["a", "b"], 7, later);
+    assert!(!state.record_catalog_request(&a, later), "b is next");
+    assert!(state.record_catalog_request(&b, later));
+    let last = later + Duration::from_millis(700);
+    state_version(&mut state, &["a", "b"], 7, last);
+    assert!(state.record_catalog_request(&a, last));
+}
+
+/// A relay that has not the newest catalog, is silent, or has no link to this host keeps none from being asked.
+#[test]
+fn relay_that_cannot_send_the_catalog_keeps_no_other_from_being_asked() {
+    let b: Arc<str> = "b".into();
+    let (mut state, _links) = member();
+    state_version(&mut state, &["b"], 7, NOW);
+    assert!(state.record_catalog_request(&b, NOW), "a is silent");
+    let (mut state, _links) = member();
+    state_version(&mut state, &["a"], 6, NOW);
+    state_version(&mut state, &["b"], 7, NOW);
+    state.catalog.update(catalog::Content {
+        version: catalog::Version(6),
+        ..large_catalog()
+    });
+    assert!(state.record_catalog_request(&b, NOW), "a has no newer one");
+    let (mut state, mut links) = member();
+    state_version(&mut state, &["a", "b"], 7, NOW);
+    drop(links.pop());
+    assert!(state.record_catalog_request(&b, NOW), "no link to a");
+}
+
+#[test]
+fn catalogs_under_way_follow_the_speed_of_the_link() {
+    let machine = |link_mbps| settings::Machine {
+        memory_mb: 112,
+        max_fds: 2_870,
+        link_mbps,
+    };
+    assert_eq!(catalog_turns(Some(&machine(Some(10)))), 2);
+    assert_eq!(catalog_turns(Some(&machine(Some(200)))), 57);
+    assert_eq!(catalog_turns(Some(&machine(None))), 16);
+    assert_eq!(catalog_turns(None), 16);
+}
+
+fn is_catalog(message: &peer::Message) -> bool {
+    matches!(message, peer::Message::Catalog(_))
+}
+
+/// Opens the link of another host that reads what it is sent.
+async fn reader(name: &str, first: &Peer) -> Peer {
+    let any: net::SocketAddr = ([127, 0, 0, 1], 0).into();
+    let listener = tokio::net::TcpListener::bind(any).await;
+    let listener = listener.expect("a listener");
+    let links = listener.local_addr().expect("an address");
+    let received = Rc::<RefCell<Vec<peer::Message>>>::default();
+    let receiving = linked_host::receive(listener, Some(""), Rc::clone(&received));
+    tokio::task::spawn_local(receiving);
+    linked_host::connect(name, first.host_links, links, received).await
+}
+
+/// Opens the link of another host that reads nothing.
+async fn slow_reader(name: &str, first: &Peer) -> Peer {
+    let any: net::SocketAddr = ([127, 0, 0, 1], 0).into();
+    let listener = tokio::net::TcpListener::bind(any).await;
+    let listener = listener.expect("a listener");
+    let links = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(linked_host::accept_without_reading(listener));
+    linked_host::connect(name, first.host_links, links, Rc::default()).await
+}
+
+/// A relay sent the catalog to all hosts of its domain at once, and again for each time that they asked while it
+/// was on its way; news of endpoints waited behind, and its own calls too.
+#[test]
+fn catalog_goes_to_a_few_hosts_at_a_time_and_to_each_once() {
+    run(Some(""), async |_, mut first| {
+        first.send(&peer::Message::Catalog(Box::new(large_catalog())));
+        let mut slow = Vec::new();
+        for i in 0..linked_host::CATALOG_TURNS {
+            slow.push(slow_reader(&format!("s{i}"), &first).await);
+        }
+        let mut last = reader("t", &first).await;
+        let is_status = |m: &peer::Message| matches!(m, peer::Message::Status { .. });
+        last.wait_for("status", is_status).await;
+        // The links to the slow hosts are open by now.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let want = peer::Message::Want(peer::StateVersion::default());
+        for host in &mut slow {
+            host.send(&want);
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for _ in 0..5 {
+            last.send(&want);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        assert!(!last.received.borrow().iter().any(is_catalog), "not yet");
+        let endpoints = last.wait_for("endpoints", linked_host::is_endpoints).await;
+        let catalog = last.wait_for("catalog", is_catalog).await;
+        assert!(endpoints < catalog);
+        for _ in 0..5 {
+            last.send(&want);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+        }
+        let catalogs = last.received.borrow();
+        assert_eq!(catalogs.iter().filter(|m| is_catalog(m)).count(), 1);
+    });
+}
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -27,6 +27,9 @@
 /// Service of which no host knows an endpoint.
 pub const UNKNOWN_SERVICE: &str = "other";
 
+/// Catalogs that the link of the host carries at a time.
+pub const CATALOG_TURNS: usize = 2;
+
 pub const SPAN: Duration = Duration::from_secs(10);
 
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -205,7 +208,11 @@
             name: "host".to_owned(),
             domain: "dom-a".to_owned(),
         },
-        machine: None,
+        machine: Some(settings::Machine {
+            memory_mb: 260,
+            max_fds: 4_100,
+            link_mbps: Some(10),
+        }),
         listen: settings::Listen {
             callers: links,
             health: links,
@@ -295,6 +302,17 @@
     }
 }
 
+/// Accepts the link of the host, and reads nothing that it sends.
+pub async fn accept_without_reading(listener: tokio::net::TcpListener) {
+    let stream = sockets::accept(&listener, sockets::Peer::Host).await;
+    let mut connection = h2::server::handshake(stream).await.expect("a handshake");
+    let mut kept = Vec::new();
+    while let Some(Ok((req, mut respond))) = connection.accept().await {
+        let answer = respond.send_response(http::Response::new(()), false);
+        kept.push((req, answer));
+    }
+}
+
 /// Opens the link of a peer with this name to the host.
 pub async fn connect(
     name: &str,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,8 @@
     pub memory_mb: u32,
     /// Descriptors that the process may open.
     pub max_fds: u32,
+    /// Speed of its network link, in megabits a second, if it is known.
+    pub link_mbps: Option<u32>,
 }
 
 /// Settings of one host.
@@ -174,10 +176,15 @@
 fn read_machine(mut reader: reader::Reader<'_>) -> Option<Machine> {
     let memory_mb = reader.typed("memory_mb");
     let max_fds = reader.typed("max_fds");
+    let link_mbps = match reader.optional("link_mbps") {
+        Some(_) => Some(reader.scalar("link_mbps", 0.0, 0.1..=1e6)?),
+        None => None,
+    };
     reader.close();
     Some(Machine {
         memory_mb: memory_mb?,
         max_fds: max_fds?,
+        link_mbps: link_mbps.map(|mbps: f64| mbps.ceil() as u32),
     })
 }
 
