Watch again at once where the store held a watch and had no change

Change: the pause carries many changes in one answer; after a watch that was held and had none there is none.

--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -182,8 +182,9 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    let mut was_held = false;
     loop {
-        if wait_before_watch(cx).await {
+        if wait_before_watch(cx, was_held).await {
             return WatchEnd::RelayLive;
         }
         let requested_at = clock::now();
@@ -200,6 +201,8 @@
             }
             Err(e) => return WatchEnd::Failed(e),
         };
+        let held_for = clock::now().since(requested_at);
+        was_held = changes.is_empty() && held_for >= cx.settings.drain.watch_wait() / 2;
         cx.record_store_call(true, "");
         apply_changes(cx, &changes, revision, (progress.known_at, requested_at));
         progress = Progress {
@@ -268,9 +271,10 @@
     Ok(())
 }
 
-/// Pauses before a watch, so that one answer carries many changes. A host that follows a relay gives
-/// its link time to open. Returns whether a relay supplies the changes now.
-async fn wait_before_watch<D, S>(cx: &Context<D, S>) -> bool
+/// Pauses before a watch, so that one answer carries many changes, unless the store held the last one and had
+/// none. A host that follows a relay gives its link time to open. Returns whether a relay supplies the changes
+/// now.
+async fn wait_before_watch<D, S>(cx: &Context<D, S>, was_held: bool) -> bool
 where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -280,7 +284,9 @@
         let wait = tokio::time::timeout(wait, wait_for_live_relay(cx));
         return wait.await.is_ok();
     }
-    tokio::time::sleep(WATCH_DELAY).await;
+    if !was_held {
+        tokio::time::sleep(WATCH_DELAY).await;
+    }
     cx.has_live_relay()
 }
 
