--- a/crates/gateway/src/control/tests/followed_relay.rs
+++ b/crates/gateway/src/control/tests/followed_relay.rs
@@ -9,13 +9,11 @@
 use pistachiochute_core::memory::Limits;
 use pistachiochute_core::{catalog, directory, revision};
 use pistachiochute_messages::peer;
-use pistachiochute_runtime::platform::key_value;
-use pistachiochute_runtime::{clock, metrics};
+use pistachiochute_runtime::clock;
 
-use super::linked_host::{self, Dialect, ENDPOINTS_PREFIX, Peer, test_settings};
-use crate::control::state::HostEntry;
-use crate::control::{HOSTS_PREFIX, TICK_INTERVAL, links, sync};
-use crate::{adapter, events, shared, sockets};
+use super::linked_host::{self, Peer, Store};
+use crate::control::{TICK_INTERVAL, links, sync};
+use crate::{shared, sockets};
 
 /// Name of the relay, before the name of the host in the order of names.
 const RELAY: &str = "a";
@@ -29,92 +27,13 @@
 /// Time after which the host follows the relay.
 const SETTLING_TIME: Duration = Duration::from_millis(1_500);
 
-/// What the store has.
-struct World {
-    relay_links: net::SocketAddr,
-    has_endpoint: Cell<bool>,
-    /// Reads of the endpoints alone.
-    endpoint_reads: Cell<usize>,
-}
-
-/// A store that shows one endpoint while there is one.
-#[derive(Clone)]
-struct Store(Rc<World>);
-
-impl Store {
-    fn revision(&self) -> revision::Revision {
-        match self.0.has_endpoint.get() {
-            true => revision::Revision(1),
-            false => revision::Revision(9),
-        }
-    }
-
-    fn host_entry(&self, number: usize) -> key_value::Entry {
-        // Nothing listens on this port.
-        let nowhere = ([127, 0, 0, 1], 9).into();
-        let (name, links) = match number {
-            0 => (RELAY.to_owned(), self.0.relay_links),
-            1 => ("b".to_owned(), nowhere),
-            _ => (format!("x{number}"), nowhere),
-        };
-        let domain = "dom-a".to_owned();
-        let value = serde_json::to_vec(&HostEntry { links, domain }).expect("valid JSON");
-        linked_host::entry(format!("{HOSTS_PREFIX}{name}"), value)
-    }
-}
-
-impl adapter::Store for Store {
-    async fn range(
-        &self,
-        prefix: &str,
-        _: adapter::Consistency,
-    ) -> Result<key_value::RangeResult, key_value::Error> {
-        if prefix == ENDPOINTS_PREFIX {
-            self.0.endpoint_reads.set(self.0.endpoint_reads.get() + 1);
-        }
-        let mut entries: Vec<_> = (0..OTHER_HOSTS).map(|i| self.host_entry(i)).collect();
-        if self.0.has_endpoint.get() {
-            let key = format!("{ENDPOINTS_PREFIX}i-1");
-            entries.push(linked_host::entry(key, Vec::new()));
-        }
-        entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
-        Ok(key_value::RangeResult {
-            revision: self.revision(),
-            entries,
-        })
-    }
-
-    async fn watch(
-        &self,
-        _: &str,
-        _: revision::Revision,
-        _: Duration,
-    ) -> Result<adapter::WatchResponse, key_value::Error> {
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        Ok(adapter::WatchResponse::Changes {
-            revision: self.revision(),
-            changes: Vec::new(),
-        })
-    }
-
-    async fn put(&self, _: &str, _: &[u8], _: key_value::LeaseId) -> Result<(), key_value::Error> {
-        Ok(())
-    }
-
-    async fn grant(&self, _: Duration) -> Result<key_value::LeaseId, key_value::Error> {
-        Ok(key_value::LeaseId(1))
-    }
-
-    async fn keep_alive(
-        &self,
-        _: key_value::LeaseId,
-    ) -> Result<Option<Duration>, key_value::Error> {
-        Ok(Some(Duration::from_secs(6)))
-    }
-
-    async fn revoke(&self, _: key_value::LeaseId) -> Result<(), key_value::Error> {
-        Ok(())
-    }
+/// A store with the relay, another relay that nothing listens for, and so many hosts that there are relays.
+fn store(relay_links: net::SocketAddr) -> Store {
+    let nowhere = ([127, 0, 0, 1], 9).into();
+    let relays = [(RELAY, relay_links), ("b", nowhere)];
+    let relays = relays.map(|(name, links)| (name.to_owned(), linked_host::host_entry(links)));
+    let others = (0..OTHER_HOSTS).map(|i| (format!("x{i}"), linked_host::host_entry(nowhere)));
+    Store::new(relays.into_iter().chain(others).collect())
 }
 
 /// What a relay says of itself once the endpoint has left.
@@ -175,27 +94,10 @@
             Some("endpoint-knowledge"),
             Rc::clone(&received),
         ));
-        let world = Rc::new(World {
-            relay_links,
-            has_endpoint: Cell::new(true),
-            endpoint_reads: Cell::new(0),
-        });
+        let store = store(relay_links);
+        let has_endpoint = store.has_endpoint.clone();
         let shared = Arc::new(shared::Shared::with_limits(Limits::NONE));
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let telemetry = (
-            events::Events::new(log),
-            metrics::Metrics::new().expect("metrics"),
-        );
-        let settings = test_settings(address);
-        let drain = settings.drain.whole();
-        let host = tokio::task::spawn_local(crate::control::run(
-            Dialect,
-            Store(Rc::clone(&world)),
-            settings,
-            shared.clone(),
-            telemetry,
-            links,
-        ));
+        let host = linked_host::start(store, links, shared.clone());
         let peer = linked_host::connect(RELAY, address, relay_links, received).await;
         let changed = Rc::new(Cell::new(false));
         let peer = Rc::new(RefCell::new(peer));
@@ -204,10 +106,10 @@
         tokio::time::sleep(SETTLING_TIME).await;
         let is_used = || !shared.view().endpoints.is_empty();
         assert!(is_used(), "the endpoint is in use before it leaves");
-        world.has_endpoint.set(false);
+        has_endpoint.set(false);
         changed.set(true);
         let left_at = clock::now();
-        while is_used() && clock::now().since(left_at) < drain {
+        while is_used() && clock::now().since(left_at) < linked_host::DRAIN {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         let in_use = (!is_used()).then(|| clock::now().since(left_at));
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -1,6 +1,6 @@
 //! A host with one peer, over a link between them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,6 +27,9 @@
 /// Service of which no host knows an endpoint.
 pub const UNKNOWN_SERVICE: &str = "other";
 
+/// Time in which endpoints that leave go out of use.
+pub const DRAIN: Duration = Duration::from_secs(3);
+
 /// Catalogs that the link of the host carries at a time.
 pub const CATALOG_TURNS: usize = 2;
 
@@ -134,10 +137,39 @@
     }
 }
 
-/// A store with one endpoint and one other host that never changes.
+/// A store with other hosts and one endpoint, which may leave.
 #[derive(Clone)]
 pub struct Store {
-    peer: HostEntry,
+    /// The other hosts, by name.
+    pub hosts: Rc<Vec<(String, HostEntry)>>,
+    /// Whether the endpoint is there.
+    pub has_endpoint: Rc<Cell<bool>>,
+}
+
+impl Store {
+    /// A store with these hosts and the endpoint.
+    pub fn new(hosts: Vec<(String, HostEntry)>) -> Self {
+        Self {
+            hosts: Rc::new(hosts),
+            has_endpoint: Rc::new(Cell::new(true)),
+        }
+    }
+
+    /// Revision of the last change: the endpoint's entry, or its removal.
+    fn revision(&self) -> revision::Revision {
+        match self.has_endpoint.get() {
+            true => revision::Revision(1),
+            false => revision::Revision(9),
+        }
+    }
+}
+
+/// Entry of a host of the only failure domain.
+pub fn host_entry(links: net::SocketAddr) -> HostEntry {
+    HostEntry {
+        links,
+        domain: "dom-a".to_owned(),
+    }
 }
 
 pub fn entry(key: String, value: Vec<u8>) -> key_value::Entry {
@@ -157,14 +189,17 @@
         prefix: &str,
         _: adapter::Consistency,
     ) -> Result<key_value::RangeResult, key_value::Error> {
-        let peer = serde_json::to_vec(&self.peer).expect("valid JSON");
-        let mut entries = vec![
-            entry(format!("{HOSTS_PREFIX}peer"), peer),
-            entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new()),
-        ];
+        let hosts = self.hosts.iter().map(|(name, host)| {
+            let value = serde_json::to_vec(host).expect("valid JSON");
+            entry(format!("{HOSTS_PREFIX}{name}"), value)
+        });
+        let mut entries: Vec<_> = hosts.collect();
+        if self.has_endpoint.get() {
+            entries.push(entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new()));
+        }
         entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
         Ok(key_value::RangeResult {
-            revision: revision::Revision(1),
+            revision: self.revision(),
             entries,
         })
     }
@@ -177,7 +212,7 @@
     ) -> Result<adapter::WatchResponse, key_value::Error> {
         tokio::time::sleep(Duration::from_millis(50)).await;
         Ok(adapter::WatchResponse::Changes {
-            revision: revision::Revision(1),
+            revision: self.revision(),
             changes: Vec::new(),
         })
     }
@@ -227,7 +262,7 @@
             ratio: 1.0,
             extra: 1.0,
         },
-        drain: directory::DrainBudget::new(Duration::from_secs(3)),
+        drain: directory::DrainBudget::new(DRAIN),
         stop_timeout: Duration::from_secs(1),
         is_first_start: true,
     }
@@ -345,6 +380,23 @@
     peer
 }
 
+/// Starts the control thread of a host.
+pub fn start(
+    store: Store,
+    links: net::TcpListener,
+    shared: Arc<shared::Shared>,
+) -> tokio::task::JoinHandle<()> {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let telemetry = (
+        events::Events::new(log),
+        metrics::Metrics::new().expect("metrics"),
+    );
+    let address = links.local_addr().expect("an address");
+    let settings = test_settings(address);
+    let host = crate::control::run(Dialect, store, settings, shared, telemetry, links);
+    tokio::task::spawn_local(host)
+}
+
 /// Runs a host with one peer, which announces `features`, and gives both to `test`.
 pub fn run<F, T>(features: Option<&'static str>, test: F)
 where
@@ -376,25 +428,8 @@
         let received = Rc::default();
         tokio::task::spawn_local(receive(peer_listener, features, Rc::clone(&received)));
         let shared = Arc::new(shared::Shared::with_limits(limits));
-        let store = Store {
-            peer: HostEntry {
-                links: peer_links,
-                domain: "dom-a".to_owned(),
-            },
-        };
-        let log = slog::Logger::root(slog::Discard, slog::o!());
-        let telemetry = (
-            events::Events::new(log),
-            metrics::Metrics::new().expect("metrics"),
-        );
-        let host = tokio::task::spawn_local(crate::control::run(
-            Dialect,
-            store,
-            test_settings(address),
-            shared.clone(),
-            telemetry,
-            links,
-        ));
+        let store = Store::new(vec![("peer".to_owned(), host_entry(peer_links))]);
+        let host = start(store, links, shared.clone());
         let peer = connect("peer", address, peer_links, received).await;
         peer.wait_for("status", |m| matches!(m, peer::Message::Status { .. }))
             .await;
