Log what a list of the store changes, and not each entry that it has

Cause: each read of the endpoints logged a line for every entry, changed or not, and none for an entry that the list no longer has. Change: Directory::replace returns the keys by which the endpoints in use changed; these are logged.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -132,13 +132,14 @@
     }
 
     /// Replaces all records by a complete list that the store returned at `revision`. Entries that
-    /// are not in the list count as removed. Returns whether the endpoints in use changed.
+    /// are not in the list count as removed. Returns the keys of the entries by which the endpoints in use
+    /// changed.
     pub fn replace(
         &mut self,
         entries: Vec<(Arc<str>, revision::Revision, Option<Arc<Endpoint>>)>,
         revision: revision::Revision,
         now: time::Time,
-    ) -> bool {
+    ) -> Vec<Arc<str>> {
         let listed: std::collections::HashSet<_> =
             entries.iter().map(|(key, _, _)| key.clone()).collect();
         let missing: Vec<_> = self
@@ -147,12 +148,12 @@
             .filter(|(key, r)| !listed.contains(*key) && r.is_present())
             .map(|(key, _)| key.clone())
             .collect();
-        let mut changed = false;
-        for (key, revision, endpoint) in entries {
-            changed |= self.apply(&key, revision, endpoint, Source::Store, now);
-        }
-        for key in missing {
-            changed |= self.apply(&key, revision, None, Source::Store, now);
+        let removals = missing.into_iter().map(|key| (key, revision, None));
+        let mut changed = Vec::new();
+        for (key, revision, endpoint) in entries.into_iter().chain(removals) {
+            if self.apply(&key, revision, endpoint, Source::Store, now) {
+                changed.push(key);
+            }
         }
         self.mark_complete(revision);
         changed
@@ -178,6 +179,12 @@
         unconfirmed.fold(self.complete_revision, revision::Revision::min)
     }
 
+    /// What is known of an entry.
+    #[must_use]
+    pub fn record(&self, key: &str) -> Option<&Record> {
+        self.records.get(key)
+    }
+
     /// Whether endpoints stay in use whose entries were removed, so that this host does not know for certain
     /// which ones are in use.
     #[must_use]
@@ -209,14 +216,6 @@
         doubted.map(|(key, r)| (key, r.revision))
     }
 
-    /// Whether the endpoint of an entry stays in use although the entry was removed.
-    #[must_use]
-    pub fn is_removal_in_doubt(&self, key: &str) -> bool {
-        self.records
-            .get(key)
-            .is_some_and(Record::is_removal_unconfirmed)
-    }
-
     /// Confirms removals that are no longer uncertain, and drops the records of old ones. Returns
     /// the removals that were confirmed.
     pub fn tick(&mut self, now: time::Time) -> Vec<ConfirmedRemoval> {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -352,24 +352,34 @@
     let decoded = decoded.filter_map(|(_, revision, e)| Some((e.as_deref()?, *revision)));
     cold_endpoints::apply_entries(cx, decoded);
     let now = clock::now();
-    let listed = entries.clone();
-    let changed = cx
-        .state
-        .borrow_mut()
-        .directory
-        .replace(entries, found.revision, now);
-    if changed {
+    let listed = entries.len();
+    let mut state = cx.state.borrow_mut();
+    let changed = state.directory.replace(entries, found.revision, now);
+    drop(state);
+    if !changed.is_empty() {
         cx.publish();
     }
     // After the state is published: requests may wait for it.
-    let source = events::Source::Store;
-    for (key, revision, endpoint) in &listed {
-        cx.log_endpoint(key, *revision, endpoint.as_deref(), &source);
+    log_listed(cx, &changed);
+    cx.events.endpoints_listed(listed, found.revision);
+}
+
+/// Logs what a list of the store has changed, and what it has left in doubt.
+fn log_listed<D, S>(cx: &Context<D, S>, changed: &[Arc<str>])
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let state = cx.state.borrow();
+    let records = changed.iter();
+    let records = records.filter_map(|key| Some((key, state.directory.record(key)?)));
+    for (key, record) in records {
+        let endpoint = record.endpoint.as_deref();
+        cx.log_endpoint(key, record.revision, endpoint, &events::Source::Store);
     }
-    for (key, revision) in cx.state.borrow().directory.doubted() {
+    for (key, revision) in state.directory.doubted() {
         cx.events.endpoint_in_doubt(key, revision);
     }
-    cx.events.endpoints_listed(listed.len(), found.revision);
 }
 
 /// Applies changes of all entries.
@@ -460,7 +470,9 @@
     if changed {
         cx.log_endpoint(key, revision, endpoint.as_deref(), source);
     }
-    if endpoint.is_none() && cx.state.borrow().directory.is_removal_in_doubt(key) {
+    let state = cx.state.borrow();
+    let record = state.directory.record(key);
+    if endpoint.is_none() && record.is_some_and(directory::Record::is_removal_unconfirmed) {
         cx.events.endpoint_in_doubt(key, revision);
     }
     changed
