Count a watch that the store has held as knowledge of the time for which it was held

Change: an answer without a change to a watch that was held shows all up to the end of that time. One that comes sooner counts from the call, as before.

--- a/crates/core/src/directory/knowledge.rs
+++ b/crates/core/src/directory/knowledge.rs
@@ -7,7 +7,8 @@
 
 /// Point in time, by the clock of this host, up to which it knows all changes of the endpoints.
 ///
-/// Invariant: made only from an answer, and never later than the question. Neither a clock that goes on,
+/// Invariant: made only from an answer, and never later than the question, or than the time for which the
+/// store has held it. Neither a clock that goes on,
 /// nor a message that waits on its way, makes what it says newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KnownUpTo(time::Time);
@@ -19,6 +20,16 @@
         Self(asked_at)
     }
 
+    /// What an answer without a change shows to a watch that was sent at `asked_at`: the store answers it so
+    /// when it has held the watch for `wait`. One that came sooner shows no more than any other answer.
+    #[must_use]
+    pub fn by_held_watch(asked_at: time::Time, wait: Duration, answered_at: time::Time) -> Self {
+        match answered_at.since(asked_at) >= wait {
+            true => Self(asked_at + wait),
+            false => Self(asked_at),
+        }
+    }
+
     /// What another host states in its answer to a question that was sent at `asked_at`: its own knowledge
     /// had the age `age` when the question arrived.
     #[must_use]
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -201,10 +201,15 @@
             }
             Err(e) => return WatchEnd::Failed(e),
         };
-        let held_for = clock::now().since(requested_at);
-        was_held = changes.is_empty() && held_for >= cx.settings.drain.watch_wait() / 2;
+        let now = clock::now();
+        let wait = cx.settings.drain.watch_wait();
+        was_held = changes.is_empty() && now.since(requested_at) >= wait;
+        let known = match was_held {
+            true => directory::KnownUpTo::by_held_watch(requested_at, wait, now),
+            false => directory::KnownUpTo::by_store(requested_at),
+        };
         cx.record_store_call(true, "");
-        apply_changes(cx, &changes, revision, (progress.known_at, requested_at));
+        apply_changes(cx, &changes, revision, (progress.known_at, known));
         progress = Progress {
             after: progress.after.max(revision),
             known_at: requested_at,
@@ -387,7 +392,7 @@
     cx: &Context<D, S>,
     changes: &[key_value::Change],
     revision: revision::Revision,
-    (known_at, requested_at): (time::Time, time::Time),
+    (known_at, known): (time::Time, directory::KnownUpTo),
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -400,7 +405,7 @@
     cx.shared.confirm_catalog(clock::now());
     evacuations::apply_changes(cx, changes);
     apply_endpoint_changes(cx, changes, revision, known_at);
-    cx.confirm_endpoints(directory::KnownUpTo::by_store(requested_at));
+    cx.confirm_endpoints(known);
     host_registry::apply_changes(cx, changes);
 }
 
