--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -25,6 +25,9 @@
 /// Delay between two watches, so that one answer carries many changes.
 pub(super) const WATCH_DELAY: Duration = Duration::from_millis(500);
 
+/// Shortest time that the store is asked to hold a watch.
+const MIN_WATCH_WAIT: Duration = Duration::from_millis(20);
+
 /// Time that the link to a relay is given to open before a host watches the store itself. Within the
 /// bounds for changes of the catalog and of the endpoints.
 const RELAY_LINK_WAIT: Duration = Duration::from_millis(1_000);
@@ -182,14 +185,14 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let mut was_held = false;
     loop {
-        if wait_before_watch(cx, was_held).await {
+        if wait_before_watch(cx).await {
             return WatchEnd::RelayLive;
         }
         let requested_at = clock::now();
+        let wait = time_to_next_answer(cx).max(MIN_WATCH_WAIT);
         let watched = tokio::select! {
-            watched = watch_once(cx, progress.after) => watched,
+            watched = watch_once(cx, progress.after, wait) => watched,
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
@@ -201,11 +204,8 @@
             }
             Err(e) => return WatchEnd::Failed(e),
         };
-        let now = clock::now();
-        let wait = cx.settings.drain.watch_wait();
-        was_held = changes.is_empty() && now.since(requested_at) >= wait;
-        let known = match was_held {
-            true => directory::KnownUpTo::by_held_watch(requested_at, wait, now),
+        let known = match changes.is_empty() {
+            true => directory::KnownUpTo::by_held_watch(requested_at, wait, clock::now()),
             false => directory::KnownUpTo::by_store(requested_at),
         };
         cx.record_store_call(true, "");
@@ -222,14 +222,14 @@
 async fn watch_once<D, S>(
     cx: &Context<D, S>,
     after: revision::Revision,
+    wait: Duration,
 ) -> Result<adapter::WatchResponse, key_value::Error>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let budget = cx.settings.drain;
-    let watch = cx.store.watch(ALL_ENTRIES, after, budget.watch_wait());
-    let watched = tokio::time::timeout(budget.watch_silence(), watch).await;
+    let watch = cx.store.watch(ALL_ENTRIES, after, wait);
+    let watched = tokio::time::timeout(cx.settings.drain.watch_silence(), watch).await;
     watched.unwrap_or_else(|_| Err(key_value::Error::unknown("a silent watch".to_owned())))
 }
 
@@ -276,10 +276,16 @@
     Ok(())
 }
 
-/// Pauses before a watch, so that one answer carries many changes, unless the store held the last one and had
-/// none. A host that follows a relay gives its link time to open. Returns whether a relay supplies the changes
-/// now.
-async fn wait_before_watch<D, S>(cx: &Context<D, S>, was_held: bool) -> bool
+/// Time until what this host knows of the endpoints is so old that it needs an answer of the store, changes or
+/// not.
+fn time_to_next_answer<D, S>(cx: &Context<D, S>) -> Duration {
+    let age = cx.state.borrow().known_up_to.age(clock::now());
+    cx.settings.drain.watch_wait().saturating_sub(age)
+}
+
+/// Pauses before a watch, so that one answer carries many changes, while what is known is not old. A host that
+/// follows a relay gives its link time to open. Returns whether a relay supplies the changes now.
+async fn wait_before_watch<D, S>(cx: &Context<D, S>) -> bool
 where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -289,9 +295,7 @@
         let wait = tokio::time::timeout(wait, wait_for_live_relay(cx));
         return wait.await.is_ok();
     }
-    if !was_held {
-        tokio::time::sleep(WATCH_DELAY).await;
-    }
+    tokio::time::sleep(WATCH_DELAY.min(time_to_next_answer(cx))).await;
     cx.has_live_relay()
 }
 
