Let no host count as knowing removals that came before the list that it started from

Cause: a host that starts knows the entries of its first list, and nothing of those removed before. Its records after a revision before that list lack these removals, and yet it said that with them all changes up to its list are known. A member took that over, was not behind any more, and asked nobody for the removal. The same holds for removals whose records were dropped after a minute. It stood in too. Change: a directory knows since when it has all removals; a host that has changes up to an earlier revision only gets records, and neither the end of the list nor an answer about what is known. It then gets both from a host that has gone on, or reads the endpoints itself.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -65,6 +65,9 @@
     records: HashMap<Arc<str>, Record>,
     /// All changes of the endpoints in use up to and including this revision are known.
     complete_revision: revision::Revision,
+    /// All removals of entries after this revision are known: it is the one of the first list, or of the last
+    /// removal whose record was dropped.
+    removals_known_since: Option<revision::Revision>,
     /// Revision of the last known change of the endpoints in use. Most writes are renewals by
     /// endpoints, which change only the heartbeat and do not count.
     last_change: revision::Revision,
@@ -162,6 +165,7 @@
     /// Records that all changes up to and including a revision are known.
     pub fn mark_complete(&mut self, revision: revision::Revision) {
         self.complete_revision = self.complete_revision.max(revision);
+        self.removals_known_since.get_or_insert(revision);
     }
 
     /// Revision up to and including which all changes are known.
@@ -170,6 +174,27 @@
         self.complete_revision
     }
 
+    /// Whether [`Directory::newer_than`] gives a host all removals that has all changes up to `after`. A host
+    /// that has started since, from a list without the entry, knows nothing of them.
+    #[must_use]
+    pub fn knows_removals_since(&self, after: revision::Revision) -> bool {
+        let is_empty = after == revision::Revision::default();
+        is_empty
+            || self
+                .removals_known_since
+                .is_some_and(|since| since <= after)
+    }
+
+    /// Revision up to and including which a host that has all changes up to `after` has them once it has
+    /// applied [`Directory::newer_than`].
+    #[must_use]
+    pub fn complete_revision_for(&self, after: revision::Revision) -> revision::Revision {
+        match self.knows_removals_since(after) {
+            true => self.complete_revision_for_peers(),
+            false => after,
+        }
+    }
+
     /// Revision up to and including which [`Directory::newer_than`] gives another host all changes.
     /// Unconfirmed removals are left out until they are confirmed, so the other host must be able
     /// to ask for them later, here or at a host that knows when the entry was removed.
@@ -233,8 +258,14 @@
                 }
             }
         }
-        self.records
-            .retain(|_, r| r.is_present() || now.since(r.learned_at) < TOMBSTONE_RETENTION);
+        let since = &mut self.removals_known_since;
+        self.records.retain(|_, r| {
+            let is_kept = r.is_present() || now.since(r.learned_at) < TOMBSTONE_RETENTION;
+            if !is_kept {
+                *since = (*since).max(Some(r.revision));
+            }
+            is_kept
+        });
         self.tick_departures(now);
         self.evacuations.tick(now);
         confirmed
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -536,3 +536,36 @@
         .apply(&key, at(2), Some(unnamed), source, world.now);
     assert!(!world.is_usable());
 }
+
+/// Requests reached an endpoint that had left since a relay that had just started, from a list without its entry,
+/// let others believe that they had all changes up to that list.
+#[test]
+fn host_that_has_started_since_a_removal_does_not_count_as_knowing_it() {
+    let mut relay = World::new();
+    // The entry was removed at revision 5, before the list that this host started from.
+    relay.directory.replace(Vec::new(), at(9), relay.now);
+    let mut member = World::new();
+    member.put(1, 1, State::Ready);
+    member.directory.mark_complete(at(4));
+    let after = member.directory.complete_revision();
+    assert_eq!(relay.directory.newer_than(after).count(), 0);
+    assert!(!relay.directory.knows_removals_since(after));
+    assert_eq!(relay.directory.complete_revision_for(after), after);
+    // What a host lacks that has read the store since is known, and one without entries lacks no removal.
+    assert_eq!(relay.directory.complete_revision_for(at(9)), at(9));
+    assert_eq!(relay.directory.complete_revision_for(at(0)), at(9));
+}
+
+/// The record of a removal is dropped after a while.
+#[test]
+fn host_that_has_dropped_a_removal_does_not_count_as_knowing_it() {
+    let mut world = World::new();
+    world.put(1, 1, State::Ready);
+    world.directory.mark_complete(at(1));
+    world.remove(5, Source::Store);
+    world.directory.mark_complete(at(6));
+    assert_eq!(world.directory.complete_revision_for(at(2)), at(6));
+    world.pass(61_000);
+    assert_eq!(world.directory.complete_revision_for(at(2)), at(2));
+    assert_eq!(world.directory.complete_revision_for(at(5)), at(6));
+}
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -389,7 +389,8 @@
     let Some(outbox) = state.outboxes.get(host) else {
         return;
     };
-    let Some(answer) = state.knowledge_answer(asked_at_us, clock::now()) else {
+    let answer = state.knowledge_answer(asked_at_us, clock::now());
+    let Some(answer) = answer.filter(|_| state.directory.knows_removals_since(after)) else {
         return;
     };
     let mut messages = Vec::new();
@@ -447,7 +448,7 @@
         messages.push(peer::Message::EndpointVersions(versions.collect()));
     }
     messages.push(peer::Message::Endpoints {
-        complete: state.directory.complete_revision_for_peers(),
+        complete: state.directory.complete_revision_for(after),
         records,
     });
     messages
