--- a/crates/gateway/src/control/tests/followed_relay.rs
+++ b/crates/gateway/src/control/tests/followed_relay.rs
@@ -153,6 +153,27 @@
     assert!(in_use.is_some(), "in use for longer than the bound");
 }
 
+/// Requests reached an endpoint that had left since a host that had started after its removal told others that
+/// they had all changes up to its first list, in which the removal is none.
+#[test]
+fn host_that_starts_after_a_removal_does_not_say_that_others_know_it() {
+    let features = Some("endpoint-knowledge");
+    linked_host::run_from(false, Limits::NONE, features, async |_, mut peer| {
+        // The peer knows all changes up to one before the removal.
+        let before = revision::Revision(4);
+        peer.send(&peer::Message::Want(peer::StateVersion {
+            catalog: None,
+            endpoints: before,
+        }));
+        let position = peer.wait_for("endpoints", linked_host::is_endpoints).await;
+        let endpoints = peer.received.borrow()[position].clone();
+        let peer::Message::Endpoints { complete, records } = endpoints else {
+            unreachable!("it is about endpoints");
+        };
+        assert_eq!((complete, records.len()), (before, 0));
+    });
+}
+
 /// Bounds of the users' sites: the shares of all parts stay within each, and news that comes as usual is never
 /// so old that every host reads the store.
 #[test]
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -408,6 +408,15 @@
 
 /// The same with bounds on what the host holds.
 pub fn run_within<F, T>(limits: Limits, features: Option<&'static str>, test: F)
+where
+    F: FnOnce(Arc<shared::Shared>, Peer) -> T,
+    T: Future<Output = ()>,
+{
+    run_from(true, limits, features, test);
+}
+
+/// The same with a host that starts when the endpoint is there, or when it has left.
+pub fn run_from<F, T>(has_endpoint: bool, limits: Limits, features: Option<&'static str>, test: F)
 where
     F: FnOnce(Arc<shared::Shared>, Peer) -> T,
     T: Future<Output = ()>,
@@ -429,6 +438,7 @@
         tokio::task::spawn_local(receive(peer_listener, features, Rc::clone(&received)));
         let shared = Arc::new(shared::Shared::with_limits(limits));
         let store = Store::new(vec![("peer".to_owned(), host_entry(peer_links))]);
+        store.has_endpoint.set(has_endpoint);
         let host = start(store, links, shared.clone());
         let peer = connect("peer", address, peer_links, received).await;
         peer.wait_for("status", |m| matches!(m, peer::Message::Status { .. }))
