Review case 7: one frozen host of ten, and a shorter answer

Cause: the only host was frozen, beyond the share of 0.1 that the kind names. Change: ten hosts, of which one freezes; an answer of 500,000 bytes.

--- a/review/stand-in-2/frozen_reader.rs
+++ b/review/stand-in-2/frozen_reader.rs
@@ -12,8 +12,11 @@
 use crate::store::Store;
 use crate::{Lab, Verdict};
 
+const ZONES: [&str; 3] = ["riga-a", "riga-b", "riga-c"];
+/// One of them freezes: a share of 0.1.
+const HOSTS: usize = 10;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-const ANSWER_BYTES: usize = 2_000_000;
+const ANSWER_BYTES: usize = 500_000;
 /// Time for which the replica lets an answer stay unread: some seconds.
 const PATIENCE: Duration = Duration::from_millis(2_500);
 const FREEZE: Duration = Duration::from_millis(4_000);
@@ -27,10 +30,25 @@
     let store = Store::start();
     store.put("op/config", &clients::configuration(7));
     let _replicas = start_replicas(lab, &arrivals, &store);
-    let host = Host::start("front-0", "rennes-a", &store, &lab.folder, &lab.program);
-    if !host.wait_until_ready(Duration::from_secs(10)) {
-        return Verdict::CouldNotRun("the host did not get ready".to_owned());
+    let hosts: Vec<Host> = (0..HOSTS)
+        .map(|i| {
+            let zone = ZONES[i % ZONES.len()];
+            Host::start(
+                &format!("front-{i}"),
+                zone,
+                &store,
+                &lab.folder,
+                &lab.program,
+            )
+        })
+        .collect();
+    if !hosts
+        .iter()
+        .all(|host| host.wait_until_ready(Duration::from_secs(10)))
+    {
+        return Verdict::CouldNotRun("a host did not get ready".to_owned());
     }
+    let host = &hosts[0];
     thread::sleep(Duration::from_secs(3));
     let whole = replica::report(ANSWER_BYTES);
     let mut is_broken = false;
@@ -88,7 +106,7 @@
         let settings = Settings {
             id: format!("i-{:010x}", 0x7f3a_9100 + n),
             service: PAYMENTS.to_owned(),
-            zone: "rennes-a".to_owned(),
+            zone: ZONES[n as usize % ZONES.len()].to_owned(),
             version: "v1".to_owned(),
             slots: 6,
             work: Work::Unframed {
