--- a/review/stand-in-2/clients.rs
+++ b/review/stand-in-2/clients.rs
@@ -157,9 +157,11 @@
     record: &Arc<Record>,
     host: &str,
 ) -> (End, u32) {
+    // Prompts are about one of many farms each.
+    let farm = format!("fa{}", &id[8..]);
     let text = format!(
         "POST {LEDGER}sum HTTP/1.1\r\nHost: farm.example\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
-         X-Token-Usage: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,{id}:250\r\n\
+         X-Token-Usage: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:210,{farm}:1000,{id}:250\r\n\
          X-Deadline-Ms: 15000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n"
     );
     record.add(format!("client sends request {id} to {host}"));
--- a/review/stand-in-2/restored_store.rs
+++ b/review/stand-in-2/restored_store.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy that is some seconds old. Later a replica leaves.
+//! The store comes back from a copy that is some seconds old. Later two replicas leave, under steady traffic.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -7,26 +7,30 @@
 
 use crate::clients::{self, End, MODELS, PAYMENTS};
 use crate::host::Host;
-use crate::http::Connection;
 use crate::replica::{Arrivals, Replica, Settings, Work};
 use crate::store::Store;
 use crate::{Lab, Verdict};
 
 const ZONES: [&str; 3] = ["rennes-a", "rennes-b", "rennes-c"];
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-const CONTACT: Duration = Duration::from_millis(3_000);
 const DRAIN: Duration = Duration::from_millis(2_000);
 
 /// Age of the copy when the store goes away.
 const COPY_AGE: Duration = Duration::from_millis(8_000);
 const AWAY: Duration = Duration::from_millis(500);
-/// Time from the store's return to the leaving of a replica.
-const CALM: Duration = Duration::from_millis(3_500);
-/// Time from the acknowledgement of the leaving to the requests.
-const UNTIL_REQUESTS: Duration = Duration::from_millis(2_300);
-/// Time from the acknowledgement to the end of the replica that leaves.
-const UNTIL_EXIT: Duration = Duration::from_millis(2_500);
-const REQUESTS_PER_HOST: usize = 8;
+/// Time from the store's return to the leaving of the first replica. Longer than `contactMs`, which is 3,000.
+const CALM: Duration = Duration::from_millis(3_300);
+/// Time between the replicas that leave.
+const GAP: Duration = Duration::from_millis(300);
+/// Time for which they serve on: many seconds.
+const SERVE_ON: Duration = Duration::from_secs(20);
+
+const PAYMENT_REPLICAS: usize = 3;
+const MODEL_REPLICAS: usize = 18;
+/// Positions of the replicas that leave: 2 of 18, a share of 0.11.
+const LEAVING: [usize; 2] = [7, 14];
+/// Pause of each host's client between two requests.
+const PAUSE: Duration = Duration::from_millis(900);
 
 pub fn play(lab: &Lab) -> Verdict {
     let record = &lab.record;
@@ -82,100 +86,86 @@
             store.revision()
         ));
     }
-    assert!(CALM >= CONTACT + Duration::from_millis(100));
     thread::sleep(CALM);
-    let failed_before = traffic.stop();
-    let (leaving, is_silent) = &replicas[2];
-    // It does not report that it drains: its entry is removed, and its answers say that it leaves.
-    is_silent.store(true, Ordering::SeqCst);
-    leaving.leave();
-    let Some(revision) = store.remove(&leaving.key()) else {
-        return Verdict::CouldNotRun("the store did not take the removal".to_owned());
-    };
-    let left_at = record.now();
-    record.add(format!(
-        "the entry of replica {} is removed, revision {revision}",
-        leaving.id()
-    ));
-    thread::sleep(UNTIL_REQUESTS);
-    let clients: Vec<_> = hosts
-        .iter()
-        .flat_map(|host| (0..REQUESTS_PER_HOST).map(move |_| host))
-        .map(|host| {
-            let (callers, name, record) = (host.callers, host.name.clone(), record.clone());
-            thread::spawn(move || {
-                let Ok(mut connection) = Connection::open(callers) else {
-                    return End::NoAnswer;
-                };
-                clients::approve(&mut connection, &clients::request_id(), &record, &name)
-            })
-        })
-        .collect();
-    thread::sleep((left_at + UNTIL_EXIT).saturating_sub(record.now()));
-    leaving.end();
-    record.add(format!("replica {} exits", leaving.id()));
-    let ends: Vec<End> = clients
-        .into_iter()
-        .map(|c| c.join().expect("a client"))
-        .collect();
-    let failed = ends
-        .iter()
-        .filter(|end| **end != End::Answered(200))
-        .count();
-    let late: Vec<_> = arrivals
-        .lock()
-        .unwrap()
-        .iter()
-        .filter(|a| a.replica == leaving.id() && a.at > left_at + DRAIN)
-        .cloned()
-        .collect();
-    for arrival in &late {
-        let after = (arrival.at - left_at).as_millis();
+    let mut left = Vec::new();
+    for position in LEAVING {
+        let (replica, is_silent) = &replicas[position];
+        // It does not report that it drains: its entry is removed, and its answers say that it leaves.
+        is_silent.store(true, Ordering::SeqCst);
+        replica.leave();
+        let Some(revision) = store.remove(&replica.key()) else {
+            return Verdict::CouldNotRun("the store did not take the removal".to_owned());
+        };
+        left.push((replica, record.now()));
         record.add(format!(
-            "DRAIN: request {} reached replica {} {after} ms after the acknowledgement, complete: {}",
-            arrival.request, arrival.replica, arrival.is_complete
+            "the entry of replica {} is removed, revision {revision}",
+            replica.id()
         ));
+        thread::sleep(GAP);
     }
-    record.add(format!(
-        "{} requests in the end, {failed} of them without success; {failed_before} failed before",
-        ends.len()
-    ));
-    match late.is_empty() {
-        true => Verdict::Held,
-        false => Verdict::Broken,
+    thread::sleep(SERVE_ON);
+    for (replica, _) in &left {
+        replica.end();
+        record.add(format!("replica {} exits", replica.id()));
+    }
+    let (sent, failed) = traffic.stop();
+    record.add(format!("{sent} requests, {failed} of them without success"));
+    let mut is_broken = false;
+    for (replica, left_at) in &left {
+        let arrivals = arrivals.lock().unwrap();
+        let late = arrivals
+            .iter()
+            .filter(|a| a.replica == replica.id() && a.at > *left_at + DRAIN);
+        for arrival in late {
+            is_broken = true;
+            let after = (arrival.at - *left_at).as_millis();
+            record.add(format!(
+                "DRAIN: request {} reached replica {} {after} ms after the acknowledgement",
+                arrival.request, arrival.replica
+            ));
+        }
+    }
+    match is_broken {
+        true => Verdict::Broken,
+        false => Verdict::Held,
     }
 }
 
-/// Three replicas of payments and nine of models. Each writes its entry until its flag is set.
+/// Replicas of payments and of models. Each writes its entry until its flag is set.
 fn start_replicas(
     lab: &Lab,
     arrivals: &Arrivals,
     store: &Store,
 ) -> Vec<(Replica, Arc<AtomicBool>)> {
+    let count = PAYMENT_REPLICAS + MODEL_REPLICAS;
     let mut replicas = Vec::new();
-    for n in 0..12 {
-        let is_payment = n < 3;
+    for n in 0..count {
+        let is_payment = n < PAYMENT_REPLICAS;
         let settings = Settings {
             id: format!("i-{:010x}", 0x7f3a_9100 + n),
             service: if is_payment { PAYMENTS } else { MODELS }.to_owned(),
             zone: ZONES[n % 3].to_owned(),
             version: "v1".to_owned(),
             slots: if is_payment { 6 } else { 64 },
-            work: Work::Plain(Duration::from_millis(300)),
+            work: Work::Stream {
+                events: 3,
+                pause: Duration::from_millis(20),
+                new_weights_at: None,
+            },
         };
         let replica = Replica::start(settings, &lab.record, arrivals);
         let is_silent = Arc::new(AtomicBool::new(false));
         replica.write_entries(store, HEARTBEAT, is_silent.clone());
         replicas.push((replica, is_silent));
-        thread::sleep(HEARTBEAT / 12);
+        thread::sleep(HEARTBEAT / count as u32);
     }
     replicas
 }
 
-/// One request at a time at each host, with pauses.
+/// One stream at a time at each host, with pauses.
 struct Traffic {
     is_over: Arc<AtomicBool>,
-    clients: Vec<thread::JoinHandle<usize>>,
+    clients: Vec<thread::JoinHandle<(usize, usize)>>,
 }
 
 impl Traffic {
@@ -185,19 +175,15 @@
             let (callers, name) = (host.callers, host.name.clone());
             let (record, is_over) = (lab.record.clone(), is_over.clone());
             thread::spawn(move || {
-                let mut failed = 0;
+                let (mut sent, mut failed) = (0, 0);
                 while !is_over.load(Ordering::SeqCst) {
-                    let end = match Connection::open(callers) {
-                        Err(_) => End::NoAnswer,
-                        Ok(mut connection) => {
-                            let id = clients::request_id();
-                            clients::approve(&mut connection, &id, &record, &name)
-                        }
-                    };
+                    let id = clients::request_id();
+                    let (end, _) = clients::ledger(callers, &id, &record, &name);
+                    sent += 1;
                     failed += usize::from(end != End::Answered(200));
-                    thread::sleep(Duration::from_millis(400));
+                    thread::sleep(PAUSE);
                 }
-                failed
+                (sent, failed)
             })
         });
         Self {
@@ -206,12 +192,13 @@
         }
     }
 
-    /// Returns the number of requests without success.
-    fn stop(self) -> usize {
+    /// Returns the number of requests, and of those without success.
+    fn stop(self) -> (usize, usize) {
         self.is_over.store(true, Ordering::SeqCst);
-        self.clients
+        let results = self
+            .clients
             .into_iter()
-            .map(|client| client.join().expect("a client"))
-            .sum()
+            .map(|client| client.join().expect("a client"));
+        results.fold((0, 0), |sum, result| (sum.0 + result.0, sum.1 + result.1))
     }
 }
