--- a/review/stand-in-2/replica.rs
+++ b/review/stand-in-2/replica.rs
@@ -266,7 +266,7 @@
         let done = match self.settings.work.clone() {
             Work::Plain(work) => self.answer_plain(stream, id, work, 200),
             Work::Grey { work, status } => {
-                let fails = self.runs.fetch_add(1, Ordering::SeqCst) % 5 < 2;
+                let fails = self.runs.fetch_add(1, Ordering::SeqCst) % 5 >= 3;
                 self.answer_plain(stream, id, work, if fails { status } else { 200 })
             }
             Work::Stream {
