Read lists of the store whatever other writers have left in it

Cause: the last key of a page stood unescaped in the query for the next one. A name with & + # % or a blank made the store answer with the same page again, with 400, or with a page far behind; nothing noticed that the list did not go on, and all values were kept until its end. One item that cannot be decoded failed the list and the watch as well.

Change: paths escape their values by type; lists are read page by page, each entry decoded at once and its value dropped; a page that does not go on is an error, and what is known stays; items are decoded one by one. The stand-in of the store has pages and strict queries; the soak leaves foreign entries and restarts all hosts.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -1,5 +1,6 @@
 //! Interface between the gateway and the platform that it runs on.
 
+use std::fmt;
 use std::net;
 use std::time::Duration;
 
@@ -171,6 +172,46 @@
     fn decode_endpoint(&self, key: &str, value: &[u8]) -> eyre::Result<directory::Endpoint>;
 }
 
+/// An item of the store that cannot be read, or whose value cannot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadableItem {
+    /// Its key, if that can be read.
+    pub key: Option<Bytes>,
+    /// What is wrong.
+    pub cause: String,
+}
+
+/// Where a page of a list begins: after the last key of the page before.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PageStart(String);
+
+impl PageStart {
+    /// The page that begins after a key.
+    #[must_use]
+    pub const fn after(key: String) -> Self {
+        Self(key)
+    }
+}
+
+impl fmt::Display for PageStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A page of a list.
+#[derive(Clone, Debug)]
+pub struct Page {
+    /// Revision of the store at which the page was read.
+    pub revision: revision::Revision,
+    /// Entries of the page. The value of one that cannot be read is empty.
+    pub entries: Vec<key_value::Entry>,
+    /// Items that cannot be read.
+    pub unreadable: Vec<UnreadableItem>,
+    /// The next page, if there is one.
+    pub next: Option<PageStart>,
+}
+
 /// Answer to a long-polling watch.
 #[derive(Clone, Debug)]
 pub enum WatchResponse {
@@ -178,8 +219,10 @@
     Changes {
         /// Revision from which the next watch continues.
         revision: revision::Revision,
-        /// Changes in the order of their revisions.
+        /// Changes in the order of their revisions. The value of an entry that cannot be read is empty.
         changes: Vec<key_value::Change>,
+        /// Items that cannot be read.
+        unreadable: Vec<UnreadableItem>,
     },
     /// The store no longer has all changes after the requested revision.
     Compacted,
@@ -198,12 +241,13 @@
 ///
 /// Dropping a future cancels the call; whether it took effect is then unknown.
 pub trait Store: Clone + 'static {
-    /// Reads all entries whose keys start with `prefix`.
-    fn range(
+    /// Reads a page of the entries whose keys start with `prefix`: the first one, or that from `start` on.
+    fn read_page(
         &self,
         prefix: &str,
+        start: Option<&PageStart>,
         consistency: Consistency,
-    ) -> impl Future<Output = Result<key_value::RangeResult, key_value::Error>>;
+    ) -> impl Future<Output = Result<Page, key_value::Error>>;
 
     /// Waits up to `wait` for changes after a revision to keys that start with `prefix`.
     fn watch(
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -15,7 +15,7 @@
 
 use crate::adapter;
 use crate::control::state::State;
-use crate::control::{Context, ages, links};
+use crate::control::{Context, ages, links, listing};
 
 /// Key prefix of the store entries of accusations.
 const ACCUSATIONS_PREFIX: &str = "quarantine/";
@@ -132,24 +132,34 @@
     cx.store.put(&key, &value, lease).await
 }
 
-/// Adopts the accusations that hosts have left in the store, from the first read of all entries. Later
-/// ones come from other hosts.
-pub(super) fn adopt_stored<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    let now = clock::now();
-    let mut update = quarantine::Update::default();
-    let prefix = ACCUSATIONS_PREFIX.as_bytes();
-    for entry in entries.iter().filter(|e| e.key.starts_with(prefix)) {
+/// Accusations that hosts have left in the store.
+#[derive(Debug, Default)]
+pub(super) struct StoredAccusations(Vec<quarantine::Parts>);
+
+impl StoredAccusations {
+    /// Adds the accusation of an entry, if it is the entry of one. One that cannot be read is logged.
+    pub(super) fn add<D, S>(&mut self, cx: &Context<D, S>, entry: &key_value::Entry) {
+        let is_meant = entry.key.starts_with(ACCUSATIONS_PREFIX.as_bytes());
+        if !is_meant || !listing::has_usual_size(cx, entry) {
+            return;
+        }
         match serde_json::from_slice::<StoredAccusation>(&entry.value) {
-            Ok(stored) if !stored.parts.is_empty() => {
-                let accusation = quarantine::Accusation::new(stored.parts, now, now);
-                update.accusations.push(accusation);
-            }
-            Ok(_) => {}
+            Ok(stored) => self.0.push(stored.parts),
             Err(e) => cx
                 .events
                 .entry_invalid(&entry.key, entry.modified, &e.into()),
         }
     }
+}
+
+/// Adopts the accusations that hosts have left in the store, from the first read of all entries. Later
+/// ones come from other hosts.
+pub(super) fn adopt_stored<D, S>(cx: &Context<D, S>, stored: StoredAccusations) {
+    let now = clock::now();
+    let mut update = quarantine::Update::default();
+    let accusing = stored.0.into_iter().filter(|parts| !parts.is_empty());
+    let accusations = accusing.map(|parts| quarantine::Accusation::new(parts, now, now));
+    update.accusations.extend(accusations);
     apply(cx, update, None);
 }
 
--- a/crates/gateway/src/control/evacuations.rs
+++ b/crates/gateway/src/control/evacuations.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use pistachiochute_core::directory::Evacuation;
+use pistachiochute_core::revision;
 use pistachiochute_messages::peer;
 use pistachiochute_runtime::platform::key_value;
 use pistachiochute_runtime::{clock, metrics};
@@ -11,18 +12,19 @@
 use crate::control::{Context, links};
 use crate::{adapter, events};
 
-/// Applies the complete list of the entries of the store.
-pub(super) fn apply_listed<D, S>(cx: &Context<D, S>, found: &key_value::RangeResult)
-where
+/// Applies the complete list of the evacuated domains, with the revisions of their entries, at a revision of
+/// the store.
+pub(super) fn apply_listed<D, S>(
+    cx: &Context<D, S>,
+    listed: Vec<(Arc<str>, revision::Revision)>,
+    revision: revision::Revision,
+) where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let entries = found.entries.iter();
-    let listed = entries.filter_map(|entry| Some((domain(cx, &entry.key)?, entry.modified)));
-    let listed = listed.collect();
     let state = cx.state.borrow();
     let changes = state.directory.evacuations();
-    let changes = changes.changes_to(listed, found.revision);
+    let changes = changes.changes_to(listed, revision);
     drop(state);
     apply(cx, changes, None);
 }
@@ -71,7 +73,7 @@
 }
 
 /// Domain that the key of an entry evacuates, if it is the key of such an entry.
-fn domain<D, S>(cx: &Context<D, S>, key: &[u8]) -> Option<Arc<str>>
+pub(super) fn domain<D, S>(cx: &Context<D, S>, key: &[u8]) -> Option<Arc<str>>
 where
     D: adapter::Dialect,
 {
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -12,7 +12,7 @@
 
 use crate::adapter;
 use crate::control::state::HostEntry;
-use crate::control::{Context, HOSTS_PREFIX, sync};
+use crate::control::{Context, HOSTS_PREFIX, listing, sync};
 
 /// Longest time that the registration waits for the first read of the store, which shows whether an
 /// entry of this host's last process is still there.
@@ -137,30 +137,55 @@
 {
     loop {
         sync::wait_for_live_relay(&cx).await;
+        let mut hosts = Vec::new();
+        let visit = |entry| hosts.extend(decode(&cx, &entry));
         let consistency = adapter::Consistency::Stale;
-        match cx.store.range(HOSTS_PREFIX, consistency).await {
-            Ok(found) => replace_hosts(&cx, &found.entries),
+        match listing::read_all(&cx, HOSTS_PREFIX, consistency, visit).await {
+            Ok(_) => replace_hosts(&cx, hosts),
             Err(e) => cx.events.sync_failed(HOSTS_PREFIX, &e),
         }
         tokio::time::sleep(RELAYED_REFRESH_INTERVAL).await;
     }
 }
 
-/// Replaces the listed hosts by those among entries of the store.
-pub(super) fn replace_hosts<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry])
+/// The entry of a host in a list.
+#[derive(Debug)]
+pub(super) struct ListedHost {
+    /// Name of the host.
+    name: Arc<str>,
+    /// What it says, if that can be read.
+    entry: Option<HostEntry>,
+    /// Lease that removes the entry when it expires.
+    lease: Option<key_value::LeaseId>,
+}
+
+/// Decodes the entry of a host, or returns `None` if it is another entry. One that cannot be read is logged.
+pub(super) fn decode<D, S>(cx: &Context<D, S>, entry: &key_value::Entry) -> Option<ListedHost> {
+    let name = host_name(&entry.key)?;
+    let decoded = listing::has_usual_size(cx, entry).then(|| serde_json::from_slice(&entry.value));
+    let decoded = decoded.and_then(|decoded| {
+        let log = |e: serde_json::Error| {
+            cx.events
+                .entry_invalid(&entry.key, entry.modified, &e.into());
+        };
+        decoded.map_err(log).ok()
+    });
+    Some(ListedHost {
+        name,
+        entry: decoded,
+        lease: entry.lease,
+    })
+}
+
+/// Replaces the hosts by those of a complete list.
+pub(super) fn replace_hosts<D, S>(cx: &Context<D, S>, hosts: Vec<ListedHost>)
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let mut listed: BTreeSet<Arc<str>> = BTreeSet::new();
-    let mut discovered = Vec::new();
-    for entry in entries {
-        let Some(name) = host_name(&entry.key) else {
-            continue;
-        };
-        discovered.extend(apply_host_entry(cx, entry));
-        listed.insert(name);
-    }
+    let listed: BTreeSet<Arc<str>> = hosts.iter().map(|host| host.name.clone()).collect();
+    let discovered = hosts.into_iter().filter_map(|host| apply_host(cx, host));
+    let discovered: Vec<_> = discovered.collect();
     log_discovered(cx, &discovered);
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
@@ -172,20 +197,18 @@
 
 /// Takes over the lease of an entry that an earlier process of this host has left, if this process
 /// has had none, and lets the registration begin.
-pub(super) fn begin_registration<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    adopt_own_entry(cx, entries);
+pub(super) fn begin_registration<D, S>(cx: &Context<D, S>, hosts: &[ListedHost]) {
+    adopt_own_entry(cx, hosts);
     cx.first_read.notify_one();
 }
 
-fn adopt_own_entry<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    let is_own = |name: Arc<str>| *name == *cx.settings.host.name;
-    let mut entries = entries.iter();
-    let Some(entry) = entries.find(|e| host_name(&e.key).is_some_and(is_own)) else {
+fn adopt_own_entry<D, S>(cx: &Context<D, S>, hosts: &[ListedHost]) {
+    let is_own = |host: &&ListedHost| *host.name == *cx.settings.host.name;
+    let Some(host) = hosts.iter().find(is_own) else {
         return;
     };
-    let content = serde_json::from_slice::<HostEntry>(&entry.value).ok();
-    if let (Some(lease), Some(content)) = (entry.lease, content)
-        && content == own_entry(cx)
+    if let (Some(lease), Some(entry)) = (host.lease, &host.entry)
+        && *entry == own_entry(cx)
     {
         let lease = registration::LeaseId(lease.0);
         cx.registration.borrow_mut().adopt(lease);
@@ -205,7 +228,9 @@
     for change in changes.iter().filter(of_hosts) {
         any = true;
         match change {
-            key_value::Change::Put(entry) => discovered.extend(apply_host_entry(cx, entry)),
+            key_value::Change::Put(entry) => {
+                discovered.extend(decode(cx, entry).and_then(|host| apply_host(cx, host)));
+            }
             key_value::Change::Deleted { key, .. } => remove_host(cx, key),
         }
     }
@@ -225,20 +250,11 @@
 type Discovered = (Arc<str>, net::SocketAddr);
 
 /// Applies the entry of a host. Returns the host if that is news.
-fn apply_host_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry) -> Option<Discovered> {
-    let name = host_name(&entry.key)?;
-    match serde_json::from_slice::<HostEntry>(&entry.value) {
-        Ok(host) => {
-            let links = host.links;
-            let is_new = cx.state.borrow_mut().hosts.put(name.clone(), host);
-            is_new.then_some((name, links))
-        }
-        Err(e) => {
-            cx.events
-                .entry_invalid(&entry.key, entry.modified, &e.into());
-            None
-        }
-    }
+fn apply_host<D, S>(cx: &Context<D, S>, host: ListedHost) -> Option<Discovered> {
+    let entry = host.entry?;
+    let links = entry.links;
+    let is_new = cx.state.borrow_mut().hosts.put(host.name.clone(), entry);
+    is_new.then_some((host.name, links))
 }
 
 /// Logs hosts that were found together: a line each if they are few. When a large fleet starts, each
--- a/crates/gateway/src/control/metered_store.rs
+++ b/crates/gateway/src/control/metered_store.rs
@@ -26,17 +26,18 @@
 where
     S: adapter::Store,
 {
-    async fn range(
+    async fn read_page(
         &self,
         prefix: &str,
+        start: Option<&adapter::PageStart>,
         consistency: adapter::Consistency,
-    ) -> Result<key_value::RangeResult, key_value::Error> {
+    ) -> Result<adapter::Page, key_value::Error> {
         let call = match consistency {
             adapter::Consistency::Linearizable => metrics::StoreCall::Read,
             adapter::Consistency::Stale => metrics::StoreCall::StaleRead,
         };
         self.metrics.store_called(call);
-        self.inner.range(prefix, consistency).await
+        self.inner.read_page(prefix, start, consistency).await
     }
 
     async fn watch(
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! Control thread: maintains the catalog, the endpoints and the list of hosts.
 //!
-//! [`sync`] reads and watches the entries of the store, and [`host_registry`] registers this host
-//! there. [`links`] exchanges changes with other hosts, so that a host that cannot reach the store
+//! [`sync`] reads, as [`listing`]s, and watches the entries of the store, and [`host_registry`] registers
+//! this host there. [`links`] exchanges changes with other hosts, so that a host that cannot reach the store
 //! gets them from those that can. [`origins`] knows which software version began a stream, and
 //! [`stored_origins`] keeps that in the store while it matters.
 //! [`crash_evidence`] exchanges evidence about prompt parts that crash endpoints,
@@ -18,6 +18,7 @@
 mod evacuations;
 mod host_registry;
 mod links;
+mod listing;
 mod metered_store;
 mod origins;
 mod state;
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -16,8 +16,8 @@
 use pistachiochute_runtime::platform::key_value;
 
 use crate::adapter;
-use crate::control::Context;
 use crate::control::state::State;
+use crate::control::{Context, listing};
 use crate::shared;
 
 /// Key prefix of the entries.
@@ -42,6 +42,9 @@
 /// Most origins in one entry. More are written in the following intervals.
 const MAX_ORIGINS_PER_ENTRY: usize = 4_096;
 
+/// Upper bound of the size of an encoded origin, in bytes.
+const MAX_ORIGIN_BYTES: usize = 64;
+
 /// Hosts of a mesh that write, so that one may be cut off from the store.
 const WRITERS: usize = 2;
 
@@ -197,58 +200,68 @@
     result
 }
 
+/// Origins that hosts have left in the store.
+#[derive(Default)]
+pub(super) struct StoredOrigins {
+    beginnings: Vec<streams::StoredBeginning>,
+    origins: Vec<streams::StoredOrigin>,
+    only_versions: Option<streams::OnlyVersions>,
+}
+
+impl StoredOrigins {
+    /// Adds the origins of an entry, if it is the entry of such. One that cannot be read is logged.
+    pub(super) fn add<D, S>(&mut self, cx: &Context<D, S>, entry: &key_value::Entry) {
+        let key = &entry.key;
+        if key.starts_with(BEGINNINGS_PREFIX.as_bytes()) {
+            let records: Vec<streams::StoredBeginning> = decode_records(cx, entry);
+            self.beginnings.extend(records);
+        } else if key.starts_with(ORIGINS_PREFIX.as_bytes()) {
+            let records: Vec<streams::StoredOrigin> = decode_records(cx, entry);
+            self.origins.extend(records);
+        } else if key == ONLY_VERSIONS_KEY.as_bytes() && listing::has_usual_size(cx, entry) {
+            match serde_json::from_slice(&entry.value) {
+                Ok(only) => self.only_versions = Some(only),
+                Err(e) => cx.events.entry_invalid(key, entry.modified, &e.into()),
+            }
+        }
+    }
+}
+
 /// Adopts the origins that hosts have left in the store, from the first read of all entries. Later ones
 /// come from other hosts.
-pub(super) fn adopt<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    adopt_only_versions(cx, entries);
+pub(super) fn adopt<D, S>(cx: &Context<D, S>, stored: StoredOrigins) {
     let now = clock::now();
-    let beginnings = decode_all::<_, _, streams::StoredBeginning>(cx, entries, BEGINNINGS_PREFIX);
-    let origins = decode_all::<_, _, streams::StoredOrigin>(cx, entries, ORIGINS_PREFIX);
     let mut state = cx.state.borrow_mut();
-    for beginning in &beginnings {
+    if let Some(only) = stored.only_versions {
+        state.versions.adopt(only);
+    }
+    for beginning in &stored.beginnings {
         state.origins.record_stored(beginning, now);
     }
-    for origin in &origins {
+    for origin in &stored.origins {
         state.origins.record_stored_origin(origin, now);
     }
     drop(state);
-    let count = beginnings.len() + origins.len();
+    let count = stored.beginnings.len() + stored.origins.len();
     if count > 0 {
         cx.events.origins_adopted(count);
     }
 }
 
-/// Decodes the records of all entries under a prefix. Entries that cannot be read are logged.
-fn decode_all<D, S, Record>(
-    cx: &Context<D, S>,
-    entries: &[key_value::Entry],
-    prefix: &str,
-) -> Vec<Record>
+/// Decodes the records of an entry. One that cannot be read, or that has more records than a host writes, is
+/// logged and has none.
+fn decode_records<D, S, Record>(cx: &Context<D, S>, entry: &key_value::Entry) -> Vec<Record>
 where
     Record: serde::de::DeserializeOwned,
 {
-    let mut records = Vec::new();
-    let is_meant = |entry: &&key_value::Entry| entry.key.starts_with(prefix.as_bytes());
-    for entry in entries.iter().filter(is_meant) {
-        match codec::decode_frame::<Vec<Record>>(&entry.value) {
-            Ok(decoded) => records.extend(decoded),
-            Err(e) => cx
-                .events
-                .entry_invalid(&entry.key, entry.modified, &e.into()),
-        }
-    }
-    records
-}
-
-fn adopt_only_versions<D, S>(cx: &Context<D, S>, entries: &[key_value::Entry]) {
-    let key = ONLY_VERSIONS_KEY.as_bytes();
-    let Some(entry) = entries.iter().find(|e| e.key == key) else {
-        return;
-    };
-    match serde_json::from_slice::<streams::OnlyVersions>(&entry.value) {
-        Ok(only) => cx.state.borrow_mut().versions.adopt(only),
-        Err(e) => cx
-            .events
-            .entry_invalid(&entry.key, entry.modified, &e.into()),
+    let bytes = entry.value.len();
+    if bytes > MAX_ORIGINS_PER_ENTRY * MAX_ORIGIN_BYTES {
+        cx.events.entry_too_large(&entry.key, entry.modified, bytes);
+        return Vec::new();
     }
+    codec::decode_frame(&entry.value).unwrap_or_else(|e| {
+        cx.events
+            .entry_invalid(&entry.key, entry.modified, &e.into());
+        Vec::new()
+    })
 }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -12,7 +12,7 @@
 use pistachiochute_runtime::platform::key_value;
 
 use crate::control::{
-    Context, cold_endpoints, crash_evidence, evacuations, host_registry, stored_origins,
+    Context, cold_endpoints, crash_evidence, evacuations, host_registry, listing, stored_origins,
 };
 use crate::{adapter, events, shared};
 
@@ -137,33 +137,33 @@
     known_at: time::Time,
 }
 
-/// Reads all entries in one call: each kind of its own would be as dear as all of them.
+/// Reads all entries together: each kind of its own would be as dear as all of them.
 async fn read_store<D, S>(cx: &Context<D, S>) -> Result<Progress, key_value::Error>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
     let requested_at = clock::now();
-    let found = cx
-        .store
-        .range(ALL_ENTRIES, adapter::Consistency::Linearizable)
-        .await?;
+    let mut listing = listing::Listing::default();
+    let visit = |entry| listing.add(cx, &entry);
+    let consistency = adapter::Consistency::Linearizable;
+    let revision = listing::read_all(cx, ALL_ENTRIES, consistency, visit).await?;
     cx.record_store_call(true, "");
-    for entry in &found.entries {
-        apply_catalog_entry(cx, entry);
+    if let Some(catalog) = listing.catalog {
+        apply_catalog(cx, catalog);
     }
     cx.shared.confirm_catalog(requested_at);
-    evacuations::apply_listed(cx, &found);
-    replace_endpoints(cx, &found);
+    evacuations::apply_listed(cx, listing.evacuated, revision);
+    replace_endpoints(cx, listing.endpoints, revision);
     cx.confirm_endpoints(directory::KnownUpTo::by_store(requested_at));
-    host_registry::replace_hosts(cx, &found.entries);
-    host_registry::begin_registration(cx, &found.entries);
+    host_registry::begin_registration(cx, &listing.hosts);
+    host_registry::replace_hosts(cx, listing.hosts);
     if !cx.legacy_adopted.replace(true) {
-        crash_evidence::adopt_stored(cx, &found.entries);
-        stored_origins::adopt(cx, &found.entries);
+        crash_evidence::adopt_stored(cx, listing.left.accusations);
+        stored_origins::adopt(cx, listing.left.origins);
     }
     Ok(Progress {
-        after: found.revision,
+        after: revision,
         known_at: requested_at,
     })
 }
@@ -196,7 +196,16 @@
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
-            Ok(adapter::WatchResponse::Changes { revision, changes }) => (revision, changes),
+            Ok(adapter::WatchResponse::Changes {
+                revision,
+                changes,
+                unreadable,
+            }) => {
+                for item in &unreadable {
+                    cx.events.item_unreadable(item);
+                }
+                (revision, changes)
+            }
             Ok(adapter::WatchResponse::Compacted) => {
                 cx.record_store_call(true, "");
                 cx.events.watch_compacted(SYNC_NAME, progress.after);
@@ -267,11 +276,16 @@
 {
     let asked_at = clock::now();
     let consistency = adapter::Consistency::Linearizable;
-    let read = cx.store.range(cx.dialect.endpoints_prefix(), consistency);
-    let found = tokio::time::timeout(cx.settings.drain.read_timeout(), read).await;
-    let found = found.map_err(|_| key_value::Error::unknown("a late answer".to_owned()))??;
+    let mut endpoints = Vec::new();
+    let visit = |entry: key_value::Entry| {
+        let endpoint = decode_endpoint(cx, &entry);
+        endpoints.push((key_text(&entry.key), entry.modified, endpoint));
+    };
+    let read = listing::read_all(cx, cx.dialect.endpoints_prefix(), consistency, visit);
+    let read = tokio::time::timeout(cx.settings.drain.read_timeout(), read).await;
+    let revision = read.map_err(|_| key_value::Error::unknown("a late answer".to_owned()))??;
     cx.record_store_response();
-    replace_endpoints(cx, &found);
+    replace_endpoints(cx, endpoints, revision);
     cx.confirm_endpoints(directory::KnownUpTo::by_store(asked_at));
     Ok(())
 }
@@ -307,9 +321,21 @@
     if entry.key != cx.dialect.catalog_key().as_bytes() {
         return;
     }
-    match cx.dialect.decode_catalog(&entry.value) {
+    let catalog = listing::ListedCatalog {
+        revision: entry.modified,
+        decoded: cx.dialect.decode_catalog(&entry.value),
+    };
+    apply_catalog(cx, catalog);
+}
+
+fn apply_catalog<D, S>(cx: &Context<D, S>, catalog: listing::ListedCatalog)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    match catalog.decoded {
         Ok(decoded) => cx.apply_catalog(decoded, events::Source::Store),
-        Err(findings) => cx.events.catalog_refused(entry.modified, &findings),
+        Err(findings) => cx.events.catalog_refused(catalog.revision, &findings),
     }
 }
 
@@ -338,39 +364,29 @@
     drop(tokio::time::timeout(MAX_STORE_WAIT, recovered).await);
 }
 
-/// Replaces the endpoints by those among all entries of the store.
-fn replace_endpoints<D, S>(cx: &Context<D, S>, found: &key_value::RangeResult)
-where
+/// Replaces the endpoints by those of a complete list at a revision.
+fn replace_endpoints<D, S>(
+    cx: &Context<D, S>,
+    entries: Vec<listing::ListedEndpoint>,
+    revision: revision::Revision,
+) where
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let prefix = cx.dialect.endpoints_prefix().as_bytes();
-    let entries: Vec<_> = found
-        .entries
-        .iter()
-        .filter(|entry| entry.key.starts_with(prefix))
-        .map(|entry| {
-            (
-                key_text(&entry.key),
-                entry.modified,
-                decode_endpoint(cx, entry),
-            )
-        })
-        .collect();
     let decoded = entries.iter();
     let decoded = decoded.filter_map(|(_, revision, e)| Some((e.as_deref()?, *revision)));
     cold_endpoints::apply_entries(cx, decoded);
     let now = clock::now();
     let listed = entries.len();
     let mut state = cx.state.borrow_mut();
-    let changed = state.directory.replace(entries, found.revision, now);
+    let changed = state.directory.replace(entries, revision, now);
     drop(state);
     if !changed.is_empty() {
         cx.publish();
     }
     // After the state is published: requests may wait for it.
     log_listed(cx, &changed);
-    cx.events.endpoints_listed(listed, found.revision);
+    cx.events.endpoints_listed(listed, revision);
 }
 
 /// Logs what a list of the store has changed, and what it has left in doubt.
@@ -487,7 +503,8 @@
     changed
 }
 
-fn decode_endpoint<D, S>(
+/// Decodes the entry of an endpoint. One that names none is logged.
+pub(super) fn decode_endpoint<D, S>(
     cx: &Context<D, S>,
     entry: &key_value::Entry,
 ) -> Option<Arc<directory::Endpoint>>
@@ -495,6 +512,9 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    if !listing::has_usual_size(cx, entry) {
+        return None;
+    }
     let key = key_text(&entry.key);
     match cx.dialect.decode_endpoint(&key, &entry.value) {
         Ok(endpoint) => Some(Arc::new(endpoint)),
@@ -506,6 +526,6 @@
 }
 
 /// Converts a key to text. Invalid UTF-8 is replaced; the valid rest still distinguishes the keys.
-fn key_text(key: &[u8]) -> Arc<str> {
+pub(super) fn key_text(key: &[u8]) -> Arc<str> {
     String::from_utf8_lossy(key).into()
 }
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -4,6 +4,7 @@
 mod catalogs;
 mod followed_relay;
 mod linked_host;
+mod listing;
 
 use std::net;
 use std::rc::Rc;
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -137,9 +137,13 @@
     }
 }
 
-/// A store with other hosts and one endpoint, which may leave.
+/// A store with other hosts, one endpoint, which may leave, and entries of another writer.
 #[derive(Clone)]
 pub struct Store {
+    /// Entries of another writer. Each is a page of its own, before the page with all others.
+    pub foreign: Rc<Vec<key_value::Entry>>,
+    /// Most values of these entries that were still held when a page was asked for.
+    pub held: Rc<Cell<usize>>,
     /// The other hosts, by name.
     pub hosts: Rc<Vec<(String, HostEntry)>>,
     /// Whether the endpoint is there.
@@ -150,6 +154,8 @@
     /// A store with these hosts and the endpoint.
     pub fn new(hosts: Vec<(String, HostEntry)>) -> Self {
         Self {
+            foreign: Rc::default(),
+            held: Rc::default(),
             hosts: Rc::new(hosts),
             has_endpoint: Rc::new(Cell::new(true)),
         }
@@ -184,11 +190,25 @@
 }
 
 impl adapter::Store for Store {
-    async fn range(
+    async fn read_page(
         &self,
         prefix: &str,
+        start: Option<&adapter::PageStart>,
         _: adapter::Consistency,
-    ) -> Result<key_value::RangeResult, key_value::Error> {
+    ) -> Result<adapter::Page, key_value::Error> {
+        let held = self.foreign.iter().filter(|e| !e.value.is_unique()).count();
+        self.held.set(self.held.get().max(held));
+        let page = start.map_or(0, |start| {
+            start.to_string().parse::<usize>().expect("a page") + 1
+        });
+        if let Some(entry) = self.foreign.get(page) {
+            return Ok(adapter::Page {
+                revision: self.revision(),
+                entries: vec![entry.clone()],
+                unreadable: Vec::new(),
+                next: Some(adapter::PageStart::after(page.to_string())),
+            });
+        }
         let hosts = self.hosts.iter().map(|(name, host)| {
             let value = serde_json::to_vec(host).expect("valid JSON");
             entry(format!("{HOSTS_PREFIX}{name}"), value)
@@ -198,9 +218,11 @@
             entries.push(entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new()));
         }
         entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
-        Ok(key_value::RangeResult {
+        Ok(adapter::Page {
             revision: self.revision(),
             entries,
+            unreadable: Vec::new(),
+            next: None,
         })
     }
 
@@ -214,6 +236,7 @@
         Ok(adapter::WatchResponse::Changes {
             revision: self.revision(),
             changes: Vec::new(),
+            unreadable: Vec::new(),
         })
     }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,6 +21,8 @@
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
 
+use crate::adapter;
+
 pub use entry::{
     AttemptLogEntry, BrokenAnswerLogEntry, CallSlotLogEntry, CatalogLogEntry, EndpointLogEntry,
     Lender, NoticeSource, OriginLogEntry, PromptAdmissionLogEntry, RequestLogEntry, Source,
@@ -128,6 +130,21 @@
         );
     }
 
+    /// The value of a store entry is larger than any that is meant.
+    pub fn entry_too_large(&self, key: &[u8], revision: revision::Revision, bytes: usize) {
+        let e = eyre::eyre!("{bytes} bytes are more than such an entry has");
+        self.entry_invalid(key, revision, &e);
+    }
+
+    /// An item of the store cannot be read, or its value cannot.
+    pub fn item_unreadable(&self, item: &adapter::UnreadableItem) {
+        let key = item.key.as_deref().map(String::from_utf8_lossy);
+        slog::warn!(
+            self.log, "store item unreadable";
+            "key" => key.as_deref(), "cause" => &item.cause,
+        );
+    }
+
     /// The entries of all endpoints were read.
     pub fn endpoints_listed(&self, entries: usize, revision: revision::Revision) {
         slog::info!(self.log, "endpoints listed"; "entries" => entries, "revision" => %revision);
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -10,6 +10,8 @@
 
 use super::{CUT_OFF_HOST, Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
 use crate::checks::{Disturbance, Disturbed, EVENTS, RESTART};
+use crate::foreign::ForeignEntry;
+use crate::process::Host;
 use crate::schedule::{EntryOfLeaving, Fault};
 
 impl World {
@@ -50,6 +52,23 @@
                 self.hosts[host].signal(Signal::HUP)?;
                 Ok(None)
             }
+            other => self.begin_at_store(other),
+        }
+    }
+
+    /// Ends all hosts at once and starts them again: none can learn from another what it does not read.
+    pub(super) fn restart_all(&mut self) -> eyre::Result<()> {
+        for host in 0..self.hosts.len() {
+            self.disturb(host, Duration::from_secs(1), Disturbance::Process);
+            self.hosts[host].kill()?;
+        }
+        self.hosts.iter_mut().try_for_each(Host::spawn)
+    }
+
+    /// Begins a fault of the store, or of the way to it.
+    fn begin_at_store(&mut self, fault: Fault) -> eyre::Result<Option<(Duration, Ending)>> {
+        let lasting = |span: Duration, ending: Ending| Ok(Some((span, ending)));
+        match fault {
             Fault::StoreRefuses { host, span } => Ok(self.shut(host, Mode::Unavailable, span)),
             Fault::StoreSilent { host, span } => Ok(self.shut(host, Mode::Unresponsive, span)),
             Fault::StoreLosesAnswers { host, span } => {
@@ -84,6 +103,7 @@
                 self.store.compact_history();
                 Ok(None)
             }
+            Fault::ForeignEntry(entry) => Ok(self.leave_foreign(entry)),
             Fault::StoreReset { host } => {
                 self.disturb(host, Duration::ZERO, Disturbance::Store);
                 self.store_relays[host].reset_connections();
@@ -108,6 +128,16 @@
         }
     }
 
+    /// Leaves an entry of another writer in the store. Returns what removes it, if it does not stay.
+    fn leave_foreign(&self, entry: ForeignEntry) -> Option<(Duration, Ending)> {
+        entry.put(&self.store);
+        let ending: Ending = Box::new(move |world: &mut Self| {
+            entry.remove(&world.store);
+            Ok(())
+        });
+        Some((entry.stays()?, ending))
+    }
+
     pub(super) fn begin_at_endpoint(
         &mut self,
         fault: Fault,
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -20,7 +20,9 @@
 use crate::checks::{EVENTS, Ran, Refused, Seen, Verdict};
 use crate::process::Host;
 use crate::schedule::draw;
-use crate::{asked, crashes, crowds, evacuations, load, processes, rollouts, schedule, versions};
+use crate::{
+    asked, crashes, crowds, evacuations, foreign, load, processes, rollouts, schedule, versions,
+};
 
 /// Endpoints with faults of all kinds.
 const FAULTY_ENDPOINTS: usize = 4;
@@ -73,6 +75,15 @@
 /// [`EVENTS`], the streams take 1 to 5.5 s.
 const LONG_PAUSE_MS: Range<u64> = 40..220;
 
+/// Fewest items of a page of the store.
+const MIN_PAGE_ITEMS: usize = 5;
+
+/// Number of sizes that a page may have, by the seed.
+const PAGE_ITEMS_SPAN: usize = 20;
+
+/// Entries of another writer that are there from the beginning.
+const FOREIGN_ENTRIES: usize = 30;
+
 /// Time in which all hosts serve after the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
@@ -205,6 +216,9 @@
 impl World {
     fn start(run: &Run, dir: &std::path::Path) -> eyre::Result<Self> {
         let store = Store::new();
+        // Small pages, of another size in each seed.
+        store.set_page_items(MIN_PAGE_ITEMS + run.seed as usize % PAGE_ITEMS_SPAN);
+        foreign::leave(&store, run.seed, FOREIGN_ENTRIES);
         let mut world = Self {
             store,
             is_store_away: Arc::default(),
@@ -353,6 +367,7 @@
         let rollouts = rollouts.serve(&addresses[..self.hosts], &world.callers, &asker, self.seed);
         let steps = draw(self.seed, &self.places(), self.length);
         play_steps(&mut world, &steps, &mut asked)?;
+        world.restart_all()?;
         let unready = world.unready(RECOVERY);
         if !unready.is_empty() {
             let found = format!("hosts that do not recover: {unready:?}");
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod crowds;
 mod evacuations;
 mod fleet;
+mod foreign;
 mod known_red;
 mod load;
 mod process;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,6 +6,8 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use crate::foreign::ForeignEntry;
+
 /// Longest time that a fault lasts.
 pub(crate) const LONGEST: Duration = Duration::from_millis(3_000);
 
@@ -61,6 +63,12 @@
 /// Rest that it asks for, in milliseconds.
 const REST_MS: Range<u64> = 600..4_000;
 
+/// Distinguishes the entries of another writer of a seed from its other steps.
+const FOREIGN_SEED: u64 = 0x666f_7265;
+
+/// Pause between two entries of another writer, in milliseconds.
+const FOREIGN_PAUSE_MS: Range<u64> = 100..800;
+
 /// Number of ways in which an endpoint answers badly.
 const BAD_KINDS: u8 = 6;
 
@@ -99,6 +107,8 @@
     StoreDown { span: Duration },
     /// The store forgets its history.
     StoreForgets,
+    /// Another writer leaves an entry in the store.
+    ForeignEntry(ForeignEntry),
     /// The host that may be cut off reaches neither the store nor other hosts, nor do they reach it.
     HostCutOff { span: Duration },
     /// Connections of the host to the store are reset.
@@ -184,6 +194,7 @@
     steps.extend(planned_work(seed, places, length));
     steps.extend(leave_notices(seed, places, length));
     steps.extend(pushbacks(seed, places, length));
+    steps.extend(foreign_entries(seed, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -260,6 +271,14 @@
     })
 }
 
+/// Draws the entries of another writer.
+fn foreign_entries(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ FOREIGN_SEED);
+    series(&mut rng, FOREIGN_PAUSE_MS, length, |rng| {
+        Fault::ForeignEntry(ForeignEntry::draw(rng))
+    })
+}
+
 /// Draws a planned change of the configuration.
 fn change(rng: &mut ChaCha8Rng) -> Fault {
     let idle_timeout_ms = IDLE_TIMEOUTS_MS[rng.random_range(0..IDLE_TIMEOUTS_MS.len())];
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -1,7 +1,9 @@
 //! Stand-in for the platform's key-value service.
 //!
 //! Several [`StoreListener`]s serve one store, so that a test can make the store fail for one host
-//! while other hosts still reach it.
+//! while other hosts still reach it. A list comes in pages, and queries are read strictly.
+
+mod query;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,6 +19,13 @@
 use tokio::sync::watch;
 
 use crate::platform::http;
+use query::Query;
+
+/// Most items of a page, unless a test sets fewer.
+const MAX_PAGE_ITEMS: usize = 500;
+
+/// Size of the values of a page in bytes, from which on it takes no further item.
+const MAX_PAGE_BYTES: usize = 1 << 20;
 
 /// How a [`StoreListener`] handles calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -30,6 +39,21 @@
     Unresponsive,
     /// Writes are executed, and their connections close without an answer.
     LosingAnswers,
+    /// Lists are answered with bytes that cannot be decoded. All other calls are served.
+    UnreadableLists,
+    /// Every page of a list is its first page, and says that another one follows. All other calls are
+    /// served.
+    RepeatedPages,
+}
+
+impl Mode {
+    /// Whether calls are executed and answered, if not always as they should be.
+    const fn answers(self) -> bool {
+        match self {
+            Self::Serving | Self::UnreadableLists | Self::RepeatedPages => true,
+            Self::Unavailable | Self::Unresponsive | Self::LosingAnswers => false,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -47,10 +71,14 @@
     item: Option<Item>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     revision: u64,
     items: BTreeMap<String, Item>,
+    /// Most items of a page.
+    page_items: usize,
+    /// Fields that are shown in place of those of an item, by its key. A field that is null is left out.
+    shown_fields: BTreeMap<String, Value>,
     history: Vec<Change>,
     /// Changes up to and including this revision are no longer in the history.
     compacted_revision: u64,
@@ -58,7 +86,36 @@
     calls: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            revision: 0,
+            items: BTreeMap::new(),
+            page_items: MAX_PAGE_ITEMS,
+            shown_fields: BTreeMap::new(),
+            history: Vec::new(),
+            compacted_revision: 0,
+            leases: 0,
+            calls: 0,
+        }
+    }
+}
+
 impl State {
+    fn item_json(&self, key: &str, item: &Item, shown: &Addresses) -> Value {
+        let mut json = item_json(key, item, shown);
+        let fields = self.shown_fields.get(key).and_then(Value::as_object);
+        for (name, value) in fields.into_iter().flatten() {
+            match value {
+                Value::Null => json.as_object_mut().and_then(|item| item.remove(name)),
+                value => json
+                    .as_object_mut()
+                    .and_then(|item| item.insert(name.clone(), value.clone())),
+            };
+        }
+        json
+    }
+
     fn write(&mut self, key: &str, item: Option<(Vec<u8>, i64)>) {
         self.revision += 1;
         let revision = self.revision;
@@ -157,6 +214,17 @@
         self.update(|state| state.write(key, None));
     }
 
+    /// Bounds the number of items of a page.
+    pub fn set_page_items(&self, items: usize) {
+        self.lock().page_items = items.max(1);
+    }
+
+    /// Shows an item with other fields: those of the object `fields` in place of its own, and without those
+    /// that are null there.
+    pub fn show_fields(&self, key: &str, fields: Value) {
+        self.lock().shown_fields.insert(key.to_owned(), fields);
+    }
+
     /// Keys that begin with a prefix.
     #[must_use]
     pub fn keys(&self, prefix: &str) -> Vec<String> {
@@ -274,8 +342,8 @@
         let mut cuts = self.cuts.subscribe();
         let answer = tokio::select! {
             answer = self.dispatch(req) => answer,
-            // Leaving `Serving` closes the connections of waiting watches.
-            _ = mode_change.wait_for(|mode| *mode != Mode::Serving) => None,
+            // An end of service closes the connections of waiting watches.
+            _ = mode_change.wait_for(|mode| !mode.answers()) => None,
             _ = cuts.changed() => None,
         };
         answer.filter(|_| !drops_answer)
@@ -295,7 +363,12 @@
 
     async fn dispatch(&self, req: Request<Incoming>) -> Option<Response<http::Body>> {
         let path = req.uri().path().to_owned();
-        let query = query(req.uri().query().unwrap_or(""));
+        let Some(query) = Query::parse(req.uri().query().unwrap_or("")) else {
+            return Some(http::answer(
+                StatusCode::BAD_REQUEST,
+                "the query cannot be read",
+            ));
+        };
         let method = req.method().clone();
         let body = req.into_body().collect().await.ok()?.to_bytes();
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
@@ -320,23 +393,50 @@
         })
     }
 
-    fn range(&self, query: &BTreeMap<String, String>) -> Response<http::Body> {
-        let prefix = query.get("prefix").map_or("", String::as_str);
+    /// One page of a list.
+    fn range(&self, query: &Query) -> Response<http::Body> {
+        if !query.has_only(&["prefix", "afterRevision", "allowStale"]) {
+            return http::answer(StatusCode::BAD_REQUEST, "unknown parameter");
+        }
+        let mode = *self.mode.borrow();
+        if mode == Mode::UnreadableLists {
+            return http::answer(StatusCode::OK, "{\"items\": [\u{1}");
+        }
+        let prefix = query.get("prefix").unwrap_or("");
+        let after = query
+            .get("afterRevision")
+            .filter(|_| mode != Mode::RepeatedPages);
         let state = self.store.lock();
-        let items: Vec<_> = state
+        let is_listed =
+            |key: &str| key.starts_with(prefix) && after.is_none_or(|after| key > after);
+        let mut listed = state
             .items
             .iter()
-            .filter(|(key, _)| key.starts_with(prefix))
-            .map(|(key, item)| item_json(key, item, &self.shown))
-            .collect();
-        ok(&json!({"items": items, "morePages": false, "asOf": state.revision}))
+            .filter(|(key, _)| is_listed(key))
+            .peekable();
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        while items.len() < state.page_items
+            && bytes < MAX_PAGE_BYTES
+            && let Some((key, item)) = listed.next()
+        {
+            bytes += item.value.len();
+            items.push(state.item_json(key, item, &self.shown));
+        }
+        let more = mode == Mode::RepeatedPages || listed.peek().is_some();
+        ok(&json!({"items": items, "morePages": more, "asOf": state.revision}))
     }
 
-    async fn watch(&self, query: &BTreeMap<String, String>) -> Response<http::Body> {
-        let prefix = query.get("prefix").cloned().unwrap_or_default();
+    async fn watch(&self, query: &Query) -> Response<http::Body> {
         let number = |name: &str| query.get(name).and_then(|n| n.parse::<u64>().ok());
-        let after = number("afterRevision").unwrap_or(0);
-        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+        let (Some(after), Some(wait)) = (number("afterRevision"), number("waitMs")) else {
+            return http::answer(StatusCode::BAD_REQUEST, "a number is missing");
+        };
+        if !query.has_only(&["prefix", "afterRevision", "waitMs"]) {
+            return http::answer(StatusCode::BAD_REQUEST, "unknown parameter");
+        }
+        let prefix = query.get("prefix").unwrap_or("").to_owned();
+        let wait = Duration::from_millis(wait);
         let mut changed = self.store.changed.subscribe();
         let waiting = async {
             loop {
@@ -366,7 +466,7 @@
             .iter()
             .filter(is_new)
             .map(|change| match &change.item {
-                Some(item) => item_json(&change.key, item, &self.shown),
+                Some(item) => state.item_json(&change.key, item, &self.shown),
                 None => json!({
                     "key": change.key, "revision": change.revision, "tombstone": true,
                 }),
@@ -394,10 +494,3 @@
 fn ok(value: &Value) -> Response<http::Body> {
     http::answer(StatusCode::OK, value.to_string())
 }
-
-fn query(text: &str) -> BTreeMap<String, String> {
-    text.split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
-}
