Let an event begin with a line that names new weights

Cause: the check that text of errors is no part of a stream knows the four fields of all events. The platform adds a first line to such an event.

Change: the dialect names the fields with which an event may begin, in a strict form; all else is refused as before. Streams of the stand-ins and of the soak have such events, and their callers check them.

--- a/crates/core/src/sse.rs
+++ b/crates/core/src/sse.rs
@@ -46,6 +46,45 @@
 
 impl std::error::Error for StreamError {}
 
+/// Fields of which an endpoint may set one in the first line of an event, before the fields of all events.
+///
+/// The list is closed and the form is strict, since text of an error must not pass for a part of an event: the
+/// name as it stands here, a colon, and a whole number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeadingFields(&'static [&'static str]);
+
+impl LeadingFields {
+    /// Fields with these names.
+    #[must_use]
+    pub const fn new(names: &'static [&'static str]) -> Self {
+        Self(names)
+    }
+
+    /// The event without its first line, if that sets one of the fields.
+    fn skip(self, event: &[u8]) -> &[u8] {
+        let text = event.strip_prefix(BYTE_ORDER_MARK).unwrap_or(event);
+        let end = text.iter().position(|b| *b == b'\n');
+        let (line, rest) = text.split_at(end.map_or(text.len(), |end| end + 1));
+        match self.contains(line.trim_ascii_end()) {
+            true => rest,
+            false => event,
+        }
+    }
+
+    /// Whether a line sets one of the fields.
+    fn contains(self, line: &[u8]) -> bool {
+        let value = |name: &&str| line.strip_prefix(name.as_bytes())?.strip_prefix(b":");
+        let value = self.0.iter().find_map(value);
+        value.is_some_and(|value| is_whole_number(value.strip_prefix(b" ").unwrap_or(value)))
+    }
+}
+
+fn is_whole_number(text: &[u8]) -> bool {
+    let has_digits_only = text.iter().all(u8::is_ascii_digit);
+    let number = std::str::from_utf8(text).ok();
+    has_digits_only && number.is_some_and(|number| number.parse::<u64>().is_ok())
+}
+
 /// Place of a run of an endpoint in the stream of the caller.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
@@ -66,6 +105,8 @@
 /// Forwards complete events, each event once.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
+    /// Fields that the endpoint may set before those of all events.
+    leading: LeadingFields,
     /// Bytes that have not been passed on: complete events, and the beginning of one.
     partial: BytesMut,
     /// Whether there may be a complete event among them.
@@ -93,6 +134,13 @@
         }
     }
 
+    /// Lets events begin with one of these fields.
+    #[must_use]
+    pub const fn with_leading_fields(mut self, leading: LeadingFields) -> Self {
+        self.leading = leading;
+        self
+    }
+
     /// Adds received bytes and returns the events that they complete.
     ///
     /// # Errors
@@ -189,6 +237,7 @@
 
     /// Records an event as forwarded, if it goes on where the caller is.
     fn record(&mut self, event: &[u8]) -> Result<(), StreamError> {
+        let event = self.leading.skip(event);
         if !has_only_fields(event) {
             return Err(StreamError::NoEvent);
         }
--- a/crates/core/tests/sse.rs
+++ b/crates/core/tests/sse.rs
@@ -1,7 +1,7 @@
 //! Event streams: only complete events are forwarded, none twice, and parts join without a gap.
 
 use bytes::Bytes;
-use pistachiochute_core::sse::{Splitter, StreamError};
+use pistachiochute_core::sse::{LeadingFields, Splitter, StreamError};
 use proptest::prelude::proptest;
 use proptest::prop_assert_eq;
 use proptest::test_runner::{Config, RngSeed};
@@ -267,3 +267,89 @@
         assert_eq!(splitter.push(text.as_bytes()), Ok(Bytes::from(text)));
     }
 }
+
+/// A field that an endpoint may set before the others, as its first line.
+const LEADING: LeadingFields = LeadingFields::new(&["x-build"]);
+
+/// Events, of which some begin with a line of their own.
+fn marked_events(ids: std::ops::Range<u64>, marked: &[u64]) -> String {
+    let event = |id| {
+        let first = match marked.contains(&id) {
+            true => format!("x-build: {id}0\n"),
+            false => String::new(),
+        };
+        format!("{first}id: {id}\ndata: piece {id}\n\n")
+    };
+    ids.map(event).collect()
+}
+
+/// Guards against LOST: a stream that was cut at an event with a line that the endpoint's protocol adds, and
+/// whose endpoint was held for one that answers badly.
+#[test]
+fn an_event_may_begin_with_a_field_of_its_protocol() {
+    let whole = marked_events(0..8, &[0, 2, 3, 7]);
+    for cut in 0..=whole.len() {
+        // Cut anywhere, also within that line, the next run goes on with the event that was cut.
+        let mut splitter = Splitter::default().with_leading_fields(LEADING);
+        let begun = splitter.push(&whole.as_bytes()[..cut]).expect("no error");
+        splitter.discard_partial();
+        assert!(splitter.is_resumable());
+        let next = splitter.last_id().map_or(0, |last| last + 1);
+        let rest = marked_events(next..8, &[0, 2, 3, 7]);
+        let rest = splitter.push(rest.as_bytes()).expect("no error");
+        assert_eq!([begun, rest].concat(), whole.as_bytes(), "cut at {cut}");
+        assert_eq!((splitter.last_id(), splitter.events()), (Some(7), 8));
+    }
+}
+
+#[test]
+fn a_leading_field_alone_is_no_piece() {
+    for line in [
+        "x-build:7\n\n",
+        "x-build: 7\r\n\r\n",
+        "\u{feff}x-build: 7\n: note\n\n",
+    ] {
+        let mut splitter = Splitter::resume_after(Some(4)).with_leading_fields(LEADING);
+        assert_eq!(splitter.push(line.as_bytes()), Ok(Bytes::from(line)));
+        assert!(splitter.is_resumable());
+        let next = marked_events(5..6, &[]);
+        assert_eq!(splitter.push(next.as_bytes()), Ok(Bytes::from(next)));
+    }
+}
+
+/// Guards against ORDER and MIXED: text of an error that passes for such a line.
+#[test]
+fn what_is_not_exactly_a_leading_field_is_no_event() {
+    let event = "id: 0\ndata: piece 0\n";
+    let texts = [
+        format!("X-Build: 7\n{event}\n"),
+        format!("x-build 7\n{event}\n"),
+        format!("x-build:\n{event}\n"),
+        format!("x-build: \n{event}\n"),
+        format!("x-build:  7\n{event}\n"),
+        format!("x-build: +7\n{event}\n"),
+        format!("x-build: -7\n{event}\n"),
+        format!("x-build: 7.5\n{event}\n"),
+        format!("x-build: 7 failed\n{event}\n"),
+        format!("x-build: seven\n{event}\n"),
+        format!("x-build: 99999999999999999999999\n{event}\n"),
+        format!("x-builds: 7\n{event}\n"),
+        format!(" x-build: 7\n{event}\n"),
+        format!("x-build: 7\nx-build: 8\n{event}\n"),
+        format!("{event}x-build: 7\n\n"),
+        "id: 0\nx-build: 7\ndata: piece 0\n\n".to_owned(),
+        "x-build: 7\nHTTP/1.1 500 Internal Server Error\n\n".to_owned(),
+        "x-build: 7\nfailed\n\n".to_owned(),
+    ];
+    for text in texts {
+        let mut splitter = Splitter::default().with_leading_fields(LEADING);
+        assert_eq!(
+            splitter.push(text.as_bytes()),
+            Err(StreamError::NoEvent),
+            "{text}"
+        );
+    }
+    let mut splitter = Splitter::default();
+    let marked = marked_events(0..1, &[0]);
+    assert_eq!(splitter.push(marked.as_bytes()), Err(StreamError::NoEvent));
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode, request, response};
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::choice::prompt;
-use pistachiochute_core::{admission, directory, rate_limits, reason, revision};
+use pistachiochute_core::{admission, directory, rate_limits, reason, revision, sse};
 use pistachiochute_runtime::platform::key_value;
 
 /// Metadata that a caller sends with its request in headers.
@@ -128,6 +128,9 @@
     /// Removes headers of an endpoint's answer that callers must not see.
     fn strip_internal_headers(&self, headers: &mut HeaderMap);
 
+    /// Fields with which an event of an endpoint's stream may begin, beside those of all events.
+    fn leading_event_fields(&self) -> sse::LeadingFields;
+
     /// Path at which an engine lists the parts of prompts in its cache.
     fn cache_list_path(&self) -> &'static str;
 
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, StatusCode, request, response};
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::memory::Limits;
-use pistachiochute_core::{admission, directory, reason, retry, revision, streams};
+use pistachiochute_core::{admission, directory, reason, retry, revision, sse, streams};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::platform::key_value;
 use pistachiochute_runtime::{clock, metrics};
@@ -98,6 +98,10 @@
 
     fn strip_internal_headers(&self, _: &mut HeaderMap) {}
 
+    fn leading_event_fields(&self) -> sse::LeadingFields {
+        sse::LeadingFields::default()
+    }
+
     fn cache_list_path(&self) -> &'static str {
         "/"
     }
--- a/crates/gateway/src/traffic/event_stream.rs
+++ b/crates/gateway/src/traffic/event_stream.rs
@@ -162,10 +162,11 @@
             .deadline
             .remaining(clock::now())
             .unwrap_or_default();
+        let leading = state.cx.dialect.leading_event_fields();
         Self {
             state: Some(state),
             source: Source::Opened(opened),
-            splitter: sse::Splitter::resume_after(after_event),
+            splitter: sse::Splitter::resume_after(after_event).with_leading_fields(leading),
             owes_event: false,
             claim: None,
             share: Share::new(FREE_WORK),
--- a/crates/soak/src/processes/answers.rs
+++ b/crates/soak/src/processes/answers.rs
@@ -140,8 +140,10 @@
             false => "text/plain",
         };
         let id = self.id;
+        let weights = caller::weights_at(self.first());
         let head = format!(
-            "HTTP/1.1 {status} Status\r\nX-Request-Id: {id}\r\n{seal}Content-Type: {kind}\r\n{fields}\r\n"
+            "HTTP/1.1 {status} Status\r\nX-Request-Id: {id}\r\nX-Weight-Versions: {weights}\r\n\
+             {seal}Content-Type: {kind}\r\n{fields}\r\n"
         );
         head.into_bytes()
     }
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -207,6 +207,30 @@
     (body, false)
 }
 
+/// Name of the line with which an event begins at which the version of the weights changes.
+pub const WEIGHTS_LINE: &str = "x-weight-versions";
+
+/// Every so many events of a stream, the version of the weights changes.
+const WEIGHTS_SPAN: u64 = 5;
+
+/// Event of each span at which it changes.
+const WEIGHTS_CHANGE: u64 = 3;
+
+/// Version of the weights that make an event. All endpoints change them at the same events.
+#[must_use]
+pub const fn weights_at(id: u64) -> u64 {
+    1 + (id + WEIGHTS_SPAN - WEIGHTS_CHANGE) / WEIGHTS_SPAN
+}
+
+/// First line of an event at which the version of the weights changes. Empty at all others.
+#[must_use]
+pub fn weights_line(id: u64) -> String {
+    match id % WEIGHTS_SPAN == WEIGHTS_CHANGE {
+        true => format!("{WEIGHTS_LINE}: {}\n", weights_at(id)),
+        false => String::new(),
+    }
+}
+
 /// The events of a request's stream that have the given ids.
 #[must_use]
 pub fn events(request: &str, ids: std::ops::Range<u64>) -> String {
@@ -216,13 +240,15 @@
 /// One event of a request's stream.
 #[must_use]
 pub fn event(request: &str, id: u64) -> String {
-    format!("id: {id}\ndata: piece {id} of {request}\n\n")
+    let first = weights_line(id);
+    format!("{first}id: {id}\ndata: piece {id} of {request}\n\n")
 }
 
 /// One event of a request's stream, made by an endpoint with a software version.
 #[must_use]
 pub fn event_of_version(request: &str, id: u64, version: &str) -> String {
-    format!("id: {id}\ndata: piece {id} of {request} by {version}\n\n")
+    let first = weights_line(id);
+    format!("{first}id: {id}\ndata: piece {id} of {request} by {version}\n\n")
 }
 
 /// Body of the answer to a request.
--- a/crates/standins/src/platform/endpoint.rs
+++ b/crates/standins/src/platform/endpoint.rs
@@ -405,7 +405,7 @@
             tx.closed().await;
         });
         incarnation
-            .stream_head(id)
+            .stream_head(id, 0)
             .map(|_| StreamBody::new(Receiver(rx)).boxed())
     }
 
@@ -541,7 +541,7 @@
                     cut_at,
                 };
                 let stream = self.clone().events(stream);
-                let head = incarnation.stream_head(&id);
+                let head = incarnation.stream_head(&id, first);
                 Some(head.map(|_| StreamBody::new(stream).boxed()))
             }
         }
@@ -606,10 +606,12 @@
         Some(reply)
     }
 
-    /// Answer that begins a stream.
-    fn stream_head(&self, id: &str) -> Response<http::Body> {
+    /// Answer that begins a stream with the event `first`.
+    fn stream_head(&self, id: &str, first: u64) -> Response<http::Body> {
         let mut reply = self.sealed(self.reply(StatusCode::OK, id, ""));
         let headers = reply.headers_mut();
+        let weights = caller::weights_at(first).to_string();
+        headers.insert(caller::WEIGHTS_LINE, value(&weights));
         headers.insert("content-type", value("text/event-stream"));
         reply
     }
