Promise nothing by a status of an endpoint that may have run the request

Cause: an answer with a status below 500 took the way of a success, and the check of statuses that promise stood where attempts fail. 421 with a seal counted as another endpoint's, and another host's answer was passed on as it came.

Change: the caller's answer is a type that can't be made with such a status for a request that may run once. Such an answer without X-Not-Executed is a failed attempt whose outcome is unknown: 502; requests that may be repeated go to another endpoint. The endpoints of the soak answer so.

--- a/crates/core/src/retry/attempts.rs
+++ b/crates/core/src/retry/attempts.rs
@@ -34,6 +34,9 @@
     EndpointReplaced,
     /// The endpoint ran the request and failed.
     Failed,
+    /// The endpoint answered with a status by which callers know that a request has not run, and did not
+    /// say that it has not run this one.
+    FalsePromise,
     /// The answer is corrupt, or belongs to another request.
     InvalidAnswer,
     /// The connection was lost before the answer was complete.
@@ -56,7 +59,9 @@
             | Self::Unproven
             | Self::Refused
             | Self::EndpointReplaced => outcome::Outcome::NotRun,
-            Self::InvalidAnswer | Self::ConnectionLost | Self::Stalled => outcome::Outcome::Unknown,
+            Self::FalsePromise | Self::InvalidAnswer | Self::ConnectionLost | Self::Stalled => {
+                outcome::Outcome::Unknown
+            }
             Self::Failed => outcome::Outcome::Run,
         }
     }
@@ -73,7 +78,7 @@
             Self::Leaving | Self::EndpointReplaced => reason::Refusal::EndpointLeaving,
             Self::PushedBack => reason::Refusal::EndpointPushback,
             Self::PermitExpired => reason::Refusal::EndpointLimits,
-            Self::Failed => reason::Refusal::EndpointFailed,
+            Self::Failed | Self::FalsePromise => reason::Refusal::EndpointFailed,
             Self::InvalidAnswer => reason::Refusal::AnswerIncomplete,
             Self::ConnectionLost => reason::Refusal::ConnectionLost,
             Self::Stalled => reason::Refusal::Stalled,
@@ -90,7 +95,7 @@
             Self::Refused => reason::Retry::EndpointRefused,
             Self::Leaving | Self::EndpointReplaced => reason::Retry::EndpointLeaving,
             Self::PushedBack => reason::Retry::EndpointPushback,
-            Self::Failed => reason::Retry::EndpointFailed,
+            Self::Failed | Self::FalsePromise => reason::Retry::EndpointFailed,
             Self::InvalidAnswer | Self::ConnectionLost => reason::Retry::ConnectionLost,
             Self::Stalled => reason::Retry::Stalled,
         }
@@ -110,6 +115,7 @@
             Self::Refused => "refused",
             Self::EndpointReplaced => "elsewhere",
             Self::Failed => "failed",
+            Self::FalsePromise => "false_promise",
             Self::InvalidAnswer => "damaged",
             Self::ConnectionLost => "lost",
             Self::Stalled => "stalled",
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -14,12 +14,13 @@
 
 const SEED: u64 = 0xa77e;
 
-const FAILURES: [AttemptFailure; 8] = [
+const FAILURES: [AttemptFailure; 9] = [
     AttemptFailure::AtLimit,
     AttemptFailure::NotSent,
     AttemptFailure::Refused,
     AttemptFailure::EndpointReplaced,
     AttemptFailure::Failed,
+    AttemptFailure::FalsePromise,
     AttemptFailure::InvalidAnswer,
     AttemptFailure::ConnectionLost,
     AttemptFailure::Stalled,
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -67,11 +67,11 @@
     Stream(response::Parts, Box<OpenedStream<D>>),
     /// The answer of another host that refuses the request, which has not run.
     RefusedByHost(CompleteAnswer),
-    /// No answer, or an answer with a server error.
+    /// No answer, or an answer that states a failure.
     Failed {
         failure: AttemptFailure,
         cause: String,
-        /// Answer with a server error, which the caller gets if no other attempt succeeds.
+        /// Answer that states a failure, which the caller may get if no other attempt succeeds.
         answer: Option<CompleteAnswer>,
     },
 }
@@ -175,6 +175,7 @@
             | AttemptFailure::Unproven
             | AttemptFailure::Refused
             | AttemptFailure::Failed
+            | AttemptFailure::FalsePromise
             | AttemptFailure::InvalidAnswer => return,
         },
     };
@@ -354,7 +355,7 @@
             .record_reported_load(attempt.selected.choice.endpoint, load, now);
     }
     let answered = answered_request(&head, attempt.outgoing, &connection);
-    let is_elsewhere = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_elsewhere = is_of_another_endpoint(parts.status, &head);
     if answered != AnsweredRequest::Unknown && !is_elsewhere {
         notices::record(cx, attempt.selected, &head);
     }
@@ -417,6 +418,12 @@
     result
 }
 
+/// Whether another endpoint has answered, which the request is not meant for. Such a one has not run it, and
+/// seals nothing.
+fn is_of_another_endpoint(status: StatusCode, head: &adapter::ResponseMetadata) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST && (head.is_not_run || !head.is_sealed)
+}
+
 /// Result of an attempt whose answer bears no seal of its endpoint.
 fn unsealed<D>(status: StatusCode) -> AttemptResult<D>
 where
@@ -506,15 +513,17 @@
     // Hyper sets the length of the body that it sends.
     parts.headers.remove(header::CONTENT_LENGTH);
     let answer = CompleteAnswer { parts, body };
-    if answer.parts.status.is_server_error() {
-        let cause = format!("status {}", answer.parts.status.as_u16());
-        return AttemptResult::Failed {
-            failure: AttemptFailure::Failed,
-            cause,
-            answer: Some(answer),
-        };
+    let failure = match answer.parts.status {
+        // The endpoint did not say that it has not run the request.
+        status if reply::implies_not_run(status) => AttemptFailure::FalsePromise,
+        status if status.is_server_error() => AttemptFailure::Failed,
+        _ => return AttemptResult::Complete(answer),
+    };
+    AttemptResult::Failed {
+        failure,
+        cause: format!("status {}", answer.parts.status.as_u16()),
+        answer: Some(answer),
     }
-    AttemptResult::Complete(answer)
 }
 
 /// Reads and discards a body, so that its connection can be reused. A body that does not end is a
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -9,12 +9,13 @@
 use pistachiochute_runtime::clock;
 
 use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer};
+use crate::traffic::deliverable::DeliverableAnswer;
 use crate::traffic::event_stream::{RequestState, TruncatedStream};
 use crate::traffic::opened_stream::OpenedStream;
 use crate::traffic::report::Report;
 use crate::traffic::{
     Context, attempt, beginnings, cached_parts, crash_watch, endpoints, forwarding, overload,
-    permits, reply, slots, suspect_turns,
+    permits, slots, suspect_turns,
 };
 use crate::{adapter, events};
 
@@ -34,7 +35,7 @@
 where
     D: adapter::Dialect,
 {
-    Complete(CompleteAnswer),
+    Complete(DeliverableAnswer),
     Stream(response::Parts, Box<OpenedStream<D>>),
     /// The answer of another host that refuses the request, which has not run.
     RefusedByHost(CompleteAnswer),
@@ -53,7 +54,7 @@
     D: adapter::Dialect,
 {
     let cx = state.cx.clone();
-    // The last server error of an endpoint. It is more useful to the caller than a refusal.
+    // The last failure that an endpoint has stated. It is more useful to the caller than a refusal.
     let mut last_answer: Option<CompleteAnswer> = None;
     // Held until an endpoint has answered, or it is known why it has not.
     let _turn = match wait_for_turn(&cx, state).await {
@@ -83,11 +84,19 @@
         };
         let (failure, cause, answer) = match result {
             AttemptResult::Complete(answer) => {
-                state.attempts.sends().settle(outcome::Outcome::Run);
                 if selected.is_some() {
                     crash_watch::record_proof(&cx, state.plan.keys.all());
                 }
-                return FinalAnswer::Complete(answer);
+                match DeliverableAnswer::of(answer, state.plan.route.kind) {
+                    Some(answer) => {
+                        state.attempts.sends().settle(outcome::Outcome::Run);
+                        return FinalAnswer::Complete(answer);
+                    }
+                    None => {
+                        let cause = "a status that promises what is not known".to_owned();
+                        (retry::AttemptFailure::FalsePromise, cause, None)
+                    }
+                }
             }
             AttemptResult::Stream(parts, opened) => {
                 state.attempts.sends().settle(outcome::Outcome::Run);
@@ -229,9 +238,8 @@
     }
 }
 
-/// Result if no attempt succeeded: the last server error of an endpoint if there is one, else a
-/// refusal. A refusal also replaces a server error whose status would imply that a request has not
-/// run, unless the route is idempotent.
+/// Result if no attempt succeeded: the last failure that an endpoint has stated if there is one, else a
+/// refusal. A refusal also replaces a failure that may not be passed on.
 fn give_up<D>(
     state: &RequestState<D>,
     last_answer: Option<CompleteAnswer>,
@@ -240,13 +248,9 @@
 where
     D: adapter::Dialect,
 {
-    let Some(answer) = last_answer else {
-        return FinalAnswer::Refused(reason);
-    };
-    match reply::implies_not_run(answer.parts.status) && !state.plan.route.kind.is_idempotent() {
-        true => FinalAnswer::Refused(reason),
-        false => FinalAnswer::Complete(answer),
-    }
+    let kind = state.plan.route.kind;
+    let answer = last_answer.and_then(|answer| DeliverableAnswer::of(answer, kind));
+    answer.map_or(FinalAnswer::Refused(reason), FinalAnswer::Complete)
 }
 
 /// Selects the endpoint of the next attempt, and takes the permit that it needs. An endpoint without a
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod crash_watch;
 mod datagrams;
+mod deliverable;
 mod endpoint_report;
 mod endpoints;
 mod event_stream;
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -15,6 +15,7 @@
 use crate::shared::Phase;
 use crate::traffic::attempt::{CompleteAnswer, OutgoingRequest};
 use crate::traffic::collect::{CollectError, Pace};
+use crate::traffic::deliverable::DeliverableAnswer;
 use crate::traffic::event_stream::{EventStream, RequestState};
 use crate::traffic::plan::{Plan, plan};
 use crate::traffic::reply::ReplyBody;
@@ -377,14 +378,14 @@
     }
 }
 
-fn complete<D>(mut report: Report<D>, answer: CompleteAnswer) -> Response<ReplyBody<D>>
+fn complete<D>(mut report: Report<D>, answer: DeliverableAnswer) -> Response<ReplyBody<D>>
 where
     D: adapter::Dialect,
 {
-    report.record_answer(answer.parts.status.as_u16());
+    report.record_answer(answer.status().as_u16());
     report.record_events(0);
     report.finish("whole");
-    Response::from_parts(answer.parts, reply::full_body(answer.body))
+    answer.into_response()
 }
 
 /// Answer to a request that another host refuses. That host knows only of what it was sent itself.
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -328,7 +328,7 @@
     let cut = Behaviour::Stream {
         events: EVENTS,
         pause: Duration::from_millis(8),
-        cut_at: Some(u64::from(kind) * 4),
+        cut_at: Some(u64::from(kind % 6) * 4),
     };
     match kind {
         0 => (Behaviour::Refuse, Behaviour::Refuse),
@@ -336,7 +336,20 @@
         2 => (Behaviour::Hang, Behaviour::Hang),
         3 => (Behaviour::WrongRequestId, cut),
         4 => (Behaviour::Unsealed, Behaviour::CloseWithoutAnswer),
-        _ => (Behaviour::Answer { status: 503 }, cut),
+        // The endpoint runs what it then answers as if it had not.
+        5 => (Behaviour::Answer { status: 503 }, cut),
+        6 => (
+            Behaviour::Answer { status: 429 },
+            Behaviour::Answer { status: 429 },
+        ),
+        7 => (
+            Behaviour::Answer { status: 408 },
+            Behaviour::Answer { status: 421 },
+        ),
+        _ => (
+            Behaviour::Answer { status: 421 },
+            Behaviour::Answer { status: 503 },
+        ),
     }
 }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -70,7 +70,7 @@
 const FOREIGN_PAUSE_MS: Range<u64> = 100..800;
 
 /// Number of ways in which an endpoint answers badly.
-const BAD_KINDS: u8 = 6;
+const BAD_KINDS: u8 = 9;
 
 /// Idle timeouts of callers' connections, in milliseconds.
 const IDLE_TIMEOUTS_MS: [u64; 4] = [500, 1_000, 3_000, 15_000];
