Tell in several messages what does not fit into one

Cause: a new link began with all cached prompt parts in one message. Above a frame's limit it could not be encoded, and the link ended, was opened again and told nothing, for as long as the parts were known.

Change: lists are split where they do not fit, endpoints by bytes; what cannot be split is left out with a line and a count, and the link goes on. What keeps hosts safe comes first on a new link, cached parts bit by bit behind it, and a host keeps 49,152 of them at most. A frame that no receiver could decode counts as too large: found by the new tests.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -164,6 +164,10 @@
 
     /// Records that all changes up to and including a revision are known.
     pub fn mark_complete(&mut self, revision: revision::Revision) {
+        // Before the first write nothing is known, and no list was read.
+        if revision == revision::Revision::NONE {
+            return;
+        }
         self.complete_revision = self.complete_revision.max(revision);
         self.removals_known_since.get_or_insert(revision);
     }
--- a/crates/gateway/src/control/links/catalogs.rs
+++ b/crates/gateway/src/control/links/catalogs.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use eyre::WrapErr as _;
 use pistachiochute_core::catalog;
-use pistachiochute_messages::{codec, peer};
+use pistachiochute_messages::{codec, frames, peer};
+use pistachiochute_runtime::metrics;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 use crate::control::Context;
@@ -35,7 +36,8 @@
 #[derive(Clone, Debug)]
 pub(in crate::control) struct CatalogFrame {
     version: catalog::Version,
-    bytes: Bytes,
+    /// The frame, or why there is none.
+    bytes: Result<Bytes, codec::Error>,
 }
 
 /// Catalogs that may be under way together on a machine.
@@ -92,14 +94,24 @@
         (host, tx): (&str, &mut h2::SendStream<Bytes>),
         turn: Option<OwnedSemaphorePermit>,
     ) -> eyre::Result<()> {
-        let Some(frame) = cx.catalog_frame()? else {
+        let Some(frame) = cx.catalog_frame() else {
             return Ok(());
         };
         let held = cx.catalog_held_by(host);
         if held.max(self.sent) >= Some(frame.version) {
             return Ok(());
         }
-        let sending = send_in_pieces(tx, frame.bytes);
+        let bytes = match frame.bytes {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                // Said once for a version. The host has the catalog from the store, or another one has.
+                self.sent = Some(frame.version);
+                cx.metrics.decided(metrics::Decision::LinkMessageDropped);
+                cx.events.message_dropped(host, "catalog", &e);
+                return Ok(());
+            }
+        };
+        let sending = send_in_pieces(tx, bytes);
         let mut sending = std::pin::pin!(sending);
         let in_turn = tokio::time::timeout(TURN_TIME, &mut sending).await;
         drop(turn);
@@ -134,21 +146,19 @@
     }
 
     /// Message with the current catalog, encoded once for all hosts.
-    fn catalog_frame(&self) -> eyre::Result<Option<CatalogFrame>> {
+    fn catalog_frame(&self) -> Option<CatalogFrame> {
         let state = self.state.borrow();
-        let Some(catalog) = state.catalog.get() else {
-            return Ok(None);
-        };
+        let catalog = state.catalog.get()?;
         let mut known = self.catalog_frame.borrow_mut();
         if let Some(frame) = known.as_ref().filter(|f| f.version == catalog.version()) {
-            return Ok(Some(frame.clone()));
+            return Some(frame.clone());
         }
         let message = peer::Message::Catalog(Box::new(catalog.content().clone()));
         let frame = CatalogFrame {
             version: catalog.version(),
-            bytes: codec::encode(&message).wrap_err("catalog")?,
+            bytes: frames::encode_whole(&message),
         };
         *known = Some(frame.clone());
-        Ok(Some(frame))
+        Some(frame)
     }
 }
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -36,6 +36,12 @@
 /// Memory that a link costs, in bytes, beside what is not decoded yet.
 const LINK_BYTES: usize = 16 << 10;
 
+/// Size of the endpoints in one message, in bytes: half of a frame.
+const MAX_RECORDS_BYTES: usize = codec::MAX_FRAME_LEN / 2;
+
+/// Upper bound of what a record and its software version take beside their texts, in bytes.
+const RECORD_BYTES: usize = 128;
+
 /// Most connections of other hosts. Each host makes one for messages and one for requests.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -428,30 +434,64 @@
     send_in_order(outbox, newer_endpoints(&state, outbox, theirs.endpoints));
 }
 
-/// Messages with the endpoints that are newer than a revision.
+/// Messages with the endpoints that are newer than a revision, each well within a frame. The receiver has all
+/// changes once it has applied the last one.
 fn newer_endpoints(
     state: &State,
     outbox: &Outbox,
     after: revision::Revision,
 ) -> SmallVec<[peer::Message; 2]> {
-    let mut messages = SmallVec::new();
     let newer = state.directory.newer_than(after);
-    let records: Vec<_> = newer
-        .map(|(key, record)| peer::EndpointRecord {
-            key: key.clone(),
-            revision: record.revision,
-            endpoint: record.endpoint.as_deref().cloned(),
-        })
-        .collect();
-    if outbox.has_feature(peer::Feature::StreamVersions) {
+    let records = newer.map(|(key, record)| peer::EndpointRecord {
+        key: key.clone(),
+        revision: record.revision,
+        endpoint: record.endpoint.as_deref().cloned(),
+    });
+    let mut messages = SmallVec::new();
+    let mut chunk = Vec::new();
+    let mut bytes = 0;
+    let has_versions = outbox.has_feature(peer::Feature::StreamVersions);
+    for record in records {
+        let size = record_bytes(&record);
+        if bytes + size > MAX_RECORDS_BYTES && !chunk.is_empty() {
+            add_endpoints(
+                &mut messages,
+                has_versions,
+                std::mem::take(&mut chunk),
+                after,
+            );
+            bytes = 0;
+        }
+        bytes += size;
+        chunk.push(record);
+    }
+    let complete = state.directory.complete_revision_for(after);
+    add_endpoints(&mut messages, has_versions, chunk, complete);
+    messages
+}
+
+/// Upper bound of the encoded size of a record with its software version, in bytes.
+fn record_bytes(record: &peer::EndpointRecord) -> usize {
+    let texts = record.endpoint.as_ref().map_or(0, |endpoint| {
+        let version = endpoint.version.as_ref();
+        let version = version.map_or(0, |version| version.to_string().len());
+        2 * endpoint.identity.id.len() + endpoint.service.len() + endpoint.domain.len() + version
+    });
+    RECORD_BYTES + record.key.len() + texts
+}
+
+/// Adds a message with records, behind one with their software versions if the receiver reads that.
+fn add_endpoints(
+    messages: &mut SmallVec<[peer::Message; 2]>,
+    has_versions: bool,
+    records: Vec<peer::EndpointRecord>,
+    complete: revision::Revision,
+) {
+    if has_versions {
         let versions = records.iter().filter_map(endpoint_version);
         messages.push(peer::Message::EndpointVersions(versions.collect()));
     }
-    messages.push(peer::Message::Endpoints {
-        complete: state.directory.complete_revision_for(after),
-        records,
-    });
-    messages
+    messages.push(peer::Message::Endpoints { complete, records });
 }
 
 /// Queues messages up to the first that finds no room.
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -19,8 +19,8 @@
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
-use pistachiochute_messages::{codec, peer};
-use pistachiochute_runtime::clock;
+use pistachiochute_messages::{frames, peer};
+use pistachiochute_runtime::{clock, metrics};
 
 use crate::control::Context;
 use crate::{adapter, sockets};
@@ -44,6 +44,9 @@
 /// Delay before a lost link is opened again, before jitter.
 const RECONNECT_DELAY: Duration = Duration::from_millis(500);
 
+/// Cached prompt parts that a new link is sent at an interval, about 80 kB.
+const PARTS_AT_ONCE: usize = 4_096;
+
 /// Maintains a link to every host that the overlay assigns to this one.
 pub(super) async fn maintain_links<D, S>(cx: Rc<Context<D, S>>)
 where
@@ -122,7 +125,7 @@
         domain: cx.settings.host.domain.as_str().into(),
         up_ms: u32::try_from(uptime).unwrap_or(u32::MAX),
     };
-    send(&mut tx, &hello)?;
+    send(cx, (name, &mut tx), &hello)?;
     let answer = answer.await.wrap_err("answer")?;
     let features = announced_features(answer.headers());
     if !was_up.replace(true) {
@@ -142,9 +145,25 @@
     features.filter(is_announced).collect()
 }
 
-fn send(tx: &mut h2::SendStream<Bytes>, message: &peer::Message) -> eyre::Result<()> {
-    let frame = codec::encode(message).wrap_err("message")?;
-    tx.send_data(frame, false).wrap_err("link")
+/// Sends a message to a host. One that is too large for any frame is left out: the link carries all others,
+/// also those by which hosts are safe.
+fn send<D, S>(
+    cx: &Context<D, S>,
+    (host, tx): (&str, &mut h2::SendStream<Bytes>),
+    message: &peer::Message,
+) -> eyre::Result<()> {
+    let frames = match frames::encode(message) {
+        Ok(frames) => frames,
+        Err(e) => {
+            cx.metrics.decided(metrics::Decision::LinkMessageDropped);
+            cx.events.message_dropped(host, message.name(), &e);
+            return Ok(());
+        }
+    };
+    for frame in frames {
+        tx.send_data(frame, false).wrap_err("link")?;
+    }
+    Ok(())
 }
 
 /// Sends status, requests and queued messages on a link until it is lost.
@@ -161,15 +180,13 @@
     let (sender, mut outbox) = Outbox::new(features.clone());
     let mut catalogs = CatalogSender::new(sender.catalog_wanted(), cx.catalog_turns.clone());
     cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
-    let parts = cx.state.borrow().cached_parts(clock::now());
-    if !parts.is_empty() {
-        send(tx, &peer::Message::Holdings(parts))?;
-    }
     let snapshot = flood::snapshot(&cx.state.borrow(), clock::now());
     let is_sent = |message: &&peer::Message| outbox::is_sent(message, &features);
     for message in snapshot.iter().filter(is_sent) {
-        send(tx, message)?;
+        send(cx, (name, tx), message)?;
     }
+    // Useful, but no host is less safe without them: they come bit by bit, behind all else that is due.
+    let mut cached_parts = cx.state.borrow().cached_parts(clock::now());
     let mut sent = SentState::default();
     let mut catch_up = CatchUp::default();
     let mut queries = KnowledgeQueries::default();
@@ -179,7 +196,7 @@
         tokio::select! {
             message = outbox.recv() => {
                 let Some(message) = message else { return Ok(()) };
-                send(tx, &message)?;
+                send(cx, (name, tx), &message)?;
                 continue;
             }
             turn = catalogs.turn() => {
@@ -189,18 +206,23 @@
             _ = ticks.tick() => {}
         }
         if let Some(status) = sent.due_status(cx) {
-            send(tx, &status)?;
+            send(cx, (name, tx), &status)?;
         }
         if let Some(loads) = sent.due_relayed_loads(cx, name) {
-            send(tx, &loads)?;
+            send(cx, (name, tx), &loads)?;
         }
         if let Some(want) = catch_up.due_request(cx, name) {
-            send(tx, &peer::Message::Want(want))?;
+            send(cx, (name, tx), &peer::Message::Want(want))?;
         }
         if features.contains(&peer::Feature::EndpointKnowledge)
             && let Some(query) = queries.due(cx, name)
         {
-            send(tx, &query)?;
+            send(cx, (name, tx), &query)?;
+        }
+        if !cached_parts.is_empty() {
+            let left = cached_parts.len().saturating_sub(PARTS_AT_ONCE);
+            let parts = cached_parts.split_off(left);
+            send(cx, (name, tx), &peer::Message::Holdings(parts))?;
         }
         // Detects a reset stream even if there was nothing to send.
         if is_reset(tx) {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -26,7 +26,10 @@
 const CATALOG_PATIENCE: Duration = Duration::from_millis(600);
 
 /// Number of cached prompt parts above which old ones are evicted.
-const MAX_CACHED_PARTS: usize = 8_192;
+const MANY_CACHED_PARTS: usize = 8_192;
+
+/// Most cached prompt parts that are kept, whatever callers name in their prompts.
+const MAX_CACHED_PARTS: usize = 49_152;
 
 /// Store entry of a host.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -355,10 +358,27 @@
     pub fn record_cached_parts(&mut self, parts: &[peer::CachedPart], now: time::Time) {
         self.cached_parts
             .extend(parts.iter().map(|part| (*part, now)));
-        if self.cached_parts.len() > MAX_CACHED_PARTS {
+        if self.cached_parts.len() > MANY_CACHED_PARTS {
             self.cached_parts
                 .retain(|_, at| now.since(*at) < prefix::RETENTION / 2);
         }
+        if self.cached_parts.len() > MAX_CACHED_PARTS {
+            self.evict_cached_parts();
+        }
+    }
+
+    /// Evicts the older half of the cached prompt parts.
+    fn evict_cached_parts(&mut self) {
+        let mut times: Vec<_> = self.cached_parts.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        let mut room = times.len() - middle;
+        self.cached_parts.retain(|_, at| {
+            let is_kept = *at > median || (*at == median && room > 0);
+            room = room.saturating_sub(usize::from(is_kept));
+            is_kept
+        });
     }
 
     /// Prompt parts that endpoints probably still have in their caches.
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -3,6 +3,7 @@
 
 mod catalogs;
 mod followed_relay;
+mod large_messages;
 mod linked_host;
 mod listing;
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -238,6 +238,14 @@
         slog::info!(self.log, "link lost"; "peer" => name, "cause" => format!("{e:#}"));
     }
 
+    /// A message to a host is too large, and was left out.
+    pub fn message_dropped(&self, peer: &str, message: &str, e: &dyn fmt::Display) {
+        slog::warn!(
+            self.log, "link message dropped";
+            "peer" => peer, "message" => message, "cause" => %e,
+        );
+    }
+
     /// A listener cannot be registered with the runtime.
     pub fn listener_failed(&self, what: &str, e: &dyn fmt::Display) {
         slog::error!(self.log, "listener failed"; "what" => what, "cause" => %e);
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod datagram;
 pub mod forward;
 pub mod forwarded;
+pub mod frames;
 pub mod peer;
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -376,6 +376,34 @@
         }
     }
 
+    /// Name of the kind of message in logs.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Hello { .. } => "hello",
+            Self::Status { .. } => "status",
+            Self::Carried(_) => "carried",
+            Self::Holdings(_) => "holdings",
+            Self::Want(_) => "want",
+            Self::Catalog(_) => "catalog",
+            Self::Endpoints { .. } => "endpoints",
+            Self::StreamOrigins(_) => "stream_origins",
+            Self::OriginQuery { .. } => "origin_query",
+            Self::OriginAnswer { .. } => "origin_answer",
+            Self::EndpointVersions(_) => "endpoint_versions",
+            Self::Quarantine(_) => "quarantine",
+            Self::EndpointLimits(_) => "endpoint_limits",
+            Self::EndpointDepartures(_) => "endpoint_departures",
+            Self::TimedQuarantine { .. } => "timed_quarantine",
+            Self::Evacuations(_) => "evacuations",
+            Self::ColdEndpoints(_) => "cold_endpoints",
+            Self::StreamBeginnings(_) => "stream_beginnings",
+            Self::OriginClaim { .. } => "origin_claim",
+            Self::KnowledgeQuery { .. } => "knowledge_query",
+            Self::KnowledgeAnswer { .. } => "knowledge_answer",
+        }
+    }
+
     /// Feature whose message says the same and more, so that a receiver that announced it is not sent
     /// this one.
     #[must_use]
--- a/crates/runtime/src/metrics/decisions.rs
+++ b/crates/runtime/src/metrics/decisions.rs
@@ -29,6 +29,8 @@
     EndpointCold,
     /// A connection to the address of the links was closed: too many are open, or it began nothing.
     LinkRefused,
+    /// A message to another host was too large for the link, and was left out.
+    LinkMessageDropped,
     /// A connection to the address of health checks or metrics was closed to make room for another.
     AdminConnectionClosed,
     /// A request has a slot from its scheduler.
@@ -63,7 +65,7 @@
 
 impl Decision {
     /// Every decision.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::DatagramDropped,
         Self::PermitAsked,
         Self::PermitGranted,
@@ -77,6 +79,7 @@
         Self::DomainReturned,
         Self::EndpointCold,
         Self::LinkRefused,
+        Self::LinkMessageDropped,
         Self::AdminConnectionClosed,
         Self::SlotGranted,
         Self::SlotWaited,
@@ -111,6 +114,7 @@
             Self::DomainReturned => "domain_returned",
             Self::EndpointCold => "endpoint_cold",
             Self::LinkRefused => "link_refused",
+            Self::LinkMessageDropped => "link_message_dropped",
             Self::AdminConnectionClosed => "admin_connection_closed",
             Self::SlotGranted => "slot_granted",
             Self::SlotWaited => "slot_waited",
--- a/crates/soak/src/crowds.rs
+++ b/crates/soak/src/crowds.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use pistachiochute_standins::platform::caller::CallerRequest;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -24,6 +25,15 @@
 /// Bytes of a body, all but the last of which are sent.
 const BODY_BYTES: usize = 100_000;
 
+/// Distinguishes the long prompts of a seed from its crowds.
+const LONG_PROMPT_SEED: u64 = 0x6c6f_6e67;
+
+/// Parts of a long prompt, about as many as a head has room for.
+const LONG_PROMPT_PARTS: usize = 1_750;
+
+/// Pause between two long prompts.
+const LONG_PROMPT_PAUSE: Duration = Duration::from_millis(60);
+
 /// Kind of a crowd.
 #[derive(Clone, Copy, Debug)]
 enum Kind {
@@ -103,6 +113,31 @@
     })
 }
 
+/// Sends prompts of very many parts, one after another, which are served and whose parts are cached.
+pub(crate) fn start_long_prompts(
+    hosts: Vec<SocketAddr>,
+    shared: Arc<load::Shared>,
+    seed: u64,
+) -> thread::JoinHandle<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LONG_PROMPT_SEED);
+    thread::spawn(move || {
+        let mut number = 0;
+        while !shared.is_over.load(Ordering::Relaxed) {
+            number += 1;
+            let host = hosts[rng.random_range(0..hosts.len())];
+            let key = load::key(shared.key.load(Ordering::Relaxed));
+            let part = |_| format!("{:06x}:1", rng.random_range(0..1 << 24));
+            let parts: Vec<_> = (0..LONG_PROMPT_PARTS).map(part).collect();
+            let prompt = CallerRequest::new(&format!("long-{number}"), "/call/", &key)
+                .header("X-Model", "m")
+                .header("X-Token-Usage", "2000,10")
+                .header("X-Prompt-Prefix", &parts.join(","));
+            let _ = prompt.send(host);
+            thread::sleep(LONG_PROMPT_PAUSE);
+        }
+    })
+}
+
 /// Opens a connection and sends what the host takes. It may be down, or refuse.
 fn open(host: SocketAddr, bytes: &[u8]) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(host).ok()?;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -359,6 +359,12 @@
         let addresses: Vec<_> = world.hosts.iter().map(|host| host.callers).collect();
         let crowded = addresses[..self.hosts].to_vec();
         callers.push(crowds::start(crowded, world.callers.clone(), self.seed));
+        let shared = world.callers.clone();
+        callers.push(crowds::start_long_prompts(
+            addresses.clone(),
+            shared,
+            self.seed,
+        ));
         let versions = replicas.serve(&addresses, &world.callers, self.seed);
         let crashing = crashing.serve(&addresses, &world.callers, self.seed);
         let evacuated = evacuated.serve(&addresses, &world.callers, self.seed);
