--- a/crates/core/src/directory/cold.rs
+++ b/crates/core/src/directory/cold.rs
@@ -20,7 +20,7 @@
     /// Hash of the endpoint's identity.
     pub endpoint: u64,
     /// Revision of the entry.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// Requests that it bears from all hosts together.
     pub rate: rate_limits::RequestRate,
     /// Until when it is cold. In the past if it is warm.
@@ -35,7 +35,7 @@
     /// Service of the endpoint.
     pub service: Arc<str>,
     /// Revision of the entry.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// Until when it is cold. Not after now if it is warm.
     pub until: time::Time,
 }
--- a/crates/core/src/directory/evacuations.rs
+++ b/crates/core/src/directory/evacuations.rs
@@ -16,7 +16,7 @@
     /// The domain.
     pub domain: Arc<str>,
     /// Revision at which the store wrote or removed the entry.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// Whether the domain is evacuated, or was taken back.
     pub is_evacuated: bool,
 }
@@ -24,7 +24,7 @@
 /// Record of one domain.
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    revision: revision::Revision,
+    revision: revision::StoredRevision,
     is_evacuated: bool,
     learned_at: time::Time,
     /// Whether this host has known the domain as evacuated.
@@ -76,8 +76,8 @@
     #[must_use]
     pub fn changes_to(
         &self,
-        listed: Vec<(Arc<str>, revision::Revision)>,
-        revision: revision::Revision,
+        listed: Vec<(Arc<str>, revision::StoredRevision)>,
+        revision: revision::StoredRevision,
     ) -> Vec<Evacuation> {
         let is_listed = |domain: &Arc<str>| listed.iter().any(|(listed, _)| listed == domain);
         let missing = self.records.iter();
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod departures;
 mod endpoint;
+mod eras;
 mod evacuations;
 mod knowledge;
 
@@ -24,6 +25,7 @@
 pub use cold::{ColdEndpoint, ColdEndpoints, MAX_COLD_TIME, UnratedEntry};
 pub use departures::{DEPARTURE_RETENTION, Departure, Departures};
 pub use endpoint::{Endpoint, Identity, IncarnationKey, State};
+pub use eras::Eras;
 pub use evacuations::{Evacuation, Evacuations, ReturnedDomain};
 pub use knowledge::{DrainBudget, KnownUpTo};
 pub use record::Record;
@@ -54,7 +56,7 @@
     /// Key of the entry.
     pub key: Arc<str>,
     /// Revision up to which it was removed.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// Time for which its endpoint stayed in use since the last news of it.
     pub doubted_for: std::time::Duration,
 }
@@ -64,13 +66,13 @@
 pub struct Directory {
     records: HashMap<Arc<str>, Record>,
     /// All changes of the endpoints in use up to and including this revision are known.
-    complete_revision: revision::Revision,
+    complete_revision: revision::StoredRevision,
     /// All removals of entries after this revision are known: it is the one of the first list, or of the last
     /// removal whose record was dropped.
-    removals_known_since: Option<revision::Revision>,
+    removals_known_since: Option<revision::StoredRevision>,
     /// Revision of the last known change of the endpoints in use. Most writes are renewals by
     /// endpoints, which change only the heartbeat and do not count.
-    last_change: revision::Revision,
+    last_change: revision::StoredRevision,
     outage: StoreOutage,
     /// Endpoints that have said that they leave.
     departures: Departures,
@@ -84,7 +86,7 @@
     pub fn apply(
         &mut self,
         key: &Arc<str>,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         endpoint: Option<Arc<Endpoint>>,
         source: Source,
         now: time::Time,
@@ -98,11 +100,21 @@
             let shown = known.with_earlier_change(revision, endpoint, source, now);
             return shown.is_some_and(|record| self.set_record(key, record));
         }
+        if source == Source::Host && revision.era() < self.complete_revision.era() {
+            // A list of a later era did not have it.
+            return false;
+        }
         let last = known.and_then(|r| r.last_endpoint.clone());
         let is_late = |endpoint: &Arc<Endpoint>| {
             last.as_ref()
                 .is_some_and(|last| endpoint.is_older_than(last))
         };
+        if let (Some(known), Some(endpoint)) = (known, &endpoint)
+            && known.withholds(revision, endpoint)
+        {
+            let record = known.with_entry_of_copy(revision, now);
+            return self.set_record(key, record);
+        }
         let record = match endpoint {
             Some(endpoint) if is_late(&endpoint) => known.map_or_else(
                 || Record::new(revision, None, None, now),
@@ -135,12 +147,12 @@
     }
 
     /// Replaces all records by a complete list that the store returned at `revision`. Entries that
-    /// are not in the list count as removed. Returns the keys of the entries by which the endpoints in use
-    /// changed.
+    /// are not in the list count as removed. After the first list of an era, no record is of an earlier one.
+    /// Returns the keys of the entries by which the endpoints in use changed.
     pub fn replace(
         &mut self,
-        entries: Vec<(Arc<str>, revision::Revision, Option<Arc<Endpoint>>)>,
-        revision: revision::Revision,
+        entries: Vec<(Arc<str>, revision::StoredRevision, Option<Arc<Endpoint>>)>,
+        revision: revision::StoredRevision,
         now: time::Time,
     ) -> Vec<Arc<str>> {
         let listed: std::collections::HashSet<_> =
@@ -151,6 +163,13 @@
             .filter(|(key, r)| !listed.contains(*key) && r.is_present())
             .map(|(key, _)| key.clone())
             .collect();
+        for (key, record) in &mut self.records {
+            let is_of_earlier_era = record.revision.era() < revision.era();
+            if is_of_earlier_era && !record.is_present() && !listed.contains(key) {
+                // Hosts that do not read the store must learn that it is still gone.
+                record.revision = revision;
+            }
+        }
         let removals = missing.into_iter().map(|key| (key, revision, None));
         let mut changed = Vec::new();
         for (key, revision, endpoint) in entries.into_iter().chain(removals) {
@@ -163,9 +182,9 @@
     }
 
     /// Records that all changes up to and including a revision are known.
-    pub fn mark_complete(&mut self, revision: revision::Revision) {
+    pub fn mark_complete(&mut self, revision: revision::StoredRevision) {
         // Before the first write nothing is known, and no list was read.
-        if revision == revision::Revision::NONE {
+        if revision == revision::StoredRevision::NONE {
             return;
         }
         self.complete_revision = self.complete_revision.max(revision);
@@ -174,15 +193,15 @@
 
     /// Revision up to and including which all changes are known.
     #[must_use]
-    pub const fn complete_revision(&self) -> revision::Revision {
+    pub const fn complete_revision(&self) -> revision::StoredRevision {
         self.complete_revision
     }
 
     /// Whether [`Directory::newer_than`] gives a host all removals that has all changes up to `after`. A host
     /// that has started since, from a list without the entry, knows nothing of them.
     #[must_use]
-    pub fn knows_removals_since(&self, after: revision::Revision) -> bool {
-        let is_empty = after == revision::Revision::default();
+    pub fn knows_removals_since(&self, after: revision::StoredRevision) -> bool {
+        let is_empty = after == revision::StoredRevision::NONE;
         is_empty
             || self
                 .removals_known_since
@@ -192,7 +211,10 @@
     /// Revision up to and including which a host that has all changes up to `after` has them once it has
     /// applied [`Directory::newer_than`].
     #[must_use]
-    pub fn complete_revision_for(&self, after: revision::Revision) -> revision::Revision {
+    pub fn complete_revision_for(
+        &self,
+        after: revision::StoredRevision,
+    ) -> revision::StoredRevision {
         match self.knows_removals_since(after) {
             true => self.complete_revision_for_peers(),
             false => after,
@@ -203,9 +225,9 @@
     /// Unconfirmed removals are left out until they are confirmed, so the other host must be able
     /// to ask for them later, here or at a host that knows when the entry was removed.
     #[must_use]
-    pub fn complete_revision_for_peers(&self) -> revision::Revision {
+    pub fn complete_revision_for_peers(&self) -> revision::StoredRevision {
         let unconfirmed = self.records.values().filter_map(|r| r.unconfirmed_after);
-        unconfirmed.fold(self.complete_revision, revision::Revision::min)
+        unconfirmed.fold(self.complete_revision, revision::StoredRevision::min)
     }
 
     /// What is known of an entry.
@@ -223,7 +245,7 @@
 
     /// Revision of the last known change of the endpoints in use.
     #[must_use]
-    pub const fn last_change(&self) -> revision::Revision {
+    pub const fn last_change(&self) -> revision::StoredRevision {
         self.last_change
     }
 
@@ -232,6 +254,11 @@
         self.outage.record_call(answered, now);
     }
 
+    /// Records that the store has come back from a copy: entries that it lost are written again soon.
+    pub fn record_restoration(&mut self, now: time::Time) {
+        self.outage.record_restoration(now);
+    }
+
     /// Applies another host's report about its calls to the store.
     pub fn apply_store_observation(&mut self, observation: StoreObservation) {
         self.outage.apply_observation(observation);
@@ -239,7 +266,7 @@
 
     /// Entries whose endpoints stay in use although the entries were removed, with the revisions up to which
     /// they were.
-    pub fn doubted(&self) -> impl Iterator<Item = (&Arc<str>, revision::Revision)> {
+    pub fn doubted(&self) -> impl Iterator<Item = (&Arc<str>, revision::StoredRevision)> {
         let doubted = self.records.iter();
         let doubted = doubted.filter(|(_, r)| r.is_removal_unconfirmed());
         doubted.map(|(key, r)| (key, r.revision))
@@ -339,7 +366,7 @@
     /// left out, since that host decides on them by its own observations of the store.
     pub fn newer_than(
         &self,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
     ) -> impl Iterator<Item = (&Arc<str>, &Record)> {
         self.records
             .iter()
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -9,23 +9,25 @@
 #[derive(Clone, Debug)]
 pub struct Record {
     /// Revision of the last change of the entry.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// The endpoint, or `None` if the entry was removed or cannot be used.
     pub endpoint: Option<Arc<Endpoint>>,
     /// Set while the entry's removal is unconfirmed and the endpoint stays in use: the last
     /// revision at which the entry is known to have existed. The removal may have happened at any
     /// later revision, since a list only shows that it happened before the list was read.
-    pub unconfirmed_after: Option<revision::Revision>,
+    pub unconfirmed_after: Option<revision::StoredRevision>,
     /// The last usable entry under this key, which shows whether an entry that arrives later is
     /// older.
     pub last_endpoint: Option<Arc<Endpoint>>,
     /// When this host learned of the change.
     pub learned_at: time::Time,
+    /// Whether the endpoint is out of use although the store shows it, from a copy of an earlier time.
+    pub is_withheld: bool,
 }
 
 impl Record {
     pub(super) fn new(
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         endpoint: Option<Arc<Endpoint>>,
         last_endpoint: Option<Arc<Endpoint>>,
         learned_at: time::Time,
@@ -36,6 +38,7 @@
             unconfirmed_after: None,
             last_endpoint,
             learned_at,
+            is_withheld: false,
         }
     }
 
@@ -43,7 +46,7 @@
     /// before, or `None` if there is no endpoint to keep in use.
     pub(super) fn with_unconfirmed_removal(
         &self,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         learned_at: time::Time,
     ) -> Option<Self> {
         let endpoint = self.endpoint.clone()?;
@@ -53,6 +56,7 @@
             endpoint: Some(endpoint),
             unconfirmed_after: Some(self.unconfirmed_after.unwrap_or(self.revision)),
             learned_at,
+            is_withheld: false,
         })
     }
 
@@ -60,7 +64,7 @@
     /// endpoint, so that a removal in doubt stays in doubt.
     pub(super) fn with_late_write(
         &self,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         learned_at: time::Time,
     ) -> Self {
         Self {
@@ -70,12 +74,39 @@
         }
     }
 
+    /// Whether an entry may only be what a copy of the store says of an endpoint that has gone, or that leaves:
+    /// the first one of a later era, and each after it, until the endpoint writes a new one.
+    pub(super) fn withholds(
+        &self,
+        revision: revision::StoredRevision,
+        endpoint: &Endpoint,
+    ) -> bool {
+        let may_be_of_copy = self.is_withheld || revision.era() > self.revision.era();
+        let is_out_of_use = self.usable().is_none();
+        let is_known = |last: &Arc<Endpoint>| {
+            last.identity.id == endpoint.identity.id && !last.is_older_than(endpoint)
+        };
+        may_be_of_copy && is_out_of_use && self.last_endpoint.as_ref().is_some_and(is_known)
+    }
+
+    /// Returns the record after an entry that is withheld.
+    pub(super) fn with_entry_of_copy(
+        &self,
+        revision: revision::StoredRevision,
+        learned_at: time::Time,
+    ) -> Self {
+        Self {
+            is_withheld: true,
+            ..self.with_late_write(revision, learned_at)
+        }
+    }
+
     /// Returns the record after a change that came before the one of this record, or `None` if it shows
     /// nothing new. It does if the entry was removed later, at an unknown revision, and the removal is in
     /// doubt: another host has confirmed the removal, or the endpoint had said that it leaves.
     pub(super) fn with_earlier_change(
         &self,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         endpoint: Option<Arc<Endpoint>>,
         source: Source,
         learned_at: time::Time,
@@ -98,6 +129,7 @@
                 endpoint: Some(endpoint),
                 unconfirmed_after: Some(revision),
                 learned_at,
+                is_withheld: false,
             }),
         }
     }
--- a/crates/core/src/directory/store_outage.rs
+++ b/crates/core/src/directory/store_outage.rs
@@ -18,6 +18,8 @@
     outage_since: Option<time::Time>,
     /// When the store answered again.
     recovered_at: Option<time::Time>,
+    /// When the store was last seen to have come back from a copy.
+    restored_at: Option<time::Time>,
 }
 
 /// Another host's report about its own calls to the store.
@@ -37,6 +39,7 @@
                 *self = Self {
                     outage_since: Some(now),
                     recovered_at: None,
+                    restored_at: self.restored_at,
                 };
             }
             (true, Some(_), None) => self.recovered_at = Some(now),
@@ -44,6 +47,11 @@
         }
     }
 
+    /// Records that the store has come back from a copy.
+    pub fn record_restoration(&mut self, now: time::Time) {
+        self.restored_at = Some(now);
+    }
+
     /// Applies another host's report. If the store answered that host throughout, it was
     /// unavailable to this host only, and every endpoint could renew its entry. If it has answered
     /// that host for [`RENEWAL_GRACE`], every live endpoint has written its entry again.
@@ -57,7 +65,11 @@
         if (was_never_out || has_recovered)
             && observation.last_answered >= start + OUTAGE_DETECTION_SKEW
         {
-            *self = Self::default();
+            // What a copy does not have is written again later, whoever was out.
+            *self = Self {
+                restored_at: self.restored_at,
+                ..Self::default()
+            };
         }
     }
 
@@ -65,6 +77,7 @@
     #[must_use]
     pub fn is_removal_uncertain(&self, now: time::Time) -> bool {
         let is_over = |back| now.since(back) >= RENEWAL_GRACE;
-        self.outage_since.is_some() && !self.recovered_at.is_some_and(is_over)
+        let is_out = self.outage_since.is_some() && !self.recovered_at.is_some_and(is_over);
+        is_out || self.restored_at.is_some_and(|at| !is_over(at))
     }
 }
--- a/crates/core/src/membership/registration.rs
+++ b/crates/core/src/membership/registration.rs
@@ -113,6 +113,13 @@
         self.has_begun = true;
     }
 
+    /// Records that the store may have lost the lease: it is renewed at once, which shows whether it has.
+    pub const fn record_doubt(&mut self) {
+        if let Some(held) = &mut self.held {
+            held.renewed_at = time::Time::ZERO;
+        }
+    }
+
     /// Calls that are due now.
     #[must_use]
     pub fn next_step(&self, visibility: Visibility, now: time::Time) -> Option<Step> {
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -9,12 +9,16 @@
     MAX_COLD_TIME, Source, State, TOMBSTONE_RETENTION, UnratedEntry,
 };
 use pistachiochute_core::rate_limits::{Pacer, RequestRate, strict_share};
-use pistachiochute_core::revision::Revision;
+use pistachiochute_core::revision::{Era, Revision, StoredRevision};
 use pistachiochute_core::time::Time;
 use proptest::collection;
 use proptest::prelude::{any, prop_assert, prop_assert_eq, proptest};
 use proptest::test_runner::{Config, RngSeed};
 
+fn at(revision: u64) -> StoredRevision {
+    Era::default().revision(Revision(revision))
+}
+
 const NOW: Time = Time::from_secs(100);
 
 const ENDPOINT: u64 = 0x7f3a_91c2_0000_0001;
@@ -30,7 +34,7 @@
 fn evacuation(domain: &str, revision: u64, is_evacuated: bool) -> Evacuation {
     Evacuation {
         domain: domain.into(),
-        revision: Revision(revision),
+        revision: at(revision),
         is_evacuated,
     }
 }
@@ -57,7 +61,7 @@
     let mut directory = Directory::default();
     for domain in ["dom-a", "dom-b"] {
         let entry = Some(endpoint(domain));
-        directory.apply(&domain.into(), Revision(1), entry, Source::Store, NOW);
+        directory.apply(&domain.into(), at(1), entry, Source::Store, NOW);
     }
     directory
 }
@@ -76,7 +80,7 @@
     assert_eq!(usable(&directory), ["dom-b"]);
     assert_eq!(directory.leaving().count(), 1);
     let entry = Some(endpoint("dom-a"));
-    directory.apply(&"new".into(), Revision(6), entry, Source::Store, NOW);
+    directory.apply(&"new".into(), at(6), entry, Source::Store, NOW);
     assert_eq!(usable(&directory), ["dom-b"]);
     assert!(directory.record_evacuation(&evacuation("dom-a", 7, false), NOW));
     assert_eq!(usable(&directory), ["dom-a", "dom-a", "dom-b"]);
@@ -165,7 +169,7 @@
     let mut evacuations = Evacuations::default();
     evacuations.record(&evacuation("dom-a", 3, true), NOW);
     evacuations.record(&evacuation("dom-b", 9, true), NOW);
-    let changes = evacuations.changes_to(vec![("dom-c".into(), Revision(4))], Revision(6));
+    let changes = evacuations.changes_to(vec![("dom-c".into(), at(4))], at(6));
     for change in &changes {
         evacuations.record(change, NOW);
     }
@@ -204,7 +208,7 @@
 fn cold(revision: u64, rate: f64, millis: u64) -> ColdEndpoint {
     ColdEndpoint {
         endpoint: ENDPOINT,
-        revision: Revision(revision),
+        revision: at(revision),
         rate: RequestRate::per_second(rate),
         until: NOW + Duration::from_millis(millis),
     }
@@ -250,7 +254,7 @@
     let entry = |endpoint, revision, millis| UnratedEntry {
         endpoint,
         service: "reader".into(),
-        revision: Revision(revision),
+        revision: at(revision),
         until: NOW + Duration::from_millis(millis),
     };
     let mut endpoints = ColdEndpoints::default();
--- a/crates/gateway/src/control/cold_endpoints.rs
+++ b/crates/gateway/src/control/cold_endpoints.rs
@@ -18,10 +18,10 @@
 /// published, so that no host takes a cold endpoint for a warm one.
 pub(super) fn apply_entries<'a, D, S, I>(cx: &Context<D, S>, entries: I)
 where
-    I: IntoIterator<Item = (&'a Endpoint, revision::Revision)>,
+    I: IntoIterator<Item = (&'a Endpoint, revision::StoredRevision)>,
 {
     let now = clock::now();
-    let unrated = |(endpoint, revision): (&Endpoint, revision::Revision)| UnratedEntry {
+    let unrated = |(endpoint, revision): (&Endpoint, revision::StoredRevision)| UnratedEntry {
         endpoint: endpoint.identity.hash(),
         service: endpoint.service.clone(),
         revision,
@@ -55,13 +55,13 @@
 /// Applies what another host knows.
 pub(super) fn apply_records<D, S>(
     cx: &Context<D, S>,
-    host: &Arc<str>,
+    (host, era): (&Arc<str>, revision::Era),
     records: &[peer::ColdRecord],
 ) {
     let now = clock::now();
     let cold = |record: &peer::ColdRecord| ColdEndpoint {
         endpoint: record.endpoint,
-        revision: record.revision,
+        revision: era.revision(record.revision),
         rate: record.rate,
         until: now + Duration::from_millis(u64::from(record.remaining_ms)),
     };
@@ -71,7 +71,7 @@
 /// Messages with all cold endpoints, for a host that may know none.
 pub(super) fn state_messages(state: &State, now: time::Time) -> Vec<peer::Message> {
     let cold: Vec<_> = state.cold.iter(now).collect();
-    to_messages(&cold, now)
+    to_messages(&cold, state.eras.current(), now)
 }
 
 /// Requests a second that the endpoints of a service bear while they are cold.
@@ -90,7 +90,8 @@
 ) {
     let state = &mut *cx.state.borrow_mut();
     cold.retain(|cold| state.cold.record(*cold, now));
-    links::flood(state, &to_messages(&cold, now), host);
+    let messages = to_messages(&cold, state.eras.current(), now);
+    links::flood(state, &messages, host);
     for cold in cold {
         cx.events.endpoint_cold(&cold, now);
         if cold.until > now {
@@ -100,10 +101,10 @@
     }
 }
 
-fn to_messages(cold: &[ColdEndpoint], now: time::Time) -> Vec<peer::Message> {
+fn to_messages(cold: &[ColdEndpoint], era: revision::Era, now: time::Time) -> Vec<peer::Message> {
     let record = |cold: &ColdEndpoint| peer::ColdRecord {
         endpoint: cold.endpoint,
-        revision: cold.revision,
+        revision: cold.revision.within(era),
         rate: cold.rate,
         remaining_ms: cold.until.since(now).as_millis() as u32,
     };
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -94,8 +94,14 @@
     S: adapter::Store,
 {
     let mut stored: BTreeSet<quarantine::Parts> = BTreeSet::new();
+    let mut era = cx.state.borrow().eras.current();
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
+        let current = cx.state.borrow().eras.current();
+        if std::mem::replace(&mut era, current) != current {
+            // The store may have lost them.
+            stored.clear();
+        }
         let assigned = assigned_accusations(&cx);
         stored.retain(|parts| assigned.contains(parts));
         for parts in assigned {
--- a/crates/gateway/src/control/evacuations.rs
+++ b/crates/gateway/src/control/evacuations.rs
@@ -16,29 +16,36 @@
 /// the store.
 pub(super) fn apply_listed<D, S>(
     cx: &Context<D, S>,
-    listed: Vec<(Arc<str>, revision::Revision)>,
-    revision: revision::Revision,
+    listed: Vec<(Arc<str>, revision::StoredRevision)>,
+    revision: revision::StoredRevision,
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
 {
     let state = cx.state.borrow();
     let changes = state.directory.evacuations();
-    let changes = changes.changes_to(listed, revision);
+    let mut changes = changes.changes_to(listed, revision);
+    if state.eras.is_restoring(clock::now()) {
+        // The operator may not have written again yet. The list is read once more after that time.
+        changes.retain(|change| change.is_evacuated);
+    }
     drop(state);
     apply(cx, changes, None);
 }
 
 /// Applies changes of entries of the store.
-pub(super) fn apply_changes<D, S>(cx: &Context<D, S>, changes: &[key_value::Change])
-where
+pub(super) fn apply_changes<D, S>(
+    cx: &Context<D, S>,
+    era: revision::Era,
+    changes: &[key_value::Change],
+) where
     D: adapter::Dialect,
     S: adapter::Store,
 {
     let evacuation = |change: &key_value::Change| {
         Some(Evacuation {
             domain: domain(cx, change.key())?,
-            revision: change.revision(),
+            revision: era.revision(change.revision()),
             is_evacuated: matches!(change, key_value::Change::Put(_)),
         })
     };
@@ -51,7 +58,7 @@
 /// Applies what another host knows.
 pub(super) fn apply_records<D, S>(
     cx: &Context<D, S>,
-    host: &Arc<str>,
+    (host, era): (&Arc<str>, revision::Era),
     records: Vec<peer::EvacuationRecord>,
 ) where
     D: adapter::Dialect,
@@ -59,7 +66,7 @@
 {
     let evacuation = |record: peer::EvacuationRecord| Evacuation {
         domain: record.domain,
-        revision: record.revision,
+        revision: era.revision(record.revision),
         is_evacuated: record.is_evacuated,
     };
     let evacuations = records.into_iter().map(evacuation).collect();
@@ -69,7 +76,7 @@
 /// Messages with all that is known, for a host that may know nothing.
 pub(super) fn state_messages(state: &State) -> Vec<peer::Message> {
     let evacuations: Vec<_> = state.directory.evacuations().iter().collect();
-    to_messages(&evacuations)
+    to_messages(&evacuations, state.eras.current())
 }
 
 /// Domain that the key of an entry evacuates, if it is the key of such an entry.
@@ -90,7 +97,8 @@
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
     evacuations.retain(|evacuation| state.directory.record_evacuation(evacuation, now));
-    links::flood(&mut state, &to_messages(&evacuations), host);
+    let messages = to_messages(&evacuations, state.eras.current());
+    links::flood(&mut state, &messages, host);
     drop(state);
     if evacuations.is_empty() {
         return;
@@ -109,13 +117,13 @@
     }
 }
 
-fn to_messages(evacuations: &[Evacuation]) -> Vec<peer::Message> {
+fn to_messages(evacuations: &[Evacuation], era: revision::Era) -> Vec<peer::Message> {
     if evacuations.is_empty() {
         return Vec::new();
     }
     let record = |evacuation: &Evacuation| peer::EvacuationRecord {
         domain: evacuation.domain.clone(),
-        revision: evacuation.revision,
+        revision: evacuation.revision.within(era),
         is_evacuated: evacuation.is_evacuated,
     };
     let records = evacuations.iter().map(record).collect();
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -138,7 +138,7 @@
     loop {
         sync::wait_for_live_relay(&cx).await;
         let mut hosts = Vec::new();
-        let visit = |entry| hosts.extend(decode(&cx, &entry));
+        let visit = |_, entry| hosts.extend(decode(&cx, &entry));
         let consistency = adapter::Consistency::Stale;
         match listing::read_all(&cx, HOSTS_PREFIX, consistency, visit).await {
             Ok(_) => replace_hosts(&cx, hosts),
@@ -205,6 +205,10 @@
 fn adopt_own_entry<D, S>(cx: &Context<D, S>, hosts: &[ListedHost]) {
     let is_own = |host: &&ListedHost| *host.name == *cx.settings.host.name;
     let Some(host) = hosts.iter().find(is_own) else {
+        if cx.state.borrow().eras.is_restoring(clock::now()) {
+            // The copy may have the lease and not the entry.
+            cx.registration.borrow_mut().record_end();
+        }
         return;
     };
     if let (Some(lease), Some(entry)) = (host.lease, &host.entry)
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -15,7 +15,7 @@
 use smallvec::SmallVec;
 
 use crate::control::links::{Outbox, apply_cached_parts};
-use crate::control::state::{HostEntry, State};
+use crate::control::state::{HostEntry, KnownVersions, State};
 use crate::control::{
     Context, cold_endpoints, crash_evidence, departures, endpoint_limits, evacuations, origins,
     sync,
@@ -150,6 +150,8 @@
     name: Arc<str>,
     /// Software versions for its next endpoint records.
     versions: HashMap<directory::Identity, directory::SoftwareVersion>,
+    /// Era of the store that its revisions belong to, if it names one.
+    era: Option<revision::Era>,
 }
 
 async fn receive_messages<D, S>(
@@ -187,6 +189,7 @@
                     sender = Some(Sender {
                         name: host,
                         versions: HashMap::new(),
+                        era: None,
                     });
                 }
                 (message, Some(sender)) => handle_message(cx, sender, message),
@@ -241,13 +244,18 @@
     S: adapter::Store,
 {
     let name = &sender.name;
+    let era = sender.era;
+    let era = era.unwrap_or_else(|| cx.state.borrow().eras.unnamed());
     match message {
         peer::Message::Hello { .. } => {}
         peer::Message::Status {
             known: version,
             store,
             loads,
-        } => apply_status(cx, name, version, store, loads),
+        } => {
+            let version = KnownVersions::from_message(version, era);
+            apply_status(cx, name, version, store, loads);
+        }
         peer::Message::Carried(loads) => {
             cx.state
                 .borrow_mut()
@@ -257,17 +265,65 @@
         peer::Message::Holdings(parts) => {
             apply_cached_parts(cx, &parts);
         }
-        peer::Message::Want(version) => send_updates(cx, name, version),
+        peer::Message::Want(version) => {
+            send_updates(cx, name, KnownVersions::from_message(version, era));
+        }
+        peer::Message::StoreEra(era) => {
+            sender.era = Some(era);
+            cx.note_era(era, sync::Reread::Due);
+        }
         peer::Message::Catalog(content) => apply_catalog(cx, name, *content),
         peer::Message::Endpoints { complete, records } => {
             let versions = std::mem::take(&mut sender.versions);
             let source = events::Source::Host(name.clone());
-            apply_endpoints(cx, complete, records, (&versions, &source));
+            apply_endpoints(cx, (era, complete), records, (&versions, &source));
         }
         peer::Message::EndpointVersions(versions) => {
             let pairs = versions.into_iter().map(|v| (v.identity, v.version));
             sender.versions = pairs.collect();
         }
+        message @ (peer::Message::StreamOrigins(_)
+        | peer::Message::StreamBeginnings(_)
+        | peer::Message::OriginClaim { .. }
+        | peer::Message::OriginQuery { .. }
+        | peer::Message::OriginAnswer { .. }) => handle_origins(cx, name, message),
+        peer::Message::Quarantine(update) => {
+            crash_evidence::apply_update(cx, name, update, &[]);
+        }
+        peer::Message::TimedQuarantine {
+            update,
+            sent_ages_ms,
+        } => crash_evidence::apply_update(cx, name, update, &sent_ages_ms),
+        peer::Message::EndpointLimits(records) => {
+            endpoint_limits::apply_records(cx, name, &records);
+        }
+        peer::Message::EndpointDepartures(records) => {
+            departures::apply_records(cx, name, &records);
+        }
+        peer::Message::KnowledgeQuery { asked_at_us, after } => {
+            answer_knowledge(cx, name, asked_at_us, era.revision(after));
+        }
+        peer::Message::KnowledgeAnswer {
+            asked_at_us,
+            age_ms,
+            last_change,
+        } => apply_knowledge(cx, asked_at_us, age_ms, (era, last_change)),
+        peer::Message::Evacuations(records) => {
+            evacuations::apply_records(cx, (name, era), records);
+        }
+        peer::Message::ColdEndpoints(records) => {
+            cold_endpoints::apply_records(cx, (name, era), &records);
+        }
+    }
+}
+
+/// Handles a message about where streams began.
+fn handle_origins<D, S>(cx: &Rc<Context<D, S>>, name: &Arc<str>, message: peer::Message)
+where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    match message {
         peer::Message::StreamOrigins(origins) => origins::apply_origins(cx, &origins),
         peer::Message::StreamBeginnings(records) => origins::apply_beginnings(cx, &records),
         peer::Message::OriginClaim { id, beginning } => {
@@ -291,31 +347,8 @@
         peer::Message::OriginAnswer { id, version } => {
             origins::apply_answer(cx, name, id, version);
         }
-        peer::Message::Quarantine(update) => {
-            crash_evidence::apply_update(cx, name, update, &[]);
-        }
-        peer::Message::TimedQuarantine {
-            update,
-            sent_ages_ms,
-        } => crash_evidence::apply_update(cx, name, update, &sent_ages_ms),
-        peer::Message::EndpointLimits(records) => {
-            endpoint_limits::apply_records(cx, name, &records);
-        }
-        peer::Message::EndpointDepartures(records) => {
-            departures::apply_records(cx, name, &records);
-        }
-        peer::Message::KnowledgeQuery { asked_at_us, after } => {
-            answer_knowledge(cx, name, asked_at_us, after);
-        }
-        peer::Message::KnowledgeAnswer {
-            asked_at_us,
-            age_ms,
-            last_change,
-        } => apply_knowledge(cx, asked_at_us, age_ms, last_change),
-        peer::Message::Evacuations(records) => evacuations::apply_records(cx, name, records),
-        peer::Message::ColdEndpoints(records) => {
-            cold_endpoints::apply_records(cx, name, &records);
-        }
+        // All others are the caller's.
+        _ => {}
     }
 }
 
@@ -335,7 +368,7 @@
 fn apply_status<D, S>(
     cx: &Context<D, S>,
     sender: &Arc<str>,
-    version: peer::StateVersion,
+    version: KnownVersions,
     store: peer::StoreHealth,
     loads: Option<Vec<load::EndpointLoad>>,
 ) {
@@ -360,7 +393,7 @@
 /// Applies endpoint records of another host, with the software versions that it stated.
 fn apply_endpoints<D, S>(
     cx: &Context<D, S>,
-    complete: revision::Revision,
+    (era, complete): (revision::Era, revision::Revision),
     records: Vec<peer::EndpointRecord>,
     (versions, source): (
         &HashMap<directory::Identity, directory::SoftwareVersion>,
@@ -376,8 +409,10 @@
             endpoint.version = versions.get(&endpoint.identity).cloned();
             Arc::new(endpoint)
         });
-        any |= sync::apply_endpoint(cx, &record.key, record.revision, endpoint, source);
+        let revision = era.revision(record.revision);
+        any |= sync::apply_endpoint(cx, &record.key, revision, endpoint, source);
     }
+    let complete = era.revision(complete);
     cx.state.borrow_mut().directory.mark_complete(complete);
     if any {
         cx.publish();
@@ -389,7 +424,7 @@
     cx: &Context<D, S>,
     host: &Arc<str>,
     asked_at_us: u64,
-    after: revision::Revision,
+    after: revision::StoredRevision,
 ) {
     let state = cx.state.borrow();
     let Some(outbox) = state.outboxes.get(host) else {
@@ -412,18 +447,21 @@
     cx: &Context<D, S>,
     asked_at_us: u64,
     age_ms: u32,
-    last_change: revision::Revision,
+    (era, last_change): (revision::Era, revision::Revision),
 ) {
-    if cx.state.borrow().directory.complete_revision() < last_change {
+    let state = cx.state.borrow();
+    let is_of_earlier_era = era < state.eras.current();
+    if is_of_earlier_era || state.directory.complete_revision() < era.revision(last_change) {
         return;
     }
+    drop(state);
     let asked_at = time::Time::from_micros(asked_at_us).min(clock::now());
     let age = Duration::from_millis(u64::from(age_ms));
     cx.confirm_endpoints(directory::KnownUpTo::by_host(asked_at, age));
 }
 
 /// Sends a host the catalog and the endpoints that are newer than its own.
-fn send_updates<D, S>(cx: &Rc<Context<D, S>>, host: &Arc<str>, theirs: peer::StateVersion) {
+fn send_updates<D, S>(cx: &Rc<Context<D, S>>, host: &Arc<str>, theirs: KnownVersions) {
     let state = cx.state.borrow();
     let Some(outbox) = state.outboxes.get(host) else {
         return;
@@ -439,14 +477,16 @@
 fn newer_endpoints(
     state: &State,
     outbox: &Outbox,
-    after: revision::Revision,
+    after: revision::StoredRevision,
 ) -> SmallVec<[peer::Message; 2]> {
+    let era = state.eras.current();
     let newer = state.directory.newer_than(after);
     let records = newer.map(|(key, record)| peer::EndpointRecord {
         key: key.clone(),
-        revision: record.revision,
+        revision: record.revision.within(era),
         endpoint: record.endpoint.as_deref().cloned(),
     });
+    let not_complete = after.within(era);
     let mut messages = SmallVec::new();
     let mut chunk = Vec::new();
     let mut bytes = 0;
@@ -458,14 +498,14 @@
                 &mut messages,
                 has_versions,
                 std::mem::take(&mut chunk),
-                after,
+                not_complete,
             );
             bytes = 0;
         }
         bytes += size;
         chunk.push(record);
     }
-    let complete = state.directory.complete_revision_for(after);
+    let complete = state.directory.complete_revision_for(after).within(era);
     add_endpoints(&mut messages, has_versions, chunk, complete);
     messages
 }
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -19,6 +19,7 @@
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
+use pistachiochute_core::revision;
 use pistachiochute_messages::{frames, peer};
 use pistachiochute_runtime::{clock, metrics};
 
@@ -34,6 +35,8 @@
 pub(super) use flood::{flood, resend_to_behind};
 pub(super) use incoming::accept;
 pub use outbox::Outbox;
+#[cfg(test)]
+pub use outbox::Queued;
 
 /// Time in which a connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -166,6 +169,39 @@
     Ok(())
 }
 
+/// Sending end of an open link.
+struct LinkSender<'a, D, S> {
+    cx: &'a Context<D, S>,
+    name: &'a str,
+    tx: &'a mut h2::SendStream<Bytes>,
+    /// Whether the peer reads eras.
+    tells_eras: bool,
+    /// Era that the peer was last told.
+    told: Option<revision::Era>,
+}
+
+impl<D, S> LinkSender<'_, D, S> {
+    /// Sends a message that was made now.
+    fn send(&mut self, message: &peer::Message) -> eyre::Result<()> {
+        let era = self.cx.state.borrow().eras.named();
+        self.send_of_era(era, message)
+    }
+
+    /// Sends a message whose revisions are of an era.
+    fn send_of_era(
+        &mut self,
+        era: Option<revision::Era>,
+        message: &peer::Message,
+    ) -> eyre::Result<()> {
+        if let Some(era) = era.filter(|era| self.tells_eras && self.told != Some(*era)) {
+            self.told = Some(era);
+            let message = peer::Message::StoreEra(era);
+            send(self.cx, (self.name, self.tx), &message)?;
+        }
+        send(self.cx, (self.name, self.tx), message)
+    }
+}
+
 /// Sends status, requests and queued messages on a link until it is lost.
 async fn send_messages<D, S>(
     cx: &Rc<Context<D, S>>,
@@ -177,13 +213,21 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let (sender, mut outbox) = Outbox::new(features.clone());
+    let named_era = cx.state.borrow().named_era.clone();
+    let (sender, mut outbox) = Outbox::new(features.clone(), named_era);
     let mut catalogs = CatalogSender::new(sender.catalog_wanted(), cx.catalog_turns.clone());
     cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
     let snapshot = flood::snapshot(&cx.state.borrow(), clock::now());
     let is_sent = |message: &&peer::Message| outbox::is_sent(message, &features);
+    let mut link = LinkSender {
+        cx,
+        name,
+        tx,
+        tells_eras: features.contains(&peer::Feature::StoreEras),
+        told: None,
+    };
     for message in snapshot.iter().filter(is_sent) {
-        send(cx, (name, tx), message)?;
+        link.send(message)?;
     }
     // Useful, but no host is less safe without them: they come bit by bit, behind all else that is due.
     let mut cached_parts = cx.state.borrow().cached_parts(clock::now());
@@ -194,38 +238,38 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            message = outbox.recv() => {
-                let Some(message) = message else { return Ok(()) };
-                send(cx, (name, tx), &message)?;
+            queued = outbox.recv() => {
+                let Some(queued) = queued else { return Ok(()) };
+                link.send_of_era(queued.era, &queued.message)?;
                 continue;
             }
             turn = catalogs.turn() => {
-                catalogs.send(cx, (name, tx), turn).await?;
+                catalogs.send(cx, (name, link.tx), turn).await?;
                 continue;
             }
             _ = ticks.tick() => {}
         }
         if let Some(status) = sent.due_status(cx) {
-            send(cx, (name, tx), &status)?;
+            link.send(&status)?;
         }
         if let Some(loads) = sent.due_relayed_loads(cx, name) {
-            send(cx, (name, tx), &loads)?;
+            link.send(&loads)?;
         }
         if let Some(want) = catch_up.due_request(cx, name) {
-            send(cx, (name, tx), &peer::Message::Want(want))?;
+            link.send(&peer::Message::Want(want))?;
         }
         if features.contains(&peer::Feature::EndpointKnowledge)
             && let Some(query) = queries.due(cx, name)
         {
-            send(cx, (name, tx), &query)?;
+            link.send(&query)?;
         }
         if !cached_parts.is_empty() {
             let left = cached_parts.len().saturating_sub(PARTS_AT_ONCE);
             let parts = cached_parts.split_off(left);
-            send(cx, (name, tx), &peer::Message::Holdings(parts))?;
+            link.send(&peer::Message::Holdings(parts))?;
         }
         // Detects a reset stream even if there was nothing to send.
-        if is_reset(tx) {
+        if is_reset(link.tx) {
             eyre::bail!("stream was reset");
         }
     }
--- a/crates/gateway/src/control/links/outbox.rs
+++ b/crates/gateway/src/control/links/outbox.rs
@@ -1,7 +1,9 @@
 //! Queue of messages for the host at the other end of a link.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
+use pistachiochute_core::revision;
 use pistachiochute_messages::peer;
 use smallvec::SmallVec;
 use tokio::sync::{Notify, mpsc};
@@ -19,10 +21,21 @@
     can_read && !message.replaced_by().is_some_and(is_announced)
 }
 
+/// A message, and the era of the store that its revisions belong to.
+#[derive(Clone, Debug)]
+pub struct Queued {
+    /// The era, if one was known when the message was made.
+    pub era: Option<revision::Era>,
+    /// The message.
+    pub message: peer::Message,
+}
+
 /// Sending end of the queue. Takes only messages that the other host can read.
 #[derive(Clone, Debug)]
 pub struct Outbox {
-    tx: mpsc::Sender<peer::Message>,
+    tx: mpsc::Sender<Queued>,
+    /// The present era.
+    era: Rc<Cell<Option<revision::Era>>>,
     features: Features,
     /// Wakes the task of the link when the other host has asked for the catalog.
     catalog_wanted: Rc<Notify>,
@@ -31,10 +44,14 @@
 impl Outbox {
     /// Creates the queue of a link whose peer announced these features.
     #[must_use]
-    pub fn new(features: Features) -> (Self, mpsc::Receiver<peer::Message>) {
+    pub fn new(
+        features: Features,
+        era: Rc<Cell<Option<revision::Era>>>,
+    ) -> (Self, mpsc::Receiver<Queued>) {
         let (tx, rx) = mpsc::channel(CAPACITY);
         let outbox = Self {
             tx,
+            era,
             features,
             catalog_wanted: Rc::default(),
         };
@@ -73,6 +90,7 @@
     /// Queues a message. Returns false if the other host cannot read it, the link is lost, or the
     /// queue is full.
     pub fn try_send(&self, message: peer::Message) -> bool {
-        self.takes(&message) && self.tx.try_send(message).is_ok()
+        let era = self.era.get();
+        self.takes(&message) && self.tx.try_send(Queued { era, message }).is_ok()
     }
 }
--- a/crates/gateway/src/control/links/outgoing.rs
+++ b/crates/gateway/src/control/links/outgoing.rs
@@ -11,6 +11,7 @@
 
 use crate::adapter;
 use crate::control::Context;
+use crate::control::state::KnownVersions;
 
 /// Longest time between two status messages on a link.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -28,7 +29,7 @@
 /// State last sent on a link.
 #[derive(Default)]
 pub(super) struct SentState {
-    version: Option<peer::StateVersion>,
+    version: Option<KnownVersions>,
     loads: Arc<Vec<load::EndpointLoad>>,
     sent_at: time::Time,
     last_relayed: Vec<load::EndpointLoad>,
@@ -54,7 +55,7 @@
         self.loads = loads;
         self.sent_at = now;
         Some(peer::Message::Status {
-            known: version,
+            known: version.to_message(cx.state.borrow().eras.current()),
             store: cx.store_health(now),
             loads: changed,
         })
@@ -112,7 +113,7 @@
         self.last = now;
         Some(peer::Message::KnowledgeQuery {
             asked_at_us: now.as_micros(),
-            after: state.known_revision(),
+            after: state.known_revision().within(state.eras.current()),
         })
     }
 }
@@ -157,6 +158,6 @@
             }
         }
         self.last_request = now;
-        Some(want)
+        Some(want.to_message(state.eras.current()))
     }
 }
--- a/crates/gateway/src/control/listing.rs
+++ b/crates/gateway/src/control/listing.rs
@@ -22,25 +22,33 @@
 ///
 /// # Errors
 ///
-/// A page cannot be read, or does not go on: the next one begins where an earlier one began. What was
-/// visited before is then no complete list.
+/// A page cannot be read, does not go on, since the next one begins where an earlier one began, or is of
+/// another era than the first one. What was visited before is then no complete list.
 pub(super) async fn read_all<D, S, F>(
     cx: &Context<D, S>,
     prefix: &str,
     consistency: adapter::Consistency,
     mut visit: F,
-) -> Result<revision::Revision, key_value::Error>
+) -> Result<revision::StoredRevision, key_value::Error>
 where
     S: adapter::Store,
-    F: FnMut(key_value::Entry),
+    F: FnMut(revision::Era, key_value::Entry),
 {
     let first = cx.store.read_page(prefix, None, consistency).await?;
-    let revision = first.revision;
+    let era = first.era;
+    let revision = era.revision(first.revision);
     let mut starts = HashSet::new();
     let mut next = visit_page(cx, first, &mut visit);
     while let Some(start) = next {
-        let page = cx.store.read_page(prefix, Some(&start), consistency).await;
-        next = visit_page(cx, page?, &mut visit);
+        let page = cx
+            .store
+            .read_page(prefix, Some(&start), consistency)
+            .await?;
+        if page.era != era {
+            let reason = format!("the era changed from {era} to {} within a list", page.era);
+            return Err(key_value::Error::unknown(reason));
+        }
+        next = visit_page(cx, page, &mut visit);
         starts.insert(start);
         if let Some(repeated) = next.as_ref().filter(|next| starts.contains(*next)) {
             let reason = format!("the list does not go on after {repeated:?}");
@@ -57,12 +65,14 @@
     visit: &mut F,
 ) -> Option<adapter::PageStart>
 where
-    F: FnMut(key_value::Entry),
+    F: FnMut(revision::Era, key_value::Entry),
 {
     for item in &page.unreadable {
         cx.events.item_unreadable(item);
     }
-    page.entries.into_iter().for_each(visit);
+    for entry in page.entries {
+        visit(page.era, entry);
+    }
     page.next
 }
 
@@ -88,7 +98,7 @@
 /// The entry of an endpoint in a list: its key, its revision, and the endpoint if it names one.
 pub(super) type ListedEndpoint = (
     Arc<str>,
-    revision::Revision,
+    revision::StoredRevision,
     Option<Arc<directory::Endpoint>>,
 );
 
@@ -100,7 +110,7 @@
     /// Entries of endpoints.
     pub(super) endpoints: Vec<ListedEndpoint>,
     /// Evacuated domains, and the revisions of their entries.
-    pub(super) evacuated: Vec<(Arc<str>, revision::Revision)>,
+    pub(super) evacuated: Vec<(Arc<str>, revision::StoredRevision)>,
     /// Entries of hosts.
     pub(super) hosts: Vec<host_registry::ListedHost>,
     /// What earlier hosts have left.
@@ -118,8 +128,12 @@
 
 impl Listing {
     /// Adds what an entry says, whatever it is.
-    pub(super) fn add<D, S>(&mut self, cx: &Context<D, S>, entry: &key_value::Entry)
-    where
+    pub(super) fn add<D, S>(
+        &mut self,
+        cx: &Context<D, S>,
+        era: revision::Era,
+        entry: &key_value::Entry,
+    ) where
         D: adapter::Dialect,
         S: adapter::Store,
     {
@@ -132,9 +146,10 @@
         } else if key.starts_with(cx.dialect.endpoints_prefix().as_bytes()) {
             let endpoint = sync::decode_endpoint(cx, entry);
             let key = sync::key_text(key);
-            self.endpoints.push((key, entry.modified, endpoint));
+            let revision = era.revision(entry.modified);
+            self.endpoints.push((key, revision, endpoint));
         } else if let Some(domain) = evacuations::domain(cx, key) {
-            self.evacuated.push((domain, entry.modified));
+            self.evacuated.push((domain, era.revision(entry.modified)));
         } else if let Some(host) = host_registry::decode(cx, entry) {
             self.hosts.push(host);
         } else if !cx.legacy_adopted.get() {
--- a/crates/gateway/src/control/metered_store.rs
+++ b/crates/gateway/src/control/metered_store.rs
@@ -26,6 +26,10 @@
 where
     S: adapter::Store,
 {
+    fn era(&self) -> Option<revision::Era> {
+        self.inner.era()
+    }
+
     async fn read_page(
         &self,
         prefix: &str,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -47,6 +47,10 @@
 /// Key prefix of the store entries of hosts.
 const HOSTS_PREFIX: &str = "hosts/";
 
+/// Longest time from the return of the store to the renewal that shows whether it has lost the lease of this
+/// host. Hosts renew at different moments.
+const MAX_LEASE_CHECK_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Interval of periodic work.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -83,6 +87,12 @@
     catalog_frame: RefCell<Option<links::CatalogFrame>>,
     /// Whether what earlier hosts have left in the store was adopted.
     legacy_adopted: Cell<bool>,
+    /// Whether a host that follows a relay must read the endpoints, whatever the relay says.
+    is_reread_due: Cell<bool>,
+    /// When the entries are to be read again, after the store has come back from a copy.
+    reread_at: Cell<Option<time::Time>>,
+    /// When this host is to see whether the store has lost its lease.
+    lease_check_at: Cell<Option<time::Time>>,
     /// When this host started.
     started: time::Time,
     /// Longest uptime that another host stated when it opened its link.
@@ -127,6 +137,9 @@
         catalog_turns: Arc::new(Semaphore::new(catalog_turns)),
         catalog_frame: RefCell::new(None),
         legacy_adopted: Cell::new(false),
+        is_reread_due: Cell::new(false),
+        reread_at: Cell::new(None),
+        lease_check_at: Cell::new(None),
         started: clock::now(),
         max_peer_uptime: Cell::new(Duration::ZERO),
     });
@@ -161,6 +174,49 @@
 }
 
 impl<D, S> Context<D, S> {
+    /// Records an era that the store or another host names. If the store has come back from a copy since, what it
+    /// had acknowledged may be gone: the entries are read again now, unless they have been, and once more when all
+    /// others have written again; and what this host had written is written again.
+    fn note_era(&self, era: revision::Era, reread: sync::Reread) {
+        // A store that names no era has none that others could have learned.
+        if era == revision::Era::default() {
+            return;
+        }
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let is_restoration = state.eras.learn(era, now);
+        state.named_era.set(state.eras.named());
+        if !is_restoration {
+            return;
+        }
+        state.directory.record_restoration(now);
+        drop(state);
+        self.events.store_restored(era);
+        self.metrics.decided(metrics::Decision::StoreRestored);
+        let all_written = now + directory::RENEWAL_GRACE;
+        self.reread_at.set(Some(match reread {
+            sync::Reread::Due => now,
+            sync::Reread::Done => all_written,
+        }));
+        let delay = MAX_LEASE_CHECK_DELAY.mul_f64(rand::random());
+        self.lease_check_at.set(Some(now + delay));
+    }
+
+    /// Does what is due after the store has come back from a copy.
+    fn tick_restoration(&self, now: time::Time) {
+        if self.reread_at.get().is_some_and(|at| at <= now) {
+            let is_restoring = self.state.borrow().eras.is_restoring(now);
+            let again_at = now + directory::RENEWAL_GRACE;
+            self.reread_at.set(is_restoring.then_some(again_at));
+            self.is_reread_due.set(true);
+            self.store_suspect.notify_one();
+        }
+        if self.lease_check_at.get().is_some_and(|at| at <= now) {
+            self.lease_check_at.set(None);
+            self.registration.borrow_mut().record_doubt();
+        }
+    }
+
     /// Records up to when all changes of the endpoints are known.
     fn confirm_endpoints(&self, known: directory::KnownUpTo) {
         let mut state = self.state.borrow_mut();
@@ -289,7 +345,7 @@
     }
 
     /// Version of this host's catalog and endpoints.
-    fn state_version(&self) -> peer::StateVersion {
+    fn state_version(&self) -> state::KnownVersions {
         self.state.borrow().state_version()
     }
 
@@ -305,7 +361,7 @@
     fn log_endpoint(
         &self,
         key: &str,
-        revision: revision::Revision,
+        revision: revision::StoredRevision,
         endpoint: Option<&directory::Endpoint>,
         source: &events::Source,
     ) {
@@ -326,6 +382,10 @@
         let mut pulse = self.pulse.get();
         pulse.beat(now);
         self.pulse.set(pulse);
+        if let Some(era) = adapter::Store::era(&self.store) {
+            self.note_era(era, sync::Reread::Due);
+        }
+        self.tick_restoration(now);
         let expired = self.state.borrow_mut().directory.tick(now);
         self.state.borrow_mut().hosts.tick(now);
         for removal in &expired {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,7 +1,9 @@
 //! State of the control thread.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap};
 use std::net;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,11 +43,40 @@
     pub domain: String,
 }
 
+/// Versions of the catalog and of the endpoints that a host has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownVersions {
+    /// Version of the catalog, or `None` if it has none.
+    pub catalog: Option<catalog::Version>,
+    /// Revision up to which it has all changes of the endpoints in use.
+    pub endpoints: revision::StoredRevision,
+}
+
+impl KnownVersions {
+    /// The versions that a host states in an era.
+    #[must_use]
+    pub fn from_message(version: peer::StateVersion, era: revision::Era) -> Self {
+        Self {
+            catalog: version.catalog,
+            endpoints: era.revision(version.endpoints),
+        }
+    }
+
+    /// The versions as they are stated in an era.
+    #[must_use]
+    pub fn to_message(self, era: revision::Era) -> peer::StateVersion {
+        peer::StateVersion {
+            catalog: self.catalog,
+            endpoints: self.endpoints.within(era),
+        }
+    }
+}
+
 /// Last status of another host.
 #[derive(Clone, Debug, Default)]
 pub struct PeerStatus {
     /// Version of its catalog and endpoints.
-    pub version: peer::StateVersion,
+    pub version: KnownVersions,
     /// Health of its connection to the store.
     pub store: peer::StoreHealth,
     /// When the status arrived.
@@ -61,6 +92,10 @@
     pub catalog: catalog::CurrentCatalog,
     /// Endpoints.
     pub directory: directory::Directory,
+    /// Eras of the store.
+    pub eras: directory::Eras,
+    /// The last of them, which all outboxes share.
+    pub named_era: Rc<Cell<Option<revision::Era>>>,
     /// Up to when all changes of the endpoints are known.
     pub known_up_to: directory::KnownUpTo,
     /// Hosts of the fleet.
@@ -108,6 +143,8 @@
             name,
             catalog: catalog::CurrentCatalog::default(),
             directory: directory::Directory::default(),
+            eras: directory::Eras::default(),
+            named_era: Rc::default(),
             known_up_to: directory::KnownUpTo::default(),
             hosts: roster::Roster::default(),
             peers: HashMap::new(),
@@ -206,8 +243,8 @@
 
     /// Version of this host's catalog and endpoints, as its peers are sent it.
     #[must_use]
-    pub fn state_version(&self) -> peer::StateVersion {
-        peer::StateVersion {
+    pub fn state_version(&self) -> KnownVersions {
+        KnownVersions {
             catalog: self.catalog.version(),
             endpoints: self.directory.last_change(),
         }
@@ -216,8 +253,8 @@
     /// Version after which to request changes from a host at version `theirs`, or `None` if this
     /// host is not behind.
     #[must_use]
-    pub fn catch_up_request(&self, theirs: peer::StateVersion) -> Option<peer::StateVersion> {
-        let own = peer::StateVersion {
+    pub fn catch_up_request(&self, theirs: KnownVersions) -> Option<KnownVersions> {
+        let own = KnownVersions {
             catalog: self.catalog.version(),
             endpoints: self.directory.complete_revision(),
         };
@@ -259,7 +296,7 @@
     pub fn record_status(
         &mut self,
         host: &Arc<str>,
-        version: peer::StateVersion,
+        version: KnownVersions,
         store: peer::StoreHealth,
         now: time::Time,
     ) {
@@ -330,24 +367,25 @@
     }
 
     /// What another host is told that asks up to when this one knows the endpoints, or `None` if this host is
-    /// in doubt itself.
+    /// in doubt itself, or has not read the endpoints in the present era of the store.
     #[must_use]
     pub fn knowledge_answer(&self, asked_at_us: u64, now: time::Time) -> Option<peer::Message> {
-        if self.directory.is_in_doubt() {
+        let era = self.eras.current();
+        if self.directory.is_in_doubt() || self.directory.complete_revision().era() != era {
             return None;
         }
         let age = self.known_up_to.age(now).as_millis().saturating_add(1);
         Some(peer::Message::KnowledgeAnswer {
             asked_at_us,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            last_change: self.directory.last_change(),
+            last_change: self.directory.last_change().within(era),
         })
     }
 
     /// Revision after which another host is asked for changes of the endpoints. A host in doubt asks for
     /// what may end the doubt.
     #[must_use]
-    pub fn known_revision(&self) -> revision::Revision {
+    pub fn known_revision(&self) -> revision::StoredRevision {
         match self.overlay.follows_relay() {
             true => self.directory.complete_revision_for_peers(),
             false => self.directory.complete_revision(),
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -77,8 +77,14 @@
     let mut written: u64 = 0;
     let mut slot: u32 = 0;
     let mut only_versions = None;
+    let mut era = cx.state.borrow().eras.current();
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
+        let current = cx.state.borrow().eras.current();
+        if std::mem::replace(&mut era, current) != current {
+            // The store may have lost all of it.
+            (lease, written, only_versions) = (None, 0, None);
+        }
         write_only_versions(&cx, &mut only_versions).await;
         let batch = next_batch(&cx.state.borrow(), written, clock::now());
         if batch.origins.is_empty() {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -19,6 +19,15 @@
 /// Key prefix of all entries.
 const ALL_ENTRIES: &str = "";
 
+/// Whether the entries must be read again after an era was learned of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reread {
+    /// They must.
+    Due,
+    /// They have just been read, in that era.
+    Done,
+}
+
 /// Name of the sync in the log.
 const SYNC_NAME: &str = "all entries";
 
@@ -132,7 +141,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Progress {
     /// Revision after which to watch for changes.
-    after: revision::Revision,
+    after: revision::StoredRevision,
     /// When the store had no later changes yet.
     known_at: time::Time,
 }
@@ -145,9 +154,10 @@
 {
     let requested_at = clock::now();
     let mut listing = listing::Listing::default();
-    let visit = |entry| listing.add(cx, &entry);
+    let visit = |era, entry| listing.add(cx, era, &entry);
     let consistency = adapter::Consistency::Linearizable;
     let revision = listing::read_all(cx, ALL_ENTRIES, consistency, visit).await?;
+    note_era_of_list(cx, revision)?;
     cx.record_store_call(true, "");
     if let Some(catalog) = listing.catalog {
         apply_catalog(cx, catalog);
@@ -168,6 +178,28 @@
     })
 }
 
+/// Records the era of a list, before what the list says is applied.
+///
+/// # Errors
+///
+/// The list is of an earlier era.
+fn note_era_of_list<D, S>(
+    cx: &Context<D, S>,
+    revision: revision::StoredRevision,
+) -> Result<(), key_value::Error> {
+    // A store without any entry has no revision, and nothing to apply either.
+    let era = revision.era();
+    let current = cx.state.borrow().eras.current();
+    if revision != revision::StoredRevision::NONE && era < current {
+        let reason = format!("a list of {era}, it is {current}");
+        return Err(key_value::Error::unknown(reason));
+    }
+    if revision != revision::StoredRevision::NONE {
+        cx.note_era(era, Reread::Done);
+    }
+    Ok(())
+}
+
 /// Why a watch ended.
 enum WatchEnd {
     /// A relay supplies the changes.
@@ -196,7 +228,13 @@
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
+            // What has happened between the two eras is in none of them.
+            Ok(adapter::WatchResponse::Changes { era, .. }) if era != progress.after.era() => {
+                cx.note_era(era, Reread::Due);
+                return WatchEnd::Reread;
+            }
             Ok(adapter::WatchResponse::Changes {
+                era,
                 revision,
                 changes,
                 unreadable,
@@ -204,7 +242,7 @@
                 for item in &unreadable {
                     cx.events.item_unreadable(item);
                 }
-                (revision, changes)
+                (era.revision(revision), changes)
             }
             Ok(adapter::WatchResponse::Compacted) => {
                 cx.record_store_call(true, "");
@@ -230,13 +268,14 @@
 /// too, so that one that hears nothing for longer has lost its connection.
 async fn watch_once<D, S>(
     cx: &Context<D, S>,
-    after: revision::Revision,
+    after: revision::StoredRevision,
     wait: Duration,
 ) -> Result<adapter::WatchResponse, key_value::Error>
 where
     D: adapter::Dialect,
     S: adapter::Store,
 {
+    let after = after.within(after.era());
     let watch = cx.store.watch(ALL_ENTRIES, after, wait);
     let watched = tokio::time::timeout(cx.settings.drain.watch_silence(), watch).await;
     watched.unwrap_or_else(|_| Err(key_value::Error::unknown("a silent watch".to_owned())))
@@ -253,12 +292,16 @@
     loop {
         tokio::time::sleep(KNOWLEDGE_POLL_INTERVAL).await;
         let age = cx.state.borrow().known_up_to.age(clock::now());
-        if age < cx.settings.drain.read_after() || !cx.has_live_relay() {
+        let is_due = age >= cx.settings.drain.read_after() || cx.is_reread_due.get();
+        if !is_due || !cx.has_live_relay() {
             continue;
         }
         cx.events.endpoints_not_known(age);
         match read_endpoints(&cx).await {
-            Ok(()) => failures = 0,
+            Ok(()) => {
+                failures = 0;
+                cx.is_reread_due.set(false);
+            }
             Err(e) => {
                 cx.events.sync_failed(cx.dialect.endpoints_prefix(), &e);
                 back_off(failures).await;
@@ -277,13 +320,15 @@
     let asked_at = clock::now();
     let consistency = adapter::Consistency::Linearizable;
     let mut endpoints = Vec::new();
-    let visit = |entry: key_value::Entry| {
+    let visit = |era: revision::Era, entry: key_value::Entry| {
         let endpoint = decode_endpoint(cx, &entry);
-        endpoints.push((key_text(&entry.key), entry.modified, endpoint));
+        let revision = era.revision(entry.modified);
+        endpoints.push((key_text(&entry.key), revision, endpoint));
     };
     let read = listing::read_all(cx, cx.dialect.endpoints_prefix(), consistency, visit);
     let read = tokio::time::timeout(cx.settings.drain.read_timeout(), read).await;
     let revision = read.map_err(|_| key_value::Error::unknown("a late answer".to_owned()))??;
+    note_era_of_list(cx, revision)?;
     cx.record_store_response();
     replace_endpoints(cx, endpoints, revision);
     cx.confirm_endpoints(directory::KnownUpTo::by_store(asked_at));
@@ -368,7 +413,7 @@
 fn replace_endpoints<D, S>(
     cx: &Context<D, S>,
     entries: Vec<listing::ListedEndpoint>,
-    revision: revision::Revision,
+    revision: revision::StoredRevision,
 ) where
     D: adapter::Dialect,
     S: adapter::Store,
@@ -411,7 +456,7 @@
 fn apply_changes<D, S>(
     cx: &Context<D, S>,
     changes: &[key_value::Change],
-    revision: revision::Revision,
+    revision: revision::StoredRevision,
     (known_at, known): (time::Time, directory::KnownUpTo),
 ) where
     D: adapter::Dialect,
@@ -423,7 +468,7 @@
         }
     }
     cx.shared.confirm_catalog(clock::now());
-    evacuations::apply_changes(cx, changes);
+    evacuations::apply_changes(cx, revision.era(), changes);
     apply_endpoint_changes(cx, changes, revision, known_at);
     cx.confirm_endpoints(known);
     host_registry::apply_changes(cx, changes);
@@ -434,7 +479,7 @@
 fn apply_endpoint_changes<D, S>(
     cx: &Context<D, S>,
     changes: &[key_value::Change],
-    revision: revision::Revision,
+    revision: revision::StoredRevision,
     known_at: time::Time,
 ) where
     D: adapter::Dialect,
@@ -443,6 +488,7 @@
     let prefix = cx.dialect.endpoints_prefix().as_bytes();
     let mut any = false;
     for change in changes.iter().filter(|c| c.key().starts_with(prefix)) {
+        let changed_at = revision.era().revision(change.revision());
         let (key, endpoint) = match change {
             key_value::Change::Put(entry) => (&entry.key, decode_endpoint(cx, entry)),
             key_value::Change::Deleted { key, .. } => (key, None),
@@ -451,10 +497,10 @@
             record_write(cx, endpoint, known_at);
         }
         if let Some(endpoint) = &endpoint {
-            cold_endpoints::apply_entries(cx, [(&**endpoint, change.revision())]);
+            cold_endpoints::apply_entries(cx, [(&**endpoint, changed_at)]);
         }
         let source = events::Source::Store;
-        any |= apply_endpoint(cx, &key_text(key), change.revision(), endpoint, &source);
+        any |= apply_endpoint(cx, &key_text(key), changed_at, endpoint, &source);
     }
     cx.state.borrow_mut().directory.mark_complete(revision);
     if any {
@@ -477,7 +523,7 @@
 pub(super) fn apply_endpoint<D, S>(
     cx: &Context<D, S>,
     key: &Arc<str>,
-    revision: revision::Revision,
+    revision: revision::StoredRevision,
     endpoint: Option<Arc<directory::Endpoint>>,
     source: &events::Source,
 ) -> bool
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -2,6 +2,7 @@
 //! what links may make a host hold.
 
 mod catalogs;
+mod eras;
 mod followed_relay;
 mod large_messages;
 mod linked_host;
@@ -54,7 +55,8 @@
             peer.features.as_deref(),
             Some(
                 "stream-versions,quarantine,endpoint-limits,endpoint-departures,crash-times,\
-                 evacuations,cold-endpoints,stream-beginnings,endpoint-knowledge"
+                 evacuations,cold-endpoints,stream-beginnings,endpoint-knowledge,\
+                 store-eras"
             )
         );
         provoke(&shared, &mut peer);
--- a/crates/gateway/src/control/tests/catalogs.rs
+++ b/crates/gateway/src/control/tests/catalogs.rs
@@ -11,8 +11,8 @@
 use pistachiochute_messages::peer;
 
 use super::linked_host::{self, Peer, run};
-use crate::control::links::{Outbox, catalog_turns};
-use crate::control::state::State;
+use crate::control::links::{Outbox, Queued, catalog_turns};
+use crate::control::state::{KnownVersions, State};
 use crate::settings;
 
 const NOW: time::Time = time::Time::from_secs(100);
@@ -58,14 +58,14 @@
 }
 
 /// A host that follows two relays, and its relays' links.
-fn member() -> (State, Vec<tokio::sync::mpsc::Receiver<peer::Message>>) {
+fn member() -> (State, Vec<tokio::sync::mpsc::Receiver<Queued>>) {
     let history = streams::VersionHistory::new(true, NOW);
     let mut state = State::new("m".into(), "dom-a".to_owned(), history);
     state.overlay.role = overlay::Role::Member;
     state.overlay.relays = ["a".into(), "b".into()].into_iter().collect();
     let mut links = Vec::new();
     for relay in ["b", "a"] {
-        let (outbox, rx) = Outbox::new([].into_iter().collect());
+        let (outbox, rx) = Outbox::new([].into_iter().collect(), Rc::default());
         state.outboxes.insert(relay.into(), outbox);
         links.push(rx);
     }
@@ -75,9 +75,9 @@
 /// Lets the relays state that they have the catalog of a version.
 fn state_version(state: &mut State, relays: &[&str], version: u64, now: time::Time) {
     for relay in relays {
-        let known = peer::StateVersion {
+        let known = KnownVersions {
             catalog: Some(catalog::Version(version)),
-            endpoints: revision::Revision(1),
+            endpoints: revision::Era::default().revision(revision::Revision(1)),
         };
         state.record_status(&Arc::from(*relay), known, peer::StoreHealth::default(), now);
     }
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -194,6 +194,10 @@
 }
 
 impl adapter::Store for Store {
+    fn era(&self) -> Option<revision::Era> {
+        None
+    }
+
     async fn read_page(
         &self,
         prefix: &str,
@@ -207,6 +211,7 @@
         });
         if let Some(entry) = self.foreign.get(page) {
             return Ok(adapter::Page {
+                era: revision::Era::default(),
                 revision: self.revision(),
                 entries: vec![entry.clone()],
                 unreadable: Vec::new(),
@@ -223,6 +228,7 @@
         }
         entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
         Ok(adapter::Page {
+            era: revision::Era::default(),
             revision: self.revision(),
             entries,
             unreadable: Vec::new(),
@@ -238,6 +244,7 @@
     ) -> Result<adapter::WatchResponse, key_value::Error> {
         tokio::time::sleep(Duration::from_millis(50)).await;
         Ok(adapter::WatchResponse::Changes {
+            era: revision::Era::default(),
             revision: self.revision(),
             changes: Vec::new(),
             unreadable: Vec::new(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -112,7 +112,7 @@
     }
 
     /// The store has compacted the changes after a revision, so that all entries are read again.
-    pub fn watch_compacted(&self, prefix: &str, after: revision::Revision) {
+    pub fn watch_compacted(&self, prefix: &str, after: revision::StoredRevision) {
         slog::info!(self.log, "watch history compacted"; "prefix" => prefix, "after" => %after);
     }
 
@@ -121,6 +121,11 @@
         slog::info!(self.log, "store sync failed"; "what" => what, "cause" => %e);
     }
 
+    /// The store has come back from a copy of an earlier time.
+    pub fn store_restored(&self, era: revision::Era) {
+        slog::warn!(self.log, "store restored"; "era" => %era);
+    }
+
     /// A store entry cannot be decoded.
     pub fn entry_invalid(&self, key: &[u8], revision: revision::Revision, e: &eyre::Report) {
         let key = String::from_utf8_lossy(key).into_owned();
@@ -146,7 +151,7 @@
     }
 
     /// The entries of all endpoints were read.
-    pub fn endpoints_listed(&self, entries: usize, revision: revision::Revision) {
+    pub fn endpoints_listed(&self, entries: usize, revision: revision::StoredRevision) {
         slog::info!(self.log, "endpoints listed"; "entries" => entries, "revision" => %revision);
     }
 
@@ -173,7 +178,7 @@
 
     /// The entry of an endpoint was removed, perhaps by an outage of the store, and the endpoint stays in
     /// use.
-    pub fn endpoint_in_doubt(&self, key: &str, revision: revision::Revision) {
+    pub fn endpoint_in_doubt(&self, key: &str, revision: revision::StoredRevision) {
         slog::info!(self.log, "endpoint in doubt"; "key" => key, "revision" => %revision);
     }
 
@@ -464,7 +469,7 @@
         };
         slog::info!(
             self.log, "{}", text;
-            "domain" => &*evacuation.domain, "revision" => evacuation.revision.0,
+            "domain" => &*evacuation.domain, "revision" => %evacuation.revision,
             "source" => %source,
         );
     }
--- a/crates/gateway/src/events/entry.rs
+++ b/crates/gateway/src/events/entry.rs
@@ -43,7 +43,7 @@
     /// Key of the entry.
     pub key: &'a str,
     /// Revision at which the store changed it.
-    pub revision: revision::Revision,
+    pub revision: revision::StoredRevision,
     /// The endpoint, or `None` if the entry was removed or cannot be used.
     pub endpoint: Option<&'a directory::Endpoint>,
     /// Where the change came from.
--- a/crates/messages/src/frames.rs
+++ b/crates/messages/src/frames.rs
@@ -82,7 +82,8 @@
         | Message::TimedQuarantine { .. }
         | Message::OriginClaim { .. }
         | Message::KnowledgeQuery { .. }
-        | Message::KnowledgeAnswer { .. } => None,
+        | Message::KnowledgeAnswer { .. }
+        | Message::StoreEra(_) => None,
     }
 }
 
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -96,11 +96,13 @@
     StreamBeginnings,
     /// Questions for what a host knows of the endpoints, and their answers.
     EndpointKnowledge,
+    /// Eras of the store.
+    StoreEras,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::StreamVersions,
         Self::Quarantine,
         Self::EndpointLimits,
@@ -110,6 +112,7 @@
         Self::ColdEndpoints,
         Self::StreamBeginnings,
         Self::EndpointKnowledge,
+        Self::StoreEras,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -125,6 +128,7 @@
             Self::ColdEndpoints => "cold-endpoints",
             Self::StreamBeginnings => "stream-beginnings",
             Self::EndpointKnowledge => "endpoint-knowledge",
+            Self::StoreEras => "store-eras",
         }
     }
 
@@ -345,6 +349,9 @@
         /// Revision of the last change of the endpoints in use that the sender knew then.
         last_change: revision::Revision,
     },
+    /// Era of the store to which the revisions in the following messages of the sender belong. One of an earlier
+    /// era stands in them as none.
+    StoreEra(revision::Era),
 }
 
 impl Message {
@@ -373,6 +380,7 @@
             Self::KnowledgeQuery { .. } | Self::KnowledgeAnswer { .. } => {
                 Some(Feature::EndpointKnowledge)
             }
+            Self::StoreEra(_) => Some(Feature::StoreEras),
         }
     }
 
@@ -401,6 +409,7 @@
             Self::OriginClaim { .. } => "origin_claim",
             Self::KnowledgeQuery { .. } => "knowledge_query",
             Self::KnowledgeAnswer { .. } => "knowledge_answer",
+            Self::StoreEra(_) => "store_era",
         }
     }
 
--- a/crates/runtime/src/metrics/decisions.rs
+++ b/crates/runtime/src/metrics/decisions.rs
@@ -29,6 +29,8 @@
     EndpointCold,
     /// A connection to the address of the links was closed: too many are open, or it began nothing.
     LinkRefused,
+    /// The store came back from a copy of an earlier time.
+    StoreRestored,
     /// A message to another host was too large for the link, and was left out.
     LinkMessageDropped,
     /// A connection to the address of health checks or metrics was closed to make room for another.
@@ -65,7 +67,7 @@
 
 impl Decision {
     /// Every decision.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::DatagramDropped,
         Self::PermitAsked,
         Self::PermitGranted,
@@ -79,6 +81,7 @@
         Self::DomainReturned,
         Self::EndpointCold,
         Self::LinkRefused,
+        Self::StoreRestored,
         Self::LinkMessageDropped,
         Self::AdminConnectionClosed,
         Self::SlotGranted,
@@ -114,6 +117,7 @@
             Self::DomainReturned => "domain_returned",
             Self::EndpointCold => "endpoint_cold",
             Self::LinkRefused => "link_refused",
+            Self::StoreRestored => "store_restored",
             Self::LinkMessageDropped => "link_message_dropped",
             Self::AdminConnectionClosed => "admin_connection_closed",
             Self::SlotGranted => "slot_granted",
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, Instant};
 
 use pistachiochute_standins::platform::endpoint::Behaviour;
-use pistachiochute_standins::platform::store::Mode;
+use pistachiochute_standins::platform::store::{Copy, Mode};
 use pistachiochute_standins::relay::Relay;
 use rustix::process::Signal;
 
-use super::{CUT_OFF_HOST, Ending, FAULTY_ENDPOINTS, GOOD, Served, World};
+use super::{
+    COPY_INTERVAL, CUT_OFF_HOST, Ending, FAULTY_ENDPOINTS, GOOD, MAX_COPIES, Served, World,
+};
 use crate::checks::{Disturbance, Disturbed, EVENTS, RESTART};
 use crate::foreign::ForeignEntry;
 use crate::process::Host;
@@ -103,6 +105,11 @@
                 self.store.compact_history();
                 Ok(None)
             }
+            Fault::StoreDrill {
+                age,
+                away,
+                written_after,
+            } => Ok(self.begin_drill(age, away, written_after)),
             Fault::ForeignEntry(entry) => Ok(self.leave_foreign(entry)),
             Fault::StoreReset { host } => {
                 self.disturb(host, Duration::ZERO, Disturbance::Store);
@@ -128,6 +135,54 @@
         }
     }
 
+    /// Takes the store away. Returns what brings it back from a copy, if there is one.
+    fn begin_drill(
+        &mut self,
+        age: Duration,
+        away: Duration,
+        written_after: Duration,
+    ) -> Option<(Duration, Ending)> {
+        let copy = self.copy_of(age)?;
+        self.is_store_away.store(true, Ordering::Relaxed);
+        for host in 0..self.store_listeners.len() {
+            self.shut(host, Mode::Unavailable, away + written_after);
+        }
+        let come_back = move |world: &mut Self| {
+            let lost = world.store.restore(&copy);
+            world.copies.clear();
+            let store = world.store.clone();
+            std::thread::spawn(move || {
+                std::thread::sleep(written_after);
+                store.write_again(lost);
+            });
+            world.is_store_away.store(false, Ordering::Relaxed);
+            for listener in &world.store_listeners {
+                listener.set_mode(Mode::Serving);
+            }
+            Ok(())
+        };
+        Some((away, Box::new(come_back)))
+    }
+
+    /// The newest copy of the store that is at least so old, or the oldest one.
+    fn copy_of(&self, age: Duration) -> Option<Copy> {
+        let is_old = |(at, _): &&(Instant, Copy)| at.elapsed() >= age;
+        let old = self.copies.iter().rev().find(is_old);
+        old.or(self.copies.front()).map(|(_, copy)| copy.clone())
+    }
+
+    /// Copies the store now and then, for drills.
+    pub(super) fn keep_copy(&mut self) {
+        let last = self.copies.back();
+        if last.is_some_and(|(at, _)| at.elapsed() < COPY_INTERVAL) {
+            return;
+        }
+        if self.copies.len() >= MAX_COPIES {
+            self.copies.pop_front();
+        }
+        self.copies.push_back((Instant::now(), self.store.copy()));
+    }
+
     /// Leaves an entry of another writer in the store. Returns what removes it, if it does not stay.
     fn leave_foreign(&self, entry: ForeignEntry) -> Option<(Duration, Ending)> {
         entry.put(&self.store);
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod faults;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::path::PathBuf;
@@ -14,7 +15,7 @@
 use pistachiochute_standins::platform::caller::CallerRequest;
 use pistachiochute_standins::platform::endpoint::{Behaviour, Endpoint};
 use pistachiochute_standins::platform::records;
-use pistachiochute_standins::platform::store::{Store, StoreListener};
+use pistachiochute_standins::platform::store::{Copy, Store, StoreListener};
 use pistachiochute_standins::relay::Relay;
 
 use crate::checks::{EVENTS, Ran, Refused, Seen, Verdict};
@@ -75,6 +76,12 @@
 /// [`EVENTS`], the streams take 1 to 5.5 s.
 const LONG_PAUSE_MS: Range<u64> = 40..220;
 
+/// Interval at which the store is copied.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Copies of the store that are kept.
+const MAX_COPIES: usize = 24;
+
 /// Fewest items of a page of the store.
 const MIN_PAGE_ITEMS: usize = 5;
 
@@ -198,6 +205,8 @@
 /// Everything that a seed plays with.
 struct World {
     store: Store,
+    /// Copies of the store, oldest first, and when they were made.
+    copies: VecDeque<(Instant, Copy)>,
     /// Whether the whole store is out of reach.
     is_store_away: Arc<AtomicBool>,
     store_listeners: Vec<StoreListener>,
@@ -221,6 +230,7 @@
         foreign::leave(&store, run.seed, FOREIGN_ENTRIES);
         let mut world = Self {
             store,
+            copies: VecDeque::new(),
             is_store_away: Arc::default(),
             store_listeners: Vec::new(),
             store_relays: Vec::new(),
@@ -480,6 +490,7 @@
         }
         let mut busy: Vec<_> = under_way.iter().filter_map(|(_, host, _)| *host).collect();
         world.watch(&busy)?;
+        world.keep_copy();
         let mut beginning = match steps.peek() {
             Some(_) => asked.due(now),
             None => Vec::new(),
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -4,6 +4,7 @@
 //! while other hosts still reach it. A list comes in pages, and queries are read strictly.
 
 mod query;
+mod restore;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 
 use crate::platform::http;
 use query::Query;
+pub use restore::{Copy, Lost};
 
 /// Most items of a page, unless a test sets fewer.
 const MAX_PAGE_ITEMS: usize = 500;
@@ -62,6 +64,8 @@
     revision: u64,
     created: u64,
     lease: i64,
+    /// Whether a host has written it.
+    is_of_host: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -71,8 +75,12 @@
     item: Option<Item>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct State {
+    /// Rises when the store comes back from a copy.
+    era: u64,
+    /// What answers name in place of the era, if it is not the era.
+    shown_era: Option<String>,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Most items of a page.
@@ -89,6 +97,8 @@
 impl Default for State {
     fn default() -> Self {
         Self {
+            era: 1,
+            shown_era: None,
             revision: 0,
             items: BTreeMap::new(),
             page_items: MAX_PAGE_ITEMS,
@@ -116,15 +126,21 @@
         json
     }
 
-    fn write(&mut self, key: &str, item: Option<(Vec<u8>, i64)>) {
+    /// Writes an item as the operator, an endpoint or another writer does, or removes it.
+    fn write(&mut self, key: &str, value: Option<Vec<u8>>) {
+        self.write_item(key, value.map(|value| (value, 0, false)));
+    }
+
+    fn write_item(&mut self, key: &str, item: Option<(Vec<u8>, i64, bool)>) {
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |item| item.created);
-        let item = item.map(|(value, lease)| Item {
+        let item = item.map(|(value, lease, is_of_host)| Item {
             value,
             revision,
             created,
             lease,
+            is_of_host,
         });
         match &item {
             Some(item) => self.items.insert(key.to_owned(), item.clone()),
@@ -206,7 +222,7 @@
 
     /// Writes an entry whose value need not be JSON.
     pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
-        self.update(|state| state.write(key, Some((value, 0))));
+        self.update(|state| state.write(key, Some(value)));
     }
 
     /// Removes an entry.
@@ -328,6 +344,17 @@
 
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
+        let mut answer = self.clone().answer(req).await?;
+        let era = self.store.shown_era();
+        if let Ok(era) = hyper::header::HeaderValue::from_str(&era) {
+            answer.headers_mut().insert("store-era", era);
+        }
+        Some(answer)
+    }
+}
+
+impl Handler {
+    async fn answer(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
         self.store.lock().calls += 1;
         let mode = *self.mode.borrow();
         if mode == Mode::Unavailable {
@@ -384,6 +411,9 @@
                 state.leases += 1;
                 ok(&json!({"lease": state.leases, "ttlMs": body["ttlMs"]}))
             }
+            (Method::POST, "kv-keep") if lease > self.store.lock().leases => {
+                http::answer(StatusCode::NOT_FOUND, "no such lease")
+            }
             (Method::POST, "kv-keep") => ok(&json!({"ttlMs": 3_000})),
             (Method::DELETE, "kv-lease-end") => {
                 self.store.update(|state| state.revoke_lease(lease));
@@ -457,7 +487,7 @@
     /// Answer to a watch, if there are changes after `after` or its history is compacted.
     fn changes(&self, prefix: &str, after: u64) -> Option<Response<http::Body>> {
         let state = self.store.lock();
-        if after < state.compacted_revision {
+        if after < state.compacted_revision || after > state.revision {
             return Some(http::answer(StatusCode::GONE, ""));
         }
         let is_new = |change: &&Change| change.revision > after && change.key.starts_with(prefix);
@@ -482,12 +512,18 @@
             for set in body["setKeys"].as_array().into_iter().flatten() {
                 let value = BASE64.decode(set["value"].as_str().unwrap_or(""));
                 let lease = set["lease"].as_i64().unwrap_or(0);
+                if lease > state.leases {
+                    return;
+                }
                 let key = set["key"].as_str().unwrap_or("");
-                state.write(key, Some((value.unwrap_or_default(), lease)));
+                state.write_item(key, Some((value.unwrap_or_default(), lease, true)));
             }
             revision = state.revision;
         });
-        ok(&json!({"revision": revision}))
+        match revision {
+            0 => http::answer(StatusCode::NOT_FOUND, "no such lease"),
+            revision => ok(&json!({ "revision": revision })),
+        }
     }
 }
 
