--- a/crates/runtime/tests/answer_ends.rs
+++ b/crates/runtime/tests/answer_ends.rs
@@ -390,6 +390,22 @@
 }
 
 /// Guards against an answer without framing that was cut and is passed on as a whole one.
+/// Guards against MIXED: a status that is none and that a caller gets as an answer.
+#[test]
+fn a_status_that_is_none_is_no_answer() {
+    for status in ["000 Status", "099 Status", "1000 Status", "0"] {
+        let answer = framed(status, "application/json", "{\"choices\":[]}");
+        let fleet = ScriptedFleet::start(&[answer]);
+        for host in 0..2 {
+            let (found, _, text) = fleet.chat(host);
+            assert!(found >= 500, "{status}: {found} {text}");
+            let streamed = fleet.stream(host);
+            assert!(!streamed.is_whole, "{status}: {streamed:?}");
+        }
+        fleet.close();
+    }
+}
+
 #[test]
 fn an_answer_without_framing_is_whole_only_if_its_text_shows_it() {
     let body = json!({ "choices": [{ "message": { "content": "piece" } }] }).to_string();
