--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -14,7 +14,7 @@
 mod cold;
 mod departures;
 mod endpoint;
-mod eras;
+mod epochs;
 mod evacuations;
 mod knowledge;
 
@@ -25,7 +25,7 @@
 pub use cold::{ColdEndpoint, ColdEndpoints, MAX_COLD_TIME, UnratedEntry};
 pub use departures::{DEPARTURE_RETENTION, Departure, Departures};
 pub use endpoint::{Endpoint, Identity, IncarnationKey, State};
-pub use eras::Eras;
+pub use epochs::Epochs;
 pub use evacuations::{Evacuation, Evacuations, ReturnedDomain};
 pub use knowledge::{DrainBudget, KnownUpTo};
 pub use record::Record;
@@ -100,8 +100,8 @@
             let shown = known.with_earlier_change(revision, endpoint, source, now);
             return shown.is_some_and(|record| self.set_record(key, record));
         }
-        if source == Source::Host && revision.era() < self.complete_revision.era() {
-            // A list of a later era did not have it.
+        if source == Source::Host && revision.epoch() < self.complete_revision.epoch() {
+            // A list of a later epoch did not have it.
             return false;
         }
         let last = known.and_then(|r| r.last_endpoint.clone());
@@ -147,7 +147,7 @@
     }
 
     /// Replaces all records by a complete list that the store returned at `revision`. Entries that
-    /// are not in the list count as removed. After the first list of an era, no record is of an earlier one.
+    /// are not in the list count as removed. After the first list of an epoch, no record is of an earlier one.
     /// Returns the keys of the entries by which the endpoints in use changed.
     pub fn replace(
         &mut self,
@@ -164,8 +164,8 @@
             .map(|(key, _)| key.clone())
             .collect();
         for (key, record) in &mut self.records {
-            let is_of_earlier_era = record.revision.era() < revision.era();
-            if is_of_earlier_era && !record.is_present() && !listed.contains(key) {
+            let is_of_earlier_epoch = record.revision.epoch() < revision.epoch();
+            if is_of_earlier_epoch && !record.is_present() && !listed.contains(key) {
                 // Hosts that do not read the store must learn that it is still gone.
                 record.revision = revision;
             }
--- a/crates/core/src/directory/record.rs
+++ b/crates/core/src/directory/record.rs
@@ -75,13 +75,13 @@
     }
 
     /// Whether an entry may only be what a copy of the store says of an endpoint that has gone, or that leaves:
-    /// the first one of a later era, and each after it, until the endpoint writes a new one.
+    /// the first one of a later epoch, and each after it, until the endpoint writes a new one.
     pub(super) fn withholds(
         &self,
         revision: revision::StoredRevision,
         endpoint: &Endpoint,
     ) -> bool {
-        let may_be_of_copy = self.is_withheld || revision.era() > self.revision.era();
+        let may_be_of_copy = self.is_withheld || revision.epoch() > self.revision.epoch();
         let is_out_of_use = self.usable().is_none();
         let is_known = |last: &Arc<Endpoint>| {
             last.identity.id == endpoint.identity.id && !last.is_older_than(endpoint)
--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -1,4 +1,4 @@
-//! Revisions of the configuration, and of the platform's store with its eras.
+//! Revisions of the configuration, and of the platform's store with its epochs.
 
 use std::fmt;
 use std::num::ParseIntError;
@@ -42,7 +42,7 @@
     }
 }
 
-/// Era of the platform's store. It rises when the store comes back from a copy that is some seconds old, since
+/// Epoch of the platform's store. It rises when the store comes back from a copy that is some seconds old, since
 /// it then gives revisions out again. A store that names none has the first one.
 #[derive(
     Clone,
@@ -58,38 +58,41 @@
     serde::Deserialize,
 )]
 #[serde(transparent)]
-pub struct Era(u64);
+pub struct Epoch(u64);
 
-impl Era {
-    /// The era with this number.
+impl Epoch {
+    /// The epoch with this number.
     #[must_use]
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
 
-    /// Number of the era.
+    /// Number of the epoch.
     #[must_use]
     pub const fn number(self) -> u64 {
         self.0
     }
 
-    /// A revision of this era. That before the first write is the same in all.
+    /// A revision of this epoch. That before the first write is the same in all.
     #[must_use]
     pub fn revision(self, number: Revision) -> StoredRevision {
         match number {
             Revision::NONE => StoredRevision::NONE,
-            number => StoredRevision { era: self, number },
+            number => StoredRevision {
+                epoch: self,
+                number,
+            },
         }
     }
 }
 
-impl fmt::Display for Era {
+impl fmt::Display for Epoch {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "e{}", self.0)
     }
 }
 
-impl FromStr for Era {
+impl FromStr for Epoch {
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -97,33 +100,33 @@
     }
 }
 
-/// Revision of an entry of the platform's store, in the era that gave it out.
+/// Revision of an entry of the platform's store, in the epoch that gave it out.
 ///
-/// Ordered by era first: whatever a later era says is newer. Invariant: made by [`Era::revision`] alone, where
+/// Ordered by epoch first: whatever a later epoch says is newer. Invariant: made by [`Epoch::revision`] alone, where
 /// an answer of the store or a message of another host is decoded.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoredRevision {
-    era: Era,
+    epoch: Epoch,
     number: Revision,
 }
 
 impl StoredRevision {
-    /// Revision before the first write of any era.
+    /// Revision before the first write of any epoch.
     pub const NONE: Self = Self {
-        era: Era::new(0),
+        epoch: Epoch::new(0),
         number: Revision::NONE,
     };
 
-    /// Era that gave it out.
+    /// Epoch that gave it out.
     #[must_use]
-    pub const fn era(self) -> Era {
-        self.era
+    pub const fn epoch(self) -> Epoch {
+        self.epoch
     }
 
-    /// The number within an era, or [`Revision::NONE`] if another era gave it out.
+    /// The number within an epoch, or [`Revision::NONE`] if another epoch gave it out.
     #[must_use]
-    pub fn within(self, era: Era) -> Revision {
-        match self.era == era {
+    pub fn within(self, epoch: Epoch) -> Revision {
+        match self.epoch == epoch {
             true => self.number,
             false => Revision::NONE,
         }
@@ -132,9 +135,9 @@
 
 impl fmt::Display for StoredRevision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.era.number() {
+        match self.epoch.number() {
             0 => write!(f, "{}", self.number),
-            _ => write!(f, "{}{}", self.era, self.number),
+            _ => write!(f, "{}{}", self.epoch, self.number),
         }
     }
 }
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -63,21 +63,21 @@
     fn put(&mut self, started_at_ms: u64, source: Source) {
         self.revision += 1;
         let entry = Some(endpoint(started_at_ms, self.revision));
-        let revision = revision::Era::default().revision(revision::Revision(self.revision));
+        let revision = revision::Epoch::default().revision(revision::Revision(self.revision));
         self.directory
             .apply(&"ep".into(), revision, entry, source, self.now);
     }
 
     fn remove(&mut self, source: Source) {
         self.revision += 1;
-        let revision = revision::Era::default().revision(revision::Revision(self.revision));
+        let revision = revision::Epoch::default().revision(revision::Revision(self.revision));
         self.directory
             .apply(&"ep".into(), revision, None, source, self.now);
     }
 
     fn list(&mut self, started_at_ms: u64) {
         self.revision += 1;
-        let revision = revision::Era::default().revision(revision::Revision(self.revision));
+        let revision = revision::Epoch::default().revision(revision::Revision(self.revision));
         let entry = Some(endpoint(started_at_ms, self.revision));
         self.directory
             .replace(vec![("ep".into(), revision, entry)], revision, self.now);
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -32,7 +32,7 @@
 }
 
 fn at(revision: u64) -> revision::StoredRevision {
-    revision::Era::default().revision(revision::Revision(revision))
+    revision::Epoch::default().revision(revision::Revision(revision))
 }
 
 /// A directory, the time, and the one key that the tests write.
--- a/crates/core/tests/eras.rs
+++ b/crates/core/tests/epochs.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use pistachiochute_core::directory::{
-    Directory, Endpoint, Eras, Identity, RENEWAL_GRACE, Source, State,
+    Directory, Endpoint, Epochs, Identity, RENEWAL_GRACE, Source, State,
 };
-use pistachiochute_core::revision::{Era, Revision, StoredRevision};
+use pistachiochute_core::revision::{Epoch, Revision, StoredRevision};
 use pistachiochute_core::time::Time;
 use proptest::prelude::{any, proptest};
 use proptest::prop_assert_eq;
@@ -16,8 +16,8 @@
 
 const NOW: Time = Time::from_secs(100);
 
-fn at(era: u64, revision: u64) -> StoredRevision {
-    Era::new(era).revision(Revision(revision))
+fn at(epoch: u64, revision: u64) -> StoredRevision {
+    Epoch::new(epoch).revision(Revision(revision))
 }
 
 fn endpoint(heartbeat: u64, state: State) -> Arc<Endpoint> {
@@ -66,21 +66,21 @@
     })]
 
     #[test]
-    fn later_era_is_newer_whatever_the_number(
+    fn later_epoch_is_newer_whatever_the_number(
         one in (1..9_u64, any::<u32>()),
         other in (1..9_u64, any::<u32>()),
     ) {
-        let stored = |(era, number): (u64, u32)| at(era, u64::from(number) + 1);
+        let stored = |(epoch, number): (u64, u32)| at(epoch, u64::from(number) + 1);
         prop_assert_eq!(stored(one).cmp(&stored(other)), one.cmp(&other));
         prop_assert_eq!(stored(one) > StoredRevision::NONE, true);
-        let within = stored(one).within(Era::new(other.0));
+        let within = stored(one).within(Epoch::new(other.0));
         prop_assert_eq!(within == Revision::NONE, one.0 != other.0);
     }
 }
 
 /// Guards against DRAIN: a removal at a lower revision, since the store had come back from a copy.
 #[test]
-fn removal_of_a_later_era_counts() {
+fn removal_of_a_later_epoch_counts() {
     let mut directory = Directory::default();
     assert!(apply(
         &mut directory,
@@ -148,22 +148,22 @@
     assert!(directory.usable().next().is_none());
 }
 
-/// Guards against DRAIN: a host without the store is told that an entry of the earlier era is still gone.
+/// Guards against DRAIN: a host without the store is told that an entry of the earlier epoch is still gone.
 #[test]
-fn removal_of_the_earlier_era_is_told_in_the_later_one() {
+fn removal_of_the_earlier_epoch_is_told_in_the_later_one() {
     let mut directory = Directory::default();
     apply(&mut directory, at(1, 900), Some(endpoint(30, State::Ready)));
     apply(&mut directory, at(1, 901), None);
     list(&mut directory, at(2, 40), None);
     let told = directory.newer_than(StoredRevision::NONE);
     let told: Vec<_> = told
-        .map(|(_, record)| record.revision.within(Era::new(2)))
+        .map(|(_, record)| record.revision.within(Epoch::new(2)))
         .collect();
     assert_eq!(told, [Revision(40)]);
 }
 
 #[test]
-fn what_an_earlier_era_had_does_not_come_back_from_a_host() {
+fn what_an_earlier_epoch_had_does_not_come_back_from_a_host() {
     let mut directory = Directory::default();
     list(&mut directory, at(2, 40), None);
     let entry = Some(endpoint(30, State::Ready));
@@ -174,18 +174,21 @@
 }
 
 #[test]
-fn only_a_later_era_is_a_restoration() {
-    let mut eras = Eras::default();
-    assert_eq!(eras.named(), None);
+fn only_a_later_epoch_is_a_restoration() {
+    let mut epochs = Epochs::default();
+    assert_eq!(epochs.named(), None);
     assert!(
-        !eras.learn(Era::new(3), NOW),
+        !epochs.learn(Epoch::new(3), NOW),
         "the first one that is heard of"
     );
-    assert!(!eras.learn(Era::new(3), NOW));
-    assert!(!eras.learn(Era::new(2), NOW), "a late one");
-    assert!(!eras.is_restoring(NOW));
-    assert!(eras.learn(Era::new(4), NOW));
-    assert_eq!((eras.current(), eras.unnamed()), (Era::new(4), Era::new(3)));
-    assert!(eras.is_restoring(NOW + RENEWAL_GRACE / 2));
-    assert!(!eras.is_restoring(NOW + RENEWAL_GRACE));
+    assert!(!epochs.learn(Epoch::new(3), NOW));
+    assert!(!epochs.learn(Epoch::new(2), NOW), "a late one");
+    assert!(!epochs.is_restoring(NOW));
+    assert!(epochs.learn(Epoch::new(4), NOW));
+    assert_eq!(
+        (epochs.current(), epochs.unnamed()),
+        (Epoch::new(4), Epoch::new(3))
+    );
+    assert!(epochs.is_restoring(NOW + RENEWAL_GRACE / 2));
+    assert!(!epochs.is_restoring(NOW + RENEWAL_GRACE));
 }
--- a/crates/core/tests/evacuations.rs
+++ b/crates/core/tests/evacuations.rs
@@ -9,14 +9,14 @@
     MAX_COLD_TIME, Source, State, TOMBSTONE_RETENTION, UnratedEntry,
 };
 use pistachiochute_core::rate_limits::{Pacer, RequestRate, strict_share};
-use pistachiochute_core::revision::{Era, Revision, StoredRevision};
+use pistachiochute_core::revision::{Epoch, Revision, StoredRevision};
 use pistachiochute_core::time::Time;
 use proptest::collection;
 use proptest::prelude::{any, prop_assert, prop_assert_eq, proptest};
 use proptest::test_runner::{Config, RngSeed};
 
 fn at(revision: u64) -> StoredRevision {
-    Era::default().revision(Revision(revision))
+    Epoch::default().revision(Revision(revision))
 }
 
 const NOW: Time = Time::from_secs(100);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -205,8 +205,8 @@
 /// A page of a list.
 #[derive(Clone, Debug)]
 pub struct Page {
-    /// Era of the store, of all revisions of the page.
-    pub era: revision::Era,
+    /// Epoch of the store, of all revisions of the page.
+    pub epoch: revision::Epoch,
     /// Revision of the store at which the page was read.
     pub revision: revision::Revision,
     /// Entries of the page. The value of one that cannot be read is empty.
@@ -222,8 +222,8 @@
 pub enum WatchResponse {
     /// All changes after the requested revision, up to and including `revision`.
     Changes {
-        /// Era of the store, of all revisions of the answer.
-        era: revision::Era,
+        /// Epoch of the store, of all revisions of the answer.
+        epoch: revision::Epoch,
         /// Revision from which the next watch continues.
         revision: revision::Revision,
         /// Changes in the order of their revisions. The value of an entry that cannot be read is empty.
@@ -248,8 +248,8 @@
 ///
 /// Dropping a future cancels the call; whether it took effect is then unknown.
 pub trait Store: Clone + 'static {
-    /// Newest era that the store has named in any answer, if it has named one.
-    fn era(&self) -> Option<revision::Era>;
+    /// Newest epoch that the store has named in any answer, if it has named one.
+    fn epoch(&self) -> Option<revision::Epoch>;
 
     /// Reads a page of the entries whose keys start with `prefix`: the first one, or that from `start` on.
     fn read_page(
--- a/crates/gateway/src/control/cold_endpoints.rs
+++ b/crates/gateway/src/control/cold_endpoints.rs
@@ -55,13 +55,13 @@
 /// Applies what another host knows.
 pub(super) fn apply_records<D, S>(
     cx: &Context<D, S>,
-    (host, era): (&Arc<str>, revision::Era),
+    (host, epoch): (&Arc<str>, revision::Epoch),
     records: &[peer::ColdRecord],
 ) {
     let now = clock::now();
     let cold = |record: &peer::ColdRecord| ColdEndpoint {
         endpoint: record.endpoint,
-        revision: era.revision(record.revision),
+        revision: epoch.revision(record.revision),
         rate: record.rate,
         until: now + Duration::from_millis(u64::from(record.remaining_ms)),
     };
@@ -71,7 +71,7 @@
 /// Messages with all cold endpoints, for a host that may know none.
 pub(super) fn state_messages(state: &State, now: time::Time) -> Vec<peer::Message> {
     let cold: Vec<_> = state.cold.iter(now).collect();
-    to_messages(&cold, state.eras.current(), now)
+    to_messages(&cold, state.epochs.current(), now)
 }
 
 /// Requests a second that the endpoints of a service bear while they are cold.
@@ -90,7 +90,7 @@
 ) {
     let state = &mut *cx.state.borrow_mut();
     cold.retain(|cold| state.cold.record(*cold, now));
-    let messages = to_messages(&cold, state.eras.current(), now);
+    let messages = to_messages(&cold, state.epochs.current(), now);
     links::flood(state, &messages, host);
     for cold in cold {
         cx.events.endpoint_cold(&cold, now);
@@ -101,10 +101,14 @@
     }
 }
 
-fn to_messages(cold: &[ColdEndpoint], era: revision::Era, now: time::Time) -> Vec<peer::Message> {
+fn to_messages(
+    cold: &[ColdEndpoint],
+    epoch: revision::Epoch,
+    now: time::Time,
+) -> Vec<peer::Message> {
     let record = |cold: &ColdEndpoint| peer::ColdRecord {
         endpoint: cold.endpoint,
-        revision: cold.revision.within(era),
+        revision: cold.revision.within(epoch),
         rate: cold.rate,
         remaining_ms: cold.until.since(now).as_millis() as u32,
     };
--- a/crates/gateway/src/control/crash_evidence.rs
+++ b/crates/gateway/src/control/crash_evidence.rs
@@ -94,11 +94,11 @@
     S: adapter::Store,
 {
     let mut stored: BTreeSet<quarantine::Parts> = BTreeSet::new();
-    let mut era = cx.state.borrow().eras.current();
+    let mut epoch = cx.state.borrow().epochs.current();
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
-        let current = cx.state.borrow().eras.current();
-        if std::mem::replace(&mut era, current) != current {
+        let current = cx.state.borrow().epochs.current();
+        if std::mem::replace(&mut epoch, current) != current {
             // The store may have lost them.
             stored.clear();
         }
--- a/crates/gateway/src/control/evacuations.rs
+++ b/crates/gateway/src/control/evacuations.rs
@@ -25,7 +25,7 @@
     let state = cx.state.borrow();
     let changes = state.directory.evacuations();
     let mut changes = changes.changes_to(listed, revision);
-    if state.eras.is_restoring(clock::now()) {
+    if state.epochs.is_restoring(clock::now()) {
         // The operator may not have written again yet. The list is read once more after that time.
         changes.retain(|change| change.is_evacuated);
     }
@@ -36,7 +36,7 @@
 /// Applies changes of entries of the store.
 pub(super) fn apply_changes<D, S>(
     cx: &Context<D, S>,
-    era: revision::Era,
+    epoch: revision::Epoch,
     changes: &[key_value::Change],
 ) where
     D: adapter::Dialect,
@@ -45,7 +45,7 @@
     let evacuation = |change: &key_value::Change| {
         Some(Evacuation {
             domain: domain(cx, change.key())?,
-            revision: era.revision(change.revision()),
+            revision: epoch.revision(change.revision()),
             is_evacuated: matches!(change, key_value::Change::Put(_)),
         })
     };
@@ -58,7 +58,7 @@
 /// Applies what another host knows.
 pub(super) fn apply_records<D, S>(
     cx: &Context<D, S>,
-    (host, era): (&Arc<str>, revision::Era),
+    (host, epoch): (&Arc<str>, revision::Epoch),
     records: Vec<peer::EvacuationRecord>,
 ) where
     D: adapter::Dialect,
@@ -66,7 +66,7 @@
 {
     let evacuation = |record: peer::EvacuationRecord| Evacuation {
         domain: record.domain,
-        revision: era.revision(record.revision),
+        revision: epoch.revision(record.revision),
         is_evacuated: record.is_evacuated,
     };
     let evacuations = records.into_iter().map(evacuation).collect();
@@ -76,7 +76,7 @@
 /// Messages with all that is known, for a host that may know nothing.
 pub(super) fn state_messages(state: &State) -> Vec<peer::Message> {
     let evacuations: Vec<_> = state.directory.evacuations().iter().collect();
-    to_messages(&evacuations, state.eras.current())
+    to_messages(&evacuations, state.epochs.current())
 }
 
 /// Domain that the key of an entry evacuates, if it is the key of such an entry.
@@ -97,7 +97,7 @@
     let now = clock::now();
     let mut state = cx.state.borrow_mut();
     evacuations.retain(|evacuation| state.directory.record_evacuation(evacuation, now));
-    let messages = to_messages(&evacuations, state.eras.current());
+    let messages = to_messages(&evacuations, state.epochs.current());
     links::flood(&mut state, &messages, host);
     drop(state);
     if evacuations.is_empty() {
@@ -117,13 +117,13 @@
     }
 }
 
-fn to_messages(evacuations: &[Evacuation], era: revision::Era) -> Vec<peer::Message> {
+fn to_messages(evacuations: &[Evacuation], epoch: revision::Epoch) -> Vec<peer::Message> {
     if evacuations.is_empty() {
         return Vec::new();
     }
     let record = |evacuation: &Evacuation| peer::EvacuationRecord {
         domain: evacuation.domain.clone(),
-        revision: evacuation.revision.within(era),
+        revision: evacuation.revision.within(epoch),
         is_evacuated: evacuation.is_evacuated,
     };
     let records = evacuations.iter().map(record).collect();
--- a/crates/gateway/src/control/host_registry.rs
+++ b/crates/gateway/src/control/host_registry.rs
@@ -205,7 +205,7 @@
 fn adopt_own_entry<D, S>(cx: &Context<D, S>, hosts: &[ListedHost]) {
     let is_own = |host: &&ListedHost| *host.name == *cx.settings.host.name;
     let Some(host) = hosts.iter().find(is_own) else {
-        if cx.state.borrow().eras.is_restoring(clock::now()) {
+        if cx.state.borrow().epochs.is_restoring(clock::now()) {
             // The copy may have the lease and not the entry.
             cx.registration.borrow_mut().record_end();
         }
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -150,8 +150,8 @@
     name: Arc<str>,
     /// Software versions for its next endpoint records.
     versions: HashMap<directory::Identity, directory::SoftwareVersion>,
-    /// Era of the store that its revisions belong to, if it names one.
-    era: Option<revision::Era>,
+    /// Epoch of the store that its revisions belong to, if it names one.
+    epoch: Option<revision::Epoch>,
 }
 
 async fn receive_messages<D, S>(
@@ -189,7 +189,7 @@
                     sender = Some(Sender {
                         name: host,
                         versions: HashMap::new(),
-                        era: None,
+                        epoch: None,
                     });
                 }
                 (message, Some(sender)) => handle_message(cx, sender, message),
@@ -244,8 +244,8 @@
     S: adapter::Store,
 {
     let name = &sender.name;
-    let era = sender.era;
-    let era = era.unwrap_or_else(|| cx.state.borrow().eras.unnamed());
+    let epoch = sender.epoch;
+    let epoch = epoch.unwrap_or_else(|| cx.state.borrow().epochs.unnamed());
     match message {
         peer::Message::Hello { .. } => {}
         peer::Message::Status {
@@ -253,7 +253,7 @@
             store,
             loads,
         } => {
-            let version = KnownVersions::from_message(version, era);
+            let version = KnownVersions::from_message(version, epoch);
             apply_status(cx, name, version, store, loads);
         }
         peer::Message::Carried(loads) => {
@@ -266,17 +266,17 @@
             apply_cached_parts(cx, &parts);
         }
         peer::Message::Want(version) => {
-            send_updates(cx, name, KnownVersions::from_message(version, era));
+            send_updates(cx, name, KnownVersions::from_message(version, epoch));
         }
-        peer::Message::StoreEra(era) => {
-            sender.era = Some(era);
-            cx.note_era(era, sync::Reread::Due);
+        peer::Message::StoreEpoch(epoch) => {
+            sender.epoch = Some(epoch);
+            cx.note_epoch(epoch, sync::Reread::Due);
         }
         peer::Message::Catalog(content) => apply_catalog(cx, name, *content),
         peer::Message::Endpoints { complete, records } => {
             let versions = std::mem::take(&mut sender.versions);
             let source = events::Source::Host(name.clone());
-            apply_endpoints(cx, (era, complete), records, (&versions, &source));
+            apply_endpoints(cx, (epoch, complete), records, (&versions, &source));
         }
         peer::Message::EndpointVersions(versions) => {
             let pairs = versions.into_iter().map(|v| (v.identity, v.version));
@@ -301,18 +301,18 @@
             departures::apply_records(cx, name, &records);
         }
         peer::Message::KnowledgeQuery { asked_at_us, after } => {
-            answer_knowledge(cx, name, asked_at_us, era.revision(after));
+            answer_knowledge(cx, name, asked_at_us, epoch.revision(after));
         }
         peer::Message::KnowledgeAnswer {
             asked_at_us,
             age_ms,
             last_change,
-        } => apply_knowledge(cx, asked_at_us, age_ms, (era, last_change)),
+        } => apply_knowledge(cx, asked_at_us, age_ms, (epoch, last_change)),
         peer::Message::Evacuations(records) => {
-            evacuations::apply_records(cx, (name, era), records);
+            evacuations::apply_records(cx, (name, epoch), records);
         }
         peer::Message::ColdEndpoints(records) => {
-            cold_endpoints::apply_records(cx, (name, era), &records);
+            cold_endpoints::apply_records(cx, (name, epoch), &records);
         }
     }
 }
@@ -393,7 +393,7 @@
 /// Applies endpoint records of another host, with the software versions that it stated.
 fn apply_endpoints<D, S>(
     cx: &Context<D, S>,
-    (era, complete): (revision::Era, revision::Revision),
+    (epoch, complete): (revision::Epoch, revision::Revision),
     records: Vec<peer::EndpointRecord>,
     (versions, source): (
         &HashMap<directory::Identity, directory::SoftwareVersion>,
@@ -409,10 +409,10 @@
             endpoint.version = versions.get(&endpoint.identity).cloned();
             Arc::new(endpoint)
         });
-        let revision = era.revision(record.revision);
+        let revision = epoch.revision(record.revision);
         any |= sync::apply_endpoint(cx, &record.key, revision, endpoint, source);
     }
-    let complete = era.revision(complete);
+    let complete = epoch.revision(complete);
     cx.state.borrow_mut().directory.mark_complete(complete);
     if any {
         cx.publish();
@@ -447,11 +447,11 @@
     cx: &Context<D, S>,
     asked_at_us: u64,
     age_ms: u32,
-    (era, last_change): (revision::Era, revision::Revision),
+    (epoch, last_change): (revision::Epoch, revision::Revision),
 ) {
     let state = cx.state.borrow();
-    let is_of_earlier_era = era < state.eras.current();
-    if is_of_earlier_era || state.directory.complete_revision() < era.revision(last_change) {
+    let is_of_earlier_epoch = epoch < state.epochs.current();
+    if is_of_earlier_epoch || state.directory.complete_revision() < epoch.revision(last_change) {
         return;
     }
     drop(state);
@@ -479,14 +479,14 @@
     outbox: &Outbox,
     after: revision::StoredRevision,
 ) -> SmallVec<[peer::Message; 2]> {
-    let era = state.eras.current();
+    let epoch = state.epochs.current();
     let newer = state.directory.newer_than(after);
     let records = newer.map(|(key, record)| peer::EndpointRecord {
         key: key.clone(),
-        revision: record.revision.within(era),
+        revision: record.revision.within(epoch),
         endpoint: record.endpoint.as_deref().cloned(),
     });
-    let not_complete = after.within(era);
+    let not_complete = after.within(epoch);
     let mut messages = SmallVec::new();
     let mut chunk = Vec::new();
     let mut bytes = 0;
@@ -505,7 +505,7 @@
         bytes += size;
         chunk.push(record);
     }
-    let complete = state.directory.complete_revision_for(after).within(era);
+    let complete = state.directory.complete_revision_for(after).within(epoch);
     add_endpoints(&mut messages, has_versions, chunk, complete);
     messages
 }
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -174,28 +174,28 @@
     cx: &'a Context<D, S>,
     name: &'a str,
     tx: &'a mut h2::SendStream<Bytes>,
-    /// Whether the peer reads eras.
-    tells_eras: bool,
-    /// Era that the peer was last told.
-    told: Option<revision::Era>,
+    /// Whether the peer reads epochs.
+    tells_epochs: bool,
+    /// Epoch that the peer was last told.
+    told: Option<revision::Epoch>,
 }
 
 impl<D, S> LinkSender<'_, D, S> {
     /// Sends a message that was made now.
     fn send(&mut self, message: &peer::Message) -> eyre::Result<()> {
-        let era = self.cx.state.borrow().eras.named();
-        self.send_of_era(era, message)
+        let epoch = self.cx.state.borrow().epochs.named();
+        self.send_of_epoch(epoch, message)
     }
 
-    /// Sends a message whose revisions are of an era.
-    fn send_of_era(
+    /// Sends a message whose revisions are of an epoch.
+    fn send_of_epoch(
         &mut self,
-        era: Option<revision::Era>,
+        epoch: Option<revision::Epoch>,
         message: &peer::Message,
     ) -> eyre::Result<()> {
-        if let Some(era) = era.filter(|era| self.tells_eras && self.told != Some(*era)) {
-            self.told = Some(era);
-            let message = peer::Message::StoreEra(era);
+        if let Some(epoch) = epoch.filter(|epoch| self.tells_epochs && self.told != Some(*epoch)) {
+            self.told = Some(epoch);
+            let message = peer::Message::StoreEpoch(epoch);
             send(self.cx, (self.name, self.tx), &message)?;
         }
         send(self.cx, (self.name, self.tx), message)
@@ -213,8 +213,8 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let named_era = cx.state.borrow().named_era.clone();
-    let (sender, mut outbox) = Outbox::new(features.clone(), named_era);
+    let named_epoch = cx.state.borrow().named_epoch.clone();
+    let (sender, mut outbox) = Outbox::new(features.clone(), named_epoch);
     let mut catalogs = CatalogSender::new(sender.catalog_wanted(), cx.catalog_turns.clone());
     cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
     let snapshot = flood::snapshot(&cx.state.borrow(), clock::now());
@@ -223,7 +223,7 @@
         cx,
         name,
         tx,
-        tells_eras: features.contains(&peer::Feature::StoreEras),
+        tells_epochs: features.contains(&peer::Feature::StoreEpochs),
         told: None,
     };
     for message in snapshot.iter().filter(is_sent) {
@@ -240,7 +240,7 @@
         tokio::select! {
             queued = outbox.recv() => {
                 let Some(queued) = queued else { return Ok(()) };
-                link.send_of_era(queued.era, &queued.message)?;
+                link.send_of_epoch(queued.epoch, &queued.message)?;
                 continue;
             }
             turn = catalogs.turn() => {
--- a/crates/gateway/src/control/links/outbox.rs
+++ b/crates/gateway/src/control/links/outbox.rs
@@ -21,11 +21,11 @@
     can_read && !message.replaced_by().is_some_and(is_announced)
 }
 
-/// A message, and the era of the store that its revisions belong to.
+/// A message, and the epoch of the store that its revisions belong to.
 #[derive(Clone, Debug)]
 pub struct Queued {
-    /// The era, if one was known when the message was made.
-    pub era: Option<revision::Era>,
+    /// The epoch, if one was known when the message was made.
+    pub epoch: Option<revision::Epoch>,
     /// The message.
     pub message: peer::Message,
 }
@@ -34,8 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct Outbox {
     tx: mpsc::Sender<Queued>,
-    /// The present era.
-    era: Rc<Cell<Option<revision::Era>>>,
+    /// The present epoch.
+    epoch: Rc<Cell<Option<revision::Epoch>>>,
     features: Features,
     /// Wakes the task of the link when the other host has asked for the catalog.
     catalog_wanted: Rc<Notify>,
@@ -46,12 +46,12 @@
     #[must_use]
     pub fn new(
         features: Features,
-        era: Rc<Cell<Option<revision::Era>>>,
+        epoch: Rc<Cell<Option<revision::Epoch>>>,
     ) -> (Self, mpsc::Receiver<Queued>) {
         let (tx, rx) = mpsc::channel(CAPACITY);
         let outbox = Self {
             tx,
-            era,
+            epoch,
             features,
             catalog_wanted: Rc::default(),
         };
@@ -90,7 +90,7 @@
     /// Queues a message. Returns false if the other host cannot read it, the link is lost, or the
     /// queue is full.
     pub fn try_send(&self, message: peer::Message) -> bool {
-        let era = self.era.get();
-        self.takes(&message) && self.tx.try_send(Queued { era, message }).is_ok()
+        let epoch = self.epoch.get();
+        self.takes(&message) && self.tx.try_send(Queued { epoch, message }).is_ok()
     }
 }
--- a/crates/gateway/src/control/links/outgoing.rs
+++ b/crates/gateway/src/control/links/outgoing.rs
@@ -55,7 +55,7 @@
         self.loads = loads;
         self.sent_at = now;
         Some(peer::Message::Status {
-            known: version.to_message(cx.state.borrow().eras.current()),
+            known: version.to_message(cx.state.borrow().epochs.current()),
             store: cx.store_health(now),
             loads: changed,
         })
@@ -113,7 +113,7 @@
         self.last = now;
         Some(peer::Message::KnowledgeQuery {
             asked_at_us: now.as_micros(),
-            after: state.known_revision().within(state.eras.current()),
+            after: state.known_revision().within(state.epochs.current()),
         })
     }
 }
@@ -158,6 +158,6 @@
             }
         }
         self.last_request = now;
-        Some(want.to_message(state.eras.current()))
+        Some(want.to_message(state.epochs.current()))
     }
 }
--- a/crates/gateway/src/control/listing.rs
+++ b/crates/gateway/src/control/listing.rs
@@ -23,7 +23,7 @@
 /// # Errors
 ///
 /// A page cannot be read, does not go on, since the next one begins where an earlier one began, or is of
-/// another era than the first one. What was visited before is then no complete list.
+/// another epoch than the first one. What was visited before is then no complete list.
 pub(super) async fn read_all<D, S, F>(
     cx: &Context<D, S>,
     prefix: &str,
@@ -32,11 +32,11 @@
 ) -> Result<revision::StoredRevision, key_value::Error>
 where
     S: adapter::Store,
-    F: FnMut(revision::Era, key_value::Entry),
+    F: FnMut(revision::Epoch, key_value::Entry),
 {
     let first = cx.store.read_page(prefix, None, consistency).await?;
-    let era = first.era;
-    let revision = era.revision(first.revision);
+    let epoch = first.epoch;
+    let revision = epoch.revision(first.revision);
     let mut starts = HashSet::new();
     let mut next = visit_page(cx, first, &mut visit);
     while let Some(start) = next {
@@ -44,8 +44,11 @@
             .store
             .read_page(prefix, Some(&start), consistency)
             .await?;
-        if page.era != era {
-            let reason = format!("the era changed from {era} to {} within a list", page.era);
+        if page.epoch != epoch {
+            let reason = format!(
+                "the epoch changed from {epoch} to {} within a list",
+                page.epoch
+            );
             return Err(key_value::Error::unknown(reason));
         }
         next = visit_page(cx, page, &mut visit);
@@ -65,13 +68,13 @@
     visit: &mut F,
 ) -> Option<adapter::PageStart>
 where
-    F: FnMut(revision::Era, key_value::Entry),
+    F: FnMut(revision::Epoch, key_value::Entry),
 {
     for item in &page.unreadable {
         cx.events.item_unreadable(item);
     }
     for entry in page.entries {
-        visit(page.era, entry);
+        visit(page.epoch, entry);
     }
     page.next
 }
@@ -131,7 +134,7 @@
     pub(super) fn add<D, S>(
         &mut self,
         cx: &Context<D, S>,
-        era: revision::Era,
+        epoch: revision::Epoch,
         entry: &key_value::Entry,
     ) where
         D: adapter::Dialect,
@@ -146,10 +149,11 @@
         } else if key.starts_with(cx.dialect.endpoints_prefix().as_bytes()) {
             let endpoint = sync::decode_endpoint(cx, entry);
             let key = sync::key_text(key);
-            let revision = era.revision(entry.modified);
+            let revision = epoch.revision(entry.modified);
             self.endpoints.push((key, revision, endpoint));
         } else if let Some(domain) = evacuations::domain(cx, key) {
-            self.evacuated.push((domain, era.revision(entry.modified)));
+            self.evacuated
+                .push((domain, epoch.revision(entry.modified)));
         } else if let Some(host) = host_registry::decode(cx, entry) {
             self.hosts.push(host);
         } else if !cx.legacy_adopted.get() {
--- a/crates/gateway/src/control/metered_store.rs
+++ b/crates/gateway/src/control/metered_store.rs
@@ -26,8 +26,8 @@
 where
     S: adapter::Store,
 {
-    fn era(&self) -> Option<revision::Era> {
-        self.inner.era()
+    fn epoch(&self) -> Option<revision::Epoch> {
+        self.inner.epoch()
     }
 
     async fn read_page(
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -174,24 +174,24 @@
 }
 
 impl<D, S> Context<D, S> {
-    /// Records an era that the store or another host names. If the store has come back from a copy since, what it
+    /// Records an epoch that the store or another host names. If the store has come back from a copy since, what it
     /// had acknowledged may be gone: the entries are read again now, unless they have been, and once more when all
     /// others have written again; and what this host had written is written again.
-    fn note_era(&self, era: revision::Era, reread: sync::Reread) {
-        // A store that names no era has none that others could have learned.
-        if era == revision::Era::default() {
+    fn note_epoch(&self, epoch: revision::Epoch, reread: sync::Reread) {
+        // A store that names no epoch has none that others could have learned.
+        if epoch == revision::Epoch::default() {
             return;
         }
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let is_restoration = state.eras.learn(era, now);
-        state.named_era.set(state.eras.named());
+        let is_restoration = state.epochs.learn(epoch, now);
+        state.named_epoch.set(state.epochs.named());
         if !is_restoration {
             return;
         }
         state.directory.record_restoration(now);
         drop(state);
-        self.events.store_restored(era);
+        self.events.store_restored(epoch);
         self.metrics.decided(metrics::Decision::StoreRestored);
         let all_written = now + directory::RENEWAL_GRACE;
         self.reread_at.set(Some(match reread {
@@ -205,7 +205,7 @@
     /// Does what is due after the store has come back from a copy.
     fn tick_restoration(&self, now: time::Time) {
         if self.reread_at.get().is_some_and(|at| at <= now) {
-            let is_restoring = self.state.borrow().eras.is_restoring(now);
+            let is_restoring = self.state.borrow().epochs.is_restoring(now);
             let again_at = now + directory::RENEWAL_GRACE;
             self.reread_at.set(is_restoring.then_some(again_at));
             self.is_reread_due.set(true);
@@ -382,8 +382,8 @@
         let mut pulse = self.pulse.get();
         pulse.beat(now);
         self.pulse.set(pulse);
-        if let Some(era) = adapter::Store::era(&self.store) {
-            self.note_era(era, sync::Reread::Due);
+        if let Some(epoch) = adapter::Store::epoch(&self.store) {
+            self.note_epoch(epoch, sync::Reread::Due);
         }
         self.tick_restoration(now);
         let expired = self.state.borrow_mut().directory.tick(now);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -53,21 +53,21 @@
 }
 
 impl KnownVersions {
-    /// The versions that a host states in an era.
+    /// The versions that a host states in an epoch.
     #[must_use]
-    pub fn from_message(version: peer::StateVersion, era: revision::Era) -> Self {
+    pub fn from_message(version: peer::StateVersion, epoch: revision::Epoch) -> Self {
         Self {
             catalog: version.catalog,
-            endpoints: era.revision(version.endpoints),
+            endpoints: epoch.revision(version.endpoints),
         }
     }
 
-    /// The versions as they are stated in an era.
+    /// The versions as they are stated in an epoch.
     #[must_use]
-    pub fn to_message(self, era: revision::Era) -> peer::StateVersion {
+    pub fn to_message(self, epoch: revision::Epoch) -> peer::StateVersion {
         peer::StateVersion {
             catalog: self.catalog,
-            endpoints: self.endpoints.within(era),
+            endpoints: self.endpoints.within(epoch),
         }
     }
 }
@@ -92,10 +92,10 @@
     pub catalog: catalog::CurrentCatalog,
     /// Endpoints.
     pub directory: directory::Directory,
-    /// Eras of the store.
-    pub eras: directory::Eras,
+    /// Epochs of the store.
+    pub epochs: directory::Epochs,
     /// The last of them, which all outboxes share.
-    pub named_era: Rc<Cell<Option<revision::Era>>>,
+    pub named_epoch: Rc<Cell<Option<revision::Epoch>>>,
     /// Up to when all changes of the endpoints are known.
     pub known_up_to: directory::KnownUpTo,
     /// Hosts of the fleet.
@@ -143,8 +143,8 @@
             name,
             catalog: catalog::CurrentCatalog::default(),
             directory: directory::Directory::default(),
-            eras: directory::Eras::default(),
-            named_era: Rc::default(),
+            epochs: directory::Epochs::default(),
+            named_epoch: Rc::default(),
             known_up_to: directory::KnownUpTo::default(),
             hosts: roster::Roster::default(),
             peers: HashMap::new(),
@@ -367,18 +367,18 @@
     }
 
     /// What another host is told that asks up to when this one knows the endpoints, or `None` if this host is
-    /// in doubt itself, or has not read the endpoints in the present era of the store.
+    /// in doubt itself, or has not read the endpoints in the present epoch of the store.
     #[must_use]
     pub fn knowledge_answer(&self, asked_at_us: u64, now: time::Time) -> Option<peer::Message> {
-        let era = self.eras.current();
-        if self.directory.is_in_doubt() || self.directory.complete_revision().era() != era {
+        let epoch = self.epochs.current();
+        if self.directory.is_in_doubt() || self.directory.complete_revision().epoch() != epoch {
             return None;
         }
         let age = self.known_up_to.age(now).as_millis().saturating_add(1);
         Some(peer::Message::KnowledgeAnswer {
             asked_at_us,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            last_change: self.directory.last_change().within(era),
+            last_change: self.directory.last_change().within(epoch),
         })
     }
 
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -77,11 +77,11 @@
     let mut written: u64 = 0;
     let mut slot: u32 = 0;
     let mut only_versions = None;
-    let mut era = cx.state.borrow().eras.current();
+    let mut epoch = cx.state.borrow().epochs.current();
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
-        let current = cx.state.borrow().eras.current();
-        if std::mem::replace(&mut era, current) != current {
+        let current = cx.state.borrow().epochs.current();
+        if std::mem::replace(&mut epoch, current) != current {
             // The store may have lost all of it.
             (lease, written, only_versions) = (None, 0, None);
         }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -19,12 +19,12 @@
 /// Key prefix of all entries.
 const ALL_ENTRIES: &str = "";
 
-/// Whether the entries must be read again after an era was learned of.
+/// Whether the entries must be read again after an epoch was learned of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Reread {
     /// They must.
     Due,
-    /// They have just been read, in that era.
+    /// They have just been read, in that epoch.
     Done,
 }
 
@@ -154,10 +154,10 @@
 {
     let requested_at = clock::now();
     let mut listing = listing::Listing::default();
-    let visit = |era, entry| listing.add(cx, era, &entry);
+    let visit = |epoch, entry| listing.add(cx, epoch, &entry);
     let consistency = adapter::Consistency::Linearizable;
     let revision = listing::read_all(cx, ALL_ENTRIES, consistency, visit).await?;
-    note_era_of_list(cx, revision)?;
+    note_epoch_of_list(cx, revision)?;
     cx.record_store_call(true, "");
     if let Some(catalog) = listing.catalog {
         apply_catalog(cx, catalog);
@@ -178,24 +178,24 @@
     })
 }
 
-/// Records the era of a list, before what the list says is applied.
+/// Records the epoch of a list, before what the list says is applied.
 ///
 /// # Errors
 ///
-/// The list is of an earlier era.
-fn note_era_of_list<D, S>(
+/// The list is of an earlier epoch.
+fn note_epoch_of_list<D, S>(
     cx: &Context<D, S>,
     revision: revision::StoredRevision,
 ) -> Result<(), key_value::Error> {
     // A store without any entry has no revision, and nothing to apply either.
-    let era = revision.era();
-    let current = cx.state.borrow().eras.current();
-    if revision != revision::StoredRevision::NONE && era < current {
-        let reason = format!("a list of {era}, it is {current}");
+    let epoch = revision.epoch();
+    let current = cx.state.borrow().epochs.current();
+    if revision != revision::StoredRevision::NONE && epoch < current {
+        let reason = format!("a list of {epoch}, it is {current}");
         return Err(key_value::Error::unknown(reason));
     }
     if revision != revision::StoredRevision::NONE {
-        cx.note_era(era, Reread::Done);
+        cx.note_epoch(epoch, Reread::Done);
     }
     Ok(())
 }
@@ -228,13 +228,15 @@
             () = cx.store_suspect.notified() => return WatchEnd::Reread,
         };
         let (revision, changes) = match watched {
-            // What has happened between the two eras is in none of them.
-            Ok(adapter::WatchResponse::Changes { era, .. }) if era != progress.after.era() => {
-                cx.note_era(era, Reread::Due);
+            // What has happened between the two epochs is in none of them.
+            Ok(adapter::WatchResponse::Changes { epoch, .. })
+                if epoch != progress.after.epoch() =>
+            {
+                cx.note_epoch(epoch, Reread::Due);
                 return WatchEnd::Reread;
             }
             Ok(adapter::WatchResponse::Changes {
-                era,
+                epoch,
                 revision,
                 changes,
                 unreadable,
@@ -242,7 +244,7 @@
                 for item in &unreadable {
                     cx.events.item_unreadable(item);
                 }
-                (era.revision(revision), changes)
+                (epoch.revision(revision), changes)
             }
             Ok(adapter::WatchResponse::Compacted) => {
                 cx.record_store_call(true, "");
@@ -275,7 +277,7 @@
     D: adapter::Dialect,
     S: adapter::Store,
 {
-    let after = after.within(after.era());
+    let after = after.within(after.epoch());
     let watch = cx.store.watch(ALL_ENTRIES, after, wait);
     let watched = tokio::time::timeout(cx.settings.drain.watch_silence(), watch).await;
     watched.unwrap_or_else(|_| Err(key_value::Error::unknown("a silent watch".to_owned())))
@@ -320,15 +322,15 @@
     let asked_at = clock::now();
     let consistency = adapter::Consistency::Linearizable;
     let mut endpoints = Vec::new();
-    let visit = |era: revision::Era, entry: key_value::Entry| {
+    let visit = |epoch: revision::Epoch, entry: key_value::Entry| {
         let endpoint = decode_endpoint(cx, &entry);
-        let revision = era.revision(entry.modified);
+        let revision = epoch.revision(entry.modified);
         endpoints.push((key_text(&entry.key), revision, endpoint));
     };
     let read = listing::read_all(cx, cx.dialect.endpoints_prefix(), consistency, visit);
     let read = tokio::time::timeout(cx.settings.drain.read_timeout(), read).await;
     let revision = read.map_err(|_| key_value::Error::unknown("a late answer".to_owned()))??;
-    note_era_of_list(cx, revision)?;
+    note_epoch_of_list(cx, revision)?;
     cx.record_store_response();
     replace_endpoints(cx, endpoints, revision);
     cx.confirm_endpoints(directory::KnownUpTo::by_store(asked_at));
@@ -468,7 +470,7 @@
         }
     }
     cx.shared.confirm_catalog(clock::now());
-    evacuations::apply_changes(cx, revision.era(), changes);
+    evacuations::apply_changes(cx, revision.epoch(), changes);
     apply_endpoint_changes(cx, changes, revision, known_at);
     cx.confirm_endpoints(known);
     host_registry::apply_changes(cx, changes);
@@ -488,7 +490,7 @@
     let prefix = cx.dialect.endpoints_prefix().as_bytes();
     let mut any = false;
     for change in changes.iter().filter(|c| c.key().starts_with(prefix)) {
-        let changed_at = revision.era().revision(change.revision());
+        let changed_at = revision.epoch().revision(change.revision());
         let (key, endpoint) = match change {
             key_value::Change::Put(entry) => (&entry.key, decode_endpoint(cx, entry)),
             key_value::Change::Deleted { key, .. } => (key, None),
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -2,7 +2,7 @@
 //! what links may make a host hold.
 
 mod catalogs;
-mod eras;
+mod epochs;
 mod followed_relay;
 mod large_messages;
 mod linked_host;
@@ -56,7 +56,7 @@
             Some(
                 "stream-versions,quarantine,endpoint-limits,endpoint-departures,crash-times,\
                  evacuations,cold-endpoints,stream-beginnings,endpoint-knowledge,\
-                 store-eras"
+                 store-epochs"
             )
         );
         provoke(&shared, &mut peer);
--- a/crates/gateway/src/control/tests/catalogs.rs
+++ b/crates/gateway/src/control/tests/catalogs.rs
@@ -77,7 +77,7 @@
     for relay in relays {
         let known = KnownVersions {
             catalog: Some(catalog::Version(version)),
-            endpoints: revision::Era::default().revision(revision::Revision(1)),
+            endpoints: revision::Epoch::default().revision(revision::Revision(1)),
         };
         state.record_status(&Arc::from(*relay), known, peer::StoreHealth::default(), now);
     }
--- a/crates/gateway/src/control/tests/eras.rs
+++ b/crates/gateway/src/control/tests/epochs.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use pistachiochute_core::memory::Limits;
-use pistachiochute_core::revision::{Era, Revision};
+use pistachiochute_core::revision::{Epoch, Revision};
 use pistachiochute_messages::peer;
 
 use super::linked_host::{ENDPOINTS_PREFIX, Peer, endpoint, run_within};
 use crate::shared;
 
-const FEATURES: Option<&str> = Some("store-eras,stream-versions,endpoint-knowledge");
+const FEATURES: Option<&str> = Some("store-epochs,stream-versions,endpoint-knowledge");
 
 /// Time in which a host has taken what it is told.
 const TAKING_TIME: Duration = Duration::from_millis(300);
@@ -40,32 +40,32 @@
     view.endpoints.iter().any(|e| *e.identity.id == *key)
 }
 
-/// Guards against DRAIN: a removal of a later era was taken for an old one, since the store had given out a
-/// lower revision for it; and what an earlier era had said came back.
+/// Guards against DRAIN: a removal of a later epoch was taken for an old one, since the store had given out a
+/// lower revision for it; and what an earlier epoch had said came back.
 #[test]
-fn later_era_counts_whatever_the_revision() {
+fn later_epoch_counts_whatever_the_revision() {
     run_within(Limits::NONE, FEATURES, async |shared, mut peer| {
-        let era = |n| peer::Message::StoreEra(Era::new(n));
-        tell(&mut peer, &[era(1), record("i-9", 900, true)]).await;
+        let epoch = |n| peer::Message::StoreEpoch(Epoch::new(n));
+        tell(&mut peer, &[epoch(1), record("i-9", 900, true)]).await;
         assert!(uses(&shared, "i-9"));
-        tell(&mut peer, &[era(2), record("i-9", 40, false)]).await;
-        assert!(!uses(&shared, "i-9"), "a lower revision of a later era");
-        tell(&mut peer, &[era(1), record("i-9", 901, true)]).await;
-        assert!(!uses(&shared, "i-9"), "a late message of an earlier era");
-        tell(&mut peer, &[era(1), record("i-8", 902, true)]).await;
+        tell(&mut peer, &[epoch(2), record("i-9", 40, false)]).await;
+        assert!(!uses(&shared, "i-9"), "a lower revision of a later epoch");
+        tell(&mut peer, &[epoch(1), record("i-9", 901, true)]).await;
+        assert!(!uses(&shared, "i-9"), "a late message of an earlier epoch");
+        tell(&mut peer, &[epoch(1), record("i-8", 902, true)]).await;
         assert!(
             !uses(&shared, "i-8"),
-            "an entry that the later era does not have"
+            "an entry that the later epoch does not have"
         );
-        tell(&mut peer, &[era(2), record("i-8", 41, true)]).await;
+        tell(&mut peer, &[epoch(2), record("i-8", 41, true)]).await;
         assert!(uses(&shared, "i-8"));
     });
 }
 
-/// A host of an earlier build names no era. Its revisions are those that count, until the store has come back
+/// A host of an earlier build names no epoch. Its revisions are those that count, until the store has come back
 /// from a copy, which such a host does not notice.
 #[test]
-fn host_that_names_no_era_is_believed_until_the_first_change() {
+fn host_that_names_no_epoch_is_believed_until_the_first_change() {
     run_within(Limits::NONE, FEATURES, async |shared, mut peer| {
         tell(&mut peer, &[record("i-9", 900, true)]).await;
         assert!(uses(&shared, "i-9"));
@@ -73,13 +73,13 @@
         assert!(!uses(&shared, "i-9"));
     });
     run_within(Limits::NONE, FEATURES, async |shared, mut peer| {
-        let other = peer::Message::StoreEra(Era::new(7));
+        let other = peer::Message::StoreEpoch(Epoch::new(7));
         tell(&mut peer, &[other, record("i-9", 40, true)]).await;
         assert!(uses(&shared, "i-9"));
         let mut received = 0;
-        // The host tells its era before the first revision that belongs to it.
+        // The host tells its epoch before the first revision that belongs to it.
         for message in peer.received.borrow().iter() {
-            received += usize::from(matches!(message, peer::Message::StoreEra(_)));
+            received += usize::from(matches!(message, peer::Message::StoreEpoch(_)));
         }
         assert_eq!(received, 1);
     });
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -194,7 +194,7 @@
 }
 
 impl adapter::Store for Store {
-    fn era(&self) -> Option<revision::Era> {
+    fn epoch(&self) -> Option<revision::Epoch> {
         None
     }
 
@@ -211,7 +211,7 @@
         });
         if let Some(entry) = self.foreign.get(page) {
             return Ok(adapter::Page {
-                era: revision::Era::default(),
+                epoch: revision::Epoch::default(),
                 revision: self.revision(),
                 entries: vec![entry.clone()],
                 unreadable: Vec::new(),
@@ -228,7 +228,7 @@
         }
         entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
         Ok(adapter::Page {
-            era: revision::Era::default(),
+            epoch: revision::Epoch::default(),
             revision: self.revision(),
             entries,
             unreadable: Vec::new(),
@@ -244,7 +244,7 @@
     ) -> Result<adapter::WatchResponse, key_value::Error> {
         tokio::time::sleep(Duration::from_millis(50)).await;
         Ok(adapter::WatchResponse::Changes {
-            era: revision::Era::default(),
+            epoch: revision::Epoch::default(),
             revision: self.revision(),
             changes: Vec::new(),
             unreadable: Vec::new(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -122,8 +122,8 @@
     }
 
     /// The store has come back from a copy of an earlier time.
-    pub fn store_restored(&self, era: revision::Era) {
-        slog::warn!(self.log, "store restored"; "era" => %era);
+    pub fn store_restored(&self, epoch: revision::Epoch) {
+        slog::warn!(self.log, "store restored"; "epoch" => %epoch);
     }
 
     /// A store entry cannot be decoded.
--- a/crates/messages/src/frames.rs
+++ b/crates/messages/src/frames.rs
@@ -83,7 +83,7 @@
         | Message::OriginClaim { .. }
         | Message::KnowledgeQuery { .. }
         | Message::KnowledgeAnswer { .. }
-        | Message::StoreEra(_) => None,
+        | Message::StoreEpoch(_) => None,
     }
 }
 
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -96,8 +96,8 @@
     StreamBeginnings,
     /// Questions for what a host knows of the endpoints, and their answers.
     EndpointKnowledge,
-    /// Eras of the store.
-    StoreEras,
+    /// Epochs of the store.
+    StoreEpochs,
 }
 
 impl Feature {
@@ -112,7 +112,7 @@
         Self::ColdEndpoints,
         Self::StreamBeginnings,
         Self::EndpointKnowledge,
-        Self::StoreEras,
+        Self::StoreEpochs,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -128,7 +128,7 @@
             Self::ColdEndpoints => "cold-endpoints",
             Self::StreamBeginnings => "stream-beginnings",
             Self::EndpointKnowledge => "endpoint-knowledge",
-            Self::StoreEras => "store-eras",
+            Self::StoreEpochs => "store-epochs",
         }
     }
 
@@ -349,9 +349,9 @@
         /// Revision of the last change of the endpoints in use that the sender knew then.
         last_change: revision::Revision,
     },
-    /// Era of the store to which the revisions in the following messages of the sender belong. One of an earlier
-    /// era stands in them as none.
-    StoreEra(revision::Era),
+    /// Epoch of the store to which the revisions in the following messages of the sender belong. One of an earlier
+    /// epoch stands in them as none.
+    StoreEpoch(revision::Epoch),
 }
 
 impl Message {
@@ -380,7 +380,7 @@
             Self::KnowledgeQuery { .. } | Self::KnowledgeAnswer { .. } => {
                 Some(Feature::EndpointKnowledge)
             }
-            Self::StoreEra(_) => Some(Feature::StoreEras),
+            Self::StoreEpoch(_) => Some(Feature::StoreEpochs),
         }
     }
 
@@ -409,7 +409,7 @@
             Self::OriginClaim { .. } => "origin_claim",
             Self::KnowledgeQuery { .. } => "knowledge_query",
             Self::KnowledgeAnswer { .. } => "knowledge_answer",
-            Self::StoreEra(_) => "store_era",
+            Self::StoreEpoch(_) => "store_epoch",
         }
     }
 
--- a/crates/soak/src/fleet/faults.rs
+++ b/crates/soak/src/fleet/faults.rs
@@ -105,11 +105,11 @@
                 self.store.compact_history();
                 Ok(None)
             }
-            Fault::StoreDrill {
+            Fault::StoreRestored {
                 age,
                 away,
                 written_after,
-            } => Ok(self.begin_drill(age, away, written_after)),
+            } => Ok(self.begin_restore(age, away, written_after)),
             Fault::ForeignEntry(entry) => Ok(self.leave_foreign(entry)),
             Fault::StoreReset { host } => {
                 self.disturb(host, Duration::ZERO, Disturbance::Store);
@@ -136,7 +136,7 @@
     }
 
     /// Takes the store away. Returns what brings it back from a copy, if there is one.
-    fn begin_drill(
+    fn begin_restore(
         &mut self,
         age: Duration,
         away: Duration,
@@ -171,7 +171,7 @@
         old.or(self.copies.front()).map(|(_, copy)| copy.clone())
     }
 
-    /// Copies the store now and then, for drills.
+    /// Copies the store now and then, for restores.
     pub(super) fn keep_copy(&mut self) {
         let last = self.copies.back();
         if last.is_some_and(|(at, _)| at.elapsed() < COPY_INTERVAL) {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -69,17 +69,17 @@
 /// Pause between two entries of another writer, in milliseconds.
 const FOREIGN_PAUSE_MS: Range<u64> = 100..800;
 
-/// Distinguishes the drills of the store of a seed from its other steps.
-const DRILL_SEED: u64 = 0x6472_696c;
+/// Distinguishes the restores of the store of a seed from its other steps.
+const RESTORE_SEED: u64 = 0x6472_696c;
 
-/// Pause between two drills of the store, in milliseconds.
-const DRILL_PAUSE_MS: Range<u64> = 1_500..9_000;
+/// Pause between two restores of the store, in milliseconds.
+const RESTORE_PAUSE_MS: Range<u64> = 1_500..9_000;
 
 /// Age of a copy from which the store comes back, in milliseconds.
 const COPY_AGE_MS: Range<u64> = 500..10_000;
 
 /// Time for which the store is away before it comes back from a copy, in milliseconds.
-const DRILL_AWAY_MS: Range<u64> = 200..2_000;
+const RESTORE_AWAY_MS: Range<u64> = 200..2_000;
 
 /// Time from its return until all others have written again, in milliseconds.
 const WRITTEN_AFTER_MS: Range<u64> = 0..1_500;
@@ -124,7 +124,7 @@
     StoreForgets,
     /// The store goes away and comes back from a copy of an earlier time. What others than hosts had written is
     /// written again after a while.
-    StoreDrill {
+    StoreRestored {
         /// Age of the copy when the store goes away.
         age: Duration,
         away: Duration,
@@ -218,7 +218,7 @@
     steps.extend(leave_notices(seed, places, length));
     steps.extend(pushbacks(seed, places, length));
     steps.extend(foreign_entries(seed, length));
-    steps.extend(drills(seed, length));
+    steps.extend(restores(seed, length));
     steps.sort_by_key(|step| step.at);
     steps
 }
@@ -303,14 +303,16 @@
     })
 }
 
-/// Draws the drills of the store. The first comes after some time, when there are copies.
-fn drills(seed: u64, length: Duration) -> Vec<Step> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ DRILL_SEED);
+/// Draws the restores of the store. The first comes after some time, when there are copies.
+fn restores(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ RESTORE_SEED);
     let millis = |rng: &mut ChaCha8Rng, range| Duration::from_millis(rng.random_range(range));
-    let mut steps = series(&mut rng, DRILL_PAUSE_MS, length, |rng| Fault::StoreDrill {
-        age: millis(rng, COPY_AGE_MS),
-        away: millis(rng, DRILL_AWAY_MS),
-        written_after: millis(rng, WRITTEN_AFTER_MS),
+    let mut steps = series(&mut rng, RESTORE_PAUSE_MS, length, |rng| {
+        Fault::StoreRestored {
+            age: millis(rng, COPY_AGE_MS),
+            away: millis(rng, RESTORE_AWAY_MS),
+            written_after: millis(rng, WRITTEN_AFTER_MS),
+        }
     });
     steps.remove(0);
     steps
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -78,9 +78,9 @@
 #[derive(Clone, Debug)]
 struct State {
     /// Rises when the store comes back from a copy.
-    era: u64,
-    /// What answers name in place of the era, if it is not the era.
-    shown_era: Option<String>,
+    epoch: u64,
+    /// What answers name in place of the epoch, if it is not the epoch.
+    shown_epoch: Option<String>,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Most items of a page.
@@ -97,8 +97,8 @@
 impl Default for State {
     fn default() -> Self {
         Self {
-            era: 1,
-            shown_era: None,
+            epoch: 1,
+            shown_epoch: None,
             revision: 0,
             items: BTreeMap::new(),
             page_items: MAX_PAGE_ITEMS,
@@ -345,9 +345,9 @@
 impl http::Handler for Handler {
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Option<Response<http::Body>> {
         let mut answer = self.clone().answer(req).await?;
-        let era = self.store.shown_era();
-        if let Ok(era) = hyper::header::HeaderValue::from_str(&era) {
-            answer.headers_mut().insert("store-era", era);
+        let epoch = self.store.shown_epoch();
+        if let Ok(epoch) = hyper::header::HeaderValue::from_str(&epoch) {
+            answer.headers_mut().insert("store-era", epoch);
         }
         Some(answer)
     }
--- a/crates/standins/src/platform/store/restore.rs
+++ b/crates/standins/src/platform/store/restore.rs
@@ -22,7 +22,7 @@
         Copy(self.lock().clone())
     }
 
-    /// Brings the store back from a copy, in a new era: what was written since is gone, leases too, and
+    /// Brings the store back from a copy, in a new epoch: what was written since is gone, leases too, and
     /// revisions are given out again. Returns what is to be written again.
     pub fn restore(&self, copy: &Copy) -> Lost {
         let mut lost = Lost {
@@ -32,8 +32,8 @@
         self.update(|state| {
             let before = std::mem::replace(state, copy.0.clone());
             lost.items = lost_items(&before, state);
-            state.era = before.era + 1;
-            state.shown_era = before.shown_era;
+            state.epoch = before.epoch + 1;
+            state.shown_epoch = before.shown_epoch;
             state.calls = before.calls;
             state.page_items = before.page_items;
             state.shown_fields = before.shown_fields;
@@ -53,16 +53,16 @@
         });
     }
 
-    /// Names this in all answers in place of the era, or the era again.
-    pub fn show_era(&self, era: Option<&str>) {
-        self.lock().shown_era = era.map(str::to_owned);
+    /// Names this in all answers in place of the epoch, or the epoch again.
+    pub fn show_epoch(&self, epoch: Option<&str>) {
+        self.lock().shown_epoch = epoch.map(str::to_owned);
     }
 
-    /// What answers name as the era.
-    pub(super) fn shown_era(&self) -> String {
+    /// What answers name as the epoch.
+    pub(super) fn shown_epoch(&self) -> String {
         let state = self.lock();
-        let shown = state.shown_era.clone();
-        shown.unwrap_or_else(|| state.era.to_string())
+        let shown = state.shown_epoch.clone();
+        shown.unwrap_or_else(|| state.epoch.to_string())
     }
 }
 
