Take no entry that was written again for a sign of life

Cause: after the store has come back from a copy, others write again what it lacks. The write of an entry whose process had ended counted as a sign of life, so that a stream that had begun at the next process of the id went on at the version of the entry (ORDER).

--- a/crates/core/src/directory/epochs.rs
+++ b/crates/core/src/directory/epochs.rs
@@ -46,6 +46,14 @@
         self.first.unwrap_or_default()
     }
 
+    /// Whether what arrives now may have been written again after the last change, by whom ever. What is written
+    /// within [`RENEWAL_GRACE`] arrives somewhat later.
+    #[must_use]
+    pub fn may_be_rewritten(&self, now: time::Time) -> bool {
+        self.restored_at
+            .is_some_and(|at| now.since(at) < RENEWAL_GRACE * 2)
+    }
+
     /// Whether some of what was written before the last change may not be written again yet.
     #[must_use]
     pub fn is_restoring(&self, now: time::Time) -> bool {
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -236,6 +236,21 @@
         self.records.get(key)
     }
 
+    /// Whether a write of an entry shows that its endpoint was alive. One that brings nothing newer than what is
+    /// known may have been written again by somebody else; while others write again what a copy lacks, so may the
+    /// first one that this host sees of an incarnation.
+    #[must_use]
+    pub fn is_sign_of_life(&self, key: &str, endpoint: &Endpoint, may_be_rewritten: bool) -> bool {
+        let last = self
+            .records
+            .get(key)
+            .and_then(|r| r.last_endpoint.as_deref());
+        match last.filter(|last| last.identity == endpoint.identity) {
+            Some(last) => last.heartbeat < endpoint.heartbeat,
+            None => !may_be_rewritten,
+        }
+    }
+
     /// Whether endpoints stay in use whose entries were removed, so that this host does not know for certain
     /// which ones are in use.
     #[must_use]
--- a/crates/core/tests/epochs.rs
+++ b/crates/core/tests/epochs.rs
@@ -192,3 +192,35 @@
     assert!(epochs.is_restoring(NOW + RENEWAL_GRACE / 2));
     assert!(!epochs.is_restoring(NOW + RENEWAL_GRACE));
 }
+
+/// Guards against ORDER: an entry of a process that had ended was written again after the store had come back from
+/// a copy, and passed for a sign of life, so that a stream went on at the version of that entry.
+#[test]
+fn entry_that_is_written_again_is_no_sign_of_life() {
+    let mut directory = Directory::default();
+    let is_sign = |directory: &Directory, heartbeat, may_be_rewritten| {
+        let endpoint = endpoint(heartbeat, State::Ready);
+        directory.is_sign_of_life("ep", &endpoint, may_be_rewritten)
+    };
+    assert!(
+        is_sign(&directory, 30, false),
+        "the first one of an incarnation"
+    );
+    assert!(
+        !is_sign(&directory, 30, true),
+        "which somebody may have written again"
+    );
+    apply(&mut directory, at(1, 900), Some(endpoint(30, State::Ready)));
+    list(&mut directory, at(2, 40), Some(endpoint(20, State::Ready)));
+    for may_be_rewritten in [false, true] {
+        assert!(!is_sign(&directory, 29, may_be_rewritten));
+        assert!(!is_sign(&directory, 30, may_be_rewritten));
+        assert!(is_sign(&directory, 31, may_be_rewritten));
+    }
+    let mut epochs = Epochs::default();
+    epochs.learn(Epoch::new(1), NOW);
+    assert!(!epochs.may_be_rewritten(NOW));
+    epochs.learn(Epoch::new(2), NOW);
+    assert!(epochs.may_be_rewritten(NOW + RENEWAL_GRACE));
+    assert!(!epochs.may_be_rewritten(NOW + RENEWAL_GRACE * 2));
+}
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -496,7 +496,7 @@
             key_value::Change::Deleted { key, .. } => (key, None),
         };
         if let Some(endpoint) = &endpoint {
-            record_write(cx, endpoint, known_at);
+            record_write(cx, &key_text(key), endpoint, known_at);
         }
         if let Some(endpoint) = &endpoint {
             cold_endpoints::apply_entries(cx, [(&**endpoint, changed_at)]);
@@ -510,10 +510,23 @@
     }
 }
 
-/// Records that an endpoint has written its entry at a point in time or later.
-fn record_write<D, S>(cx: &Context<D, S>, endpoint: &directory::Endpoint, alive_at: time::Time) {
-    let versions = &mut cx.state.borrow_mut().versions;
-    if versions.record_write(endpoint, alive_at, clock::now()) {
+/// Records that the entry of an endpoint was written at a point in time or later, if it was by the endpoint.
+fn record_write<D, S>(
+    cx: &Context<D, S>,
+    key: &str,
+    endpoint: &directory::Endpoint,
+    alive_at: time::Time,
+) {
+    let now = clock::now();
+    let state = &mut *cx.state.borrow_mut();
+    let may_be_rewritten = state.epochs.may_be_rewritten(now);
+    if !state
+        .directory
+        .is_sign_of_life(key, endpoint, may_be_rewritten)
+    {
+        return;
+    }
+    if state.versions.record_write(endpoint, alive_at, now) {
         cx.shared.entry_writes.push(shared::EntryWrite {
             endpoint: endpoint.identity.hash(),
             alive_at,
