Take no write of an entry for a sign of life while the store is being filled again

Cause: an entry that a process had written before the store went away, and that a host had not seen, was written again after the restore and was newer than what the host knew, though the process had ended.

--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -236,19 +236,15 @@
         self.records.get(key)
     }
 
-    /// Whether a write of an entry shows that its endpoint was alive. One that brings nothing newer than what is
-    /// known may have been written again by somebody else; while others write again what a copy lacks, so may the
-    /// first one that this host sees of an incarnation.
+    /// Whether a write of an entry shows that its endpoint was alive. None does while somebody may write again
+    /// what a copy of the store lacks, and none ever that brings nothing newer than what is known.
     #[must_use]
     pub fn is_sign_of_life(&self, key: &str, endpoint: &Endpoint, may_be_rewritten: bool) -> bool {
-        let last = self
-            .records
-            .get(key)
-            .and_then(|r| r.last_endpoint.as_deref());
-        match last.filter(|last| last.identity == endpoint.identity) {
-            Some(last) => last.heartbeat < endpoint.heartbeat,
-            None => !may_be_rewritten,
-        }
+        let record = self.records.get(key);
+        let last = record.and_then(|record| record.last_endpoint.as_deref());
+        let of_incarnation = last.filter(|last| last.identity == endpoint.identity);
+        let is_newer = of_incarnation.is_none_or(|last| last.heartbeat < endpoint.heartbeat);
+        is_newer && !may_be_rewritten
     }
 
     /// Whether endpoints stay in use whose entries were removed, so that this host does not know for certain
--- a/crates/core/tests/epochs.rs
+++ b/crates/core/tests/epochs.rs
@@ -215,8 +215,10 @@
     for may_be_rewritten in [false, true] {
         assert!(!is_sign(&directory, 29, may_be_rewritten));
         assert!(!is_sign(&directory, 30, may_be_rewritten));
-        assert!(is_sign(&directory, 31, may_be_rewritten));
     }
+    assert!(is_sign(&directory, 31, false));
+    // Its process may have written it before the store went away, and have ended since.
+    assert!(!is_sign(&directory, 31, true));
     let mut epochs = Epochs::default();
     epochs.learn(Epoch::new(1), NOW);
     assert!(!epochs.may_be_rewritten(NOW));
