--- a/review/stand-in-3/cases/mod.rs
+++ b/review/stand-in-3/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod last_tenant;
 mod many_keys;
 mod unread;
 
@@ -44,6 +45,7 @@
 
 pub fn run(case: &str, cx: &Context) -> io::Result<Verdict> {
     match case {
+        "last-tenant" => last_tenant::run(cx),
         "many-keys" => many_keys::run(cx),
         "unread" => unread::run(cx),
         _ => Err(io::Error::other("no such case")),
