--- a/review/stand-in-3/cases/mod.rs
+++ b/review/stand-in-3/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod last_tenant;
 mod many_keys;
+mod stops;
 mod unread;
 
 use std::fs;
@@ -47,6 +48,7 @@
     match case {
         "last-tenant" => last_tenant::run(cx),
         "many-keys" => many_keys::run(cx),
+        "stops" => stops::run(cx),
         "unread" => unread::run(cx),
         _ => Err(io::Error::other("no such case")),
     }
