--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$here/../.." && pwd)
 program="$root/target/review-3/stand-in"
 [ -x "$program" ] && [ -x "$root/target/release/pistachiochuted" ] || exit 2
-exec "$program" unread "$root" "$here"
+exec "$program" many-keys "$root" "$here"
