--- a/review/stand-in-3/cases/mod.rs
+++ b/review/stand-in-3/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod flapping;
 mod last_tenant;
 mod many_keys;
 mod stops;
@@ -45,6 +46,7 @@
 
 pub fn run(case: &str, cx: &Context) -> io::Result<Verdict> {
     match case {
+        "flapping" => flapping::run(cx),
         "last-tenant" => last_tenant::run(cx),
         "many-keys" => many_keys::run(cx),
         "stops" => stops::run(cx),
--- a/review/stand-in-3/fleet.rs
+++ b/review/stand-in-3/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{self, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -252,7 +252,10 @@
     has_gone: AtomicBool,
     born_ms: u64,
     has_report: bool,
+    version: &'static str,
     store: Store,
+    /// Connections to it, and whether it still runs.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
@@ -267,20 +270,19 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         Self::start_on(
             listener,
-            store,
-            record,
+            (store, record),
             (id, service, zone, slots),
-            has_report,
+            ("v1", has_report),
             behaviour,
         )
     }
 
+    /// Starts a replica whose software has a version, at a listener.
     pub fn start_on(
         listener: TcpListener,
-        store: &Store,
-        record: &Record,
+        (store, record): (&Store, &Record),
         (id, service, zone, slots): (&str, &str, &str, u32),
-        has_report: bool,
+        (version, has_report): (&'static str, bool),
         behaviour: Arc<Behaviour>,
     ) -> io::Result<Self> {
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -293,7 +295,9 @@
             has_gone: AtomicBool::new(false),
             born_ms: now.map_or(0, |now| now.as_millis() as u64),
             has_report,
+            version,
             store: store.clone(),
+            open: Mutex::default(),
         };
         let replica = Self {
             id: id.to_owned(),
@@ -305,6 +309,12 @@
         let server = replica.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if server.state.has_gone.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(open) = stream.try_clone() {
+                    server.state.open.lock().expect("a sound lock").push(open);
+                }
                 let (replica, behaviour) = (server.clone(), behaviour.clone());
                 thread::spawn(move || drop(replica.serve(stream, &*behaviour)));
             }
@@ -321,12 +331,23 @@
         Ok(replica)
     }
 
+    /// Ends the process: its listener, its connections and its entry's writes.
+    pub fn crash(&self) {
+        self.state.has_gone.store(true, Ordering::Relaxed);
+        // Wakes the listener.
+        drop(TcpStream::connect(self.addr));
+        for stream in self.state.open.lock().expect("a sound lock").iter() {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+
     fn beat(&self) {
         let ReplicaState {
             service,
             zone,
             slots,
             born_ms,
+            version,
             ..
         } = &*self.state;
         let sequence = self.state.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -336,7 +357,7 @@
             "ready"
         };
         let entry = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","coldRemainingMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{born_ms}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"{version}","slots":{slots},"state":"{state}","coldRemainingMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{born_ms}}}"#,
             self.addr
         );
         self.state
