--- a/review/stand-in-3/cases/mod.rs
+++ b/review/stand-in-3/cases/mod.rs
@@ -3,6 +3,7 @@
 mod flapping;
 mod last_tenant;
 mod many_keys;
+mod old_version;
 mod stops;
 
 use std::fs;
@@ -49,6 +50,7 @@
         "flapping" => flapping::run(cx),
         "last-tenant" => last_tenant::run(cx),
         "many-keys" => many_keys::run(cx),
+        "old-version" => old_version::run(cx),
         "stops" => stops::run(cx),
         _ => Err(io::Error::other("no such case")),
     }
