Tell catalogs that take more than a frame in parts, and read one that does not come

Cause: a catalog went to other hosts as one frame of 1 MiB, in which a key takes 32 bytes, whatever the store allows. One that did not fit was left out and counted as sent, and a host that follows a live relay read it nowhere, though each status of its relay told it that it was behind.

Change: a catalog that takes more than a frame goes in parts of 64 KiB, put together within the memory of the link; what could not be sent is no longer noted as sent; and a host that stays behind others for 0.6 to 1 s reads the entry from the store. Either alone mends the case; the parts also serve hosts that do not reach the store, the read every other reason for which a catalog does not come.

--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -6,11 +6,13 @@
 
 pub mod changes;
 mod current;
+mod lag;
 mod model;
 mod routes;
 pub mod verify;
 
 pub use current::{CurrentCatalog, UpdateResult};
+pub use lag::Lag;
 pub use model::{
     Account, AccountIndex, CallerLimits, Content, RequestKind, Route, RouteIndex, Service,
     ServiceIndex, Target, Version,
--- a/crates/gateway/src/control/links/incoming.rs
+++ b/crates/gateway/src/control/links/incoming.rs
@@ -10,6 +10,7 @@
 use pistachiochute_core::choice::load;
 use pistachiochute_core::memory::Activity;
 use pistachiochute_core::{catalog, directory, revision, streams, time};
+use pistachiochute_messages::catalog_parts::{self, Assembly, MAX_CATALOG_BYTES};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::{clock, metrics};
 use smallvec::SmallVec;
@@ -152,6 +153,8 @@
     versions: HashMap<directory::Identity, directory::SoftwareVersion>,
     /// Epoch of the store that its revisions belong to, if it names one.
     epoch: Option<revision::Epoch>,
+    /// Parts of a catalog.
+    catalog: Assembly,
 }
 
 async fn receive_messages<D, S>(
@@ -165,6 +168,7 @@
 {
     let mut decoder = codec::Decoder::new();
     let mut undecoded = memory::GrowingLease::new(account.clone());
+    let mut unfinished = memory::GrowingLease::new(account.clone());
     let mut sender: Option<Sender> = None;
     let mut is_within_message = false;
     while let Some(data) = body.data().await {
@@ -190,8 +194,15 @@
                         name: host,
                         versions: HashMap::new(),
                         epoch: None,
+                        catalog: Assembly::new(),
                     });
                 }
+                (peer::Message::CatalogPart(part), Some(sender)) => {
+                    let total = part.total as usize;
+                    let room = unfinished.reserve(total.min(MAX_CATALOG_BYTES)).await;
+                    room.map_err(|_| eyre::eyre!("no memory for a catalog"))?;
+                    apply_catalog_part(cx, sender, &part);
+                }
                 (message, Some(sender)) => handle_message(cx, sender, message),
                 (_, None) => eyre::bail!("message before the name of the sender"),
             }
@@ -200,6 +211,12 @@
         if !is_within_message {
             undecoded.clear();
         }
+        if let Some(sender) = &mut sender {
+            sender.catalog.expire(clock::now());
+        }
+        if sender.as_ref().is_none_or(|s| s.catalog.is_empty()) {
+            unfinished.clear();
+        }
     }
     Ok(())
 }
@@ -248,6 +265,7 @@
     let epoch = epoch.unwrap_or_else(|| cx.state.borrow().epochs.unnamed());
     match message {
         peer::Message::Hello { .. } => {}
+        peer::Message::CatalogPart(part) => apply_catalog_part(cx, sender, &part),
         peer::Message::Status {
             known: version,
             store,
@@ -364,6 +382,29 @@
     cx.apply_catalog(decoded, events::Source::Host(sender.clone()));
 }
 
+/// Adds a part of a catalog to those before it, and applies the catalog with its last part.
+fn apply_catalog_part<D, S>(
+    cx: &Context<D, S>,
+    sender: &mut Sender,
+    part: &catalog_parts::CatalogPart,
+) where
+    D: adapter::Dialect,
+    S: adapter::Store,
+{
+    let now = clock::now();
+    match sender.catalog.add(part, now) {
+        Ok(Some(content)) => apply_catalog(cx, &sender.name, content),
+        Ok(None) => {
+            // No other host is asked while one sends.
+            let mut state = cx.state.borrow_mut();
+            state.catalog_requests.insert(sender.name.clone(), now);
+        }
+        Err(e) => cx
+            .events
+            .catalog_parts_dropped(&sender.name, part.version, &e),
+    }
+}
+
 /// Applies the status of another host.
 fn apply_status<D, S>(
     cx: &Context<D, S>,
--- a/crates/gateway/src/control/links/mod.rs
+++ b/crates/gateway/src/control/links/mod.rs
@@ -215,7 +215,8 @@
 {
     let named_epoch = cx.state.borrow().named_epoch.clone();
     let (sender, mut outbox) = Outbox::new(features.clone(), named_epoch);
-    let mut catalogs = CatalogSender::new(sender.catalog_wanted(), cx.catalog_turns.clone());
+    let wanted = sender.catalog_wanted();
+    let mut catalogs = CatalogSender::new(wanted, cx.catalog_turns.clone(), features.clone());
     cx.state.borrow_mut().outboxes.insert(name.clone(), sender);
     let snapshot = flood::snapshot(&cx.state.borrow(), clock::now());
     let is_sent = |message: &&peer::Message| outbox::is_sent(message, &features);
@@ -243,8 +244,8 @@
                 link.send_of_epoch(queued.epoch, &queued.message)?;
                 continue;
             }
-            turn = catalogs.turn() => {
-                catalogs.send(cx, (name, link.tx), turn).await?;
+            due = catalogs.due() => {
+                catalogs.send(cx, (name, link.tx), due).await?;
                 continue;
             }
             _ = ticks.tick() => {}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,6 +11,7 @@
 
 mod ages;
 mod cache_recovery;
+mod catalog_reads;
 mod cold_endpoints;
 mod crash_evidence;
 mod departures;
@@ -145,6 +146,7 @@
     });
     tokio::task::spawn_local(sync::sync_store(cx.clone()));
     tokio::task::spawn_local(sync::keep_endpoints_known(cx.clone()));
+    tokio::task::spawn_local(catalog_reads::keep_catalog_current(cx.clone()));
     tokio::task::spawn_local(host_registry::keep_registered(cx.clone()));
     tokio::task::spawn_local(host_registry::refresh_hosts(cx.clone()));
     tokio::task::spawn_local(links::accept(cx.clone(), links));
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -262,6 +262,14 @@
         is_behind.then_some(own)
     }
 
+    /// Newest version of the catalog that a host which this one hears has said to have.
+    #[must_use]
+    pub fn newest_catalog(&self, now: time::Time) -> Option<catalog::Version> {
+        let heard = self.peers.values();
+        let heard = heard.filter(|peer| now.since(peer.last_heard) < PEER_TIMEOUT);
+        heard.filter_map(|peer| peer.version.catalog).max()
+    }
+
     /// Records that a host is asked for a newer catalog, if it is its turn: one host at a time, the relays
     /// that this host follows in their order, and another one only if the last has not sent it in time.
     pub fn record_catalog_request(&mut self, name: &Arc<str>, now: time::Time) -> bool {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -183,7 +183,7 @@
 /// # Errors
 ///
 /// The list is of an earlier epoch.
-fn note_epoch_of_list<D, S>(
+pub(super) fn note_epoch_of_list<D, S>(
     cx: &Context<D, S>,
     revision: revision::StoredRevision,
 ) -> Result<(), key_value::Error> {
@@ -360,7 +360,8 @@
     cx.has_live_relay()
 }
 
-fn apply_catalog_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry)
+/// Applies the catalog, if that is what an entry holds.
+pub(super) fn apply_catalog_entry<D, S>(cx: &Context<D, S>, entry: &key_value::Entry)
 where
     D: adapter::Dialect,
     S: adapter::Store,
--- a/crates/gateway/src/control/tests.rs
+++ b/crates/gateway/src/control/tests.rs
@@ -56,7 +56,7 @@
             Some(
                 "stream-versions,quarantine,endpoint-limits,endpoint-departures,crash-times,\
                  evacuations,cold-endpoints,stream-beginnings,endpoint-knowledge,\
-                 store-epochs"
+                 store-epochs,catalog-parts"
             )
         );
         provoke(&shared, &mut peer);
--- a/crates/gateway/src/control/tests/catalogs.rs
+++ b/crates/gateway/src/control/tests/catalogs.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use pistachiochute_core::membership::overlay;
-use pistachiochute_core::{catalog, revision, streams, time};
+use pistachiochute_core::{catalog, lists, revision, streams, time};
+use pistachiochute_messages::catalog_parts::{Assembly, EncodedCatalog};
 use pistachiochute_messages::peer;
+use pistachiochute_runtime::clock;
 
 use super::linked_host::{self, Peer, run};
 use crate::control::links::{Outbox, Queued, catalog_turns};
@@ -39,7 +41,6 @@
         is_public: false,
     };
     catalog::Content {
-        version: catalog::Version(7),
         routes: (0..ROUTES).map(route).collect(),
         services: vec![catalog::Service {
             name: linked_host::SERVICE.into(),
@@ -47,16 +48,37 @@
             memory_tokens: None,
             cold_rate: None,
         }],
-        accounts: Vec::new(),
-        limits: catalog::CallerLimits {
-            max_head_bytes: 1 << 14,
-            max_body_bytes: 1 << 20,
-            head_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(1),
-        },
+        ..linked_host::empty_catalog(7)
     }
 }
 
+/// A catalog with more keys than a frame holds.
+fn catalog_with_many_keys() -> catalog::Content {
+    let keys = (0..40_000_u32).map(|n| lists::KeyDigest::of(&n.to_le_bytes()));
+    let account = catalog::Account {
+        name: "farm".into(),
+        key_digests: keys.collect(),
+        priority: None,
+    };
+    catalog::Content {
+        routes: Vec::new(),
+        accounts: vec![account],
+        ..large_catalog()
+    }
+}
+
+/// Messages with the parts of a catalog.
+fn parts(content: &catalog::Content) -> Vec<peer::Message> {
+    let encoded = EncodedCatalog::new(content).expect("a catalog");
+    let mut parts = Vec::new();
+    let mut offset = 0;
+    while let Some(part) = encoded.part_at(offset) {
+        offset += part.bytes.len();
+        parts.push(peer::Message::CatalogPart(part));
+    }
+    parts
+}
+
 /// A host that follows two relays, and its relays' links.
 fn member() -> (State, Vec<tokio::sync::mpsc::Receiver<Queued>>) {
     let history = streams::VersionHistory::new(true, NOW);
@@ -198,3 +220,75 @@
         assert_eq!(catalogs.iter().filter(|m| is_catalog(m)).count(), 1);
     });
 }
+
+/// The catalog that a peer has received in parts.
+fn assembled(peer: &Peer) -> Option<catalog::Content> {
+    let mut assembly = Assembly::new();
+    let received = peer.received.borrow();
+    let parts = received.iter().filter_map(|message| match message {
+        peer::Message::CatalogPart(part) => Some(part),
+        _ => None,
+    });
+    let mut whole = None;
+    for part in parts {
+        whole = assembly
+            .add(part, clock::now())
+            .expect("parts in order")
+            .or(whole);
+    }
+    whole
+}
+
+/// Guards against CONFIG: a catalog that takes more than a frame was left out, and counted as sent.
+#[test]
+fn catalog_that_takes_more_than_a_frame_goes_in_parts() {
+    run(Some("catalog-parts"), async |shared, mut first| {
+        let content = catalog_with_many_keys();
+        for part in parts(&content) {
+            first.send(&part);
+        }
+        let has_catalog = async {
+            while shared.view().catalog.is_none() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let has_catalog = tokio::time::timeout(linked_host::WAIT_TIMEOUT, has_catalog).await;
+        assert!(
+            has_catalog.is_ok(),
+            "the host has not put the parts together"
+        );
+        first.send(&peer::Message::Want(peer::StateVersion::default()));
+        let is_part = |m: &peer::Message| matches!(m, peer::Message::CatalogPart(_));
+        first.wait_for("part", is_part).await;
+        let is_whole = async {
+            while assembled(&first).is_none() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let is_whole = tokio::time::timeout(linked_host::WAIT_TIMEOUT, is_whole).await;
+        assert!(is_whole.is_ok(), "the peer has not got all parts");
+        assert_eq!(assembled(&first), Some(content));
+    });
+}
+
+/// A host of the build before, which does not know parts, keeps its link and gets all else.
+#[test]
+fn catalog_in_parts_does_not_go_to_a_host_that_reads_none() {
+    run(Some("endpoint-knowledge"), async |_, mut first| {
+        for part in parts(&catalog_with_many_keys()) {
+            first.send(&part);
+        }
+        first.send(&peer::Message::Want(peer::StateVersion::default()));
+        first.wait_for("endpoints", linked_host::is_endpoints).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let is_catalog = |m: &peer::Message| {
+            matches!(m, peer::Message::CatalogPart(_) | peer::Message::Catalog(_))
+        };
+        assert!(!first.received.borrow().iter().any(is_catalog));
+        let is_status = |m: &&peer::Message| matches!(m, peer::Message::Status { .. });
+        let statuses = || first.received.borrow().iter().filter(is_status).count();
+        let before = statuses();
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        assert!(before < statuses(), "the link goes on");
+    });
+}
--- a/crates/gateway/src/control/tests/followed_relay.rs
+++ b/crates/gateway/src/control/tests/followed_relay.rs
@@ -12,7 +12,7 @@
 use pistachiochute_runtime::clock;
 
 use super::linked_host::{self, Peer, Store};
-use crate::control::{TICK_INTERVAL, links, sync};
+use crate::control::{TICK_INTERVAL, catalog_reads, links, sync};
 use crate::{shared, sockets};
 
 /// Name of the relay, before the name of the host in the order of names.
@@ -36,11 +36,13 @@
     Store::new(relays.into_iter().chain(others).collect())
 }
 
-/// What a relay says of itself once the endpoint has left.
+/// What a relay says of itself once the state in the store has changed.
 #[derive(Clone, Copy, Debug)]
 struct Statement {
     /// Revision of the last change of the endpoints that it knows.
     endpoints: u64,
+    /// Version of its catalog.
+    catalog: u64,
     /// Whether the store goes on answering it.
     has_store: bool,
 }
@@ -53,13 +55,13 @@
             lost_at.get_or_insert(clock::now());
         }
         let answered = lost_at.map_or(Duration::ZERO, |at| clock::now().since(at));
-        let endpoints = match changed.get() {
-            true => statement.endpoints,
-            false => 1,
+        let (endpoints, catalog) = match changed.get() {
+            true => (statement.endpoints, statement.catalog),
+            false => (1, 0),
         };
         peer.borrow_mut().send(&peer::Message::Status {
             known: peer::StateVersion {
-                catalog: Some(catalog::Version(0)),
+                catalog: Some(catalog::Version(catalog)),
                 endpoints: revision::Revision(endpoints),
             },
             store: peer::StoreHealth {
@@ -73,9 +75,20 @@
     }
 }
 
-/// Lets the endpoint leave beside a relay that states this and answers no question. Returns how long the host
-/// goes on using the endpoint, or `None` if it uses it longer than the settings allow.
-fn time_in_use(statement: Statement) -> Option<Duration> {
+/// Time in which a version of the catalog is in force, as the users' larger sites state it.
+const CATALOG_APPLY: Duration = Duration::from_secs(3);
+
+/// Changes the state in the store beside a relay that states this, answers no question and sends nothing. Returns
+/// how long it takes until the host has the change, or `None` if that is longer than `bound`.
+fn time_until<Change, IsDone>(
+    statement: Statement,
+    change: Change,
+    (is_done, bound): (IsDone, Duration),
+) -> Option<Duration>
+where
+    Change: FnOnce(&Store),
+    IsDone: Fn(&shared::View) -> bool,
+{
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -95,7 +108,8 @@
             Rc::clone(&received),
         ));
         let store = store(relay_links);
-        let has_endpoint = store.has_endpoint.clone();
+        store.catalog.set(Some(0));
+        let kept = store.clone();
         let shared = Arc::new(shared::Shared::with_limits(Limits::NONE));
         let host = linked_host::start(store, links, shared.clone());
         let peer = linked_host::connect(RELAY, address, relay_links, received).await;
@@ -104,28 +118,65 @@
         let statuses = send_statuses(peer, statement, changed.clone());
         let statuses = tokio::task::spawn_local(statuses);
         tokio::time::sleep(SETTLING_TIME).await;
-        let is_used = || !shared.view().endpoints.is_empty();
-        assert!(is_used(), "the endpoint is in use before it leaves");
-        has_endpoint.set(false);
+        let is_done = || is_done(&shared.view());
+        assert!(!is_done(), "it is not done before the change");
+        change(&kept);
         changed.set(true);
-        let left_at = clock::now();
-        while is_used() && clock::now().since(left_at) < linked_host::DRAIN {
+        let changed_at = clock::now();
+        while !is_done() && clock::now().since(changed_at) < bound {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        let in_use = (!is_used()).then(|| clock::now().since(left_at));
+        let taken = is_done().then(|| clock::now().since(changed_at));
         statuses.abort();
         shared.enter_phase(shared::Phase::Stopped);
         host.await.expect("the host stops");
-        in_use
+        taken
     })
 }
 
+/// Lets the endpoint leave beside a relay that states this. Returns how long the host goes on using the endpoint.
+fn time_in_use(statement: Statement) -> Option<Duration> {
+    let leave = |store: &Store| store.has_endpoint.set(false);
+    let has_left = |view: &shared::View| view.endpoints.is_empty();
+    time_until(statement, leave, (has_left, linked_host::DRAIN))
+}
+
+/// Guards against CONFIG: a host knew of a newer catalog that its relay did not deliver, for whatever reason, and did
+/// not ask the store for it, since the relay counted as a source of news.
+#[test]
+fn host_whose_relay_does_not_deliver_the_catalog_reads_it() {
+    let statement = Statement {
+        endpoints: 1,
+        catalog: 9,
+        has_store: true,
+    };
+    let change = |store: &Store| store.catalog.set(Some(9));
+    let has_it = |view: &shared::View| {
+        let version = view.catalog.as_ref().map(|catalog| catalog.version());
+        version == Some(catalog::Version(9))
+    };
+    let taken = time_until(statement, change, (has_it, CATALOG_APPLY));
+    assert!(taken.is_some(), "not in force within the bound");
+}
+
+/// What a change of the catalog takes to a host whose relay does not deliver it, but for the store's own time, leaves
+/// a second of the users' bound for the value itself.
+#[test]
+fn parts_of_the_way_of_a_catalog_stay_within_the_bound() {
+    let learning = sync::WATCH_DELAY + 2 * links::SEND_INTERVAL;
+    let reading = catalog_reads::POLL_INTERVAL + catalog_reads::READ_AFTER;
+    let whole = learning + reading + catalog_reads::MAX_SPREAD;
+    let transfer = Duration::from_secs(1);
+    assert!(whole + transfer <= CATALOG_APPLY, "{whole:?}");
+}
+
 /// Requests reached endpoints that had left since a relay whose watch hears nothing, and whose other calls the
 /// store answers, counted as a source of news.
 #[test]
 fn host_that_follows_a_relay_whose_watch_hears_nothing_learns_what_leaves() {
     let in_use = time_in_use(Statement {
         endpoints: 1,
+        catalog: 0,
         has_store: true,
     });
     assert!(in_use.is_some(), "in use for longer than the bound");
@@ -137,6 +188,7 @@
 fn host_that_follows_a_relay_without_the_store_learns_what_leaves() {
     let in_use = time_in_use(Statement {
         endpoints: 1,
+        catalog: 0,
         has_store: false,
     });
     assert!(in_use.is_some(), "in use for longer than the bound");
@@ -148,6 +200,7 @@
 fn host_whose_relay_holds_news_and_does_not_answer_learns_what_leaves() {
     let in_use = time_in_use(Statement {
         endpoints: 9,
+        catalog: 0,
         has_store: true,
     });
     assert!(in_use.is_some(), "in use for longer than the bound");
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, StatusCode, request, response};
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::memory::Limits;
-use pistachiochute_core::{admission, directory, reason, retry, revision, sse, streams};
+use pistachiochute_core::{admission, catalog, directory, reason, retry, revision, sse, streams};
 use pistachiochute_messages::{codec, peer};
 use pistachiochute_runtime::platform::key_value;
 use pistachiochute_runtime::{clock, metrics};
@@ -132,8 +132,13 @@
         "evacuations/"
     }
 
-    fn decode_catalog(&self, _: &[u8]) -> Result<verify::Decoded, Vec<verify::Finding>> {
-        Err(Vec::new())
+    fn decode_catalog(&self, value: &[u8]) -> Result<verify::Decoded, Vec<verify::Finding>> {
+        let text = std::str::from_utf8(value).map_err(|_| Vec::new())?;
+        let version = text.parse().map_err(|_| Vec::new())?;
+        Ok(verify::Decoded {
+            content: empty_catalog(version),
+            findings: Vec::new(),
+        })
     }
 
     fn decode_endpoint(&self, key: &str, _: &[u8]) -> eyre::Result<directory::Endpoint> {
@@ -141,6 +146,22 @@
     }
 }
 
+/// A catalog that has nothing but a version.
+pub fn empty_catalog(version: u64) -> catalog::Content {
+    catalog::Content {
+        version: catalog::Version(version),
+        routes: Vec::new(),
+        services: Vec::new(),
+        accounts: Vec::new(),
+        limits: catalog::CallerLimits {
+            max_head_bytes: 1 << 14,
+            max_body_bytes: 1 << 20,
+            head_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }
+}
+
 /// A store with other hosts, one endpoint, which may leave, and entries of another writer.
 #[derive(Clone)]
 pub struct Store {
@@ -152,6 +173,8 @@
     pub hosts: Rc<Vec<(String, HostEntry)>>,
     /// Whether the endpoint is there.
     pub has_endpoint: Rc<Cell<bool>>,
+    /// Version of the catalog, if there is one.
+    pub catalog: Rc<Cell<Option<u64>>>,
 }
 
 impl Store {
@@ -162,6 +185,7 @@
             held: Rc::default(),
             hosts: Rc::new(hosts),
             has_endpoint: Rc::new(Cell::new(true)),
+            catalog: Rc::default(),
         }
     }
 
@@ -226,6 +250,12 @@
         if self.has_endpoint.get() {
             entries.push(entry(format!("{ENDPOINTS_PREFIX}i-1"), Vec::new()));
         }
+        if let Some(version) = self.catalog.get() {
+            entries.push(entry(
+                "catalog".to_owned(),
+                version.to_string().into_bytes(),
+            ));
+        }
         entries.retain(|entry| entry.key.starts_with(prefix.as_bytes()));
         Ok(adapter::Page {
             epoch: revision::Epoch::default(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -103,6 +103,19 @@
         );
     }
 
+    /// Other hosts have had a newer catalog for a while, and this host reads it from the store.
+    pub fn catalog_behind(
+        &self,
+        own: Option<catalog::Version>,
+        newest: Option<catalog::Version>,
+        behind: Duration,
+    ) {
+        slog::info!(
+            self.log, "catalog behind";
+            "version" => own.map(|v| v.0), "newest" => newest.map(|v| v.0), "behind_ms" => millis(behind),
+        );
+    }
+
     /// The store became reachable or unreachable.
     pub fn store_availability(&self, answers: bool, cause: &str) {
         match answers {
@@ -251,6 +264,19 @@
         );
     }
 
+    /// Parts of a catalog do not make one. The version before stays in force.
+    pub fn catalog_parts_dropped(
+        &self,
+        peer: &str,
+        version: catalog::Version,
+        e: &dyn fmt::Display,
+    ) {
+        slog::warn!(
+            self.log, "catalog parts dropped";
+            "peer" => peer, "version" => %version, "cause" => %e,
+        );
+    }
+
     /// A listener cannot be registered with the runtime.
     pub fn listener_failed(&self, what: &str, e: &dyn fmt::Display) {
         slog::error!(self.log, "listener failed"; "what" => what, "cause" => %e);
--- a/crates/messages/src/codec.rs
+++ b/crates/messages/src/codec.rs
@@ -60,16 +60,42 @@
     Ok(buf.freeze())
 }
 
-/// Decodes the value of one frame, without the length prefix.
+/// Largest value that [`decode_unframed`] decodes, in bytes.
+const MAX_UNFRAMED_LEN: usize = 64 << 20;
+
+/// Encodes a value whose size others bound, without a length prefix.
 ///
 /// # Errors
 ///
-/// Returns an error if the bytes are not exactly one value of the type.
-pub fn decode<T>(bytes: &[u8]) -> Result<T, Error>
+/// Returns [`Error::Malformed`] if the value cannot be encoded.
+pub fn encode_unframed<T>(value: &T) -> Result<Bytes, Error>
+where
+    T: serde::Serialize,
+{
+    let encoded = bincode::serde::encode_to_vec(value, bincode::config::standard());
+    let encoded = encoded.map_err(|e| Error::Malformed(e.to_string()))?;
+    Ok(encoded.into())
+}
+
+/// Decodes what [`encode_unframed`] has encoded.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not exactly one value of the type, or take more memory than the largest one may.
+pub fn decode_unframed<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let config = bincode::config::standard().with_limit::<MAX_UNFRAMED_LEN>();
+    decode_with(bytes, config)
+}
+
+fn decode_with<T, C>(bytes: &[u8], config: C) -> Result<T, Error>
 where
     T: serde::de::DeserializeOwned,
+    C: bincode::config::Config,
 {
-    let (value, used) = bincode::serde::decode_from_slice(bytes, config())
+    let (value, used) = bincode::serde::decode_from_slice(bytes, config)
         .map_err(|e| Error::Malformed(e.to_string()))?;
     match bytes.len() - used {
         0 => Ok(value),
@@ -77,6 +103,18 @@
     }
 }
 
+/// Decodes the value of one frame, without the length prefix.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not exactly one value of the type.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: serde::de::DeserializeOwned,
+{
+    decode_with(bytes, config())
+}
+
 /// Decodes a buffer that holds exactly one frame, with the length prefix.
 ///
 /// # Errors
--- a/crates/messages/src/frames.rs
+++ b/crates/messages/src/frames.rs
@@ -83,7 +83,8 @@
         | Message::OriginClaim { .. }
         | Message::KnowledgeQuery { .. }
         | Message::KnowledgeAnswer { .. }
-        | Message::StoreEpoch(_) => None,
+        | Message::StoreEpoch(_)
+        | Message::CatalogPart(_) => None,
     }
 }
 
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -7,6 +7,7 @@
 //! direction. A request that a host without endpoints passes on is described in [`forwarded`].
 //! [`datagram::Datagram`]s travel over UDP.
 
+pub mod catalog_parts;
 pub mod codec;
 pub mod control;
 pub mod datagram;
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -9,6 +9,8 @@
 use pistachiochute_core::choice::load;
 use pistachiochute_core::{catalog, directory, quarantine, rate_limits, revision, streams};
 
+use crate::catalog_parts;
+
 /// A part of a prompt that an endpoint processes and therefore keeps in its cache for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct CachedPart {
@@ -98,11 +100,13 @@
     EndpointKnowledge,
     /// Epochs of the store.
     StoreEpochs,
+    /// Catalogs in parts.
+    CatalogParts,
 }
 
 impl Feature {
     /// Every feature.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::StreamVersions,
         Self::Quarantine,
         Self::EndpointLimits,
@@ -113,6 +117,7 @@
         Self::StreamBeginnings,
         Self::EndpointKnowledge,
         Self::StoreEpochs,
+        Self::CatalogParts,
     ];
 
     /// Name in [`FEATURES_HEADER`].
@@ -129,6 +134,7 @@
             Self::StreamBeginnings => "stream-beginnings",
             Self::EndpointKnowledge => "endpoint-knowledge",
             Self::StoreEpochs => "store-epochs",
+            Self::CatalogParts => "catalog-parts",
         }
     }
 
@@ -352,6 +358,8 @@
     /// Epoch of the store to which the revisions in the following messages of the sender belong. One of an earlier
     /// epoch stands in them as none.
     StoreEpoch(revision::Epoch),
+    /// A part of a catalog that does not fit into a frame, in response to [`Message::Want`].
+    CatalogPart(catalog_parts::CatalogPart),
 }
 
 impl Message {
@@ -381,6 +389,7 @@
                 Some(Feature::EndpointKnowledge)
             }
             Self::StoreEpoch(_) => Some(Feature::StoreEpochs),
+            Self::CatalogPart(_) => Some(Feature::CatalogParts),
         }
     }
 
@@ -410,6 +419,7 @@
             Self::KnowledgeQuery { .. } => "knowledge_query",
             Self::KnowledgeAnswer { .. } => "knowledge_answer",
             Self::StoreEpoch(_) => "store_epoch",
+            Self::CatalogPart(_) => "catalog_part",
         }
     }
 
--- a/crates/messages/tests/peer.rs
+++ b/crates/messages/tests/peer.rs
@@ -3,8 +3,10 @@
 
 use std::collections::HashSet;
 
+use bytes::Bytes;
 use pistachiochute_core::choice::load;
 use pistachiochute_core::{catalog, directory, quarantine, rate_limits, revision, streams};
+use pistachiochute_messages::catalog_parts::CatalogPart;
 use pistachiochute_messages::codec;
 use pistachiochute_messages::peer::{self, Message};
 use proptest::collection;
@@ -207,7 +209,7 @@
     ]
 }
 
-/// The messages about what hosts know of the endpoints, likewise.
+/// The messages about what hosts know of the endpoints, and parts of catalogs, likewise.
 fn knowledge() -> Vec<(Message, Vec<u8>)> {
     let last_change = revision::Revision(9);
     let query = Message::KnowledgeQuery {
@@ -219,7 +221,17 @@
         age_ms: 6,
         last_change,
     };
-    vec![(query, vec![19, 5, 9]), (answer, vec![20, 5, 6, 9])]
+    let part = Message::CatalogPart(CatalogPart {
+        version: catalog::Version(5),
+        total: 9,
+        offset: 8,
+        bytes: Bytes::from_static(&[6]),
+    });
+    vec![
+        (query, vec![19, 5, 9]),
+        (answer, vec![20, 5, 6, 9]),
+        (part, vec![22, 5, 9, 8, 1, 6]),
+    ]
 }
 
 fn encode(message: &Message) -> Vec<u8> {
@@ -260,6 +272,7 @@
             13 => peer::Feature::EndpointDepartures,
             14 => peer::Feature::CrashTimes,
             19 | 20 => peer::Feature::EndpointKnowledge,
+            22 => peer::Feature::CatalogParts,
             _ => peer::Feature::StreamBeginnings,
         };
         assert_eq!(message.feature(), Some(feature), "{message:?}");
@@ -268,7 +281,7 @@
     let variants: HashSet<_> = messages.map(|(_, start)| start[0]).collect();
     assert_eq!(
         variants,
-        HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18, 19, 20])
+        HashSet::from([7, 8, 9, 10, 11, 12, 13, 14, 17, 18, 19, 20, 22])
     );
 }
 
--- a/crates/soak/src/fleet/configuration.rs
+++ b/crates/soak/src/fleet/configuration.rs
@@ -16,6 +16,10 @@
 /// Routes of the large configuration that no request uses.
 const MANY_ROUTES: u64 = 480;
 
+/// Keys of another client account in the large configuration, which they make nearly as large as a value of the store
+/// may be, and larger than one message between hosts.
+const MANY_KEYS: u64 = 38_000;
+
 /// What changes between versions of the configuration.
 pub(super) struct Configuration {
     version: u64,
@@ -73,6 +77,12 @@
             idle_timeout_ms: self.idle_timeout_ms,
         };
         let mut record = config.record();
+        if self.has_many_routes
+            && let Some(accounts) = record["tenants"].as_array_mut()
+        {
+            let keys: Vec<_> = (0..MANY_KEYS).map(|n| format!("k{n:019}")).collect();
+            accounts.push(serde_json::json!({"name": "many", "apiKeys": keys, "priority": 3}));
+        }
         let services = record["services"].as_array_mut();
         let named = |service: &&mut serde_json::Value| service["name"] == evacuations::SERVICE;
         if let Some(service) = services.and_then(|all| all.iter_mut().find(named)) {
