--- a/crates/core/src/streams/history.rs
+++ b/crates/core/src/streams/history.rs
@@ -313,6 +313,7 @@
         let has_version = |i: &Incarnation| i.version == Some(origin.version);
         match proof {
             Proof::Shown => true,
+            Proof::Reported(_) => self.version_of(record).is_some(),
             Proof::ShownBefore if known.is_none() => true,
             Proof::Open(Some(connected)) => incarnations
                 .iter()
@@ -329,6 +330,19 @@
         }
     }
 
+    /// Version of the incarnation that began a stream, as it said itself, once its entry is known.
+    #[must_use]
+    pub fn version_of(&self, record: &OriginRecord) -> Option<VersionTag> {
+        let Proof::Reported(connected) = record.proof else {
+            return None;
+        };
+        let incarnations = self.incarnations.get(&record.origin.endpoint)?;
+        let is_meant = |i: &&Incarnation| {
+            i.identity.is_distinct() && IncarnationTag::of(&i.identity) == connected.to
+        };
+        incarnations.iter().find(is_meant)?.version
+    }
+
     /// The only version at which a stream of a service can have begun in the last `span`, before `began_by`.
     /// `None` if the service has had several, if the version of an endpoint is not known, or if the history
     /// does not cover the span.
--- a/crates/core/src/streams/keys.rs
+++ b/crates/core/src/streams/keys.rs
@@ -31,7 +31,7 @@
 pub struct VersionTag(u32);
 
 impl VersionTag {
-    /// Tag of a process that is not the one of its endpoint's entry, so that nothing says its version. No
+    /// Tag of a process that was not listed when a stream began there, so that no entry said its version. No
     /// version has it, and no stream goes on by it.
     pub const UNLISTED: Self = Self(0);
 
--- a/crates/core/src/streams/mod.rs
+++ b/crates/core/src/streams/mod.rs
@@ -21,8 +21,8 @@
 };
 pub use keys::{EndpointKey, IncarnationTag, StreamKey, VersionTag};
 pub use origins::{
-    Beginning, Connected, MAX_STREAMS, Origin, OriginRecord, Origins, Proof, StoredBeginning,
-    StoredOrigin, StreamOrigin,
+    Beginning, Connected, KnownProcess, MAX_STREAMS, Origin, OriginRecord, Origins, Proof,
+    StoredBeginning, StoredOrigin, StreamOrigin,
 };
 pub use pulse::Pulse;
 pub use take_ups::TakeUps;
@@ -77,13 +77,16 @@
     let Some(record) = record else {
         return only_version();
     };
+    if let Proof::Reported(_) = record.proof {
+        return history.version_of(&record);
+    }
     let origin = record.origin;
     if history.is_certain(&record) {
         return Some(origin.version);
     }
     match record.proof {
         // The process may have had any version until it is shown to be the one of the entry.
-        Proof::Open(Some(_)) => None,
+        Proof::Open(Some(_)) | Proof::Reported(_) => None,
         Proof::Shown | Proof::ShownBefore | Proof::Open(None) => {
             let is_only = history.versions(&query.service) == 1;
             let version = is_only.then(only_version).flatten();
@@ -92,23 +95,28 @@
     }
 }
 
-/// What is recorded of a stream and not proven, though a sign of life of its endpoint could prove it.
+/// What is recorded of a stream and not proven, though a sign of life of its endpoint, or the entry of the process that
+/// began it, could prove it.
 #[must_use]
 pub fn claim(origins: &Origins, query: &OriginQuery, now: time::Time) -> Option<Beginning> {
     let stream = query.stream?;
     let record = origins.get(stream)?;
-    let is_recent = now.since(record.recorded_at) < RETENTION;
-    match record.proof {
-        Proof::Open(Some(connected)) if is_recent => Some(Beginning {
-            stream: StreamOrigin {
-                stream,
-                origin: record.origin,
-            },
-            connected,
-            is_shown: false,
-        }),
-        Proof::Shown | Proof::ShownBefore | Proof::Open(_) => None,
+    if now.since(record.recorded_at) >= RETENTION {
+        return None;
     }
+    let (connected, process) = match record.proof {
+        Proof::Open(Some(connected)) => (connected, KnownProcess::Claimed),
+        Proof::Reported(connected) => (connected, KnownProcess::Reported),
+        Proof::Shown | Proof::ShownBefore | Proof::Open(None) => return None,
+    };
+    Some(Beginning {
+        stream: StreamOrigin {
+            stream,
+            origin: record.origin,
+        },
+        connected,
+        process,
+    })
 }
 
 /// What hosts know of the version that began a stream.
@@ -116,7 +124,7 @@
 pub enum Answer {
     /// It is this one.
     Version(VersionTag),
-    /// It is that of the beginning, if its endpoint gives a sign of life.
+    /// It is that of the beginning, if its endpoint gives a sign of life, or that of its process, once that is listed.
     Claim(Beginning),
     /// They do not know it.
     Unknown,
--- a/crates/core/src/streams/origins.rs
+++ b/crates/core/src/streams/origins.rs
@@ -38,11 +38,25 @@
     pub by: time::Time,
 }
 
+/// What the host that sent a request knows of the process at the other end of its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownProcess {
+    /// It is the one of the entry by which the host connected, whose version the origin names.
+    Listed,
+    /// It is another one, which has said on this connection that it is the incarnation that [`Connected::to`] names.
+    /// Its version is that of its entry, which the host did not have; the origin names none.
+    Reported,
+    /// The host connected by the entry whose version the origin names. Nothing shows yet that the process is its own.
+    Claimed,
+}
+
 /// What shows that a stream began at the version of its record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
     /// The host that sent the request knew that the process was the one of the entry.
     Shown,
+    /// The process was this incarnation, as it said itself. It has the version of its entry.
+    Reported(Connected),
     /// The record comes from the store, and the host that wrote it was certain.
     ShownBefore,
     /// Nothing yet. A sign of life of the incarnation may show it.
@@ -56,16 +70,17 @@
     pub stream: StreamOrigin,
     /// Connection over which it began.
     pub connected: Connected,
-    /// Whether the process at the other end is known to be the one of the entry.
-    pub is_shown: bool,
+    /// What is known of the process at the other end.
+    pub process: KnownProcess,
 }
 
 impl OriginRecord {
-    /// Incarnation by whose entry the host connected, while nothing shows that the connection is its own.
+    /// Incarnation that began the stream, or by whose entry the host connected, unless the record itself names the
+    /// version.
     #[must_use]
     pub const fn incarnation(&self) -> Option<IncarnationTag> {
         match self.proof {
-            Proof::Open(Some(connected)) => Some(connected.to),
+            Proof::Open(Some(connected)) | Proof::Reported(connected) => Some(connected.to),
             Proof::Shown | Proof::ShownBefore | Proof::Open(None) => None,
         }
     }
@@ -75,9 +90,10 @@
     /// What shows the version.
     #[must_use]
     pub const fn proof(&self) -> Proof {
-        match self.is_shown {
-            true => Proof::Shown,
-            false => Proof::Open(Some(self.connected)),
+        match self.process {
+            KnownProcess::Listed => Proof::Shown,
+            KnownProcess::Reported => Proof::Reported(self.connected),
+            KnownProcess::Claimed => Proof::Open(Some(self.connected)),
         }
     }
 }
@@ -87,7 +103,8 @@
 pub struct StoredBeginning {
     /// The stream and where it began.
     pub stream: StreamOrigin,
-    /// Incarnation whose entry the host connected by, if it is known.
+    /// Incarnation whose entry the host connected by, if it is known. With [`VersionTag::UNLISTED`] and `was_shown`
+    /// the incarnation that the process said to be.
     pub incarnation: Option<IncarnationTag>,
     /// Whether the version was proven when it was stored.
     pub was_shown: bool,
@@ -97,9 +114,12 @@
     /// What shows the version to a host that reads the record at a point in time. The connection had been
     /// made by then.
     fn proof(&self, now: time::Time) -> Proof {
-        match self.was_shown {
-            true => Proof::Shown,
-            false => Proof::Open(self.incarnation.map(|to| Connected { to, by: now })),
+        let connected = self.incarnation.map(|to| Connected { to, by: now });
+        let is_unlisted = self.stream.origin.version == VersionTag::UNLISTED;
+        match (self.was_shown, connected) {
+            (true, Some(connected)) if is_unlisted => Proof::Reported(connected),
+            (true, _) => Proof::Shown,
+            (false, connected) => Proof::Open(connected),
         }
     }
 }
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -9,9 +9,9 @@
 use origins::origin;
 use pistachiochute_core::directory::{Endpoint, SoftwareVersion};
 use pistachiochute_core::streams::{
-    self, Beginning, Connected, EndpointKey, IncarnationTag, LifeSign, MAX_GAP, MAX_STREAMS,
-    OnlyVersions, Origin, OriginQuery, Origins, Pulse, RETENTION, StreamKey, StreamOrigin,
-    VersionHistory, VersionTag,
+    self, Beginning, Connected, EndpointKey, IncarnationTag, KnownProcess, LifeSign, MAX_GAP,
+    MAX_STREAMS, OnlyVersions, Origin, OriginQuery, Origins, Pulse, RETENTION, StoredBeginning,
+    StreamKey, StreamOrigin, VersionHistory, VersionTag,
 };
 use pistachiochute_core::time;
 use streams_support::{SERVICE, endpoint, tag};
@@ -276,7 +276,7 @@
             to: IncarnationTag::of(&endpoint.identity),
             by: secs(connected_at),
         },
-        is_shown: false,
+        process: KnownProcess::Claimed,
     }
 }
 
@@ -364,7 +364,7 @@
     };
     assert_eq!(streams::claim(&host.origins, &query, secs(10)), Some(began));
     let shown = Beginning {
-        is_shown: true,
+        process: KnownProcess::Listed,
         ..began
     };
     host.origins.record_beginning(&shown, secs(10));
@@ -372,6 +372,75 @@
     assert_eq!(streams::claim(&host.origins, &query, secs(10)), None);
 }
 
+/// Beginning of a stream at a process that has said that it is this incarnation, and was not listed.
+fn reported(name: &str, process: &Endpoint) -> Beginning {
+    let mut began = beginning(name, process, "1", 10);
+    began.stream.origin.version = VersionTag::UNLISTED;
+    began.process = KnownProcess::Reported;
+    began
+}
+
+/// Guards against LOST: a stream that began at a process before its entry was known had no version for good.
+#[test]
+fn a_process_that_said_who_it_is_has_the_version_of_its_own_entry() {
+    let mut host = Host::new(true);
+    let [before, process, after] = [1, 2, 3].map(|start| endpoint("a", start, Some("1")));
+    let process = Endpoint {
+        version: Some("2".into()),
+        ..process
+    };
+    host.run(&[before], 0, 10);
+    let began = reported("s", &process);
+    host.origins.record_beginning(&began, secs(10));
+    assert_eq!(host.determine(Some("s"), 10, 10), None);
+    let query = OriginQuery {
+        stream: Some(stream("s")),
+        service: SERVICE.into(),
+        span: Duration::from_secs(10),
+    };
+    let claim = streams::claim(&host.origins, &query, secs(10));
+    assert_eq!(claim, Some(began));
+    host.run(&[process], 11, 12);
+    assert_eq!(host.determine(Some("s"), 10, 12), Some(tag("2")));
+    host.run(&[after], 13, 14);
+    assert_eq!(host.determine(Some("s"), 10, 14), Some(tag("2")));
+}
+
+/// Guards against ORDER: the version of the entry by which the host connected, or of a later process, counts for one
+/// that has said to be another and never wrote its entry.
+#[test]
+fn a_process_that_said_who_it_is_has_no_other_ones_version() {
+    let mut host = Host::new(true);
+    let [before, process, after] = [1, 2, 3].map(|start| endpoint("a", start, Some("1")));
+    host.run(std::slice::from_ref(&before), 0, 10);
+    host.renew(std::slice::from_ref(&before), 9);
+    let began = reported("s", &process);
+    host.origins.record_beginning(&began, secs(10));
+    assert_eq!(host.determine(Some("s"), 5, 10), None);
+    host.run(std::slice::from_ref(&after), 11, 12);
+    host.history.record_write(&after, secs(12), secs(12));
+    assert_eq!(host.determine(Some("s"), 5, 12), None);
+}
+
+/// Guards against LOST and ORDER after a loss of all hosts: what was stored of such a stream names the process, and of a
+/// host of the build before, which names the entry by which it connected, nothing.
+#[test]
+fn a_stored_record_of_a_process_that_was_not_listed_names_it() {
+    let process = endpoint("a", 2, Some("2"));
+    for (was_shown, answer) in [(true, Some(tag("2"))), (false, None)] {
+        let mut host = Host::new(false);
+        let stored = StoredBeginning {
+            stream: reported("s", &process).stream,
+            incarnation: Some(IncarnationTag::of(&process.identity)),
+            was_shown,
+        };
+        host.origins.record_stored(&stored, secs(10));
+        host.run(std::slice::from_ref(&process), 11, 12);
+        host.history.record_write(&process, secs(12), secs(12));
+        assert_eq!(host.determine(Some("s"), 10, 12), answer);
+    }
+}
+
 #[test]
 fn a_record_at_an_id_that_this_host_does_not_know_gives_none() {
     let mut host = Host::new(true);
--- a/crates/core/tests/streams_model.rs
+++ b/crates/core/tests/streams_model.rs
@@ -10,8 +10,8 @@
 use origins::origin;
 use pistachiochute_core::directory::{Endpoint, Identity};
 use pistachiochute_core::streams::{
-    self, Beginning, Connected, IncarnationTag, MAX_GAP, MAX_REPORT_DELAY, Origin, OriginQuery,
-    Origins, StreamKey, StreamOrigin, VersionHistory, VersionTag,
+    self, Beginning, Connected, IncarnationTag, KnownProcess, MAX_GAP, MAX_REPORT_DELAY, Origin,
+    OriginQuery, Origins, StreamKey, StreamOrigin, VersionHistory, VersionTag,
 };
 use pistachiochute_core::time;
 use proptest::prelude::{Strategy, any, proptest};
@@ -357,7 +357,7 @@
                         to: IncarnationTag::of(&stream.connected_to),
                         by: time::Time::from_millis(stream.began_ms),
                     },
-                    is_shown: false,
+                    process: KnownProcess::Claimed,
                 };
                 origins.record_beginning(&beginning, now);
             }
--- a/crates/gateway/src/control/origins.rs
+++ b/crates/gateway/src/control/origins.rs
@@ -138,7 +138,7 @@
         stream: beginning.stream,
         incarnation: beginning.connected.to,
         connected_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        is_shown: beginning.is_shown,
+        is_shown: beginning.process != streams::KnownProcess::Claimed,
     }
 }
 
@@ -151,7 +151,11 @@
             to: record.incarnation,
             by: now - age,
         },
-        is_shown: record.is_shown,
+        process: match (record.is_shown, record.stream.origin.version) {
+            (true, streams::VersionTag::UNLISTED) => streams::KnownProcess::Reported,
+            (true, _) => streams::KnownProcess::Listed,
+            (false, _) => streams::KnownProcess::Claimed,
+        },
     }
 }
 
@@ -295,6 +299,8 @@
     id: u32,
     version: Option<streams::VersionTag>,
 ) {
+    // A host of the build before takes the tag for a version that is proven.
+    let version = version.filter(|version| *version != streams::VersionTag::UNLISTED);
     let answer = version.map_or(streams::Answer::Unknown, streams::Answer::Version);
     let mut state = cx.state.borrow_mut();
     state.origin_queries.answer(id, host, answer);
--- a/crates/gateway/src/control/origins/tests.rs
+++ b/crates/gateway/src/control/origins/tests.rs
@@ -33,7 +33,7 @@
             to: streams::IncarnationTag::of(&identity),
             by: connected_at,
         },
-        is_shown: false,
+        process: streams::KnownProcess::Claimed,
     }
 }
 
@@ -120,3 +120,28 @@
     assert!(decoded.connected.by >= connected_at);
     assert_eq!(decoded.stream, beginning(connected_at).stream);
 }
+
+/// A process that was not listed goes over a link as what it said to be, and as no version.
+#[test]
+fn a_process_that_said_who_it_is_stays_that_on_another_host() {
+    let now = clock::now();
+    let mut told = beginning(now);
+    for process in [
+        streams::KnownProcess::Claimed,
+        streams::KnownProcess::Listed,
+        streams::KnownProcess::Reported,
+    ] {
+        told.process = process;
+        if process == streams::KnownProcess::Reported {
+            told.stream.origin.version = streams::VersionTag::UNLISTED;
+        }
+        let decoded = decode(&encode(&told, now), now);
+        assert_eq!(decoded.process, process);
+        assert_eq!(decoded.stream, told.stream);
+    }
+    // A host of the build before names the entry by which it connected.
+    let mut record = encode(&told, now);
+    record.is_shown = false;
+    let decoded = decode(&record, now);
+    assert_eq!(decoded.process, streams::KnownProcess::Claimed);
+}
--- a/crates/gateway/src/control/stored_origins.rs
+++ b/crates/gateway/src/control/stored_origins.rs
@@ -145,20 +145,28 @@
             break;
         }
         next = number + 1;
-        if contested.contains(&record.origin.version) {
+        let known = state.versions.version_of(&record);
+        let origin = streams::Origin {
+            version: known.unwrap_or(record.origin.version),
+            ..record.origin
+        };
+        let is_unlisted = origin.version == streams::VersionTag::UNLISTED;
+        if contested.contains(&origin.version) || is_unlisted {
             origins.push(streams::StoredBeginning {
-                stream: streams::StreamOrigin {
-                    stream,
-                    origin: record.origin,
-                },
+                stream: streams::StreamOrigin { stream, origin },
                 incarnation: record.incarnation(),
-                was_shown: state.versions.is_certain(&record),
+                was_shown: is_reported(&record) || state.versions.is_certain(&record),
             });
         }
     }
     Batch { origins, next }
 }
 
+/// Whether the process that began a stream has said which one it is.
+const fn is_reported(record: &streams::OriginRecord) -> bool {
+    matches!(record.proof, streams::Proof::Reported(_))
+}
+
 /// Whether this host writes. Members of a domain with relays do not: their relays have all they know.
 fn is_writer(state: &State, now: time::Time) -> bool {
     match state.overlay.role {
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -535,7 +535,7 @@
             to: streams::IncarnationTag::of(&identity),
             by: clock::now(),
         },
-        is_shown: true,
+        process: streams::KnownProcess::Listed,
     }
 }
 
--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -117,7 +117,7 @@
     match process {
         ReportedProcess::Same => Ok(ProofOfLife::SameProcess),
         ReportedProcess::Unknown => Ok(ProofOfLife::Answer),
-        ReportedProcess::Other => Err(NoProofOfLife::Replaced),
+        ReportedProcess::Other { .. } => Err(NoProofOfLife::Replaced),
         ReportedProcess::NoAnswer => Err(NoProofOfLife::Unanswered),
     }
 }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::{AttemptFailure, Sends};
-use pistachiochute_core::{entity, health, outcome, streams};
+use pistachiochute_core::{entity, health, outcome, streams, time};
 use pistachiochute_runtime::{clock, metrics};
 
 use crate::adapter;
@@ -247,8 +247,12 @@
             "the permit ran out while the host connected",
         );
     }
+    let sent_at = clock::now();
     match cleared.connection.send(req, attempt.sends).await {
-        Ok(answer) => evaluate_answer(cx, attempt, answer, cleared, in_flight).await,
+        Ok(answer) => {
+            let answer = (answer, sent_at);
+            evaluate_answer(cx, attempt, answer, cleared, in_flight).await
+        }
         Err(mut e) => {
             let failure = match e.take_message() {
                 Some(_) => AttemptFailure::NotSent,
@@ -327,11 +331,25 @@
     Ok(req)
 }
 
-/// Evaluates the head of an answer, and reads its body unless it is a stream.
+/// Records that an endpoint answered, and the load that it states, whatever else it says.
+fn record_head<D>(cx: &Context<D>, attempt: &Attempt<'_>, head: &adapter::ResponseMetadata) {
+    let id = attempt.selected.choice.endpoint;
+    let now = clock::now();
+    let mut endpoints = cx.endpoints.borrow_mut();
+    endpoints.record_answer(id, now);
+    if let Some(load) = head.load {
+        endpoints.record_reported_load(id, load, now);
+    }
+    drop(endpoints);
+    isolation::record_answer(cx, &attempt.selected.endpoint.service);
+}
+
+/// Evaluates the head of the answer to a request that was sent at a point in time, and reads its body unless it is a
+/// stream.
 async fn evaluate_answer<D>(
     cx: &Rc<Context<D>>,
     attempt: &Attempt<'_>,
-    answer: Response<Incoming>,
+    (answer, sent_at): (Response<Incoming>, time::Time),
     cleared: proofs::ClearedConnection,
     in_flight: in_flight::InFlightRequest<D>,
 ) -> AttemptResult<D>
@@ -343,17 +361,8 @@
         version,
     } = cleared;
     let (mut parts, body) = answer.into_parts();
-    cx.endpoints
-        .borrow_mut()
-        .record_answer(attempt.selected.choice.endpoint, clock::now());
-    isolation::record_answer(cx, &attempt.selected.endpoint.service);
     let head = cx.dialect.response_metadata(&parts);
-    if let Some(load) = head.load {
-        let now = clock::now();
-        cx.endpoints
-            .borrow_mut()
-            .record_reported_load(attempt.selected.choice.endpoint, load, now);
-    }
+    record_head(cx, attempt, &head);
     let answered = answered_request(&head, attempt.outgoing, &connection);
     let is_elsewhere = is_of_another_endpoint(parts.status, &head);
     if answered != AnsweredRequest::Unknown && !is_elsewhere {
@@ -370,6 +379,7 @@
             "another endpoint has the address",
         );
     }
+    proofs::note_answer(cx, attempt, &connection, sent_at);
     if head.is_not_run {
         let cause = format!("refused with status {}", parts.status.as_u16());
         let id = attempt.selected.choice.endpoint;
--- a/crates/gateway/src/traffic/beginnings.rs
+++ b/crates/gateway/src/traffic/beginnings.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pistachiochute_core::streams::{IncarnationTag, KnownProcess};
 use pistachiochute_core::{directory, reason, streams, time};
 use pistachiochute_runtime::clock;
 
@@ -23,9 +24,13 @@
 /// interval at which endpoints write their entries and the delay of a watch.
 const SIGN_WAIT: Duration = Duration::from_millis(2_000);
 
-/// Time for which a take-up waits for the proof of another host, if this one does not reach the endpoint. The
-/// host that began the stream asks with the first event.
-const OTHER_HOST_WAIT: Duration = Duration::from_millis(400);
+/// Time for which a take-up waits for the proof of another host, if this one has none from the endpoint. The host
+/// that began the stream asks when it breaks off, and tells what it hears with its next message about streams.
+const OTHER_HOST_WAIT: Duration = Duration::from_millis(700);
+
+/// Time for which a take-up waits for the entry of the process that began the stream. A process writes its entry when
+/// it starts, and hosts read it with their next watch.
+const ENTRY_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Interval at which a waiting take-up looks for a proof.
 const SIGN_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,37 +53,44 @@
         return None;
     };
     let version = began.version.tag()?;
-    let identity = &began.endpoint.identity;
-    let is_shown = match began.version {
-        ProcessVersion::Shown(_) => true,
-        ProcessVersion::Claimed(_) => is_alive_after(&state.cx, identity, began.connected_at),
-        ProcessVersion::Unlisted | ProcessVersion::Unknown => false,
+    let listed = &began.endpoint.identity;
+    let (process, to) = match began.version {
+        ProcessVersion::Unlisted { started_at_ms } => {
+            let identity = directory::Identity {
+                id: listed.id.clone(),
+                started_at_ms,
+            };
+            (KnownProcess::Reported, IncarnationTag::of(&identity))
+        }
+        ProcessVersion::Shown(_) => (KnownProcess::Listed, IncarnationTag::of(listed)),
+        ProcessVersion::Claimed(_) | ProcessVersion::Unknown => {
+            let is_alive = is_alive_after(&state.cx, listed, began.connected_at);
+            let process = match is_alive {
+                true => KnownProcess::Listed,
+                false => KnownProcess::Claimed,
+            };
+            (process, IncarnationTag::of(listed))
+        }
     };
     let beginning = streams::Beginning {
         stream: streams::StreamOrigin {
             stream: state.stream,
             origin: streams::Origin {
                 version,
-                endpoint: streams::EndpointKey::of_id(&identity.id),
+                endpoint: streams::EndpointKey::of_id(&listed.id),
             },
         },
         connected: streams::Connected {
-            to: streams::IncarnationTag::of(identity),
+            to,
             by: began.connected_at,
         },
-        is_shown,
+        process,
     };
     state.cx.shared.local_beginnings.push(beginning);
-    let is_claim = matches!(began.version, ProcessVersion::Claimed(_)) && !is_shown;
-    let claim = is_claim.then(|| Claim {
+    (process == KnownProcess::Claimed).then(|| Claim {
         endpoint: began.endpoint.clone(),
         beginning,
-    })?;
-    if is_worth_a_question(&state.cx, began.endpoint) {
-        claim.prove(state);
-        return None;
-    }
-    Some(claim)
+    })
 }
 
 /// A record of a stream that is not proven, and for whose proof its endpoint has not been asked.
@@ -88,34 +100,38 @@
 }
 
 impl Claim {
-    /// Asks the endpoint for a sign of life, beside whatever goes on. It is not to be had any more once the
-    /// endpoint has ended, or by a host that does not reach it.
+    /// Looks for a sign of life of the endpoint, and asks it beside whatever goes on if there is none. It is not to
+    /// be had any more once the endpoint has ended, or by a host that does not reach it.
     pub(super) fn prove<D>(self, state: &RequestState<D>)
     where
         D: adapter::Dialect,
     {
         let cx = state.cx.clone();
+        if self.is_shown(&cx) {
+            return self.tell(&cx);
+        }
         let max_connections = state.plan.service().max_connections;
         tokio::task::spawn_local(async move {
             let reported = life::ask(&cx, &self.endpoint, max_connections).await;
             if reported == ReportedProcess::Same {
-                cx.shared.local_beginnings.push(streams::Beginning {
-                    is_shown: true,
-                    ..self.beginning
-                });
+                self.tell(&cx);
             }
         });
     }
-}
 
-/// Whether an endpoint is asked for a sign of life as soon as a stream has begun there: it has given this host
-/// none yet, or its service has had several versions lately, so that a process that ends has probably been
-/// replaced by one of another version.
-fn is_worth_a_question<D>(cx: &Context<D>, endpoint: &directory::Endpoint) -> bool {
-    let view = cx.shared.view();
-    let mut contested = view.contested.iter();
-    contested.any(|service| *service == endpoint.service)
-        || !cx.endpoints.borrow().has_sign_of_life(&endpoint.identity)
+    /// Whether the endpoint has given a sign of life since.
+    fn is_shown<D>(&self, cx: &Context<D>) -> bool {
+        let connected = self.beginning.connected;
+        is_alive_after(cx, &self.endpoint.identity, connected.by)
+    }
+
+    /// Records that the claim is proven.
+    fn tell<D>(&self, cx: &Context<D>) {
+        cx.shared.local_beginnings.push(streams::Beginning {
+            process: KnownProcess::Listed,
+            ..self.beginning
+        });
+    }
 }
 
 /// How a stream began.
@@ -147,29 +163,39 @@
         span: plan.longest_span(),
     };
     let started = clock::now();
+    let mut last = None;
     loop {
         let waited = clock::now().since(started);
-        let verdict = match cx.shared.query_origin(query.after_waiting(waited)).await {
+        let (claim, verdict) = match cx.shared.query_origin(query.after_waiting(waited)).await {
             streams::Answer::Version(version) => return Ok(version),
             streams::Answer::Unknown if may_become_known(cx, plan, &query, started) => {
                 tokio::time::sleep(ONLY_VERSION_POLL_INTERVAL).await;
                 continue;
             }
             streams::Answer::Unknown => return Err(reason::Refusal::StreamVersionUnknown),
-            streams::Answer::Claim(claim) => examine(cx, plan, &claim).await,
+            streams::Answer::Claim(claim) => (claim, examine(cx, plan, &claim, last).await),
         };
         match verdict {
             Verdict::Proven(version) => return Ok(version),
-            Verdict::MayBeProven(wait) if clock::now().since(started) < wait => {
+            Verdict::MayBeProven(_, wait) if may_wait(plan, started, wait) => {
+                last = Some(verdict);
                 tokio::time::sleep(SIGN_POLL_INTERVAL).await;
             }
-            Verdict::MayBeProven(_) | Verdict::Unproven => {
+            Verdict::MayBeProven(reason, _) => {
+                log(cx, &claim, Err(reason));
                 return Err(reason::Refusal::StreamVersionUnknown);
             }
+            Verdict::Unproven => return Err(reason::Refusal::StreamVersionUnknown),
         }
     }
 }
 
+/// Whether a take-up that has waited since `started` may go on waiting.
+fn may_wait(plan: &Plan, started: time::Time, wait: Duration) -> bool {
+    let now = clock::now();
+    now.since(started) < wait && plan.deadline.remaining(now).is_some()
+}
+
 /// Whether a stream without a record may turn out to have begun at the only version of its service.
 fn may_become_known<D>(
     cx: &Context<D>,
@@ -177,11 +203,8 @@
     query: &streams::OriginQuery,
     started: time::Time,
 ) -> bool {
-    let now = clock::now();
-    let has_time = plan.deadline.remaining(now).is_some();
     query.stream.is_some()
-        && has_time
-        && now.since(started) < ONLY_VERSION_WAIT
+        && may_wait(plan, started, ONLY_VERSION_WAIT)
         && has_one_version(&cx.shared.view(), &query.service)
 }
 
@@ -198,25 +221,35 @@
 }
 
 /// What is known of a claim after its endpoint was asked.
+#[derive(Clone, Copy, Debug)]
 enum Verdict {
     /// The stream began at this version.
     Proven(streams::VersionTag),
-    /// It may still be shown within this time of the take-up.
-    MayBeProven(Duration),
+    /// Nothing has shown it yet, for this reason, and it may still be shown within this time of the take-up.
+    MayBeProven(&'static str, Duration),
     /// Nothing shows it.
     Unproven,
 }
 
-/// Looks for a sign of life of the endpoint of a claim, and asks the endpoint if there is none.
-async fn examine<D>(cx: &Rc<Context<D>>, plan: &Plan, claim: &streams::Beginning) -> Verdict
+/// Looks for a sign of life of the endpoint of a claim, and asks the endpoint if there is none. `last` is the verdict
+/// before: an endpoint that has answered is not asked again.
+async fn examine<D>(
+    cx: &Rc<Context<D>>,
+    plan: &Plan,
+    claim: &streams::Beginning,
+    last: Option<Verdict>,
+) -> Verdict
 where
     D: adapter::Dialect,
 {
     let connected = claim.connected;
+    if claim.process == KnownProcess::Reported {
+        // Its entry is looked for with each question.
+        return Verdict::MayBeProven("unlisted", ENTRY_WAIT);
+    }
     let known = cx.endpoints.borrow().incarnation(connected.to);
     let Some(endpoint) = known else {
-        log(cx, claim, Err("not listed"));
-        return Verdict::Unproven;
+        return Verdict::MayBeProven("not listed", OTHER_HOST_WAIT);
     };
     if !has_version(&endpoint, claim.stream.origin.version) {
         log(cx, claim, Err("another version"));
@@ -226,6 +259,11 @@
         log(cx, claim, Ok("sign_of_life"));
         return Verdict::Proven(claim.stream.origin.version);
     }
+    if let Some(verdict @ Verdict::MayBeProven(reason, _)) = last
+        && reason != ReportedProcess::NoAnswer.as_str()
+    {
+        return verdict;
+    }
     let max_connections = plan.service().max_connections;
     match life::ask(cx, &endpoint, max_connections).await {
         ReportedProcess::Same => {
@@ -233,14 +271,9 @@
             Verdict::Proven(claim.stream.origin.version)
         }
         // A write of its entry may show that it lives.
-        ReportedProcess::Unknown => Verdict::MayBeProven(SIGN_WAIT),
-        reported @ ReportedProcess::NoAnswer => {
-            log(cx, claim, Err(reported.as_str()));
-            Verdict::MayBeProven(OTHER_HOST_WAIT)
-        }
-        reported @ ReportedProcess::Other => {
-            log(cx, claim, Err(reported.as_str()));
-            Verdict::Unproven
+        reported @ ReportedProcess::Unknown => Verdict::MayBeProven(reported.as_str(), SIGN_WAIT),
+        reported @ (ReportedProcess::NoAnswer | ReportedProcess::Other { .. }) => {
+            Verdict::MayBeProven(reported.as_str(), OTHER_HOST_WAIT)
         }
     }
 }
--- a/crates/gateway/src/traffic/endpoint_report.rs
+++ b/crates/gateway/src/traffic/endpoint_report.rs
@@ -26,7 +26,10 @@
     /// It is the one that the endpoint's entry describes.
     Same,
     /// It started at another time: another process has the address.
-    Other,
+    Other {
+        /// Start of that process, in milliseconds since the Unix epoch.
+        started_at_ms: u64,
+    },
     /// It answered with something that does not say when it started.
     Unknown,
     /// It did not answer in time, or the connection broke.
@@ -38,7 +41,7 @@
     pub(super) const fn as_str(self) -> &'static str {
         match self {
             Self::Same => "same",
-            Self::Other => "other",
+            Self::Other { .. } => "other",
             Self::Unknown => "unknown",
             Self::NoAnswer => "no_answer",
         }
@@ -115,7 +118,7 @@
     match started_at_ms {
         Some(started_at_ms) if entry.is_distinct() => match started_at_ms == entry.started_at_ms {
             true => ReportedProcess::Same,
-            false => ReportedProcess::Other,
+            false => ReportedProcess::Other { started_at_ms },
         },
         _ => ReportedProcess::Unknown,
     }
--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -5,6 +5,8 @@
 mod departures;
 mod overload;
 mod permits;
+mod preferences;
+mod restarts;
 #[cfg(test)]
 mod tests;
 
@@ -38,11 +40,6 @@
     max_slow_share: 0.2,
 };
 
-/// Time from a lost connection to a confirmation of the list of endpoints after which the endpoint is no
-/// longer avoided for streams that go on. It may have restarted under its id with another version, and its
-/// new entry comes after up to one heartbeat and one delay of the watch. Proves nothing.
-const RESTART_NOTICE: Duration = Duration::from_secs(3);
-
 /// State of one endpoint.
 #[derive(Debug)]
 struct Entry {
@@ -60,6 +57,8 @@
     alive_at: Option<time::Time>,
     /// Whether another process is known to have its address.
     has_ended: bool,
+    /// Whether its last report did not say which process it is, so that writes of its entry alone can show it.
+    is_nameless: bool,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
@@ -151,6 +150,10 @@
     slot_groups: call_slots::Groups,
     /// When the list of endpoints was last confirmed to be current.
     list_confirmed_at: time::Time,
+    /// Endpoint ids whose process may have changed lately.
+    restarts: restarts::Restarts,
+    /// Services that have had several software versions lately.
+    contested: Vec<Arc<str>>,
     /// Generation of the view that the table was updated from.
     generation: u64,
     next_id: u32,
@@ -178,6 +181,8 @@
             evacuated: HashMap::new(),
             slot_groups: call_slots::Groups::default(),
             list_confirmed_at: now,
+            restarts: restarts::Restarts::default(),
+            contested: Vec::new(),
             generation: 0,
             next_id: 0,
         }
@@ -193,10 +198,12 @@
         self.admissions
             .set_known_hosts(&view.known_host_hashes, now);
         self.returned.clone_from(&view.returned);
+        self.contested.clone_from(&view.contested);
         self.evacuated.clear();
         self.by_service.clear();
         for endpoint in &view.endpoints {
             let id = self.id_for(endpoint, false);
+            self.restarts.record_listed(&endpoint.identity, now);
             self.by_service
                 .entry(endpoint.service.clone())
                 .or_default()
@@ -218,6 +225,7 @@
                 .push(closed);
         }
         self.remove_unused(now);
+        self.restarts.prune(now);
     }
 
     /// Selects an eligible endpoint of a service. Those that take no request of this host now are left
@@ -235,11 +243,7 @@
         ids.retain(|id| self.is_eligible(*id, eligibility));
         let mut closed = self.leaving.get(service).cloned().unwrap_or_default();
         closed.extend(self.take_closed(&mut ids, eligibility, now));
-        if eligibility.version.is_some() {
-            self.prefer(&mut ids, |entry| self.is_version_likely(entry));
-        } else if eligibility.may_be_resumed {
-            self.prefer(&mut ids, |entry| !entry.has_ended);
-        }
+        self.prefer_provable(service, &mut ids, eligibility);
         self.hold_back_returning(&mut ids, request.seed, now);
         let mut candidates: Vec<_> = ids
             .iter()
@@ -353,10 +357,19 @@
             streams::LifeSign::Ended => {
                 entry.has_ended = true;
                 entry.lost_at = Some(now);
+                self.restarts.record_loss(&identity.id, now);
             }
         }
     }
 
+    /// Records whether a report did not say which process it is.
+    pub(super) fn record_report(&mut self, identity: &directory::Identity, is_nameless: bool) {
+        let id = self.ids.get(identity);
+        if let Some(entry) = id.and_then(|id| self.entries.get_mut(*id)) {
+            entry.is_nameless = is_nameless;
+        }
+    }
+
     /// Applies the writes of entries that the control thread has read.
     pub(super) fn apply_entry_writes(&mut self, shared: &shared::Shared) {
         while let Some(write) = shared.entry_writes.pop() {
@@ -376,13 +389,6 @@
             && entry.is_some_and(|entry| entry.alive_at.is_some_and(|alive_at| at <= alive_at))
     }
 
-    /// Whether an incarnation has given this host a sign of life.
-    pub(super) fn has_sign_of_life(&self, identity: &directory::Identity) -> bool {
-        let id = self.ids.get(identity);
-        let entry = id.and_then(|id| self.entries.get(*id));
-        entry.is_some_and(|entry| entry.alive_at.is_some())
-    }
-
     /// The incarnation with a tag.
     pub(super) fn incarnation(
         &self,
@@ -395,35 +401,6 @@
         endpoints.find(is_meant).cloned()
     }
 
-    /// Removes the endpoints that are not preferred if there are others: those that are unlikely to prove the
-    /// version of their entries.
-    fn prefer<F>(&self, ids: &mut Vec<entity::EndpointId>, is_preferred: F)
-    where
-        F: Fn(&Entry) -> bool,
-    {
-        let is_preferred =
-            |id: &entity::EndpointId| self.entries.get(*id).is_some_and(&is_preferred);
-        if ids.iter().any(is_preferred) {
-            ids.retain(is_preferred);
-        }
-    }
-
-    /// Whether a stream begins at an endpoint without a question to its process: writes of its entry are
-    /// read, and soon show whether it was the one of its entry.
-    fn may_begin_by_list(&self, entry: &Entry, now: time::Time) -> bool {
-        now.since(self.list_confirmed_at) <= streams::MAX_LIST_AGE && self.is_version_likely(entry)
-    }
-
-    /// Whether nothing puts the version in an entry in doubt. A connection that this host has lost does so
-    /// until a list has come that would show the next version, or the process has given a sign of life.
-    fn is_version_likely(&self, entry: &Entry) -> bool {
-        let is_explained = |lost_at: time::Time| {
-            let is_alive = entry.alive_at.is_some_and(|at| lost_at < at);
-            is_alive || lost_at + RESTART_NOTICE <= self.list_confirmed_at
-        };
-        !entry.has_ended && entry.lost_at.is_none_or(is_explained)
-    }
-
     /// Whether an endpoint passes its health checks and its domain can be reached.
     fn is_usable(&self, id: entity::EndpointId, now: time::Time) -> bool {
         let domain = self.remote_domain(id);
@@ -456,6 +433,7 @@
     pub(super) fn record_lost_connection(&mut self, id: entity::EndpointId, now: time::Time) {
         if let Some(entry) = self.entries.get_mut(id) {
             entry.lost_at = Some(now);
+            self.restarts.record_loss(&entry.endpoint.identity.id, now);
         }
     }
 
@@ -639,6 +617,7 @@
                 lost_at: None,
                 alive_at: None,
                 has_ended: false,
+                is_nameless: false,
                 is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -115,7 +115,7 @@
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], NOW);
     assert_eq!(resumed_at(&table, NOW), BTreeSet::from([2]));
-    let later = NOW + super::RESTART_NOTICE;
+    let later = NOW + super::preferences::RESTART_NOTICE;
     table.confirm_list(later);
     assert_eq!(resumed_at(&table, later), BTreeSet::from([1, 2]));
     table.record_lost_connection(ids[0], later);
@@ -182,24 +182,6 @@
 #[test]
 fn streams_that_may_be_resumed_begin_where_no_other_process_is_known_to_serve() {
     let (mut table, _) = table_of_two();
-    let ids = table.by_service["engines"].clone();
-    let identity = |table: &EndpointTable, i: usize| {
-        let entry = table.entries.get(ids[i]).expect("an endpoint");
-        entry.endpoint.identity.clone()
-    };
-    let begun_at = |table: &EndpointTable| {
-        let others = load_reports::WorkByEndpoint::new();
-        let eligibility = Eligibility {
-            may_be_resumed: true,
-            ..Eligibility::default()
-        };
-        let select = |seed| {
-            let request = choice::Request { prompt: None, seed };
-            let selected = table.select("engines", &request, &others, &eligibility, NOW)?;
-            Some(selected.endpoint.address.port())
-        };
-        (0..200).filter_map(select).collect::<BTreeSet<_>>()
-    };
     table.record_sign(&identity(&table, 0), streams::LifeSign::Ended, NOW);
     assert_eq!(begun_at(&table), BTreeSet::from([2]));
     table.record_sign(&identity(&table, 1), streams::LifeSign::Ended, NOW);
@@ -239,7 +221,7 @@
     let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
     table.record_lost_connection(ids[0], NOW);
-    table.confirm_list(NOW + super::RESTART_NOTICE - Duration::from_millis(1));
+    table.confirm_list(NOW + super::preferences::RESTART_NOTICE - Duration::from_millis(1));
     let late = NOW + Duration::from_secs(60);
     assert_eq!(resumed_at(&table, late), BTreeSet::from([2]));
 }
@@ -250,26 +232,117 @@
 fn a_stream_begins_at_no_certain_version_while_its_endpoint_may_have_restarted() {
     let (mut table, _) = table_of_two();
     let ids = table.by_service["engines"].clone();
-    let version = |table: &EndpointTable, now| {
-        let request = choice::Request {
-            prompt: None,
-            seed: 1,
-        };
-        let others = load_reports::WorkByEndpoint::new();
-        let first = Eligibility {
-            only: Some(ids[0]),
-            ..Eligibility::default()
-        };
-        let selected = table.select("engines", &request, &others, &first, now);
-        selected.expect("an endpoint").version
-    };
-    assert!(version(&table, NOW).is_some());
+    assert_eq!(
+        version_by_list(&table, NOW),
+        None,
+        "it has given no sign of life"
+    );
+    let identity = identity(&table, 0);
+    table.record_sign(&identity, streams::LifeSign::Alive(NOW), NOW);
+    assert!(version_by_list(&table, NOW).is_some());
     table.record_lost_connection(ids[0], NOW);
-    assert_eq!(version(&table, NOW), None);
+    assert_eq!(version_by_list(&table, NOW), None);
     let late = NOW + Duration::from_secs(60);
-    assert_eq!(version(&table, late), None);
+    assert_eq!(version_by_list(&table, late), None);
     table.confirm_list(late);
-    assert!(version(&table, late).is_some());
+    assert!(version_by_list(&table, late).is_some());
+}
+
+/// Ports of the endpoints at which streams that may be resumed begin, over 200 of them.
+fn begun_at(table: &EndpointTable) -> BTreeSet<u16> {
+    let others = load_reports::WorkByEndpoint::new();
+    let eligibility = Eligibility {
+        may_be_resumed: true,
+        ..Eligibility::default()
+    };
+    let select = |seed| {
+        let request = choice::Request { prompt: None, seed };
+        let selected = table.select("engines", &request, &others, &eligibility, NOW)?;
+        Some(selected.endpoint.address.port())
+    };
+    (0..200).filter_map(select).collect()
+}
+
+/// Identity of an endpoint in use, by its position.
+fn identity(table: &EndpointTable, position: usize) -> directory::Identity {
+    let id = table.by_service["engines"][position];
+    let entry = table.entries.get(id).expect("an endpoint");
+    entry.endpoint.identity.clone()
+}
+
+/// Version by which a stream begins at the first endpoint without a question to its process.
+fn version_by_list(table: &EndpointTable, now: time::Time) -> Option<streams::VersionTag> {
+    let others = load_reports::WorkByEndpoint::new();
+    let first = Eligibility {
+        only: Some(table.by_service["engines"][0]),
+        ..Eligibility::default()
+    };
+    let request = choice::Request {
+        prompt: None,
+        seed: 1,
+    };
+    let selected = table.select("engines", &request, &others, &first, now);
+    selected.expect("an endpoint").version
+}
+
+/// Guards against LOST: an endpoint that goes down and up by turns ends again before anything shows whose connections
+/// its streams had, so that its process is asked before; a while later it is not.
+#[test]
+fn a_stream_begins_with_a_question_at_an_id_that_has_restarted_lately() {
+    let (mut table, endpoints) = table_of_two();
+    let mut restarted = directory::Endpoint::clone(&endpoints[0]);
+    restarted.identity.started_at_ms += 1;
+    let mut later = view(
+        vec![Arc::new(restarted), endpoints[1].clone()],
+        &[],
+        "engines",
+    );
+    later.generation = 2;
+    table.update(&later, NOW);
+    table.record_sign(&identity(&table, 0), streams::LifeSign::Alive(NOW), NOW);
+    assert_eq!(version_by_list(&table, NOW), None);
+    let late = NOW + Duration::from_secs(6);
+    table.confirm_list(late);
+    assert!(version_by_list(&table, late).is_some());
+}
+
+/// Guards against LOST: where several versions serve, a process that ends is replaced by one of another version, and
+/// nothing shows later which of the two a connection had.
+#[test]
+fn a_stream_begins_with_a_question_where_several_versions_serve() {
+    let (mut table, endpoints) = table_of_two();
+    table.record_sign(&identity(&table, 0), streams::LifeSign::Alive(NOW), NOW);
+    assert!(version_by_list(&table, NOW).is_some());
+    let mut contested = view(endpoints, &[], "engines");
+    contested.generation = 2;
+    contested.contested = vec!["engines".into()];
+    table.update(&contested, NOW);
+    assert_eq!(version_by_list(&table, NOW), None);
+}
+
+/// Guards against LOST: streams that begin at an endpoint which cannot say which process it is, where several versions
+/// serve and most others can: only a later write of its entry would let them go on.
+#[test]
+fn streams_that_may_be_resumed_begin_where_processes_say_who_they_are() {
+    let ready = |number| endpoint("engines", number, directory::State::Ready);
+    let budget = retry::FleetBudget {
+        ratio: 0.1,
+        extra: 10.0,
+    };
+    let mut table = EndpointTable::new(&host(), budget, NOW);
+    let mut contested = view((1..=4).map(ready).collect(), &[], "engines");
+    contested.contested = vec!["engines".into()];
+    table.update(&contested, NOW);
+    table.record_report(&identity(&table, 0), true);
+    assert_eq!(begun_at(&table), BTreeSet::from([2, 3, 4]));
+    // Not if that would double the share of the others.
+    table.record_report(&identity(&table, 1), true);
+    assert_eq!(begun_at(&table), BTreeSet::from([1, 2, 3, 4]));
+    table.record_report(&identity(&table, 1), false);
+    contested.generation = 2;
+    contested.contested.clear();
+    table.update(&contested, NOW);
+    assert_eq!(begun_at(&table), BTreeSet::from([1, 2, 3, 4]));
 }
 
 #[test]
--- a/crates/gateway/src/traffic/life.rs
+++ b/crates/gateway/src/traffic/life.rs
@@ -106,18 +106,27 @@
     let reported = endpoint_report::ask(cx, connection, endpoint).await;
     let sign = match reported {
         ReportedProcess::Same => {
-            connection.set_proven();
+            connection.set_reported(pool::Reported::Listed);
             streams::LifeSign::Alive(asked_at)
         }
-        ReportedProcess::Other => streams::LifeSign::Ended,
-        ReportedProcess::Unknown | ReportedProcess::NoAnswer => return reported,
+        ReportedProcess::Other { started_at_ms } => {
+            connection.set_reported(pool::Reported::Other { started_at_ms });
+            streams::LifeSign::Ended
+        }
+        ReportedProcess::Unknown | ReportedProcess::NoAnswer => {
+            if reported == ReportedProcess::Unknown {
+                let mut endpoints = cx.endpoints.borrow_mut();
+                endpoints.record_report(&endpoint.identity, true);
+            }
+            return reported;
+        }
     };
     record(cx, &endpoint.identity, sign);
     reported
 }
 
-/// Records what a report has shown, for this thread and for the control thread.
-fn record<D>(cx: &Context<D>, identity: &directory::Identity, sign: streams::LifeSign) {
+/// Records what a report or an answer has shown, for this thread and for the control thread.
+pub(super) fn record<D>(cx: &Context<D>, identity: &directory::Identity, sign: streams::LifeSign) {
     cx.endpoints
         .borrow_mut()
         .record_sign(identity, sign, clock::now());
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -85,8 +85,20 @@
 struct Process {
     /// When the connection had been made.
     connected_at: time::Time,
-    /// Whether a report on this connection has shown that it is the one of the endpoint's entry.
-    is_proven: bool,
+    /// What it has said of itself on this connection.
+    reported: Option<Reported>,
+}
+
+/// What the process at the other end of a connection has said of itself there, which holds for all of its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reported {
+    /// It is the one of the endpoint's entry.
+    Listed,
+    /// It is another one.
+    Other {
+        /// Its start, in milliseconds since the Unix epoch.
+        started_at_ms: u64,
+    },
 }
 
 /// Largest buffer for reading from an endpoint with `machine` in the settings, in bytes, and so the largest
@@ -188,7 +200,7 @@
             is_free: true,
             process: Process {
                 connected_at,
-                is_proven: false,
+                reported: None,
             },
             watch,
         })
@@ -349,16 +361,14 @@
         self.is_free
     }
 
-    /// Whether a report on the connection has shown that the process at the other end is the one of the
-    /// endpoint's entry.
-    pub(super) const fn is_proven(&self) -> bool {
-        self.process.is_proven
+    /// What the process at the other end has said of itself on the connection.
+    pub(super) const fn reported(&self) -> Option<Reported> {
+        self.process.reported
     }
 
-    /// Records that a report on the connection has shown that the process at the other end is the one of
-    /// the endpoint's entry.
-    pub(super) const fn set_proven(&mut self) {
-        self.process.is_proven = true;
+    /// Records what the process at the other end has said of itself on the connection.
+    pub(super) const fn set_reported(&mut self, reported: Reported) {
+        self.process.reported = Some(reported);
     }
 
     /// When the connection had been made.
--- a/crates/gateway/src/traffic/proofs.rs
+++ b/crates/gateway/src/traffic/proofs.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use pistachiochute_core::{catalog, retry, streams};
+use pistachiochute_core::{catalog, retry, streams, time};
 use pistachiochute_runtime::clock;
 
 use crate::traffic::attempt::Attempt;
@@ -81,8 +81,12 @@
     Shown(streams::VersionTag),
     /// The entry by which the host connected has it. Nothing shows that the process is the one of the entry.
     Claimed(streams::VersionTag),
-    /// The process has reported another start than that of the entry, so that nothing shows its version.
-    Unlisted,
+    /// The process has reported another start than that of the entry by which the host connected. Its version is that
+    /// of its own entry, once there is one.
+    Unlisted {
+        /// Its start, in milliseconds since the Unix epoch.
+        started_at_ms: u64,
+    },
     /// The entry does not say.
     Unknown,
 }
@@ -102,7 +106,7 @@
     pub(super) const fn tag(self) -> Option<streams::VersionTag> {
         match self {
             Self::Shown(version) | Self::Claimed(version) => Some(version),
-            Self::Unlisted => Some(streams::VersionTag::UNLISTED),
+            Self::Unlisted { .. } => Some(streams::VersionTag::UNLISTED),
             Self::Unknown => None,
         }
     }
@@ -145,6 +149,7 @@
     D: adapter::Dialect,
 {
     let version = entry_version(attempt);
+    let reported = connection.reported();
     match Purpose::of(attempt) {
         Purpose::GoOn(version) => {
             let connection = prove(cx, attempt, version, connection).await?;
@@ -153,6 +158,12 @@
                 version: ProcessVersion::Shown(version),
             })
         }
+        Purpose::Begin if let Some(pool::Reported::Other { started_at_ms }) = reported => {
+            Ok(ClearedConnection {
+                connection,
+                version: ProcessVersion::Unlisted { started_at_ms },
+            })
+        }
         Purpose::Begin if shown_by(cx, attempt, &connection).is_some() => Ok(ClearedConnection {
             connection,
             version: ProcessVersion::shown(version),
@@ -173,14 +184,30 @@
     attempt: &Attempt<'_>,
     connection: &pool::Connection,
 ) -> Option<Proof> {
-    if connection.is_proven() {
-        return Some(Proof::EarlierReport);
+    match connection.reported() {
+        Some(pool::Reported::Listed) => return Some(Proof::EarlierReport),
+        Some(pool::Reported::Other { .. }) => return None,
+        None => {}
     }
     let identity = &attempt.selected.endpoint.identity;
     let is_alive = beginnings::is_alive_after(cx, identity, connection.connected_at());
     is_alive.then_some(Proof::SignOfLife)
 }
 
+/// Notes the answer to a request as a sign of life that costs no question: if the process at the other end is known
+/// for the one of the entry, that incarnation was alive when the request was sent.
+pub(super) fn note_answer<D>(
+    cx: &Context<D>,
+    attempt: &Attempt<'_>,
+    connection: &pool::Connection,
+    sent_at: time::Time,
+) {
+    if shown_by(cx, attempt, connection).is_some() {
+        let identity = &attempt.selected.endpoint.identity;
+        life::record(cx, identity, streams::LifeSign::Alive(sent_at));
+    }
+}
+
 /// Proves that the process at the other end of a connection has a version.
 async fn prove<D>(
     cx: &Context<D>,
@@ -208,7 +235,7 @@
             let connection = free(cx, attempt, connection).await?;
             wait_for_sign(cx, attempt, connection).await
         }
-        ReportedProcess::Same | ReportedProcess::Other | ReportedProcess::NoAnswer => {
+        ReportedProcess::Same | ReportedProcess::Other { .. } | ReportedProcess::NoAnswer => {
             Err(refuse(cx, attempt, reported.as_str()))
         }
     }
@@ -257,10 +284,13 @@
         ReportedProcess::Same if connection.is_free() => {
             ProcessVersion::shown(entry_version(attempt))
         }
-        ReportedProcess::Other => ProcessVersion::Unlisted,
-        ReportedProcess::Same | ReportedProcess::Unknown | ReportedProcess::NoAnswer => {
-            ProcessVersion::claimed(entry_version(attempt))
+        ReportedProcess::Other { started_at_ms } if connection.is_free() => {
+            ProcessVersion::Unlisted { started_at_ms }
         }
+        ReportedProcess::Same
+        | ReportedProcess::Other { .. }
+        | ReportedProcess::Unknown
+        | ReportedProcess::NoAnswer => ProcessVersion::claimed(entry_version(attempt)),
     };
     Ok(ClearedConnection {
         connection: free(cx, attempt, connection).await?,
--- a/crates/measure/src/streams.rs
+++ b/crates/measure/src/streams.rs
@@ -245,7 +245,7 @@
             to: record.incarnation,
             by: now,
         },
-        is_shown: record.is_shown,
+        process: streams::KnownProcess::Claimed,
     }
 }
 
--- a/crates/messages/src/peer.rs
+++ b/crates/messages/src/peer.rs
@@ -150,12 +150,13 @@
 pub struct BeginningRecord {
     /// The stream and where it began.
     pub stream: streams::StreamOrigin,
-    /// Incarnation whose entry the sender connected by.
+    /// Incarnation whose entry the sender connected by, or that the process said to be.
     pub incarnation: streams::IncarnationTag,
     /// Time since the connection was made when the message is sent, in milliseconds, rounded down. The
     /// time on the way makes the connection older, so that it was made before this time is over.
     pub connected_ms: u32,
-    /// Whether the process at the other end is known to be the one of the entry.
+    /// Whether the process at the other end is known: to be the one of the entry, or with
+    /// [`streams::VersionTag::UNLISTED`] to be `incarnation`, whose version its entry tells.
     pub is_shown: bool,
 }
 
