Soak: end the hosts of a run that cannot go on

Eight hosts of a soak whose program was built anew under it were left when it stopped with an error. A host's process now ends with its handle. The test process_ends_with_its_handle does not compile before.

--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,5 +1,8 @@
 //! Host processes. Only processes that were started here are signalled, by their ids.
 
+#[cfg(test)]
+mod tests;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -30,7 +33,19 @@
     log: PathBuf,
     /// Hold the ports of the host while it does not run.
     ports: [ReservedPort; 4],
-    child: Option<Child>,
+    child: Option<OwnedChild>,
+}
+
+/// A process that ends with its handle: a run that cannot go on must leave none behind. Hosts that were left once joined
+/// the fleet of a later run, whose hosts had got the ports of theirs.
+struct OwnedChild(Child);
+
+impl Drop for OwnedChild {
+    fn drop(&mut self) {
+        // Either fails only if the process has ended, and was waited for.
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
 }
 
 fn reserve_ports() -> eyre::Result<[ReservedPort; 4]> {
@@ -98,7 +113,7 @@
             .stderr(log)
             .spawn()
             .wrap_err_with(|| format!("start {}", self.daemon.display()))?;
-        self.child = Some(child);
+        self.child = Some(OwnedChild(child));
         Ok(())
     }
 
@@ -112,7 +127,7 @@
         let Some(child) = &mut self.child else {
             return Ok(None);
         };
-        let status = child.try_wait()?;
+        let status = child.0.try_wait()?;
         if status.is_some() {
             self.child = None;
         }
@@ -124,7 +139,7 @@
         let Some(child) = &self.child else {
             return Ok(());
         };
-        let pid = Pid::from_child(child);
+        let pid = Pid::from_child(&child.0);
         rustix::process::kill_process(pid, signal).wrap_err("signal")
     }
 
@@ -138,8 +153,8 @@
     /// Kills the process.
     pub(crate) fn kill(&mut self) -> eyre::Result<()> {
         if let Some(mut child) = self.child.take() {
-            child.kill()?;
-            child.wait()?;
+            child.0.kill()?;
+            child.0.wait()?;
         }
         Ok(())
     }
@@ -151,7 +166,7 @@
         };
         let end = Instant::now() + self.stop + STOP_SLACK;
         while Instant::now() < end {
-            if let Some(status) = child.try_wait()? {
+            if let Some(status) = child.0.try_wait()? {
                 self.child = None;
                 return Ok(Some(status));
             }
