--- a/crates/soak/src/processes/answers.rs
+++ b/crates/soak/src/processes/answers.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use pistachiochute_standins::platform::caller;
+use pistachiochute_standins::platform::{caller, records};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -131,21 +131,14 @@
     }
 
     fn head(&self, status: u16, is_sealed: bool, fields: &str) -> Vec<u8> {
-        let seal = match is_sealed {
-            true => format!("X-Response-Seal: {}\r\n", self.seal),
-            false => String::new(),
-        };
+        let seal = is_sealed.then_some(self.seal);
         let kind = match self.is_stream && status == 200 {
             true => "text/event-stream",
             false => "text/plain",
         };
-        let id = self.id;
         let weights = caller::weights_at(self.first());
-        let head = format!(
-            "HTTP/1.1 {status} Status\r\nX-Request-Id: {id}\r\nX-Weight-Versions: {weights}\r\n\
-             {seal}Content-Type: {kind}\r\n{fields}\r\n"
-        );
-        head.into_bytes()
+        let head = records::run_head(status, self.id, weights, seal);
+        format!("{head}Content-Type: {kind}\r\n{fields}\r\n").into_bytes()
     }
 }
 
--- a/crates/soak/src/processes/server.rs
+++ b/crates/soak/src/processes/server.rs
@@ -16,6 +16,7 @@
 
 use eyre::WrapErr as _;
 use pistachiochute_standins::platform::endpoint::seal_of;
+use pistachiochute_standins::platform::records;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -34,9 +35,6 @@
 /// Pause before each piece of the answer to a call.
 const CALL_PAUSE: Duration = Duration::from_millis(8);
 
-/// Path at which an endpoint reports of itself.
-const REPORT_PATH: &str = "/pistachiochute/report";
-
 /// What a process is told when it starts.
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
@@ -178,16 +176,18 @@
     fn answer_outside_runs(&self, request: &Request) -> Option<String> {
         let own = &self.settings.id;
         let (status, body) = match request.method.as_str() {
-            "GET" if request.path == REPORT_PATH => (200, self.settings.report().to_string()),
+            "GET" if request.path == records::REPORT_PATH => {
+                (200, self.settings.report().to_string())
+            }
             "GET" => (200, String::new()),
-            _ if request.header("x-expect-instance") == own => return None,
+            _ if request.header(records::EXPECTED_ENDPOINT) == own => return None,
             _ => (421, String::new()),
         };
         let id = request.header("x-request-id");
+        let head = records::head_outside_runs(status, id, own);
         Some(format!(
-            "HTTP/1.1 {status} Status\r\nX-Request-Id: {id}\r\nX-Instance-Id: {own}\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            body.len(),
+            "{head}Content-Length: {}\r\n\r\n{body}",
+            body.len()
         ))
     }
 
--- a/crates/standins/src/platform/records.rs
+++ b/crates/standins/src/platform/records.rs
@@ -13,6 +13,25 @@
 /// Path at which a host asks an endpoint for a report on itself.
 pub const REPORT_PATH: &str = "/pistachiochute/report";
 
+/// Header with the id of the endpoint that a request is for.
+pub const EXPECTED_ENDPOINT: &str = "x-expect-instance";
+
+/// Status line and headers of the answer to a request that an endpoint runs, with its seal if it has one, as far as they
+/// are the platform's. The rest of the head follows.
+#[must_use]
+pub fn run_head(status: u16, request: &str, weights: u64, seal: Option<&str>) -> String {
+    let seal = seal.map_or_else(String::new, |seal| format!("X-Response-Seal: {seal}\r\n"));
+    format!(
+        "HTTP/1.1 {status} Status\r\nX-Request-Id: {request}\r\nX-Weight-Versions: {weights}\r\n{seal}"
+    )
+}
+
+/// Status line and headers of the answer of an endpoint to what it does not run. The rest of the head follows.
+#[must_use]
+pub fn head_outside_runs(status: u16, request: &str, endpoint: &str) -> String {
+    format!("HTTP/1.1 {status} Status\r\nX-Request-Id: {request}\r\nX-Instance-Id: {endpoint}\r\n")
+}
+
 /// A route of the configuration. Its prefix is its name between slashes.
 #[derive(Clone, Copy, Debug)]
 pub struct Route<'a> {
