--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,7 +4,9 @@
 //! Every line has a fixed message and fixed keys, which `docs/OPERATIONS.md` lists. A separate
 //! thread writes the lines; if it falls behind, lines are dropped and counted.
 
+mod catalogs;
 mod entry;
+mod streams;
 
 use std::cell::Cell;
 use std::fmt;
@@ -12,11 +14,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pistachiochute_core::catalog::verify;
 use pistachiochute_core::health::isolation;
 use pistachiochute_core::membership::overlay;
 use pistachiochute_core::{
-    admission, catalog, directory, overload, quarantine, rate_limits, reason, revision, spill, time,
+    admission, directory, overload, quarantine, rate_limits, reason, revision, spill, time,
 };
 use pistachiochute_runtime::clock;
 use pistachiochute_runtime::platform::key_value;
@@ -32,9 +33,6 @@
 /// Most lines about requests that a host logs per second.
 const REQUEST_LINES_PER_S: u32 = 150;
 
-/// Most findings on a catalog in one line.
-const LISTED_FINDINGS: usize = 8;
-
 /// Parts of a prompt that one line lists.
 const LISTED_PARTS: usize = 32;
 
@@ -69,53 +67,6 @@
         }
     }
 
-    /// A newer catalog was applied.
-    pub fn catalog_applied(&self, entry: &CatalogLogEntry) {
-        slog::info!(
-            self.log, "catalog taken over";
-            "version" => %entry.version, "source" => %entry.source, "routes" => entry.routes,
-            "max_head_bytes" => entry.limits.max_head_bytes,
-            "max_body_bytes" => entry.limits.max_body_bytes,
-            "head_timeout_ms" => millis(entry.limits.head_timeout),
-            "idle_timeout_ms" => millis(entry.limits.idle_timeout),
-        );
-    }
-
-    /// What is found in a catalog that is used all the same.
-    pub fn catalog_findings(&self, version: catalog::Version, findings: &[verify::Finding]) {
-        if findings.is_empty() {
-            return;
-        }
-        let errors = findings.iter().map(verify::Finding::severity);
-        let errors = errors.filter(|s| *s > verify::Severity::Warning).count();
-        slog::warn!(
-            self.log, "catalog has findings";
-            "version" => %version, "errors" => errors, "warnings" => findings.len() - errors,
-            "first" => list_findings(findings),
-        );
-    }
-
-    /// A catalog that cannot be used. The version before stays in force.
-    pub fn catalog_refused(&self, revision: revision::Revision, findings: &[verify::Finding]) {
-        slog::warn!(
-            self.log, "catalog refused";
-            "revision" => %revision, "findings" => findings.len(), "first" => list_findings(findings),
-        );
-    }
-
-    /// Other hosts have had a newer catalog for a while, and this host reads it from the store.
-    pub fn catalog_behind(
-        &self,
-        own: Option<catalog::Version>,
-        newest: Option<catalog::Version>,
-        behind: Duration,
-    ) {
-        slog::info!(
-            self.log, "catalog behind";
-            "version" => own.map(|v| v.0), "newest" => newest.map(|v| v.0), "behind_ms" => millis(behind),
-        );
-    }
-
     /// The store became reachable or unreachable.
     pub fn store_availability(&self, answers: bool, cause: &str) {
         match answers {
@@ -264,19 +215,6 @@
         );
     }
 
-    /// Parts of a catalog do not make one. The version before stays in force.
-    pub fn catalog_parts_dropped(
-        &self,
-        peer: &str,
-        version: catalog::Version,
-        e: &dyn fmt::Display,
-    ) {
-        slog::warn!(
-            self.log, "catalog parts dropped";
-            "peer" => peer, "version" => %version, "cause" => %e,
-        );
-    }
-
     /// A listener cannot be registered with the runtime.
     pub fn listener_failed(&self, what: &str, e: &dyn fmt::Display) {
         slog::error!(self.log, "listener failed"; "what" => what, "cause" => %e);
@@ -309,18 +247,6 @@
         );
     }
 
-    /// A stream ended that was broken off, resumed or delimited by its connection.
-    pub fn stream_parts(&self, entry: &StreamPartsLogEntry<'_>) {
-        if !self.allow_line(clock::now()) {
-            return;
-        }
-        let parts: Vec<String> = entry.parts.iter().map(ToString::to_string).collect();
-        slog::info!(
-            self.log, "stream ended in doubt";
-            "request" => entry.request, "parts" => parts.join("; "), "end" => entry.end,
-        );
-    }
-
     /// Requests of a service leave the failure domain in another way or share than before.
     pub fn departures_changed(&self, change: &spill::Change) {
         slog::info!(
@@ -342,11 +268,6 @@
         }
     }
 
-    /// The origins of streams were read that earlier hosts have left in the store.
-    pub fn origins_adopted(&self, count: usize) {
-        slog::info!(self.log, "stream origins adopted"; "streams" => count);
-    }
-
     /// A request was passed to another host.
     pub fn forwarded(&self, request: &[u8], host: &str, result: &str) {
         if !self.allow_line(clock::now()) {
@@ -568,53 +489,6 @@
         );
     }
 
-    /// The version that began a stream is not known for certain, so that the stream is not resumed.
-    pub fn origin_unknown(&self, entry: &OriginLogEntry<'_>) {
-        if !self.allow_line(clock::now()) {
-            return;
-        }
-        slog::info!(
-            self.log, "stream version unknown";
-            "stream" => entry.stream.map(|stream| stream.to_string()), "service" => entry.service,
-            "has_record" => entry.has_record, "versions" => entry.versions,
-            "waited_ms" => millis(entry.waited),
-        );
-    }
-
-    /// What proved the version of an endpoint at which a stream is to go on, or why nothing did.
-    pub fn stream_version(&self, entry: &StreamVersionLogEntry<'_>) {
-        if !self.allow_line(clock::now()) {
-            return;
-        }
-        let (message, by) = match entry.proof {
-            Ok(proof) => ("stream version proven", proof),
-            Err(report) => ("stream version unproven", report),
-        };
-        slog::info!(
-            self.log, "{}", message;
-            "request" => entry.request, "endpoint" => %entry.endpoint,
-            "version" => entry.version.map(|version| version.to_string()), "by" => by,
-            "list_age_ms" => millis(entry.list_age),
-        );
-    }
-
-    /// A stream was taken up whose record was not proven, and its endpoint was asked.
-    pub fn stream_claim(&self, entry: &StreamClaimLogEntry) {
-        if !self.allow_line(clock::now()) {
-            return;
-        }
-        let (message, by) = match entry.proof {
-            Ok(proof) => ("stream record proven", proof),
-            Err(reason) => ("stream record unproven", reason),
-        };
-        slog::info!(
-            self.log, "{}", message;
-            "stream" => %entry.stream, "version" => %entry.version,
-            "incarnation" => %entry.incarnation, "by" => by,
-            "connected_for_ms" => millis(entry.connected_for),
-        );
-    }
-
     /// The host closes a caller's connection that has unfinished requests. `error` is the error of
     /// the connection, if that is the cause.
     pub fn connection_closed(&self, cause: reason::Close, requests: u32, error: Option<&str>) {
@@ -653,13 +527,6 @@
     }
 }
 
-/// The first findings, as text.
-fn list_findings(findings: &[verify::Finding]) -> String {
-    let first = findings.iter().take(LISTED_FINDINGS);
-    let first: Vec<_> = first.map(ToString::to_string).collect();
-    first.join("; ")
-}
-
 /// The first parts, and the number of the others.
 fn part_list(parts: &[quarantine::PartKey]) -> String {
     let first = parts.iter().take(LISTED_PARTS);
