Keep by the id of an endpoint that its reports name no process

A host forgot with each restart of such an endpoint that streams which begin there can be proven by a later write alone, so that the next one began there again. It is kept by the id now, until a process there says which it is.

--- a/crates/gateway/src/traffic/endpoints.rs
+++ b/crates/gateway/src/traffic/endpoints.rs
@@ -57,8 +57,6 @@
     alive_at: Option<time::Time>,
     /// Whether another process is known to have its address.
     has_ended: bool,
-    /// Whether its last report did not say which process it is, so that writes of its entry alone can show it.
-    is_nameless: bool,
     /// Whether the last view that contained the endpoint has it among those that leave.
     is_listed_leaving: bool,
     /// Generation of the last view that contained the endpoint.
@@ -362,12 +360,9 @@
         }
     }
 
-    /// Records whether a report did not say which process it is.
+    /// Records whether the report of a process said which one it is.
     pub(super) fn record_report(&mut self, identity: &directory::Identity, is_nameless: bool) {
-        let id = self.ids.get(identity);
-        if let Some(entry) = id.and_then(|id| self.entries.get_mut(*id)) {
-            entry.is_nameless = is_nameless;
-        }
+        self.restarts.record_report(&identity.id, is_nameless);
     }
 
     /// Applies the writes of entries that the control thread has read.
@@ -617,7 +612,6 @@
                 lost_at: None,
                 alive_at: None,
                 has_ended: false,
-                is_nameless: false,
                 is_listed_leaving: is_leaving,
                 generation: self.generation,
                 reported: None,
--- a/crates/gateway/src/traffic/endpoints/preferences.rs
+++ b/crates/gateway/src/traffic/endpoints/preferences.rs
@@ -29,7 +29,9 @@
                 .iter()
                 .any(|contested| **contested == *service)
             {
-                self.prefer_most(ids, |entry| !entry.is_nameless);
+                let is_nameless =
+                    |entry: &Entry| self.restarts.is_nameless(&entry.endpoint.identity.id);
+                self.prefer_most(ids, |entry| !is_nameless(entry));
             }
         }
     }
--- a/crates/gateway/src/traffic/endpoints/restarts.rs
+++ b/crates/gateway/src/traffic/endpoints/restarts.rs
@@ -1,4 +1,5 @@
-//! Endpoint ids whose process may have changed lately.
+//! What is known of endpoint ids, whichever process has them: whether it may have changed lately, and whether processes
+//! there say which they are.
 //!
 //! A process that has just started may end again before anything shows that a connection was its own. So streams that
 //! begin at such an id ask their process first, once for each connection. This is about the cost of questions: it
@@ -21,6 +22,9 @@
     started_at_ms: Option<u64>,
     /// When a connection to it was last lost, or another incarnation was listed.
     changed_at: Option<time::Time>,
+    /// Whether the last report under the id did not say which process it is, so that writes of its entry alone can show
+    /// it. The next process under the id is taken for one like it until it reports.
+    is_nameless: bool,
     last_listed: time::Time,
 }
 
@@ -42,6 +46,7 @@
         self.ids.entry(id.clone()).or_insert(KnownId {
             started_at_ms: None,
             changed_at: None,
+            is_nameless: false,
             last_listed: now,
         })
     }
@@ -61,6 +66,18 @@
         self.id(id, now).changed_at = Some(now);
     }
 
+    /// Records whether a report did not say which process it is.
+    pub(super) fn record_report(&mut self, id: &str, is_nameless: bool) {
+        if let Some(known) = self.ids.get_mut(id) {
+            known.is_nameless = is_nameless;
+        }
+    }
+
+    /// Whether processes under an id do not say which they are.
+    pub(super) fn is_nameless(&self, id: &str) -> bool {
+        self.ids.get(id).is_some_and(|known| known.is_nameless)
+    }
+
     /// Whether the process under an id may have changed lately.
     pub(super) fn is_restless(&self, id: &str, now: time::Time) -> bool {
         let known = self.ids.get(id);
--- a/crates/gateway/src/traffic/endpoints/tests.rs
+++ b/crates/gateway/src/traffic/endpoints/tests.rs
@@ -335,11 +335,18 @@
     table.update(&contested, NOW);
     table.record_report(&identity(&table, 0), true);
     assert_eq!(begun_at(&table), BTreeSet::from([2, 3, 4]));
+    // Nor where another process has taken its place, until that one has reported.
+    let mut restarted = directory::Endpoint::clone(&contested.endpoints[0]);
+    restarted.identity.started_at_ms += 1;
+    contested.endpoints[0] = Arc::new(restarted);
+    contested.generation = 2;
+    table.update(&contested, NOW);
+    assert_eq!(begun_at(&table), BTreeSet::from([2, 3, 4]));
     // Not if that would double the share of the others.
     table.record_report(&identity(&table, 1), true);
     assert_eq!(begun_at(&table), BTreeSet::from([1, 2, 3, 4]));
     table.record_report(&identity(&table, 1), false);
-    contested.generation = 2;
+    contested.generation = 3;
     contested.contested.clear();
     table.update(&contested, NOW);
     assert_eq!(begun_at(&table), BTreeSet::from([1, 2, 3, 4]));
--- a/crates/gateway/src/traffic/life.rs
+++ b/crates/gateway/src/traffic/life.rs
@@ -113,14 +113,16 @@
             connection.set_reported(pool::Reported::Other { started_at_ms });
             streams::LifeSign::Ended
         }
-        ReportedProcess::Unknown | ReportedProcess::NoAnswer => {
-            if reported == ReportedProcess::Unknown {
-                let mut endpoints = cx.endpoints.borrow_mut();
-                endpoints.record_report(&endpoint.identity, true);
-            }
+        ReportedProcess::Unknown => {
+            let mut endpoints = cx.endpoints.borrow_mut();
+            endpoints.record_report(&endpoint.identity, true);
             return reported;
         }
+        ReportedProcess::NoAnswer => return reported,
     };
+    let mut endpoints = cx.endpoints.borrow_mut();
+    endpoints.record_report(&endpoint.identity, false);
+    drop(endpoints);
     record(cx, &endpoint.identity, sign);
     reported
 }
