Build answers to callers of a status and end-to-end headers only

Cause: the parts of an endpoint's head were passed on whole, but for headers that were removed by name. So the version of the endpoint's first line became that of the answer to the caller. In HTTP/1.0 the library writes a body without a length without chunks, and such a body ends with its connection, whether it failed or not. The phrase of the endpoint's first line went on the same way, as an extension of the library.

Evidence: the host's log said "ended within an event", so it had noticed; the first line that the callers got was HTTP/1.0. The same head in HTTP/1.1 is seen to be broken off.

Change: AnswerHead keeps of a head its final status and its end-to-end headers. Each such answer is logged with its version. Why it works: where the answer ends is now written by this host for its own connection, in chunks or with a length, and a body that fails leaves out the last chunk.

Our callers took every answer without a length and chunks for incomplete, so that no test could see this; they judge by framing now, as a client library does.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -233,6 +233,23 @@
         );
     }
 
+    /// The head of an endpoint's answer names another version than HTTP/1.1.
+    pub fn answer_version(
+        &self,
+        request: &[u8],
+        endpoint: &directory::Identity,
+        (version, status): (http::Version, http::StatusCode),
+    ) {
+        if !self.allow_line(clock::now()) {
+            return;
+        }
+        slog::info!(
+            self.log, "answer of another version";
+            "request" => &*String::from_utf8_lossy(request), "endpoint" => %endpoint,
+            "version" => ?version, "status" => status.as_u16(),
+        );
+    }
+
     /// An endpoint broke an answer off. The keys relate the requests that an endpoint was processing
     /// when it ended.
     pub fn answer_broken(&self, entry: &BrokenAnswerLogEntry<'_>) {
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, Version, header, response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use pistachiochute_core::retry::{AttemptFailure, Sends};
@@ -14,6 +14,7 @@
 
 use crate::adapter;
 use crate::traffic::answer_end::AnswerEnd;
+use crate::traffic::answer_head::AnswerHead;
 use crate::traffic::collect::{CollectError, Pace};
 use crate::traffic::opened_stream::{EndpointStream, OpenedStream, StreamSource};
 use crate::traffic::plan::Plan;
@@ -52,7 +53,7 @@
 
 /// A complete answer of an endpoint.
 pub(super) struct CompleteAnswer {
-    pub parts: response::Parts,
+    pub head: AnswerHead,
     pub body: Bytes,
 }
 
@@ -64,7 +65,7 @@
     /// A complete answer for the caller.
     Complete(CompleteAnswer),
     /// The head of a stream for the caller, and the source of its events.
-    Stream(response::Parts, Box<OpenedStream<D>>),
+    Stream(AnswerHead, Box<OpenedStream<D>>),
     /// The answer of another host that refuses the request, which has not run.
     RefusedByHost(CompleteAnswer),
     /// No answer, or an answer that states a failure.
@@ -83,9 +84,9 @@
     /// Short text for logs.
     pub(super) fn summary(&self) -> String {
         match self {
-            Self::Complete(answer) => format!("answer {}", answer.parts.status.as_u16()),
+            Self::Complete(answer) => format!("answer {}", answer.head.status().as_u16()),
             Self::Stream(..) => "stream".to_owned(),
-            Self::RefusedByHost(answer) => format!("refusal {}", answer.parts.status.as_u16()),
+            Self::RefusedByHost(answer) => format!("refusal {}", answer.head.status().as_u16()),
             Self::Failed { failure, cause, .. } => format!("{}: {cause}", failure.as_str()),
         }
     }
@@ -361,18 +362,24 @@
         version,
     } = cleared;
     let (mut parts, body) = answer.into_parts();
-    let head = cx.dialect.response_metadata(&parts);
-    record_head(cx, attempt, &head);
-    let answered = answered_request(&head, attempt.outgoing, &connection);
-    let is_elsewhere = is_of_another_endpoint(parts.status, &head);
+    let metadata = cx.dialect.response_metadata(&parts);
+    record_head(cx, attempt, &metadata);
+    if parts.version != Version::HTTP_11 {
+        let endpoint = &attempt.selected.endpoint.identity;
+        let said = (parts.version, parts.status);
+        cx.events
+            .answer_version(&attempt.outgoing.id, endpoint, said);
+    }
+    let answered = answered_request(&metadata, attempt.outgoing, &connection);
+    let is_elsewhere = is_of_another_endpoint(parts.status, &metadata);
     if answered != AnsweredRequest::Unknown && !is_elsewhere {
-        notices::record(cx, attempt.selected, &head);
+        notices::record(cx, attempt.selected, &metadata);
     }
     if answered != AnsweredRequest::Own {
         return failed(AttemptFailure::InvalidAnswer, "answer to another request");
     }
-    notices::record_limit(cx, attempt.selected, head.limit, in_flight.started());
-    notices::record_admission(cx, attempt.selected, &head, in_flight.started());
+    notices::record_limit(cx, attempt.selected, metadata.limit, in_flight.started());
+    notices::record_admission(cx, attempt.selected, &metadata, in_flight.started());
     if is_elsewhere {
         return failed(
             AttemptFailure::EndpointReplaced,
@@ -380,25 +387,24 @@
         );
     }
     proofs::note_answer(cx, attempt, &connection, sent_at);
-    if head.is_not_run {
+    if metadata.is_not_run {
         let cause = format!("refused with status {}", parts.status.as_u16());
         let id = attempt.selected.choice.endpoint;
-        tokio::task::spawn_local(drain(cx.clone(), id, body, connection, head.idle_limit));
+        let idle_limit = idle_limit(&parts, &metadata);
+        tokio::task::spawn_local(drain(cx.clone(), id, body, connection, idle_limit));
         return failed(AttemptFailure::Refused, cause);
     }
-    if !head.is_sealed {
+    if !metadata.is_sealed {
         return unsealed(parts.status);
     }
     cx.dialect.strip_internal_headers(&mut parts.headers);
-    let is_closing = closes_connection(&parts.headers);
+    let idle_limit = idle_limit(&parts, &metadata);
     let framing = answer_end::framing(&attempt.outgoing.method, &parts);
-    reply::strip_connection_headers(&mut parts.headers);
-    let idle_limit = if is_closing {
-        Some(Duration::ZERO)
-    } else {
-        head.idle_limit
+    let head = match AnswerHead::of(parts) {
+        Ok(head) => head,
+        Err(e) => return failed(AttemptFailure::InvalidAnswer, e.to_string()),
     };
-    if parts.status.is_success() && is_event_stream(&parts.headers) {
+    if head.status().is_success() && is_event_stream(head.headers()) {
         let source = StreamSource::Endpoint(EndpointStream {
             connected_at: connection.connected_at(),
             body,
@@ -408,7 +414,7 @@
             framing,
             version,
         });
-        return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
+        return AttemptResult::Stream(head, Box::new(OpenedStream::new(source)));
     }
     let body = AnswerBody {
         body,
@@ -416,7 +422,7 @@
         connection,
         idle_limit,
     };
-    let result = read_answer(cx, attempt, parts, body).await;
+    let result = read_answer(cx, attempt, head, body).await;
     if let AttemptResult::Failed {
         failure: AttemptFailure::ConnectionLost,
         cause,
@@ -484,7 +490,7 @@
 async fn read_answer<D>(
     cx: &Rc<Context<D>>,
     attempt: &Attempt<'_>,
-    mut parts: response::Parts,
+    head: AnswerHead,
     answer: AnswerBody,
 ) -> AttemptResult<D>
 where
@@ -520,10 +526,8 @@
         }
         AnswerEnd::Broken(cause) => return failed(AttemptFailure::ConnectionLost, cause),
     }
-    // Hyper sets the length of the body that it sends.
-    parts.headers.remove(header::CONTENT_LENGTH);
-    let answer = CompleteAnswer { parts, body };
-    let failure = match answer.parts.status {
+    let answer = CompleteAnswer { head, body };
+    let failure = match answer.head.status() {
         // The endpoint did not say that it has not run the request.
         status if reply::implies_not_run(status) => AttemptFailure::FalsePromise,
         status if status.is_server_error() => AttemptFailure::Failed,
@@ -531,7 +535,7 @@
     };
     AttemptResult::Failed {
         failure,
-        cause: format!("status {}", answer.parts.status.as_u16()),
+        cause: format!("status {}", answer.head.status().as_u16()),
         answer: Some(answer),
     }
 }
@@ -557,6 +561,15 @@
     endpoints.observe_health(endpoint, stalled, clock::now());
 }
 
+/// Idle time after which the endpoint closes the connection of an answer, if it says so. One that it does not say to
+/// keep as HTTP/1.1 does takes no other request.
+fn idle_limit(parts: &response::Parts, metadata: &adapter::ResponseMetadata) -> Option<Duration> {
+    match parts.version == Version::HTTP_11 && !closes_connection(&parts.headers) {
+        true => metadata.idle_limit,
+        false => Some(Duration::ZERO),
+    }
+}
+
 fn closes_connection(headers: &HeaderMap) -> bool {
     reply::connection_tokens(headers).any(|token| token.eq_ignore_ascii_case("close"))
 }
--- a/crates/gateway/src/traffic/attempts.rs
+++ b/crates/gateway/src/traffic/attempts.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::response;
 use pistachiochute_core::{admission, catalog, directory, outcome, reason, retry, time};
 use pistachiochute_runtime::clock;
 
+use crate::traffic::answer_head::AnswerHead;
 use crate::traffic::attempt::{Attempt, AttemptResult, CompleteAnswer};
 use crate::traffic::deliverable::DeliverableAnswer;
 use crate::traffic::event_stream::{RequestState, TruncatedStream};
@@ -36,7 +36,7 @@
     D: adapter::Dialect,
 {
     Complete(DeliverableAnswer),
-    Stream(response::Parts, Box<OpenedStream<D>>),
+    Stream(AnswerHead, Box<OpenedStream<D>>),
     /// The answer of another host that refuses the request, which has not run.
     RefusedByHost(CompleteAnswer),
     /// A refusal of this host. Whether the request ran is known from what was sent of it.
@@ -98,9 +98,9 @@
                     }
                 }
             }
-            AttemptResult::Stream(parts, opened) => {
+            AttemptResult::Stream(head, opened) => {
                 state.attempts.sends().settle(outcome::Outcome::Run);
-                return FinalAnswer::Stream(parts, opened);
+                return FinalAnswer::Stream(head, opened);
             }
             AttemptResult::RefusedByHost(answer) => {
                 state.attempts.sends().settle(outcome::Outcome::NotRun);
--- a/crates/gateway/src/traffic/deliverable.rs
+++ b/crates/gateway/src/traffic/deliverable.rs
@@ -1,10 +1,11 @@
 //! Answers of endpoints that may be passed on to callers.
 
 use bytes::Bytes;
-use http::{Response, StatusCode, header, response};
+use http::{Response, StatusCode, header};
 use pistachiochute_core::catalog;
 
 use crate::adapter;
+use crate::traffic::answer_head::AnswerHead;
 use crate::traffic::attempt::CompleteAnswer;
 use crate::traffic::reply::{self, ReplyBody};
 
@@ -14,27 +15,27 @@
 /// once. The endpoint that has made the answer may have run the request: one that has not says so, and its
 /// answer is a failed attempt.
 pub(super) struct DeliverableAnswer {
-    parts: response::Parts,
+    head: AnswerHead,
     body: Bytes,
 }
 
 impl DeliverableAnswer {
     /// The answer to a request of a kind, or `None` if it would promise what is not known.
     pub(super) fn of(answer: CompleteAnswer, kind: catalog::RequestKind) -> Option<Self> {
-        let CompleteAnswer { mut parts, body } = answer;
-        if reply::implies_not_run(parts.status) {
+        let CompleteAnswer { mut head, body } = answer;
+        if reply::implies_not_run(head.status()) {
             if !kind.is_idempotent() {
                 return None;
             }
             // Callers wait for what has not run; this may have.
-            parts.headers.remove(header::RETRY_AFTER);
+            head.remove(header::RETRY_AFTER);
         }
-        Some(Self { parts, body })
+        Some(Self { head, body })
     }
 
     /// Status of the answer.
     pub(super) const fn status(&self) -> StatusCode {
-        self.parts.status
+        self.head.status()
     }
 
     /// The answer as it is sent.
@@ -42,6 +43,6 @@
     where
         D: adapter::Dialect,
     {
-        Response::from_parts(self.parts, reply::full_body(self.body))
+        self.head.into_response(reply::full_body(self.body))
     }
 }
--- a/crates/gateway/src/traffic/forwarding/client.rs
+++ b/crates/gateway/src/traffic/forwarding/client.rs
@@ -10,13 +10,14 @@
 
 use bytes::Bytes;
 use eyre::WrapErr as _;
-use http::{Request, Response, response};
+use http::{Request, Response};
 use pistachiochute_core::forwarding::{self, Candidate, Hosts};
 use pistachiochute_core::{retry, time};
 use pistachiochute_messages::{codec, forwarded};
 use pistachiochute_runtime::clock;
 use tokio::sync::Mutex;
 
+use crate::traffic::answer_head::AnswerHead;
 use crate::traffic::attempt::{AttemptResult, CompleteAnswer, MAX_ANSWER_BYTES};
 use crate::traffic::collect::CollectError;
 use crate::traffic::event_stream::RequestState;
@@ -292,19 +293,23 @@
         );
     }
     permit.record(forwarding::Outcome::Served);
-    if parts.status.is_success() && attempt::is_event_stream(&parts.headers) {
+    let head = match AnswerHead::of(parts) {
+        Ok(head) => head,
+        Err(e) => return lost(e.to_string()),
+    };
+    if head.status().is_success() && attempt::is_event_stream(head.headers()) {
         let source = StreamSource::Host(HostStream {
             body,
             _permit: permit,
         });
-        return AttemptResult::Stream(parts, Box::new(OpenedStream::new(source)));
+        return AttemptResult::Stream(head, Box::new(OpenedStream::new(source)));
     }
-    read_answer(parts, body, account, verdict).await
+    read_answer(head, body, account, verdict).await
 }
 
 /// Reads the body of a complete answer.
 async fn read_answer<D>(
-    parts: response::Parts,
+    head: AnswerHead,
     mut body: h2::RecvStream,
     account: &Arc<memory::Account>,
     verdict: forwarded::Verdict,
@@ -334,7 +339,7 @@
     let Ok(body) = buffer.close().await else {
         return attempt::failed(retry::AttemptFailure::Failed, "body: no memory");
     };
-    let answer = CompleteAnswer { parts, body };
+    let answer = CompleteAnswer { head, body };
     match verdict {
         forwarded::Verdict::Refused => AttemptResult::RefusedByHost(answer),
         forwarded::Verdict::Answered | forwarded::Verdict::Unable => {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -4,6 +4,7 @@
 //! hand-over between threads. The routing decisions are made by `pistachiochute-core`.
 
 mod answer_end;
+mod answer_head;
 mod attempt;
 mod attempts;
 mod beginnings;
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -13,7 +13,7 @@
 use crate::traffic::event_stream;
 
 /// Hop-by-hop headers, which concern one connection only.
-const CONNECTION_HEADERS: [header::HeaderName; 8] = [
+const CONNECTION_HEADERS: [header::HeaderName; 9] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::UPGRADE,
@@ -22,6 +22,7 @@
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::HeaderName::from_static("keep-alive"),
+    header::HeaderName::from_static("proxy-connection"),
 ];
 
 /// Body of an answer to a caller.
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -314,13 +314,11 @@
     };
     match answer {
         attempts::FinalAnswer::Complete(answer) => complete(report, answer),
-        attempts::FinalAnswer::Stream(parts, opened) => {
-            let mut response = Response::from_parts(parts, ());
-            response.headers_mut().remove(header::CONTENT_LENGTH);
-            report.record_answer(response.status().as_u16());
+        attempts::FinalAnswer::Stream(head, opened) => {
+            report.record_answer(head.status().as_u16());
             report.connection().stream_began(state.plan.deadline.at());
             let stream = EventStream::new(state, opened, after_event, report);
-            response.map(|()| ReplyBody::Stream(Box::pin(stream)))
+            head.into_response(ReplyBody::Stream(Box::pin(stream)))
         }
         attempts::FinalAnswer::RefusedByHost(answer) => pass_refusal(report, answer),
         attempts::FinalAnswer::Refused(reason) => refuse(report, reason),
@@ -396,9 +394,9 @@
     if report.sends().outcome() != outcome::Outcome::NotRun {
         return refuse(report, reason::Refusal::NoEndpoint);
     }
-    report.record_refusal_of_host(answer.parts.status.as_u16());
+    report.record_refusal_of_host(answer.head.status().as_u16());
     report.finish("refused by another host");
-    Response::from_parts(answer.parts, reply::full_body(answer.body))
+    answer.head.into_response(reply::full_body(answer.body))
 }
 
 fn refuse<D>(mut report: Report<D>, reason: reason::Refusal) -> Response<ReplyBody<D>>
--- a/crates/runtime/src/listener/mod.rs
+++ b/crates/runtime/src/listener/mod.rs
@@ -277,7 +277,10 @@
     }
     let (head, body) = response.into_parts();
     let body = body.hold().await.map_err(|_| Disconnected)?;
-    Ok(http::Response::from_parts(head, body))
+    let mut held = http::Response::new(body);
+    *held.status_mut() = head.status;
+    *held.headers_mut() = head.headers;
+    Ok(held)
 }
 
 /// Waits until the listener is closed.
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -1,6 +1,9 @@
 //! HTTP caller that exposes the exact bytes of its answers, including incomplete ones.
+//!
+//! It judges by framing alone whether an answer is complete, as a client library does. An answer without a length and
+//! without chunks is complete if its connection was closed in order.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::io::{self, Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -20,7 +23,8 @@
     pub head: String,
     /// The part of the body that arrived.
     pub body: String,
-    /// Whether the body is complete by its `content-length` or its last chunk.
+    /// Whether the body is complete by its `content-length`, by its last chunk or, if it has neither, by the orderly
+    /// end of its connection.
     pub is_complete: bool,
 }
 
@@ -32,11 +36,18 @@
     }
 
     /// Whether the connection may carry another request: the answer is complete, and the host did
-    /// not say that it closes the connection.
+    /// not say that it closes the connection. With HTTP/1.0 it has to say that it does not.
     #[must_use]
     pub fn keeps_connection(&self) -> bool {
-        let says_close = |value: &str| value.eq_ignore_ascii_case("close");
-        self.is_complete && !self.header("connection").is_some_and(says_close)
+        let says = |word: &str| {
+            let connection = self.header("connection");
+            connection.is_some_and(|value| value.eq_ignore_ascii_case(word))
+        };
+        let keeps = match self.head.starts_with("HTTP/1.0") {
+            true => says("keep-alive"),
+            false => !says("close"),
+        };
+        self.is_complete && keeps
     }
 
     /// Value of a header.
@@ -49,11 +60,32 @@
     }
 }
 
+/// Version of HTTP that a caller speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Version {
+    /// HTTP/1.0, which knows no chunks.
+    Http10,
+    /// HTTP/1.1.
+    #[default]
+    Http11,
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Http10 => "HTTP/1.0",
+            Self::Http11 => "HTTP/1.1",
+        })
+    }
+}
+
 /// A request of a caller.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
     /// Id of the request.
     pub id: String,
+    /// Version of HTTP.
+    pub version: Version,
     /// HTTP method.
     pub method: &'static str,
     /// Path and query.
@@ -70,6 +102,7 @@
     pub fn new(id: &str, path: &str, key: &str) -> Self {
         Self {
             id: id.to_owned(),
+            version: Version::default(),
             method: "POST",
             path: path.to_owned(),
             key: key.to_owned(),
@@ -77,6 +110,13 @@
         }
     }
 
+    /// Speaks another version of HTTP.
+    #[must_use]
+    pub const fn version(mut self, version: Version) -> Self {
+        self.version = version;
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
@@ -118,8 +158,8 @@
     /// Writing fails.
     pub fn write_to(&self, stream: &mut TcpStream) -> io::Result<()> {
         let mut text = format!(
-            "{} {} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {}\r\nAuthorization: Bearer {}\r\n",
-            self.method, self.path, self.id, self.key,
+            "{} {} {}\r\nHost: a.example\r\nX-Request-Id: {}\r\nAuthorization: Bearer {}\r\n",
+            self.method, self.path, self.version, self.id, self.key,
         );
         for (name, value) in &self.headers {
             // Writing to a string does not fail.
@@ -152,23 +192,35 @@
     let mut bytes = Vec::new();
     let mut buf = [0; 4_096];
     loop {
-        if let Some(answer) = parse(&bytes, true)
+        if let Some(answer) = parse(&bytes, Connection::Open)
             && (answer.is_complete || is_enough(&answer))
         {
             return answer;
         }
-        match stream.read(&mut buf) {
-            Ok(0) | Err(_) => {
-                return parse(&bytes, true).unwrap_or_default();
+        let end = match stream.read(&mut buf) {
+            Ok(0) => Connection::Closed,
+            Ok(n) => {
+                bytes.extend_from_slice(&buf[..n]);
+                continue;
             }
-            Ok(n) => bytes.extend_from_slice(&buf[..n]),
-        }
+            Err(_) => Connection::Failed,
+        };
+        return parse(&bytes, end).unwrap_or_default();
     }
 }
 
-/// Parses an answer. Returns `None` if its head is incomplete, or if its body is and the connection
-/// has not ended.
-fn parse(bytes: &[u8], is_ended: bool) -> Option<Answer> {
+/// State of a connection that an answer is read from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    Open,
+    /// It was closed in order.
+    Closed,
+    /// It was reset, or nothing came any more.
+    Failed,
+}
+
+/// Parses an answer, or the part of it that has arrived. Returns `None` if its head is incomplete.
+fn parse(bytes: &[u8], connection: Connection) -> Option<Answer> {
     let text = String::from_utf8_lossy(bytes).into_owned();
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let status = head.get(9..12)?.parse().ok()?;
@@ -178,14 +230,20 @@
         body: String::new(),
         is_complete: false,
     };
-    if let Some(len) = answer.header("content-length") {
+    if matches!(status, 100..=199 | 204 | 304) {
+        rest.clone_into(&mut answer.body);
+        answer.is_complete = true;
+    } else if let Some(len) = answer.header("content-length") {
         let len: usize = len.parse().unwrap_or(usize::MAX);
         answer.is_complete = rest.len() >= len;
         answer.body = rest.get(..len).unwrap_or(rest).to_owned();
-    } else {
+    } else if answer.header("transfer-encoding").is_some() {
         (answer.body, answer.is_complete) = decode_chunked(rest);
+    } else {
+        rest.clone_into(&mut answer.body);
+        answer.is_complete = connection == Connection::Closed;
     }
-    (answer.is_complete || is_ended).then_some(answer)
+    Some(answer)
 }
 
 /// Decodes the complete chunks of a body, and returns whether the last chunk is among them.
--- a/crates/standins/src/platform/raw_endpoint.rs
+++ b/crates/standins/src/platform/raw_endpoint.rs
@@ -81,6 +81,8 @@
     Death,
     /// Its process ends, and another one accepts connections at its address.
     Replacement,
+    /// It keeps the connection, and answers the next request on it in the same way.
+    Keep,
 }
 
 /// What an endpoint says when it is asked for a report on itself.
@@ -128,6 +130,8 @@
     /// Start of its process, in milliseconds since the Unix epoch.
     started_at_ms: AtomicU64,
     requests: AtomicU64,
+    /// Requests that came on a connection which had been kept.
+    reuses: AtomicU64,
     bytes: AtomicU64,
     /// Ids of the requests that it ran, after a refusal on the same connection.
     runs: Mutex<Vec<String>>,
@@ -164,6 +168,7 @@
             is_gone: AtomicBool::new(false),
             started_at_ms: AtomicU64::new(records::STARTED_AT_MS),
             requests: AtomicU64::new(0),
+            reuses: AtomicU64::new(0),
             bytes: AtomicU64::new(0),
             runs: Mutex::default(),
         });
@@ -197,6 +202,12 @@
         self.shared.requests.load(Ordering::Relaxed)
     }
 
+    /// Requests that came on a connection which the endpoint had kept.
+    #[must_use]
+    pub fn reuses(&self) -> u64 {
+        self.shared.reuses.load(Ordering::Relaxed)
+    }
+
     /// Ids of the requests that it ran, after a refusal on the same connection.
     #[must_use]
     pub fn runs(&self) -> Vec<String> {
@@ -242,9 +253,35 @@
     fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         // What waits in the system's buffer counts as sent.
         socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER)?;
-        let Some(request) = self.read_call(&mut stream)? else {
-            return Ok(());
-        };
+        let mut is_kept = false;
+        while let Some(request) = self.read_call(&mut stream)? {
+            if is_kept {
+                self.reuses.fetch_add(1, Ordering::Relaxed);
+            }
+            self.answer(&mut stream, &request)?;
+            is_kept = self.keeps_connection(&request);
+            if !is_kept {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// The answer that the endpoint writes for a request, if a test has written it.
+    fn written(&self, request: &RawRequest) -> Option<&WrittenAnswer> {
+        match &self.answer {
+            RawAnswer::Written(answers) if request.is_resumption => Some(&answers.resumed),
+            RawAnswer::Written(answers) => Some(&answers.first),
+            _ => None,
+        }
+    }
+
+    fn keeps_connection(&self, request: &RawRequest) -> bool {
+        let written = self.written(request);
+        written.is_some_and(|answer| answer.end == RawEnd::Keep)
+    }
+
+    fn answer(&self, stream: &mut TcpStream, request: &RawRequest) -> io::Result<()> {
         let id = &request.id;
         self.requests.fetch_add(1, Ordering::Relaxed);
         let seal = seal_of(&self.id);
@@ -254,41 +291,41 @@
         let sealed = format!("X-Response-Seal: {seal}\r\n");
         let chunked = format!("{sealed}Transfer-Encoding: chunked\r\n");
         match &self.answer {
-            RawAnswer::EndlessHead => self.send_on(&mut stream, &[b'x'; PIECE], None),
+            RawAnswer::EndlessHead => self.send_on(stream, &[b'x'; PIECE], None),
             RawAnswer::EndlessHeaders => {
-                self.send(&mut stream, b"HTTP/1.1 200 OK\r\n")?;
-                self.send_on(&mut stream, b"X-More: and more\r\n", None)
+                self.send(stream, b"HTTP/1.1 200 OK\r\n")?;
+                self.send_on(stream, b"X-More: and more\r\n", None)
             }
             RawAnswer::EndlessBody => {
-                self.send(&mut stream, head("200 OK", &chunked).as_bytes())?;
-                self.send_on(&mut stream, &chunk(&[b'x'; PIECE]), None)
+                self.send(stream, head("200 OK", &chunked).as_bytes())?;
+                self.send_on(stream, &chunk(&[b'x'; PIECE]), None)
             }
             RawAnswer::EndlessEvent => {
                 let more = format!("{chunked}Content-Type: text/event-stream\r\n");
-                self.send(&mut stream, head("200 OK", &more).as_bytes())?;
-                self.send(&mut stream, &chunk(b"id: 0\ndata: "))?;
-                self.send_on(&mut stream, &chunk(&[b'x'; PIECE]), None)
+                self.send(stream, head("200 OK", &more).as_bytes())?;
+                self.send(stream, &chunk(b"id: 0\ndata: "))?;
+                self.send_on(stream, &chunk(&[b'x'; PIECE]), None)
             }
             RawAnswer::EndlessRefusal => {
                 let more = "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n";
-                self.send(&mut stream, head("503 Busy", more).as_bytes())?;
-                self.send_on(&mut stream, &chunk(b"no"), Some(SLOW_PAUSE))
+                self.send(stream, head("503 Busy", more).as_bytes())?;
+                self.send_on(stream, &chunk(b"no"), Some(SLOW_PAUSE))
             }
-            RawAnswer::RepeatedRefusal(copy) => self.refuse_and_repeat(&mut stream, id, *copy),
+            RawAnswer::RepeatedRefusal(copy) => self.refuse_and_repeat(stream, id, *copy),
             RawAnswer::Large(bytes) => {
                 let more = format!("{sealed}Content-Length: {bytes}\r\nConnection: close\r\n");
-                self.send(&mut stream, head("200 OK", &more).as_bytes())?;
-                self.send(&mut stream, &vec![b'x'; *bytes])
+                self.send(stream, head("200 OK", &more).as_bytes())?;
+                self.send(stream, &vec![b'x'; *bytes])
             }
             RawAnswer::LargeStream { events, bytes } => {
                 let more = format!("{chunked}Content-Type: text/event-stream\r\n");
-                self.send(&mut stream, head("200 OK", &more).as_bytes())?;
+                self.send(stream, head("200 OK", &more).as_bytes())?;
                 let data = "x".repeat(*bytes);
                 for id in 0..*events {
                     let event = format!("id: {id}\ndata: {data}\n\n");
-                    self.send(&mut stream, &chunk(event.as_bytes()))?;
+                    self.send(stream, &chunk(event.as_bytes()))?;
                 }
-                self.send(&mut stream, b"0\r\n\r\n")
+                self.send(stream, b"0\r\n\r\n")
             }
             RawAnswer::Unframed {
                 content_type,
@@ -296,28 +333,25 @@
                 is_reset,
             } => {
                 let more = format!("{sealed}Content-Type: {content_type}\r\nConnection: close\r\n");
-                self.send(&mut stream, head("200 OK", &more).as_bytes())?;
-                self.send(&mut stream, body.as_bytes())?;
+                self.send(stream, head("200 OK", &more).as_bytes())?;
+                self.send(stream, body.as_bytes())?;
                 // Gives the body time to arrive before a reset.
                 thread::sleep(SLOW_PAUSE);
                 match is_reset {
-                    true => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)),
+                    true => socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO)),
                     false => Ok(()),
                 }
             }
             RawAnswer::Written(answers) => {
-                let answer = match request.is_resumption {
-                    true => &answers.resumed,
-                    false => &answers.first,
-                };
+                let answer = self.written(request).unwrap_or(&answers.first);
                 let bytes = answer.bytes.replace("{id}", id).replace("{seal}", &seal);
                 for (i, piece) in bytes.split("{pause}").enumerate() {
                     if i > 0 {
                         thread::sleep(WRITTEN_PAUSE);
                     }
-                    self.send(&mut stream, piece.as_bytes())?;
+                    self.send(stream, piece.as_bytes())?;
                 }
-                self.end(&stream, answer.end)
+                self.end(stream, answer.end)
             }
         }
     }
@@ -365,6 +399,7 @@
             RawEnd::Replacement => {
                 self.started_at_ms.fetch_add(1, Ordering::Relaxed);
             }
+            RawEnd::Keep => return Ok(()),
         }
         stream.shutdown(Shutdown::Write)?;
         // Bytes that wait to be read would have the system reset the connection.
