Reset connections of HTTP/1.0 whose answers are not whole

Cause: the library answers in the caller's version, and HTTP/1.0 has no chunks. A body without a length ends with the connection then. A socket that is dropped is closed in order, by the host after a body that failed as well as by the system when the process ends.

Change: runtime::delimited has such a connection reset on close from the first byte of the answer on, and lets it end in order once all of the answer is written. Both listeners use it. Setting the option only when a body fails would leave hosts that are killed; 505 would refuse whole streams; holding a stream would bring no event before the last.

events_are_passed_on_as_they_come said that a stream of events shows by its end marker whether it is complete. Framing does not show it, and a client library judges by nothing else: the test asks now for the same bytes and for the reset after them, under the name events_are_passed_on_as_they_come_and_are_reset_if_they_break_off.

--- a/crates/gateway/src/traffic/listener.rs
+++ b/crates/gateway/src/traffic/listener.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, and the graceful stop.
 
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net;
 use std::pin::{Pin, pin};
@@ -8,6 +9,7 @@
 use std::task::{self, Poll, ready};
 use std::time::Duration;
 
+use http::Request;
 use hyper::body::{Body, Incoming};
 use hyper::rt;
 use hyper::server::conn::http1;
@@ -15,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use pistachiochute_core::liveness::ConnectionStep;
 use pistachiochute_core::reason;
-use pistachiochute_runtime::clock;
+use pistachiochute_runtime::{clock, delimited};
 use tokio::sync::watch;
 
 use crate::shared::Phase;
@@ -120,7 +122,17 @@
 ) where
     D: adapter::Dialect,
 {
-    let service = service_fn(|req| serve::serve(cx.clone(), connection.clone(), req));
+    let delimiter = delimited::Delimiter::default();
+    let service = service_fn(|req: Request<Incoming>| {
+        let version = req.version();
+        let answer = serve::serve(cx.clone(), connection.clone(), req);
+        let delimiter = &delimiter;
+        async move {
+            let response = answer.await?;
+            Ok::<_, Infallible>(delimiter.answer(version, response))
+        }
+    });
+    let stream = delimited::Socket::new(stream, delimiter.clone());
     let serving = http1::Builder::new()
         .max_buf_size(head_limit(cx))
         .serve_connection(
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admin;
 pub mod clock;
 pub mod control;
+pub mod delimited;
 pub mod endpoint;
 pub mod entry;
 pub mod host;
--- a/crates/runtime/src/listener/mod.rs
+++ b/crates/runtime/src/listener/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time;
 
-use crate::thread_pool;
+use crate::{delimited, thread_pool};
 
 /// Smallest read buffer that the HTTP library accepts, in bytes. The buffer limits the head of a
 /// request; the library itself refuses a larger one, without a reason code.
@@ -200,9 +200,15 @@
             // Setting an option fails only on a connection that has ended.
             return;
         }
-        let service = service_fn(|req| {
+        let delimiter = delimited::Delimiter::default();
+        let service = service_fn(|req: http::Request<Incoming>| {
             let shared = Arc::clone(&self);
-            async move { shared.answer(req).await }
+            let delimiter = delimiter.clone();
+            async move {
+                let version = req.version();
+                let response = shared.answer(req).await?;
+                Ok::<_, Disconnected>(delimiter.answer(version, response))
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -210,7 +216,10 @@
             .max_buf_size(self.cfg.max_head_bytes.max(MIN_HEAD_BYTES))
             // A caller that has shut down its sending side may still wait for its answer.
             .half_close(true)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(
+                TokioIo::new(delimited::Socket::new(stream, delimiter.clone())),
+                service,
+            );
         let mut connection = std::pin::pin!(connection);
         // Errors of the connection are not logged, since the caller sees them.
         tokio::select! {
@@ -266,8 +275,8 @@
     }
 }
 
-/// Holds an answer of HTTP/1.0 until it is complete, since it would otherwise end with its connection
-/// whether it is complete or not. A stream of events says by itself whether it is.
+/// Holds an answer of HTTP/1.0 until it is complete, so that it has a length. A stream of events goes on as it
+/// comes; its connection is reset if it is broken off.
 async fn hold_unless_events(
     response: http::Response<answer::Body>,
 ) -> Result<http::Response<answer::Body>, Disconnected> {
--- a/crates/runtime/tests/callers_without_chunks.rs
+++ b/crates/runtime/tests/callers_without_chunks.rs
@@ -1,7 +1,7 @@
 //! Callers of HTTP/1.0, whose answers have no chunks: an answer without a length ends with its
 //! connection.
 
-use std::io::{Read as _, Write as _};
+use std::io::{self, Read as _, Write as _};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,34 +48,43 @@
     listener::Listener::start(socket, cfg, pool, Arc::new(Chunks)).unwrap()
 }
 
-/// Asks for a path and returns all that arrives until the connection is closed.
-fn get(path: &str) -> String {
+/// Asks for a path. Returns all that arrives until the connection ends, and whether it ends in order.
+fn get(path: &str) -> (String, io::Result<()>) {
     let listener = start();
     let mut socket = TcpStream::connect(listener.addr()).unwrap();
     write!(socket, "GET {path} HTTP/1.0\r\n\r\n").unwrap();
-    let mut text = String::new();
-    socket.read_to_string(&mut text).unwrap();
+    let mut bytes = Vec::new();
+    let end = socket.read_to_end(&mut bytes).map(drop);
     listener.close();
-    text
+    (String::from_utf8(bytes).unwrap(), end)
 }
 
 /// Guards against an answer that broke off and looks complete, because its connection was closed in
 /// order.
 #[test]
 fn an_answer_that_breaks_off_does_not_begin() {
-    assert_eq!(get("/cut?application/json"), "");
+    assert_eq!(get("/cut?application/json").0, "");
 }
 
 #[test]
 fn a_whole_answer_has_its_length() {
-    let text = get("/whole?application/json");
+    let (text, end) = get("/whole?application/json");
     assert!(text.contains("content-length: 15\r\n"), "{text}");
     assert!(text.ends_with("\r\n\r\none piece of it"), "{text}");
+    end.unwrap();
 }
 
-/// A stream of events is not held, since its end marker shows whether it is complete.
+/// Guards against a stream of events that broke off and looks complete, because its connection was closed in order.
 #[test]
-fn events_are_passed_on_as_they_come() {
-    let text = get("/cut?text/event-stream");
+fn events_are_passed_on_as_they_come_and_are_reset_if_they_break_off() {
+    let (text, end) = get("/cut?text/event-stream");
     assert!(text.ends_with("\r\n\r\none piece of it"), "{text}");
+    assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+}
+
+#[test]
+fn a_whole_stream_of_events_ends_in_order() {
+    let (text, end) = get("/whole?text/event-stream");
+    assert!(text.ends_with("\r\n\r\none piece of it"), "{text}");
+    end.unwrap();
 }
