Soak: endpoints that answer in HTTP/1.0, and callers that speak it

Change: one in five answers of endpoints that are processes names HTTP/1.0 (with a length, or without), and 3 in 100 of the framed ones are followed by bytes that belong to no request. One in five requests of callers that open a connection for each, and of those that take streams up, is in HTTP/1.0. No check is changed.

--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -7,13 +7,24 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use pistachiochute_standins::platform::caller::{Answer, CallerRequest, read};
+use pistachiochute_standins::platform::caller::{Answer, CallerRequest, Version, read};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
 /// Longest pause of a caller between two requests, in milliseconds.
 const LONGEST_PAUSE_MS: u64 = 60;
 
+/// Probability with which a caller speaks HTTP/1.0 on a connection that takes one request.
+const OLD_VERSION_PROBABILITY: f64 = 0.2;
+
+/// Draws the version of HTTP that a caller speaks on a connection that takes one request.
+pub(crate) fn draw_version(rng: &mut ChaCha8Rng) -> Version {
+    match rng.random_bool(OLD_VERSION_PROBABILITY) {
+        true => Version::Http10,
+        false => Version::Http11,
+    }
+}
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -174,6 +185,9 @@
         let leaves = rng.random_bool(0.05);
         let sent = Instant::now();
         let mut ask = CallerRequest::new(id, kind.path(), &key(number));
+        if matches!(self.habit, Habit::Fresh) {
+            ask = ask.version(draw_version(rng));
+        }
         if let (Habit::Keeping { pause_ms }, true) = (&self.habit, kind.is_long()) {
             let pause = rng.random_range(pause_ms.clone());
             ask = ask.event_pause(Duration::from_millis(pause));
--- a/crates/soak/src/processes/answers.rs
+++ b/crates/soak/src/processes/answers.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 
+use pistachiochute_standins::platform::caller::Version;
 use pistachiochute_standins::platform::{caller, records};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
@@ -11,6 +12,15 @@
 /// Probability with which an answer has neither length nor chunks.
 const UNFRAMED_PROBABILITY: f64 = 0.15;
 
+/// Probability with which an answer names HTTP/1.0.
+const OLD_VERSION_PROBABILITY: f64 = 0.2;
+
+/// Probability with which bytes follow an answer that says where it ends.
+const BYTES_AFTER_PROBABILITY: f64 = 0.03;
+
+/// Bytes that follow an answer and belong to no request.
+const BYTES_AFTER: &[u8] = b"HTTP/1.0 200 Extra\r\nContent-Length: 5\r\n\r\nextra";
+
 /// Probability with which a resumption is not answered with the rest of the stream.
 const BAD_RESUMPTION_PROBABILITY: f64 = 0.25;
 
@@ -66,38 +76,62 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Framing {
     Chunked,
+    Length,
     /// By the end of the connection.
     Unframed,
 }
 
-impl Framing {
+/// Version of an answer, and how the end of its body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Form {
+    version: Version,
+    framing: Framing,
+}
+
+impl Form {
     fn draw(rng: &mut ChaCha8Rng) -> Self {
-        match rng.random_bool(UNFRAMED_PROBABILITY) {
-            true => Self::Unframed,
-            false => Self::Chunked,
-        }
+        let version = match rng.random_bool(OLD_VERSION_PROBABILITY) {
+            true => Version::Http10,
+            false => Version::Http11,
+        };
+        let framing = match (version, rng.random_bool(UNFRAMED_PROBABILITY)) {
+            (_, true) => Framing::Unframed,
+            (Version::Http10, false) => Framing::Length,
+            (Version::Http11, false) => Framing::Chunked,
+        };
+        Self { version, framing }
     }
 
-    const fn fields(self) -> &'static str {
-        match self {
-            Self::Chunked => "Transfer-Encoding: chunked\r\n",
-            Self::Unframed => "Connection: close\r\n",
+    /// Fields of a head before a body of these pieces.
+    fn fields(self, pieces: &[String]) -> String {
+        match self.framing {
+            Framing::Chunked => "Transfer-Encoding: chunked\r\n".to_owned(),
+            Framing::Length => {
+                let length: usize = pieces.iter().map(String::len).sum();
+                format!("Content-Length: {length}\r\n")
+            }
+            Framing::Unframed => "Connection: close\r\n".to_owned(),
         }
     }
 
     fn piece(self, text: &str) -> Vec<u8> {
-        match self {
-            Self::Chunked => format!("{:x}\r\n{text}\r\n", text.len()).into_bytes(),
-            Self::Unframed => text.as_bytes().to_vec(),
+        match self.framing {
+            Framing::Chunked => format!("{:x}\r\n{text}\r\n", text.len()).into_bytes(),
+            Framing::Length | Framing::Unframed => text.as_bytes().to_vec(),
         }
     }
 
     fn end(self) -> Vec<u8> {
-        match self {
-            Self::Chunked => b"0\r\n\r\n".to_vec(),
-            Self::Unframed => Vec::new(),
+        match self.framing {
+            Framing::Chunked => b"0\r\n\r\n".to_vec(),
+            Framing::Length | Framing::Unframed => Vec::new(),
         }
     }
+
+    /// Whether the connection is closed after an answer.
+    fn closes(self) -> bool {
+        self.framing == Framing::Unframed || self.version == Version::Http10
+    }
 }
 
 /// A request, and the run that answers it.
@@ -130,14 +164,14 @@
         self.last_event.map_or(0, |last| last + 1)
     }
 
-    fn head(&self, status: u16, is_sealed: bool, fields: &str) -> Vec<u8> {
+    fn head(&self, version: Version, status: u16, is_sealed: bool, fields: &str) -> Vec<u8> {
         let seal = is_sealed.then_some(self.seal);
         let kind = match self.is_stream && status == 200 {
             true => "text/event-stream",
             false => "text/plain",
         };
         let weights = caller::weights_at(self.first());
-        let head = records::run_head(status, self.id, weights, seal);
+        let head = records::run_head(version, status, self.id, weights, seal);
         format!("{head}Content-Type: {kind}\r\n{fields}\r\n").into_bytes()
     }
 }
@@ -158,44 +192,57 @@
 impl Script {
     /// Draws the answer to a request.
     pub(crate) fn draw(rng: &mut ChaCha8Rng, asked: &Asked<'_>) -> Self {
-        let framing = Framing::draw(rng);
-        if asked.last_event.is_some() && rng.random_bool(BAD_RESUMPTION_PROBABILITY) {
-            return Self::bad_resumption(rng, asked, framing);
+        let form = Form::draw(rng);
+        let mut script = match asked.last_event {
+            Some(_) if rng.random_bool(BAD_RESUMPTION_PROBABILITY) => {
+                Self::bad_resumption(rng, asked, form)
+            }
+            _ => Self::whole(asked, form),
+        };
+        if !asked.is_stream && rng.random_bool(HALF_HEAD_PROBABILITY) {
+            script = script.half_head();
         }
-        let whole = Self::whole(asked, framing);
-        match !asked.is_stream && rng.random_bool(HALF_HEAD_PROBABILITY) {
-            true => whole.half_head(),
-            false => whole,
+        if rng.random_bool(BYTES_AFTER_PROBABILITY) && form.framing != Framing::Unframed {
+            script.end.extend_from_slice(BYTES_AFTER);
         }
+        script
     }
 
-    fn whole(asked: &Asked<'_>, framing: Framing) -> Self {
-        let pieces = (asked.first()..asked.pieces).map(|id| framing.piece(&asked.piece(id)));
+    /// An answer of these pieces.
+    fn of(
+        asked: &Asked<'_>,
+        form: Form,
+        (status, is_sealed): (u16, bool),
+        pieces: &[String],
+    ) -> Self {
         Self {
-            head: asked.head(200, true, framing.fields()),
-            pieces: pieces.collect(),
-            end: framing.end(),
-            closes: framing == Framing::Unframed,
+            head: asked.head(form.version, status, is_sealed, &form.fields(pieces)),
+            pieces: pieces.iter().map(|piece| form.piece(piece)).collect(),
+            end: form.end(),
+            closes: form.closes(),
             is_falsely_whole: false,
         }
     }
 
+    fn whole(asked: &Asked<'_>, form: Form) -> Self {
+        let pieces: Vec<_> = (asked.first()..asked.pieces)
+            .map(|id| asked.piece(id))
+            .collect();
+        Self::of(asked, form, (200, true), &pieces)
+    }
+
     /// An answer to a resumption that is not the rest of the stream: an error, nothing, or half a head.
-    fn bad_resumption(rng: &mut ChaCha8Rng, asked: &Asked<'_>, framing: Framing) -> Self {
-        let mut script = Self::whole(asked, framing);
+    fn bad_resumption(rng: &mut ChaCha8Rng, asked: &Asked<'_>, form: Form) -> Self {
         match rng.random_range(0..6) {
-            0 => script.half_head(),
-            1 | 2 => {
-                script.is_falsely_whole = !script.pieces.is_empty();
-                script.pieces.clear();
-                script
-            }
+            0 => Self::whole(asked, form).half_head(),
+            1 | 2 => Self {
+                is_falsely_whole: asked.first() < asked.pieces,
+                ..Self::of(asked, form, (200, true), &[])
+            },
             _ => {
                 let status = ERRORS[rng.random_range(0..ERRORS.len())];
                 let is_sealed = rng.random_bool(0.5);
-                script.head = asked.head(status, is_sealed, framing.fields());
-                script.pieces = vec![framing.piece(ERROR_TEXT)];
-                script
+                Self::of(asked, form, (status, is_sealed), &[ERROR_TEXT.to_owned()])
             }
         }
     }
--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -57,6 +57,7 @@
         let host = rng.random_range(0..self.hosts.len());
         let key = load::key(self.shared.key.load(Ordering::Relaxed));
         let request = CallerRequest::new(&id, &format!("/{route}/{id}"), &key);
+        let request = request.version(load::draw_version(rng));
         CallRecord {
             answer: request.send(self.hosts[host]),
             id,
--- a/crates/soak/src/versions/callers.rs
+++ b/crates/soak/src/versions/callers.rs
@@ -139,7 +139,7 @@
         // Equal requests beside ends of processes would be taken for one that crashes endpoints.
         let path = format!("/{}/{id}", self.route);
         let mut record = StreamRecord {
-            caller: StreamCaller::new(id, &path, ""),
+            caller: StreamCaller::new(id, &path, "").version(load::draw_version(rng)),
             sent: Vec::new(),
             foreign: None,
         };
--- a/crates/standins/src/platform/records.rs
+++ b/crates/standins/src/platform/records.rs
@@ -4,6 +4,8 @@
 
 use serde_json::{Value, json};
 
+use crate::platform::caller::Version;
+
 /// Key of the configuration.
 pub const CONFIG_KEY: &str = "op/config";
 
@@ -19,10 +21,16 @@
 /// Status line and headers of the answer to a request that an endpoint runs, with its seal if it has one, as far as they
 /// are the platform's. The rest of the head follows.
 #[must_use]
-pub fn run_head(status: u16, request: &str, weights: u64, seal: Option<&str>) -> String {
+pub fn run_head(
+    version: Version,
+    status: u16,
+    request: &str,
+    weights: u64,
+    seal: Option<&str>,
+) -> String {
     let seal = seal.map_or_else(String::new, |seal| format!("X-Response-Seal: {seal}\r\n"));
     format!(
-        "HTTP/1.1 {status} Status\r\nX-Request-Id: {request}\r\nX-Weight-Versions: {weights}\r\n{seal}"
+        "{version} {status} Status\r\nX-Request-Id: {request}\r\nX-Weight-Versions: {weights}\r\n{seal}"
     )
 }
 
--- a/crates/standins/src/platform/stream_caller.rs
+++ b/crates/standins/src/platform/stream_caller.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use crate::platform::caller::{self, Answer, CallerRequest};
+use crate::platform::caller::{self, Answer, CallerRequest, Version};
 
 /// An event of a stream, as an endpoint wrote it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,6 +117,7 @@
 #[derive(Clone, Debug)]
 pub struct StreamCaller {
     id: String,
+    version: Version,
     path: String,
     key: String,
     tries: Vec<Try>,
@@ -128,12 +129,20 @@
     pub fn new(id: &str, path: &str, key: &str) -> Self {
         Self {
             id: id.to_owned(),
+            version: Version::default(),
             path: path.to_owned(),
             key: key.to_owned(),
             tries: Vec::new(),
         }
     }
 
+    /// Speaks another version of HTTP.
+    #[must_use]
+    pub const fn version(mut self, version: Version) -> Self {
+        self.version = version;
+        self
+    }
+
     /// Replaces the API key of later tries.
     pub fn set_key(&mut self, key: &str) {
         key.clone_into(&mut self.key);
@@ -146,7 +155,7 @@
             0 => self.id.clone(),
             tries => format!("{}-try-{}", self.id, tries + 1),
         };
-        let request = CallerRequest::new(&id, &self.path, &self.key);
+        let request = CallerRequest::new(&id, &self.path, &self.key).version(self.version);
         match (self.first_request(), self.events().last()) {
             (Some(first), Some(last)) => request
                 .header("Last-Event-Id", &last.id.to_string())
