Keep headers that the ends of a request need, whatever Connection names

Cause: all headers that a Connection header names were removed. It may name only what concerns one connection.

Change: headers that HTTP or the platform means for the ends of a request stay. They are listed once, for requests and answers. The hop between hosts no longer removes what the head of an answer cannot hold.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, request, response};
+use http::{HeaderMap, HeaderName, StatusCode, request, response};
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::choice::prompt;
 use pistachiochute_core::{admission, directory, rate_limits, reason, revision, sse};
@@ -125,6 +125,9 @@
         headers: &HeaderMap,
     ) -> Result<Option<admission::Pushback>, admission::ParsePushbackError>;
 
+    /// Headers that callers and endpoints need of each other, whatever a `Connection` header says of them.
+    fn end_to_end_headers(&self) -> &'static [HeaderName];
+
     /// Removes headers of an endpoint's answer that callers must not see.
     fn strip_internal_headers(&self, headers: &mut HeaderMap);
 
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, request, response};
+use http::{HeaderMap, HeaderName, StatusCode, request, response};
 use pistachiochute_core::catalog::verify;
 use pistachiochute_core::memory::Limits;
 use pistachiochute_core::{admission, catalog, directory, reason, retry, revision, sse, streams};
@@ -96,6 +96,10 @@
         Ok(None)
     }
 
+    fn end_to_end_headers(&self) -> &'static [HeaderName] {
+        &[]
+    }
+
     fn strip_internal_headers(&self, _: &mut HeaderMap) {}
 
     fn leading_event_fields(&self) -> sse::LeadingFields {
--- a/crates/gateway/src/traffic/answer_head.rs
+++ b/crates/gateway/src/traffic/answer_head.rs
@@ -32,12 +32,12 @@
 impl std::error::Error for NotFinal {}
 
 impl AnswerHead {
-    /// Keeps of a head what is not of its connection.
+    /// Keeps of a head what is not of its connection. Headers of `end_to_end` never are.
     ///
     /// # Errors
     ///
     /// Returns an error if the status is no final one.
-    pub(super) fn of(parts: response::Parts) -> Result<Self, NotFinal> {
+    pub(super) fn of(parts: response::Parts, end_to_end: &[HeaderName]) -> Result<Self, NotFinal> {
         let response::Parts {
             status,
             mut headers,
@@ -46,7 +46,7 @@
         if status.is_informational() {
             return Err(NotFinal(status));
         }
-        reply::strip_connection_headers(&mut headers);
+        reply::strip_connection_headers(&mut headers, end_to_end);
         headers.remove(header::CONTENT_LENGTH);
         Ok(Self { status, headers })
     }
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -400,7 +400,7 @@
     cx.dialect.strip_internal_headers(&mut parts.headers);
     let idle_limit = idle_limit(&parts, &metadata);
     let framing = answer_end::framing(&attempt.outgoing.method, &parts);
-    let head = match AnswerHead::of(parts) {
+    let head = match AnswerHead::of(parts, cx.dialect.end_to_end_headers()) {
         Ok(head) => head,
         Err(e) => return failed(AttemptFailure::InvalidAnswer, e.to_string()),
     };
--- a/crates/gateway/src/traffic/forwarding/client.rs
+++ b/crates/gateway/src/traffic/forwarding/client.rs
@@ -293,7 +293,7 @@
         );
     }
     permit.record(forwarding::Outcome::Served);
-    let head = match AnswerHead::of(parts) {
+    let head = match AnswerHead::of(parts, permit.cx.dialect.end_to_end_headers()) {
         Ok(head) => head,
         Err(e) => return lost(e.to_string()),
     };
--- a/crates/gateway/src/traffic/forwarding/server.rs
+++ b/crates/gateway/src/traffic/forwarding/server.rs
@@ -215,7 +215,6 @@
 {
     let verdict = HeaderValue::from_static(verdict(&answer).as_str());
     let (mut parts, body) = answer.into_parts();
-    reply::strip_connection_headers(&mut parts.headers);
     parts.headers.insert(forwarded::VERDICT_HEADER, verdict);
     let mut head = Response::builder().status(parts.status).body(())?;
     *head.headers_mut() = parts.headers;
--- a/crates/gateway/src/traffic/reply.rs
+++ b/crates/gateway/src/traffic/reply.rs
@@ -88,10 +88,25 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
-/// Removes hop-by-hop headers, including those that the `Connection` header names.
-pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+/// Headers that are meant for the ends of a request. A `Connection` header must not name them (RFC 9110, section 7.6.1).
+const END_TO_END_HEADERS: [header::HeaderName; 7] = [
+    header::AUTHORIZATION,
+    header::CONTENT_ENCODING,
+    header::CONTENT_RANGE,
+    header::CONTENT_TYPE,
+    header::HOST,
+    header::LOCATION,
+    header::RETRY_AFTER,
+];
+
+/// Removes hop-by-hop headers, including those that the `Connection` header names unless they are meant for the ends of
+/// a request: by HTTP, or as `end_to_end` has them.
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap, end_to_end: &[header::HeaderName]) {
+    let is_kept =
+        |name: &header::HeaderName| END_TO_END_HEADERS.contains(name) || end_to_end.contains(name);
     let named: Vec<header::HeaderName> = connection_tokens(headers)
         .filter_map(|name| name.parse().ok())
+        .filter(|name| !is_kept(name))
         .collect();
     for name in CONNECTION_HEADERS.iter().chain(&named) {
         headers.remove(name);
--- a/crates/gateway/src/traffic/serve.rs
+++ b/crates/gateway/src/traffic/serve.rs
@@ -269,7 +269,7 @@
     mut report: Report<D>,
     Admitted { plan, metadata }: Admitted,
     origin: forwarding::Origin,
-    head: request::Parts,
+    mut head: request::Parts,
     body: Bytes,
 ) -> Response<ReplyBody<D>>
 where
@@ -290,6 +290,8 @@
         let reason = reason::Refusal::MemoryShort;
         return refuse(report, reason);
     };
+    let end_to_end = cx.dialect.end_to_end_headers();
+    reply::strip_connection_headers(&mut head.headers, end_to_end);
     let outgoing = outgoing_request(head, body, (account, read_ahead), &metadata);
     let sends = report.sends().clone();
     let attempts = retry::Attempts::of(sends, plan.route.kind, plan.route.max_attempts);
@@ -360,7 +362,6 @@
     (account, read_ahead): (Arc<memory::Account>, memory::Held),
     metadata: &adapter::RequestMetadata,
 ) -> OutgoingRequest {
-    reply::strip_connection_headers(&mut head.headers);
     for name in [header::CONTENT_LENGTH, header::EXPECT] {
         head.headers.remove(name);
     }
