Judge unframed answers by whether this host looked when they ended

Cause: an answer without framing is whole if its endpoint lives on. An endpoint that gives up what stays unread lives on too. That was looked at for streams only, since the reading of an answer could not tell one that came late from one that came in time to a host that did not look. Besides, a process that answers without saying when it started was taken for the one that had sent the answer, which does not hold across a pause.

Change: the traffic thread notes its turns. Bytes that come while it is awake are not late, however long the endpoint worked. For what comes in a pause of a second or more, over 16 KiB may have been given up, and less needs the start of the endpoint's process as its proof. Both hold for calls and streams.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A host process with limits on its memory and its descriptors, before an endpoint of each kind.
 
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
+
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -33,6 +35,16 @@
 /// Body of an answer on `/large/`, in bytes.
 const LARGE_ANSWER_BYTES: usize = 400_000;
 
+/// Body of an answer on `/unframed/`, in bytes: more than the buffers of its connections hold.
+pub const UNFRAMED_BYTES: usize = 8 << 20;
+
+/// Time after which its endpoint gives up what is not read.
+pub const ENDPOINT_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// Timeout of requests to `/unframed/`, and of the others, in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 15_000;
+const TIMEOUT_MS: u64 = 3_000;
+
 /// Events of a stream on `/stream/`, and data of each, in bytes.
 const STREAM_EVENTS: usize = 40;
 const EVENT_BYTES: usize = 10_000;
@@ -56,13 +68,14 @@
     memory_mb: u64,
     child: Child,
     /// What the host needs while it runs.
-    _around: (Endpoints, StoreListener, [ReservedPort; 4]),
+    around: (Endpoints, StoreListener, [ReservedPort; 4]),
 }
 
 /// Endpoints that answer at once: with a few bytes, with many, and with a stream.
 struct Endpoints {
     _short: Endpoint,
     _large: RawEndpoint,
+    unframed: RawEndpoint,
     _stream: RawEndpoint,
     _short_events: [RawEndpoint; 2],
 }
@@ -73,6 +86,11 @@
         let short = short.expect("an endpoint");
         let start = |id, answer| RawEndpoint::start(id, answer).expect("an endpoint");
         let large = start("i-1", RawAnswer::Large(LARGE_ANSWER_BYTES));
+        let given_up = RawAnswer::GivenUp {
+            bytes: UNFRAMED_BYTES,
+            patience: ENDPOINT_PATIENCE,
+        };
+        let unframed = start("i-5", given_up);
         let stream = RawAnswer::LargeStream {
             events: STREAM_EVENTS,
             bytes: EVENT_BYTES,
@@ -89,6 +107,7 @@
         };
         list("call", short.id(), short.addr());
         list("large", large.id(), large.addr());
+        list("unframed", unframed.id(), unframed.addr());
         list("stream", stream.id(), stream.addr());
         for (service, endpoint) in EVENT_SERVICES.iter().zip(&short_events) {
             list(service, endpoint.id(), endpoint.addr());
@@ -96,6 +115,7 @@
         Self {
             _short: short,
             _large: large,
+            unframed,
             _stream: stream,
             _short_events: short_events,
         }
@@ -111,7 +131,10 @@
             service: name,
             attempts: 2,
             resumes: false,
-            timeout_ms: 3_000,
+            timeout_ms: match name {
+                "unframed" => LONG_TIMEOUT_MS,
+                _ => TIMEOUT_MS,
+            },
         };
         route.record()
     };
@@ -119,6 +142,7 @@
     let routes = [
         ("call", "safe"),
         ("large", "safe"),
+        ("unframed", "safe"),
         ("stream", "streaming"),
         (few, "streaming"),
         (many, "streaming"),
@@ -127,7 +151,7 @@
     let config = records::Config {
         version: 1,
         routes: &routes,
-        services: &["call", "large", "stream", few, many],
+        services: &["call", "large", "unframed", "stream", few, many],
         keys: &[KEY],
         idle_timeout_ms: 15_000,
     };
@@ -163,7 +187,7 @@
             links,
             memory_mb,
             child: spawn(&file, memory_mb << 20),
-            _around: (endpoints, listener, ports),
+            around: (endpoints, listener, ports),
         };
         machine.wait_ready();
         machine
@@ -206,6 +230,19 @@
         }
     }
 
+    /// Requests that the endpoint of `/unframed/` got.
+    pub fn unframed_requests(&self) -> u64 {
+        self.around.0.unframed.requests()
+    }
+
+    /// Has the process stand still for a while.
+    pub fn pause(&self, time: Duration) {
+        let pid = Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, Signal::STOP).expect("a signal");
+        std::thread::sleep(time);
+        rustix::process::kill_process(pid, Signal::CONT).expect("a signal");
+    }
+
     /// Largest resident memory of the process so far, in KiB.
     pub fn peak_kb(&self) -> u64 {
         self.memory_figure("VmHWM")
--- a/crates/gateway/src/traffic/answer_end.rs
+++ b/crates/gateway/src/traffic/answer_end.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 use http::{HeaderMap, Method, StatusCode, header, response};
-use pistachiochute_core::{directory, outcome};
+use pistachiochute_core::{directory, outcome, unread};
 use pistachiochute_runtime::metrics;
 
 use crate::adapter;
@@ -66,6 +66,8 @@
     Replaced,
     /// The answer stayed unread for so long that the endpoint, which may live on, may have cut it off.
     LeftUnread,
+    /// The end came while this process did not look, and the process that answers may have started since.
+    Unattended,
 }
 
 impl fmt::Display for NoProofOfLife {
@@ -75,23 +77,32 @@
             Self::Unanswered => f.write_str("closed by its endpoint, which does not answer"),
             Self::Replaced => f.write_str("closed by its endpoint, which was replaced"),
             Self::LeftUnread => f.write_str("closed by its endpoint after it had stayed unread"),
+            Self::Unattended => f.write_str("closed by its endpoint while this host stood still"),
         }
     }
 }
 
 impl std::error::Error for NoProofOfLife {}
 
-/// Finds out whether an endpoint lives on after it has closed the connection of an answer. The wait is
-/// bounded by the times for a connection and for a report.
+/// Finds out whether an endpoint lives on after it has closed the connection of an answer, which was read in this way.
+/// The wait is bounded by the times for a connection and for a report.
 pub(super) async fn check_life<D>(
     cx: &Context<D>,
     endpoint: &directory::Endpoint,
     max_connections: u32,
+    end: unread::End,
 ) -> Result<ProofOfLife, NoProofOfLife>
 where
     D: adapter::Dialect,
 {
-    let proof = prove_life(cx, endpoint, max_connections).await;
+    let proof = match end {
+        unread::End::MayBeCut => Err(NoProofOfLife::LeftUnread),
+        unread::End::Attended => prove_life(cx, endpoint, max_connections).await,
+        unread::End::Unattended => {
+            let proof = prove_life(cx, endpoint, max_connections).await;
+            proof.and_then(of_the_same_process)
+        }
+    };
     cx.metrics.decided(match proof {
         Ok(_) => metrics::Decision::AnswerEndProven,
         Err(_) => metrics::Decision::AnswerEndUnproven,
@@ -122,13 +133,12 @@
     }
 }
 
-/// Why a stream is not whole that its endpoint has closed after it had stayed unread.
-pub(super) fn left_unread<D>(cx: &Context<D>) -> NoProofOfLife
-where
-    D: adapter::Dialect,
-{
-    cx.metrics.decided(metrics::Decision::AnswerEndUnproven);
-    NoProofOfLife::LeftUnread
+/// A proof that holds also if the answer ended some time ago.
+const fn of_the_same_process(proof: ProofOfLife) -> Result<ProofOfLife, NoProofOfLife> {
+    match proof {
+        ProofOfLife::SameProcess => Ok(proof),
+        ProofOfLife::Answer => Err(NoProofOfLife::Unattended),
+    }
 }
 
 /// What delimits the body of the answer to a request with this method.
--- a/crates/gateway/src/traffic/attempt.rs
+++ b/crates/gateway/src/traffic/attempt.rs
@@ -515,11 +515,12 @@
             return failed(AttemptFailure::ConnectionLost, "closed before its body");
         }
         AnswerEnd::ClosedByEndpoint => {
+            let end = answer.connection.end_of_reading();
             // Makes room for the connection of the check.
             drop(answer.connection);
             let endpoint = &attempt.selected.endpoint;
             let max_connections = attempt.plan.service().max_connections;
-            let proof = answer_end::check_life(cx, endpoint, max_connections).await;
+            let proof = answer_end::check_life(cx, endpoint, max_connections, end).await;
             if let Err(e) = proof {
                 return failed(AttemptFailure::ConnectionLost, e.to_string());
             }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -165,6 +165,7 @@
     let mut last = Vec::new();
     loop {
         tokio::time::sleep(LOAD_PUBLISH_INTERVAL).await;
+        cx.pool.record_turn();
         cx.pool.prune();
         cx.life_questions.prune();
         cx.endpoints.borrow_mut().apply_entry_writes(&cx.shared);
--- a/crates/gateway/src/traffic/opened_stream.rs
+++ b/crates/gateway/src/traffic/opened_stream.rs
@@ -1,6 +1,5 @@
 //! A stream of events that has been started, by an endpoint or through another host.
 
-use std::future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -105,16 +104,12 @@
             return None;
         };
         // Makes room for the connection of the check.
-        let connection = endpoint.connection.take();
-        if connection.is_some_and(|connection| connection.may_be_cut()) {
-            let cause = answer_end::left_unread(&state.cx);
-            return Some(Box::pin(future::ready(Err(cause))));
-        }
+        let end = endpoint.connection.take()?.end_of_reading();
         let cx = state.cx.clone();
         let endpoint = endpoint.in_flight.endpoint().clone();
         let max_connections = state.plan.service().max_connections;
         Some(Box::pin(async move {
-            answer_end::check_life(&cx, &endpoint, max_connections).await
+            answer_end::check_life(&cx, &endpoint, max_connections, end).await
         }))
     }
 
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1};
 use hyper_util::rt::TokioIo;
-use pistachiochute_core::{directory, retry, time};
+use pistachiochute_core::{directory, retry, time, unread};
 use pistachiochute_runtime::clock;
 
 use crate::sockets;
@@ -122,6 +122,7 @@
 pub(super) struct Pool {
     /// Whether the buffers of connections are bounded by [`MAX_BUFFER_BYTES`].
     is_bounded: bool,
+    attention: watched::Attention,
     endpoints: Rc<RefCell<HashMap<directory::Identity, EndpointConnections>>>,
 }
 
@@ -140,6 +141,11 @@
         }
     }
 
+    /// Records that the thread has its turn. To be called every tenth of a second or so.
+    pub(super) fn record_turn(&self) {
+        self.attention.record();
+    }
+
     /// Acquires a connection for one request, idle or new.
     pub(super) async fn acquire(
         &self,
@@ -181,7 +187,7 @@
             .await
             .map_err(AcquireError::Connect)?;
         let connected_at = clock::now();
-        let watch = watched::Watch::new();
+        let watch = watched::Watch::new(self.attention.clone());
         let stream = watched::Watched::new(stream, watch.clone());
         let mut builder = http1::Builder::new();
         if self.is_bounded {
@@ -376,9 +382,9 @@
         self.process.connected_at
     }
 
-    /// Whether the present answer stayed unread for so long that the endpoint may have cut it off.
-    pub(super) fn may_be_cut(&self) -> bool {
-        self.watch.may_be_cut()
+    /// What the reading of the present answer says of its end.
+    pub(super) fn end_of_reading(&self) -> unread::End {
+        self.watch.end()
     }
 
     /// Whether the connection was opened for this request, and nothing was sent on it before.
--- a/crates/gateway/src/traffic/watched.rs
+++ b/crates/gateway/src/traffic/watched.rs
@@ -10,32 +10,61 @@
 use pistachiochute_runtime::clock;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+/// When this thread is known to have looked at its connections, for all of them.
+#[derive(Clone, Debug)]
+pub(super) struct Attention(Rc<Cell<unread::Attention>>);
+
+impl Attention {
+    pub(super) fn new() -> Self {
+        Self(Rc::new(Cell::new(unread::Attention::new(clock::now()))))
+    }
+
+    /// Records that the thread has its turn.
+    pub(super) fn record(&self) {
+        let mut attention = self.0.get();
+        attention.record(clock::now());
+        self.0.set(attention);
+    }
+}
+
+impl Default for Attention {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// How the present answer on a connection is read.
 #[derive(Clone, Debug)]
-pub(super) struct Watch(Rc<Cell<unread::Reading>>);
+pub(super) struct Watch {
+    reading: Rc<Cell<unread::Reading>>,
+    attention: Attention,
+}
 
 impl Watch {
-    pub(super) fn new() -> Self {
-        Self(Rc::new(Cell::new(unread::Reading::begin(clock::now()))))
+    pub(super) fn new(attention: Attention) -> Self {
+        Self {
+            reading: Rc::new(Cell::new(unread::Reading::begin(clock::now()))),
+            attention,
+        }
     }
 
     /// Begins with the answer to a request that is sent now.
     pub(super) fn begin(&self) {
-        self.0.set(unread::Reading::begin(clock::now()));
+        self.reading.set(unread::Reading::begin(clock::now()));
     }
 
-    /// Whether the answer stayed unread for so long that the endpoint may have cut it off.
-    pub(super) fn may_be_cut(&self) -> bool {
-        self.0.get().may_be_cut()
+    /// What the reading says of the end of the answer.
+    pub(super) fn end(&self) -> unread::End {
+        self.reading.get().end()
     }
 
     fn record<F>(&self, record: F)
     where
         F: FnOnce(&mut unread::Reading),
     {
-        let mut reading = self.0.get();
+        let mut reading = self.reading.get();
         record(&mut reading);
-        self.0.set(reading);
+        self.reading.set(reading);
     }
 }
 
@@ -64,9 +93,11 @@
         let before = buf.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         let bytes = buf.filled().len() - before;
+        let now = clock::now();
+        let attention = self.watch.attention.0.get();
         match &result {
-            Poll::Pending => self.watch.record(|r| r.record_caught_up(clock::now())),
-            Poll::Ready(_) => self.watch.record(|r| r.record_read(bytes, clock::now())),
+            Poll::Pending => self.watch.record(|r| r.record_caught_up(now)),
+            Poll::Ready(_) => self.watch.record(|r| r.record_read(bytes, &attention, now)),
         }
         result
     }
--- a/crates/standins/src/platform/raw_endpoint.rs
+++ b/crates/standins/src/platform/raw_endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr as _;
 
@@ -47,6 +47,14 @@
         /// Whether the connection is reset instead of closed.
         is_reset: bool,
     },
+    /// An answer of so many bytes without framing, whose body begins after [`WRITTEN_PAUSE`]. If it is not read within
+    /// `patience`, the endpoint gives the rest up and closes the connection in order.
+    GivenUp {
+        /// Bytes of the body.
+        bytes: usize,
+        /// Time in which the system has to take the body.
+        patience: Duration,
+    },
     /// Bytes as a test writes them.
     Written(WrittenAnswers),
 }
@@ -342,6 +350,14 @@
                     false => Ok(()),
                 }
             }
+            RawAnswer::GivenUp { bytes, patience } => {
+                let more = format!("{sealed}Connection: close\r\n");
+                self.send(stream, head("200 OK", &more).as_bytes())?;
+                thread::sleep(WRITTEN_PAUSE);
+                let end = Instant::now() + *patience;
+                self.send_until(stream, &vec![b'x'; *bytes], end)?;
+                self.end(stream, RawEnd::Close)
+            }
             RawAnswer::Written(answers) => {
                 let answer = self.written(request).unwrap_or(&answers.first);
                 let bytes = answer.bytes.replace("{id}", id).replace("{seal}", &seal);
@@ -453,6 +469,24 @@
         Ok(())
     }
 
+    /// Sends what the system takes of some bytes until a point in time.
+    fn send_until(&self, stream: &mut TcpStream, bytes: &[u8], end: Instant) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        let mut rest = bytes;
+        while !rest.is_empty() && Instant::now() < end {
+            match stream.write(rest) {
+                Ok(written) => rest = &rest[written..],
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                Err(e) => return Err(e),
+            }
+        }
+        let written = bytes.len() - rest.len();
+        self.bytes.fetch_add(written as u64, Ordering::Relaxed);
+        stream.set_nonblocking(false)
+    }
+
     /// Sends the same bytes until the connection is closed.
     fn send_on(
         &self,
