Let nobody in when the list of accounts is empty

Cause: an absent list and an empty one were decoded alike, and a catalog without accounts asked for no key.

Change: Accounts is Open (no list) or Keyed (a list, which may be empty); null is refused, as before. Between hosts, an empty list is one account without a name and without keys, so that builds without this change, which run beside it during an upgrade, read it and refuse every key too. The format of all other lists is the same to the byte.

--- a/crates/core/src/catalog/changes.rs
+++ b/crates/core/src/catalog/changes.rs
@@ -215,7 +215,7 @@
 
 fn compare_accounts(in_force: &Content, new: &Content, changes: &mut Vec<Change>) {
     let place = |i| Place::Account(AccountIndex(i as u32), AccountField::Name);
-    let parts = (&in_force.accounts[..], &new.accounts[..]);
+    let parts = (in_force.accounts.as_slice(), new.accounts.as_slice());
     match_by_name(
         parts,
         |a| &a.name,
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -14,8 +14,8 @@
 pub use current::{CurrentCatalog, UpdateResult};
 pub use lag::Lag;
 pub use model::{
-    Account, AccountIndex, CallerLimits, Content, RequestKind, Route, RouteIndex, Service,
-    ServiceIndex, Target, Version,
+    Account, AccountIndex, Accounts, CallerLimits, Content, RequestKind, Route, RouteIndex,
+    Service, ServiceIndex, Target, Version,
 };
 pub use routes::RouteTable;
 
@@ -37,7 +37,7 @@
     pub fn new(content: Content) -> Self {
         let routes = RouteTable::new(&content.routes);
         let mut accounts_by_key = HashMap::new();
-        for (i, account) in content.accounts.iter().enumerate() {
+        for (i, account) in content.accounts.as_slice().iter().enumerate() {
             for digest in &account.key_digests {
                 accounts_by_key.insert(*digest, AccountIndex(i as u32));
             }
@@ -84,12 +84,15 @@
     pub fn account_of_key(&self, key: &[u8]) -> Option<&Account> {
         let digest = lists::KeyDigest::of(key);
         let index = self.accounts_by_key.get(&digest)?;
-        Some(&self.content.accounts[index.0 as usize])
+        Some(&self.content.accounts.as_slice()[index.0 as usize])
     }
 
-    /// Whether there are any accounts. Without accounts, requests need no API key.
+    /// Whether requests to routes that are not public need an API key.
     #[must_use]
-    pub fn has_accounts(&self) -> bool {
-        !self.content.accounts.is_empty()
+    pub const fn needs_keys(&self) -> bool {
+        match self.content.accounts {
+            Accounts::Open => false,
+            Accounts::Keyed(_) => true,
+        }
     }
 }
--- a/crates/core/src/catalog/model.rs
+++ b/crates/core/src/catalog/model.rs
@@ -151,6 +151,62 @@
     pub priority: Option<u8>,
 }
 
+/// Who may send requests to routes that are not public.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize)]
+#[serde(from = "Vec<Account>")]
+pub enum Accounts {
+    /// Everybody: no key is asked for.
+    Open,
+    /// Whoever has a key of one of these accounts. Without accounts that is nobody.
+    Keyed(Vec<Account>),
+}
+
+impl Accounts {
+    /// The accounts.
+    #[must_use]
+    pub fn as_slice(&self) -> &[Account] {
+        match self {
+            Self::Open => &[],
+            Self::Keyed(accounts) => accounts,
+        }
+    }
+}
+
+/// Stands for "nobody" between hosts, whose format has a list in which none stands for "everybody".
+fn nobody() -> Account {
+    Account {
+        name: "".into(),
+        key_digests: Vec::new(),
+        priority: None,
+    }
+}
+
+impl From<Vec<Account>> for Accounts {
+    /// Reads the list that hosts tell each other.
+    fn from(accounts: Vec<Account>) -> Self {
+        match &accounts[..] {
+            [] => Self::Open,
+            [only] if *only == nobody() => Self::Keyed(Vec::new()),
+            _ => Self::Keyed(accounts),
+        }
+    }
+}
+
+impl serde::Serialize for Accounts {
+    /// Writes the list that hosts tell each other.
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: serde::Serializer,
+    {
+        match self {
+            Self::Keyed(accounts) if accounts.is_empty() => {
+                [nobody()].as_slice().serialize(serializer)
+            }
+            Self::Open | Self::Keyed(_) => self.as_slice().serialize(serializer),
+        }
+    }
+}
+
 /// Limits on connections and requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CallerLimits {
@@ -174,7 +230,7 @@
     /// Services.
     pub services: Vec<Service>,
     /// Client accounts.
-    pub accounts: Vec<Account>,
+    pub accounts: Accounts,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
--- a/crates/core/src/catalog/verify/mod.rs
+++ b/crates/core/src/catalog/verify/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use crate::catalog::{Account, AccountIndex, Content, Route, RouteIndex, ServiceIndex};
+use crate::catalog::{Account, AccountIndex, Accounts, Content, Route, RouteIndex, ServiceIndex};
 use crate::lists;
 
 /// A configuration that was decoded, with what its decoder found.
@@ -149,14 +149,16 @@
             return;
         }
         let place = Place::Route(index, RouteField::IsPublic);
-        let accounts = &self.content.accounts;
-        if accounts.is_empty() {
-            self.report(place, Fault::OpenToEverybody);
-        } else if accounts
-            .iter()
-            .all(|account| account.key_digests.is_empty())
-        {
-            self.report(place, Fault::NoKeyForRoute);
+        match &self.content.accounts {
+            Accounts::Open => self.report(place, Fault::OpenToEverybody),
+            Accounts::Keyed(accounts) => {
+                if accounts
+                    .iter()
+                    .all(|account| account.key_digests.is_empty())
+                {
+                    self.report(place, Fault::NoKeyForRoute);
+                }
+            }
         }
     }
 
@@ -190,7 +192,7 @@
         let content = self.content;
         let mut names = HashSet::new();
         let mut last_of_key = HashMap::new();
-        for (i, account) in content.accounts.iter().enumerate() {
+        for (i, account) in content.accounts.as_slice().iter().enumerate() {
             let index = AccountIndex(i as u32);
             if !names.insert(&account.name) {
                 let place = Place::Account(index, AccountField::Name);
@@ -204,7 +206,7 @@
                 last_of_key.insert(*digest, i);
             }
         }
-        for (i, account) in content.accounts.iter().enumerate() {
+        for (i, account) in content.accounts.as_slice().iter().enumerate() {
             self.keys(i, account, &last_of_key);
         }
     }
@@ -224,7 +226,7 @@
                 self.report(place, Fault::EmptyKey);
             }
             if last != i {
-                let by = self.content.accounts[last].name.clone();
+                let by = self.content.accounts.as_slice()[last].name.clone();
                 self.report(place, Fault::KeyReplaced { by });
             }
             if !seen.insert(digest) {
--- a/crates/core/tests/catalog.rs
+++ b/crates/core/tests/catalog.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pistachiochute_core::catalog::{
-    Account, CallerLimits, Catalog, Content, CurrentCatalog, RequestKind, Route, Service,
+    Account, Accounts, CallerLimits, Catalog, Content, CurrentCatalog, RequestKind, Route, Service,
     ServiceIndex, Target, UpdateResult, Version,
 };
 use pistachiochute_core::lists::KeyDigest;
@@ -38,11 +38,11 @@
             memory_tokens: None,
             cold_rate: None,
         }],
-        accounts: vec![Account {
+        accounts: Accounts::Keyed(vec![Account {
             name: "farm".into(),
             key_digests: vec![KeyDigest::of(b"key-1"), KeyDigest::of(b"key-2")],
             priority: Some(2),
-        }],
+        }]),
         limits: CallerLimits {
             max_head_bytes: 1_000,
             max_body_bytes: 1_000,
--- a/crates/gateway/src/control/tests/catalogs.rs
+++ b/crates/gateway/src/control/tests/catalogs.rs
@@ -62,7 +62,7 @@
     };
     catalog::Content {
         routes: Vec::new(),
-        accounts: vec![account],
+        accounts: catalog::Accounts::Keyed(vec![account]),
         ..large_catalog()
     }
 }
--- a/crates/gateway/src/control/tests/linked_host.rs
+++ b/crates/gateway/src/control/tests/linked_host.rs
@@ -156,7 +156,7 @@
         version: catalog::Version(version),
         routes: Vec::new(),
         services: Vec::new(),
-        accounts: Vec::new(),
+        accounts: catalog::Accounts::Open,
         limits: catalog::CallerLimits {
             max_head_bytes: 1 << 14,
             max_body_bytes: 1 << 20,
--- a/crates/gateway/src/traffic/overload.rs
+++ b/crates/gateway/src/traffic/overload.rs
@@ -79,7 +79,7 @@
         }
         self.version = Some(catalog.version());
         let content = catalog.content();
-        let accounts = content.accounts.iter();
+        let accounts = content.accounts.as_slice().iter();
         self.accounts = accounts.map(|a| account_key(service, &a.name)).collect();
         let is_target = |t: &catalog::Target| *catalog.service(t.service).name == *service;
         let routes = content.routes.iter();
--- a/crates/gateway/src/traffic/plan.rs
+++ b/crates/gateway/src/traffic/plan.rs
@@ -139,7 +139,7 @@
     route: &catalog::Route,
     metadata: &adapter::RequestMetadata,
 ) -> Result<Option<&'a catalog::Account>, reason::Refusal> {
-    if route.is_public || !catalog.has_accounts() {
+    if route.is_public || !catalog.needs_keys() {
         return Ok(None);
     }
     let key: &Bytes = metadata.key.as_ref().ok_or(reason::Refusal::Unauthorized)?;
--- a/crates/messages/tests/catalog_parts.rs
+++ b/crates/messages/tests/catalog_parts.rs
@@ -22,11 +22,11 @@
         version: catalog::Version(version),
         routes: Vec::new(),
         services: Vec::new(),
-        accounts: vec![catalog::Account {
+        accounts: catalog::Accounts::Keyed(vec![catalog::Account {
             name: "farm".into(),
             key_digests: (0..keys).map(|n| KeyDigest::of(&n.to_le_bytes())).collect(),
             priority: None,
-        }],
+        }]),
         limits: catalog::CallerLimits {
             max_head_bytes: 1 << 14,
             max_body_bytes: 1 << 20,
@@ -150,3 +150,31 @@
     assembly.expire(NOW + PATIENCE);
     assert!(assembly.is_empty());
 }
+
+/// Guards against ROUTE (review 15): a list without accounts that other hosts take for none, which lets everybody in.
+/// A build that knows only lists of accounts reads an account without a key.
+#[test]
+fn lists_of_accounts_stay_what_they_are_between_hosts() {
+    let catalog::Accounts::Keyed(some) = content(1, 2).accounts else {
+        panic!("accounts");
+    };
+    for accounts in [
+        catalog::Accounts::Open,
+        catalog::Accounts::Keyed(Vec::new()),
+        catalog::Accounts::Keyed(some.clone()),
+    ] {
+        let mut decoder = codec::Decoder::new();
+        decoder.extend(&codec::encode(&accounts).expect("a message"));
+        let read: Option<catalog::Accounts> = decoder.take().expect("accounts");
+        assert_eq!(read, Some(accounts));
+    }
+    let empty = codec::encode(&catalog::Accounts::Keyed(Vec::new())).expect("a message");
+    let mut decoder = codec::Decoder::new();
+    decoder.extend(&empty);
+    let read: Option<Vec<catalog::Account>> = decoder.take().expect("a list");
+    let read = read.expect("all of it");
+    assert_eq!((read.len(), read[0].key_digests.len()), (1, 0));
+    let listed = codec::encode(&some).expect("a message");
+    let keyed = codec::encode(&catalog::Accounts::Keyed(some)).expect("a message");
+    assert_eq!(listed, keyed);
+}
