Soak: answers with a length stay falsely whole when their process ends

Cause, as far as the logs show it (the line of the request on host-1 is missing): since endpoints also answer with a length, a resumption that is falsely answered with nothing is all there once its head is. The stand-in noted such answers only if it lived on, which was right while a cut left out the last chunk.

Change: the answer is noted also if the process ends behind its head. A unit test says which cut answers stay whole; the check of streams is as it was.

--- a/crates/soak/src/processes/answers.rs
+++ b/crates/soak/src/processes/answers.rs
@@ -187,6 +187,8 @@
     pub closes: bool,
     /// Whether the answer is shorter than what the run owes, and does not show it.
     pub is_falsely_whole: bool,
+    /// Whether the head says how long the body is, so that nothing has to follow the pieces.
+    has_length: bool,
 }
 
 impl Script {
@@ -221,6 +223,7 @@
             end: form.end(),
             closes: form.closes(),
             is_falsely_whole: false,
+            has_length: form.framing == Framing::Length,
         }
     }
 
@@ -263,6 +266,8 @@
     /// Leaves out what follows a place. `piece` is the one that is cut, or the last one before the place.
     fn cut_at(&mut self, point: Point, piece: usize) {
         self.end.clear();
+        // An answer without pieces is all there once its head with a length is.
+        self.is_falsely_whole &= self.has_length && point != Point::Head;
         match point {
             Point::Head => {
                 self.head.truncate(self.head.len() / 2);
--- a/crates/soak/src/processes/server.rs
+++ b/crates/soak/src/processes/server.rs
@@ -208,10 +208,11 @@
         let mut rng = ChaCha8Rng::seed_from_u64(born ^ (run << 48));
         let mut script = Script::draw(&mut rng, &asked);
         let cut = self.next_cut().take();
-        match cut {
-            Some(point) => script.cut(&mut rng, point),
-            None if script.is_falsely_whole => writeln!(&self.falsely_whole, "{}", asked.id)?,
-            None => {}
+        if let Some(point) = cut {
+            script.cut(&mut rng, point);
+        }
+        if script.is_falsely_whole {
+            writeln!(&self.falsely_whole, "{}", asked.id)?;
         }
         let pause = if is_stream { EVENT_PAUSE } else { CALL_PAUSE };
         let sent = script.send(stream, pause);
--- a/crates/soak/src/processes/tests.rs
+++ b/crates/soak/src/processes/tests.rs
@@ -201,6 +201,39 @@
     }
 }
 
+/// Guards against a soak that calls a stream cut short by its host whose endpoint had ended it falsely, and ended itself
+/// then: a head with a length of nothing is a whole answer.
+#[test]
+fn falsely_whole_answers_that_say_their_length_stay_so_when_they_are_cut() {
+    let asked = Asked {
+        id: "s",
+        is_stream: true,
+        last_event: Some(2),
+        pieces: 5,
+        run: "a",
+        version: "v1",
+        seal: "seal",
+    };
+    let mut seen = [false; 2];
+    for seed in 0..400 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let script = Script::draw(&mut rng, &asked);
+        if !script.is_falsely_whole {
+            continue;
+        }
+        let head = String::from_utf8_lossy(&script.head);
+        let has_length = head.contains("Content-Length: 0\r\n");
+        seen[usize::from(has_length)] = true;
+        for point in Point::ALL {
+            let mut cut = script.clone();
+            cut.cut(&mut rng, point);
+            let is_whole = has_length && point != Point::Head;
+            assert_eq!(cut.is_falsely_whole, is_whole, "{point} {script:?}");
+        }
+    }
+    assert_eq!(seen, [true; 2]);
+}
+
 /// Guards against take-ups at processes that are refused in place of being proven.
 #[test]
 fn take_ups_that_seldom_go_on_are_broken_while_two_processes_serve() {
